Add design page, core types, ports and peer transport

Cause: the repository was empty. The design page fixes the module layout, state ownership, protocols and failure handling that later work builds on. Change: docs/design.md, DEVELOPERS.md, core/{fleet,resource,outcome,store}, io/{control,message,peer}, formatter, linter and test scripts.

--- /dev/null
+++ b/io/peer/pool.go
@@ -0,0 +1,209 @@
+// Package peer carries net/rpc calls between the processes of the system.
+//
+// A connection can go silent for good while new ones work: writes succeed and
+// nothing arrives. Each connection with calls in flight is therefore pinged,
+// and one that delivers no byte for SilenceLimit is closed; its calls end with
+// ErrSilent, which says nothing about whether the remote side ran them. Pools
+// are safe for use from any goroutine.
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Timing of connections.
+const (
+	PingPeriod   = 250 * time.Millisecond
+	SilenceLimit = time.Second
+	DialTimeout  = time.Second
+	IdleLimit    = 30 * time.Second
+)
+
+var (
+	// ErrSilent reports that the connection delivered nothing for SilenceLimit; the call may have run.
+	ErrSilent = errors.New("connection went silent")
+	// ErrNotSent reports that no connection could be opened; the call did not run.
+	ErrNotSent = errors.New("no connection to peer")
+)
+
+// Pool holds one connection per address for one kind of traffic. The zero
+// value works and counts its bytes under the kind "other".
+type Pool struct {
+	kind  string
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// NewPool returns a pool whose bytes are counted under the kind.
+func NewPool(kind string) *Pool { return &Pool{kind: kind} }
+
+// link is one connection and the calls in flight on it.
+type link struct {
+	client   *rpc.Client
+	conn     *countedConn
+	inFlight atomic.Int64
+	lastUse  atomic.Int64
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Call runs a remote method. An error of type rpc.ServerError came from the
+// method itself. ErrNotSent proves that the call did not run.
+func (poo *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
+	lnk, err := poo.link(ctx, addr)
+	if err != nil {
+		return err
+	}
+	lnk.inFlight.Add(1)
+	defer lnk.inFlight.Add(-1)
+	lnk.lastUse.Store(time.Now().UnixNano())
+	cal := lnk.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-cal.Done:
+		return poo.finish(addr, lnk, cal.Error)
+	case <-lnk.closed:
+		return ErrSilent
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (poo *Pool) finish(addr string, lnk *link, err error) error {
+	var remote rpc.ServerError
+	if err == nil || errors.As(err, &remote) {
+		return err
+	}
+	poo.drop(addr, lnk)
+	return err
+}
+
+func (poo *Pool) link(ctx context.Context, addr string) (*link, error) {
+	poo.mu.Lock()
+	lnk := poo.links[addr]
+	poo.mu.Unlock()
+	if lnk != nil {
+		return lnk, nil
+	}
+	return poo.open(ctx, addr)
+}
+
+func (poo *Pool) open(ctx context.Context, addr string) (*link, error) {
+	dialer := net.Dialer{Timeout: DialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	con := newCountedConn(raw, poo.kind)
+	lnk := &link{client: rpc.NewClient(con), conn: con, closed: make(chan struct{})}
+	lnk.lastUse.Store(time.Now().UnixNano())
+	poo.mu.Lock()
+	if present := poo.links[addr]; present != nil {
+		poo.mu.Unlock()
+		lnk.close()
+		return present, nil
+	}
+	if poo.links == nil {
+		poo.links = make(map[string]*link)
+	}
+	poo.links[addr] = lnk
+	poo.mu.Unlock()
+	go poo.watch(addr, lnk)
+	return lnk, nil
+}
+
+// watch pings a busy connection and drops it when it is silent or idle.
+func (poo *Pool) watch(addr string, lnk *link) {
+	tkr := time.NewTicker(PingPeriod)
+	defer tkr.Stop()
+	var pinging atomic.Bool
+	busySince := time.Time{}
+	for {
+		select {
+		case <-lnk.closed:
+			return
+		case now := <-tkr.C:
+			if lnk.inFlight.Load() == 0 {
+				busySince = time.Time{}
+				if now.UnixNano()-lnk.lastUse.Load() > int64(IdleLimit) {
+					poo.drop(addr, lnk)
+				}
+				continue
+			}
+			if busySince.IsZero() {
+				busySince = now
+			}
+			if now.Sub(busySince) > SilenceLimit && now.Sub(lnk.conn.lastRead()) > SilenceLimit {
+				silentConnections(poo.kind).Inc()
+				poo.drop(addr, lnk)
+				return
+			}
+			lnk.ping(&pinging)
+		}
+	}
+}
+
+// ping sends one ping unless an earlier one is still unanswered. Writing to a
+// connection whose peer does not read can block, so it runs on its own goroutine.
+func (lnk *link) ping(pinging *atomic.Bool) {
+	if !pinging.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer pinging.Store(false)
+		var reply struct{}
+		cal := lnk.client.Go(pingMethod, struct{}{}, &reply, make(chan *rpc.Call, 1))
+		select {
+		case <-cal.Done:
+		case <-lnk.closed:
+		}
+	}()
+}
+
+// Drop closes the connection to an address, so that the next call opens a new one.
+func (poo *Pool) Drop(addr string) {
+	poo.mu.Lock()
+	lnk := poo.links[addr]
+	poo.mu.Unlock()
+	if lnk != nil {
+		poo.drop(addr, lnk)
+	}
+}
+
+func (poo *Pool) drop(addr string, lnk *link) {
+	poo.mu.Lock()
+	if poo.links[addr] == lnk {
+		delete(poo.links, addr)
+	}
+	poo.mu.Unlock()
+	lnk.close()
+}
+
+func (lnk *link) close() {
+	lnk.once.Do(func() {
+		close(lnk.closed)
+		_ = lnk.conn.Close()
+	})
+}
+
+// Close closes every connection.
+func (poo *Pool) Close() {
+	poo.mu.Lock()
+	links := poo.links
+	poo.links = nil
+	poo.mu.Unlock()
+	for _, lnk := range links {
+		lnk.close()
+	}
+}
+
+func silentConnections(kind string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`jacinthpost_peer_silent_connections_total{kind="` + kind + `"}`)
+}
