--- a/io/control/control.go
+++ b/io/control/control.go
@@ -3,6 +3,8 @@
 // Other goroutines post typed events to a bounded queue and read immutable
 // snapshots. The state is never shared, so it needs no lock. An event must not
 // block: slow work runs on other goroutines that post its result as an event.
+// The components of a process share one Thread; each has a Loop over its own
+// part of the state.
 package control
 
 import (
@@ -22,44 +24,69 @@
 // Apply calls the function.
 func (fun Func[S]) Apply(sta *S, now time.Time) { fun(sta, now) }
 
-// Loop owns a control state and applies events to it in order.
-type Loop[S any] struct {
-	state    *S
-	queue    chan Event[S]
-	after    func(*S, time.Time)
+// Thread is the goroutine and the bounded queue that the loops of a process share.
+type Thread struct {
+	queue    chan func(now time.Time)
 	rejected atomic.Uint64
 }
 
-// NewLoop returns a loop over the state with a queue of the given capacity.
-// The function after, if set, runs after each event, for example to publish a snapshot.
-func NewLoop[S any](sta *S, capacity int, after func(*S, time.Time)) *Loop[S] {
-	return &Loop[S]{state: sta, queue: make(chan Event[S], capacity), after: after}
+// NewThread returns a thread with a queue of the given capacity.
+func NewThread(capacity int) *Thread {
+	return &Thread{queue: make(chan func(time.Time), capacity)}
 }
 
 // Run applies events until the context ends. It must be called once.
-func (lop *Loop[S]) Run(ctx context.Context) {
+func (thr *Thread) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case evt := <-lop.queue:
-			lop.apply(evt)
+		case run := <-thr.queue:
+			run(time.Now())
 		}
 	}
 }
 
-func (lop *Loop[S]) apply(evt Event[S]) {
-	now := time.Now()
-	evt.Apply(lop.state, now)
-	if lop.after != nil {
-		lop.after(lop.state, now)
+// Rejected returns how many events were refused because the queue was full.
+func (thr *Thread) Rejected() uint64 { return thr.rejected.Load() }
+
+// Depth returns the number of queued events.
+func (thr *Thread) Depth() int { return len(thr.queue) }
+
+// Loop applies events to one part of the control state, in order.
+type Loop[S any] struct {
+	thread *Thread
+	state  *S
+	after  func(*S, time.Time)
+}
+
+// NewLoop returns a loop over the state with a thread of its own. The function
+// after, if set, runs after each event, for example to publish a snapshot.
+func NewLoop[S any](sta *S, capacity int, after func(*S, time.Time)) *Loop[S] {
+	return NewLoopOn(NewThread(capacity), sta, after)
+}
+
+// NewLoopOn returns a loop over the state on a shared thread.
+func NewLoopOn[S any](thr *Thread, sta *S, after func(*S, time.Time)) *Loop[S] {
+	return &Loop[S]{thread: thr, state: sta, after: after}
+}
+
+// Run runs the thread of the loop. Loops on a shared thread are run through the thread.
+func (lop *Loop[S]) Run(ctx context.Context) { lop.thread.Run(ctx) }
+
+func (lop *Loop[S]) bind(evt Event[S]) func(time.Time) {
+	return func(now time.Time) {
+		evt.Apply(lop.state, now)
+		if lop.after != nil {
+			lop.after(lop.state, now)
+		}
 	}
 }
 
 // Post queues an event and waits for room until the context ends.
 func (lop *Loop[S]) Post(ctx context.Context, evt Event[S]) error {
 	select {
-	case lop.queue <- evt:
+	case lop.thread.queue <- lop.bind(evt):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -69,19 +96,19 @@
 // TryPost queues an event if there is room and reports whether it did.
 func (lop *Loop[S]) TryPost(evt Event[S]) bool {
 	select {
-	case lop.queue <- evt:
+	case lop.thread.queue <- lop.bind(evt):
 		return true
 	default:
-		lop.rejected.Add(1)
+		lop.thread.rejected.Add(1)
 		return false
 	}
 }
 
-// Rejected returns how many events TryPost refused.
-func (lop *Loop[S]) Rejected() uint64 { return lop.rejected.Load() }
+// Rejected returns how many events TryPost refused on the thread.
+func (lop *Loop[S]) Rejected() uint64 { return lop.thread.Rejected() }
 
-// Depth returns the number of queued events.
-func (lop *Loop[S]) Depth() int { return len(lop.queue) }
+// Depth returns the number of events queued on the thread.
+func (lop *Loop[S]) Depth() int { return lop.thread.Depth() }
 
 // Tick posts the event made by next at each period until the context ends.
 // A tick that finds the queue full is dropped: the next one does its work.
