Add the request path of the entry

Cause: callers need answered, not run or unknown, and keyed requests must run at most once whichever entry they reach. Change: io/entry sends a request to an agent, resolves lost replies, retries only what is proved not run, and records keyed requests before dispatch.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -40,6 +40,7 @@
 	ReasonNotReady         Reason = "notReady"         // the ledger is not rebuilt yet
 	ReasonEndpointRefused  Reason = "endpointRefused"  // the connection to the endpoint was refused
 	ReasonAdmission        Reason = "admission"        // an admission setting forbids it
+	ReasonUnknownService   Reason = "unknownService"   // no accepted ticket defines the service
 )
 
 // Reasons for unknown.
--- /dev/null
+++ b/io/entry/entry_test.go
@@ -0,0 +1,332 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/route"
+	"jacinthpost/core/store/storefake"
+	"jacinthpost/io/entry"
+	"jacinthpost/io/groupcommit"
+	"jacinthpost/io/message"
+	"jacinthpost/io/peer"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+// behaviour is what happens to one Serve call.
+type behaviour int
+
+const (
+	sound       behaviour = iota
+	refuse                // the agent proves not run
+	loseCall              // the frame is lost and the connection goes silent
+	lateCall              // the connection goes silent and the frame arrives afterwards
+	loseReply             // the request runs and the connection goes silent
+	dialFails             // no connection can be opened
+	wrongReply            // the reply of another request arrives
+	truncated             // the body is shorter than its length says
+	agentGone             // the connection goes silent and the agent cannot be asked
+	behaviourNo = int(iota)
+)
+
+// agents is a fake of the agents behind a faulty network. Like the real ones
+// they refuse a fenced request and remember answers.
+type agents struct {
+	mu       sync.Mutex
+	choose   func() behaviour
+	answers  map[string]message.ServeReply
+	fenced   map[string]bool
+	gone     map[string]bool
+	runs     map[string]int // executions by body
+	lateOnes []message.ServeArgs
+}
+
+func newAgents(choose func() behaviour) *agents {
+	return &agents{choose: choose, answers: map[string]message.ServeReply{}, fenced: map[string]bool{}, gone: map[string]bool{}, runs: map[string]int{}}
+}
+
+func (agt *agents) Call(_ context.Context, _, method string, args, reply any) error {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	if method == "Agent.Resolve" {
+		return agt.resolve(args.(message.ResolveArgs).RequestID, reply.(*message.ResolveReply))
+	}
+	return agt.serve(args.(message.ServeArgs), reply.(*message.ServeReply))
+}
+
+func (agt *agents) serve(args message.ServeArgs, reply *message.ServeReply) error {
+	switch agt.choose() {
+	case refuse:
+		*reply = message.ServeReply{RequestID: args.RequestID, Outcome: "notRun", Reason: string(outcome.ReasonQueueFull)}
+		return nil
+	case loseCall:
+		return peer.ErrSilent
+	case lateCall:
+		agt.lateOnes = append(agt.lateOnes, args)
+		return peer.ErrSilent
+	case loseReply:
+		agt.run(args)
+		return peer.ErrSilent
+	case dialFails:
+		return peer.ErrNotSent
+	case wrongReply:
+		*reply = message.ServeReply{RequestID: "other", Outcome: "answered", Status: 200}
+		return nil
+	case truncated:
+		*reply = agt.run(args)
+		reply.BodyLength++
+		return nil
+	case agentGone:
+		agt.run(args)
+		agt.gone[args.RequestID] = true
+		return peer.ErrSilent
+	}
+	*reply = agt.run(args)
+	return nil
+}
+
+func (agt *agents) run(args message.ServeArgs) message.ServeReply {
+	if agt.fenced[args.RequestID] {
+		return message.ServeReply{RequestID: args.RequestID, Outcome: "notRun", Reason: string(outcome.ReasonFenced)}
+	}
+	agt.runs[string(args.Body)]++
+	body := fmt.Appendf(nil, "%s run %d", args.Body, agt.runs[string(args.Body)])
+	ans := message.ServeReply{RequestID: args.RequestID, Outcome: "answered", Status: 200, Body: body, BodyLength: len(body)}
+	agt.answers[args.RequestID] = ans
+	return ans
+}
+
+func (agt *agents) resolve(requestID string, reply *message.ResolveReply) error {
+	ans, found := agt.answers[requestID]
+	switch {
+	case agt.gone[requestID]:
+		return peer.ErrNotSent
+	case found:
+		*reply = message.ResolveReply{State: message.ResolvedAnswered, Answer: ans}
+	default:
+		agt.fenced[requestID] = true
+		*reply = message.ResolveReply{State: message.ResolvedNotRun}
+	}
+	return nil
+}
+
+// deliverLate lets the delayed frames arrive.
+func (agt *agents) deliverLate() {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	for _, args := range agt.lateOnes {
+		agt.run(args)
+	}
+	agt.lateOnes = nil
+}
+
+func (agt *agents) runsOf(body string) int {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	return agt.runs[body]
+}
+
+var nextID atomic.Int64
+
+// newEntry returns a request path with three endpoints over the agents and the store.
+func newEntry(agt *agents, sto *storefake.Store) *entry.Requests[route.TwoChoices] {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	com := groupcommit.New(sto)
+	go com.Run(ctx)
+	set := new(route.Set)
+	for num := range 3 {
+		name := fleet.InstanceID(fmt.Sprintf("a%d", num))
+		set.Add(fleet.SameDataCentre, route.NewCandidate(name, 1, string(name), new(route.Load)))
+	}
+	dir := entry.NewDirectory(map[fleet.Service]*route.Set{"svc": set})
+	return entry.NewRequests[route.TwoChoices](entry.Ports{
+		Caller:    agt,
+		Rows:      com,
+		Objects:   &storefake.ObjectStore{Store: sto},
+		Directory: func() *entry.Directory { return dir },
+		NextID:    func() string { return "e." + strconv.FormatInt(nextID.Add(1), 10) },
+	})
+}
+
+func request(body string) entry.Request {
+	return entry.NewRequest("svc", "cust", "/book", []byte(body), time.Now().Add(2*time.Second))
+}
+
+// script returns the behaviours in order, then sound.
+func script(behaviours ...behaviour) func() behaviour {
+	return func() behaviour {
+		if len(behaviours) == 0 {
+			return sound
+		}
+		first := behaviours[0]
+		behaviours = behaviours[1:]
+		return first
+	}
+}
+
+func expectEnd(ans entry.Answer, kind outcome.Kind, reason outcome.Reason) {
+	GinkgoHelper()
+	Expect(ans.Outcome().Kind()).To(Equal(kind), ans.Outcome().Detail())
+	Expect(ans.Outcome().Reason()).To(Equal(reason))
+}
+
+// Guards against a retry of work that may have run, and against a false "not run".
+var _ = DescribeTable("a request without a key",
+	func(idempotent bool, behaviours []behaviour, kind outcome.Kind, reason outcome.Reason, runs int) {
+		agt := newAgents(script(behaviours...))
+		req := request("b")
+		if idempotent {
+			req = req.Idempotent()
+		}
+		ans := newEntry(agt, new(storefake.Store)).Serve(context.Background(), req)
+		expectEnd(ans, kind, reason)
+		agt.deliverLate()
+		Expect(agt.runsOf("b")).To(Equal(runs))
+	},
+	Entry("sound", false, nil, outcome.KindAnswered, outcome.Reason(""), 1),
+	Entry("a refusal is retried elsewhere", false, []behaviour{refuse, dialFails}, outcome.KindAnswered, outcome.Reason(""), 1),
+	Entry("refused everywhere is not run", false, []behaviour{refuse, refuse, refuse}, outcome.KindNotRun, outcome.ReasonQueueFull, 0),
+	Entry("a lost frame is fenced, then retried", false, []behaviour{loseCall}, outcome.KindAnswered, outcome.Reason(""), 1),
+	Entry("a delayed frame is fenced, then retried", false, []behaviour{lateCall}, outcome.KindAnswered, outcome.Reason(""), 1),
+	Entry("a lost reply is fetched", false, []behaviour{loseReply}, outcome.KindAnswered, outcome.Reason(""), 1),
+	Entry("an agent that is gone leaves it unknown", false, []behaviour{agentGone}, outcome.KindUnknown, outcome.ReasonPeerLost, 1),
+	Entry("the reply of another request is not passed on", false, []behaviour{wrongReply}, outcome.KindUnknown, outcome.ReasonBrokenBody, 0),
+	Entry("a truncated body is not passed on", false, []behaviour{truncated}, outcome.KindUnknown, outcome.ReasonBrokenBody, 1),
+	Entry("idempotent work is retried after unknown", true, []behaviour{agentGone}, outcome.KindAnswered, outcome.Reason(""), 2),
+	Entry("unknown once stays unknown when the rest refuse", true, []behaviour{agentGone, refuse, refuse}, outcome.KindUnknown, outcome.ReasonPeerLost, 1),
+)
+
+// Guards against a booking that runs twice when its key arrives again, here or at another entry.
+var _ = DescribeTable("a keyed request that is sent again to another entry",
+	func(behaviours []behaviour, first, second outcome.Kind, runs int) {
+		agt := newAgents(script(behaviours...))
+		sto := new(storefake.Store)
+		ans := newEntry(agt, sto).Serve(context.Background(), request("b").WithKey("k"))
+		Expect(ans.Outcome().Kind()).To(Equal(first), ans.Outcome().Detail())
+		again := newEntry(agt, sto).Serve(context.Background(), request("b").WithKey("k"))
+		Expect(again.Outcome().Kind()).To(Equal(second), again.Outcome().Detail())
+		agt.deliverLate()
+		Expect(agt.runsOf("b")).To(Equal(runs))
+	},
+	Entry("sound", nil, outcome.KindAnswered, outcome.KindAnswered, 1),
+	Entry("refused everywhere, then accepted", []behaviour{refuse, refuse, refuse}, outcome.KindNotRun, outcome.KindAnswered, 1),
+	Entry("delayed frame", []behaviour{lateCall}, outcome.KindAnswered, outcome.KindAnswered, 1),
+	Entry("lost reply", []behaviour{loseReply}, outcome.KindAnswered, outcome.KindAnswered, 1),
+	Entry("truncated, then fetched whole", []behaviour{truncated}, outcome.KindUnknown, outcome.KindAnswered, 1),
+	Entry("agent gone stays unknown", []behaviour{agentGone}, outcome.KindUnknown, outcome.KindUnknown, 1),
+)
+
+var _ = Describe("a keyed request", func() {
+	It("is refused as not run while the store is down", func() {
+		agt := newAgents(script())
+		sto := new(storefake.Store)
+		sto.SetDown(true)
+		expectEnd(newEntry(agt, sto).Serve(context.Background(), request("b").WithKey("k")), outcome.KindNotRun, outcome.ReasonStoreUnavailable)
+		Expect(agt.runsOf("b")).To(BeZero())
+	})
+	It("conflicts when its key was used for another request", func() {
+		agt := newAgents(script())
+		ent := newEntry(agt, new(storefake.Store))
+		ent.Serve(context.Background(), request("b").WithKey("k"))
+		Expect(ent.Serve(context.Background(), request("c").WithKey("k")).Conflict()).To(BeTrue())
+		Expect(agt.runsOf("c")).To(BeZero())
+	})
+	It("replays an answer that is too large for a row", func() {
+		agt := newAgents(script())
+		sto := new(storefake.Store)
+		ent := newEntry(agt, sto)
+		large := string(make([]byte, 100<<10))
+		first := ent.Serve(context.Background(), request(large).WithKey("k"))
+		Eventually(func() bool { return ent.Serve(context.Background(), request(large).WithKey("k")).Replayed() }).Should(BeTrue())
+		Expect(ent.Serve(context.Background(), request(large).WithKey("k")).Body()).To(Equal(first.Body()))
+	})
+})
+
+// once is the sequential model of a keyed request: the first execution fixes the answer for good.
+var once = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, _, output any) (bool, any) {
+		body := output.(string)
+		if body == "" { // not run or unknown: no claim about the state
+			return true, state
+		}
+		return state == "" || state == body, body
+	},
+}
+
+// seeds returns the fixed seeds, or as many as JACINTHPOST_SEEDS asks for.
+func seeds() []uint64 {
+	count, err := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS"))
+	if err != nil {
+		count = 20
+	}
+	list := make([]uint64, count)
+	for num := range list {
+		list[num] = uint64(num + 1)
+	}
+	return list
+}
+
+// Guards against two executions when entries race for one key while frames are
+// lost, delayed and answered late and the store loses answers.
+var _ = Describe("racing entries", func() {
+	It("run each key at most once and agree on its answer", func() {
+		for _, seed := range seeds() {
+			race(seed)
+		}
+	})
+})
+
+func race(seed uint64) {
+	GinkgoHelper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	agt := newAgents(func() behaviour { return behaviour(rng.IntN(behaviourNo)) })
+	sto := new(storefake.Store)
+	entries := []*entry.Requests[route.TwoChoices]{newEntry(agt, sto), newEntry(agt, sto)}
+	for range 6 {
+		sto.Inject(storefake.None, storefake.LoseAnswer, storefake.None, storefake.LoseCall)
+	}
+	for key := range 4 {
+		name := fmt.Sprintf("key%d", key)
+		history := callAll(entries, name)
+		agt.deliverLate()
+		Expect(agt.runsOf(name)).To(BeNumerically("<=", 1), "seed %d", seed)
+		Expect(porcupine.CheckOperations(once, history)).To(BeTrue(), "seed %d", seed)
+	}
+}
+
+func callAll(entries []*entry.Requests[route.TwoChoices], name string) []porcupine.Operation {
+	history := make([]porcupine.Operation, 6)
+	var wgr sync.WaitGroup
+	for num := range history {
+		wgr.Go(func() {
+			begun := time.Now().UnixNano()
+			ans := entries[num%2].Serve(context.Background(), request(name).WithKey(name))
+			output := ""
+			if ans.Outcome().Kind() == outcome.KindAnswered {
+				output = string(ans.Body())
+			}
+			history[num] = porcupine.Operation{ClientId: num, Input: name, Output: output, Call: begun, Return: time.Now().UnixNano()}
+		})
+	}
+	wgr.Wait()
+	return history
+}
--- /dev/null
+++ b/io/entry/request.go
@@ -0,0 +1,87 @@
+// Package entry is the role of the thin instances that callers and operators reach.
+//
+// An entry keeps nothing that must last. It routes service requests to the
+// agents beside the endpoints, retries what is proved not run, and records keyed
+// requests in the platform's table before it dispatches them. Requests run on
+// traffic goroutines that read immutable snapshots; the control thread rebuilds
+// the snapshots when membership or configuration changes.
+package entry
+
+import (
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
+)
+
+// Request is a service request of a caller.
+type Request struct {
+	service    fleet.Service
+	customer   fleet.Customer
+	key        string
+	idempotent bool
+	batch      bool
+	path       string
+	body       []byte
+	deadline   time.Time
+}
+
+// NewRequest returns a latency-critical request that is not idempotent and has no key.
+func NewRequest(svc fleet.Service, cus fleet.Customer, path string, body []byte, deadline time.Time) Request {
+	return Request{service: svc, customer: cus, path: path, body: body, deadline: deadline}
+}
+
+// WithKey returns the request with an idempotency key, so that it runs at most
+// once however often and wherever it is sent.
+func (req Request) WithKey(key string) Request {
+	req.key = key
+	return req
+}
+
+// Idempotent returns the request marked as harmless when run more than once.
+func (req Request) Idempotent() Request {
+	req.idempotent = true
+	return req
+}
+
+// Batch returns the request marked as not latency-critical.
+func (req Request) Batch() Request {
+	req.batch = true
+	return req
+}
+
+// Answer is the end of a service request.
+type Answer struct {
+	outcome   outcome.Outcome
+	conflict  bool
+	requestID string
+	instance  fleet.InstanceID
+	status    int
+	body      []byte
+	attempts  int
+	replayed  bool
+}
+
+// Outcome returns how the request ended.
+func (ans Answer) Outcome() outcome.Outcome { return ans.outcome }
+
+// Conflict reports that the idempotency key was used for another request.
+func (ans Answer) Conflict() bool { return ans.conflict }
+
+// RequestID returns the identity of the last attempt.
+func (ans Answer) RequestID() string { return ans.requestID }
+
+// Instance returns the instance that answered.
+func (ans Answer) Instance() fleet.InstanceID { return ans.instance }
+
+// Status returns the HTTP status of the endpoint.
+func (ans Answer) Status() int { return ans.status }
+
+// Body returns the whole body of the endpoint's answer.
+func (ans Answer) Body() []byte { return ans.body }
+
+// Attempts returns how many agents the request was sent to.
+func (ans Answer) Attempts() int { return ans.attempts }
+
+// Replayed reports that the answer was recorded by an earlier request with the same key.
+func (ans Answer) Replayed() bool { return ans.replayed }
--- /dev/null
+++ b/io/entry/requests.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jacinthpost/core/attempt"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/route"
+	"jacinthpost/core/store"
+	"jacinthpost/io/groupcommit"
+	"jacinthpost/io/message"
+	"jacinthpost/io/peer"
+)
+
+// Limits of one request.
+const (
+	maxAttempts = 4
+	// replyMargin is kept back from the agent's deadline, at most a tenth of it, so
+	// that its answer still crosses the regional link (12 ms) in time.
+	replyMargin = 30 * time.Millisecond
+	// Pauses between questions about a request that is still running.
+	resolvePauseMin = 20 * time.Millisecond
+	resolvePauseMax = 250 * time.Millisecond
+)
+
+// Caller sends calls to other processes.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// Committer writes single rows by compare-and-set.
+type Committer interface {
+	Set(ctx context.Context, key string, ver store.Version, value []byte) groupcommit.Result
+}
+
+// Ports are what the request path needs from its surroundings.
+type Ports struct {
+	// Caller reaches the agents.
+	Caller Caller
+	// Rows writes the rows of keyed requests.
+	Rows Committer
+	// Objects holds answers too large for a row.
+	Objects store.Objects
+	// Directory returns the present endpoints.
+	Directory func() *Directory
+	// NextID returns a request ID that no other call of any process returns.
+	NextID func() string
+}
+
+// Requests serves service requests with a routing policy. Serve may be called from any goroutine.
+type Requests[P route.Policy] struct {
+	ports  Ports
+	router route.Router[P]
+	budget route.Budget
+}
+
+// NewRequests returns a request path over the ports.
+func NewRequests[P route.Policy](prt Ports) *Requests[P] {
+	return &Requests[P]{ports: prt}
+}
+
+// Serve runs a request to its end or its deadline.
+func (rqs *Requests[P]) Serve(ctx context.Context, req Request) Answer {
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	rqs.budget.Earn()
+	begun := time.Now()
+	var ans Answer
+	if req.key == "" {
+		ans = rqs.servePlain(ctx, req)
+	} else {
+		ans = rqs.serveKeyed(ctx, req)
+	}
+	countRequest(req.service, ans.outcome, time.Since(begun))
+	return ans
+}
+
+// servePlain tries agents until one answers. After an attempt with an unknown
+// outcome the end is never "not run", whatever later attempts prove of themselves.
+func (rqs *Requests[P]) servePlain(ctx context.Context, req Request) Answer {
+	var tried []fleet.InstanceID
+	var unknown *Answer
+	last := Answer{outcome: outcome.NotRun(outcome.ReasonNoEndpoint, "no endpoint of the service is known")}
+	for num := range maxAttempts {
+		can, found := rqs.choose(req.service, tried)
+		if !found {
+			break
+		}
+		if num > 0 && !rqs.budget.Spend() {
+			retriesRefused.Inc()
+			break
+		}
+		last = rqs.attempt(ctx, req, can, rqs.ports.NextID())
+		last.attempts = num + 1
+		if last.outcome.Kind() == outcome.KindUnknown {
+			keep := last
+			unknown = &keep
+		}
+		if !last.outcome.Retryable(req.idempotent) || ctx.Err() != nil {
+			break
+		}
+		tried = append(tried, can.Instance())
+	}
+	if unknown != nil && last.outcome.Kind() == outcome.KindNotRun {
+		unknown.attempts = last.attempts
+		return *unknown
+	}
+	return last
+}
+
+func (rqs *Requests[P]) choose(svc fleet.Service, tried []fleet.InstanceID) (route.Candidate, bool) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	can, tier, found := rqs.router.Next(rqs.ports.Directory().Set(svc), tried, time.Now(), rng)
+	if found {
+		countTier(tier)
+	}
+	return can, found
+}
+
+// attempt sends a request to one agent and finds out how it ended.
+func (rqs *Requests[P]) attempt(ctx context.Context, req Request, can route.Candidate, requestID string) Answer {
+	loa := can.Load()
+	loa.Begin()
+	begun := time.Now()
+	ans := rqs.send(ctx, req, can, requestID)
+	loa.End()
+	ans.requestID = requestID
+	ans.instance = can.Instance()
+	record(loa, ans.outcome, begun)
+	return ans
+}
+
+// refusals are reasons for not run that say nothing against the endpoint.
+var refusals = []outcome.Reason{outcome.ReasonQueueFull, outcome.ReasonDeadline, outcome.ReasonCapacity, outcome.ReasonAdmission}
+
+func record(loa *route.Load, out outcome.Outcome, begun time.Time) {
+	now := time.Now()
+	switch {
+	case out.Kind() == outcome.KindAnswered:
+		loa.Succeed(now.Sub(begun))
+	case out.Kind() == outcome.KindNotRun && slices.Contains(refusals, out.Reason()):
+		loa.Refuse(now)
+	default:
+		loa.Fail(now)
+	}
+}
+
+func (rqs *Requests[P]) send(ctx context.Context, req Request, can route.Candidate, requestID string) Answer {
+	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline)
+	remaining -= min(replyMargin, remaining/10)
+	if remaining <= 0 {
+		return Answer{outcome: outcome.NotRun(outcome.ReasonDeadline, "the deadline passed before the request was sent")}
+	}
+	args := message.ServeArgs{
+		RequestID:       requestID,
+		Service:         string(req.service),
+		Customer:        string(req.customer),
+		Path:            req.path,
+		Method:          "POST",
+		Body:            req.body,
+		RemainingMillis: max(1, remaining.Milliseconds()),
+		Batch:           req.batch,
+	}
+	var reply message.ServeReply
+	err := rqs.ports.Caller.Call(ctx, can.Address(), "Agent.Serve", args, &reply)
+	switch {
+	case err == nil:
+		return answerOf(requestID, reply)
+	case errors.Is(err, peer.ErrNotSent):
+		return Answer{outcome: outcome.NotRun(outcome.ReasonPeerLost, err.Error())}
+	case ctx.Err() != nil:
+		return Answer{outcome: outcome.Unknown(outcome.ReasonTimeout, "no answer before the deadline")}
+	case req.idempotent && req.key == "":
+		// Another agent can run it at once; asking a silent one costs another second.
+		return Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, err.Error())}
+	}
+	return rqs.resolve(ctx, attempt.NewTarget(can.Instance(), can.Incarnation(), can.Address()), requestID)
+}
+
+// answerOf checks that a reply is the whole answer to the request.
+func answerOf(requestID string, reply message.ServeReply) Answer {
+	if reply.RequestID != requestID {
+		mismatchedReplies.Inc()
+		return Answer{outcome: outcome.Unknown(outcome.ReasonBrokenBody, "the reply belongs to another request")}
+	}
+	if reply.BodyLength != len(reply.Body) {
+		return Answer{outcome: outcome.Unknown(outcome.ReasonBrokenBody, "the answer is truncated")}
+	}
+	return Answer{outcome: outcomeOf(reply), status: reply.Status, body: reply.Body}
+}
+
+func outcomeOf(reply message.ServeReply) outcome.Outcome {
+	switch reply.Outcome {
+	case outcome.KindAnswered.String():
+		return outcome.Answered()
+	case outcome.KindNotRun.String():
+		return outcome.NotRun(outcome.Reason(reply.Reason), reply.Detail)
+	default:
+		return outcome.Unknown(outcome.Reason(reply.Reason), reply.Detail)
+	}
+}
+
+// resolve asks the agent what became of a request and waits while it still runs.
+func (rqs *Requests[P]) resolve(ctx context.Context, tgt attempt.Target, requestID string) Answer {
+	resolves.Inc()
+	args := message.ResolveArgs{RequestID: requestID, Incarnation: uint64(tgt.Incarnation())}
+	pause := resolvePauseMin
+	for {
+		var reply message.ResolveReply
+		err := rqs.ports.Caller.Call(ctx, tgt.Address(), "Agent.Resolve", args, &reply)
+		switch {
+		case err != nil:
+			return Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, "the agent cannot be asked: "+err.Error())}
+		case reply.State == message.ResolvedAnswered:
+			return answerOf(requestID, reply.Answer)
+		case reply.State == message.ResolvedNotRun:
+			return Answer{outcome: outcome.NotRun(outcome.ReasonFenced, "the agent never started the request and refuses it from now on")}
+		case reply.State != message.ResolvedRunning:
+			return Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, "the agent no longer knows the request")}
+		}
+		if !wait(ctx, pause) {
+			return Answer{outcome: outcome.Unknown(outcome.ReasonTimeout, "the request is still running")}
+		}
+		pause = min(2*pause, resolvePauseMax)
+	}
+}
+
+// wait pauses and reports false when the context ended first.
+func wait(ctx context.Context, pause time.Duration) bool {
+	tmr := time.NewTimer(pause)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
