--- /dev/null
+++ b/io/web/input.go
@@ -0,0 +1,132 @@
+package web
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Headers of service requests.
+const (
+	headerTimeoutMillis = "Jacinthpost-Timeout-Millis"
+	headerIdempotent    = "Jacinthpost-Idempotent"
+	headerCustomer      = "Jacinthpost-Customer"
+	headerPriority      = "Jacinthpost-Priority"
+	headerPath          = "Jacinthpost-Path"
+	headerKey           = "Idempotency-Key"
+)
+
+var singleHeaders = []string{headerTimeoutMillis, headerIdempotent, headerCustomer, headerPriority, headerPath, headerKey, "Content-Length", "Content-Type"}
+
+// countCalls counts calls by method and status class.
+func countCalls(rw http.ResponseWriter, req *http.Request, next http.HandlerFunc) {
+	rec := &statusRecorder{ResponseWriter: rw, status: http.StatusOK}
+	next(rec, req)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`jacinthpost_http_calls_total{class="%dxx"}`, rec.status/100)).Inc()
+}
+
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+}
+
+func (rec *statusRecorder) WriteHeader(status int) {
+	rec.status = status
+	rec.ResponseWriter.WriteHeader(status)
+}
+
+// refuseRepeatedHeaders guards against senders and proxies that disagree on which value counts.
+func refuseRepeatedHeaders(rw http.ResponseWriter, req *http.Request, next http.HandlerFunc) {
+	for _, name := range singleHeaders {
+		if len(req.Header.Values(name)) > 1 {
+			refuse(rw, http.StatusBadRequest, "header "+name+" is given more than once")
+			return
+		}
+	}
+	next(rw, req)
+}
+
+// readBody reads a whole body of bounded size or answers with a 4xx status.
+func readBody(rw http.ResponseWriter, req *http.Request, limit int64) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(rw, req.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(rw, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+	case err != nil:
+		refuse(rw, http.StatusBadRequest, "the body is incomplete: "+err.Error())
+	default:
+		return data, true
+	}
+	return nil, false
+}
+
+// decodeJSON reads a JSON body strictly or answers with a 4xx status.
+func decodeJSON(rw http.ResponseWriter, req *http.Request, value any) bool {
+	data, ok := readBody(rw, req, JSONBodyLimit)
+	if !ok {
+		return false
+	}
+	if err := decodeStrict(data, value); err != nil {
+		refuse(rw, http.StatusBadRequest, "the body is not valid: "+err.Error())
+		return false
+	}
+	return true
+}
+
+// decodeStrict decodes one JSON value without unknown fields or trailing data.
+func decodeStrict(data []byte, value any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(value); err != nil {
+		return errors.New(strings.TrimPrefix(err.Error(), "json: "))
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
+
+// timeoutOf reads the caller's timeout.
+func timeoutOf(req *http.Request) (time.Duration, error) {
+	txt := req.Header.Get(headerTimeoutMillis)
+	if txt == "" {
+		return DefaultTimeout, nil
+	}
+	millis, err := strconv.ParseInt(txt, 10, 64)
+	limit := MaxTimeout.Milliseconds()
+	if err != nil || millis < 1 || millis > limit {
+		return 0, fmt.Errorf("header %s is %q, expected 1 to %d", headerTimeoutMillis, txt, limit)
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+// choice reads a header with a fixed set of values; absent means the first of them.
+func choice(req *http.Request, name string, values ...string) (string, error) {
+	txt := req.Header.Get(name)
+	if txt == "" {
+		return values[0], nil
+	}
+	for _, val := range values {
+		if txt == val {
+			return val, nil
+		}
+	}
+	return "", fmt.Errorf("header %s is %q, expected one of %s", name, txt, strings.Join(values, ", "))
+}
+
+// validName reports whether a name of a service, customer or key is acceptable.
+func validName(txt string) bool {
+	if txt == "" || len(txt) > NameLimit {
+		return false
+	}
+	return !strings.ContainsFunc(txt, func(rnn rune) bool { return rnn < ' ' || rnn > '~' })
+}
--- /dev/null
+++ b/io/web/requests.go
@@ -0,0 +1,106 @@
+package web
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
+	"jacinthpost/io/entry"
+)
+
+// Requests serves service requests.
+type Requests interface {
+	Serve(ctx context.Context, req entry.Request) entry.Answer
+}
+
+func registerRequests(mux *http.ServeMux, rqs Requests) {
+	mux.HandleFunc("POST /v1/services/{service}/requests", func(rw http.ResponseWriter, req *http.Request) {
+		body, ok := readBody(rw, req, RequestBodyLimit)
+		if !ok {
+			return
+		}
+		svcReq, err := serviceRequest(req, body)
+		if err != nil {
+			refuse(rw, http.StatusBadRequest, err.Error())
+			return
+		}
+		writeAnswer(rw, rqs.Serve(req.Context(), svcReq))
+	})
+}
+
+// serviceRequest translates an HTTP request or explains what is wrong with it.
+func serviceRequest(req *http.Request, body []byte) (entry.Request, error) {
+	none := entry.Request{}
+	service := req.PathValue("service")
+	if !validName(service) {
+		return none, fmt.Errorf("service name of 1 to %d printable characters expected", NameLimit)
+	}
+	timeout, err := timeoutOf(req)
+	if err != nil {
+		return none, err
+	}
+	idempotent, err := choice(req, headerIdempotent, "false", "true")
+	if err != nil {
+		return none, err
+	}
+	priority, err := choice(req, headerPriority, "latencyCritical", "batch")
+	if err != nil {
+		return none, err
+	}
+	for _, name := range [...]string{headerKey, headerCustomer, headerPath} {
+		if txt := req.Header.Get(name); txt != "" && !validName(txt) {
+			return none, fmt.Errorf("header %s: 1 to %d printable characters expected", name, NameLimit)
+		}
+	}
+	res := entry.NewRequest(fleet.Service(service), fleet.Customer(req.Header.Get(headerCustomer)),
+		req.Header.Get(headerPath), body, time.Now().Add(timeout))
+	if key := req.Header.Get(headerKey); key != "" {
+		res = res.WithKey(key)
+	}
+	if idempotent == "true" {
+		res = res.Idempotent()
+	}
+	if priority == "batch" {
+		res = res.Batch()
+	}
+	return res, nil
+}
+
+// writeAnswer sends the end of a service request in its envelope.
+func writeAnswer(rw http.ResponseWriter, ans entry.Answer) {
+	status := statusOf[ans.Outcome().Kind()]
+	if ans.Conflict() {
+		status = http.StatusConflict
+	}
+	env := struct {
+		Outcome   string          `json:"outcome"`
+		Reason    outcome.Reason  `json:"reason,omitempty"`
+		Detail    string          `json:"detail,omitempty"`
+		RequestID string          `json:"requestID,omitempty"`
+		Instance  string          `json:"instance,omitempty"`
+		Attempts  int             `json:"attempts,omitempty"`
+		Replayed  bool            `json:"replayed,omitempty"`
+		Status    int             `json:"status,omitempty"`
+		Body      json.RawMessage `json:"body,omitempty"`
+		BodyBytes []byte          `json:"bodyBase64,omitempty"`
+	}{
+		Outcome:   ans.Outcome().Kind().String(),
+		Reason:    ans.Outcome().Reason(),
+		Detail:    ans.Outcome().Detail(),
+		RequestID: ans.RequestID(),
+		Instance:  string(ans.Instance()),
+		Attempts:  ans.Attempts(),
+		Replayed:  ans.Replayed(),
+		Status:    ans.Status(),
+	}
+	if json.Valid(ans.Body()) {
+		env.Body = ans.Body()
+	} else {
+		env.BodyBytes = ans.Body()
+	}
+	writeJSON(rw, status, env)
+}
--- /dev/null
+++ b/io/web/web.go
@@ -0,0 +1,96 @@
+// Package web is the HTTP interface for callers and operators.
+//
+// Every answer is JSON with a typed outcome. Input is decoded strictly: unknown
+// fields, trailing data, oversized bodies and repeated headers are refused with
+// a 4xx status before anything is touched. The package only translates; the
+// decisions are behind the ports, so that another front end can use them.
+package web
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/urfave/negroni/v3"
+
+	"jacinthpost/core/outcome"
+)
+
+// Limits of input.
+const (
+	RequestBodyLimit = 1 << 20 // bytes of a service request
+	JSONBodyLimit    = 1 << 20 // bytes of a job or ticket
+	HeaderLimit      = 16 << 10
+	NameLimit        = 128
+	DefaultTimeout   = 5 * time.Second
+	MaxTimeout       = 10 * time.Minute
+	// Time limits for slow senders and readers.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Ports are what the interface serves.
+type Ports struct {
+	// Requests serves service requests.
+	Requests Requests
+	// Jobs submits and follows jobs and watches.
+	Jobs Jobs
+	// Configuration files and reads tickets.
+	Configuration Configuration
+	// Fleet lists the members.
+	Fleet Fleet
+	// Audit lists the audit trail.
+	Audit Audit
+}
+
+// NewHandler returns the handler of the whole interface.
+func NewHandler(prt Ports) http.Handler {
+	mux := http.NewServeMux()
+	registerRequests(mux, prt.Requests)
+	registerJobs(mux, prt.Jobs)
+	registerConfiguration(mux, prt.Configuration)
+	registerFleet(mux, prt.Fleet)
+	registerAudit(mux, prt.Audit)
+	ngr := negroni.New(negroni.HandlerFunc(countCalls), negroni.HandlerFunc(refuseRepeatedHeaders))
+	ngr.UseHandler(mux)
+	return ngr
+}
+
+// NewServer returns a server that bounds slow senders.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    HeaderLimit,
+	}
+}
+
+// writeJSON sends a value. An encoding error is a programming error of this package.
+func writeJSON(rw http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("web: encode answer: " + err.Error())
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_, _ = rw.Write(append(data, '\n'))
+}
+
+// refuse sends a 4xx answer for bad input. Nothing was run or changed.
+func refuse(rw http.ResponseWriter, status int, detail string) {
+	writeJSON(rw, status, struct {
+		Outcome string `json:"outcome"`
+		Reason  string `json:"reason"`
+		Detail  string `json:"detail"`
+	}{Outcome: outcome.KindNotRun.String(), Reason: "badInput", Detail: detail})
+}
+
+// statusOf maps outcomes to HTTP status codes.
+var statusOf = map[outcome.Kind]int{
+	outcome.KindAnswered: http.StatusOK,
+	outcome.KindNotRun:   http.StatusServiceUnavailable,
+	outcome.KindUnknown:  http.StatusGatewayTimeout,
+}
