--- /dev/null
+++ b/io/internal/httpcall/httpcall.go
@@ -0,0 +1,188 @@
+// Package httpcall makes one bounded HTTP call at a time to a service whose
+// callers must know whether the call may have taken effect.
+//
+// A call that fails says how far it came: a request that never got a connection
+// certainly had no effect, every later failure leaves it open. The client
+// follows no redirect, uses no proxy and repeats nothing that may have been
+// sent. Connections can go silent for good while new ones work, so a call that
+// times out closes every idle connection. A Client is safe for use from any
+// goroutine.
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+)
+
+const (
+	// DefaultTimeout ends a call; the lease arithmetic of the owners allows one lost call of this length.
+	DefaultTimeout = 3 * time.Second
+	// DefaultBodyLimit bounds the body of an answer in bytes.
+	DefaultBodyLimit = 8 << 20
+
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	idlePerHost    = 64
+	maxHeaderBytes = 64 << 10
+)
+
+// Options configures a Client. The zero value is sound.
+type Options struct {
+	// Subsystem names the counters, as in jacinthpost_<subsystem>_calls_total.
+	Subsystem string
+	// Timeout ends a call, DefaultTimeout when zero.
+	Timeout time.Duration
+	// BodyLimit bounds the body of an answer in bytes, DefaultBodyLimit when zero.
+	BodyLimit int64
+}
+
+// Client calls one service.
+type Client struct {
+	base      string
+	timeout   time.Duration
+	limit     int64
+	subsystem string
+	transport *http.Transport
+	http      http.Client
+}
+
+// New returns a client of the service at host:port.
+func New(addr string, opt Options) *Client {
+	cli := &Client{
+		base:      "http://" + addr,
+		timeout:   orDefault(opt.Timeout, DefaultTimeout),
+		limit:     orDefault(opt.BodyLimit, DefaultBodyLimit),
+		subsystem: orDefault(opt.Subsystem, "http"),
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	cli.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			con, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return cli.counted(con), nil
+		},
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+	cli.http = http.Client{
+		Transport:     cli.transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return cli
+}
+
+func orDefault[T comparable](val, def T) T {
+	var zero T
+	if val == zero {
+		return def
+	}
+	return val
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	status int
+	body   []byte
+}
+
+// Status returns the HTTP status.
+func (ans Answer) Status() int { return ans.status }
+
+// Body returns the whole body.
+func (ans Answer) Body() []byte { return ans.body }
+
+// OK reports whether the status is in the 200 range.
+func (ans Answer) OK() bool { return ans.status/100 == 2 }
+
+// Call sends one request and reads the whole answer. The error is a *Failure.
+func (cli *Client) Call(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, cli.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	ans, stg, err := cli.exchange(ctx, method, path, header, body)
+	if err == nil {
+		cli.count(strconv.Itoa(ans.status))
+		return ans, nil
+	}
+	if stg == NoAnswer && !connected.Load() {
+		stg = NotSent
+	}
+	if ctx.Err() != nil {
+		cli.transport.CloseIdleConnections()
+	}
+	cli.count(stg.String())
+	return Answer{}, &Failure{stage: stg, timedOut: ctx.Err() != nil, err: err}
+}
+
+func (cli *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, Stage, error) {
+	req, err := http.NewRequestWithContext(ctx, method, cli.base+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, NotSent, errors.Wrap(err, "build request")
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	res, err := cli.http.Do(req)
+	if err != nil {
+		return Answer{}, NoAnswer, errors.Wrap(err, "send request")
+	}
+	defer func() { _ = res.Body.Close() }()
+	read, err := io.ReadAll(io.LimitReader(res.Body, cli.limit+1))
+	switch {
+	case err != nil:
+		return Answer{}, BrokenBody, errors.Wrap(err, "read answer")
+	case int64(len(read)) > cli.limit:
+		return Answer{}, BrokenBody, errors.Errorf("answer is longer than %d bytes", cli.limit)
+	}
+	return Answer{status: res.StatusCode, body: read}, 0, nil
+}
+
+// Close closes the idle connections.
+func (cli *Client) Close() { cli.transport.CloseIdleConnections() }
+
+func (cli *Client) count(result string) {
+	metrics.GetOrCreateCounter("jacinthpost_" + cli.subsystem + `_calls_total{result="` + result + `"}`).Inc()
+}
+
+func (cli *Client) counted(con net.Conn) net.Conn {
+	return &countedConn{
+		Conn:     con,
+		sent:     metrics.GetOrCreateCounter("jacinthpost_" + cli.subsystem + "_sent_bytes_total"),
+		received: metrics.GetOrCreateCounter("jacinthpost_" + cli.subsystem + "_received_bytes_total"),
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	sent     *metrics.Counter
+	received *metrics.Counter
+}
+
+func (cnt *countedConn) Read(buf []byte) (int, error) {
+	num, err := cnt.Conn.Read(buf)
+	cnt.received.Add(num)
+	return num, err
+}
+
+func (cnt *countedConn) Write(buf []byte) (int, error) {
+	num, err := cnt.Conn.Write(buf)
+	cnt.sent.Add(num)
+	return num, err
+}
