--- a/io/object/object.go
+++ b/io/object/object.go
@@ -16,7 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/store"
-	"jacinthpost/io/internal/httpcall"
+	"jacinthpost/io/httpcall"
 	"jacinthpost/io/table/tableapi"
 )
 
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -22,7 +22,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/store"
-	"jacinthpost/io/internal/httpcall"
+	"jacinthpost/io/httpcall"
 	"jacinthpost/io/table/tableapi"
 )
 
@@ -126,7 +126,8 @@
 func (cli *Client) read(ctx context.Context, path string, req any) (tableapi.RowsReply, error) {
 	var rep tableapi.RowsReply
 	ans, err := cli.post(ctx, path, req)
-	return rep, reads.Decode(ans, err, &rep)
+	err = reads.Decode(ans, err, &rep)
+	return rep, err
 }
 
 func (cli *Client) post(ctx context.Context, path string, req any) (httpcall.Answer, error) {
--- /dev/null
+++ b/io/worker/worker.go
@@ -0,0 +1,125 @@
+// Package worker is the client of the worker of the co-located instance.
+//
+// worker.ErrUnavailable means that the worker did not receive the call or
+// refused it, worker.ErrUncertain that it may have taken effect. Every call may
+// be repeated: tokens make the worker treat a repetition as the same call. A
+// Client is safe for use from any goroutine.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/worker"
+	"jacinthpost/io/httpcall"
+	"jacinthpost/io/worker/workerapi"
+)
+
+var (
+	writes = httpcall.Classifier{Unavailable: worker.ErrUnavailable, Uncertain: worker.ErrUncertain}
+	reads  = httpcall.Classifier{Unavailable: worker.ErrUnavailable, Uncertain: worker.ErrUnavailable}
+)
+
+// Client implements worker.Worker of the core.
+type Client struct {
+	call *httpcall.Client
+}
+
+var _ worker.Worker = (*Client)(nil)
+
+// Option changes a client.
+type Option func(*httpcall.Options)
+
+// WithTimeout sets the longest time of one call, 3 s by default.
+func WithTimeout(dur time.Duration) Option {
+	return func(opt *httpcall.Options) { opt.Timeout = dur }
+}
+
+// New returns a client of the worker at host:port.
+func New(addr string, opts ...Option) *Client {
+	opt := httpcall.Options{Subsystem: "worker"}
+	for _, set := range opts {
+		set(&opt)
+	}
+	return &Client{call: httpcall.New(addr, opt)}
+}
+
+// State implements worker.Worker.
+func (cli *Client) State(ctx context.Context) (worker.Report, error) {
+	var rep workerapi.StateReply
+	ans, err := cli.call.Call(ctx, http.MethodGet, workerapi.StatePath, nil, nil)
+	if err := reads.Decode(ans, err, &rep); err != nil {
+		return worker.Report{}, errors.Wrap(err, "worker state")
+	}
+	return rep.Core(), nil
+}
+
+// Start implements worker.Worker.
+func (cli *Client) Start(ctx context.Context, ord worker.StartOrder) (worker.StartResult, error) {
+	rep, err := post[workerapi.StartReply](ctx, cli, workerapi.StartPath, workerapi.NewStartRequest(ord))
+	switch {
+	case err != nil:
+		return worker.StartResult{}, err
+	case rep.Started:
+		return worker.Started(), nil
+	case rep.Refusal == "":
+		return worker.StartResult{}, errors.Wrap(worker.ErrUncertain, "start answered without a refusal")
+	default:
+		return worker.Refused(worker.Refusal(rep.Refusal), rep.Detail), nil
+	}
+}
+
+// Renew implements worker.Worker.
+func (cli *Client) Renew(ctx context.Context, leases []worker.Lease) ([]worker.Ref, error) {
+	rep, err := post[workerapi.RenewReply](ctx, cli, workerapi.RenewPath, workerapi.NewRenewRequest(leases))
+	if err != nil {
+		return nil, err
+	}
+	return rep.Core(), nil
+}
+
+// Stop implements worker.Worker.
+func (cli *Client) Stop(ctx context.Context, ref worker.Ref, checkpoint bool) (worker.TaskReport, error) {
+	req := workerapi.StopRequest{Ref: workerapi.NewRef(ref), WithCheckpoint: checkpoint}
+	msg, err := post[workerapi.TaskReport](ctx, cli, workerapi.StopPath, req)
+	if err != nil {
+		return worker.TaskReport{}, err
+	}
+	rep := msg.Core()
+	if rep.Ref() != ref || !rep.State().Ended() {
+		return worker.TaskReport{}, errors.Wrapf(worker.ErrUncertain, "stop answered with state %q", rep.State())
+	}
+	return rep, nil
+}
+
+// Throttle implements worker.Worker.
+func (cli *Client) Throttle(ctx context.Context, ref worker.Ref, percent int) error {
+	req := workerapi.ThrottleRequest{Ref: workerapi.NewRef(ref), Percent: percent}
+	_, err := post[struct{}](ctx, cli, workerapi.ThrottlePath, req)
+	return err
+}
+
+// Forget implements worker.Worker.
+func (cli *Client) Forget(ctx context.Context, ref worker.Ref) error {
+	_, err := post[struct{}](ctx, cli, workerapi.ForgetPath, workerapi.ForgetRequest{Ref: workerapi.NewRef(ref)})
+	return err
+}
+
+// Close closes the idle connections.
+func (cli *Client) Close() { cli.call.Close() }
+
+// post sends a request and decodes the reply R.
+func post[R any](ctx context.Context, cli *Client, path string, req any) (R, error) {
+	var rep R
+	body, err := json.Marshal(req)
+	if err != nil {
+		return rep, errors.Wrap(err, "encode request")
+	}
+	ans, err := cli.call.Call(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
+	err = writes.Decode(ans, err, &rep)
+	return rep, errors.Wrapf(err, "worker %s", path)
+}
