--- a/io/httpcall/httpcall.go
+++ b/io/httpcall/httpcall.go
@@ -96,12 +96,16 @@
 // Answer is a complete answer.
 type Answer struct {
 	status int
+	header http.Header
 	body   []byte
 }
 
 // Status returns the HTTP status.
 func (ans Answer) Status() int { return ans.status }
 
+// Header returns the header, which the caller must not change.
+func (ans Answer) Header() http.Header { return ans.header }
+
 // Body returns the whole body.
 func (ans Answer) Body() []byte { return ans.body }
 
@@ -136,6 +140,10 @@
 	if err != nil {
 		return Answer{}, NotSent, errors.Wrap(err, "build request")
 	}
+	if method == http.MethodGet || method == http.MethodHead {
+		// The transport repeats these by itself after it has sent them, unless it cannot rewind the body.
+		req.Body, req.GetBody = io.NopCloser(bytes.NewReader(body)), nil
+	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
@@ -151,7 +159,7 @@
 	case int64(len(read)) > cli.limit:
 		return Answer{}, BrokenBody, errors.Errorf("answer is longer than %d bytes", cli.limit)
 	}
-	return Answer{status: res.StatusCode, body: read}, 0, nil
+	return Answer{status: res.StatusCode, header: res.Header, body: read}, 0, nil
 }
 
 // Close closes the idle connections.
