--- /dev/null
+++ b/core/intake/intake.go
@@ -0,0 +1,288 @@
+// Package intake decides about the service requests of one agent: whether a
+// request is queued, started, refused or answered from memory, and what became
+// of it later.
+//
+// It puts the request log, the queue and the ledger together. Each request that
+// arrives gets exactly one decision, at once or later: started, which allows
+// its caller to send it to the endpoint and obliges it to call Finish, or an end
+// without a start. A request that was refused stays refused: another delivery of
+// the same ID does not start it.
+//
+// A leaving endpoint and a draining agent get no new requests; those that are
+// queued or running go on. When the endpoint stops announcing itself, the queued
+// ones are refused.
+//
+// V is the caller's value of a request, A the type of answers. An Intake is not
+// safe for concurrent use: the control goroutine owns it.
+package intake
+
+import (
+	"time"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/ledger"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/reqlog"
+)
+
+// Account is the port to the ledger of the instance.
+type Account interface {
+	Admit(rid reqlog.ID, batch bool) (outcome.Outcome, bool)
+	Room(batch bool) (outcome.Outcome, bool)
+	Finish(rid reqlog.ID)
+	Requests() int
+	Ready() bool
+	Capacity() ledger.Capacity
+	Resize(cpy ledger.Capacity)
+}
+
+// Site is the port to what other parts of the process know. Its functions read
+// immutable snapshots and return at once.
+type Site interface {
+	// RequestsAllowed reports whether requests of a service may start now, and if not, why.
+	RequestsAllowed(svc fleet.Service, now time.Time) (outcome.Outcome, bool)
+	// Limits returns the limits for a service and a customer.
+	Limits(svc fleet.Service, cus fleet.Customer) admit.Limits
+}
+
+// Decision is what happens with a request.
+type Decision[A any] struct {
+	started bool
+	address string
+	out     outcome.Outcome
+	answer  A
+}
+
+// Refused returns the decision about a request that was not started.
+func Refused[A any](out outcome.Outcome) Decision[A] { return Decision[A]{out: out} }
+
+// Started reports whether the caller has to send the request to the endpoint.
+func (dec Decision[A]) Started() bool { return dec.started }
+
+// Address returns where the endpoint accepts a started request.
+func (dec Decision[A]) Address() string { return dec.address }
+
+// Outcome returns the end of a request that was not started by this delivery.
+func (dec Decision[A]) Outcome() outcome.Outcome { return dec.out }
+
+// Answer returns the answer to an earlier delivery when the outcome is answered.
+func (dec Decision[A]) Answer() A { return dec.answer }
+
+// Verdict is the decision about the request with the caller's value.
+type Verdict[V, A any] struct {
+	value    V
+	decision Decision[A]
+}
+
+// Value returns the caller's value.
+func (ver Verdict[V, A]) Value() V { return ver.value }
+
+// Decision returns the decision.
+func (ver Verdict[V, A]) Decision() Decision[A] { return ver.decision }
+
+// waiting is a queued request.
+type waiting[V any] struct {
+	id    reqlog.ID
+	value V
+}
+
+// active is a request that is queued or running.
+type active struct {
+	request admit.Request
+	ticket  admit.Ticket
+	started time.Time // zero while it is queued
+}
+
+// Intake is the state of the requests of one agent.
+type Intake[V, A any] struct {
+	account  Account
+	site     Site
+	queue    *admit.Queue[waiting[V], admit.Policy]
+	log      *reqlog.Log[A]
+	endpoint admit.Endpoint
+	active   map[reqlog.ID]active
+	draining bool
+}
+
+// New returns an intake whose queue holds a number of requests under a policy.
+func New[V, A any](acc Account, sit Site, queued int, pol admit.Policy, lim reqlog.Limits) *Intake[V, A] {
+	return &Intake[V, A]{
+		account: acc, site: sit,
+		queue:  admit.New[waiting[V]](queued, pol),
+		log:    reqlog.New[A](lim),
+		active: make(map[reqlog.ID]active),
+	}
+}
+
+// Arrive decides about a delivery. The verdicts can also concern other requests.
+// No verdict with this value means that the request is queued.
+func (itk *Intake[V, A]) Arrive(rid reqlog.ID, req admit.Request, val V, now time.Time) []Verdict[V, A] {
+	if ent := itk.log.Begin(rid, now); ent.State() != reqlog.Fresh {
+		return []Verdict[V, A]{{value: val, decision: repeated(ent)}}
+	}
+	if out, ok := itk.allowed(req, now); !ok {
+		return []Verdict[V, A]{itk.refuse(rid, val, out, now)}
+	}
+	loa := admit.NewLoad(itk.account.Capacity().Slots(), itk.account.Requests())
+	lim := itk.site.Limits(req.Service(), req.Customer())
+	dec := itk.queue.Offer(req, waiting[V]{id: rid, value: val}, now, loa, lim)
+	if !dec.Accepted() {
+		return []Verdict[V, A]{itk.refuse(rid, val, dec.Refusal(), now)}
+	}
+	itk.active[rid] = active{request: req, ticket: dec.Ticket()}
+	out := outcome.NotRun(outcome.ReasonQueueFull, "displaced by a latency-critical request")
+	return append(itk.refuseAll(dec.Displaced(), out, now), itk.dispatch(now)...)
+}
+
+func (itk *Intake[V, A]) allowed(req admit.Request, now time.Time) (outcome.Outcome, bool) {
+	if itk.draining {
+		return outcome.NotRun(outcome.ReasonLeaving, "the agent is stopping"), false
+	}
+	if !itk.account.Ready() {
+		return outcome.NotRun(outcome.ReasonNotReady, "the worker has not reported yet"), false
+	}
+	if out, ok := itk.endpoint.Admits(req.Service(), now); !ok {
+		return out, false
+	}
+	return itk.site.RequestsAllowed(req.Service(), now)
+}
+
+// repeated is the decision about a delivery whose ID is known.
+func repeated[A any](ent reqlog.Entry[A]) Decision[A] {
+	switch ent.State() {
+	case reqlog.Answered:
+		if ans, kept := ent.Answer(); kept {
+			return Decision[A]{out: outcome.Answered(), answer: ans}
+		}
+		return Decision[A]{out: outcome.Unknown(outcome.ReasonTimeout, "the request ran and its answer is no longer kept")}
+	case reqlog.NotRun:
+		return Decision[A]{out: outcome.NotRun(outcome.ReasonFenced, "the request was refused or fenced before")}
+	case reqlog.Running:
+		return Decision[A]{out: outcome.Unknown(outcome.ReasonTimeout, "the request runs by another delivery")}
+	default:
+		return Decision[A]{out: outcome.Unknown(outcome.ReasonTimeout, "the request is older than this agent remembers")}
+	}
+}
+
+// GiveUp ends the wait of a queued request at its deadline. A request that was
+// started before is not affected.
+func (itk *Intake[V, A]) GiveUp(rid reqlog.ID, val V, now time.Time) []Verdict[V, A] {
+	act, present := itk.active[rid]
+	if !present || !act.started.IsZero() || !itk.queue.Cancel(act.ticket) {
+		return nil
+	}
+	delete(itk.active, rid)
+	return []Verdict[V, A]{itk.refuse(rid, val, pastDeadline(), now)}
+}
+
+// Finish takes the end of a started request with its answer, if it was answered,
+// and the answer's size in bytes.
+func (itk *Intake[V, A]) Finish(rid reqlog.ID, out outcome.Outcome, ans A, size int, now time.Time) []Verdict[V, A] {
+	act, present := itk.active[rid]
+	if !present || act.started.IsZero() {
+		return nil
+	}
+	switch out.Kind() {
+	case outcome.KindAnswered:
+		itk.log.Answer(rid, ans, size, now)
+		itk.queue.Observe(now.Sub(act.started))
+	case outcome.KindNotRun:
+		itk.log.Refuse(rid, now)
+	default:
+		itk.log.Lose(rid, now)
+	}
+	delete(itk.active, rid)
+	itk.account.Finish(rid)
+	itk.queue.Done(act.request)
+	return itk.dispatch(now)
+}
+
+// Resolve tells what became of a request, and fences it if it never arrived.
+func (itk *Intake[V, A]) Resolve(rid reqlog.ID, now time.Time) reqlog.Entry[A] {
+	return itk.log.Resolve(rid, now)
+}
+
+// Hear takes an announcement of the endpoint and reports whether it was accepted.
+func (itk *Intake[V, A]) Hear(ann admit.Announcement, now time.Time) ([]Verdict[V, A], bool) {
+	if !itk.endpoint.Hear(ann, now) {
+		return nil, false
+	}
+	cpy := itk.account.Capacity().
+		WithEndpoint(ann.Reserve(), ann.Slots(), ann.Connections()).
+		WithCriticalSlots(criticalSlots(ann.Slots()))
+	itk.account.Resize(cpy)
+	return itk.dispatch(now), true
+}
+
+// criticalSlots leaves a quarter of the slots, and at least one of several, to
+// latency-critical requests, so that they never wait for batch requests alone.
+func criticalSlots(slots int) int {
+	if slots < 2 {
+		return 0
+	}
+	return max(1, slots/4)
+}
+
+// Tick refuses queued requests that passed their deadline or whose endpoint is missing.
+func (itk *Intake[V, A]) Tick(now time.Time) []Verdict[V, A] {
+	if itk.queue.Len() > 0 && !itk.endpoint.Present(now) {
+		return itk.refuseAll(itk.queue.Clear(), outcome.NotRun(outcome.ReasonNoEndpoint, "the endpoint does not announce itself"), now)
+	}
+	return itk.dispatch(now)
+}
+
+// Drain refuses all further requests. It is done when Drained reports true.
+func (itk *Intake[V, A]) Drain() { itk.draining = true }
+
+// Drained reports whether no request is queued or running.
+func (itk *Intake[V, A]) Drained() bool { return len(itk.active) == 0 }
+
+// Endpoint returns the presence of the endpoint.
+func (itk *Intake[V, A]) Endpoint() admit.Endpoint { return itk.endpoint }
+
+// Queued returns the number of queued requests.
+func (itk *Intake[V, A]) Queued() int { return itk.queue.Len() }
+
+// MeanService returns the mean of the observed service times.
+func (itk *Intake[V, A]) MeanService() time.Duration { return itk.queue.Mean() }
+
+// dispatch starts queued requests while there is room for them.
+func (itk *Intake[V, A]) dispatch(now time.Time) []Verdict[V, A] {
+	var res []Verdict[V, A]
+	for {
+		nxt, found, expired := itk.queue.Next(now, itk.room)
+		res = append(res, itk.refuseAll(expired, pastDeadline(), now)...)
+		if !found {
+			return res
+		}
+		wtg := nxt.Value()
+		itk.account.Admit(wtg.id, nxt.Request().Batch())
+		itk.active[wtg.id] = active{request: nxt.Request(), started: now}
+		dec := Decision[A]{started: true, address: itk.endpoint.Last().Address()}
+		res = append(res, Verdict[V, A]{value: wtg.value, decision: dec})
+	}
+}
+
+func (itk *Intake[V, A]) room(req admit.Request) bool {
+	_, room := itk.account.Room(req.Batch())
+	return room
+}
+
+func (itk *Intake[V, A]) refuse(rid reqlog.ID, val V, out outcome.Outcome, now time.Time) Verdict[V, A] {
+	itk.log.Refuse(rid, now)
+	return Verdict[V, A]{value: val, decision: Decision[A]{out: out}}
+}
+
+func (itk *Intake[V, A]) refuseAll(items []admit.Item[waiting[V]], out outcome.Outcome, now time.Time) []Verdict[V, A] {
+	var res []Verdict[V, A]
+	for _, itm := range items {
+		delete(itk.active, itm.Value().id)
+		res = append(res, itk.refuse(itm.Value().id, itm.Value().value, out, now))
+	}
+	return res
+}
+
+func pastDeadline() outcome.Outcome {
+	return outcome.NotRun(outcome.ReasonDeadline, "the deadline passed in the queue")
+}
--- /dev/null
+++ b/io/taskhost/methods.go
@@ -0,0 +1,68 @@
+package taskhost
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/runner"
+	"jacinthpost/io/agentstate"
+	"jacinthpost/io/message"
+)
+
+// Offer reserves capacity for a task or refuses it. It is a method of net/rpc.
+func (hst *Host) Offer(args message.OfferArgs, rep *message.OfferReply) error {
+	spc := specFrom(args)
+	res, err := agentstate.Ask(hst.base, hst.loop, func(sta *agentstate.State, now time.Time) message.OfferReply {
+		out, accepted, efs := sta.Runner().Offer(spc, now)
+		hst.Perform(sta, efs)
+		offers(out, accepted).Inc()
+		led := sta.Ledger()
+		return message.OfferReply{
+			Accepted: accepted, Reason: string(out.Reason()), Detail: out.Detail(),
+			Free:     resourcesMessage(led.Free()),
+			Capacity: resourcesMessage(led.Capacity().Total().Minus(led.Capacity().Reserve())),
+			Tasks:    led.Tasks(),
+		}
+	})
+	*rep = res
+	return errors.Wrap(err, "offer")
+}
+
+// Stop ends tasks by order of their owner. It is a method of net/rpc.
+func (hst *Host) Stop(args message.StopArgs, _ *message.StopReply) error {
+	ords := orders(args.Orders)
+	_, err := agentstate.Ask(hst.base, hst.loop, func(sta *agentstate.State, now time.Time) struct{} {
+		for _, ord := range ords {
+			hst.Perform(sta, sta.Runner().Stop(args.Partition, ord, now))
+		}
+		return struct{}{}
+	})
+	return errors.Wrap(err, "stop")
+}
+
+// ErrOutdatedOwner reports that the partition has an owner with a higher epoch.
+var ErrOutdatedOwner = errors.New("the partition has a newer owner")
+
+// adoption is the result of an adoption on the control goroutine.
+type adoption struct {
+	held     []runner.Status
+	accepted bool
+	ready    bool
+}
+
+// Adopt turns to a new owner of a partition. It is a method of net/rpc.
+func (hst *Host) Adopt(args message.AdoptArgs, rep *message.AdoptReply) error {
+	res, err := agentstate.Ask(hst.base, hst.loop, func(sta *agentstate.State, now time.Time) adoption {
+		held, accepted := sta.Runner().Adopt(args.Partition, args.Epoch, args.OwnerAddress, now)
+		return adoption{held: held, accepted: accepted, ready: sta.Runner().Ready()}
+	})
+	if err != nil {
+		return errors.Wrap(err, "adopt")
+	}
+	if !res.accepted {
+		return ErrOutdatedOwner
+	}
+	rep.Ready, rep.Tasks = res.ready, statusMessages(res.held)
+	return nil
+}
