Set the reserve for requests as a share of the worker's capacity

Cause: the endpoint announces the capacity of its instance, and an owner that takes a partition over treats what an agent does not list as lost. Change: the reserve is a percentage of the reported capacity, a leaving endpoint drains the tasks, and Adopt lists claims under way and ends that are not recorded.

--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -20,7 +20,7 @@
 	leaving     bool
 	slots       int
 	connections int
-	reserve     resource.Vector
+	capacity    resource.Vector
 }
 
 // NewAnnouncement returns the announcement of a ready endpoint.
@@ -28,9 +28,9 @@
 	return Announcement{service: svc, address: addr, incarnation: inc}
 }
 
-// WithCapacity returns the announcement with the size of the endpoint.
-func (ann Announcement) WithCapacity(slots, connections int, reserve resource.Vector) Announcement {
-	ann.slots, ann.connections, ann.reserve = slots, connections, reserve
+// WithCapacity returns the announcement with the size of the endpoint and of its instance.
+func (ann Announcement) WithCapacity(slots, connections int, capacity resource.Vector) Announcement {
+	ann.slots, ann.connections, ann.capacity = slots, connections, capacity
 	return ann
 }
 
@@ -58,8 +58,9 @@
 // Connections returns the number of connections that the endpoint accepts.
 func (ann Announcement) Connections() int { return ann.connections }
 
-// Reserve returns the resources that the endpoint needs when all slots are in use.
-func (ann Announcement) Reserve() resource.Vector { return ann.reserve }
+// Capacity returns the resources of the instance. It is a hint for others: the
+// ledger believes the worker's report only.
+func (ann Announcement) Capacity() resource.Vector { return ann.capacity }
 
 // Endpoint is the presence of the co-located endpoint. The zero value is an
 // endpoint that never announced itself.
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -105,12 +105,40 @@
 	draining bool
 }
 
-// New returns an intake whose queue holds a number of requests under a policy.
-func New[V, A any](acc Account, sit Site, queued int, pol admit.Policy, lim reqlog.Limits) *Intake[V, A] {
+// DefaultQueue is the number of requests that wait for a slot. Thirty-two
+// requests a slot are more than any of them can wait for at usual deadlines.
+const DefaultQueue = 256
+
+// Options are the parameters of an Intake.
+type Options struct {
+	queue  int
+	policy admit.Policy
+	limits reqlog.Limits
+}
+
+// DefaultOptions returns the options of a production agent.
+func DefaultOptions() Options {
+	return Options{queue: DefaultQueue, policy: admit.CriticalFirst{}, limits: reqlog.DefaultLimits()}
+}
+
+// WithQueue returns the options with another queue size and policy.
+func (opt Options) WithQueue(size int, pol admit.Policy) Options {
+	opt.queue, opt.policy = size, pol
+	return opt
+}
+
+// WithLimits returns the options with other limits of the request log.
+func (opt Options) WithLimits(lim reqlog.Limits) Options {
+	opt.limits = lim
+	return opt
+}
+
+// New returns an intake that has not heard from its endpoint.
+func New[V, A any](acc Account, sit Site, opt Options) *Intake[V, A] {
 	return &Intake[V, A]{
 		account: acc, site: sit,
-		queue:  admit.New[waiting[V]](queued, pol),
-		log:    reqlog.New[A](lim),
+		queue:  admit.New[waiting[V]](opt.queue, opt.policy),
+		log:    reqlog.New[A](opt.limits),
 		active: make(map[reqlog.ID]active),
 	}
 }
@@ -209,7 +237,7 @@
 		return nil, false
 	}
 	cpy := itk.account.Capacity().
-		WithEndpoint(ann.Reserve(), ann.Slots(), ann.Connections()).
+		WithEndpoint(ann.Slots(), ann.Connections()).
 		WithCriticalSlots(criticalSlots(ann.Slots()))
 	itk.account.Resize(cpy)
 	return itk.dispatch(now), true
--- a/core/ledger/capacity.go
+++ b/core/ledger/capacity.go
@@ -2,29 +2,34 @@
 
 import "jacinthpost/core/resource"
 
-// Capacity is what an instance can hold: its resources, and the part of them
-// that its endpoint needs to serve requests in all of its slots.
+// DefaultReservePercent is the part of an instance that requests can use when
+// the settings name none.
+const DefaultReservePercent = 25
+
+// Capacity is what an instance can hold: its resources, the part of them that is
+// set aside for requests, and the slots and connections of its endpoint. The
+// part is a percentage, so that it is known as soon as the worker has reported
+// its resources, also while the endpoint has not announced itself.
 type Capacity struct {
-	total         resource.Vector
-	reserve       resource.Vector
-	slots         int
-	connections   int
-	criticalSlots int
+	total          resource.Vector
+	reservePercent int
+	slots          int
+	connections    int
+	criticalSlots  int
 }
 
-// NewCapacity returns the capacity of an instance without an endpoint.
-func NewCapacity(total resource.Vector) Capacity { return Capacity{total: total} }
+// NewCapacity returns the capacity of an instance that has not heard from its worker and its endpoint.
+func NewCapacity(reservePercent int) Capacity { return Capacity{reservePercent: reservePercent} }
 
-// WithTotal returns the capacity with other resources and the same endpoint.
+// WithTotal returns the capacity with other resources.
 func (cpy Capacity) WithTotal(total resource.Vector) Capacity {
 	cpy.total = total
 	return cpy
 }
 
-// WithEndpoint returns the capacity with an endpoint that needs the reserve when
-// all of its slots are in use.
-func (cpy Capacity) WithEndpoint(reserve resource.Vector, slots, connections int) Capacity {
-	cpy.reserve, cpy.slots, cpy.connections = reserve, slots, connections
+// WithEndpoint returns the capacity with the slots and connections of an endpoint.
+func (cpy Capacity) WithEndpoint(slots, connections int) Capacity {
+	cpy.slots, cpy.connections = slots, connections
 	return cpy
 }
 
@@ -38,7 +43,10 @@
 func (cpy Capacity) Total() resource.Vector { return cpy.total }
 
 // Reserve returns the resources set aside for requests.
-func (cpy Capacity) Reserve() resource.Vector { return cpy.reserve }
+func (cpy Capacity) Reserve() resource.Vector { return scale(cpy.total, int64(cpy.reservePercent), 100) }
+
+// Tasks returns the resources that tasks can use.
+func (cpy Capacity) Tasks() resource.Vector { return cpy.total.Minus(cpy.Reserve()) }
 
 // Slots returns the number of requests that the endpoint serves at a time.
 func (cpy Capacity) Slots() int { return cpy.slots }
@@ -55,6 +63,9 @@
 	if cpy.slots <= 0 {
 		return resource.Vector{}
 	}
-	num := int64(cpy.slots)
-	return resource.New(cpy.reserve.MilliCPU()/num, cpy.reserve.MemoryMB()/num, cpy.reserve.Accelerators()/num)
+	return scale(cpy.Reserve(), 1, int64(cpy.slots))
+}
+
+func scale(vec resource.Vector, mul, div int64) resource.Vector {
+	return resource.New(vec.MilliCPU()*mul/div, vec.MemoryMB()*mul/div, vec.Accelerators()*mul/div)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -7,7 +7,7 @@
 //   - A ledger admits nothing until it is rebuilt from the worker's report.
 //   - Tasks are reserved, committed and released. A reservation expires unless it
 //     is committed. A task that is being stopped counts until it is released.
-//   - The endpoint's reserve is set aside whether or not requests use it, so
+//   - The reserve for requests is set aside whether or not requests use it, so
 //     tasks can never take it. Each request takes a slot, a connection and one
 //     slot's share of the reserve.
 //   - Tasks found on the worker count even when they do not fit. While the
@@ -117,7 +117,7 @@
 }
 
 func (led *Ledger[T, R]) fits(amount resource.Vector) (outcome.Outcome, bool) {
-	most := led.capacity.total.Minus(led.capacity.reserve)
+	most := led.capacity.Tasks()
 	switch {
 	case !led.ready:
 		return outcome.NotRun(outcome.ReasonNotReady, "the worker has not reported yet"), false
@@ -214,7 +214,7 @@
 // Committed returns the resources of all tasks that count and the endpoint's
 // reserve, or what its requests hold if that is more.
 func (led *Ledger[T, R]) Committed() resource.Vector {
-	return led.taskSum.Plus(led.requestSum.Max(led.capacity.reserve))
+	return led.taskSum.Plus(led.requestSum.Max(led.capacity.Reserve()))
 }
 
 // Free returns the resources that a task could take, none of them negative.
--- a/core/runner/owner.go
+++ b/core/runner/owner.go
@@ -104,6 +104,10 @@
 		return nil
 	}
 	par.renewAt = ans.sent.Add(RenewPeriod)
+	if len(ans.grants)+len(ans.stops) == 0 {
+		// A process that does not own the partition has nothing to say about its tasks.
+		par.doubtful, par.renewAt = true, now.Add(RetryPeriod)
+	}
 	for _, grt := range ans.grants {
 		run.prolong(grt, ans.sent)
 	}
@@ -169,8 +173,10 @@
 	return efs
 }
 
-// Adopt turns to a new owner of a partition and returns the assignments that may
-// run. It refuses an owner whose epoch is lower than the known one.
+// Adopt turns to a new owner of a partition and returns the assignments that the
+// owner must not give to another instance yet: those that may run, those whose
+// grant may be under way, and those whose end is not recorded. It refuses an
+// owner whose epoch is lower than the known one.
 func (run *Runner) Adopt(num int, epoch uint64, addr string, now time.Time) ([]Status, bool) {
 	par := run.partition(num)
 	if epoch < par.epoch {
@@ -181,7 +187,7 @@
 	par.reportBy(now)
 	var held []Status
 	for _, tsk := range run.tasks {
-		if tsk.partition == num && tsk.phase >= Starting && tsk.phase < Ended {
+		if tsk.partition == num && tsk.phase < Recorded && (tsk.phase > Offered || tsk.claimed) {
 			held = append(held, tsk.status())
 		}
 	}
--- a/core/runner/stop.go
+++ b/core/runner/stop.go
@@ -53,6 +53,9 @@
 	return efs
 }
 
+// Resume accepts offers again after a drain.
+func (run *Runner) Resume() { run.draining = false }
+
 // stop begins the stop of an assignment that has not ended.
 func (run *Runner) stop(tsk *task, checkpoint bool, now time.Time) []Effect {
 	switch {
--- a/io/agentstate/agentstate.go
+++ b/io/agentstate/agentstate.go
@@ -22,10 +22,6 @@
 	"jacinthpost/io/control"
 )
 
-// DefaultQueue is the number of requests that wait for a slot. Thirty-two
-// requests a slot are more than any of them can wait for at usual deadlines.
-const DefaultQueue = 256
-
 // Answer is what the endpoint answered.
 type Answer struct {
 	status int
@@ -63,39 +59,6 @@
 	runner.Site
 }
 
-// Options are the parameters of a State. The zero value works.
-type Options struct {
-	capacity ledger.Capacity
-	queue    int
-	policy   admit.Policy
-	limits   reqlog.Limits
-}
-
-// DefaultOptions returns the options of a production agent.
-func DefaultOptions() Options {
-	return Options{queue: DefaultQueue, policy: admit.CriticalFirst{}, limits: reqlog.DefaultLimits()}
-}
-
-// WithCapacity returns the options with the capacity that is assumed until the
-// worker and the endpoint report theirs. A reserve known from the settings keeps
-// tasks from taking it while the endpoint has not announced itself.
-func (opt Options) WithCapacity(cpy ledger.Capacity) Options {
-	opt.capacity = cpy
-	return opt
-}
-
-// WithQueue returns the options with another queue size and policy.
-func (opt Options) WithQueue(size int, pol admit.Policy) Options {
-	opt.queue, opt.policy = size, pol
-	return opt
-}
-
-// WithLimits returns the options with other limits of the request log.
-func (opt Options) WithLimits(lim reqlog.Limits) Options {
-	opt.limits = lim
-	return opt
-}
-
 // State is the control state of one instance. Only the control goroutine may use it.
 type State struct {
 	ledger *Ledger
@@ -104,16 +67,14 @@
 	view   control.Snapshot[View]
 }
 
-// New returns the state of an agent that has not heard from its worker.
-func New(sit Site, opt Options) *State {
-	if opt.policy == nil {
-		opt = DefaultOptions().WithCapacity(opt.capacity)
-	}
+// New returns the state of an agent that has not heard from its worker. The
+// capacity holds the reserve for requests; the reports fill in the rest.
+func New(sit Site, cpy ledger.Capacity, opt intake.Options) *State {
 	led := &Ledger{}
-	led.Resize(opt.capacity)
+	led.Resize(cpy)
 	sta := &State{
 		ledger: led,
-		intake: intake.New[Waiter, Answer](led, sit, opt.queue, opt.policy, opt.limits),
+		intake: intake.New[Waiter, Answer](led, sit, opt),
 		runner: runner.New(led, sit),
 	}
 	sta.Publish()
--- a/io/serve/announce.go
+++ b/io/serve/announce.go
@@ -33,7 +33,8 @@
 	} `json:"capacity"`
 }
 
-// announced is the reply. A leaving endpoint may stop when it is drained.
+// announced is the reply. A leaving endpoint may stop when it is drained: no
+// request and no task of its instance is left.
 type announced struct {
 	Accepted bool `json:"accepted"`
 	Drained  bool `json:"drained"`
@@ -42,9 +43,9 @@
 var validate = validator.New(validator.WithRequiredStructEnabled())
 
 func (ann announcement) translate() admit.Announcement {
-	reserve := resource.New(ann.Capacity.MilliCPU, ann.Capacity.MemoryMB, ann.Capacity.Accelerators)
+	capacity := resource.New(ann.Capacity.MilliCPU, ann.Capacity.MemoryMB, ann.Capacity.Accelerators)
 	return admit.NewAnnouncement(fleet.Service(ann.Service), ann.Address, fleet.Incarnation(ann.Incarnation)).
-		WithCapacity(ann.Slots, ann.Connections, reserve).
+		WithCapacity(ann.Slots, ann.Connections, capacity).
 		WithLeaving(ann.State == "leaving")
 }
 
@@ -79,7 +80,8 @@
 	svc.settle(sta, vers)
 	sta.Publish()
 	leaving := sta.Intake().Endpoint().Last().Leaving()
-	return announced{Accepted: accepted, Drained: leaving && sta.Intake().Drained()}
+	idle := sta.Intake().Drained() && sta.Runner().Len() == 0
+	return announced{Accepted: accepted, Drained: leaving && idle}
 }
 
 func decode(bdy io.Reader) (announcement, error) {
--- a/io/taskhost/methods.go
+++ b/io/taskhost/methods.go
@@ -21,7 +21,7 @@
 		return message.OfferReply{
 			Accepted: accepted, Reason: string(out.Reason()), Detail: out.Detail(),
 			Free:     resourcesMessage(led.Free()),
-			Capacity: resourcesMessage(led.Capacity().Total().Minus(led.Capacity().Reserve())),
+			Capacity: resourcesMessage(led.Capacity().Tasks()),
 			Tasks:    led.Tasks(),
 		}
 	})
--- a/io/taskhost/perform.go
+++ b/io/taskhost/perform.go
@@ -70,7 +70,9 @@
 		failed("start").Inc()
 		ans = runner.StartFailed()
 	}
-	hst.post(func(run *runner.Runner, now time.Time) []runner.Effect { return run.Started(str.Order().Ref(), ans, now) })
+	hst.post(func(run *runner.Runner, now time.Time) []runner.Effect {
+		return run.Started(str.Order().Ref(), ans, now)
+	})
 }
 
 func (hst *Host) extend(ext runner.Extend) {
--- a/io/taskhost/taskhost.go
+++ b/io/taskhost/taskhost.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -68,8 +67,8 @@
 	worker   worker.Worker
 	owners   Caller
 	identity Identity
-	group    sync.WaitGroup
 	drains   []chan struct{} // owned by the control goroutine
+	stopping bool            // Drain was called; owned by the control goroutine
 }
 
 // New returns a host that works until the context ends; the loop must run as long.
@@ -77,8 +76,8 @@
 	return &Host{base: ctx, loop: lop, worker: wkr, owners: own, identity: idy}
 }
 
-// Run polls the worker and drives the retries until the context ends, then waits
-// for the calls under way, which end with the context given to New.
+// Run polls the worker and drives the retries until the context ends. Calls under
+// way end with the context given to New.
 func (hst *Host) Run(ctx context.Context) {
 	polled := make(chan struct{})
 	go func() {
@@ -88,6 +87,7 @@
 	tkr := time.NewTicker(TickPeriod)
 	defer tkr.Stop()
 	tick := control.Func[agentstate.State](func(sta *agentstate.State, now time.Time) {
+		hst.followEndpoint(sta, now)
 		hst.Perform(sta, sta.Runner().Tick(now))
 		sta.Publish()
 	})
@@ -99,7 +99,18 @@
 		}
 	}
 	<-polled
-	hst.group.Wait()
+}
+
+// followEndpoint hands the tasks back when the endpoint leaves, because its
+// instance leaves with it, and takes offers again when a new endpoint is ready.
+func (hst *Host) followEndpoint(sta *agentstate.State, now time.Time) {
+	leaving := sta.Intake().Endpoint().Last().Leaving()
+	switch run := sta.Runner(); {
+	case leaving && !run.Draining():
+		hst.Perform(sta, run.Drain(now))
+	case !leaving && !hst.stopping && run.Draining():
+		run.Resume()
+	}
 }
 
 func (hst *Host) poll(ctx context.Context) {
@@ -145,7 +156,7 @@
 // Runner.Evict and Runner.Throttle.
 func (hst *Host) Perform(sta *agentstate.State, efs []runner.Effect) {
 	for _, eff := range efs {
-		hst.group.Go(func() { hst.perform(eff) })
+		go hst.perform(eff)
 	}
 	if len(hst.drains) == 0 || sta.Runner().Len() > 0 {
 		return
@@ -175,11 +186,12 @@
 	return err
 }
 
-// Drain refuses further offers, checkpoints all tasks and hands them back. It
-// returns when the owners have recorded all ends, or when the context ends.
+// Drain refuses further offers, checkpoints all tasks and hands them back, which
+// needs Run. It returns when the owners have recorded all ends, or when the context ends.
 func (hst *Host) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	err := hst.loop.Post(ctx, control.Func[agentstate.State](func(sta *agentstate.State, now time.Time) {
+		hst.stopping = true
 		hst.drains = append(hst.drains, done)
 		hst.Perform(sta, sta.Runner().Drain(now))
 	}))
