--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -52,5 +52,8 @@
 	if err := srv.Serve(lsn); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve")
 	}
-	return errors.Wrap(<-stopped, "shut down")
+	if err := <-stopped; err != nil {
+		return errors.Wrap(err, "shut down")
+	}
+	return nil
 }
--- a/cmd/standin-platform/internal/platform/state.go
+++ b/cmd/standin-platform/internal/platform/state.go
@@ -85,7 +85,7 @@
 		if !strings.HasPrefix(key, req.Prefix) {
 			break
 		}
-		if len(rep.Rows) == req.Limit || size > tableapi.MaxPageBytes {
+		if len(rep.Rows) == req.Limit || size >= tableapi.MaxPageBytes {
 			rep.More = true
 			break
 		}
--- a/cmd/standin-relay/internal/relay/link.go
+++ b/cmd/standin-relay/internal/relay/link.go
@@ -95,7 +95,7 @@
 	grp.Wait()
 }
 
-// deliver writes the chunks when they are due and closes the other side after the last one.
+// deliver writes the chunks when they are due and ends the other side after the last one.
 func (dir *direction) deliver(chunks <-chan chunk) {
 	for chk := range chunks {
 		if wait := time.Until(chk.due); wait > 0 {
@@ -111,6 +111,15 @@
 		}
 	}
 	if !dir.silent.Load() {
-		_ = dir.into.Close()
+		closeWrite(dir.into)
 	}
 }
+
+// closeWrite passes on the end of one direction and leaves the other one open.
+func closeWrite(con net.Conn) {
+	if tcp, half := con.(*net.TCPConn); half {
+		_ = tcp.CloseWrite()
+		return
+	}
+	_ = con.Close()
+}
--- a/io/httpcall/failure.go
+++ b/io/httpcall/failure.go
@@ -70,8 +70,16 @@
 	return mark(cla.Uncertain, err)
 }
 
-// Decode decodes the JSON body of the result of a call. A nil out accepts any body.
-func (cla Classifier) Decode(ans Answer, err error, out any) error {
+// Decode decodes the JSON body of the result of a call and names the operation
+// in the error. A nil out accepts any body.
+func (cla Classifier) Decode(operation string, ans Answer, err error, out any) error {
+	if err := cla.decode(ans, err, out); err != nil {
+		return errors.Wrap(err, operation)
+	}
+	return nil
+}
+
+func (cla Classifier) decode(ans Answer, err error, out any) error {
 	if err != nil {
 		return cla.Failed(err)
 	}
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -13,8 +13,6 @@
 	"net/url"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"jacinthpost/core/store"
 	"jacinthpost/io/httpcall"
 	"jacinthpost/io/table/tableapi"
@@ -52,7 +50,7 @@
 // Put implements store.Objects.
 func (cli *Client) Put(ctx context.Context, key string, value []byte) error {
 	ans, err := cli.call.Call(ctx, http.MethodPut, path(key), nil, value)
-	return errors.Wrap(writes.Decode(ans, err, nil), "put object")
+	return writes.Decode("put object", ans, err, nil)
 }
 
 // Get implements store.Objects.
@@ -61,8 +59,8 @@
 	if err == nil && ans.Status() == http.StatusNotFound {
 		return nil, store.ErrNotFound
 	}
-	if err := reads.Decode(ans, err, nil); err != nil {
-		return nil, errors.Wrap(err, "get object")
+	if err := reads.Decode("get object", ans, err, nil); err != nil {
+		return nil, err
 	}
 	return ans.Body(), nil
 }
@@ -70,7 +68,7 @@
 // Delete implements store.Objects.
 func (cli *Client) Delete(ctx context.Context, key string) error {
 	ans, err := cli.call.Call(ctx, http.MethodDelete, path(key), nil, nil)
-	return errors.Wrap(writes.Decode(ans, err, nil), "delete object")
+	return writes.Decode("delete object", ans, err, nil)
 }
 
 // Close closes the idle connections.
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -50,8 +50,8 @@
 
 // New returns a client of the table service at host:port.
 func New(addr string, opts ...Option) *Client {
-	// A page of 4 MiB of values grows by a third in base64.
-	opt := httpcall.Options{Subsystem: "table", BodyLimit: 4 * tableapi.MaxPageBytes}
+	// Values grow by a third in base64, so this holds any row that fits in a request.
+	opt := httpcall.Options{Subsystem: "table", BodyLimit: 2 * tableapi.MaxRequestBytes}
 	for _, set := range opts {
 		set(&opt)
 	}
@@ -73,8 +73,8 @@
 	}
 	var rep tableapi.TransactionReply
 	ans, err := cli.post(ctx, tableapi.TransactionPath, req)
-	if err := writes.Decode(ans, err, &rep); err != nil {
-		return store.Result{}, errors.Wrap(err, "commit")
+	if err := writes.Decode("commit", ans, err, &rep); err != nil {
+		return store.Result{}, err
 	}
 	if rep.ID != req.ID {
 		return store.Result{}, errors.Wrapf(store.ErrUncertain, "commit %s got the answer to %q", req.ID, rep.ID)
@@ -92,7 +92,7 @@
 	for part := range slices.Chunk(keys, tableapi.MaxKeys) {
 		rep, err := cli.read(ctx, tableapi.ReadPath, tableapi.ReadRequest{Keys: part})
 		if err != nil {
-			return nil, errors.Wrap(err, "read")
+			return nil, err
 		}
 		if !slices.EqualFunc(rep.Rows, part, func(row tableapi.Row, key string) bool { return row.Key == key }) {
 			return nil, errors.Wrapf(store.ErrUnavailable, "read of %d rows got other rows", len(part))
@@ -109,7 +109,7 @@
 		req := tableapi.ListRequest{Prefix: prefix, After: after, Limit: min(limit-len(out), tableapi.MaxKeys)}
 		rep, err := cli.read(ctx, tableapi.ListPath, req)
 		if err != nil {
-			return nil, errors.Wrap(err, "list")
+			return nil, err
 		}
 		out = appendRows(out, rep.Rows)
 		if !rep.More || len(rep.Rows) == 0 {
@@ -126,7 +126,7 @@
 func (cli *Client) read(ctx context.Context, path string, req any) (tableapi.RowsReply, error) {
 	var rep tableapi.RowsReply
 	ans, err := cli.post(ctx, path, req)
-	err = reads.Decode(ans, err, &rep)
+	err = reads.Decode(path, ans, err, &rep)
 	return rep, err
 }
 
--- a/io/table/tableapi/tableapi.go
+++ b/io/table/tableapi/tableapi.go
@@ -25,7 +25,7 @@
 const (
 	MaxKeys         = 1000     // rows of a read, a list page or a transaction
 	MaxRequestBytes = 8 << 20  // body of a table request
-	MaxPageBytes    = 4 << 20  // values of a list page
+	MaxPageBytes    = 1 << 20  // values of a list page; the row that reaches it is the last
 	MaxObjectBytes  = 32 << 20 // an object
 )
 
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -52,8 +52,8 @@
 func (cli *Client) State(ctx context.Context) (worker.Report, error) {
 	var rep workerapi.StateReply
 	ans, err := cli.call.Call(ctx, http.MethodGet, workerapi.StatePath, nil, nil)
-	if err := reads.Decode(ans, err, &rep); err != nil {
-		return worker.Report{}, errors.Wrap(err, "worker state")
+	if err := reads.Decode("worker state", ans, err, &rep); err != nil {
+		return worker.Report{}, err
 	}
 	return rep.Core(), nil
 }
@@ -120,6 +120,6 @@
 		return rep, errors.Wrap(err, "encode request")
 	}
 	ans, err := cli.call.Call(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
-	err = writes.Decode(ans, err, &rep)
-	return rep, errors.Wrapf(err, "worker %s", path)
+	err = writes.Decode("worker "+path, ans, err, &rep)
+	return rep, err
 }
