--- a/cmd/standin-platform/internal/platform/model_test.go
+++ b/cmd/standin-platform/internal/platform/model_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"strconv"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,16 +17,31 @@
 // Guards against a difference between the double and the platform that no
 // single case shows: random transactions, reads and lists must have equal results.
 var _ = It("the double and the clients agree on random operations", func() {
-	Expect(flag.Set("rapid.seed", "7")).To(Succeed())
-	Expect(flag.Set("rapid.checks", "30")).To(Succeed())
+	clients := openClients()
+	for seed := range seeds() {
+		Expect(flag.Set("rapid.seed", strconv.Itoa(7+seed))).To(Succeed())
+		Expect(flag.Set("rapid.checks", "30")).To(Succeed())
+		checkAgreement(clients, fmt.Sprintf("seed%d/", seed))
+	}
+})
+
+// seeds returns how many seeds to run: one, or as many as JACINTHPOST_SEEDS asks for.
+func seeds() int {
+	num, err := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS"))
+	if err != nil {
+		return 1
+	}
+	return max(num, 1)
+}
+
+func checkAgreement(clients subject, space string) {
 	key := rapid.Custom(func(gen *rapid.T) string {
 		return fmt.Sprintf("%s%d", rapid.SampledFrom([]string{"a/", "a/b/", "c"}).Draw(gen, "prefix"), rapid.IntRange(0, 3).Draw(gen, "number"))
 	})
-	real := openClients()
 	round := 0
 	rapid.Check(GinkgoTB(), func(gen *rapid.T) {
 		round++ // each round has its own rows in the shared platform
-		base := fmt.Sprintf("round%d/", round)
+		base := fmt.Sprintf("%sround%d/", space, round)
 		fake := openFake()
 		versions := newVersionMap()
 		for range rapid.IntRange(1, 15).Draw(gen, "operations") {
@@ -44,51 +61,51 @@
 				one.Put(name, value)
 				two.Put(name, value)
 			}
-			versions.commit(fake, real, one, two)
+			versions.commit(fake, clients, one, two)
 			after := base + key.Draw(gen, "after")
 			limit := rapid.IntRange(1, 6).Draw(gen, "limit")
-			expectSameList(fake, real, base+"a/", after, limit)
+			expectSameList(fake, clients, base+"a/", after, limit)
 		}
 	})
-})
+}
 
 // versionMap relates the versions of the two implementations, which count from different starts.
 type versionMap struct {
-	real map[store.Version]store.Version
+	platform map[store.Version]store.Version
 }
 
 func newVersionMap() versionMap {
-	return versionMap{real: map[store.Version]store.Version{0: 0}}
+	return versionMap{platform: map[store.Version]store.Version{0: 0}}
 }
 
-func (ver versionMap) required(fake subject, key string, right, real bool) store.Version {
+func (ver versionMap) required(fake subject, key string, right, ofPlatform bool) store.Version {
 	rows, err := fake.table.Read(context.Background(), key)
 	Expect(err).NotTo(HaveOccurred())
 	if !right {
 		return 1 << 40
 	}
-	if real {
-		return ver.real[rows[0].Version()]
+	if ofPlatform {
+		return ver.platform[rows[0].Version()]
 	}
 	return rows[0].Version()
 }
 
-func (ver versionMap) commit(fake, real subject, one, two *store.Transaction) {
+func (ver versionMap) commit(fake, clients subject, one, two *store.Transaction) {
 	got, err := fake.table.Commit(context.Background(), one)
 	Expect(err).NotTo(HaveOccurred())
-	want, err := real.table.Commit(context.Background(), two)
+	want, err := clients.table.Commit(context.Background(), two)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(want.Committed()).To(Equal(got.Committed()))
 	Expect(keysOf(want.Conflicts())).To(Equal(keysOf(got.Conflicts())))
 	if got.Committed() {
-		ver.real[got.Version()] = want.Version()
+		ver.platform[got.Version()] = want.Version()
 	}
 }
 
-func expectSameList(fake, real subject, prefix, after string, limit int) {
+func expectSameList(fake, clients subject, prefix, after string, limit int) {
 	one, err := fake.table.List(context.Background(), prefix, after, limit)
 	Expect(err).NotTo(HaveOccurred())
-	two, err := real.table.List(context.Background(), prefix, after, limit)
+	two, err := clients.table.List(context.Background(), prefix, after, limit)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(keysOf(two)).To(Equal(keysOf(one)))
 	for idx := range one {
--- a/io/httpcall/httpcall.go
+++ b/io/httpcall/httpcall.go
@@ -128,11 +128,12 @@
 	if stg == NoAnswer && !connected.Load() {
 		stg = NotSent
 	}
-	if ctx.Err() != nil {
+	timedOut := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	if timedOut {
 		cli.transport.CloseIdleConnections()
 	}
 	cli.count(stg.String())
-	return Answer{}, &Failure{stage: stg, timedOut: ctx.Err() != nil, err: err}
+	return Answer{}, &Failure{stage: stg, timedOut: timedOut, err: err}
 }
 
 func (cli *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, Stage, error) {
@@ -140,8 +141,10 @@
 	if err != nil {
 		return Answer{}, NotSent, errors.Wrap(err, "build request")
 	}
-	if method == http.MethodGet || method == http.MethodHead {
-		// The transport repeats these by itself after it has sent them, unless it cannot rewind the body.
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		// The transport repeats GET and other methods by itself after it has sent them, unless it cannot rewind the body.
 		req.Body, req.GetBody = io.NopCloser(bytes.NewReader(body)), nil
 	}
 	for name, values := range header {
