--- /dev/null
+++ b/core/ticket/object.go
@@ -0,0 +1,231 @@
+package ticket
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+)
+
+// Object is the complete state of one object. The types of this package are its
+// only implementations; their values don't change after construction.
+type Object interface {
+	Kind() Kind
+	check(chk *checker)
+	digest(dgr *digester)
+}
+
+// Service configures a latency-critical service on every instance that serves it.
+type Service struct {
+	slots           int
+	connections     int
+	timeout         time.Duration
+	idempotentPaths []string
+}
+
+// NewService returns a service with its limits per instance, its default
+// timeout and the path prefixes whose requests may be repeated.
+func NewService(slots, connections int, timeout time.Duration, idempotentPaths ...string) Service {
+	return Service{slots: slots, connections: connections, timeout: timeout, idempotentPaths: slices.Clone(idempotentPaths)}
+}
+
+// Kind returns KindService.
+func (Service) Kind() Kind { return KindService }
+
+// Slots returns the number of requests that one instance runs at a time.
+func (svc Service) Slots() int { return svc.slots }
+
+// Connections returns the number of connections that one instance accepts.
+func (svc Service) Connections() int { return svc.connections }
+
+// Timeout returns the time limit of requests that carry none.
+func (svc Service) Timeout() time.Duration { return svc.timeout }
+
+// IdempotentPaths returns a copy of the path prefixes whose requests may be repeated.
+func (svc Service) IdempotentPaths() []string { return slices.Clone(svc.idempotentPaths) }
+
+func (svc Service) digest(dgr *digester) {
+	dgr.number(uint64(svc.slots))
+	dgr.number(uint64(svc.connections))
+	dgr.number(uint64(svc.timeout))
+	dgr.texts(svc.idempotentPaths)
+}
+
+// JobClass configures the jobs that name it.
+type JobClass struct {
+	resources      resource.Vector
+	lease          time.Duration
+	outage         time.Duration
+	checkpointable bool
+}
+
+// NewJobClass returns a class with the declared resources of a task, its lease,
+// and the length of a store outage that its tasks survive (zero: none beyond the lease).
+func NewJobClass(vec resource.Vector, lease, outage time.Duration, checkpointable bool) JobClass {
+	return JobClass{resources: vec, lease: lease, outage: outage, checkpointable: checkpointable}
+}
+
+// Kind returns KindJobClass.
+func (JobClass) Kind() Kind { return KindJobClass }
+
+// Resources returns the declared resources of one task.
+func (cls JobClass) Resources() resource.Vector { return cls.resources }
+
+// Lease returns the length of a task lease.
+func (cls JobClass) Lease() time.Duration { return cls.lease }
+
+// Outage returns the length of a store outage that tasks survive.
+func (cls JobClass) Outage() time.Duration { return cls.outage }
+
+// Checkpointable reports whether a task can resume from a checkpoint.
+func (cls JobClass) Checkpointable() bool { return cls.checkpointable }
+
+func (cls JobClass) digest(dgr *digester) {
+	dgr.number(uint64(cls.resources.MilliCPU()))
+	dgr.number(uint64(cls.resources.MemoryMB()))
+	dgr.number(uint64(cls.resources.Accelerators()))
+	dgr.number(uint64(cls.lease))
+	dgr.number(uint64(cls.outage))
+	dgr.flag(cls.checkpointable)
+}
+
+// DataCentre tells whether a data centre is in service.
+type DataCentre struct {
+	out    bool
+	reason string
+}
+
+// NewDataCentre returns the state of a data centre. A reason is needed to take it out.
+func NewDataCentre(out bool, reason string) DataCentre {
+	return DataCentre{out: out, reason: reason}
+}
+
+// Kind returns KindDataCentre.
+func (DataCentre) Kind() Kind { return KindDataCentre }
+
+// Out reports whether the data centre is out of service.
+func (dc DataCentre) Out() bool { return dc.out }
+
+// Reason returns why the data centre is out.
+func (dc DataCentre) Reason() string { return dc.reason }
+
+func (dc DataCentre) digest(dgr *digester) {
+	dgr.flag(dc.out)
+	dgr.text(dc.reason)
+}
+
+// Admission limits the requests of the service that has the object's name.
+type Admission struct {
+	maxQueue     int
+	customerRate float64
+	batchShare   float64
+}
+
+// NewAdmission returns limits: queued requests per instance, requests a second
+// per customer (zero: no limit), and the share of slots that batch requests may use, 0 to 1.
+func NewAdmission(maxQueue int, customerRate, batchShare float64) Admission {
+	return Admission{maxQueue: maxQueue, customerRate: customerRate, batchShare: batchShare}
+}
+
+// Kind returns KindAdmission.
+func (Admission) Kind() Kind { return KindAdmission }
+
+// MaxQueue returns the number of requests that may wait at one instance.
+func (adm Admission) MaxQueue() int { return adm.maxQueue }
+
+// CustomerRate returns the requests a second that one customer may send, zero for no limit.
+func (adm Admission) CustomerRate() float64 { return adm.customerRate }
+
+// BatchShare returns the share of slots that batch requests may use, 0 to 1.
+func (adm Admission) BatchShare() float64 { return adm.batchShare }
+
+func (adm Admission) digest(dgr *digester) {
+	dgr.number(uint64(adm.maxQueue))
+	dgr.number(math.Float64bits(adm.customerRate))
+	dgr.number(math.Float64bits(adm.batchShare))
+}
+
+// Customer is a tenant. A customer that cancels stays, inactive, with its settings.
+type Customer struct {
+	active   bool
+	team     fleet.Team
+	settings map[string]string
+}
+
+// NewCustomer returns a customer.
+func NewCustomer(active bool, tea fleet.Team, settings map[string]string) Customer {
+	return Customer{active: active, team: tea, settings: maps.Clone(settings)}
+}
+
+// Kind returns KindCustomer.
+func (Customer) Kind() Kind { return KindCustomer }
+
+// Active reports whether the customer may send work.
+func (cus Customer) Active() bool { return cus.active }
+
+// Team returns the team whose quota the customer uses.
+func (cus Customer) Team() fleet.Team { return cus.team }
+
+// Settings returns a copy of the customer's settings.
+func (cus Customer) Settings() map[string]string { return maps.Clone(cus.settings) }
+
+// Setting returns one setting, empty when it is not set.
+func (cus Customer) Setting(key string) string { return cus.settings[key] }
+
+func (cus Customer) digest(dgr *digester) {
+	dgr.flag(cus.active)
+	dgr.text(string(cus.team))
+	dgr.mapping(cus.settings)
+}
+
+// Endpoint tells whether operators drain an endpoint.
+type Endpoint struct{ draining bool }
+
+// NewEndpoint returns the state of an endpoint.
+func NewEndpoint(draining bool) Endpoint { return Endpoint{draining: draining} }
+
+// Kind returns KindEndpoint.
+func (Endpoint) Kind() Kind { return KindEndpoint }
+
+// Draining reports whether the endpoint must receive no new work.
+func (end Endpoint) Draining() bool { return end.draining }
+
+func (end Endpoint) digest(dgr *digester) { dgr.flag(end.draining) }
+
+// Team holds the quota of a team as shares of the fleet.
+type Team struct {
+	cpuShare         float64
+	memoryShare      float64
+	acceleratorShare float64
+	mayBorrow        bool
+}
+
+// NewTeam returns a quota. Each share is between 0 and 1.
+func NewTeam(cpuShare, memoryShare, acceleratorShare float64, mayBorrow bool) Team {
+	return Team{cpuShare: cpuShare, memoryShare: memoryShare, acceleratorShare: acceleratorShare, mayBorrow: mayBorrow}
+}
+
+// Kind returns KindTeam.
+func (Team) Kind() Kind { return KindTeam }
+
+// CPUShare returns the share of the processors of the fleet, 0 to 1.
+func (tea Team) CPUShare() float64 { return tea.cpuShare }
+
+// MemoryShare returns the share of the memory of the fleet, 0 to 1.
+func (tea Team) MemoryShare() float64 { return tea.memoryShare }
+
+// AcceleratorShare returns the share of the accelerators of the fleet, 0 to 1.
+func (tea Team) AcceleratorShare() float64 { return tea.acceleratorShare }
+
+// MayBorrow reports whether the team may use idle shares of other teams.
+func (tea Team) MayBorrow() bool { return tea.mayBorrow }
+
+func (tea Team) digest(dgr *digester) {
+	dgr.number(math.Float64bits(tea.cpuShare))
+	dgr.number(math.Float64bits(tea.memoryShare))
+	dgr.number(math.Float64bits(tea.acceleratorShare))
+	dgr.flag(tea.mayBorrow)
+}
--- /dev/null
+++ b/core/ticket/state.go
@@ -0,0 +1,200 @@
+package ticket
+
+import (
+	"jacinthpost/core/fleet"
+)
+
+// HistoryLimit is the number of tickets that a State keeps for nodes that are
+// behind: more than four hours at 1,100 tickets a day.
+const HistoryLimit = 256
+
+// State is the configuration after a prefix of the ticket sequence. The zero
+// value is the configuration before the first ticket.
+type State struct {
+	head    Number
+	objects Versioned[string, Object]
+	history []Ticket
+}
+
+// Record is an object with its key and version, as kept in the table.
+type Record struct {
+	key     Key
+	version Number
+	object  Object
+}
+
+// NewRecord returns an object with its key and version.
+func NewRecord(key Key, ver Number, obj Object) Record {
+	return Record{key: key, version: ver, object: obj}
+}
+
+// Key returns the key of the object.
+func (rec Record) Key() Key { return rec.key }
+
+// Version returns the number of the ticket that set the object.
+func (rec Record) Version() Number { return rec.version }
+
+// Object returns the state of the object.
+func (rec Record) Object() Object { return rec.object }
+
+// Restore returns the configuration at head from a list of its objects. It
+// reports false if an object is newer than the head: the list was then read
+// while a ticket was accepted and is no prefix.
+func Restore(head Number, records []Record) (State, bool) {
+	whole := true
+	objects := Versioned[string, Object]{}.edit(func(set func(string, Object, Number)) {
+		for _, rec := range records {
+			whole = whole && rec.version <= head
+			set(rec.key.String(), rec.object, rec.version)
+		}
+	})
+	if !whole {
+		return State{}, false
+	}
+	return State{head: head, objects: objects}, true
+}
+
+// RestoreSince returns the configuration after the last of the tickets from a
+// list of objects that was read after head base and before that ticket's
+// acceptance became visible. The tickets must follow base without a gap.
+func RestoreSince(base Number, records []Record, tickets []Ticket) (State, bool) {
+	head := base
+	for _, tic := range tickets {
+		if tic.number != head+1 {
+			return State{}, false
+		}
+		head = tic.number
+	}
+	sta, whole := Restore(head, records)
+	if !whole {
+		return State{}, false
+	}
+	for _, tic := range tickets {
+		sta.objects = withChanges(sta.objects, tic)
+		sta.history = remember(sta.history, tic)
+	}
+	return sta, true
+}
+
+// Apply returns the state after the ticket and the outcome. Only an accepted
+// ticket changes the state.
+func (sta State) Apply(tic Ticket) (State, Outcome) {
+	out := Decide(sta, tic)
+	if out.Kind() != OutcomeAccepted {
+		return sta, out
+	}
+	return State{
+		head:    tic.number,
+		objects: withChanges(sta.objects, tic),
+		history: remember(sta.history, tic),
+	}, out
+}
+
+func withChanges(objects Versioned[string, Object], tic Ticket) Versioned[string, Object] {
+	return objects.edit(func(set func(string, Object, Number)) {
+		for _, chg := range tic.changes {
+			set(chg.Key().String(), chg.object, tic.number)
+		}
+	})
+}
+
+// remember copies, because readers of earlier states share the old history.
+func remember(history []Ticket, tic Ticket) []Ticket {
+	first := max(0, len(history)+1-HistoryLimit)
+	next := make([]Ticket, 0, len(history)-first+1)
+	next = append(next, history[first:]...)
+	return append(next, tic)
+}
+
+// Head returns the number of the last ticket applied.
+func (sta State) Head() Number { return sta.head }
+
+// Len returns the number of objects.
+func (sta State) Len() int { return sta.objects.Len() }
+
+// Accepted returns an applied ticket if it is among the last HistoryLimit.
+func (sta State) Accepted(num Number) (Ticket, bool) {
+	first := sta.head - Number(len(sta.history)) + 1
+	if num < first || num > sta.head {
+		return Ticket{}, false
+	}
+	return sta.history[num-first], true
+}
+
+// Since returns up to limit tickets after the number, and false if the state no longer keeps all of them.
+func (sta State) Since(num Number, limit int) ([]Ticket, bool) {
+	if num >= sta.head {
+		return nil, true
+	}
+	if _, found := sta.Accepted(num + 1); !found {
+		return nil, false
+	}
+	first := len(sta.history) - int(sta.head-num)
+	tickets := sta.history[first:]
+	return tickets[:min(limit, len(tickets))], true
+}
+
+// Records returns up to limit objects in key order whose key text is greater than after.
+func (sta State) Records(after string, limit int) []Record {
+	var records []Record
+	for text, obj := range sta.objects.All() {
+		if text <= after {
+			continue
+		}
+		if len(records) == limit {
+			break
+		}
+		name := text[len(obj.Kind())+1:]
+		records = append(records, NewRecord(NewKey(obj.Kind(), name), sta.objects.Version(text), obj))
+	}
+	return records
+}
+
+// Object returns the state and version of an object, nil and zero when it doesn't exist.
+func (sta State) Object(key Key) (Object, Number) {
+	obj, _ := sta.objects.Get(key.String())
+	return obj, sta.objects.Version(key.String())
+}
+
+func lookup[O Object](sta State, knd Kind, name string) (O, bool) {
+	obj, _ := sta.objects.Get(NewKey(knd, name).String())
+	typed, found := obj.(O)
+	return typed, found
+}
+
+// Service returns the configuration of a service.
+func (sta State) Service(name fleet.Service) (Service, bool) {
+	return lookup[Service](sta, KindService, string(name))
+}
+
+// Admission returns the admission limits of a service.
+func (sta State) Admission(name fleet.Service) (Admission, bool) {
+	return lookup[Admission](sta, KindAdmission, string(name))
+}
+
+// JobClass returns the configuration of a job class.
+func (sta State) JobClass(name fleet.JobClass) (JobClass, bool) {
+	return lookup[JobClass](sta, KindJobClass, string(name))
+}
+
+// Customer returns a customer.
+func (sta State) Customer(name fleet.Customer) (Customer, bool) {
+	return lookup[Customer](sta, KindCustomer, string(name))
+}
+
+// Team returns the quota of a team.
+func (sta State) Team(name fleet.Team) (Team, bool) {
+	return lookup[Team](sta, KindTeam, string(name))
+}
+
+// DataCentreOut reports whether a ticket took the data centre out of service.
+func (sta State) DataCentreOut(dc fleet.DataCentre) bool {
+	obj, _ := lookup[DataCentre](sta, KindDataCentre, string(dc))
+	return obj.Out()
+}
+
+// EndpointDraining reports whether a ticket drains the endpoint.
+func (sta State) EndpointDraining(id fleet.InstanceID) bool {
+	obj, _ := lookup[Endpoint](sta, KindEndpoint, string(id))
+	return obj.Draining()
+}
--- /dev/null
+++ b/core/ticket/validate.go
@@ -0,0 +1,209 @@
+package ticket
+
+import (
+	"fmt"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"jacinthpost/core/resource"
+)
+
+// Limits of tickets. They bound what one ticket costs every node and keep a
+// ticket, encoded, far below the size of one row of the table.
+const (
+	MaxChanges       = 64
+	MaxNameLength    = 128  // bytes
+	MaxReasonLength  = 1024 // bytes
+	MaxPaths         = 64
+	MaxPathLength    = 256 // bytes
+	MaxSettings      = 64
+	MaxSettingLength = 1024        // bytes
+	MaxContentLength = 128 * 1024  // bytes of names, reasons, paths and settings together
+	MaxSlots         = 1024        // per instance
+	MaxConnections   = 65_536      // per instance
+	MaxQueue         = 100_000     // requests per instance
+	MaxCustomerRate  = 1_000_000.0 // requests a second
+	MinLease         = 10 * time.Second
+	MaxLease         = 4 * time.Hour
+	MaxTimeout       = 10 * time.Minute
+)
+
+// maxResources is beyond any instance that is sold.
+var maxResources = resource.New(4_096_000, 64*1024*1024, 1024)
+
+// Fault is one reason why a ticket is not valid.
+type Fault struct {
+	path        string
+	value       string
+	expectation string
+}
+
+// NewFault returns a fault of the value at a path such as changes[0].name.
+func NewFault(path, value, expectation string) Fault {
+	return Fault{path: path, value: value, expectation: expectation}
+}
+
+// Path returns where the value is in the ticket.
+func (flt Fault) Path() string { return flt.path }
+
+// Value returns the start of the value.
+func (flt Fault) Value() string { return flt.value }
+
+// Expectation returns what a valid value looks like.
+func (flt Fault) Expectation() string { return flt.expectation }
+
+// String formats the fault for people.
+func (flt Fault) String() string {
+	return fmt.Sprintf("%s: %q: expected %s", flt.path, flt.value, flt.expectation)
+}
+
+// checker collects faults below a path.
+type checker struct {
+	path    string
+	content int
+	faults  []Fault
+}
+
+func (chk *checker) require(holds bool, field string, value any, expectation string) {
+	if !holds {
+		chk.faults = append(chk.faults, NewFault(chk.path+field, excerpt(fmt.Sprint(value)), expectation))
+	}
+}
+
+// excerpt keeps a fault small when the faulty value is huge.
+func excerpt(txt string) string {
+	const limit = 64
+	if len(txt) <= limit {
+		return txt
+	}
+	return strings.ToValidUTF8(txt[:limit], "") + "..."
+}
+
+func (chk *checker) text(field, txt string, limit int, needed bool) {
+	chk.content += len(txt)
+	holds := len(txt) <= limit && (!needed || strings.TrimSpace(txt) != "") && utf8.ValidString(txt)
+	expectation := fmt.Sprintf("at most %d bytes of UTF-8 text", limit)
+	if needed {
+		expectation += ", not empty"
+	}
+	chk.require(holds, field, txt, expectation)
+}
+
+func (chk *checker) name(field, txt string) {
+	chk.content += len(txt)
+	chk.require(ValidName(txt), field, txt,
+		fmt.Sprintf("1 to %d letters, digits or . _ : @ -, first a letter or digit", MaxNameLength))
+}
+
+func (chk *checker) between(field string, val, low, high int) {
+	chk.require(val >= low && val <= high, field, val, fmt.Sprintf("%d to %d", low, high))
+}
+
+// share also refuses NaN, for which every comparison is false.
+func (chk *checker) share(field string, val, high float64) {
+	chk.require(val >= 0 && val <= high, field, val, fmt.Sprintf("0 to %g", high))
+}
+
+func (chk *checker) span(field string, val, low, high time.Duration) {
+	chk.require(val >= low && val <= high, field, val, fmt.Sprintf("%v to %v", low, high))
+}
+
+// ValidName reports whether the text may name an object. Names become parts of
+// row keys and of datagrams, so they contain no slash, space or quote.
+func ValidName(txt string) bool {
+	if txt == "" || len(txt) > MaxNameLength || strings.IndexByte("._:@-", txt[0]) >= 0 {
+		return false
+	}
+	return strings.IndexFunc(txt, func(chr rune) bool { return !nameRune(chr) }) < 0
+}
+
+func nameRune(chr rune) bool {
+	switch {
+	case chr >= 'a' && chr <= 'z', chr >= 'A' && chr <= 'Z', chr >= '0' && chr <= '9':
+		return true
+	default:
+		return strings.ContainsRune("._:@-", chr)
+	}
+}
+
+// Validate returns every fault of a ticket that doesn't depend on the present configuration.
+func Validate(tic Ticket) []Fault {
+	chk := &checker{}
+	chk.require(tic.number > 0, "number", tic.number, "at least 1")
+	chk.name("author", tic.author)
+	chk.text("reason", tic.reason, MaxReasonLength, true)
+	chk.between("changes", len(tic.changes), 1, MaxChanges)
+	seen := make(map[Key]bool)
+	for idx, chg := range tic.changes[:min(len(tic.changes), MaxChanges)] {
+		chk.path = fmt.Sprintf("changes[%d].", idx)
+		chk.require(!seen[chg.Key()], "name", chg.name, "each object at most once in a ticket")
+		seen[chg.Key()] = true
+		chk.change(tic.number, chg)
+	}
+	chk.path = ""
+	chk.require(chk.content <= MaxContentLength, "changes", chk.content, fmt.Sprintf("at most %d bytes of text in all", MaxContentLength))
+	return chk.faults
+}
+
+func (chk *checker) change(num Number, chg Change) {
+	chk.name("name", chg.name)
+	chk.require(chg.base < max(num, 1), "baseVersion", chg.base, "a number below that of the ticket")
+	if chg.object == nil {
+		chk.require(false, "kind", "", fmt.Sprint("one of ", Kinds()))
+		return
+	}
+	path := chk.path
+	chk.path += "state."
+	chg.object.check(chk)
+	chk.path = path
+}
+
+func (svc Service) check(chk *checker) {
+	chk.between("slots", svc.slots, 1, MaxSlots)
+	chk.between("connections", svc.connections, 1, MaxConnections)
+	chk.span("defaultTimeoutMillis", svc.timeout, time.Millisecond, MaxTimeout)
+	chk.between("idempotentPaths", len(svc.idempotentPaths), 0, MaxPaths)
+	for idx, pth := range svc.idempotentPaths[:min(len(svc.idempotentPaths), MaxPaths)] {
+		field := fmt.Sprintf("idempotentPaths[%d]", idx)
+		chk.text(field, pth, MaxPathLength, true)
+		chk.require(strings.HasPrefix(pth, "/"), field, pth, "a path that starts with /")
+	}
+}
+
+func (cls JobClass) check(chk *checker) {
+	holds := cls.resources.Valid() && cls.resources.FitsIn(maxResources) && cls.resources.MilliCPU() > 0
+	chk.require(holds, "resources", cls.resources, "some processor time and no negative or impossible amount")
+	chk.span("leaseMillis", cls.lease, MinLease, MaxLease)
+	chk.span("outageSeconds", cls.outage, 0, MaxLease)
+}
+
+func (dc DataCentre) check(chk *checker) { chk.text("reason", dc.reason, MaxReasonLength, dc.out) }
+
+func (adm Admission) check(chk *checker) {
+	chk.between("maxQueue", adm.maxQueue, 0, MaxQueue)
+	chk.share("customerRate", adm.customerRate, MaxCustomerRate)
+	chk.share("batchShare", adm.batchShare, 1)
+}
+
+func (cus Customer) check(chk *checker) {
+	if cus.team != "" {
+		chk.name("team", string(cus.team))
+	}
+	chk.between("settings", len(cus.settings), 0, MaxSettings)
+	if len(cus.settings) > MaxSettings {
+		return
+	}
+	for _, key := range sortedKeys(cus.settings) {
+		chk.name("settings", key)
+		chk.text("settings."+excerpt(key), cus.settings[key], MaxSettingLength, false)
+	}
+}
+
+func (Endpoint) check(*checker) {}
+
+func (tea Team) check(chk *checker) {
+	chk.share("cpuShare", tea.cpuShare, 1)
+	chk.share("memoryShare", tea.memoryShare, 1)
+	chk.share("acceleratorShare", tea.acceleratorShare, 1)
+}
