--- /dev/null
+++ b/core/member/merge.go
@@ -0,0 +1,273 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"jacinthpost/core/fleet"
+)
+
+// source is how a statement about a third member arrived.
+type source int
+
+const (
+	sourceGossip source = iota // piggybacked news
+	sourceSync                 // comparison of digests: possibly long outdated
+)
+
+// Receive processes a datagram that came from an address.
+func (mac *Machine) Receive(now time.Time, src Address, msg Message) {
+	if msg.to != "" && msg.to != mac.self.instance {
+		return // the address was used by another member before
+	}
+	if msg.sender.instance == mac.self.instance {
+		mac.replaced = mac.replaced || msg.sender.version.incarnation > mac.self.version.incarnation
+		return
+	}
+	if msg.sender.state == StateSuspect || msg.sender.state == StateDead {
+		return // nobody says so about itself
+	}
+	mac.merge(now, msg.sender, sourceGossip)
+	from := sourceGossip
+	if msg.kind == KindEntries {
+		from = sourceSync
+	}
+	for _, upd := range msg.updates {
+		mac.merge(now, upd, from)
+	}
+	if ent, found := mac.roster.Get(msg.sender.instance); found {
+		ent.head = msg.head
+		ent.doubted = ent.doubted && ent.update.state != StateLeaving
+	}
+	mac.dispatch(now, src, msg)
+}
+
+func (mac *Machine) dispatch(now time.Time, src Address, msg Message) {
+	switch msg.kind {
+	case KindPing:
+		mac.receivePing(src, msg)
+	case KindAck:
+		mac.receiveAck(msg)
+	case KindPingRequest:
+		mac.receivePingRequest(now, src, msg)
+	case KindNack:
+		mac.receiveNack(msg)
+	case KindSync, KindSyncReply:
+		mac.receiveSync(src, msg)
+	case KindFetch:
+		mac.receiveFetch(src, msg)
+	}
+}
+
+// merge takes a statement about a member into account.
+func (mac *Machine) merge(now time.Time, upd Update, src source) {
+	if upd.instance == mac.self.instance {
+		mac.refute(upd)
+		return
+	}
+	ent, found := mac.roster.Get(upd.instance)
+	if !found {
+		mac.addMember(now, upd, src)
+		return
+	}
+	mac.mergeProfile(ent, upd)
+	if !upd.supersedes(ent.update.version, ent.update.state) {
+		return
+	}
+	if upd.state == StateDead && (ent.update.state == StateAlive || (ent.update.state == StateSuspect && src == sourceSync)) {
+		mac.doubtDeath(now, ent, upd, src)
+		return
+	}
+	if src == sourceSync {
+		mac.learned(now)
+	}
+	mac.adopt(now, ent, upd)
+}
+
+// adopt replaces the statement about a member.
+func (mac *Machine) adopt(now time.Time, ent *entry, upd Update) {
+	restarted := upd.version.incarnation > ent.update.version.incarnation
+	revived := ent.update.state == StateDead && upd.state != StateDead
+	ent.update.version = upd.version
+	if restarted {
+		ent.profile, ent.profileAt, ent.hasProfile = Profile{}, 0, false
+		mac.stale = true
+	}
+	ent.update.profileAt = upd.profileAt
+	mac.mergeProfile(ent, upd)
+	if revived {
+		mac.nextDead = now // others of its partition may be back too
+	}
+	if upd.state == StateSuspect {
+		mac.suspect(now, ent, false)
+		return
+	}
+	mac.setState(now, ent, upd.state)
+}
+
+// doubtDeath treats the claim that a live member is dead. The claim may be left
+// over from a network partition, so the member gets the suspicion period to
+// refute it. Claims from comparisons can be many at once and are checked one by one.
+func (mac *Machine) doubtDeath(now time.Time, ent *entry, upd Update, src source) {
+	if src == sourceGossip {
+		ent.update.version = upd.version
+		mac.suspect(now, ent, false)
+		return
+	}
+	known := slices.ContainsFunc(mac.claims, func(clm Update) bool { return clm.instance == upd.instance })
+	if !known && len(mac.claims) < claimLimit {
+		mac.claims = append(mac.claims, upd.brief())
+	}
+}
+
+// checkClaim starts a suspicion for one claim that is still not refuted.
+func (mac *Machine) checkClaim(now time.Time) {
+	for len(mac.claims) > 0 {
+		clm := mac.claims[0]
+		mac.claims = mac.claims[1:]
+		ent, found := mac.roster.Get(clm.instance)
+		if found && ent.update.state == StateAlive && clm.version == ent.update.version {
+			mac.suspect(now, ent, true)
+			return
+		}
+	}
+}
+
+// refute answers a statement about this process that is not its own.
+func (mac *Machine) refute(upd Update) {
+	if upd.version.incarnation > mac.self.version.incarnation {
+		mac.replaced = true
+		return
+	}
+	if !upd.supersedes(mac.self.version, mac.self.state) {
+		return
+	}
+	mac.restate(upd.version.counter+1, mac.self.state)
+	mac.news.add(mac.self.instance, false)
+	mac.health.worsen()
+}
+
+func (mac *Machine) addMember(now time.Time, upd Update, src source) {
+	if upd.state == StateDead {
+		return
+	}
+	ent := &entry{update: upd.brief()}
+	ent.update.state = StateAlive
+	mac.mergeProfile(ent, upd)
+	mac.roster.Set(upd.instance, ent)
+	mac.rehash(ent)
+	mac.changes = append(mac.changes, Change{instance: upd.instance, to: StateAlive, added: true})
+	mac.news.add(upd.instance, upd.full)
+	mac.stale = true
+	if src == sourceSync || mac.roster.Len() == 1 {
+		mac.learned(now)
+	}
+	switch upd.state {
+	case StateSuspect:
+		mac.suspect(now, ent, false)
+	case StateLeaving:
+		mac.setState(now, ent, StateLeaving)
+	}
+}
+
+// mergeProfile stores a profile that is newer than the known one.
+func (mac *Machine) mergeProfile(ent *entry, upd Update) {
+	if !upd.full || upd.version.incarnation != ent.update.version.incarnation {
+		return
+	}
+	if ent.hasProfile && upd.profileAt <= ent.profileAt {
+		return
+	}
+	ent.profile, ent.profileAt, ent.hasProfile = upd.profile, upd.profileAt, true
+	ent.update.profileAt = max(ent.update.profileAt, upd.profileAt)
+	mac.stale = true
+	mac.news.add(ent.update.instance, true)
+	mac.changes = append(mac.changes, Change{instance: ent.update.instance, from: ent.update.state, to: ent.update.state})
+}
+
+// setState records a state and spreads it.
+func (mac *Machine) setState(now time.Time, ent *entry, sta State) {
+	before := ent.update.state
+	ent.update.state = sta
+	ent.doubted = sta == StateSuspect
+	if sta == StateDead && before != StateDead {
+		ent.diedAt = now
+	}
+	mac.rehash(ent)
+	mac.news.add(ent.update.instance, false)
+	if before == sta {
+		return
+	}
+	mac.changes = append(mac.changes, Change{instance: ent.update.instance, from: before, to: sta})
+	mac.stale = mac.stale || before == StateDead || sta == StateDead
+}
+
+// rehash updates the digest of the bucket of a member.
+func (mac *Machine) rehash(ent *entry) {
+	bucket := bucketOf(ent.update.instance)
+	mac.digests[bucket] ^= ent.hash
+	ent.hash = ent.update.hash()
+	mac.digests[bucket] ^= ent.hash
+}
+
+// suspect starts the suspicion period of a member. A leaving member keeps its
+// state meanwhile: it has no need to refute, any datagram from it will do.
+func (mac *Machine) suspect(now time.Time, ent *entry, accused bool) {
+	ent.accused = accused
+	ent.expiresAt = now.Add(SuspicionPeriod)
+	ent.confirmAt = now
+	if !slices.Contains(mac.suspects, ent.update.instance) {
+		mac.suspects = append(mac.suspects, ent.update.instance)
+	}
+	if ent.update.state == StateLeaving {
+		ent.doubted = true
+		return
+	}
+	mac.setState(now, ent, StateSuspect)
+}
+
+// tickSuspects pings suspects again and declares those dead whose suspicion period is over.
+func (mac *Machine) tickSuspects(now time.Time) {
+	kept := mac.suspects[:0]
+	pings := 0
+	for _, id := range mac.suspects {
+		ent, found := mac.roster.Get(id)
+		if !found || !ent.doubted {
+			continue
+		}
+		if !now.Before(ent.expiresAt) {
+			mac.setState(now, ent, StateDead)
+			continue
+		}
+		kept = append(kept, id)
+		asks := ent.accused || ent.expiresAt.Sub(now) <= confirmWindow
+		if asks && ent.hasProfile && pings < confirmLimit && !now.Before(ent.confirmAt) {
+			pings++
+			ent.confirmAt = now.Add(confirmPeriod)
+			mac.ping(ent)
+		}
+	}
+	mac.suspects = kept
+}
+
+// retryDead pings one dead member, which refutes if it is back, and forgets old ones.
+func (mac *Machine) retryDead(now time.Time) {
+	var dead []*entry
+	var expired []fleet.InstanceID
+	for id, ent := range mac.roster.All() {
+		switch {
+		case ent.update.state != StateDead:
+		case now.Sub(ent.diedAt) > DeadRetention:
+			expired = append(expired, id)
+		case ent.hasProfile:
+			dead = append(dead, ent)
+		}
+	}
+	for _, id := range expired {
+		mac.roster.Delete(id)
+		mac.stale = true
+	}
+	if len(dead) > 0 {
+		mac.ping(dead[mac.random.IntN(len(dead))])
+	}
+}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"slices"
+	"strings"
+
+	"jacinthpost/core/fleet"
+)
+
+// View is an immutable picture of the fleet. The zero value is empty.
+type View struct {
+	self    Member
+	members []Member
+	index   map[fleet.InstanceID]int
+}
+
+// View returns the members whose profile is known, this process included.
+func (mac *Machine) View() View {
+	members := make([]Member, 0, mac.roster.Len()+1)
+	members = append(members, mac.Self())
+	for _, ent := range mac.roster.All() {
+		if ent.hasProfile {
+			members = append(members, ent.member())
+		}
+	}
+	return NewView(mac.Self(), members)
+}
+
+// NewView returns a view of the members as seen by one of them.
+func NewView(self Member, members []Member) View {
+	sorted := slices.SortedFunc(slices.Values(members), func(one, two Member) int {
+		return strings.Compare(string(one.instance), string(two.instance))
+	})
+	vie := View{self: self, members: sorted, index: make(map[fleet.InstanceID]int, len(sorted))}
+	for pos, mem := range sorted {
+		vie.index[mem.instance] = pos
+	}
+	return vie
+}
+
+// Self returns the process that has the view.
+func (vie View) Self() Member { return vie.self }
+
+// Len returns the number of members in any state.
+func (vie View) Len() int { return len(vie.members) }
+
+// Member returns a member.
+func (vie View) Member(id fleet.InstanceID) (Member, bool) {
+	pos, found := vie.index[id]
+	if !found {
+		return Member{}, false
+	}
+	return vie.members[pos], true
+}
+
+// Select returns the members for which keep holds, in order of their identity.
+func (vie View) Select(keep func(mem Member) bool) []Member {
+	var chosen []Member
+	for _, mem := range vie.members {
+		if keep(mem) {
+			chosen = append(chosen, mem)
+		}
+	}
+	return chosen
+}
+
+// Usable returns the members to which new work may be sent, in order of their identity.
+func (vie View) Usable() []Member { return vie.Select(Member.Usable) }
