--- a/core/member/broadcast.go
+++ b/core/member/broadcast.go
@@ -1,34 +1,45 @@
 package member
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 
 	"jacinthpost/core/fleet"
 )
 
+// Bounds of pending news. What is dropped is repaired by the comparison of digests.
+const (
+	briefLimit = 1024
+	fullLimit  = 64
+)
+
 // broadcast is news about a member that still has to be piggybacked. The
 // statement itself is read from the roster when it is sent, so it is always the latest.
 type broadcast struct {
 	instance fleet.InstanceID
-	full     bool
 	sends    int
 }
 
-// broadcasts holds the pending news, least sent first.
+// broadcasts holds pending news, least sent first. Brief news goes before
+// profiles, so that deaths and refutations aren't delayed while many members join.
 type broadcasts struct {
-	pending []broadcast
+	briefs []broadcast
+	fulls  []broadcast
 }
 
 // add makes news about a member pending, with its profile if full.
 func (bro *broadcasts) add(id fleet.InstanceID, full bool) {
-	pos := slices.IndexFunc(bro.pending, func(itm broadcast) bool { return itm.instance == id })
-	if pos >= 0 {
-		// A profile that was still pending stays so: some members lack it.
-		full = full || bro.pending[pos].full
-		bro.pending = slices.Delete(bro.pending, pos, pos+1)
+	if full {
+		bro.fulls = prepend(bro.fulls, id, fullLimit)
+		return
 	}
-	bro.pending = slices.Insert(bro.pending, 0, broadcast{instance: id, full: full})
+	bro.briefs = prepend(bro.briefs, id, briefLimit)
+}
+
+func prepend(list []broadcast, id fleet.InstanceID, limit int) []broadcast {
+	list = slices.DeleteFunc(list, func(itm broadcast) bool { return itm.instance == id })
+	return slices.Insert(list[:min(len(list), limit-1)], 0, broadcast{instance: id})
 }
 
 // transmitLimit returns how often news is sent in a fleet of the given size.
@@ -36,36 +47,41 @@
 
 // take returns the news that fits into the room in bytes and counts it as sent.
 // The function statement returns the present statement, false if there is none.
-func (bro *broadcasts) take(room, limit int, statement func(itm broadcast) (Update, bool)) []Update {
+func (bro *broadcasts) take(room, limit int, statement func(id fleet.InstanceID, full bool) (Update, bool)) []Update {
 	var taken []Update
-	kept := bro.pending[:0]
-	var sent []broadcast
-	for pos, itm := range bro.pending {
-		if room < briefOverhead {
-			kept = append(kept, bro.pending[pos:]...)
-			break
-		}
-		upd, found := statement(itm)
-		size := upd.Size()
-		switch {
-		case !found:
-			continue
-		case size > room:
-			kept = append(kept, itm)
-			continue
-		}
-		room -= size
-		taken = append(taken, upd)
-		if itm.sends++; itm.sends < limit {
-			sent = append(sent, itm)
+	pick := func(list []broadcast, full bool) []broadcast {
+		var sent []broadcast
+		kept := list[:0]
+		for pos, itm := range list {
+			if room < briefOverhead {
+				kept = append(kept, list[pos:]...)
+				break
+			}
+			upd, found := statement(itm.instance, full)
+			switch size := upd.Size(); {
+			case !found:
+				continue
+			case size > room:
+				kept = append(kept, itm)
+				continue
+			default:
+				room -= size
+			}
+			taken = append(taken, upd)
+			if itm.sends++; itm.sends < limit {
+				sent = append(sent, itm)
+			}
 		}
+		list = append(kept, sent...)
+		slices.SortStableFunc(list, func(one, two broadcast) int { return cmp.Compare(one.sends, two.sends) })
+		return list
 	}
-	bro.pending = append(kept, sent...)
-	slices.SortStableFunc(bro.pending, func(one, two broadcast) int { return one.sends - two.sends })
+	bro.briefs = pick(bro.briefs, false)
+	bro.fulls = pick(bro.fulls, true)
 	return taken
 }
 
-// idle reports whether news about the member is not pending.
-func (bro *broadcasts) idle(id fleet.InstanceID) bool {
-	return !slices.ContainsFunc(bro.pending, func(itm broadcast) bool { return itm.instance == id })
+// sentOften reports whether brief news about the member was sent at least num times or is no longer pending.
+func (bro *broadcasts) sentOften(id fleet.InstanceID, num int) bool {
+	return !slices.ContainsFunc(bro.briefs, func(itm broadcast) bool { return itm.instance == id && itm.sends < num })
 }
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -16,8 +16,8 @@
 	hasProfile bool
 	head       uint64
 	hash       uint32
-	doubted    bool // in its suspicion period
-	accused    bool // the suspicion is our own
+	doubted    bool      // in its suspicion period
+	accused    bool      // the suspicion is our own
 	expiresAt  time.Time // end of the suspicion
 	confirmAt  time.Time // next direct ping to the suspect
 	diedAt     time.Time
@@ -104,9 +104,9 @@
 	mac.nextProbe = now
 }
 
-// LeaveSpread reports whether the leave was sent as often as any news.
+// LeaveSpread reports whether the leave was sent to enough members to spread by itself.
 func (mac *Machine) LeaveSpread() bool {
-	return mac.self.state == StateLeaving && (mac.news.idle(mac.self.instance) || mac.liveCount() == 1)
+	return mac.self.state == StateLeaving && (mac.news.sentOften(mac.self.instance, leaveSends) || mac.liveCount() == 1)
 }
 
 // Replaced reports whether a later process with the same identity was seen.
@@ -239,7 +239,7 @@
 
 // fill adds the given updates and then pending news, as far as they fit into a datagram.
 func (mac *Machine) fill(msg Message, first []Update) Message {
-	room := MaxDatagram - msg.size()
+	room := MaxDatagram - msg.Size()
 	updates := make([]Update, 0, len(first)+4)
 	for _, upd := range first {
 		if size := upd.Size(); size <= room {
@@ -251,19 +251,19 @@
 	return msg.WithUpdates(append(updates, news...))
 }
 
-// statement returns the present statement about the member of a broadcast.
-func (mac *Machine) statement(itm broadcast) (Update, bool) {
-	if itm.instance == mac.self.instance {
-		if itm.full {
+// statement returns the present statement about a member.
+func (mac *Machine) statement(id fleet.InstanceID, full bool) (Update, bool) {
+	if id == mac.self.instance {
+		if full {
 			return mac.self, true
 		}
 		return mac.self.brief(), true
 	}
-	ent, found := mac.roster.Get(itm.instance)
+	ent, found := mac.roster.Get(id)
 	if !found {
 		return Update{}, false
 	}
-	if itm.full {
+	if full {
 		return ent.full(), true
 	}
 	return ent.update, true
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -62,6 +62,7 @@
 	fetchLimit      = 32 // profiles asked for at a time
 	confirmLimit    = 4  // confirming pings a tick
 	claimLimit      = 256
+	leaveSends      = 6 // at 10% loss all of them are lost once in a million
 	transmitFactor  = 3 // each update is sent this many times log2 of the members
 )
 
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -12,7 +12,7 @@
 
 const (
 	sourceGossip source = iota // piggybacked news
-	sourceSync                 // comparison of digests: possibly long outdated
+	sourceRepair               // comparison of digests or fetch: possibly long outdated, not spread further
 )
 
 // Receive processes a datagram that came from an address.
@@ -29,8 +29,8 @@
 	}
 	mac.merge(now, msg.sender, sourceGossip)
 	from := sourceGossip
-	if msg.kind == KindEntries {
-		from = sourceSync
+	if msg.kind == KindEntries || msg.kind == KindProfiles {
+		from = sourceRepair
 	}
 	for _, upd := range msg.updates {
 		mac.merge(now, upd, from)
@@ -70,22 +70,22 @@
 		mac.addMember(now, upd, src)
 		return
 	}
-	mac.mergeProfile(ent, upd)
+	mac.mergeProfile(ent, upd, src)
 	if !upd.supersedes(ent.update.version, ent.update.state) {
 		return
 	}
-	if upd.state == StateDead && (ent.update.state == StateAlive || (ent.update.state == StateSuspect && src == sourceSync)) {
+	if upd.state == StateDead && (ent.update.state == StateAlive || (ent.update.state == StateSuspect && src == sourceRepair)) {
 		mac.doubtDeath(now, ent, upd, src)
 		return
 	}
-	if src == sourceSync {
+	if src == sourceRepair {
 		mac.learned(now)
 	}
-	mac.adopt(now, ent, upd)
+	mac.adopt(now, ent, upd, src)
 }
 
 // adopt replaces the statement about a member.
-func (mac *Machine) adopt(now time.Time, ent *entry, upd Update) {
+func (mac *Machine) adopt(now time.Time, ent *entry, upd Update, src source) {
 	restarted := upd.version.incarnation > ent.update.version.incarnation
 	revived := ent.update.state == StateDead && upd.state != StateDead
 	ent.update.version = upd.version
@@ -94,7 +94,7 @@
 		mac.stale = true
 	}
 	ent.update.profileAt = upd.profileAt
-	mac.mergeProfile(ent, upd)
+	mac.mergeProfile(ent, upd, src)
 	if revived {
 		mac.nextDead = now // others of its partition may be back too
 	}
@@ -153,13 +153,15 @@
 	}
 	ent := &entry{update: upd.brief()}
 	ent.update.state = StateAlive
-	mac.mergeProfile(ent, upd)
+	mac.mergeProfile(ent, upd, src)
 	mac.roster.Set(upd.instance, ent)
 	mac.rehash(ent)
 	mac.changes = append(mac.changes, Change{instance: upd.instance, to: StateAlive, added: true})
-	mac.news.add(upd.instance, upd.full)
+	if src == sourceGossip {
+		mac.news.add(upd.instance, false)
+	}
 	mac.stale = true
-	if src == sourceSync || mac.roster.Len() == 1 {
+	if src == sourceRepair || mac.roster.Len() == 1 {
 		mac.learned(now)
 	}
 	switch upd.state {
@@ -171,7 +173,7 @@
 }
 
 // mergeProfile stores a profile that is newer than the known one.
-func (mac *Machine) mergeProfile(ent *entry, upd Update) {
+func (mac *Machine) mergeProfile(ent *entry, upd Update, src source) {
 	if !upd.full || upd.version.incarnation != ent.update.version.incarnation {
 		return
 	}
@@ -181,7 +183,9 @@
 	ent.profile, ent.profileAt, ent.hasProfile = upd.profile, upd.profileAt, true
 	ent.update.profileAt = max(ent.update.profileAt, upd.profileAt)
 	mac.stale = true
-	mac.news.add(ent.update.instance, true)
+	if src == sourceGossip {
+		mac.news.add(ent.update.instance, true)
+	}
 	mac.changes = append(mac.changes, Change{instance: ent.update.instance, from: ent.update.state, to: ent.update.state})
 }
 
@@ -221,6 +225,7 @@
 	}
 	if ent.update.state == StateLeaving {
 		ent.doubted = true
+		mac.rehash(ent)
 		return
 	}
 	mac.setState(now, ent, StateSuspect)
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -111,10 +111,17 @@
 // Wanted returns the members whose profiles are asked for, which the caller must not change.
 func (msg Message) Wanted() []fleet.InstanceID { return msg.wanted }
 
-// size returns an upper bound of the encoded size without updates.
-func (msg Message) size() int {
+// Size returns an upper bound of the encoded size in bytes.
+func (msg Message) Size() int {
 	size := headerOverhead + msg.sender.Size() + len(msg.to) + len(msg.target) + len(msg.address)
-	return size + len(msg.digests)*len("4294967295,")
+	size += len(msg.digests) * len("4294967295,")
+	for _, upd := range msg.updates {
+		size += upd.Size()
+	}
+	for _, id := range msg.wanted {
+		size += len(id) + len(`"",`)
+	}
+	return size
 }
 
 // Envelope is a message with its destination. The region is that of the
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -61,7 +61,7 @@
 func (mac *Machine) sendAll(knd MessageKind, to Address, id fleet.InstanceID, updates []Update) {
 	for len(updates) > 0 {
 		msg := mac.compose(knd, mac.nextSequence(), id)
-		room := MaxDatagram - msg.size()
+		room := MaxDatagram - msg.Size()
 		num := 0
 		for num < len(updates) && updates[num].Size() <= room {
 			room -= updates[num].Size()
@@ -88,7 +88,7 @@
 	}
 	if ent := mac.partner(); ent != nil {
 		msg := mac.compose(KindFetch, mac.nextSequence(), ent.update.instance)
-		mac.sendTo(ent, msg.WithWanted(fitting(wanted, MaxDatagram-msg.size())))
+		mac.sendTo(ent, msg.WithWanted(fitting(wanted, MaxDatagram-msg.Size())))
 	}
 }
 
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -66,3 +66,23 @@
 
 // Usable returns the members to which new work may be sent, in order of their identity.
 func (vie View) Usable() []Member { return vie.Select(Member.Usable) }
+
+// Member returns a member other than this process.
+func (mac *Machine) Member(id fleet.InstanceID) (Member, bool) {
+	ent, found := mac.roster.Get(id)
+	if !found || !ent.hasProfile {
+		return Member{}, false
+	}
+	return ent.member(), true
+}
+
+// Count returns the number of other members in a state.
+func (mac *Machine) Count(sta State) int {
+	count := 0
+	for _, ent := range mac.roster.All() {
+		if ent.hasProfile && ent.update.state == sta {
+			count++
+		}
+	}
+	return count
+}
