--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,34 @@
+// Package lease does the arithmetic of leases between processes whose clocks
+// drift apart by at most one percent.
+//
+// A holder counts a lease of duration D from the time it sent its request and
+// shortens it: D/(1+drift). A granter counts it from the time it granted and
+// stretches it: D*(1+drift). The request is sent before it is granted, so the
+// holder's end always comes before the granter's end in real time. Clock steps
+// do not matter because only differences of local monotonic readings are used.
+//
+// The functions are pure and may be called from any goroutine.
+package lease
+
+import "time"
+
+// DriftPercent bounds how much faster or slower a local clock runs than real time.
+const DriftPercent = 1
+
+// Shorten returns the part of a duration that a holder may use, rounded down.
+func Shorten(dur time.Duration) time.Duration {
+	const scale = 100 + DriftPercent
+	return dur/scale*100 + dur%scale*100/scale
+}
+
+// Stretch returns the time after which a duration has certainly passed for any
+// other clock, rounded up.
+func Stretch(dur time.Duration) time.Duration {
+	return dur + (dur/100)*DriftPercent + (dur%100*DriftPercent+99)/100
+}
+
+// HolderEnd returns the time at which the holder of a lease must have stopped using it.
+func HolderEnd(sentAt time.Time, dur time.Duration) time.Time { return sentAt.Add(Shorten(dur)) }
+
+// GranterEnd returns the time from which the granter may give the lease to another holder.
+func GranterEnd(grantedAt time.Time, dur time.Duration) time.Time { return grantedAt.Add(Stretch(dur)) }
