Add the pure state machine of a partition of jobs

Cause: batch jobs need one deterministic owner per partition. Change: core/job with records, effects, queue lanes, the placement port and a built-in placement.

--- /dev/null
+++ b/core/job/effect.go
@@ -0,0 +1,191 @@
+package job
+
+import (
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
+)
+
+// Tag connects the reply to an event with the caller that waits for it.
+type Tag uint64
+
+// Effect is a message to another process or to a waiting caller. It may be
+// released only when the record with the number After, and all before it, are
+// durable.
+type Effect interface {
+	After() uint64
+}
+
+// durable is the part that all effects share.
+type durable struct {
+	after uint64
+}
+
+// After returns the number of the last record that must be durable, zero for none.
+func (dur durable) After() uint64 { return dur.after }
+
+// Offer asks an instance to reserve capacity for a task.
+type Offer struct {
+	durable
+	to   Holder
+	task Task
+}
+
+// To returns the instance asked.
+func (off Offer) To() Holder { return off.to }
+
+// Task returns the task offered.
+func (off Offer) Task() Task { return off.task }
+
+// StopOrder tells an agent to end an assignment.
+type StopOrder struct {
+	ref        Ref
+	checkpoint bool
+	reason     string
+}
+
+// Ref returns the assignment to end.
+func (ord StopOrder) Ref() Ref { return ord.ref }
+
+// Checkpoint reports whether a checkpoint is taken first.
+func (ord StopOrder) Checkpoint() bool { return ord.checkpoint }
+
+// Reason returns why the assignment is ended.
+func (ord StopOrder) Reason() string { return ord.reason }
+
+// Stop sends stop orders to an instance.
+type Stop struct {
+	durable
+	to     fleet.InstanceID
+	orders []StopOrder
+}
+
+// To returns the instance ordered.
+func (stp Stop) To() fleet.InstanceID { return stp.to }
+
+// Orders returns the orders.
+func (stp Stop) Orders() []StopOrder { return stp.orders }
+
+// Adopt asks an instance which tasks of the partition it holds.
+type Adopt struct {
+	durable
+	to fleet.InstanceID
+}
+
+// To returns the instance asked.
+func (ado Adopt) To() fleet.InstanceID { return ado.to }
+
+// Reasons for refusing a claim.
+const (
+	RefusedOutdated   = "outdated"   // the token is not the current one
+	RefusedNotOwner   = "notOwner"   // the partition lease of the owner has ended
+	RefusedCancelled  = "cancelled"  // the job is cancelled
+	RefusedNoStarts   = "noStarts"   // no task may start in the data centre now
+	RefusedOtherAgent = "otherAgent" // the offer went to another instance
+)
+
+// ClaimReply grants or refuses a claim.
+type ClaimReply struct {
+	durable
+	tag    Tag
+	lease  time.Duration
+	reason string
+}
+
+// Tag returns which claim is answered.
+func (rep ClaimReply) Tag() Tag { return rep.tag }
+
+// Granted reports whether the claim is granted.
+func (rep ClaimReply) Granted() bool { return rep.reason == "" }
+
+// Lease returns the task lease, which the agent counts from the send time of the claim.
+func (rep ClaimReply) Lease() time.Duration { return rep.lease }
+
+// Reason returns why the claim is refused.
+func (rep ClaimReply) Reason() string { return rep.reason }
+
+// Grant is one renewed lease.
+type Grant struct {
+	ref   Ref
+	lease time.Duration
+}
+
+// Ref returns the assignment renewed.
+func (grt Grant) Ref() Ref { return grt.ref }
+
+// Lease returns the task lease, counted from the send time of the request.
+func (grt Grant) Lease() time.Duration { return grt.lease }
+
+// RenewReply answers a renewal. An assignment may be granted and ordered to
+// stop, so that it keeps its lease while it takes a checkpoint.
+type RenewReply struct {
+	durable
+	tag    Tag
+	grants []Grant
+	stops  []StopOrder
+}
+
+// Tag returns which renewal is answered.
+func (rep RenewReply) Tag() Tag { return rep.tag }
+
+// Grants returns the renewed leases.
+func (rep RenewReply) Grants() []Grant { return rep.grants }
+
+// Stops returns the assignments to end.
+func (rep RenewReply) Stops() []StopOrder { return rep.stops }
+
+// ReportReply acknowledges the ends that are recorded or outdated.
+type ReportReply struct {
+	durable
+	tag      Tag
+	recorded []Ref
+}
+
+// Tag returns which report is answered.
+func (rep ReportReply) Tag() Tag { return rep.tag }
+
+// Recorded returns the assignments that the agent may forget.
+func (rep ReportReply) Recorded() []Ref { return rep.recorded }
+
+// Reasons of job operations that have no outcome.Reason.
+const (
+	ReasonInvalid  outcome.Reason = "invalid"  // the specification breaks a limit
+	ReasonConflict outcome.Reason = "conflict" // the key was used with other content
+	ReasonNoJob    outcome.Reason = "noJob"    // the job is not known
+)
+
+// JobReply answers a submission or a cancellation.
+type JobReply struct {
+	durable
+	tag      Tag
+	job      ID
+	out      outcome.Outcome
+	existing bool
+}
+
+// Tag returns which operation is answered.
+func (rep JobReply) Tag() Tag { return rep.tag }
+
+// Job returns the job.
+func (rep JobReply) Job() ID { return rep.job }
+
+// Outcome returns answered when the operation is in force and not run otherwise.
+func (rep JobReply) Outcome() outcome.Outcome { return rep.out }
+
+// Existing reports whether the job was submitted before.
+func (rep JobReply) Existing() bool { return rep.existing }
+
+// Output is what an event yields.
+type Output struct {
+	records []Record
+	effects []Effect
+}
+
+// Records returns the facts to make durable, in order.
+func (out *Output) Records() []Record { return out.records }
+
+// Effects returns the messages to release, in order.
+func (out *Output) Effects() []Effect { return out.effects }
+
+func (out *Output) emit(eff Effect) { out.effects = append(out.effects, eff) }
--- /dev/null
+++ b/core/job/offer.go
@@ -0,0 +1,202 @@
+package job
+
+import (
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/lease"
+)
+
+// dispatch offers queued tasks to instances. An offer waits for the records of
+// its job only, so that urgent work does not wait for unrelated writes.
+func (par *Partition[P]) dispatch(env Env, out *Output) {
+	if !env.owns() || par.epoch == 0 {
+		return
+	}
+	par.wake(env.now)
+	tries := 0
+	par.queue.begin()
+	for tries < maxTries && par.offers < maxOffers {
+		tsk, found := par.queue.next(par.placement.CompareLanes)
+		if !found {
+			break
+		}
+		ins, found := par.placement.Choose(tsk.view(), env.starts, env.now)
+		if !found {
+			tries++
+			continue
+		}
+		par.offer(env, out, tsk, par.instances[ins])
+	}
+	par.queue.end(tries == maxTries)
+}
+
+func (par *Partition[P]) offer(env Env, out *Output, tsk *task, ins Instance) {
+	act := activity{token: par.nextToken(), holder: ins.holder, location: ins.location, until: env.now.Add(AnswerTimeout)}
+	par.setState(tsk, Offered)
+	par.activate(tsk, act)
+	par.placement.Committed(tsk.view(), ins.ID())
+	out.emit(Offer{durable: durable{after: tsk.entry.recorded}, to: ins.holder, task: tsk.view()})
+}
+
+// wake returns tasks to the queue whose delay after a failure has passed.
+func (par *Partition[P]) wake(now time.Time) {
+	kept := par.delayed[:0]
+	for _, dly := range par.delayed {
+		tsk := dly.task
+		switch {
+		case tsk.state != Queued || tsk.queued:
+		case now.Before(dly.until):
+			kept = append(kept, dly)
+		default:
+			par.setState(tsk, Queued)
+		}
+	}
+	clear(par.delayed[len(kept):])
+	par.delayed = kept
+}
+
+// Answered takes in the answer to an offer. An accepted offer stays valid until
+// its claim, any other one is withdrawn and the task is offered again.
+func (par *Partition[P]) Answered(env Env, ans Answer) *Output {
+	out := &Output{}
+	tsk := par.find(ans.ref)
+	current := tsk != nil && tsk.state == Offered && tsk.act.token == ans.ref.token
+	if current && ans.accepted {
+		tsk.act.until = env.now.Add(ClaimTimeout)
+	}
+	if current && !ans.accepted {
+		par.withdraw(tsk)
+	}
+	par.placement.Answered(ans, env.now)
+	if current && !ans.accepted {
+		par.dispatch(env, out)
+	}
+	return out
+}
+
+// withdraw ends an offer. Its token is outdated from now on, so a late claim is refused.
+func (par *Partition[P]) withdraw(tsk *task) {
+	par.placement.Withdrawn(tsk.view(), tsk.act.holder.instance)
+	par.setState(tsk, Queued)
+}
+
+// Claim takes in the claim of an offer. The assignment is recorded before the
+// grant is released. A claim of the current assignment by the same process is
+// granted again, because the first grant may have been lost.
+func (par *Partition[P]) Claim(env Env, tag Tag, ref Ref, hol Holder) *Output {
+	out := &Output{}
+	tsk := par.find(ref)
+	reason := par.refuseClaim(env, tsk, ref, hol)
+	if reason != "" {
+		if reason == RefusedNoStarts && tsk.state == Offered {
+			par.withdraw(tsk)
+		}
+		out.emit(ClaimReply{tag: tag, reason: reason})
+		return out
+	}
+	if tsk.state == Offered {
+		par.record(out, NewRecord(TaskAssigned, ref, env.now.UnixMilli()).WithHolder(hol))
+	}
+	dur := tsk.entry.spec.Lease()
+	tsk.act.until, tsk.act.unconfirmed = lease.GranterEnd(env.now, dur), false
+	out.emit(ClaimReply{durable: durable{after: tsk.entry.recorded}, tag: tag, lease: dur})
+	return out
+}
+
+// refuseClaim returns why a claim cannot be granted, empty if it can.
+func (par *Partition[P]) refuseClaim(env Env, tsk *task, ref Ref, hol Holder) string {
+	switch {
+	case !env.owns():
+		return RefusedNotOwner
+	case tsk == nil || tsk.act == nil || tsk.act.token != ref.token:
+		return RefusedOutdated
+	case tsk.entry.cancelled:
+		return RefusedCancelled
+	case tsk.act.holder != hol:
+		return RefusedOtherAgent
+	case !env.now.Before(tsk.act.until):
+		return RefusedOutdated
+	case tsk.state == Offered && !env.starts(tsk.act.location.DataCentre()):
+		return RefusedNoStarts
+	}
+	return ""
+}
+
+// Progress is what an agent says about a task whose lease it renews.
+type Progress struct {
+	ref        Ref
+	percent    int
+	checkpoint string
+}
+
+// NewProgress returns the progress of an assignment with its latest checkpoint, if any.
+func NewProgress(ref Ref, percent int, checkpoint string) Progress {
+	return Progress{ref: ref, percent: percent, checkpoint: checkpoint}
+}
+
+// Ref returns the assignment.
+func (prg Progress) Ref() Ref { return prg.ref }
+
+// Renew renews the leases of the current assignments among those listed and
+// orders the others to stop. A cancelled task is not renewed, so that it ends
+// with its lease if the stop order does not arrive.
+func (par *Partition[P]) Renew(env Env, tag Tag, hol Holder, tasks []Progress) *Output {
+	out := &Output{}
+	rep := RenewReply{tag: tag}
+	if !env.owns() {
+		out.emit(rep)
+		return out
+	}
+	for _, prg := range tasks {
+		tsk := par.find(prg.ref)
+		if tsk == nil || !tsk.current(prg.ref, hol.instance) || !env.now.Before(tsk.act.until) {
+			if tsk == nil || tsk.act == nil || tsk.act.token != prg.ref.token {
+				rep.stops = append(rep.stops, StopOrder{ref: prg.ref, checkpoint: true, reason: RefusedOutdated})
+			}
+			continue
+		}
+		par.renewTask(env, out, tsk, prg)
+		rep.after = max(rep.after, tsk.entry.recorded)
+		if tsk.state == Stopping {
+			rep.stops = append(rep.stops, tsk.stopOrder())
+		}
+		if !tsk.entry.cancelled {
+			rep.grants = append(rep.grants, Grant{ref: prg.ref, lease: tsk.entry.spec.Lease()})
+		}
+	}
+	out.emit(rep)
+	return out
+}
+
+// current reports whether the reference names the open assignment that the instance holds.
+func (tsk *task) current(ref Ref, ins fleet.InstanceID) bool {
+	switch tsk.state {
+	case Assigned, Running, Stopping:
+		return tsk.assigned == ref.token && tsk.act.holder.instance == ins
+	default:
+		return false
+	}
+}
+
+func (par *Partition[P]) renewTask(env Env, out *Output, tsk *task, prg Progress) {
+	act := tsk.act
+	act.unconfirmed, act.progress = false, prg.percent
+	if act.location == (fleet.Location{}) {
+		act.location = par.instances[act.holder.instance].location
+	}
+	if tsk.state == Assigned {
+		par.setState(tsk, Running)
+	}
+	if !tsk.entry.cancelled {
+		act.until = lease.GranterEnd(env.now, tsk.entry.spec.Lease())
+	}
+	if prg.checkpoint == "" || prg.checkpoint == act.seen {
+		return
+	}
+	act.seen = prg.checkpoint
+	if act.seen != tsk.checkpoint && env.now.Sub(act.seenAt) >= CheckpointPeriod {
+		act.seenAt = env.now
+		par.record(out, NewRecord(TaskCheckpointed, prg.ref, env.now.UnixMilli()).WithEnd(NewEnd(EndCheckpointed, act.seen)))
+	}
+}
--- /dev/null
+++ b/core/job/simple.go
@@ -0,0 +1,173 @@
+package job
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+)
+
+// Rules of the built-in placement.
+const (
+	// refusalPause is how long an instance that refused gets no further offers.
+	refusalPause = 500 * time.Millisecond
+	// maxFailures is the number of failed assignments after which a task is set aside.
+	maxFailures = 5
+	// retryDelay grows with each failure of the task.
+	retryDelay = time.Second
+)
+
+// Lanes of the built-in placement.
+const (
+	laneUrgent Lane = "a-urgent"
+	laneNormal Lane = "b-normal"
+)
+
+// Simple is the built-in placement: urgent tasks first, then the order of
+// submission; the least committed instance that fits and has not refused just
+// now; a task is set aside after maxFailures failures. The zero value works.
+type Simple struct {
+	seats   []seat
+	byID    map[fleet.InstanceID]int
+	largest resource.Vector
+}
+
+var _ Placement = (*Simple)(nil)
+
+// seat is what the placement knows about an instance.
+type seat struct {
+	hint      Instance
+	committed resource.Vector // offers and assignments of this owner
+	free      resource.Vector // as last reported, less what was committed since
+	tasks     int
+	pausedTo  time.Time
+}
+
+// Observe implements Placement.
+func (sim *Simple) Observe(list []Instance, _ time.Time) {
+	seats := make([]seat, 0, len(list))
+	byID := make(map[fleet.InstanceID]int, len(list))
+	sim.largest = resource.Vector{}
+	for _, ins := range list {
+		sea := seat{hint: ins, free: ins.capacity}
+		if pos, known := sim.byID[ins.ID()]; known {
+			sea = sim.seats[pos]
+			if sea.hint.capacity != ins.capacity {
+				sea.free = ins.capacity.Minus(sea.committed)
+			}
+			sea.hint = ins
+		}
+		byID[ins.ID()] = len(seats)
+		seats = append(seats, sea)
+		sim.largest = sim.largest.Max(ins.capacity)
+	}
+	sim.seats, sim.byID = seats, byID
+}
+
+// Admits implements Placement. While no instance is known, every size is admitted.
+func (sim *Simple) Admits(spc Spec) (bool, resource.Vector) {
+	if len(sim.seats) == 0 {
+		return true, resource.Vector{}
+	}
+	fits := slices.ContainsFunc(sim.seats, func(sea seat) bool { return spc.resources.FitsIn(sea.hint.capacity) })
+	return fits, sim.largest
+}
+
+// Lane implements Placement.
+func (*Simple) Lane(spc Spec) Lane {
+	if spc.urgent {
+		return laneUrgent
+	}
+	return laneNormal
+}
+
+// CompareLanes implements Placement.
+func (*Simple) CompareLanes(one, two Lane) int { return strings.Compare(string(one), string(two)) }
+
+// Choose implements Placement.
+func (sim *Simple) Choose(tsk Task, starts func(fleet.DataCentre) bool, now time.Time) (fleet.InstanceID, bool) {
+	best, bestLoad := -1, int64(0)
+	for pos := range sim.seats {
+		sea := &sim.seats[pos]
+		if !sea.takes(tsk, now) {
+			continue
+		}
+		load := sea.load()
+		if tsk.last == sea.hint.ID() && tsk.counters.failures > 0 {
+			load += 1000 // tries another instance after a failure
+		}
+		if best >= 0 && load >= bestLoad || !starts(sea.hint.location.DataCentre()) {
+			continue
+		}
+		best, bestLoad = pos, load
+	}
+	if best < 0 {
+		return "", false
+	}
+	return sim.seats[best].hint.ID(), true
+}
+
+// takes reports whether an offer of the task has a chance.
+func (sea *seat) takes(tsk Task, now time.Time) bool {
+	return sea.hint.health == Alive && !now.Before(sea.pausedTo) && tsk.spec.resources.FitsIn(sea.free) &&
+		(tsk.spec.service == "" || tsk.spec.service == sea.hint.service)
+}
+
+// load returns the committed share of the processors in thousandths.
+func (sea *seat) load() int64 {
+	total := max(sea.hint.capacity.MilliCPU(), 1)
+	return (total - sea.free.MilliCPU()) * 1000 / total
+}
+
+func (sim *Simple) seat(ins fleet.InstanceID) *seat {
+	pos, known := sim.byID[ins]
+	if !known {
+		return nil
+	}
+	return &sim.seats[pos]
+}
+
+// Committed implements Placement.
+func (sim *Simple) Committed(tsk Task, ins fleet.InstanceID) {
+	if sea := sim.seat(ins); sea != nil {
+		sea.tasks++
+		sea.committed = sea.committed.Plus(tsk.spec.resources)
+		sea.free = sea.free.Minus(tsk.spec.resources)
+	}
+}
+
+// Withdrawn implements Placement.
+func (sim *Simple) Withdrawn(tsk Task, ins fleet.InstanceID) {
+	if sea := sim.seat(ins); sea != nil && sea.tasks > 0 {
+		sea.tasks--
+		sea.committed = sea.committed.Minus(tsk.spec.resources)
+		sea.free = sea.free.Plus(tsk.spec.resources)
+	}
+}
+
+// Answered implements Placement.
+func (sim *Simple) Answered(ans Answer, now time.Time) {
+	sea := sim.seat(ans.from)
+	if sea == nil {
+		return
+	}
+	if !ans.failed {
+		sea.free = ans.free
+	}
+	if !ans.accepted {
+		sea.pausedTo = now.Add(refusalPause)
+	}
+}
+
+// Ended implements Placement.
+func (sim *Simple) Ended(tsk Task, ins fleet.InstanceID, end End, _ time.Time) Verdict {
+	sim.Withdrawn(tsk, ins)
+	failures := tsk.counters.failures + 1
+	if end.kind == EndFailed && failures >= maxFailures {
+		return Park(fmt.Sprintf("%d assignments failed, the last one on %s: %s", failures, ins, end.detail))
+	}
+	return Retry(time.Duration(failures) * retryDelay)
+}
