--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -10,21 +10,20 @@
 
 // entry is what the machine keeps about another member.
 type entry struct {
-	update     Update // brief
-	profile    Profile
-	profileAt  uint32
-	hasProfile bool
-	head       uint64
-	hash       uint32
-	doubted    bool      // in its suspicion period
-	accused    bool      // the suspicion is our own
-	expiresAt  time.Time // end of the suspicion
-	confirmAt  time.Time // next direct ping to the suspect
-	diedAt     time.Time
+	update    Update   // brief
+	profile   *Profile // nil until it arrives
+	profileAt uint32
+	head      uint64
+	hash      uint32
+	doubted   bool      // in its suspicion period
+	accused   bool      // the suspicion is our own
+	expiresAt time.Time // end of the suspicion
+	confirmAt time.Time // next direct ping to the suspect
+	diedAt    time.Time
 }
 
 func (ent *entry) lacksProfile() bool {
-	return !ent.hasProfile || ent.profileAt < ent.update.profileAt
+	return ent.profile == nil || ent.profileAt < ent.update.profileAt
 }
 
 func (ent *entry) member() Member {
@@ -80,12 +79,12 @@
 
 // SetProfile replaces the profile of this process and spreads it.
 func (mac *Machine) SetProfile(pro Profile) {
-	if pro.Equal(mac.self.profile) {
+	if pro.Equal(*mac.self.profile) {
 		return
 	}
 	mac.restate(mac.self.version.counter+1, mac.self.state)
 	mac.self.profileAt = mac.self.version.counter
-	mac.self.profile = pro
+	mac.self.profile = &pro
 	mac.news.add(mac.self.instance, true)
 	mac.stale = true
 }
@@ -216,8 +215,8 @@
 	mac.near.members, mac.far.members = mac.near.members[:0], mac.far.members[:0]
 	for id, ent := range mac.roster.All() {
 		switch {
-		case ent.update.state == StateDead || !ent.hasProfile:
-		case ent.profile.location.Region() == mac.region():
+		case ent.update.state == StateDead || ent.profile == nil:
+		case ent.region() == mac.region():
 			mac.near.members = append(mac.near.members, id)
 		default:
 			mac.far.members = append(mac.far.members, id)
@@ -274,9 +273,15 @@
 	if ent.lacksProfile() {
 		return ent.update
 	}
-	return ent.update.WithProfile(ent.profile)
+	upd := ent.update
+	upd.profile = ent.profile
+	return upd
 }
 
+func (ent *entry) region() fleet.Region { return ent.profile.value().location.Region() }
+
+func (ent *entry) address() Address { return ent.profile.value().gossipAddress }
+
 func (mac *Machine) send(to Address, reg fleet.Region, msg Message) {
 	if to != "" {
 		mac.outgoing = append(mac.outgoing, Envelope{to: to, region: reg, message: msg})
@@ -284,7 +289,7 @@
 }
 
 func (mac *Machine) sendTo(ent *entry, msg Message) {
-	mac.send(ent.profile.gossipAddress, ent.profile.location.Region(), msg)
+	mac.send(ent.address(), ent.region(), msg)
 }
 
 // Self returns this process as a member.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -196,7 +196,7 @@
 	instance fleet.InstanceID
 	version  Version
 	state    State
-	profile  Profile
+	profile  *Profile
 	head     uint64
 }
 
@@ -210,7 +210,7 @@
 func (mem Member) State() State { return mem.state }
 
 // Profile returns the description of the process.
-func (mem Member) Profile() Profile { return mem.profile }
+func (mem Member) Profile() Profile { return mem.profile.value() }
 
 // Head returns the configuration head in the last datagram received from the
 // member itself, zero if there was none. It is not gossiped: with 1,100 changes
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -90,7 +90,7 @@
 	revived := ent.update.state == StateDead && upd.state != StateDead
 	ent.update.version = upd.version
 	if restarted {
-		ent.profile, ent.profileAt, ent.hasProfile = Profile{}, 0, false
+		ent.profile, ent.profileAt = nil, 0
 		mac.stale = true
 	}
 	ent.update.profileAt = upd.profileAt
@@ -174,13 +174,13 @@
 
 // mergeProfile stores a profile that is newer than the known one.
 func (mac *Machine) mergeProfile(ent *entry, upd Update, src source) {
-	if !upd.full || upd.version.incarnation != ent.update.version.incarnation {
+	if !upd.Full() || upd.version.incarnation != ent.update.version.incarnation {
 		return
 	}
-	if ent.hasProfile && upd.profileAt <= ent.profileAt {
+	if ent.profile != nil && upd.profileAt <= ent.profileAt {
 		return
 	}
-	ent.profile, ent.profileAt, ent.hasProfile = upd.profile, upd.profileAt, true
+	ent.profile, ent.profileAt = upd.profile, upd.profileAt
 	ent.update.profileAt = max(ent.update.profileAt, upd.profileAt)
 	mac.stale = true
 	if src == sourceGossip {
@@ -246,7 +246,7 @@
 		}
 		kept = append(kept, id)
 		asks := ent.accused || ent.expiresAt.Sub(now) <= confirmWindow
-		if asks && ent.hasProfile && pings < confirmLimit && !now.Before(ent.confirmAt) {
+		if asks && ent.profile != nil && pings < confirmLimit && !now.Before(ent.confirmAt) {
 			pings++
 			ent.confirmAt = now.Add(confirmPeriod)
 			mac.ping(ent)
@@ -264,7 +264,7 @@
 		case ent.update.state != StateDead:
 		case now.Sub(ent.diedAt) > DeadRetention:
 			expired = append(expired, id)
-		case ent.hasProfile:
+		case ent.profile != nil:
 			dead = append(dead, ent)
 		}
 	}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -67,7 +67,7 @@
 			return nil
 		}
 		ent, found := mac.roster.Get(rot.next(mac.random))
-		if found && ent.hasProfile && ent.update.state != StateDead {
+		if found && ent.profile != nil && ent.update.state != StateDead {
 			return ent
 		}
 	}
@@ -133,7 +133,7 @@
 	}
 	for _, ent := range mac.sample(Helpers, tgt) {
 		msg := mac.compose(KindPingRequest, mac.probe.sequence, ent.update.instance).
-			WithTarget(tgt.update.instance, tgt.profile.gossipAddress)
+			WithTarget(tgt.update.instance, tgt.address())
 		mac.sendTo(ent, mac.fill(msg, mac.claimsAbout(tgt.update.instance)))
 		mac.probe.asked++
 	}
@@ -143,7 +143,7 @@
 func (mac *Machine) sample(num int, tgt *entry) []*entry {
 	mac.refresh()
 	from := mac.near.members
-	if len(from) <= num || (tgt != nil && tgt.profile.location.Region() != mac.region()) {
+	if len(from) <= num || (tgt != nil && tgt.region() != mac.region()) {
 		from = append(slices.Clone(from), mac.far.members...)
 	}
 	var chosen []*entry
@@ -193,7 +193,7 @@
 	if !found {
 		return ""
 	}
-	return ent.profile.location.Region()
+	return ent.region()
 }
 
 // receiveAck ends the probe, or passes the ack on if the ping was for another member.
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -14,8 +14,7 @@
 	version   Version
 	state     State
 	profileAt uint32
-	full      bool
-	profile   Profile
+	profile   *Profile // never changed once set; nil in a brief update
 }
 
 // NewUpdate returns a brief statement about a member whose profile was last
@@ -26,12 +25,12 @@
 
 // WithProfile returns the full statement.
 func (upd Update) WithProfile(pro Profile) Update {
-	upd.full, upd.profile = true, pro
+	upd.profile = &pro
 	return upd
 }
 
 func (upd Update) brief() Update {
-	upd.full, upd.profile = false, Profile{}
+	upd.profile = nil
 	return upd
 }
 
@@ -48,10 +47,17 @@
 func (upd Update) ProfileAt() uint32 { return upd.profileAt }
 
 // Full reports whether the update carries the profile.
-func (upd Update) Full() bool { return upd.full }
+func (upd Update) Full() bool { return upd.profile != nil }
 
 // Profile returns the profile of a full update.
-func (upd Update) Profile() Profile { return upd.profile }
+func (upd Update) Profile() Profile { return upd.profile.value() }
+
+func (pro *Profile) value() Profile {
+	if pro == nil {
+		return Profile{}
+	}
+	return *pro
+}
 
 // supersedes reports whether the update replaces a statement with the version and state.
 func (upd Update) supersedes(ver Version, sta State) bool {
@@ -73,7 +79,7 @@
 func (upd Update) Size() int {
 	size := briefOverhead + len(upd.instance) + decimals(uint64(upd.version.incarnation)) +
 		decimals(uint64(upd.version.counter)) + decimals(uint64(upd.profileAt))
-	if upd.full {
+	if upd.Full() {
 		size += upd.profile.Size()
 	}
 	return size
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -19,7 +19,7 @@
 	members := make([]Member, 0, mac.roster.Len()+1)
 	members = append(members, mac.Self())
 	for _, ent := range mac.roster.All() {
-		if ent.hasProfile {
+		if ent.profile != nil {
 			members = append(members, ent.member())
 		}
 	}
@@ -70,7 +70,7 @@
 // Member returns a member other than this process.
 func (mac *Machine) Member(id fleet.InstanceID) (Member, bool) {
 	ent, found := mac.roster.Get(id)
-	if !found || !ent.hasProfile {
+	if !found || ent.profile == nil {
 		return Member{}, false
 	}
 	return ent.member(), true
@@ -80,7 +80,7 @@
 func (mac *Machine) Count(sta State) int {
 	count := 0
 	for _, ent := range mac.roster.All() {
-		if ent.hasProfile && ent.update.state == sta {
+		if ent.profile != nil && ent.update.state == sta {
 			count++
 		}
 	}
