--- /dev/null
+++ b/io/audit/recorder.go
@@ -0,0 +1,112 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jacinthpost/core/store"
+)
+
+// Sizes and times of the queue.
+const (
+	QueueLength  = 256
+	batchLimit   = 32 // rows in one transaction
+	writeTimeout = 5 * time.Second
+	retryPeriod  = time.Second
+	writeTries   = 10 // then the rows count as lost, so that an outage doesn't hold the queue for hours
+)
+
+// Recorder writes entries in the background.
+type Recorder struct {
+	table    store.Table
+	instance string
+	queue    chan Entry
+	sequence atomic.Uint64
+	dropped  *metrics.Counter
+	written  *metrics.Counter
+}
+
+// NewRecorder returns the recorder of a process, identified by instance and incarnation.
+func NewRecorder(tab store.Table, instance string, incarnation uint64) *Recorder {
+	return &Recorder{
+		table: tab, instance: fmt.Sprintf("%s/%d", instance, incarnation), queue: make(chan Entry, QueueLength),
+		dropped: metrics.GetOrCreateCounter("jacinthpost_audit_dropped_rows_total"),
+		written: metrics.GetOrCreateCounter("jacinthpost_audit_written_rows_total"),
+	}
+}
+
+// Record queues an entry. It never blocks and reports whether there was room.
+func (rec *Recorder) Record(ent Entry) bool {
+	if ent.Instance == "" {
+		ent.Instance = rec.instance
+	}
+	select {
+	case rec.queue <- ent:
+		return true
+	default:
+		rec.dropped.Inc()
+		return false
+	}
+}
+
+// Run writes queued entries until the context ends.
+func (rec *Recorder) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-rec.queue:
+			rec.write(ctx, rec.batch(first))
+		}
+	}
+}
+
+func (rec *Recorder) batch(first Entry) []Entry {
+	batch := []Entry{first}
+	for len(batch) < batchLimit {
+		select {
+		case ent := <-rec.queue:
+			batch = append(batch, ent)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// write repeats the same rows until they are stored. Their keys don't depend on
+// the try, so a repetition after a lost answer writes the same rows again.
+func (rec *Recorder) write(ctx context.Context, batch []Entry) {
+	var txn store.Transaction
+	for _, ent := range batch {
+		identity := fmt.Sprintf("%s/%d", rec.instance, rec.sequence.Add(1))
+		if err := Add(&txn, ent, identity); err != nil {
+			rec.dropped.Inc()
+		}
+	}
+	num := len(txn.Writes())
+	for range writeTries {
+		if rec.commit(ctx, &txn) {
+			rec.written.Add(num)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			rec.dropped.Add(num)
+			return
+		case <-time.After(retryPeriod):
+		}
+	}
+	rec.dropped.Add(num)
+}
+
+func (rec *Recorder) commit(ctx context.Context, txn *store.Transaction) bool {
+	limited, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := rec.table.Commit(limited, txn)
+	return err == nil
+}
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -125,3 +125,22 @@
 
 // Load returns the latest value, or nil before the first Publish.
 func (snp *Snapshot[T]) Load() *T { return snp.current.Load() }
+
+// Executor runs functions on a control goroutine. Components that keep their
+// state on the loop of their process depend on it and not on the type of that loop.
+type Executor interface {
+	// Execute queues a function and waits for room until the context ends.
+	Execute(ctx context.Context, work func(now time.Time)) error
+	// TryExecute queues a function if there is room and reports whether it did.
+	TryExecute(work func(now time.Time)) bool
+}
+
+// Execute implements Executor.
+func (lop *Loop[S]) Execute(ctx context.Context, work func(now time.Time)) error {
+	return lop.Post(ctx, Func[S](func(_ *S, now time.Time) { work(now) }))
+}
+
+// TryExecute implements Executor.
+func (lop *Loop[S]) TryExecute(work func(now time.Time)) bool {
+	return lop.TryPost(Func[S](func(_ *S, now time.Time) { work(now) }))
+}
