Add the durable log and the owner component

Cause: partitions need a fenced durable log and a process that runs them. Change: io/joblog, io/owner with the Owner service and the routing client; additive fields in io/message.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -115,6 +115,16 @@
 	return 0, false
 }
 
+// ParseState returns the state with a name.
+func ParseState(name string) (State, bool) {
+	for sta, nam := range stateNames {
+		if nam == name {
+			return State(sta), true
+		}
+	}
+	return 0, false
+}
+
 // Ref names one assignment of a task.
 type Ref struct {
 	job   ID
--- a/core/partition/ownership.go
+++ b/core/partition/ownership.go
@@ -72,6 +72,14 @@
 	return false
 }
 
+// Forfeit gives an ownership up without a write, for example when the state of
+// the log is not known. Other candidates wait for the lease.
+func (own *Ownership) Forfeit() {
+	if own.phase == owning {
+		own.lose()
+	}
+}
+
 func (own *Ownership) lose() {
 	own.phase, own.leaseEnd, own.writing = watching, time.Time{}, Action{}
 	own.seenAt = time.Time{}
@@ -156,6 +164,9 @@
 // to its rows. It returns the kind of write that took effect.
 func (own *Ownership) Written(now time.Time, ver store.Version) ActionKind {
 	act := own.writing
+	if act.kind == Idle {
+		return Idle // the ownership was forfeited meanwhile
+	}
 	own.writing = Action{}
 	own.seen = NewSighting(act.row, ver, own.seen.epochVersion)
 	own.seenAt = now
--- a/core/partition/partition.go
+++ b/core/partition/partition.go
@@ -26,8 +26,12 @@
 	LeaseTime = 6 * time.Second
 	// RenewPeriod leaves two further tries before the lease ends.
 	RenewPeriod = 2 * time.Second
-	// RankDelay is how much longer a candidate waits for each candidate ranked before it.
-	RankDelay = time.Second
+	// WatchPeriod is how often a candidate reads the row.
+	WatchPeriod = 2 * time.Second
+	// RankDelay is how much longer a candidate waits for each candidate ranked
+	// before it. It exceeds WatchPeriod, so that the preferred one sees a released
+	// row first.
+	RankDelay = 3 * time.Second
 	// RebalanceDelay is how long another process must be preferred before an
 	// owner hands over; a shorter delay would move partitions at every restart.
 	RebalanceDelay = 30 * time.Second
--- /dev/null
+++ b/io/joblog/row.go
@@ -0,0 +1,107 @@
+package joblog
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/partition"
+	"jacinthpost/core/store"
+)
+
+// RowKey returns the key of the ownership row, which renewals change.
+func RowKey(num int) string { return "partition/" + strconv.Itoa(num) }
+
+// EpochKey returns the key of the row that changes at takeovers only and fences the log.
+func EpochKey(num int) string { return RowKey(num) + "/epoch" }
+
+// snapshotKey returns the key of the row that points to the latest snapshot.
+func snapshotKey(num int) string { return RowKey(num) + "/snapshot" }
+
+// logPrefix returns the prefix of the log rows.
+func logPrefix(num int) string { return RowKey(num) + "/log/" }
+
+// logKey returns the key of a batch; the padding keeps the key order numeric.
+func logKey(num int, seq uint64) string {
+	digits := strconv.FormatUint(seq, 10)
+	return logPrefix(num) + "00000000000000000000"[len(digits):] + digits
+}
+
+// ownerRow is the format of the ownership row.
+type ownerRow struct {
+	Owner       string `json:"owner"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"`
+	Epoch       uint64 `json:"epoch"`
+	Renewals    uint64 `json:"renewals"`
+	Released    bool   `json:"released,omitempty"`
+}
+
+// epochRow is the format of the row that fences the log.
+type epochRow struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+func encodeRow(row partition.Row) ([]byte, error) {
+	own := row.Owner()
+	return json.Marshal(ownerRow{Owner: string(own.Instance()), Incarnation: uint64(own.Incarnation()),
+		Address: own.Address(), Epoch: row.Epoch(), Renewals: row.Renewals(), Released: row.Released()})
+}
+
+func decodeRow(row store.Row) (partition.Row, error) {
+	if !row.Exists() {
+		return partition.Row{}, nil
+	}
+	var dec ownerRow
+	if err := json.Unmarshal(row.Value(), &dec); err != nil {
+		return partition.Row{}, errors.Wrapf(err, "decode row %s", row.Key())
+	}
+	own := partition.NewIdentity(fleet.InstanceID(dec.Owner), fleet.Incarnation(dec.Incarnation), dec.Address)
+	return partition.NewRow(own, dec.Epoch, dec.Renewals, dec.Released), nil
+}
+
+// ReadRows reads the ownership of partitions with one call to the store.
+func ReadRows(ctx context.Context, tab store.Table, nums ...int) ([]partition.Sighting, error) {
+	keys := make([]string, 0, 2*len(nums))
+	for _, num := range nums {
+		keys = append(keys, RowKey(num), EpochKey(num))
+	}
+	rows, err := tab.Read(ctx, keys...)
+	if err != nil {
+		return nil, errors.Wrap(err, "read partition rows")
+	}
+	list := make([]partition.Sighting, 0, len(nums))
+	for pos := 0; pos < len(rows); pos += 2 {
+		row, err := decodeRow(rows[pos])
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, partition.NewSighting(row, rows[pos].Version(), rows[pos+1].Version()))
+	}
+	return list, nil
+}
+
+// WriteRow makes the write of an ownership action. An acquisition also writes
+// the epoch row, so that the log of the former owner is fenced by the same
+// transaction. A result that is not committed means that the row has changed.
+func WriteRow(ctx context.Context, tab store.Table, num int, act partition.Action) (store.Result, error) {
+	value, err := encodeRow(act.Row())
+	if err != nil {
+		return store.Result{}, errors.Wrap(err, "encode partition row")
+	}
+	txn := &store.Transaction{}
+	txn.Require(RowKey(num), act.Version())
+	txn.Put(RowKey(num), value)
+	if act.Kind() == partition.Acquire {
+		epoch, err := json.Marshal(epochRow{Epoch: act.Row().Epoch()})
+		if err != nil {
+			return store.Result{}, errors.Wrap(err, "encode epoch row")
+		}
+		txn.Put(EpochKey(num), epoch)
+	}
+	res, err := tab.Commit(ctx, txn)
+	return res, errors.Wrap(err, "write partition row")
+}
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -65,9 +65,11 @@
 
 // ClaimReply grants a lease that the agent counts from the time it sent the claim.
 type ClaimReply struct {
-	Granted     bool
-	Reason      string
-	LeaseMillis int64
+	NotOwner     bool   // this process does not own the partition
+	OwnerAddress string // the owner, if known
+	Granted      bool
+	Reason       string
+	LeaseMillis  int64
 }
 
 // TaskStatus is the state of a task as its agent sees it.
@@ -96,9 +98,11 @@
 // RenewReply lists the renewed leases, counted from the time the agent sent the
 // request, and the tasks to stop. A task in neither list is not renewed.
 type RenewReply struct {
-	Granted     []TaskRef
-	LeaseMillis []int64
-	Stop        []StopOrder
+	NotOwner     bool   // this process does not own the partition
+	OwnerAddress string // the owner, if known
+	Granted      []TaskRef
+	LeaseMillis  []int64
+	Stop         []StopOrder
 }
 
 // Ends of a task assignment.
@@ -132,7 +136,9 @@
 // ReportReply lists the ends that the owner has recorded durably or that are
 // outdated. The agent repeats the others.
 type ReportReply struct {
-	Recorded []TaskRef
+	NotOwner     bool   // this process does not own the partition
+	OwnerAddress string // the owner, if known
+	Recorded     []TaskRef
 }
 
 // AdoptArgs tells an agent the new owner of a partition.
@@ -142,10 +148,13 @@
 	OwnerAddress string
 }
 
-// AdoptReply lists the tasks of the partition that the agent holds.
+// AdoptReply lists the tasks of the partition that the agent holds: claimed,
+// running, or ended with an end that is not acknowledged. The agent must drop
+// later grants of assignments that it has not listed.
 type AdoptReply struct {
-	Ready bool
-	Tasks []TaskStatus
+	Ready       bool
+	Incarnation uint64
+	Tasks       []TaskStatus
 }
 
 // StopArgs carries stop orders to an agent.
@@ -211,12 +220,28 @@
 
 // JobReply carries the outcome of a job operation.
 type JobReply struct {
-	NotOwner bool   // this process does not own the partition
-	Outcome  string // answered, notRun or unknown
-	Reason   string
-	Detail   string
-	Status   JobStatus
-	Explain  []string
+	NotOwner     bool   // this process does not own the partition
+	OwnerAddress string // the owner, if known
+	Outcome      string // answered, notRun or unknown
+	Reason       string
+	Detail       string
+	Status       JobStatus
+	Explain      []string
+}
+
+// ListArgs asks for the jobs of a customer in one partition; an empty customer means all.
+type ListArgs struct {
+	Partition int
+	Customer  string
+	After     string // job ID after which the list starts
+	Limit     int
+}
+
+// ListReply lists jobs in the order of submission, without their tasks.
+type ListReply struct {
+	NotOwner     bool
+	OwnerAddress string
+	Jobs         []JobStatus
 }
 
 // ServeArgs sends a service request to an agent.
--- /dev/null
+++ b/io/owner/client.go
@@ -0,0 +1,168 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/store"
+	"jacinthpost/io/joblog"
+	"jacinthpost/io/message"
+	"jacinthpost/io/peer"
+)
+
+// Retry rules of the client.
+const (
+	clientTries = 8
+	clientPause = 250 * time.Millisecond
+	clientCall  = 3 * time.Second
+)
+
+// Client finds the owner of a job's partition and calls it. Submissions and
+// cancellations are idempotent, so it repeats a call that failed. It is safe for
+// use from any goroutine.
+type Client struct {
+	table      store.Table
+	caller     Caller
+	partitions int
+	mu         sync.Mutex
+	owners     map[int]string
+}
+
+// NewClient returns a client for a number of partitions.
+func NewClient(tab store.Table, cal Caller, partitions int) *Client {
+	return &Client{table: tab, caller: cal, partitions: partitions, owners: make(map[int]string)}
+}
+
+// Partitions returns the number of partitions.
+func (cli *Client) Partitions() int { return cli.partitions }
+
+// Submit submits a job to the owner of its partition.
+func (cli *Client) Submit(ctx context.Context, spc message.JobSpec) message.JobReply {
+	id := job.NewID(fleet.Customer(spc.Customer), spc.Key)
+	num := job.PartitionOf(id, cli.partitions)
+	return cli.call(ctx, num, "Owner.Submit", message.SubmitArgs{Partition: num, JobID: string(id), Spec: spc})
+}
+
+// Cancel cancels a job.
+func (cli *Client) Cancel(ctx context.Context, id job.ID) message.JobReply {
+	num := job.PartitionOf(id, cli.partitions)
+	return cli.call(ctx, num, "Owner.Cancel", message.JobRefArgs{Partition: num, JobID: string(id)})
+}
+
+// Status describes a job.
+func (cli *Client) Status(ctx context.Context, id job.ID) message.JobReply {
+	num := job.PartitionOf(id, cli.partitions)
+	return cli.call(ctx, num, "Owner.Status", message.JobRefArgs{Partition: num, JobID: string(id)})
+}
+
+// List lists jobs of one partition.
+func (cli *Client) List(ctx context.Context, args message.ListArgs) (message.ListReply, error) {
+	rep, _, err := route(ctx, cli, args.Partition, "Owner.List", args, func(rep *message.ListReply) (bool, string) {
+		return rep.NotOwner, rep.OwnerAddress
+	})
+	return rep, errors.Wrap(err, "list jobs")
+}
+
+// call returns the owner's reply. Without one, the outcome is unknown if a call
+// may have reached an owner, and not run otherwise.
+func (cli *Client) call(ctx context.Context, num int, method string, args any) message.JobReply {
+	rep, sent, err := route(ctx, cli, num, method, args, func(rep *message.JobReply) (bool, string) {
+		return rep.NotOwner, rep.OwnerAddress
+	})
+	switch {
+	case err == nil:
+		return rep
+	case sent:
+		return message.JobReply{Outcome: outcome.KindUnknown.String(), Reason: string(outcome.ReasonTimeout), Detail: err.Error()}
+	default:
+		return refusal(outcome.ReasonStoreUnavailable, err.Error())
+	}
+}
+
+// route calls the owner of a partition until it gets an owner's reply. It
+// reports whether any call without a reply may have reached an owner.
+func route[R any](ctx context.Context, cli *Client, num int, method string, args any, moved func(*R) (bool, string)) (R, bool, error) {
+	var zero R
+	sent := false
+	last := errors.New("the partition has no owner")
+	for try := range clientTries {
+		if try > 0 && !wait(ctx, clientPause) {
+			break
+		}
+		addr, err := cli.owner(ctx, num)
+		if err != nil || addr == "" {
+			last = cmpErr(err, last)
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, clientCall)
+		rep := new(R)
+		err = cli.caller.Call(limited, addr, method, args, rep)
+		cancel()
+		if err != nil {
+			sent = sent || !errors.Is(err, peer.ErrNotSent)
+			last = err
+			cli.learn(num, "")
+			continue
+		}
+		away, owner := moved(rep)
+		if !away {
+			return *rep, sent, nil
+		}
+		if owner == addr {
+			owner = ""
+		}
+		cli.learn(num, owner)
+	}
+	return zero, sent, errors.Wrapf(last, "partition %d", num)
+}
+
+func cmpErr(err, other error) error {
+	if err != nil {
+		return err
+	}
+	return other
+}
+
+func wait(ctx context.Context, dur time.Duration) bool {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// owner returns the address of the owner from the cache or from the row.
+func (cli *Client) owner(ctx context.Context, num int) (string, error) {
+	cli.mu.Lock()
+	addr := cli.owners[num]
+	cli.mu.Unlock()
+	if addr != "" {
+		return addr, nil
+	}
+	list, err := joblog.ReadRows(ctx, cli.table, num)
+	if err != nil {
+		return "", err
+	}
+	row := list[0].Row()
+	if row.Released() {
+		return "", nil
+	}
+	cli.learn(num, row.Owner().Address())
+	return row.Owner().Address(), nil
+}
+
+// learn caches the address of an owner; an empty one makes the next call read the row.
+func (cli *Client) learn(num int, addr string) {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	cli.owners[num] = addr
+}
--- /dev/null
+++ b/io/owner/owner.go
@@ -0,0 +1,242 @@
+// Package owner runs the partitions of jobs that a process owns.
+//
+// One control loop owns the state: for each partition the ownership state
+// machine of core/partition and, while the partition is owned, its tenure with
+// the job state machine of core/job. Store and network calls run on other
+// goroutines and post their results as events. Their number is bounded: each
+// partition has at most one row operation, one append and one snapshot under
+// way, and calls to agents share callWorkers goroutines.
+//
+// Records are appended in groups, at most one write each WritePeriod for a
+// partition; the first one after a pause is written at once. Effects and replies
+// are held until the records they rest on are durable. An owner that loses its
+// partition drops all that it holds; its callers are told that it is not the
+// owner and repeat their calls, which are idempotent.
+//
+// The methods of Owner and Service may be called from any goroutine.
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/partition"
+	"jacinthpost/core/store"
+	"jacinthpost/io/control"
+)
+
+// Bounds and timing of the component.
+const (
+	// WritePeriod bounds the log writes of a partition to five a second, so that
+	// 64 partitions stay within several hundred writes a second.
+	WritePeriod = 200 * time.Millisecond
+
+	queueCapacity  = 4096
+	callWorkers    = 64
+	callCapacity   = 1024
+	observePeriod  = 500 * time.Millisecond
+	openRetry      = 500 * time.Millisecond
+	storeLimit     = 5 * time.Second  // one store call, below the partition lease
+	resolveLimit   = 10 * time.Second // reading back a lost answer
+	stopLimit      = 2 * time.Second  // one Stop or Adopt call
+	answerLimit    = 10 * time.Second // one call of Service
+	maxUnsaved     = 16 * 256         // records without a snapshot before submissions are refused
+	releasePolling = 20 * time.Millisecond
+)
+
+// Caller makes calls to other processes.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// Settings are the parts of the configuration that the owner needs. The methods
+// must not block: the control loop calls them.
+type Settings interface {
+	// StartsAllowed reports whether the configuration is fresh and allows task starts in a data centre.
+	StartsAllowed(dce fleet.DataCentre) bool
+	// TakenOut returns the data centres taken out of service, sorted.
+	TakenOut() []fleet.DataCentre
+	// TaskLease returns the task lease of a job class, zero for the default.
+	TaskLease(cls fleet.JobClass) time.Duration
+}
+
+// Member is an instance known from membership.
+type Member struct {
+	hint      job.Instance
+	address   string
+	candidate bool
+}
+
+// NewMember returns a member with its peer address; a candidate may own partitions.
+func NewMember(hint job.Instance, addr string, candidate bool) Member {
+	return Member{hint: hint, address: addr, candidate: candidate}
+}
+
+// Hint returns what placements know about the member.
+func (mem Member) Hint() job.Instance { return mem.hint }
+
+// Address returns the peer address.
+func (mem Member) Address() string { return mem.address }
+
+// Candidate reports whether the member may own partitions.
+func (mem Member) Candidate() bool { return mem.candidate }
+
+// View is an immutable list of the members sorted by ID, without those that are
+// dead. It includes this process, which competes for partitions only while it is
+// in its own view. The list must not change after NewView.
+type View struct {
+	list []Member
+}
+
+// NewView returns a view of the members.
+func NewView(list []Member) *View { return &View{list: list} }
+
+// Ports connects the component with the rest of the process.
+type Ports struct {
+	// Table and Objects hold the durable state.
+	Table   store.Table
+	Objects store.Objects
+	// Caller reaches Agent.Offer, Agent.Stop and Agent.Adopt.
+	Caller Caller
+	// View returns the present members. It must not block and returns the same
+	// pointer while nothing changes.
+	View func() *View
+	// Settings returns the configuration in force.
+	Settings Settings
+}
+
+// Config names the process and the partitions.
+type Config struct {
+	self        partition.Identity
+	partitions  int
+	storeRegion fleet.Region
+	seed        uint64
+}
+
+// NewConfig returns the configuration of a process: its identity, the number of
+// partitions, the region of the store, whose instances are preferred as owners,
+// and the seed of the takeover jitter.
+func NewConfig(self partition.Identity, partitions int, reg fleet.Region, seed uint64) Config {
+	return Config{self: self, partitions: partitions, storeRegion: reg, seed: seed}
+}
+
+// Owner is the owner role of one process under the placement policy P.
+type Owner[P job.Placement] struct {
+	ports Ports
+	loop  *control.Loop[state[P]]
+	calls chan func(ctx context.Context)
+	ctx   context.Context // of Run; set before the loop starts
+	group sync.WaitGroup
+}
+
+// New returns a component. The function place makes the placement of a partition.
+func New[P job.Placement](cfg Config, prt Ports, place func(num int) P) *Owner[P] {
+	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity)}
+	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
+		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
+	for num := range cfg.partitions {
+		sta.slots = append(sta.slots, &slot[P]{num: num, ownership: partition.NewOwnership(cfg.self)})
+	}
+	own.loop = control.NewLoop(sta, queueCapacity, nil)
+	return own
+}
+
+// Run owns partitions until the context ends. It must be called once. After a
+// Run without Release the partitions are taken over when their leases have ended.
+func (own *Owner[P]) Run(ctx context.Context) {
+	own.ctx = ctx
+	for range callWorkers {
+		own.group.Go(func() { own.serveCalls(ctx) })
+	}
+	own.group.Go(func() {
+		control.Tick(ctx, own.loop, job.TickPeriod, func() control.Event[state[P]] { return control.Func[state[P]](tick[P]) })
+	})
+	own.loop.Run(ctx)
+	own.group.Wait()
+}
+
+func (own *Owner[P]) serveCalls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-own.calls:
+			call(ctx)
+		}
+	}
+}
+
+// call queues a call to another process. A full queue drops it: offers then end
+// by timeout, and stop orders and adoptions are repeated.
+func (own *Owner[P]) call(fun func(ctx context.Context)) {
+	select {
+	case own.calls <- fun:
+	default:
+		callsDropped.Inc()
+	}
+}
+
+// store runs a store operation on its own goroutine. The caller makes sure that
+// a partition has at most one of each kind under way.
+func (own *Owner[P]) store(fun func(ctx context.Context)) {
+	own.group.Go(func() { fun(own.ctx) })
+}
+
+// post queues an event; it is lost only when the component ends.
+func (own *Owner[P]) post(ctx context.Context, fun func(sta *state[P], now time.Time)) {
+	_ = own.loop.Post(ctx, control.Func[state[P]](fun))
+}
+
+// after posts an event after a delay.
+func (own *Owner[P]) after(dur time.Duration, fun func(sta *state[P], now time.Time)) {
+	own.store(func(ctx context.Context) {
+		tmr := time.NewTimer(dur)
+		defer tmr.Stop()
+		select {
+		case <-tmr.C:
+			own.post(ctx, fun)
+		case <-ctx.Done():
+		}
+	})
+}
+
+// Release hands all partitions over: it stops granting, writes the last records
+// and marks the rows as released, so that other owners take over at once. It
+// returns when no partition is owned any more or the context ends.
+func (own *Owner[P]) Release(ctx context.Context) error {
+	tkr := time.NewTicker(releasePolling)
+	defer tkr.Stop()
+	for {
+		owned, err := control.Query(ctx, own.loop, func(sta *state[P], now time.Time) int { return sta.release(now) })
+		if err != nil {
+			return errors.Wrap(err, "release partitions")
+		}
+		if owned == 0 {
+			return nil
+		}
+		select {
+		case <-tkr.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "release partitions")
+		}
+	}
+}
+
+// Owned returns the partitions that the process serves now.
+func (own *Owner[P]) Owned(ctx context.Context) ([]int, error) {
+	return control.Query(ctx, own.loop, func(sta *state[P], now time.Time) []int {
+		var nums []int
+		for _, slt := range sta.slots {
+			if slt.serves(now) {
+				nums = append(nums, slt.num)
+			}
+		}
+		return nums
+	})
+}
--- /dev/null
+++ b/io/owner/service.go
@@ -0,0 +1,276 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/outcome"
+	"jacinthpost/io/control"
+	"jacinthpost/io/message"
+)
+
+// maxList bounds the reply of one List call.
+const maxList = 1000
+
+// Service is the net/rpc service "Owner".
+type Service[P job.Placement] struct {
+	owner *Owner[P]
+	ctx   context.Context
+}
+
+// Service returns the net/rpc service; its calls end with the context.
+func (own *Owner[P]) Service(ctx context.Context) *Service[P] {
+	return &Service[P]{owner: own, ctx: ctx}
+}
+
+// turn is one call on the control goroutine.
+type turn[P job.Placement] struct {
+	state *state[P]
+	slot  *slot[P] // nil when this process does not own the partition
+	now   time.Time
+	owner string // address of the owner, if known
+}
+
+// turn prepares a call for a partition.
+func (sta *state[P]) turn(num int, now time.Time) *turn[P] {
+	trn := &turn[P]{state: sta, now: now}
+	if num < 0 || num >= len(sta.slots) {
+		return trn
+	}
+	slt := sta.slots[num]
+	if slt.serves(now) {
+		trn.slot = slt
+		return trn
+	}
+	notOwner.Inc()
+	if row := slt.ownership.Seen().Row(); !row.Released() && row.Owner() != sta.config.self {
+		trn.owner = row.Owner().Address()
+	}
+	return trn
+}
+
+func (trn *turn[P]) env() job.Env { return trn.state.env(trn.slot, trn.now) }
+
+func (trn *turn[P]) part() *job.Partition[P] { return trn.slot.tenure.part }
+
+// wait registers the caller under a new tag. The function receives nil when the
+// partition is lost before the reply.
+func (trn *turn[P]) wait(done func(eff job.Effect)) job.Tag {
+	trn.state.tags++
+	trn.slot.tenure.waiting[trn.state.tags] = done
+	return trn.state.tags
+}
+
+func (trn *turn[P]) collect(out *job.Output) { trn.state.collect(trn.slot, out, trn.now) }
+
+// exchange runs a call on the control goroutine and waits for its reply.
+func exchange[P job.Placement, R any](svc *Service[P], num int, reply *R, start func(trn *turn[P], done func(R))) error {
+	ctx, cancel := context.WithTimeout(svc.ctx, answerLimit)
+	defer cancel()
+	res := make(chan R, 1)
+	evt := control.Func[state[P]](func(sta *state[P], now time.Time) {
+		start(sta.turn(num, now), func(val R) { res <- val })
+	})
+	if err := svc.owner.loop.Post(ctx, evt); err != nil {
+		return errors.Wrap(err, "owner is busy")
+	}
+	select {
+	case *reply = <-res:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "no reply from owner")
+	}
+}
+
+// Submit takes in a job; see job.Partition.Submit.
+func (svc *Service[P]) Submit(args message.SubmitArgs, reply *message.JobReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.JobReply)) {
+		if trn.slot == nil {
+			done(message.JobReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		spc, known := decodeSpec(args.Spec, svc.owner.ports.Settings)
+		id := job.NewID(spc.Customer(), spc.Key())
+		switch {
+		case !known:
+			done(refusal(job.ReasonInvalid, "unknown kind of job "+args.Spec.Kind))
+		case args.JobID != "" && args.JobID != string(id):
+			done(refusal(job.ReasonInvalid, "the job ID does not belong to the customer and key"))
+		case job.PartitionOf(id, len(trn.state.slots)) != args.Partition:
+			done(refusal(job.ReasonInvalid, "the job belongs to another partition"))
+		case trn.slot.tenure.unsaved > maxUnsaved:
+			done(refusal(outcome.ReasonStoreUnavailable, "snapshots of the partition fail"))
+		default:
+			tag := trn.wait(func(eff job.Effect) { trn.jobReply(eff, done) })
+			trn.collect(trn.part().Submit(trn.env(), tag, spc))
+		}
+	})
+}
+
+// Cancel ends a job; see job.Partition.Cancel.
+func (svc *Service[P]) Cancel(args message.JobRefArgs, reply *message.JobReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.JobReply)) {
+		if trn.slot == nil {
+			done(message.JobReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		tag := trn.wait(func(eff job.Effect) { trn.jobReply(eff, done) })
+		trn.collect(trn.part().Cancel(trn.env(), tag, job.ID(args.JobID)))
+	})
+}
+
+// jobReply answers a submission or a cancellation.
+func (trn *turn[P]) jobReply(eff job.Effect, done func(message.JobReply)) {
+	rep, answered := eff.(job.Reply)
+	switch {
+	case !answered:
+		done(message.JobReply{NotOwner: true})
+	case rep.Outcome().Kind() != outcome.KindAnswered:
+		done(refusal(rep.Outcome().Reason(), rep.Outcome().Detail()))
+	default:
+		trn.status(rep.Job(), rep.Existing(), done)
+	}
+}
+
+// status answers with the state of a job once the records it rests on are durable.
+func (trn *turn[P]) status(id job.ID, existing bool, done func(message.JobReply)) {
+	sta, known := trn.part().Status(id)
+	if !known {
+		done(refusal(job.ReasonNoJob, ""))
+		return
+	}
+	tag := trn.wait(func(eff job.Effect) {
+		if _, held := eff.(read); !held {
+			done(message.JobReply{NotOwner: true})
+			return
+		}
+		done(message.JobReply{Outcome: outcome.KindAnswered.String(), Status: encodeStatus(sta, existing)})
+	})
+	trn.slot.tenure.read(tag, sta.After())
+}
+
+func refusal(rsn outcome.Reason, detail string) message.JobReply {
+	return message.JobReply{Outcome: outcome.KindNotRun.String(), Reason: string(rsn), Detail: detail}
+}
+
+// Status describes a job once the records it rests on are durable.
+func (svc *Service[P]) Status(args message.JobRefArgs, reply *message.JobReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.JobReply)) {
+		if trn.slot == nil {
+			done(message.JobReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		trn.status(job.ID(args.JobID), false, done)
+	})
+}
+
+// List lists jobs of one partition once the records they rest on are durable.
+func (svc *Service[P]) List(args message.ListArgs, reply *message.ListReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.ListReply)) {
+		if trn.slot == nil {
+			done(message.ListReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		limit := args.Limit
+		if limit <= 0 || limit > maxList {
+			limit = maxList
+		}
+		var rep message.ListReply
+		after := uint64(0)
+		for _, sta := range trn.part().List(fleet.Customer(args.Customer), job.ID(args.After), limit) {
+			enc := encodeStatus(sta, false)
+			enc.Spec.Payload = nil
+			rep.Jobs = append(rep.Jobs, enc)
+			after = max(after, sta.After())
+		}
+		tag := trn.wait(func(eff job.Effect) {
+			if _, held := eff.(read); !held {
+				rep = message.ListReply{NotOwner: true}
+			}
+			done(rep)
+		})
+		trn.slot.tenure.read(tag, after)
+	})
+}
+
+// read is the effect that answers a call that changes nothing.
+type read struct {
+	after uint64
+}
+
+// After implements job.Effect.
+func (rea read) After() uint64 { return rea.after }
+
+// read answers a caller when the record is durable.
+func (ten *tenure[P]) read(tag job.Tag, after uint64) {
+	ten.hold(after, func() { ten.reply(tag, read{after: after}) })
+}
+
+// Claim grants the lease of an accepted offer; see job.Partition.Claim.
+func (svc *Service[P]) Claim(args message.ClaimArgs, reply *message.ClaimReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.ClaimReply)) {
+		if trn.slot == nil {
+			done(message.ClaimReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		tag := trn.wait(func(eff job.Effect) {
+			rep, answered := eff.(job.ClaimReply)
+			switch {
+			case !answered:
+				done(message.ClaimReply{NotOwner: true})
+			case rep.Granted():
+				claimsGranted.Inc()
+				done(message.ClaimReply{Granted: true, LeaseMillis: rep.Lease().Milliseconds()})
+			default:
+				claimsRefused.Inc()
+				done(message.ClaimReply{Reason: rep.Reason()})
+			}
+		})
+		trn.collect(trn.part().Claim(trn.env(), tag, decodeRef(args.Ref), decodeHolder(args.Instance, args.Incarnation)))
+	})
+}
+
+// Renew renews leases; see job.Partition.Renew.
+func (svc *Service[P]) Renew(args message.RenewArgs, reply *message.RenewReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.RenewReply)) {
+		if trn.slot == nil {
+			done(message.RenewReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		tag := trn.wait(func(eff job.Effect) {
+			rep, answered := eff.(job.RenewReply)
+			if !answered {
+				done(message.RenewReply{NotOwner: true})
+				return
+			}
+			leasesRenewed.Add(len(rep.Grants()))
+			done(encodeRenewal(rep))
+		})
+		hol := decodeHolder(args.Instance, args.Incarnation)
+		trn.collect(trn.part().Renew(trn.env(), tag, hol, decodeProgress(args.Tasks)))
+	})
+}
+
+// Report records ended assignments; see job.Partition.Report.
+func (svc *Service[P]) Report(args message.ReportArgs, reply *message.ReportReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.ReportReply)) {
+		if trn.slot == nil {
+			done(message.ReportReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		tag := trn.wait(func(eff job.Effect) {
+			rep, answered := eff.(job.ReportReply)
+			if !answered {
+				done(message.ReportReply{NotOwner: true})
+				return
+			}
+			endsRecorded.Add(len(rep.Recorded()))
+			done(message.ReportReply{Recorded: encodeRefs(rep.Recorded())})
+		})
+		trn.collect(trn.part().Report(trn.env(), tag, decodeReports(args.Ends)))
+	})
+}
--- /dev/null
+++ b/io/owner/state.go
@@ -0,0 +1,295 @@
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/partition"
+	"jacinthpost/core/store"
+	"jacinthpost/io/joblog"
+)
+
+// state is the control state: all partitions and the members.
+type state[P job.Placement] struct {
+	owner      *Owner[P]
+	config     Config
+	place      func(num int) P
+	slots      []*slot[P]
+	view       *View
+	observedAt time.Time
+	hints      []job.Instance
+	candidates []partition.Candidate
+	addresses  map[fleet.InstanceID]string
+	takenOut   []fleet.DataCentre
+	watchedAt  time.Time
+	watching   bool // a read of the rows is under way
+	random     *rand.Rand
+	tags       job.Tag
+	stopping   bool
+}
+
+// slot is one partition as this process sees it.
+type slot[P job.Placement] struct {
+	num       int
+	ownership *partition.Ownership
+	jitter    time.Duration
+	tenure    *tenure[P] // set while the partition is owned
+}
+
+// serves reports whether the process may act as the owner now.
+func (slt *slot[P]) serves(now time.Time) bool {
+	return slt.tenure != nil && slt.tenure.part != nil && !slt.tenure.releasing && slt.ownership.Owns(now)
+}
+
+// tick lets time pass in all partitions.
+func tick[P job.Placement](sta *state[P], now time.Time) {
+	sta.observe(now)
+	sta.watch(now)
+	for _, slt := range sta.slots {
+		sta.decide(slt, now)
+		if slt.serves(now) {
+			sta.collect(slt, slt.tenure.part.Tick(sta.env(slt, now)), now)
+		}
+	}
+}
+
+func (sta *state[P]) env(slt *slot[P], now time.Time) job.Env {
+	return job.NewEnv(now, slt.ownership.LeaseEnd(), sta.owner.ports.Settings.StartsAllowed)
+}
+
+// observe takes in changes of the members and of the data centres taken out.
+func (sta *state[P]) observe(now time.Time) {
+	if now.Sub(sta.observedAt) < observePeriod {
+		return
+	}
+	sta.observedAt = now
+	if out := sta.owner.ports.Settings.TakenOut(); !slices.Equal(out, sta.takenOut) {
+		sta.takenOut = slices.Clone(out)
+		for _, slt := range sta.slots {
+			if slt.serves(now) {
+				sta.collect(slt, slt.tenure.part.TakeOut(sta.env(slt, now), sta.takenOut), now)
+			}
+		}
+	}
+	if viw := sta.owner.ports.View(); viw != nil && viw != sta.view {
+		sta.setView(viw, now)
+	}
+}
+
+func (sta *state[P]) setView(viw *View, now time.Time) {
+	sta.view = viw
+	sta.hints, sta.candidates = nil, nil
+	clear(sta.addresses)
+	for _, mem := range viw.list {
+		sta.hints = append(sta.hints, mem.hint)
+		sta.addresses[mem.hint.ID()] = mem.address
+		if mem.candidate && mem.hint.Health() == job.Alive {
+			near := mem.hint.Location().Region() == sta.config.storeRegion
+			sta.candidates = append(sta.candidates, partition.NewCandidate(mem.hint.ID(), near))
+		}
+	}
+	for _, slt := range sta.slots {
+		if slt.serves(now) {
+			sta.collect(slt, slt.tenure.part.Observe(sta.env(slt, now), sta.hints), now)
+		}
+	}
+}
+
+// rank returns how many live candidates are preferred over this process. A
+// process that is not in its own view, for example before it has announced
+// itself, ranks last.
+func (sta *state[P]) rank(num int) int {
+	for _, can := range sta.candidates {
+		if can.Instance() == sta.config.self.Instance() {
+			return partition.Rank(num, can, sta.candidates)
+		}
+	}
+	return partition.Watchers
+}
+
+// watch reads the rows of the partitions that this process may take over.
+func (sta *state[P]) watch(now time.Time) {
+	if sta.watching || sta.stopping || now.Sub(sta.watchedAt) < partition.WatchPeriod {
+		return
+	}
+	sta.watchedAt = now
+	var nums []int
+	for _, slt := range sta.slots {
+		if slt.tenure == nil && !slt.ownership.Awaiting() && sta.rank(slt.num) < partition.Watchers {
+			nums = append(nums, slt.num)
+		}
+	}
+	if len(nums) == 0 {
+		return
+	}
+	sta.watching = true
+	sta.owner.store(func(ctx context.Context) {
+		limited, cancel := context.WithTimeout(ctx, storeLimit)
+		defer cancel()
+		list, err := joblog.ReadRows(limited, sta.owner.ports.Table, nums...)
+		sta.owner.post(ctx, func(sta *state[P], now time.Time) {
+			sta.watching = false
+			if err != nil {
+				storeErrors.Inc()
+				return
+			}
+			for pos, num := range nums {
+				// A row operation that began after this read knows better.
+				if slt := sta.slots[num]; slt.tenure == nil && !slt.ownership.Awaiting() {
+					slt.ownership.Observe(now, list[pos])
+				}
+			}
+		})
+	})
+}
+
+// decide lets the ownership of a partition act.
+func (sta *state[P]) decide(slt *slot[P], now time.Time) {
+	rank := sta.rank(slt.num)
+	if slt.tenure == nil && rank >= partition.Watchers {
+		return
+	}
+	if slt.jitter == 0 {
+		slt.jitter = time.Duration(sta.random.Int64N(int64(time.Second))) + 1
+	}
+	if ten := slt.tenure; ten != nil && ten.releasing && slt.ownership.Owns(now) {
+		sta.handOver(slt, now)
+		return
+	}
+	act := slt.ownership.Decide(now, rank, slt.jitter)
+	switch act.Kind() {
+	case partition.Acquire, partition.Renew:
+		sta.write(slt, act)
+	case partition.Lost:
+		sta.drop(slt, "lease ended")
+	case partition.Release:
+		sta.handOver(slt, now)
+	default:
+	}
+}
+
+// handOver gives a partition up when its last records are written. Only one
+// partition at a time is moved to a preferred owner.
+func (sta *state[P]) handOver(slt *slot[P], now time.Time) {
+	ten := slt.tenure
+	if ten == nil {
+		return
+	}
+	moving := slices.ContainsFunc(sta.slots, func(oth *slot[P]) bool {
+		return oth != slt && oth.tenure != nil && oth.tenure.releasing
+	})
+	if moving && !sta.stopping {
+		return
+	}
+	if !ten.releasing {
+		ten.releasing = true
+		sta.flush(slt, now)
+	}
+	if ten.part != nil && (ten.writing || len(ten.pending) > 0) {
+		return
+	}
+	if act := slt.ownership.BeginRelease(now); act.Kind() == partition.Release {
+		sta.write(slt, act)
+	}
+}
+
+// release starts to hand over all partitions and returns how many are still owned.
+func (sta *state[P]) release(now time.Time) int {
+	sta.stopping = true
+	owned := 0
+	for _, slt := range sta.slots {
+		slt.ownership.Stop()
+		sta.decide(slt, now)
+		if slt.tenure != nil || slt.ownership.Awaiting() {
+			owned++
+		}
+	}
+	return owned
+}
+
+// rowResult is the result of a row operation. A nil sighting with a nil error of
+// the read means that the store refused the write.
+type rowResult struct {
+	version   store.Version
+	committed bool
+	lost      bool // the answer to the write was lost
+	sighting  *partition.Sighting
+}
+
+// write makes the write of an ownership action and posts its result.
+func (sta *state[P]) write(slt *slot[P], act partition.Action) {
+	own, num := sta.owner, slt.num
+	own.store(func(ctx context.Context) {
+		res := writeRow(ctx, own.ports.Table, num, act)
+		own.post(ctx, func(sta *state[P], now time.Time) { sta.rowWritten(slt, res, now) })
+	})
+}
+
+func writeRow(ctx context.Context, tab store.Table, num int, act partition.Action) rowResult {
+	limited, cancel := context.WithTimeout(ctx, storeLimit)
+	res, err := joblog.WriteRow(limited, tab, num, act)
+	cancel()
+	rowWrites.Inc()
+	if err == nil && res.Committed() {
+		return rowResult{version: res.Version(), committed: true}
+	}
+	if errors.Is(err, store.ErrUnavailable) {
+		storeErrors.Inc()
+		return rowResult{}
+	}
+	return rowResult{lost: err != nil, sighting: readRow(ctx, tab, num)}
+}
+
+// readRow reads a row, with retries, because a lost answer to a renewal costs
+// the partition unless it is read back in time.
+func readRow(ctx context.Context, tab store.Table, num int) *partition.Sighting {
+	limited, cancel := context.WithTimeout(ctx, resolveLimit)
+	defer cancel()
+	tkr := time.NewTicker(WritePeriod)
+	defer tkr.Stop()
+	for {
+		list, err := joblog.ReadRows(limited, tab, num)
+		if err == nil {
+			return &list[0]
+		}
+		storeErrors.Inc()
+		select {
+		case <-tkr.C:
+		case <-limited.Done():
+			return nil
+		}
+	}
+}
+
+// rowWritten takes in the result of a row operation.
+func (sta *state[P]) rowWritten(slt *slot[P], res rowResult, now time.Time) {
+	own := slt.ownership
+	switch {
+	case res.committed:
+		sta.confirmed(slt, own.Written(now, res.version), now)
+	case res.lost && res.sighting != nil:
+		sta.confirmed(slt, own.Resolve(now, *res.sighting), now)
+	case own.Refused(now, res.sighting):
+		sta.drop(slt, "row changed")
+	}
+}
+
+func (sta *state[P]) confirmed(slt *slot[P], knd partition.ActionKind, now time.Time) {
+	switch knd {
+	case partition.Acquire:
+		slt.jitter = 0
+		sta.begin(slt, now)
+	case partition.Release:
+		releases.Inc()
+		sta.drop(slt, "released")
+	case partition.Lost:
+		sta.drop(slt, "row changed")
+	default:
+	}
+}
--- /dev/null
+++ b/io/owner/tenure.go
@@ -0,0 +1,218 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/job"
+	"jacinthpost/core/store"
+	"jacinthpost/io/joblog"
+)
+
+// tenure is the state of a partition while this process owns it in one epoch.
+type tenure[P job.Placement] struct {
+	log       *joblog.Log
+	part      *job.Partition[P] // nil until the log is replayed
+	cancel    context.CancelFunc
+	ctx       context.Context // ends with the tenure
+	pending   []job.Record    // not yet handed to the log
+	durable   uint64          // number of the last durable record
+	held      []held
+	waiting   map[job.Tag]func(eff job.Effect)
+	writing   bool
+	scheduled bool
+	writtenAt time.Time
+	unsaved   int // records since the last snapshot
+	saving    bool
+	releasing bool
+}
+
+// held is an action that waits for a record to become durable.
+type held struct {
+	after uint64
+	run   func()
+}
+
+// begin starts a tenure by reading the log.
+func (sta *state[P]) begin(slt *slot[P], _ time.Time) {
+	takeovers.Inc()
+	ctx, cancel := context.WithCancel(sta.owner.ctx)
+	slt.tenure = &tenure[P]{ctx: ctx, cancel: cancel, waiting: make(map[job.Tag]func(job.Effect))}
+	sta.open(slt, slt.tenure)
+}
+
+func (sta *state[P]) open(slt *slot[P], ten *tenure[P]) {
+	own, num, epoch, ver := sta.owner, slt.num, slt.ownership.Epoch(), slt.ownership.EpochVersion()
+	own.store(func(ctx context.Context) {
+		limited, cancel := context.WithTimeout(ten.ctx, storeLimit)
+		defer cancel()
+		log, recs, err := joblog.Open(limited, own.ports.Table, own.ports.Objects, num, epoch, ver)
+		own.post(ctx, func(sta *state[P], now time.Time) { sta.opened(slt, ten, log, recs, err, now) })
+	})
+}
+
+// opened replays the log and takes the running tasks over.
+func (sta *state[P]) opened(slt *slot[P], ten *tenure[P], log *joblog.Log, recs []job.Record, err error, now time.Time) {
+	if slt.tenure != ten {
+		return
+	}
+	if err != nil {
+		storeErrors.Inc()
+		if errors.Is(err, joblog.ErrFenced) {
+			sta.drop(slt, "fenced")
+			return
+		}
+		sta.owner.after(openRetry, func(sta *state[P], _ time.Time) {
+			if slt.tenure == ten {
+				sta.open(slt, ten)
+			}
+		})
+		return
+	}
+	ten.log, ten.part = log, job.New(sta.place(slt.num), job.DefaultLimits())
+	ten.part.Replay(recs)
+	ten.durable, ten.unsaved = ten.part.Recorded(), len(recs)
+	env := sta.env(slt, now)
+	sta.collect(slt, ten.part.Observe(env, sta.hints), now)
+	sta.collect(slt, ten.part.TakeOver(env, slt.ownership.Epoch()), now)
+	sta.collect(slt, ten.part.TakeOut(env, sta.takenOut), now)
+}
+
+// drop ends a tenure. Callers that wait are told that this process is not the owner.
+func (sta *state[P]) drop(slt *slot[P], reason string) {
+	ten := slt.tenure
+	if ten == nil {
+		return
+	}
+	dropped(reason).Inc()
+	slt.tenure = nil
+	ten.cancel()
+	for _, done := range ten.waiting {
+		done(nil)
+	}
+}
+
+// collect takes in the output of an event.
+func (sta *state[P]) collect(slt *slot[P], out *job.Output, now time.Time) {
+	ten := slt.tenure
+	ten.pending = append(ten.pending, out.Records()...)
+	for _, eff := range out.Effects() {
+		ten.hold(eff.After(), func() { sta.send(slt, ten, eff) })
+	}
+	sta.flush(slt, now)
+}
+
+// hold runs an action when a record is durable, at once if it is already.
+func (ten *tenure[P]) hold(after uint64, run func()) {
+	if after <= ten.durable {
+		run()
+		return
+	}
+	ten.held = append(ten.held, held{after: after, run: run})
+}
+
+// flush appends the pending records, now or when the period since the last write has passed.
+func (sta *state[P]) flush(slt *slot[P], now time.Time) {
+	ten := slt.tenure
+	if ten.writing || ten.scheduled || len(ten.pending) == 0 {
+		return
+	}
+	if wait := WritePeriod - now.Sub(ten.writtenAt); wait > 0 {
+		ten.scheduled = true
+		sta.owner.after(wait, func(sta *state[P], now time.Time) {
+			ten.scheduled = false
+			if slt.tenure == ten {
+				sta.flush(slt, now)
+			}
+		})
+		return
+	}
+	sta.append(slt, ten, now)
+}
+
+func (sta *state[P]) append(slt *slot[P], ten *tenure[P], now time.Time) {
+	batch := ten.pending
+	ten.pending, ten.writing, ten.writtenAt = nil, true, now
+	ten.unsaved += len(batch)
+	var snapshot []job.Record
+	if ten.unsaved >= joblog.SnapshotRecords && !ten.saving {
+		// The state holds exactly the records up to the end of this batch.
+		snapshot, ten.saving, ten.unsaved = ten.part.Snapshot(), true, 0
+	}
+	logWrites.Inc()
+	logRecords.Add(len(batch))
+	own, log := sta.owner, ten.log
+	own.store(func(ctx context.Context) {
+		err := log.Append(ten.ctx, batch)
+		next := log.Next()
+		own.post(ctx, func(sta *state[P], now time.Time) {
+			if slt.tenure != ten {
+				return
+			}
+			if err != nil {
+				sta.appendFailed(slt, ten, batch, snapshot != nil, err)
+				return
+			}
+			sta.appended(slt, ten, uint64(len(batch)), now)
+			if snapshot != nil {
+				sta.save(ten, snapshot, next)
+			}
+		})
+	})
+}
+
+// appended releases what waited for the records of a batch.
+func (sta *state[P]) appended(slt *slot[P], ten *tenure[P], records uint64, now time.Time) {
+	ten.writing = false
+	ten.durable += records
+	ready := ten.held
+	ten.held = nil
+	for pos, hld := range ready {
+		if hld.after > ten.durable {
+			ten.held = append(ten.held, ready[pos])
+			continue
+		}
+		hld.run()
+	}
+	sta.flush(slt, now)
+}
+
+// appendFailed keeps the records for another try if nothing was applied. Any
+// other failure ends the tenure, because the durable state is not known.
+func (sta *state[P]) appendFailed(slt *slot[P], ten *tenure[P], batch []job.Record, withSnapshot bool, err error) {
+	storeErrors.Inc()
+	if !errors.Is(err, store.ErrUnavailable) {
+		slt.ownership.Forfeit()
+		sta.drop(slt, "append failed")
+		return
+	}
+	ten.writing = false
+	ten.pending = append(batch, ten.pending...)
+	ten.unsaved -= len(batch)
+	if withSnapshot {
+		ten.saving, ten.unsaved = false, joblog.SnapshotRecords
+	}
+	sta.owner.after(WritePeriod, func(sta *state[P], now time.Time) {
+		if slt.tenure == ten {
+			sta.flush(slt, now)
+		}
+	})
+}
+
+// save stores a snapshot. If it fails, the next batch tries again.
+func (sta *state[P]) save(ten *tenure[P], recs []job.Record, next uint64) {
+	own, log := sta.owner, ten.log
+	own.store(func(ctx context.Context) {
+		err := log.Save(ten.ctx, recs, next)
+		snapshots.Inc()
+		own.post(ctx, func(*state[P], time.Time) {
+			ten.saving = false
+			if err != nil {
+				storeErrors.Inc()
+				ten.unsaved += joblog.SnapshotRecords
+			}
+		})
+	})
+}
