--- a/core/ledger/capacity.go
+++ b/core/ledger/capacity.go
@@ -43,7 +43,9 @@
 func (cpy Capacity) Total() resource.Vector { return cpy.total }
 
 // Reserve returns the resources set aside for requests.
-func (cpy Capacity) Reserve() resource.Vector { return scale(cpy.total, int64(cpy.reservePercent), 100) }
+func (cpy Capacity) Reserve() resource.Vector {
+	return scale(cpy.total, int64(cpy.reservePercent), 100)
+}
 
 // Tasks returns the resources that tasks can use.
 func (cpy Capacity) Tasks() resource.Vector { return cpy.total.Minus(cpy.Reserve()) }
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -247,12 +247,12 @@
 		run.running(tsk, now)
 		return run.extend(now)
 	}
-	fenced := ans.result.Refusal() == worker.RefusedDeadline || ans.result.Refusal() == worker.RefusedToken
-	if tsk.orders > 1 && !fenced {
-		// An earlier copy of the order can still be under way, and a stop fences it.
-		return run.stop(tsk, false, now)
+	knd := EndNotStarted
+	if ans.result.Refusal() == worker.RefusedIncarnation && tsk.orders > 1 {
+		// An earlier copy of the order can have reached the worker process before.
+		knd = EndLost
 	}
-	run.end(tsk, EndNotStarted, string(ans.result.Refusal())+": "+ans.result.Detail(), now)
+	run.end(tsk, knd, string(ans.result.Refusal())+": "+ans.result.Detail(), now)
 	return nil
 }
 
@@ -288,6 +288,11 @@
 			return run.start(tsk, now)
 		}
 	case Running:
+		if run.draining {
+			// It was found at the worker after the drain began.
+			efs, _ := run.Evict(tsk.ref, drainReason, now)
+			return efs
+		}
 		if !now.Before(tsk.leaseEnd.Add(-tsk.margin())) {
 			tsk.detail = "the lease was not renewed"
 			return run.stop(tsk, true, now)
--- /dev/null
+++ b/core/runner/runner_test.go
@@ -0,0 +1,305 @@
+package runner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/runner"
+	"jacinthpost/core/runner/workerfake"
+	"jacinthpost/core/token"
+	"jacinthpost/core/worker"
+	"jacinthpost/internal/proptest"
+)
+
+func TestRunner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if err := proptest.Setup(1000, 120); err != nil {
+		t.Fatal(err)
+	}
+	RunSpecs(t, "runner")
+}
+
+// Guards against overcommitment, two copies of a task, starts after a data centre
+// was taken out, and leaked reservations, under lost, late and reordered frames,
+// agent and worker restarts, takeovers and clock drift.
+var _ = It("keeps every invariant in random histories", func() {
+	rapid.Check(GinkgoT(), func(rt *rapid.T) {
+		wld := newWorld(rapid.IntRange(99, 101).Draw(rt, "rate"))
+		wld.smooth(rt, rapid.IntRange(0, 30).Draw(rt, "begin"))
+		rt.Repeat(wld.actions())
+		wld.settle(rt)
+	})
+})
+
+func (wld *world) actions() map[string]func(*rapid.T) {
+	job := rapid.SampledFrom([]string{"build-a", "build-b", "plan-c", "watch-d", "watch-e"})
+	return map[string]func(*rapid.T){
+		"": func(rt *rapid.T) { wld.check(rt) },
+		"pass": func(rt *rapid.T) {
+			wld.pass(time.Duration(rapid.SampledFrom([]int{1, 10, 200, 500, 1000, 3000, 14000}).Draw(rt, "millis")) * time.Millisecond)
+		},
+		"tick": func(*rapid.T) { wld.do(wld.run.Tick(wld.now)) },
+		"poll": func(*rapid.T) { wld.poll() },
+		"ask":  func(*rapid.T) { wld.ask() },
+		"smooth": func(rt *rapid.T) {
+			wld.offer(job.Draw(rt, "job"), rapid.Int64Range(1, 4000).Draw(rt, "size"))
+			wld.smooth(rt, rapid.IntRange(1, 20).Draw(rt, "steps"))
+		},
+		"offer": func(rt *rapid.T) { wld.offer(job.Draw(rt, "job"), rapid.Int64Range(1, 6000).Draw(rt, "size")) },
+		"frame": func(rt *rapid.T) {
+			if eff, found := pick(rt, &wld.effects); found {
+				wld.answers = append(wld.answers, wld.execute(rt, eff))
+			}
+		},
+		"answer": func(rt *rapid.T) {
+			if ans, found := pick(rt, &wld.answers); found {
+				ans()
+			}
+		},
+		"loseFrame": func(rt *rapid.T) {
+			if eff, found := pick(rt, &wld.effects); found {
+				wld.answers = append(wld.answers, wld.lose(eff))
+				wld.ghosts = append(wld.ghosts, eff)
+			}
+		},
+		"loseAnswer": func(rt *rapid.T) {
+			if eff, found := pick(rt, &wld.effects); found {
+				wld.execute(rt, eff)
+				wld.answers = append(wld.answers, wld.lose(eff))
+			}
+		},
+		"lateFrame": func(rt *rapid.T) {
+			if eff, found := pick(rt, &wld.ghosts); found {
+				wld.execute(rt, eff)
+			}
+		},
+		"finish": func(rt *rapid.T) {
+			if refs, _ := wld.wkr.Running(); len(refs) > 0 {
+				wld.wkr.Finish(rapid.SampledFrom(refs).Draw(rt, "task"), "result")
+			}
+		},
+		"stop": func(rt *rapid.T) {
+			if refs, _ := wld.wkr.Running(); len(refs) > 0 {
+				ref := rapid.SampledFrom(refs).Draw(rt, "task")
+				wld.do(wld.run.Stop(3, runner.NewOrder(ref, rapid.Bool().Draw(rt, "checkpoint"), "cancelled"), wld.now))
+			}
+		},
+		"evict": func(rt *rapid.T) {
+			if refs, _ := wld.wkr.Running(); len(refs) > 0 {
+				efs, _ := wld.run.Evict(rapid.SampledFrom(refs).Draw(rt, "task"), "noisy", wld.now)
+				wld.do(efs)
+			}
+		},
+		"allow":    func(*rapid.T) { wld.allowed, wld.refused = !wld.allowed, wld.now },
+		"takeOver": func(*rapid.T) { wld.takeOver() },
+		"adopted": func(*rapid.T) {
+			if wld.adoption != nil {
+				wld.adoption()
+			}
+		},
+		"faultOrRestart": func(rt *rapid.T) {
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			case 0:
+				wld.startAgent()
+			case 1:
+				wld.wkr.Restart()
+			case 2:
+				wld.wkr.SetFault(workerfake.Unavailable)
+			default:
+				wld.wkr.SetFault(workerfake.None)
+			}
+		},
+	}
+}
+
+// settle ends all faults, drains the agent and checks that nothing is left over.
+func (wld *world) settle(rt *rapid.T) {
+	wld.wkr.SetFault(workerfake.None)
+	wld.ghosts = nil
+	wld.do(wld.run.Drain(wld.now))
+	for range 40 {
+		wld.smooth(rt, 10)
+		wld.check(rt)
+	}
+	if refs, _ := wld.wkr.Running(); len(refs) > 0 || wld.run.Len() > 0 || wld.led.Tasks() > 0 {
+		rt.Fatalf("left over: %d running, %v, %d in the ledger", len(refs), wld.run.Tasks(), wld.led.Tasks())
+	}
+}
+
+// running returns a world with one running task.
+func running() (*world, worker.Ref) {
+	wld := newWorld(100)
+	wld.poll()
+	wld.pass(runner.StartWindow)
+	wld.poll()
+	wld.offer("build-a", 1000)
+	for range 3 {
+		wld.exchange(GinkgoT())
+	}
+	refs, _ := wld.wkr.Running()
+	Expect(refs).To(HaveLen(1))
+	return wld, refs[0]
+}
+
+// Guards against offers that are accepted in a state in which a start is wrong.
+var _ = DescribeTable("refuses an offer",
+	func(prepare func(wld *world), want outcome.Reason) {
+		wld := newWorld(100)
+		wld.poll()
+		wld.pass(runner.StartWindow)
+		wld.poll()
+		prepare(wld)
+		spc := runner.NewSpec(worker.NewRef("job", 0, token.New(1, 99)), 3, "1").WithResources(resource.New(100, 100, 0))
+		out, accepted, efs := wld.run.Offer(spc, wld.now)
+		Expect(accepted).To(BeFalse())
+		Expect(efs).To(BeEmpty())
+		Expect(out.Reason()).To(Equal(want))
+		Expect(wld.led.Tasks()).To(BeZero())
+	},
+	Entry("before the worker has reported", func(wld *world) { wld.startAgent() }, outcome.ReasonNotReady),
+	Entry("while start orders of the process before may be under way", func(wld *world) { wld.startAgent(); wld.poll() }, outcome.ReasonNotReady),
+	Entry("when the worker stopped reporting", func(wld *world) { wld.pass(runner.ReportLimit + 1) }, outcome.ReasonNotReady),
+	Entry("when starts are not allowed", func(wld *world) { wld.allowed = false }, outcome.ReasonDataCentreOut),
+	Entry("while draining", func(wld *world) { wld.run.Drain(wld.now) }, outcome.ReasonLeaving),
+	Entry("of an outdated owner", func(wld *world) { wld.run.Adopt(3, 2, "2", wld.now) }, outcome.ReasonFenced),
+)
+
+// Guards against a start that takes effect after its lease or after the start window.
+var _ = DescribeTable("a delayed start order",
+	func(delay time.Duration, starts int) {
+		wld := newWorld(100)
+		wld.poll()
+		wld.pass(runner.StartWindow)
+		wld.poll()
+		wld.offer("build-a", 1000)
+		wld.exchange(GinkgoT()) // the claim
+		Expect(wld.effects).To(HaveLen(1))
+		wld.pass(delay)
+		wld.exchange(GinkgoT())
+		Expect(wld.wkr.Starts()).To(HaveLen(starts))
+	},
+	Entry("starts within the window", runner.StartWindow/2, 1),
+	Entry("does not start after the window", runner.StartWindow, 0),
+	Entry("does not start after the lease", leaseTime, 0),
+)
+
+// Guards against a task that runs on after renewals stopped, and against one that
+// is stopped although its owner renews it.
+var _ = DescribeTable("a running task",
+	func(renews bool, want int) {
+		wld, ref := running()
+		for range 200 {
+			wld.pass(100 * time.Millisecond)
+			wld.do(wld.run.Tick(wld.now))
+			if renews {
+				wld.exchange(GinkgoT())
+			}
+			wld.effects = nil
+			if wld.now.UnixMilli()%1000 == 0 {
+				wld.poll()
+			}
+		}
+		refs, _ := wld.wkr.Running()
+		Expect(refs).To(HaveLen(want))
+		Expect(wld.led.Amount(ref).MilliCPU()).To(Equal(int64(1000 * want)))
+	},
+	Entry("goes on while it is renewed", true, 1),
+	Entry("ends with its lease and releases its resources", false, 0),
+)
+
+// Guards against a second copy, and against a task that is stopped for no reason,
+// when the owner changes while an answer of the former owner is under way.
+var _ = DescribeTable("a takeover",
+	func(prepare func(wld *world)) {
+		wld, _ := running()
+		prepare(wld)
+		wld.takeOver()
+		wld.adoption()
+		wld.exchange(GinkgoT())
+		wld.check(GinkgoT())
+		wld.smooth(GinkgoT(), 300)
+		wld.check(GinkgoT())
+		refs, _ := wld.wkr.Running()
+		Expect(refs).To(HaveLen(len(wld.current)))
+	},
+	Entry("while a renewal is not delivered", func(wld *world) {
+		wld.pass(runner.RenewPeriod)
+		wld.do(wld.run.Tick(wld.now))
+	}),
+	Entry("while the answer to a renewal is under way", func(wld *world) {
+		wld.pass(runner.RenewPeriod)
+		wld.do(wld.run.Tick(wld.now))
+		wld.answers = append(wld.answers, wld.execute(GinkgoT(), wld.effects[0]))
+		wld.effects = nil
+	}),
+	Entry("while a grant is under way", func(wld *world) {
+		wld.poll()
+		wld.offer("build-b", 1000)
+		wld.answers = append(wld.answers, wld.execute(GinkgoT(), wld.effects[0]))
+		wld.effects = nil
+	}),
+)
+
+// Guards against a start on resources that were given away while the claim was
+// under way, and against an owner that waits in vain for the end of the lease.
+var _ = It("does not start on an expired reservation and says so", func() {
+	wld, _ := running()
+	wld.offer("build-b", 5000)
+	answer := wld.execute(GinkgoT(), wld.effects[0])
+	wld.effects = nil
+	wld.smooth(GinkgoT(), int(runner.OfferLimit/(100*time.Millisecond)))
+	wld.offer("build-c", 5000)
+	answer()
+	wld.smooth(GinkgoT(), 10)
+	wld.check(GinkgoT())
+	Expect(wld.current["build-b"].end).To(Equal(runner.EndNotStarted))
+})
+
+// Guards against a new agent process that kills or forgets what the worker runs.
+var _ = It("takes over the tasks of an earlier agent process", func() {
+	wld, ref := running()
+	wld.startAgent()
+	wld.poll()
+	Expect(wld.led.Amount(ref).MilliCPU()).To(Equal(int64(1000)))
+	held, accepted := wld.run.Adopt(3, 2, "2", wld.now)
+	Expect(accepted).To(BeTrue())
+	Expect(held).To(HaveLen(1))
+	_, accepted = wld.run.Adopt(3, 1, "1", wld.now)
+	Expect(accepted).To(BeFalse(), "an outdated owner")
+	wld.epoch = 2
+	wld.do(wld.run.Tick(wld.now))
+	Expect(wld.effects).To(ContainElement(BeAssignableToTypeOf(runner.Renew{})), "renews at once")
+})
+
+// Guards against a result that is dropped before its owner has recorded it.
+var _ = It("repeats the end of a task until it is recorded and then forgets it", func() {
+	wld, ref := running()
+	Expect(wld.wkr.Finish(ref, "result")).To(BeTrue())
+	for lost := range 5 {
+		wld.pass(time.Second)
+		wld.poll()
+		wld.do(wld.run.Tick(wld.now))
+		for _, eff := range wld.effects {
+			if rpt, is := eff.(runner.Report); is && lost < 4 {
+				Expect(string(rpt.Ends()[0].Result())).To(Equal("result"), fmt.Sprint(lost))
+				wld.lose(rpt)()
+				wld.effects = nil
+			}
+		}
+	}
+	Expect(wld.run.Len()).To(Equal(1))
+	wld.exchange(GinkgoT())
+	Expect(wld.run.Len()).To(BeZero())
+	Expect(wld.known[ref].end).To(Equal(runner.EndFinished))
+	wld.exchange(GinkgoT()) // the order to forget
+	wld.pass(time.Second)
+	wld.poll()
+	Expect(wld.run.Tasks()).To(BeEmpty())
+})
--- a/core/runner/stop.go
+++ b/core/runner/stop.go
@@ -41,13 +41,15 @@
 	return []Effect{Throttle{ref: ref, percent: percent}}
 }
 
+const drainReason = "the instance is draining"
+
 // Drain refuses further offers and hands all tasks back to their owners. It is
 // done when Len returns zero.
 func (run *Runner) Drain(now time.Time) []Effect {
 	run.draining = true
 	var efs []Effect
 	for _, sta := range run.Tasks() {
-		add, _ := run.Evict(sta.ref, "the agent is stopping", now)
+		add, _ := run.Evict(sta.ref, drainReason, now)
 		efs = append(efs, add...)
 	}
 	return efs
