--- a/io/control/control.go
+++ b/io/control/control.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// Execute implements Executor.
+func (thr *Thread) Execute(ctx context.Context, work func(now time.Time)) error {
+	select {
+	case thr.queue <- work:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TryExecute implements Executor.
+func (thr *Thread) TryExecute(work func(now time.Time)) bool {
+	select {
+	case thr.queue <- work:
+		return true
+	default:
+		thr.rejected.Add(1)
+		return false
+	}
+}
+
 // Rejected returns how many events were refused because the queue was full.
 func (thr *Thread) Rejected() uint64 { return thr.rejected.Load() }
 
@@ -85,24 +106,11 @@
 
 // Post queues an event and waits for room until the context ends.
 func (lop *Loop[S]) Post(ctx context.Context, evt Event[S]) error {
-	select {
-	case lop.thread.queue <- lop.bind(evt):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return lop.thread.Execute(ctx, lop.bind(evt))
 }
 
 // TryPost queues an event if there is room and reports whether it did.
-func (lop *Loop[S]) TryPost(evt Event[S]) bool {
-	select {
-	case lop.thread.queue <- lop.bind(evt):
-		return true
-	default:
-		lop.thread.rejected.Add(1)
-		return false
-	}
-}
+func (lop *Loop[S]) TryPost(evt Event[S]) bool { return lop.thread.TryExecute(lop.bind(evt)) }
 
 // Rejected returns how many events TryPost refused on the thread.
 func (lop *Loop[S]) Rejected() uint64 { return lop.thread.Rejected() }
