--- a/io/config/service.go
+++ b/io/config/service.go
@@ -46,7 +46,7 @@
 	sta := &nod.state
 	peers := nod.peers()
 	pos := slices.IndexFunc(peers, func(per Peer) bool { return per.id == fleet.InstanceID(args.Instance) })
-	if pos < 0 || ticket.Number(args.Head) <= sta.config.Head() {
+	if sta.ctx == nil || pos < 0 || ticket.Number(args.Head) <= sta.config.Head() {
 		return // an unknown sender is no reason to open a connection
 	}
 	if sta.pulling {
