--- a/cmd/jacinthpost/job.go
+++ b/cmd/jacinthpost/job.go
@@ -85,7 +85,10 @@
 		spec.DeadlineAt = time.Now().Add(dur).UnixMilli()
 	}
 	raw, err := json.Marshal(spec)
-	return raw, errors.Wrap(err, "encode job")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode job")
+	}
+	return raw, nil
 }
 
 func submitJob(ctx context.Context, cmd *cli.Command, path string) error {
--- a/cmd/jacinthpost/main.go
+++ b/cmd/jacinthpost/main.go
@@ -32,7 +32,7 @@
 		fmt.Fprintln(os.Stderr, ended.Error())
 		os.Exit(ended.code)
 	}
-	fmt.Fprintln(os.Stderr, "jacinthpost:", err)
+	fmt.Fprintln(os.Stderr, "jacinthpost:", err.Error())
 	os.Exit(exitFailed)
 }
 
--- a/cmd/jacinthpost/output.go
+++ b/cmd/jacinthpost/output.go
@@ -99,7 +99,7 @@
 	}
 	buf.WriteByte('\n')
 	_, err := buf.WriteTo(out)
-	return errors.Wrap(err, "print")
+	return err
 }
 
 // argument returns a required argument.
@@ -114,9 +114,7 @@
 // readInput reads a file, or standard input for "-".
 func readInput(name string) ([]byte, error) {
 	if name == "-" {
-		raw, err := io.ReadAll(os.Stdin)
-		return raw, errors.Wrap(err, "read standard input")
+		return io.ReadAll(os.Stdin)
 	}
-	raw, err := os.ReadFile(name)
-	return raw, errors.Wrap(err, "read file")
+	return os.ReadFile(name)
 }
--- a/core/ticket/object.go
+++ b/core/ticket/object.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"jacinthpost/core/fleet"
@@ -47,6 +48,11 @@
 // IdempotentPaths returns a copy of the path prefixes whose requests may be repeated.
 func (svc Service) IdempotentPaths() []string { return slices.Clone(svc.idempotentPaths) }
 
+// Idempotent reports whether requests for the path may be repeated.
+func (svc Service) Idempotent(path string) bool {
+	return slices.ContainsFunc(svc.idempotentPaths, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+}
+
 func (svc Service) digest(dgr *digester) {
 	dgr.number(uint64(svc.slots))
 	dgr.number(uint64(svc.connections))
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -50,6 +50,18 @@
 	return req
 }
 
+// Service returns the service that the request is for.
+func (req Request) Service() fleet.Service { return req.service }
+
+// Customer returns the customer who sent the request.
+func (req Request) Customer() fleet.Customer { return req.customer }
+
+// Path returns the path at the endpoint.
+func (req Request) Path() string { return req.path }
+
+// Refused returns the answer to a request that is not run.
+func Refused(out outcome.Outcome) Answer { return Answer{outcome: out} }
+
 // Answer is the end of a service request.
 type Answer struct {
 	outcome   outcome.Outcome
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -289,3 +289,11 @@
 	State  string
 	Answer ServeReply
 }
+
+// ExplainArgs asks a process to describe itself.
+type ExplainArgs struct{}
+
+// ExplainReply holds the description, a line for each fact.
+type ExplainReply struct {
+	Lines []string
+}
--- /dev/null
+++ b/io/node/agentnode/agentnode.go
@@ -0,0 +1,148 @@
+// Package agentnode is the agent process: it owns the capacity of one instance,
+// serves requests at the endpoint beside it, runs tasks on its worker, and owns
+// partitions of jobs.
+package agentnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/intake"
+	"jacinthpost/core/job"
+	"jacinthpost/core/ledger"
+	"jacinthpost/core/partition"
+	"jacinthpost/io/agentstate"
+	"jacinthpost/io/control"
+	"jacinthpost/io/node"
+	"jacinthpost/io/owner"
+	"jacinthpost/io/serve"
+	"jacinthpost/io/taskhost"
+	"jacinthpost/io/worker"
+)
+
+const (
+	profilePeriod = 200 * time.Millisecond
+	headerTimeout = 5 * time.Second
+)
+
+// Agent is the role of an agent process.
+type Agent struct {
+	node   *node.Node
+	state  *agentstate.State
+	serve  *serve.Service
+	tasks  *taskhost.Host
+	owner  *owner.Owner[*job.Simple]
+	worker *worker.Client
+	life   context.Context // of the services; ends with Run
+	end    context.CancelFunc
+}
+
+// calls are the methods of the net/rpc service "Agent".
+type calls struct {
+	*serve.Service
+	*taskhost.Host
+	*explainer
+}
+
+// New connects the components of an agent.
+func New(nod *node.Node) *Agent {
+	set := nod.Settings()
+	agt := &Agent{node: nod, worker: worker.New(set.WorkerAddress())}
+	agt.life, agt.end = context.WithCancel(context.Background())
+	directory := newOwnerDirectory(nod.Table(), set.Partitions())
+	sit := &site{instance: set.Instance(), location: set.Location(), partitions: set.Partitions(), config: nod, owners: directory}
+	opt := intake.DefaultOptions().WithQueue(set.QueueLimit(), admit.CriticalFirst{})
+	agt.state = agentstate.New(sit, ledger.NewCapacity(ledger.DefaultReservePercent), opt)
+	loop := control.NewLoopOn(nod.Thread(), agt.state, func(sta *agentstate.State, _ time.Time) { sta.Publish() })
+	agt.serve = serve.New(agt.life, loop, newEndpoints(), nod.Incarnation(), nil)
+	agt.tasks = taskhost.New(agt.life, loop, agt.worker, nod.Pools().Jobs(), taskhost.NewIdentity(set.Instance(), nod.Incarnation()))
+	agt.owner = newOwner(nod)
+	nod.Server().Register("Agent", calls{Service: agt.serve, Host: agt.tasks, explainer: &explainer{agent: agt}})
+	nod.Server().Register("Owner", agt.owner.Service(agt.life))
+	return agt
+}
+
+func newOwner(nod *node.Node) *owner.Owner[*job.Simple] {
+	set := nod.Settings()
+	self := partition.NewIdentity(set.Instance(), nod.Incarnation(), set.PeerAddress())
+	cfg := owner.NewConfig(self, set.Partitions(), set.StoreRegion(), uint64(nod.Incarnation()))
+	prt := owner.Ports{
+		Table: nod.Table(), Objects: nod.Objects(), Caller: nod.Pools().Jobs(),
+		View: newMembers(nod.Gossip().View).view, Settings: ownerSettings{config: nod},
+	}
+	return owner.New(cfg, prt, func(int) *job.Simple { return &job.Simple{} })
+}
+
+// Run implements node.Role.
+func (agt *Agent) Run(ctx context.Context) error {
+	defer agt.end()
+	lsn, err := net.Listen("tcp", agt.node.Settings().LocalAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for the endpoint")
+	}
+	grp, ctx := errgroup.WithContext(ctx)
+	srv := &http.Server{Handler: agt.serve.Announcements(), ReadHeaderTimeout: headerTimeout}
+	grp.Go(func() error { return node.ServeHTTP(ctx, lsn, srv) })
+	grp.Go(func() error { agt.serve.Run(ctx); return nil })
+	grp.Go(func() error { agt.tasks.Run(ctx); return nil })
+	grp.Go(func() error { agt.owner.Run(ctx); return nil })
+	grp.Go(func() error { agt.updateProfile(ctx); return nil })
+	return grp.Wait()
+}
+
+// Stop implements node.Role. Requests in flight finish while the tasks are
+// checkpointed; the partitions go last, because the owners of the tasks, this
+// process among them, must record the ends first.
+func (agt *Agent) Stop(ctx context.Context) {
+	var wgr sync.WaitGroup
+	wgr.Go(func() { agt.warn("requests not drained", agt.serve.Drain(ctx)) })
+	wgr.Go(func() { agt.warn("tasks not handed back", agt.tasks.Drain(ctx)) })
+	wgr.Wait()
+	agt.warn("partitions not released", agt.owner.Release(ctx))
+}
+
+func (agt *Agent) warn(msg string, err error) {
+	if err != nil {
+		agt.node.Logger().Warn(msg, zap.Error(err))
+	}
+}
+
+// updateProfile tells the other processes which endpoint is beside this agent
+// and how much its tasks can use.
+func (agt *Agent) updateProfile(ctx context.Context) {
+	tkr := time.NewTicker(profilePeriod)
+	defer tkr.Stop()
+	last := agt.node.Profile()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tkr.C:
+			pro := agt.node.Profile()
+			vie := agt.state.View()
+			if vie.Ready() {
+				pro = pro.WithCapacity(vie.Capacity().Tasks())
+			}
+			if end := vie.Endpoint(); end.Present(now) && !end.Last().Leaving() {
+				pro = pro.WithService(end.Last().Service(), end.Last().Slots(), end.Last().Connections())
+			}
+			if pro.Equal(last) {
+				continue
+			}
+			if err := agt.node.Gossip().SetProfile(ctx, pro); err != nil {
+				agt.warn("profile not accepted", err)
+				continue
+			}
+			last = pro
+			agt.node.Logger().Info("profile changed", zap.String("service", string(pro.Service())), zap.Stringer("capacity", pro.Capacity()))
+		}
+	}
+}
--- /dev/null
+++ b/io/node/agentnode/members.go
@@ -0,0 +1,91 @@
+package agentnode
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/member"
+	"jacinthpost/core/ticket"
+	"jacinthpost/io/owner"
+)
+
+// members translates the membership for the owner role. The translation is
+// kept until the membership changes.
+type members struct {
+	source func() *member.View
+	last   atomic.Pointer[translation]
+}
+
+type translation struct {
+	source *member.View
+	result *owner.View
+}
+
+func newMembers(source func() *member.View) *members { return &members{source: source} }
+
+// view returns the members that are not dead.
+func (mbs *members) view() *owner.View {
+	src := mbs.source()
+	if tra := mbs.last.Load(); tra != nil && tra.source == src {
+		return tra.result
+	}
+	list := src.Select(func(mem member.Member) bool {
+		return mem.State() != member.StateDead && mem.Profile().Role() == member.RoleAgent
+	})
+	result := make([]owner.Member, 0, len(list))
+	for _, mem := range list {
+		result = append(result, translate(mem))
+	}
+	tra := &translation{source: src, result: owner.NewView(result)}
+	mbs.last.Store(tra)
+	return tra.result
+}
+
+var healthOf = map[member.State]job.Health{
+	member.StateAlive:   job.Alive,
+	member.StateSuspect: job.Suspect,
+	member.StateLeaving: job.Leaving,
+}
+
+func translate(mem member.Member) owner.Member {
+	pro := mem.Profile()
+	hol := job.NewHolder(mem.Instance(), mem.Version().Incarnation())
+	hint := job.NewInstance(hol, pro.Location(), pro.Capacity(), healthOf[mem.State()]).WithService(pro.Service())
+	return owner.NewMember(hint, string(pro.PeerAddress()), mem.State() == member.StateAlive)
+}
+
+// ownerSettings gives the owner role the part of the configuration that it needs.
+type ownerSettings struct {
+	config Configuration
+}
+
+// StartsAllowed implements owner.Settings.
+func (ose ownerSettings) StartsAllowed(dc fleet.DataCentre) bool {
+	return ose.config.Freshness().MayStartTasks(time.Now()) && !ose.config.State().DataCentreOut(dc)
+}
+
+// TakenOut implements owner.Settings.
+func (ose ownerSettings) TakenOut() []fleet.DataCentre {
+	sta := ose.config.State()
+	var out []fleet.DataCentre
+	for _, rec := range sta.Records("", sta.Len()) {
+		if dc, ok := rec.Object().(ticket.DataCentre); ok && dc.Out() {
+			out = append(out, fleet.DataCentre(rec.Key().Name()))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TaskLease implements owner.Settings. A class that survives outages of the
+// store has a lease longer by that time.
+func (ose ownerSettings) TaskLease(name fleet.JobClass) time.Duration {
+	cls, found := ose.config.State().JobClass(name)
+	if !found {
+		return 0
+	}
+	return max(cls.Lease(), cls.Outage())
+}
--- /dev/null
+++ b/io/node/agentnode/owners.go
@@ -0,0 +1,66 @@
+package agentnode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jacinthpost/core/store"
+	"jacinthpost/io/joblog"
+)
+
+const (
+	ownerLookupPeriod  = 2 * time.Second // between reads of one partition row
+	ownerLookupTimeout = time.Second
+)
+
+// ownerDirectory finds the owners of partitions for tasks that a restarted agent
+// finds at its worker. Owners also announce themselves by Adopt; this serves the
+// case that the owner has not noticed the restart. Lookups run in the background.
+type ownerDirectory struct {
+	table   store.Table
+	mu      sync.Mutex
+	entries []ownerEntry
+}
+
+type ownerEntry struct {
+	address string
+	asked   time.Time
+}
+
+func newOwnerDirectory(tab store.Table, partitions int) *ownerDirectory {
+	return &ownerDirectory{table: tab, entries: make([]ownerEntry, partitions)}
+}
+
+// Address implements Owners. It answers at once with what is known and reads
+// the row again when that is old.
+func (dir *ownerDirectory) Address(num int) (string, bool) {
+	dir.mu.Lock()
+	defer dir.mu.Unlock()
+	if num < 0 || num >= len(dir.entries) {
+		return "", false
+	}
+	ent := &dir.entries[num]
+	if now := time.Now(); now.Sub(ent.asked) > ownerLookupPeriod {
+		ent.asked = now
+		go dir.lookUp(num)
+	}
+	return ent.address, ent.address != ""
+}
+
+func (dir *ownerDirectory) lookUp(num int) {
+	ctx, cancel := context.WithTimeout(context.Background(), ownerLookupTimeout)
+	defer cancel()
+	list, err := joblog.ReadRows(ctx, dir.table, num)
+	if err != nil {
+		return
+	}
+	row := list[0].Row()
+	address := row.Owner().Address()
+	if row.Released() {
+		address = ""
+	}
+	dir.mu.Lock()
+	defer dir.mu.Unlock()
+	dir.entries[num].address = address
+}
--- /dev/null
+++ b/io/node/entrynode/entrynode.go
@@ -0,0 +1,181 @@
+// Package entrynode is the entry process: the HTTP interface for callers and
+// operators and the routing of service requests. It keeps nothing that must last.
+package entrynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/member"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/reqlog"
+	"jacinthpost/core/route"
+	"jacinthpost/core/ticket"
+	"jacinthpost/io/audit"
+	"jacinthpost/io/control"
+	"jacinthpost/io/entry"
+	"jacinthpost/io/groupcommit"
+	"jacinthpost/io/message"
+	"jacinthpost/io/node"
+	"jacinthpost/io/owner"
+	"jacinthpost/io/web"
+)
+
+const (
+	// directoryPeriod bounds how long a change of membership or configuration
+	// stays without effect on routing. The agents refuse meanwhile.
+	directoryPeriod = 100 * time.Millisecond
+	// readinessGrace is the time for the balancer to see that the entry leaves
+	// before it refuses new connections.
+	readinessGrace = 2 * time.Second
+)
+
+// Entry is the role of an entry process.
+type Entry struct {
+	node      *node.Node
+	requests  *entry.Requests[route.TwoChoices]
+	rows      *groupcommit.Committer
+	directory control.Snapshot[entry.Directory]
+	routing   *control.Loop[routing]
+	server    *http.Server
+}
+
+// routing is the control state of the entry.
+type routing struct {
+	builder directoryBuilder
+	members *member.View
+	head    ticket.Number
+	built   bool
+}
+
+// New connects the components of an entry.
+func New(nod *node.Node) *Entry {
+	ent := &Entry{node: nod, rows: groupcommit.New(nod.Table())}
+	ent.routing = control.NewLoopOn(nod.Thread(), &routing{}, nil)
+	ids := &requestIDs{entry: nod.Settings().Instance(), incarnation: nod.Incarnation()}
+	ent.requests = entry.NewRequests[route.TwoChoices](entry.Ports{
+		Caller: nod.Pools().Requests(), Rows: ent.rows, Objects: nod.Objects(), Directory: ent.directory.Load, NextID: ids.next,
+	})
+	jobs := owner.NewClient(nod.Table(), nod.Pools().Jobs(), nod.Settings().Partitions())
+	ent.server = web.NewServer(web.NewHandler(web.Ports{
+		Requests:      admission{requests: ent.requests, config: nod},
+		Jobs:          jobClient{client: jobs, config: nod},
+		Configuration: nod,
+		Fleet:         nod,
+		Audit:         audit.NewTrail(nod.Table()),
+		Explain:       explainer{node: nod, jobs: jobs},
+		Timeout:       nod.Settings().RequestTimeout(),
+	}))
+	return ent
+}
+
+// Run implements node.Role.
+func (ent *Entry) Run(ctx context.Context) error {
+	lsn, err := net.Listen("tcp", ent.node.Settings().CallerAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	grp, ctx := errgroup.WithContext(ctx)
+	grp.Go(func() error { return node.ServeHTTP(ctx, lsn, ent.server) })
+	grp.Go(func() error { ent.rows.Run(ctx); return nil })
+	grp.Go(func() error {
+		control.Tick(ctx, ent.routing, directoryPeriod, func() control.Event[routing] { return control.Func[routing](ent.rebuild) })
+		return nil
+	})
+	return grp.Wait()
+}
+
+// rebuild replaces the directory when membership or configuration has changed.
+func (ent *Entry) rebuild(sta *routing, _ time.Time) {
+	vie := ent.node.Gossip().View()
+	cfg := ent.node.State()
+	if sta.built && sta.members == vie && sta.head == cfg.Head() {
+		return
+	}
+	sta.members, sta.head, sta.built = vie, cfg.Head(), true
+	ent.directory.Publish(sta.builder.build(ent.node.Settings().Location(), vie.Usable(), cfg))
+}
+
+// Stop implements node.Role. Answers ask callers to close their connections
+// while the balancer learns that the entry leaves; then no connection is
+// accepted and requests in flight finish.
+func (ent *Entry) Stop(ctx context.Context) {
+	ent.server.SetKeepAlivesEnabled(false)
+	tmr := time.NewTimer(readinessGrace)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+	if err := ent.server.Shutdown(ctx); err != nil {
+		ent.node.Logger().Warn("requests not drained", zap.Error(err))
+	}
+}
+
+// admission applies the settings of customers before a request is routed.
+type admission struct {
+	requests web.Requests
+	config   web.Configuration
+}
+
+// Serve implements web.Requests.
+func (adm admission) Serve(ctx context.Context, req entry.Request) entry.Answer {
+	if cus, known := adm.config.State().Customer(req.Customer()); known && !cus.Active() {
+		return entry.Refused(outcome.NotRun(outcome.ReasonAdmission, "customer "+string(req.Customer())+" is not active"))
+	}
+	return adm.requests.Serve(ctx, adm.defaults(req))
+}
+
+// defaults marks a request idempotent when the service says so for its path.
+func (adm admission) defaults(req entry.Request) entry.Request {
+	svc, known := adm.config.State().Service(req.Service())
+	if known && svc.Idempotent(req.Path()) {
+		return req.Idempotent()
+	}
+	return req
+}
+
+// jobClient adapts the client of the partition owners to the HTTP interface.
+type jobClient struct {
+	client *owner.Client
+	config web.Configuration
+}
+
+// Submit implements web.Jobs.
+func (jcl jobClient) Submit(ctx context.Context, spec message.JobSpec) message.JobReply {
+	cus, known := jcl.config.State().Customer(fleet.Customer(spec.Customer))
+	if known && !cus.Active() {
+		return message.JobReply{Outcome: outcome.KindNotRun.String(), Reason: string(outcome.ReasonAdmission), Detail: "customer " + spec.Customer + " is not active"}
+	}
+	return jcl.client.Submit(ctx, spec)
+}
+
+// Cancel implements web.Jobs.
+func (jcl jobClient) Cancel(ctx context.Context, id string) message.JobReply {
+	return jcl.client.Cancel(ctx, job.ID(id))
+}
+
+// Status implements web.Jobs.
+func (jcl jobClient) Status(ctx context.Context, id string) message.JobReply {
+	return jcl.client.Status(ctx, job.ID(id))
+}
+
+// requestIDs numbers the requests of this process.
+type requestIDs struct {
+	entry       fleet.InstanceID
+	incarnation fleet.Incarnation
+	counter     atomic.Uint64
+}
+
+func (ids *requestIDs) next() string {
+	return reqlog.NewID(ids.entry, ids.incarnation, ids.counter.Add(1)).String()
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -128,8 +128,9 @@
 	nod.gossip, err = gossip.New(set, con, nod.table, nod.thread)
 	if err != nil {
 		_ = con.Close()
+		return errors.Wrap(err, "join membership")
 	}
-	return errors.Wrap(err, "join membership")
+	return nil
 }
 
 // Profile returns the description of this process without an endpoint.
@@ -244,7 +245,9 @@
 	}
 	grp.Go(func() error { nod.thread.Run(ctx); return nil })
 	grp.Go(func() error { return nod.server.Serve(ctx, lsn) })
-	grp.Go(func() error { return ServeHTTP(ctx, mtr, &http.Server{Handler: telemetry.Handler(&nod.health), ReadHeaderTimeout: headerTimeout}) })
+	grp.Go(func() error {
+		return ServeHTTP(ctx, mtr, &http.Server{Handler: telemetry.Handler(&nod.health), ReadHeaderTimeout: headerTimeout})
+	})
 	grp.Go(func() error { return nod.gossip.Run(ctx) })
 	grp.Go(func() error { nod.config.Run(ctx); return nil })
 	grp.Go(func() error { nod.recorder.Run(ctx); return nil })
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -62,7 +62,10 @@
 
 // Decode reads the body into a value.
 func (ans Answer) Decode(value any) error {
-	return errors.Wrap(json.Unmarshal(ans.body, value), "decode answer of the entry")
+	if err := json.Unmarshal(ans.body, value); err != nil {
+		return errors.Wrap(err, "decode answer of the entry")
+	}
+	return nil
 }
 
 // Refusal is the common part of answers that are not successful.
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -7,6 +7,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -126,3 +127,12 @@
 
 // LogLevel returns debug, info, warn or error.
 func (set Settings) LogLevel() string { return set.doc.LogLevel }
+
+// Encode returns the settings as JSON with defaults filled in.
+func (set Settings) Encode() []byte {
+	raw, err := json.Marshal(set.doc)
+	if err != nil {
+		panic("settings: encode plain fields: " + err.Error())
+	}
+	return raw
+}
--- a/io/web/input.go
+++ b/io/web/input.go
@@ -95,11 +95,11 @@
 	return nil
 }
 
-// timeoutOf reads the caller's timeout.
-func timeoutOf(req *http.Request) (time.Duration, error) {
+// timeoutOf reads the caller's timeout; absent means the fallback.
+func timeoutOf(req *http.Request, fallback time.Duration) (time.Duration, error) {
 	txt := req.Header.Get(headerTimeoutMillis)
 	if txt == "" {
-		return DefaultTimeout, nil
+		return fallback, nil
 	}
 	millis, err := strconv.ParseInt(txt, 10, 64)
 	limit := MaxTimeout.Milliseconds()
--- a/io/web/requests.go
+++ b/io/web/requests.go
@@ -17,13 +17,13 @@
 	Serve(ctx context.Context, req entry.Request) entry.Answer
 }
 
-func registerRequests(mux *http.ServeMux, rqs Requests) {
+func registerRequests(mux *http.ServeMux, rqs Requests, timeout time.Duration) {
 	mux.HandleFunc("POST /v1/services/{service}/requests", func(rw http.ResponseWriter, req *http.Request) {
 		body, ok := readBody(rw, req, RequestBodyLimit)
 		if !ok {
 			return
 		}
-		svcReq, err := serviceRequest(req, body)
+		svcReq, err := serviceRequest(req, body, timeout)
 		if err != nil {
 			refuse(rw, http.StatusBadRequest, err.Error())
 			return
@@ -33,13 +33,13 @@
 }
 
 // serviceRequest translates an HTTP request or explains what is wrong with it.
-func serviceRequest(req *http.Request, body []byte) (entry.Request, error) {
+func serviceRequest(req *http.Request, body []byte, fallback time.Duration) (entry.Request, error) {
 	none := entry.Request{}
 	service := req.PathValue("service")
 	if !validName(service) {
 		return none, fmt.Errorf("service name of 1 to %d printable characters expected", NameLimit)
 	}
-	timeout, err := timeoutOf(req)
+	timeout, err := timeoutOf(req, fallback)
 	if err != nil {
 		return none, err
 	}
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -7,6 +7,7 @@
 package web
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -42,16 +43,21 @@
 	Fleet Fleet
 	// Audit lists the audit trail.
 	Audit Audit
+	// Explain explains decisions.
+	Explain Explain
+	// Timeout is the time of a request whose caller names none.
+	Timeout time.Duration
 }
 
 // NewHandler returns the handler of the whole interface.
 func NewHandler(prt Ports) http.Handler {
 	mux := http.NewServeMux()
-	registerRequests(mux, prt.Requests)
+	registerRequests(mux, prt.Requests, cmp.Or(prt.Timeout, DefaultTimeout))
 	registerJobs(mux, prt.Jobs)
 	registerConfiguration(mux, prt.Configuration)
 	registerFleet(mux, prt.Fleet)
 	registerAudit(mux, prt.Audit)
+	registerExplain(mux, prt.Explain)
 	ngr := negroni.New(negroni.HandlerFunc(countCalls), negroni.HandlerFunc(refuseRepeatedHeaders))
 	ngr.UseHandler(mux)
 	return ngr
