Test tickets, states and freshness

Cause: conflict rules and freshness decide whether a change is lost or ignored. Change: outcome, validation and freshness tables; rapid property over prefixes.

--- /dev/null
+++ b/core/ticket/ticket_test.go
@@ -0,0 +1,224 @@
+package ticket_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"jacinthpost/core/resource"
+	"jacinthpost/core/ticket"
+)
+
+func TestTicket(t *testing.T) {
+	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	if seeds, err := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS")); err == nil {
+		Expect(flag.Set("rapid.checks", strconv.Itoa(100*seeds))).To(Succeed())
+	}
+	RunSpecs(t, "ticket")
+}
+
+var (
+	settings  = map[string]string{"plan": "gold"}
+	customer  = ticket.NewCustomer(true, "team-a", settings)
+	cancelled = ticket.NewCustomer(false, "team-a", settings)
+	forgotten = ticket.NewCustomer(false, "team-a", nil)
+)
+
+func file(num ticket.Number, changes ...ticket.Change) ticket.Ticket {
+	return ticket.New(num, "operator", "change", changes...)
+}
+
+func change(name string, base ticket.Number, obj ticket.Object) ticket.Change {
+	return ticket.NewChange(name, base, obj)
+}
+
+// twoTickets has a customer at version 1 and an endpoint at version 2.
+func twoTickets() ticket.State {
+	sta, _ := ticket.State{}.Apply(file(1, change("cus", 0, customer)))
+	sta, _ = sta.Apply(file(2, change("end", 0, ticket.NewEndpoint(true))))
+	return sta
+}
+
+// Guards against tickets that overwrite what their author has not seen.
+var _ = DescribeTable("Apply", func(tic ticket.Ticket, want ticket.OutcomeKind, check func(out ticket.Outcome)) {
+	before := twoTickets()
+	after, out := before.Apply(tic)
+	Expect(out.Kind()).To(Equal(want))
+	if want != ticket.OutcomeAccepted {
+		Expect(after).To(Equal(before), "a refused ticket changes nothing")
+	}
+	if check != nil {
+		check(out)
+	}
+},
+	Entry("next number", file(3, change("end", 2, ticket.NewEndpoint(false))), ticket.OutcomeAccepted,
+		func(out ticket.Outcome) { Expect(out.Next()).To(Equal(ticket.Number(4))) }),
+	Entry("repeated", file(1, change("cus", 0, customer)), ticket.OutcomeSame, nil),
+	Entry("same number, other content", file(1, change("cus", 0, cancelled)), ticket.OutcomeConflict,
+		func(out ticket.Outcome) {
+			Expect(out.Ticket().Same(file(1, change("cus", 0, customer)))).To(BeTrue())
+		}),
+	Entry("gap", file(4, change("new", 0, customer)), ticket.OutcomeGap,
+		func(out ticket.Outcome) { Expect(out.Next()).To(Equal(ticket.Number(3))) }),
+	Entry("wrong base", file(3, change("cus", 0, cancelled)), ticket.OutcomeWrongBase,
+		func(out ticket.Outcome) { Expect(out.Current()).To(Equal(ticket.Number(1))) }),
+	Entry("base of a missing object", file(3, change("new", 1, customer)), ticket.OutcomeWrongBase, nil),
+	Entry("one wrong base of two", file(3, change("end", 2, ticket.NewEndpoint(false)), change("cus", 2, cancelled)), ticket.OutcomeWrongBase, nil),
+	Entry("cancellation with its settings", file(3, change("cus", 1, cancelled)), ticket.OutcomeAccepted, nil),
+	Entry("cancellation that drops settings", file(3, change("cus", 1, forgotten)), ticket.OutcomeInvalid, nil),
+	Entry("no changes", file(3), ticket.OutcomeInvalid, nil),
+)
+
+// Guards against input that every node would have to carry.
+var _ = DescribeTable("Validate names the fault", func(tic ticket.Ticket, path string) {
+	var paths []string
+	for _, flt := range ticket.Validate(tic) {
+		paths = append(paths, flt.Path())
+		Expect(len(flt.String())).To(BeNumerically("<", 600))
+	}
+	Expect(paths).To(ConsistOf(path))
+},
+	Entry("number", file(0, change("cus", 0, customer)), "number"),
+	Entry("author", ticket.New(1, "a b", "r", change("cus", 0, customer)), "author"),
+	Entry("reason", ticket.New(1, "a", " ", change("cus", 0, customer)), "reason"),
+	Entry("huge reason", ticket.New(1, "a", strings.Repeat("x", 2000), change("cus", 0, customer)), "reason"),
+	Entry("object twice", file(1, change("cus", 0, customer), change("cus", 0, cancelled)), "changes[1].name"),
+	Entry("no object", file(1, change("cus", 0, nil)), "changes[0].kind"),
+	Entry("name with a slash", file(1, change("a/b", 0, customer)), "changes[0].name"),
+	Entry("base not below the number", file(1, change("cus", 1, customer)), "changes[0].baseVersion"),
+	Entry("no slots", file(1, change("svc", 0, ticket.NewService(0, 1, time.Second))), "changes[0].state.slots"),
+	Entry("negative timeout", file(1, change("svc", 0, ticket.NewService(1, 1, -1))), "changes[0].state.defaultTimeoutMillis"),
+	Entry("relative path", file(1, change("svc", 0, ticket.NewService(1, 1, time.Second, "a"))), "changes[0].state.idempotentPaths[0]"),
+	Entry("negative resources", file(1, change("cls", 0, ticket.NewJobClass(resource.New(1, -1, 0), time.Minute, 0, true))), "changes[0].state.resources"),
+	Entry("lease without end", file(1, change("cls", 0, ticket.NewJobClass(resource.New(1, 1, 0), math.MaxInt64, 0, true))), "changes[0].state.leaseMillis"),
+	Entry("out without reason", file(1, change("dc", 0, ticket.NewDataCentre(true, ""))), "changes[0].state.reason"),
+	Entry("rate not a number", file(1, change("svc", 0, ticket.NewAdmission(1, math.NaN(), 0))), "changes[0].state.customerRate"),
+	Entry("share above one", file(1, change("tea", 0, ticket.NewTeam(1.5, 0, 0, true))), "changes[0].state.cpuShare"),
+	Entry("team with a space", file(1, change("cus", 0, ticket.NewCustomer(true, "a b", nil))), "changes[0].state.team"),
+	Entry("too many changes", file(1, make([]ticket.Change, 1000)...), "changes"),
+)
+
+// Guards against content that shares a digest and is taken for a repetition.
+var _ = It("Digest depends on every field", func() {
+	objects := []ticket.Object{
+		customer, cancelled, forgotten, ticket.NewCustomer(true, "team-b", settings),
+		ticket.NewEndpoint(true), ticket.NewEndpoint(false), ticket.NewDataCentre(false, ""), ticket.NewDataCentre(true, "x"),
+		ticket.NewService(1, 2, time.Second), ticket.NewService(2, 1, time.Second), ticket.NewService(1, 2, time.Second, "/ab"),
+		ticket.NewService(1, 2, time.Second, "/a", "/b"), ticket.NewAdmission(1, 2, 0), ticket.NewAdmission(1, 0, 0.5),
+		ticket.NewTeam(1, 0, 0, false), ticket.NewTeam(0, 1, 0, false), ticket.NewTeam(0, 0, 1, false), ticket.NewTeam(1, 0, 0, true),
+		ticket.NewJobClass(resource.New(1, 1, 0), time.Minute, 0, true), ticket.NewJobClass(resource.New(1, 1, 0), time.Minute, time.Hour, true),
+	}
+	seen := make(map[ticket.Digest]string)
+	for idx, obj := range objects {
+		for _, tic := range []ticket.Ticket{file(1, change("a", 0, obj)), file(2, change("a", 0, obj)), file(2, change("a", 1, obj)),
+			file(1, change("b", 0, obj)), ticket.New(1, "other", "change", change("a", 0, obj)), ticket.New(1, "operator", "other", change("a", 0, obj))} {
+			Expect(seen).NotTo(HaveKey(tic.Digest()), "object %d", idx)
+			seen[tic.Digest()] = ""
+		}
+	}
+})
+
+// sequence draws a valid ticket sequence over a few objects, and the state after each prefix.
+func sequence(rt *rapid.T) ([]ticket.Ticket, []ticket.State) {
+	states := []ticket.State{{}}
+	var tickets []ticket.Ticket
+	for num := range rapid.IntRange(1, ticket.HistoryLimit+40).Draw(rt, "tickets") {
+		sta := states[len(states)-1]
+		name := fmt.Sprintf("end-%d", rapid.IntRange(0, 5).Draw(rt, "name"))
+		_, base := sta.Object(ticket.NewKey(ticket.KindEndpoint, name))
+		tic := file(ticket.Number(num+1), change(name, base, ticket.NewEndpoint(rapid.Bool().Draw(rt, "draining"))))
+		next, out := sta.Apply(tic)
+		if !out.InForce() {
+			rt.Fatalf("ticket %d: %v", num+1, out.Kind())
+		}
+		tickets, states = append(tickets, tic), append(states, next)
+	}
+	return tickets, states
+}
+
+func expectSameState(rt *rapid.T, got, want ticket.State) {
+	if got.Head() != want.Head() || fmt.Sprint(got.Records("", 100)) != fmt.Sprint(want.Records("", 100)) {
+		rt.Fatalf("head %d: state is not the one after ticket %d", got.Head(), want.Head())
+	}
+}
+
+// Guards against mixtures of two configurations after a list read during changes, and against heads that go back.
+var _ = It("states are always those after some ticket", func() {
+	rapid.Check(GinkgoT(), func(rt *rapid.T) {
+		tickets, states := sequence(rt)
+		last := len(tickets)
+		base := rapid.IntRange(0, last).Draw(rt, "base")
+		seen := rapid.IntRange(base, last).Draw(rt, "seen")
+		// Each object is listed at some moment between the two reads of the head.
+		var records []ticket.Record
+		for idx := range 6 {
+			key := ticket.NewKey(ticket.KindEndpoint, fmt.Sprintf("end-%d", idx))
+			at := rapid.IntRange(base, seen).Draw(rt, "listed")
+			if obj, ver := states[at].Object(key); ver > 0 {
+				records = append(records, ticket.NewRecord(key, ver, obj))
+			}
+		}
+		got, whole := ticket.RestoreSince(ticket.Number(base), records, tickets[base:seen])
+		if !whole {
+			rt.Fatalf("not whole")
+		}
+		expectSameState(rt, got, states[seen])
+		for range 20 { // tickets in any order, repeated
+			next, _ := got.Apply(tickets[rapid.IntRange(0, last-1).Draw(rt, "ticket")])
+			if next.Head() < got.Head() {
+				rt.Fatalf("head went back")
+			}
+			got = next
+			expectSameState(rt, got, states[got.Head()])
+		}
+		since, kept := got.Since(ticket.Number(base), 1000)
+		if kept != (int(got.Head())-base <= ticket.HistoryLimit) || (kept && len(since) != int(got.Head())-base) {
+			rt.Fatalf("history after %d: %d tickets, kept %v", base, len(since), kept)
+		}
+	})
+})
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against work that goes on although a ticket may have forbidden it, and
+// against requests refused for hours because the store is down (section 6.6).
+var _ = DescribeTable("Freshness", func(answers []ticket.Confirmation, after time.Duration, tasks, requests bool) {
+	var fre ticket.Freshness
+	for _, con := range answers {
+		fre = fre.Observe(con)
+	}
+	now := start.Add(after)
+	Expect([]bool{fre.MayStartTasks(now), fre.MayAdmitRequests(now)}).To(Equal([]bool{tasks, requests}))
+},
+	Entry("never confirmed", nil, time.Second, false, false),
+	Entry("confirmed", answers(confirmed(0, 0)), 2499*time.Millisecond, true, true),
+	Entry("stale, no reader reachable", answers(confirmed(0, 0)), 2500*time.Millisecond, false, false),
+	Entry("age of the answer counts", answers(confirmed(0, 2*time.Second)), 500*time.Millisecond, false, false),
+	Entry("an older answer that arrives late changes nothing", answers(confirmed(3*time.Second, 0), confirmed(0, 0)), 5*time.Second, true, true),
+	Entry("a negative age counts as none", answers(confirmed(0, -time.Hour)), 2500*time.Millisecond, false, false),
+	Entry("stale, store reported down", answers(confirmed(0, 0), down(time.Hour, time.Hour)), time.Hour+time.Second, false, true),
+	Entry("the report itself is too old", answers(confirmed(0, 0), down(0, 0)), 2500*time.Millisecond, false, false),
+	Entry("stale reader that reports nothing", answers(confirmed(0, 0), ticket.NewUnconfirmed(start.Add(9*time.Second))), 10*time.Second, false, false),
+	Entry("store down, but nothing was ever confirmed", answers(down(0, 0)), time.Second, false, false),
+	Entry("store back", answers(confirmed(0, 0), down(8*time.Second, time.Second), confirmed(9*time.Second, 0)), 10*time.Second, true, true),
+)
+
+func answers(list ...ticket.Confirmation) []ticket.Confirmation { return list }
+
+func confirmed(at, age time.Duration) ticket.Confirmation {
+	return ticket.NewConfirmation(start.Add(at), age)
+}
+
+func down(at, since time.Duration) ticket.Confirmation {
+	return ticket.NewUnconfirmed(start.Add(at)).WithStoreDown(since)
+}
--- a/core/ticket/validate.go
+++ b/core/ticket/validate.go
@@ -135,7 +135,10 @@
 	chk.text("reason", tic.reason, MaxReasonLength, true)
 	chk.between("changes", len(tic.changes), 1, MaxChanges)
 	seen := make(map[Key]bool)
-	for idx, chg := range tic.changes[:min(len(tic.changes), MaxChanges)] {
+	if len(tic.changes) > MaxChanges {
+		return chk.faults // listing the faults of each would cost more than the ticket may
+	}
+	for idx, chg := range tic.changes {
 		chk.path = fmt.Sprintf("changes[%d].", idx)
 		chk.require(!seen[chg.Key()], "name", chg.name, "each object at most once in a ticket")
 		seen[chg.Key()] = true
--- a/io/config/codec.go
+++ b/io/config/codec.go
@@ -188,6 +188,14 @@
 	return obj, nil
 }
 
+// wrapped adds context to an error. Unlike errors.Wrap it keeps nil.
+func wrapped(err error, context string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, context)
+}
+
 func excerpt(txt string) string { return txt[:min(len(txt), 200)] }
 
 // EncodeTicket encodes a ticket with its number.
@@ -202,13 +210,13 @@
 			BaseVersion: uint64(chg.Base()), State: raw})
 	}
 	raw, err := json.Marshal(bod)
-	return raw, errors.Wrap(err, "encode ticket")
+	return raw, wrapped(err, "encode ticket")
 }
 
 // EncodeObject encodes the state of an object; null for none.
 func EncodeObject(obj ticket.Object) (json.RawMessage, error) {
 	raw, err := json.Marshal(bodyOf(obj))
-	return raw, errors.Wrap(err, "encode object")
+	return raw, wrapped(err, "encode object")
 }
 
 func bodyOf(obj ticket.Object) any {
@@ -257,7 +265,7 @@
 	}
 	body, err := json.Marshal(objectBody{Kind: string(rec.Key().Kind()), Name: rec.Key().Name(),
 		Version: uint64(rec.Version()), State: raw})
-	return body, errors.Wrap(err, "encode record")
+	return body, wrapped(err, "encode record")
 }
 
 func decodeRecord(raw []byte) (ticket.Record, error) {
--- a/io/config/filer.go
+++ b/io/config/filer.go
@@ -176,7 +176,7 @@
 	limited, cancel := context.WithTimeout(ctx, fileTimeout)
 	defer cancel()
 	res, err := fil.table.Commit(limited, txn)
-	return res, errors.Wrap(err, "commit ticket")
+	return res, wrapped(err, "commit ticket")
 }
 
 func (fil *Filer) transaction(vie rowView, tic ticket.Ticket) (*store.Transaction, error) {
--- a/io/config/rounds.go
+++ b/io/config/rounds.go
@@ -205,7 +205,7 @@
 func (org peerOrigin) call(ctx context.Context, method string, args, reply any) error {
 	limited, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return errors.Wrapf(org.node.caller.Call(limited, org.peer.address, method, args, reply), "call %s of %s", method, org.peer.id)
+	return wrapped(org.node.caller.Call(limited, org.peer.address, method, args, reply), "call "+method+" of "+string(org.peer.id))
 }
 
 func (org peerOrigin) pull(ctx context.Context, have ticket.Number) (PullReply, error) {
--- a/io/config/rows.go
+++ b/io/config/rows.go
@@ -113,6 +113,11 @@
 	return records, rows[len(rows)-1].Key(), nil
 }
 
+// Load reads the whole configuration from the table, for example for an operator command.
+func Load(ctx context.Context, tab store.Table) (ticket.State, error) {
+	return load(ctx, tableOrigin{tab})
+}
+
 // load reads the whole configuration from its objects instead of replaying every
 // ticket. Tickets accepted meanwhile are replayed on top, so that the result is
 // the configuration after some ticket and never a mixture.
