--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 )
 
 func TestLease(t *testing.T) {
+	NewWithT(t).Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "lease")
 }
--- a/io/joblog/format.go
+++ b/io/joblog/format.go
@@ -178,6 +178,8 @@
 
 func decodeBatch(value []byte) (batchRow, error) {
 	var bat batchRow
-	err := json.Unmarshal(value, &bat)
-	return bat, errors.Wrap(err, "decode log row")
+	if err := json.Unmarshal(value, &bat); err != nil {
+		return batchRow{}, errors.Wrap(err, "decode log row")
+	}
+	return bat, nil
 }
--- a/io/joblog/row.go
+++ b/io/joblog/row.go
@@ -103,5 +103,8 @@
 		txn.Put(EpochKey(num), epoch)
 	}
 	res, err := tab.Commit(ctx, txn)
-	return res, errors.Wrap(err, "write partition row")
+	if err != nil {
+		return store.Result{}, errors.Wrap(err, "write partition row")
+	}
+	return res, nil
 }
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -66,7 +66,10 @@
 	rep, _, err := route(ctx, cli, args.Partition, "Owner.List", args, func(rep *message.ListReply) (bool, string) {
 		return rep.NotOwner, rep.OwnerAddress
 	})
-	return rep, errors.Wrap(err, "list jobs")
+	if err != nil {
+		return message.ListReply{}, errors.Wrap(err, "list jobs")
+	}
+	return rep, nil
 }
 
 // call returns the owner's reply. Without one, the outcome is unknown if a call
