Test the decisions about service requests

Cause: a request must not start twice, nor after somebody was told that it did not run. Change: a rapid state machine over deliveries, ends, resolutions and time.

--- /dev/null
+++ b/core/intake/intake_test.go
@@ -0,0 +1,163 @@
+package intake_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/intake"
+	"jacinthpost/core/ledger"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/reqlog"
+	"jacinthpost/core/resource"
+	"jacinthpost/internal/proptest"
+)
+
+func TestIntake(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if err := proptest.Setup(1000, 80); err != nil {
+		t.Fatal(err)
+	}
+	RunSpecs(t, "intake")
+}
+
+var epoch = time.Unix(1e9, 0)
+
+// site allows requests unless it is told otherwise.
+type site struct{ refusal outcome.Reason }
+
+func (sit *site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
+	return outcome.NotRun(sit.refusal, ""), sit.refusal == ""
+}
+func (*site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.NewLimits(0, 6) }
+
+// desk is an intake of two slots and a queue of three, with deliveries as values.
+type desk struct {
+	*intake.Intake[int, string]
+	led  *ledger.Ledger[string, reqlog.ID]
+	site *site
+	now  time.Time
+}
+
+func newDesk() *desk {
+	dsk := &desk{led: &ledger.Ledger[string, reqlog.ID]{}, site: &site{}, now: epoch}
+	dsk.led.Resize(ledger.NewCapacity(25))
+	opt := intake.DefaultOptions().WithQueue(3, admit.CriticalFirst{}).
+		WithLimits(reqlog.DefaultLimits().WithSizes(5, 40, 4).WithWindows(time.Minute, 10*time.Second, time.Hour))
+	dsk.Intake = intake.New[int, string](dsk.led, dsk.site, opt)
+	dsk.led.Rebuild(resource.New(1000, 1000, 0))
+	dsk.announce(1, false)
+	return dsk
+}
+
+func (dsk *desk) announce(inc fleet.Incarnation, leaving bool) {
+	ann := admit.NewAnnouncement("svc", "addr", inc).WithCapacity(2, 8, resource.Vector{}).WithLeaving(leaving)
+	dsk.Hear(ann, dsk.now)
+}
+
+func (dsk *desk) arrive(counter uint64, val int, timeout time.Duration, batch bool) []intake.Verdict[int, string] {
+	req := admit.NewRequest("svc", "cus", batch, dsk.now.Add(timeout))
+	return dsk.Arrive(reqlog.NewID("entry", 1, counter), req, val, dsk.now)
+}
+
+// Guards against admission in a state in which the endpoint must not get requests.
+var _ = DescribeTable("refuses a request",
+	func(prepare func(dsk *desk), want outcome.Reason) {
+		dsk := newDesk()
+		prepare(dsk)
+		vers := dsk.arrive(1, 1, time.Second, false)
+		Expect(vers).To(HaveLen(1))
+		Expect(vers[0].Decision().Outcome().Reason()).To(Equal(want))
+		Expect(dsk.Drained()).To(BeTrue())
+		again := dsk.arrive(1, 2, time.Second, false)
+		Expect(again[0].Decision().Outcome().Reason()).To(Equal(outcome.ReasonFenced), "a refusal is final")
+	},
+	Entry("before the rebuild", func(dsk *desk) { dsk.led.Invalidate() }, outcome.ReasonNotReady),
+	Entry("while the endpoint leaves", func(dsk *desk) { dsk.announce(1, true) }, outcome.ReasonLeaving),
+	Entry("while the agent drains", func(dsk *desk) { dsk.Drain() }, outcome.ReasonLeaving),
+	Entry("without announcements", func(dsk *desk) { dsk.now = dsk.now.Add(admit.AnnounceLimit) }, outcome.ReasonNoEndpoint),
+	Entry("with stale configuration", func(dsk *desk) { dsk.site.refusal = outcome.ReasonStaleConfig }, outcome.ReasonStaleConfig),
+	Entry("that was fenced", func(dsk *desk) { dsk.Resolve(reqlog.NewID("entry", 1, 1), dsk.now) }, outcome.ReasonFenced),
+)
+
+// Guards against two starts of one ID, a start after "not run", more requests
+// than slots, and deliveries that get no decision or two.
+var _ = It("decides once about every delivery and starts an ID at most once", func() {
+	rapid.Check(GinkgoT(), func(rt *rapid.T) {
+		dsk, deliveries := newDesk(), 0
+		waiting, ids := map[int]bool{}, map[int]uint64{}
+		started, denied, running := map[uint64]bool{}, map[uint64]bool{}, map[uint64]int{}
+		take := func(vers []intake.Verdict[int, string]) {
+			for _, ver := range vers {
+				val, cnt := ver.Value(), ids[ver.Value()]
+				if !waiting[val] {
+					rt.Fatalf("delivery %d gets a second decision", val)
+				}
+				delete(waiting, val)
+				switch out := ver.Decision().Outcome(); {
+				case ver.Decision().Started() && (started[cnt] || denied[cnt]):
+					rt.Fatalf("request %d starts, started before %v, denied %v", cnt, started[cnt], denied[cnt])
+				case ver.Decision().Started():
+					started[cnt], running[cnt] = true, val
+				case out.Kind() == outcome.KindNotRun && started[cnt]:
+					rt.Fatalf("request %d is said not to have run", cnt)
+				case out.Kind() == outcome.KindNotRun:
+					denied[cnt] = true
+				}
+			}
+		}
+		counter := rapid.Uint64Range(1, 12)
+		rt.Repeat(map[string]func(*rapid.T){
+			"arrive": func(rt *rapid.T) {
+				deliveries++
+				cnt := counter.Draw(rt, "counter")
+				waiting[deliveries], ids[deliveries] = true, cnt
+				timeout := time.Duration(rapid.IntRange(1, 900).Draw(rt, "millis")) * time.Millisecond
+				take(dsk.arrive(cnt, deliveries, timeout, rapid.Bool().Draw(rt, "batch")))
+			},
+			"finish": func(rt *rapid.T) {
+				cnt := counter.Draw(rt, "counter")
+				if _, is := running[cnt]; !is {
+					return
+				}
+				delete(running, cnt)
+				outs := []outcome.Outcome{outcome.Answered(), outcome.Unknown(outcome.ReasonTimeout, "")}
+				take(dsk.Finish(reqlog.NewID("entry", 1, cnt), rapid.SampledFrom(outs).Draw(rt, "end"), "answer", 6, dsk.now))
+			},
+			"giveUp": func(rt *rapid.T) {
+				val := rapid.IntRange(0, deliveries).Draw(rt, "delivery")
+				if waiting[val] {
+					take(dsk.GiveUp(reqlog.NewID("entry", 1, ids[val]), val, dsk.now))
+				}
+			},
+			"resolve": func(rt *rapid.T) {
+				cnt := counter.Draw(rt, "counter")
+				if sta := dsk.Resolve(reqlog.NewID("entry", 1, cnt), dsk.now).State(); sta == reqlog.NotRun {
+					if denied[cnt] = true; started[cnt] {
+						rt.Fatalf("request %d is resolved as not run after its start", cnt)
+					}
+				}
+			},
+			"announce": func(*rapid.T) { dsk.announce(1, false) },
+			"pass": func(rt *rapid.T) {
+				dsk.now = dsk.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "millis")) * time.Millisecond)
+				take(dsk.Tick(dsk.now))
+			},
+			"": func(rt *rapid.T) {
+				if len(running) > 2 || dsk.led.Requests() != len(running) || dsk.Queued() != len(waiting) {
+					rt.Fatalf("%d running, %d in the ledger, %d queued, %d waiting", len(running), dsk.led.Requests(), dsk.Queued(), len(waiting))
+				}
+			},
+		})
+		dsk.now = dsk.now.Add(time.Hour)
+		take(dsk.Tick(dsk.now))
+		if len(waiting) > 0 || dsk.Drained() != (len(running) == 0) {
+			rt.Fatalf("%d deliveries got no decision, drained %v with %d running", len(waiting), dsk.Drained(), len(running))
+		}
+	})
+})
