Test the request role of an agent over its control loop

Cause: go-faster errors.Wrap returns an error for nil, so valid announcements and offers failed; the queue was scanned although no slot was free. Change: wrap only present errors, and look for room before the scan.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -257,7 +257,7 @@
 	if itk.queue.Len() > 0 && !itk.endpoint.Present(now) {
 		return itk.refuseAll(itk.queue.Clear(), outcome.NotRun(outcome.ReasonNoEndpoint, "the endpoint does not announce itself"), now)
 	}
-	return itk.dispatch(now)
+	return itk.startQueued(now)
 }
 
 // Drain refuses all further requests. It is done when Drained reports true.
@@ -275,8 +275,16 @@
 // MeanService returns the mean of the observed service times.
 func (itk *Intake[V, A]) MeanService() time.Duration { return itk.queue.Mean() }
 
-// dispatch starts queued requests while there is room for them.
+// dispatch starts queued requests while there is room for them. Without room for
+// a latency-critical request there is none for any other.
 func (itk *Intake[V, A]) dispatch(now time.Time) []Verdict[V, A] {
+	if _, room := itk.account.Room(false); !room {
+		return nil
+	}
+	return itk.startQueued(now)
+}
+
+func (itk *Intake[V, A]) startQueued(now time.Time) []Verdict[V, A] {
 	var res []Verdict[V, A]
 	for {
 		nxt, found, expired := itk.queue.Next(now, itk.room)
--- a/io/serve/announce.go
+++ b/io/serve/announce.go
@@ -94,7 +94,10 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return ann, errors.New("announcement is followed by more data")
 	}
-	return ann, errors.Wrap(validate.Struct(ann), "announcement")
+	if err := validate.Struct(ann); err != nil {
+		return ann, errors.Wrap(err, "announcement")
+	}
+	return ann, nil
 }
 
 func refuse(wrt http.ResponseWriter, status int, detail string) {
--- /dev/null
+++ b/io/serve/serve_test.go
@@ -0,0 +1,254 @@
+package serve_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/intake"
+	"jacinthpost/core/ledger"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/resource"
+	"jacinthpost/io/agentstate"
+	"jacinthpost/io/control"
+	"jacinthpost/io/message"
+	"jacinthpost/io/peer"
+	"jacinthpost/io/serve"
+)
+
+func TestServe(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "serve")
+}
+
+// site allows everything.
+type site struct{}
+
+func (site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, true
+}
+func (site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.Limits{} }
+func (site) StartsAllowed(time.Time) (outcome.Outcome, bool)   { return outcome.Outcome{}, true }
+func (site) Partition(string) int                              { return 0 }
+func (site) Owner(int) (string, bool)                          { return "", false }
+
+// endpoint answers with the body of the request once its gate is open.
+type endpoint struct {
+	gate  chan struct{}
+	out   outcome.Outcome
+	calls atomic.Int64
+	done  atomic.Int64
+}
+
+func (end *endpoint) Call(ctx context.Context, req serve.Request) (int, []byte, outcome.Outcome) {
+	end.calls.Add(1)
+	defer end.done.Add(1)
+	select {
+	case <-end.gate:
+		return http.StatusOK, req.Body(), end.out
+	case <-ctx.Done():
+		return 0, nil, outcome.Unknown(outcome.ReasonTimeout, "")
+	}
+}
+
+// agent is a service on a running loop whose endpoint has two slots.
+type agent struct {
+	*serve.Service
+	end *endpoint
+	ctx context.Context
+}
+
+func newAgent(ctx context.Context, open bool) *agent {
+	end := &endpoint{gate: make(chan struct{}), out: outcome.Answered()}
+	if open {
+		close(end.gate)
+	}
+	sta := agentstate.New(site{}, ledger.NewCapacity(ledger.DefaultReservePercent), intake.DefaultOptions())
+	sta.Ledger().Rebuild(resource.New(8000, 8000, 0))
+	sta.Intake().Hear(admit.NewAnnouncement("svc", "addr", 1).WithCapacity(2, 64, resource.Vector{}), time.Now().Add(time.Hour))
+	lop := control.NewLoop(sta, 1024, nil)
+	go lop.Run(ctx)
+	svc := serve.New(ctx, lop, end, 7, nil)
+	go svc.Run(ctx)
+	return &agent{Service: svc, end: end, ctx: ctx}
+}
+
+func started(open bool) *agent {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	return newAgent(ctx, open)
+}
+
+func args(counter int, timeout time.Duration) message.ServeArgs {
+	return message.ServeArgs{
+		RequestID: fmt.Sprintf("entry/1/%d", counter), Service: "svc", Customer: "cus",
+		Body: fmt.Append(nil, "body-", counter), RemainingMillis: timeout.Milliseconds(),
+	}
+}
+
+func (agt *agent) serve(counter int, timeout time.Duration) message.ServeReply {
+	var rep message.ServeReply
+	if err := agt.Serve(args(counter, timeout), &rep); err != nil {
+		panic(err)
+	}
+	return rep
+}
+
+func (agt *agent) resolve(counter int, inc uint64) message.ResolveReply {
+	var rep message.ResolveReply
+	Expect(agt.Resolve(message.ResolveArgs{RequestID: fmt.Sprintf("entry/1/%d", counter), Incarnation: inc}, &rep)).To(Succeed())
+	return rep
+}
+
+// Guards against answers that reach another caller: many callers share a connection.
+var _ = It("gives every caller over one connection its own answer", func() {
+	agt := started(true)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	srv, poo := peer.NewServer(), peer.NewPool("test")
+	DeferCleanup(poo.Close)
+	srv.Register("Agent", agt.Service)
+	go func() { _ = srv.Serve(agt.ctx, lsn) }()
+	var grp sync.WaitGroup
+	var wrong atomic.Int64
+	for num := 1; num <= 200; num++ {
+		grp.Go(func() {
+			var rep message.ServeReply
+			arg := args(num, 10*time.Second)
+			err := poo.Call(agt.ctx, lsn.Addr().String(), "Agent.Serve", &arg, &rep)
+			if err != nil || rep.RequestID != arg.RequestID || string(rep.Body) != string(arg.Body) || rep.BodyLength != len(arg.Body) || rep.Incarnation != 7 {
+				wrong.Add(1)
+			}
+		})
+	}
+	grp.Wait()
+	Expect(wrong.Load()).To(BeZero())
+	Expect(agt.end.calls.Load()).To(Equal(int64(200)))
+})
+
+// Guards against a second run of a request that is delivered several times.
+var _ = It("runs a request once however often it is delivered", func() {
+	agt := started(false)
+	var grp sync.WaitGroup
+	for range 50 {
+		grp.Go(func() { agt.serve(1, 5*time.Second) })
+	}
+	Eventually(agt.end.calls.Load).Should(Equal(int64(1)))
+	Expect(agt.resolve(1, 7).State).To(Equal(message.ResolvedRunning))
+	close(agt.end.gate)
+	grp.Wait()
+	Expect(agt.serve(1, time.Second).Body).To(BeEquivalentTo("body-1"), "a kept answer")
+	Expect(agt.end.calls.Load()).To(Equal(int64(1)))
+})
+
+// Guards against untrue ends: each entry is one way in which a request ends.
+var _ = DescribeTable("a request",
+	func(prepare func(agt *agent), open bool, kind outcome.Kind, reason outcome.Reason, calls int, resolved string) {
+		agt := started(open)
+		prepare(agt)
+		before := agt.end.calls.Load()
+		rep := agt.serve(9, 100*time.Millisecond)
+		Expect([]string{rep.Outcome, rep.Reason}).To(Equal([]string{kind.String(), string(reason)}))
+		Expect(agt.end.calls.Load() - before).To(BeEquivalentTo(calls))
+		Expect(agt.resolve(9, 7).State).To(Equal(resolved))
+		Expect(agt.resolve(9, 6).State).To(Equal(message.ResolvedUnknown), "of another agent process")
+	},
+	Entry("is answered", func(*agent) {}, true, outcome.KindAnswered, outcome.Reason(""), 1, message.ResolvedAnswered),
+	Entry("is refused by the endpoint", func(agt *agent) { agt.end.out = outcome.NotRun(outcome.ReasonEndpointRefused, "") },
+		true, outcome.KindNotRun, outcome.ReasonEndpointRefused, 1, message.ResolvedNotRun),
+	Entry("gets no answer in time", func(*agent) {}, false, outcome.KindUnknown, outcome.ReasonTimeout, 1, message.ResolvedRunning),
+	Entry("gets no slot in time", func(agt *agent) {
+		for num := range 2 {
+			go agt.serve(num+1, 10*time.Second)
+		}
+		Eventually(agt.end.calls.Load).Should(Equal(int64(2)))
+	}, false, outcome.KindNotRun, outcome.ReasonDeadline, 0, message.ResolvedNotRun),
+	Entry("was fenced", func(agt *agent) { Expect(agt.resolve(9, 7).State).To(Equal(message.ResolvedNotRun)) },
+		true, outcome.KindNotRun, outcome.ReasonFenced, 0, message.ResolvedNotRun),
+	Entry("comes after the drain", func(agt *agent) { Expect(agt.Drain(agt.ctx)).To(Succeed()) },
+		true, outcome.KindNotRun, outcome.ReasonLeaving, 0, message.ResolvedNotRun),
+)
+
+// Guards against a slot that is given away while the endpoint still works, and
+// against the loss of a late answer.
+var _ = It("keeps a late answer for Resolve", func() {
+	agt := started(false)
+	Expect(agt.serve(1, 20*time.Millisecond).Outcome).To(Equal("unknown"))
+	Expect(agt.resolve(1, 7).State).To(Equal(message.ResolvedRunning))
+	close(agt.end.gate)
+	Eventually(func() string { return agt.resolve(1, 7).State }).Should(Equal(message.ResolvedAnswered))
+	Expect(string(agt.resolve(1, 7).Answer.Body)).To(Equal("body-1"))
+})
+
+// Guards against a planned stop that interrupts requests, and against one that hangs.
+var _ = It("drains without cutting a request, within its bound", func() {
+	agt := started(false)
+	replies := make(chan message.ServeReply, 4)
+	for num := range 4 { // two run, two are queued
+		go func() { replies <- agt.serve(num+1, 10*time.Second) }()
+	}
+	Eventually(agt.end.calls.Load).Should(Equal(int64(2)))
+	short, cancel := context.WithTimeout(agt.ctx, 20*time.Millisecond)
+	defer cancel()
+	Expect(agt.Drain(short)).To(MatchError(context.DeadlineExceeded))
+	drained := make(chan error, 1)
+	go func() { drained <- agt.Drain(agt.ctx) }()
+	Consistently(drained, "50ms").ShouldNot(Receive())
+	close(agt.end.gate)
+	Eventually(drained).Should(Receive(BeNil()))
+	for range 4 {
+		Expect((<-replies).Outcome).To(Equal("answered"))
+	}
+})
+
+// Guards against announcements that are half understood.
+var _ = DescribeTable("an announcement",
+	func(body string, status int, reply string) {
+		agt, rec := started(true), httptest.NewRecorder()
+		agt.Announcements().ServeHTTP(rec, httptest.NewRequest(http.MethodPut, "/v1/endpoint", strings.NewReader(body)))
+		Expect(rec.Code).To(Equal(status))
+		if reply != "" {
+			Expect(rec.Body).To(MatchJSON(reply))
+		}
+	},
+	Entry("is accepted", announcement("ready", 2, ""), 200, `{"accepted":true,"drained":false}`),
+	Entry("of a leaving endpoint without work", announcement("leaving", 2, ""), 200, `{"accepted":true,"drained":true}`),
+	Entry("with an unknown field", announcement("ready", 2, `,"slotz":1`), 400, ""),
+	Entry("with an unknown state", announcement("gone", 2, ""), 400, ""),
+	Entry("without slots", announcement("ready", 0, ""), 400, ""),
+	Entry("followed by more", announcement("ready", 2, "")+"{}", 400, ""),
+	Entry("cut short", announcement("ready", 2, "")[:40], 400, ""),
+	Entry("too long", strings.Repeat(" ", 5000)+announcement("ready", 2, ""), 400, ""),
+)
+
+func announcement(state string, slots int, more string) string {
+	return fmt.Sprintf(`{"service":"svc","address":"127.0.0.1:80","incarnation":2,"state":%q,"slots":%d,"connections":4,`+
+		`"capacity":{"milliCPU":1000,"memoryMB":100,"accelerators":0}%s}`, state, slots, more)
+}
+
+// Measures requests a second through the control loop; each makes two events.
+func BenchmarkServe(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	agt := newAgent(ctx, true)
+	var counter atomic.Int64
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			agt.serve(int(counter.Add(1)), time.Minute)
+		}
+	})
+	b.ReportMetric(2*float64(b.N)/b.Elapsed().Seconds(), "events/s")
+}
--- a/io/taskhost/methods.go
+++ b/io/taskhost/methods.go
@@ -25,8 +25,11 @@
 			Tasks:    led.Tasks(),
 		}
 	})
+	if err != nil {
+		return errors.Wrap(err, "offer")
+	}
 	*rep = res
-	return errors.Wrap(err, "offer")
+	return nil
 }
 
 // Stop ends tasks by order of their owner. It is a method of net/rpc.
@@ -38,7 +41,10 @@
 		}
 		return struct{}{}
 	})
-	return errors.Wrap(err, "stop")
+	if err != nil {
+		return errors.Wrap(err, "stop")
+	}
+	return nil
 }
 
 // ErrOutdatedOwner reports that the partition has an owner with a higher epoch.
