--- a/cmd/jacinthpost/main.go
+++ b/cmd/jacinthpost/main.go
@@ -42,7 +42,7 @@
 		Usage:                 "schedule latency-critical and batch work on the same instances",
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "entry", Usage: "address of an entry, host:port; several are tried in turn", Value: []string{"127.0.0.1:41001"}, Sources: cli.EnvVars("JACINTHPOST_ENTRY")},
+			&cli.StringSliceFlag{Name: "entry", Usage: "address of an entry, host:port; several are tried in turn", Value: []string{"127.0.0.1:21001"}, Sources: cli.EnvVars("JACINTHPOST_ENTRY")},
 			&cli.BoolFlag{Name: "json", Usage: "print the answer as JSON"},
 		},
 		Commands: []*cli.Command{
