--- a/cmd/standin-endpoint/internal/endpoint/requests.go
+++ b/cmd/standin-endpoint/internal/endpoint/requests.go
@@ -43,14 +43,19 @@
 	LeavingSinceUnixMillis int64 `json:"leavingSinceUnixMillis"` // 0 unless leaving
 }
 
-// callLogLimit bounds the request IDs remembered; the oldest are dropped first.
-const callLogLimit = 1 << 18
+const (
+	// callLogLimit bounds the request IDs remembered; the oldest are dropped first.
+	callLogLimit = 1 << 18
+	// bodyLimit bounds the length in bytes of bodies whose executions are counted.
+	bodyLimit = 256
+)
 
 // callLog counts executions. Its lock is held for a few instructions only and
 // no control code takes it.
 type callLog struct {
 	mu           sync.Mutex
 	counts       map[string]int
+	bodies       map[string]int // executions by short body, whatever the request ID
 	order        []string
 	total        int
 	repeated     int
@@ -60,9 +65,10 @@
 	leavingSince time.Time
 }
 
-func (log *callLog) begin(reqID string, now time.Time) {
+func (log *callLog) begin(reqID, body string, now time.Time) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
+	log.countBody(body)
 	log.total++
 	log.current++
 	log.highest = max(log.highest, log.current)
@@ -82,6 +88,22 @@
 	}
 }
 
+// countBody counts executions of the same work under any request ID.
+func (log *callLog) countBody(body string) {
+	if log.bodies == nil {
+		log.bodies = make(map[string]int)
+	}
+	if len(body) <= bodyLimit && len(log.bodies) < callLogLimit {
+		log.bodies[body]++
+	}
+}
+
+func (log *callLog) executionsOf(body string) Executions {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	return Executions{Executions: log.bodies[body], Repeated: log.repeated}
+}
+
 func (log *callLog) end() {
 	log.mu.Lock()
 	defer log.mu.Unlock()
@@ -134,7 +156,7 @@
 		http.Error(rsp, err.Error(), http.StatusBadRequest)
 		return
 	}
-	srv.calls.begin(reqID, time.Now())
+	srv.calls.begin(reqID, string(body), time.Now())
 	defer srv.calls.end()
 	if !sleep(req.Context(), srv.serviceTime()) || !srv.thaw(req.Context()) {
 		return
@@ -184,6 +206,10 @@
 }
 
 func (srv *Server) getExecutions(rsp http.ResponseWriter, req *http.Request) {
+	if query := req.URL.Query(); query.Has("body") {
+		reply(rsp, srv.calls.executionsOf(query.Get("body")), nil)
+		return
+	}
 	reply(rsp, srv.calls.executions(req.URL.Query().Get("requestID")), nil)
 }
 
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -15,6 +15,9 @@
 	ejectMax = 30 * time.Second
 	// fullFor is how long an endpoint that refused for lack of room is passed over.
 	fullFor = 50 * time.Millisecond
+	// awayFor is how long an endpoint that takes no requests at present is passed
+	// over. Membership and configuration, which are slower, then take it out.
+	awayFor = 500 * time.Millisecond
 	// smoothing is the weight of history in the moving average of latency: one part in eight is new.
 	smoothing = 8
 )
@@ -72,10 +75,13 @@
 // Refuse records that the endpoint had no room.
 func (loa *Load) Refuse(now time.Time) { loa.fullUntil.Store(now.Add(fullFor).UnixNano()) }
 
+// Away records that the endpoint takes no requests at present.
+func (loa *Load) Away(now time.Time) { loa.fullUntil.Store(now.Add(awayFor).UnixNano()) }
+
 // Ejected reports whether the endpoint gets no requests at present.
 func (loa *Load) Ejected(now time.Time) bool { return now.UnixNano() < loa.ejectedUntil.Load() }
 
-// Full reports whether the endpoint refused for lack of room a moment ago.
+// Full reports whether the endpoint refused a moment ago.
 func (loa *Load) Full(now time.Time) bool { return now.UnixNano() < loa.fullUntil.Load() }
 
 // cost estimates the wait at the endpoint: requests in flight times their usual latency.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
 	"jacinthpost/core/route"
 )
 
@@ -157,3 +158,13 @@
 	}
 	b.ReportMetric(float64(highest), "peak-in-flight")
 }
+
+// Guards against a leaving endpoint using up the retries that overload needs, and the reverse.
+var _ = DescribeTable("RetryCosts",
+	func(out outcome.Outcome, want bool) { Expect(route.RetryCosts(out)).To(Equal(want)) },
+	Entry("overload", outcome.NotRun(outcome.ReasonQueueFull, ""), true),
+	Entry("unknown", outcome.Unknown(outcome.ReasonPeerLost, ""), true),
+	Entry("leaving", outcome.NotRun(outcome.ReasonLeaving, ""), false),
+	Entry("agent out of reach", outcome.NotRun(outcome.ReasonPeerLost, ""), false),
+	Entry("a reason without a rule", outcome.NotRun(outcome.ReasonFenced, ""), true),
+)
--- /dev/null
+++ b/core/route/verdict.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"time"
+
+	"jacinthpost/core/outcome"
+)
+
+// verdict is what the end of an attempt says about the endpoint.
+type verdict struct {
+	mark  func(loa *Load, now time.Time)
+	costs bool // another attempt adds load where load may be the cause
+}
+
+// verdicts lists the reasons for "not run". Overload makes retries cost budget,
+// because they would multiply the load. An endpoint that leaves, or an agent
+// that cannot be reached, proves nothing about the load of the others, so
+// trying another one is free; the number of attempts is bounded anyway.
+var verdicts = map[outcome.Reason]verdict{
+	outcome.ReasonQueueFull:       {mark: (*Load).Refuse, costs: true},
+	outcome.ReasonDeadline:        {mark: (*Load).Refuse, costs: true},
+	outcome.ReasonCapacity:        {mark: (*Load).Refuse, costs: true},
+	outcome.ReasonAdmission:       {mark: (*Load).Refuse, costs: true},
+	outcome.ReasonLeaving:         {mark: (*Load).Away},
+	outcome.ReasonDataCentreOut:   {mark: (*Load).Away},
+	outcome.ReasonNotReady:        {mark: (*Load).Away},
+	outcome.ReasonNoEndpoint:      {mark: (*Load).Away},
+	outcome.ReasonStaleConfig:     {mark: (*Load).Away},
+	outcome.ReasonPeerLost:        {mark: (*Load).Fail},
+	outcome.ReasonEndpointRefused: {mark: (*Load).Fail},
+}
+
+var unlisted = verdict{mark: (*Load).Fail, costs: true}
+
+func verdictOf(out outcome.Outcome) verdict {
+	vrd, listed := verdicts[out.Reason()]
+	if out.Kind() != outcome.KindNotRun || !listed {
+		return unlisted
+	}
+	return vrd
+}
+
+// Record takes in the end of an attempt that took the given time.
+func (loa *Load) Record(out outcome.Outcome, took time.Duration, now time.Time) {
+	if out.Kind() == outcome.KindAnswered {
+		loa.Succeed(took)
+		return
+	}
+	verdictOf(out).mark(loa, now)
+}
+
+// RetryCosts reports whether another attempt after the outcome takes from the retry budget.
+func RetryCosts(out outcome.Outcome) bool { return verdictOf(out).costs }
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -118,7 +118,7 @@
 // retry claims the next attempt after a proved not run, or records the proof and ends.
 func (rqs *Requests[P]) retry(ctx context.Context, kyd *keyed, ans Answer) (bool, Answer, bool) {
 	proved := kyd.record.NotRun()
-	if kyd.attempts < maxAttempts && ctx.Err() == nil && rqs.budget.Spend() {
+	if kyd.attempts < maxAttempts && ctx.Err() == nil && rqs.mayRetry(ans.outcome) {
 		mine, end, done := rqs.claim(ctx, kyd, proved, kyd.version)
 		if !done || end.outcome.Reason() != outcome.ReasonNoEndpoint {
 			return mine, end, done
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"jacinthpost/core/attempt"
@@ -91,8 +90,7 @@
 		if !found {
 			break
 		}
-		if num > 0 && !rqs.budget.Spend() {
-			retriesRefused.Inc()
+		if num > 0 && !rqs.mayRetry(last.outcome) {
 			break
 		}
 		last = rqs.attempt(ctx, req, can, rqs.ports.NextID())
@@ -113,6 +111,15 @@
 	return last
 }
 
+// mayRetry reports whether the retry budget allows another attempt after an outcome.
+func (rqs *Requests[P]) mayRetry(out outcome.Outcome) bool {
+	if !route.RetryCosts(out) || rqs.budget.Spend() {
+		return true
+	}
+	retriesRefused.Inc()
+	return false
+}
+
 func (rqs *Requests[P]) choose(svc fleet.Service, tried []fleet.InstanceID) (route.Candidate, bool) {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	can, tier, found := rqs.router.Next(rqs.ports.Directory().Set(svc), tried, time.Now(), rng)
@@ -131,25 +138,10 @@
 	loa.End()
 	ans.requestID = requestID
 	ans.instance = can.Instance()
-	record(loa, ans.outcome, begun)
+	loa.Record(ans.outcome, time.Since(begun), time.Now())
 	return ans
 }
 
-// refusals are reasons for not run that say nothing against the endpoint.
-var refusals = []outcome.Reason{outcome.ReasonQueueFull, outcome.ReasonDeadline, outcome.ReasonCapacity, outcome.ReasonAdmission}
-
-func record(loa *route.Load, out outcome.Outcome, begun time.Time) {
-	now := time.Now()
-	switch {
-	case out.Kind() == outcome.KindAnswered:
-		loa.Succeed(now.Sub(begun))
-	case out.Kind() == outcome.KindNotRun && slices.Contains(refusals, out.Reason()):
-		loa.Refuse(now)
-	default:
-		loa.Fail(now)
-	}
-}
-
 func (rqs *Requests[P]) send(ctx context.Context, req Request, can route.Candidate, requestID string) Answer {
 	deadline, _ := ctx.Deadline()
 	remaining := time.Until(deadline)
