Give configurations and requests unexported fields

They are values with constructors and With methods now; table, object and worker clients share httpcall.WithTimeout.

go test -race -count=1 ./cmd/... ./io/... passes.

--- a/cmd/standin-endpoint/internal/endpoint/announce.go
+++ b/cmd/standin-endpoint/internal/endpoint/announce.go
@@ -19,7 +19,7 @@
 
 // Announce tells the agent about the instance each second until the context ends.
 func (srv *Server) Announce(ctx context.Context, agent, addr string) {
-	call := httpcall.New(agent, httpcall.Options{Subsystem: "announcement", Timeout: announceTimeout})
+	call := httpcall.New(agent, "announcement", httpcall.WithTimeout(announceTimeout))
 	defer call.Close()
 	for {
 		srv.announce(ctx, call, addr, workerapi.EndpointReady)
@@ -33,7 +33,7 @@
 // drained or the context ends, and reports whether it is drained.
 func (srv *Server) Leave(ctx context.Context, agent, addr string) bool {
 	srv.calls.leave(time.Now())
-	call := httpcall.New(agent, httpcall.Options{Subsystem: "announcement", Timeout: announceTimeout})
+	call := httpcall.New(agent, "announcement", httpcall.WithTimeout(announceTimeout))
 	defer call.Close()
 	for {
 		if srv.announce(ctx, call, addr, workerapi.EndpointLeaving) {
@@ -52,15 +52,15 @@
 		return false
 	}
 	body, _ := json.Marshal(workerapi.Announcement{
-		Service:     srv.config.Service,
+		Service:     srv.config.service,
 		Address:     addr,
-		Incarnation: uint64(srv.config.Tasks.Incarnation),
+		Incarnation: uint64(srv.config.worker.Incarnation()),
 		State:       sta,
-		Slots:       srv.config.Slots,
-		Connections: srv.config.Connections,
-		Capacity:    workerapi.NewResources(srv.config.Tasks.Capacity),
+		Slots:       srv.config.slots,
+		Connections: srv.config.connections,
+		Capacity:    workerapi.NewResources(srv.config.worker.Capacity()),
 	})
-	ans, err := call.Call(ctx, http.MethodPut, workerapi.AnnouncementPath, nil, body)
+	ans, err := call.Call(ctx, httpcall.NewRequest(http.MethodPut, workerapi.AnnouncementPath, body))
 	if err != nil || !ans.OK() {
 		return false
 	}
--- a/cmd/standin-endpoint/internal/endpoint/workercalls.go
+++ b/cmd/standin-endpoint/internal/endpoint/workercalls.go
@@ -80,18 +80,18 @@
 	rep, err := srv.ask(req, func(mac *tasks.Machine, now worker.Instant) any {
 		entries := []HistoryEntry{}
 		for _, ent := range mac.History(now) {
-			entries = append(entries, srv.historyEntry(ent, mac))
+			entries = append(entries, srv.historyEntry(ent))
 		}
 		return entries
 	})
 	reply(rsp, rep, err)
 }
 
-func (srv *Server) historyEntry(ent tasks.Entry, mac *tasks.Machine) HistoryEntry {
+func (srv *Server) historyEntry(ent tasks.Entry) HistoryEntry {
 	msg := HistoryEntry{
 		Ref:               workerapi.NewRef(ent.Ref()),
-		Instance:          srv.config.ID,
-		Incarnation:       uint64(mac.Incarnation()),
+		Instance:          srv.config.id,
+		Incarnation:       uint64(srv.config.worker.Incarnation()),
 		StartedUnixMillis: srv.unixMillis(ent.Started()),
 		State:             string(ent.State()),
 	}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -70,18 +70,16 @@
 
 // New returns a client of the endpoint at host:port.
 func New(addr string) *Client {
-	return &Client{call: httpcall.New(addr, httpcall.Options{
-		Subsystem: "backend",
-		Timeout:   DefaultTimeout,
-		BodyLimit: BodyLimit,
-	})}
+	return &Client{call: httpcall.New(addr, "backend", httpcall.WithTimeout(DefaultTimeout), httpcall.WithBodyLimit(BodyLimit))}
 }
 
 // Serve sends the request once and waits for the whole answer. The answer is
 // set only if the outcome is answered, with whatever status the endpoint chose.
 func (cli *Client) Serve(ctx context.Context, req Request) (Answer, outcome.Outcome) {
-	header := http.Header{HeaderRequestID: {req.id}, "Content-Type": {"application/json"}}
-	ans, err := cli.call.Call(ctx, req.method, req.path, header, req.body)
+	msg := httpcall.NewRequest(req.method, req.path, req.body).
+		WithHeader(HeaderRequestID, req.id).
+		WithHeader("Content-Type", "application/json")
+	ans, err := cli.call.Call(ctx, msg)
 	if err != nil {
 		return Answer{}, failed(err)
 	}
--- a/io/httpcall/failure.go
+++ b/io/httpcall/failure.go
@@ -44,19 +44,23 @@
 // Classifier maps failures to the errors of one port. For reads, which have no
 // effect, both errors are the same.
 type Classifier struct {
-	// Unavailable reports that the call had no effect.
-	Unavailable error
-	// Uncertain reports that the call may have had an effect.
-	Uncertain error
+	unavailable error
+	uncertain   error
+}
+
+// NewClassifier returns a classifier that reports a call without an effect as
+// unavailable, and one that may have had an effect as uncertain.
+func NewClassifier(unavailable, uncertain error) Classifier {
+	return Classifier{unavailable: unavailable, uncertain: uncertain}
 }
 
 // Failed classifies a call without a complete answer.
 func (cla Classifier) Failed(err error) error {
 	var fai *Failure
 	if errors.As(err, &fai) && fai.stage == NotSent {
-		return mark(cla.Unavailable, err)
+		return mark(cla.unavailable, err)
 	}
-	return mark(cla.Uncertain, err)
+	return mark(cla.uncertain, err)
 }
 
 // Refused returns the error of an answer whose status is not in the 200 range.
@@ -65,9 +69,9 @@
 func (cla Classifier) Refused(ans Answer) error {
 	err := errors.Errorf("answer has status %d", ans.status)
 	if ans.status == http.StatusServiceUnavailable || ans.status/100 == 4 {
-		return mark(cla.Unavailable, err)
+		return mark(cla.unavailable, err)
 	}
-	return mark(cla.Uncertain, err)
+	return mark(cla.uncertain, err)
 }
 
 // Decode decodes the JSON body of the result of a call and names the operation
@@ -90,7 +94,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(ans.body, out); err != nil {
-		return mark(cla.Uncertain, errors.Wrap(err, "decode answer"))
+		return mark(cla.uncertain, errors.Wrap(err, "decode answer"))
 	}
 	return nil
 }
--- a/io/httpcall/httpcall.go
+++ b/io/httpcall/httpcall.go
@@ -36,33 +36,31 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// Options configures a Client. The zero value is sound.
-type Options struct {
-	// Subsystem names the counters, as in jacinthpost_<subsystem>_calls_total.
-	Subsystem string
-	// Timeout ends a call, DefaultTimeout when zero.
-	Timeout time.Duration
-	// BodyLimit bounds the body of an answer in bytes, DefaultBodyLimit when zero.
-	BodyLimit int64
-}
-
 // Client calls one service.
 type Client struct {
 	base      string
+	subsystem string
 	timeout   time.Duration
 	limit     int64
-	subsystem string
 	transport *http.Transport
 	http      http.Client
 }
 
-// New returns a client of the service at host:port.
-func New(addr string, opt Options) *Client {
-	cli := &Client{
-		base:      "http://" + addr,
-		timeout:   orDefault(opt.Timeout, DefaultTimeout),
-		limit:     orDefault(opt.BodyLimit, DefaultBodyLimit),
-		subsystem: orDefault(opt.Subsystem, "http"),
+// Option changes a client.
+type Option func(*Client)
+
+// WithTimeout sets the longest time of one call, DefaultTimeout unless set.
+func WithTimeout(dur time.Duration) Option { return func(cli *Client) { cli.timeout = dur } }
+
+// WithBodyLimit bounds the body of an answer in bytes, DefaultBodyLimit unless set.
+func WithBodyLimit(limit int64) Option { return func(cli *Client) { cli.limit = limit } }
+
+// New returns a client of the service at host:port. The subsystem names the
+// counters, as in jacinthpost_<subsystem>_calls_total.
+func New(addr, subsystem string, opts ...Option) *Client {
+	cli := &Client{base: "http://" + addr, subsystem: subsystem, timeout: DefaultTimeout, limit: DefaultBodyLimit}
+	for _, set := range opts {
+		set(cli)
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	cli.transport = &http.Transport{
@@ -85,12 +83,23 @@
 	return cli
 }
 
-func orDefault[T comparable](val, def T) T {
-	var zero T
-	if val == zero {
-		return def
-	}
-	return val
+// Request is one call.
+type Request struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+}
+
+// NewRequest returns a request for an escaped path.
+func NewRequest(method, path string, body []byte) Request {
+	return Request{method: method, path: path, header: make(http.Header), body: body}
+}
+
+// WithHeader returns the request with a header field, which it shares with the original.
+func (req Request) WithHeader(name, value string) Request {
+	req.header.Set(name, value)
+	return req
 }
 
 // Answer is a complete answer.
@@ -113,14 +122,14 @@
 func (ans Answer) OK() bool { return ans.status/100 == 2 }
 
 // Call sends one request and reads the whole answer. The error is a *Failure.
-func (cli *Client) Call(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, error) {
+func (cli *Client) Call(ctx context.Context, req Request) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, cli.timeout)
 	defer cancel()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	ans, stg, err := cli.exchange(ctx, method, path, header, body)
+	ans, stg, err := cli.exchange(ctx, req)
 	if err == nil {
 		cli.count(strconv.Itoa(ans.status))
 		return ans, nil
@@ -136,19 +145,10 @@
 	return Answer{}, &Failure{stage: stg, timedOut: timedOut, err: err}
 }
 
-func (cli *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, Stage, error) {
-	req, err := http.NewRequestWithContext(ctx, method, cli.base+path, bytes.NewReader(body))
+func (cli *Client) exchange(ctx context.Context, msg Request) (Answer, Stage, error) {
+	req, err := cli.build(ctx, msg)
 	if err != nil {
-		return Answer{}, NotSent, errors.Wrap(err, "build request")
-	}
-	switch method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
-	default:
-		// The transport repeats GET and other methods by itself after it has sent them, unless it cannot rewind the body.
-		req.Body, req.GetBody = io.NopCloser(bytes.NewReader(body)), nil
-	}
-	for name, values := range header {
-		req.Header[name] = values
+		return Answer{}, NotSent, err
 	}
 	res, err := cli.http.Do(req)
 	if err != nil {
@@ -165,6 +165,21 @@
 	return Answer{status: res.StatusCode, header: res.Header, body: read}, 0, nil
 }
 
+func (cli *Client) build(ctx context.Context, msg Request) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, msg.method, cli.base+msg.path, bytes.NewReader(msg.body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header = msg.header
+	switch msg.method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		// The transport repeats GET and other methods by itself after it has sent them, unless it cannot rewind the body.
+		req.Body, req.GetBody = io.NopCloser(bytes.NewReader(msg.body)), nil
+	}
+	return req, nil
+}
+
 // Close closes the idle connections.
 func (cli *Client) Close() { cli.transport.CloseIdleConnections() }
 
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -11,7 +11,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"time"
 
 	"jacinthpost/core/store"
 	"jacinthpost/io/httpcall"
@@ -19,8 +18,8 @@
 )
 
 var (
-	writes = httpcall.Classifier{Unavailable: store.ErrUnavailable, Uncertain: store.ErrUncertain}
-	reads  = httpcall.Classifier{Unavailable: store.ErrUnavailable, Uncertain: store.ErrUnavailable}
+	writes = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUncertain)
+	reads  = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUnavailable)
 )
 
 // Client implements store.Objects.
@@ -30,32 +29,21 @@
 
 var _ store.Objects = (*Client)(nil)
 
-// Option changes a client.
-type Option func(*httpcall.Options)
-
-// WithTimeout sets the longest time of one request, 3 s by default.
-func WithTimeout(dur time.Duration) Option {
-	return func(opt *httpcall.Options) { opt.Timeout = dur }
-}
-
 // New returns a client of the object store at host:port.
-func New(addr string, opts ...Option) *Client {
-	opt := httpcall.Options{Subsystem: "object", BodyLimit: tableapi.MaxObjectBytes}
-	for _, set := range opts {
-		set(&opt)
-	}
-	return &Client{call: httpcall.New(addr, opt)}
+func New(addr string, opts ...httpcall.Option) *Client {
+	opts = append([]httpcall.Option{httpcall.WithBodyLimit(tableapi.MaxObjectBytes)}, opts...)
+	return &Client{call: httpcall.New(addr, "object", opts...)}
 }
 
 // Put implements store.Objects.
 func (cli *Client) Put(ctx context.Context, key string, value []byte) error {
-	ans, err := cli.call.Call(ctx, http.MethodPut, path(key), nil, value)
+	ans, err := cli.call.Call(ctx, httpcall.NewRequest(http.MethodPut, path(key), value))
 	return writes.Decode("put object", ans, err, nil)
 }
 
 // Get implements store.Objects.
 func (cli *Client) Get(ctx context.Context, key string) ([]byte, error) {
-	ans, err := cli.call.Call(ctx, http.MethodGet, path(key), nil, nil)
+	ans, err := cli.call.Call(ctx, httpcall.NewRequest(http.MethodGet, path(key), nil))
 	if err == nil && ans.Status() == http.StatusNotFound {
 		return nil, store.ErrNotFound
 	}
@@ -67,7 +55,7 @@
 
 // Delete implements store.Objects.
 func (cli *Client) Delete(ctx context.Context, key string) error {
-	ans, err := cli.call.Call(ctx, http.MethodDelete, path(key), nil, nil)
+	ans, err := cli.call.Call(ctx, httpcall.NewRequest(http.MethodDelete, path(key), nil))
 	return writes.Decode("delete object", ans, err, nil)
 }
 
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -17,7 +17,6 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -27,8 +26,8 @@
 )
 
 var (
-	writes = httpcall.Classifier{Unavailable: store.ErrUnavailable, Uncertain: store.ErrUncertain}
-	reads  = httpcall.Classifier{Unavailable: store.ErrUnavailable, Uncertain: store.ErrUnavailable}
+	writes = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUncertain)
+	reads  = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUnavailable)
 )
 
 // Client implements store.Table.
@@ -40,22 +39,11 @@
 
 var _ store.Table = (*Client)(nil)
 
-// Option changes a client.
-type Option func(*httpcall.Options)
-
-// WithTimeout sets the longest time of one request, 3 s by default.
-func WithTimeout(dur time.Duration) Option {
-	return func(opt *httpcall.Options) { opt.Timeout = dur }
-}
-
 // New returns a client of the table service at host:port.
-func New(addr string, opts ...Option) *Client {
+func New(addr string, opts ...httpcall.Option) *Client {
 	// Values grow by a third in base64, so this holds any row that fits in a request.
-	opt := httpcall.Options{Subsystem: "table", BodyLimit: 2 * tableapi.MaxRequestBytes}
-	for _, set := range opts {
-		set(&opt)
-	}
-	return &Client{call: httpcall.New(addr, opt), idBase: rand.Uint64()}
+	opts = append([]httpcall.Option{httpcall.WithBodyLimit(2 * tableapi.MaxRequestBytes)}, opts...)
+	return &Client{call: httpcall.New(addr, "table", opts...), idBase: rand.Uint64()}
 }
 
 // Commit implements store.Table.
@@ -135,7 +123,7 @@
 	if err != nil {
 		return httpcall.Answer{}, errors.Wrap(err, "encode request")
 	}
-	return cli.call.Call(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
+	return cli.call.Call(ctx, httpcall.NewRequest(http.MethodPost, path, body).WithHeader("Content-Type", "application/json"))
 }
 
 func appendRows(out []store.Row, msgs []tableapi.Row) []store.Row {
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -20,8 +19,8 @@
 )
 
 var (
-	writes = httpcall.Classifier{Unavailable: worker.ErrUnavailable, Uncertain: worker.ErrUncertain}
-	reads  = httpcall.Classifier{Unavailable: worker.ErrUnavailable, Uncertain: worker.ErrUnavailable}
+	writes = httpcall.NewClassifier(worker.ErrUnavailable, worker.ErrUncertain)
+	reads  = httpcall.NewClassifier(worker.ErrUnavailable, worker.ErrUnavailable)
 )
 
 // Client implements worker.Worker of the core.
@@ -31,27 +30,15 @@
 
 var _ worker.Worker = (*Client)(nil)
 
-// Option changes a client.
-type Option func(*httpcall.Options)
-
-// WithTimeout sets the longest time of one call, 3 s by default.
-func WithTimeout(dur time.Duration) Option {
-	return func(opt *httpcall.Options) { opt.Timeout = dur }
-}
-
 // New returns a client of the worker at host:port.
-func New(addr string, opts ...Option) *Client {
-	opt := httpcall.Options{Subsystem: "worker"}
-	for _, set := range opts {
-		set(&opt)
-	}
-	return &Client{call: httpcall.New(addr, opt)}
+func New(addr string, opts ...httpcall.Option) *Client {
+	return &Client{call: httpcall.New(addr, "worker", opts...)}
 }
 
 // State implements worker.Worker.
 func (cli *Client) State(ctx context.Context) (worker.Report, error) {
 	var rep workerapi.StateReply
-	ans, err := cli.call.Call(ctx, http.MethodGet, workerapi.StatePath, nil, nil)
+	ans, err := cli.call.Call(ctx, httpcall.NewRequest(http.MethodGet, workerapi.StatePath, nil))
 	if err := reads.Decode("worker state", ans, err, &rep); err != nil {
 		return worker.Report{}, err
 	}
@@ -119,7 +106,7 @@
 	if err != nil {
 		return rep, errors.Wrap(err, "encode request")
 	}
-	ans, err := cli.call.Call(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
+	ans, err := cli.call.Call(ctx, httpcall.NewRequest(http.MethodPost, path, body).WithHeader("Content-Type", "application/json"))
 	err = writes.Decode("worker "+path, ans, err, &rep)
 	return rep, err
 }
