Report readiness only when a process can do its work

Change: roles tell when they can work; membership changes rebuild the routing directory at once; the demo asks again when a cancellation is refused.

--- a/cmd/demo/jobs.go
+++ b/cmd/demo/jobs.go
@@ -281,9 +281,23 @@
 	return "", 0, errors.New("no data centre is out")
 }
 
+// cancelWatch cancels the watch. While its partition changes hands the entry
+// refuses or does not know, and the operator asks again.
+func (dem *demo) cancelWatch(ctx context.Context) error {
+	for {
+		ans, err := dem.fleet.Cancel(ctx, 1, dem.watchID)
+		if err == nil && ans.Outcome == "answered" {
+			return nil
+		}
+		if err := harness.Pause(ctx, pollPause); err != nil {
+			return errors.Wrapf(err, "cancel: %s %s %s", ans.Outcome, ans.Reason, ans.Detail)
+		}
+	}
+}
+
 // invariants cancels the watch and checks what the stand-ins recorded.
 func (dem *demo) invariants(ctx context.Context) (string, error) {
-	if _, err := dem.fleet.Cancel(ctx, 1, dem.watchID); err != nil {
+	if err := dem.cancelWatch(ctx); err != nil {
 		return "", err
 	}
 	if _, err := dem.awaitTasks(ctx, 1, dem.watchID, func(sta message.JobStatus) bool { return sta.State == "cancelled" }); err != nil {
--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -106,11 +106,17 @@
 	return list.Members, err
 }
 
-// Complete reports whether an entry knows every instance as alive with its
-// endpoint, and whether its configuration is confirmed.
+// Ready reports whether the process with the metrics address calls itself ready.
+func Ready(ctx context.Context, metrics string) bool {
+	status, err := Call(ctx, "GET", metrics+"/readyz", nil, nil, nil)
+	return err == nil && status == http.StatusOK
+}
+
+// Complete reports whether an entry is ready and knows every instance as alive
+// with its endpoint, and whether its configuration is confirmed.
 func (fle *Fleet) Complete(ctx context.Context, ent int) bool {
 	list, err := fle.Members(ctx, ent)
-	if err != nil {
+	if err != nil || !Ready(ctx, fle.entries[ent].metrics) {
 		return false
 	}
 	serving := 0
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -76,6 +76,7 @@
 type Entry struct {
 	process *Process
 	address string
+	metrics string
 }
 
 // Process returns the process.
@@ -220,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	ent := &Entry{address: set.CallerAddress}
+	ent := &Entry{address: set.CallerAddress, metrics: set.MetricsAddress}
 	ent.process, err = fle.run(set.Instance, "jacinthpost", "entry", "--settings", file)
 	fle.entries = append(fle.entries, ent)
 	return err
--- a/io/node/agentnode/agentnode.go
+++ b/io/node/agentnode/agentnode.go
@@ -81,6 +81,9 @@
 	return owner.New(cfg, prt, func(int) *job.Simple { return &job.Simple{} })
 }
 
+// Ready implements node.Role: the ledger must be rebuilt from the worker's report first.
+func (agt *Agent) Ready() bool { return agt.state.View().Ready() }
+
 // Run implements node.Role.
 func (agt *Agent) Run(ctx context.Context) error {
 	defer agt.end()
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	// directoryPeriod bounds how long a change of membership or configuration
-	// stays without effect on routing. The agents refuse meanwhile.
+	// directoryPeriod bounds how long a change of the configuration stays without
+	// effect on routing; the agents refuse meanwhile. Changes of membership take
+	// effect at once.
 	directoryPeriod = 100 * time.Millisecond
 	// readinessGrace is the time for the balancer to see that the entry leaves
 	// before it refuses new connections.
@@ -65,6 +66,7 @@
 	ent.requests = entry.NewRequests[route.TwoChoices](entry.Ports{
 		Caller: nod.Pools().Requests(), Rows: ent.rows, Objects: nod.Objects(), Directory: ent.directory.Load, NextID: ids.next,
 	})
+	nod.Gossip().SetObserver(func([]member.Change) { ent.routing.TryPost(control.Func[routing](ent.rebuild)) })
 	jobs := owner.NewClient(nod.Table(), nod.Pools().Jobs(), nod.Settings().Partitions())
 	ent.server = web.NewServer(web.NewHandler(web.Ports{
 		Requests:      admission{requests: ent.requests, config: nod},
@@ -78,6 +80,11 @@
 	return ent
 }
 
+// Ready implements node.Role: an entry that knows no other process cannot serve.
+func (ent *Entry) Ready() bool {
+	return ent.directory.Load() != nil && len(ent.node.Gossip().View().Usable()) > 1
+}
+
 // Run implements node.Role.
 func (ent *Entry) Run(ctx context.Context) error {
 	lsn, err := net.Listen("tcp", ent.node.Settings().CallerAddress())
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -34,6 +34,7 @@
 const (
 	controlQueue  = 8192 // events
 	headPeriod    = 200 * time.Millisecond
+	readyPeriod   = 20 * time.Millisecond
 	headerTimeout = 5 * time.Second
 )
 
@@ -192,6 +193,8 @@
 
 // Role is what distinguishes the two kinds of process.
 type Role interface {
+	// Ready reports whether the role can do its work.
+	Ready() bool
 	// Run does the work of the role until the context ends.
 	Run(ctx context.Context) error
 	// Stop ends the work of the role gracefully within the context.
@@ -207,8 +210,7 @@
 		return err
 	}
 	grp.Go(func() error { return rol.Run(life) })
-	nod.health.SetReady()
-	nod.logger.Info("process ready", zap.Uint64("incarnation", uint64(nod.incarnation)))
+	grp.Go(func() error { nod.awaitReady(life, rol); return nil })
 	select {
 	case <-ctx.Done():
 		nod.stop(life, rol)
@@ -219,6 +221,24 @@
 	return grp.Wait()
 }
 
+// awaitReady reports the process ready once the configuration is known and the role can work.
+func (nod *Node) awaitReady(ctx context.Context, rol Role) {
+	tkr := time.NewTicker(readyPeriod)
+	defer tkr.Stop()
+	for {
+		if _, known := nod.Freshness().Age(time.Now()); known && rol.Ready() {
+			nod.health.SetReady()
+			nod.logger.Info("process ready", zap.Uint64("incarnation", uint64(nod.incarnation)))
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+		}
+	}
+}
+
 // stop announces the leave and gives the role its time to finish.
 func (nod *Node) stop(life context.Context, rol Role) {
 	nod.health.SetLeaving()
