--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -6,13 +6,33 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 )
 
+// measures are the parts of the benchmark in the order in which they run.
+var measures = []struct {
+	name string
+	run  func(rep *report, quick bool) error
+}{
+	{"latency", measureLatency},
+	{"decisions", func(rep *report, quick bool) error { measureDecisions(rep, quick); return nil }},
+}
+
 func main() {
 	quick := flag.Bool("quick", false, "one seed and short runs, for trials; bounds are not judged")
+	only := flag.String("only", "", "parts to run, separated by commas; all when empty")
 	flag.Parse()
 	rep := newReport(os.Stdout)
-	measureDecisions(rep, *quick)
+	for _, msr := range measures {
+		if *only != "" && !slices.Contains(strings.Split(*only, ","), msr.name) {
+			continue
+		}
+		if err := msr.run(rep, *quick); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", msr.name, err.Error())
+			os.Exit(1)
+		}
+	}
 	if missed := rep.missed(); len(missed) > 0 && !*quick {
 		fmt.Fprintf(os.Stderr, "bounds missed: %v\n", missed)
 		os.Exit(1)
--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -278,3 +278,13 @@
 	_, err := Call(ctx, "GET", fle.store+tableapi.CountersPath, nil, nil, &cnt)
 	return cnt, err
 }
+
+// Direct calls the endpoint of an instance without the product in between.
+func (fle *Fleet) Direct(ctx context.Context, ins *Instance, num int) error {
+	headers := map[string]string{"Jacinthpost-Request-ID": "direct/1/" + strconv.Itoa(num)}
+	status, err := Call(ctx, "POST", ins.address+"/serve", headers, []byte("direct"), nil)
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+	return err
+}
