--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,18 +14,20 @@
 var measures = []struct {
 	name string
 	run  func(rep *report, quick bool) error
+	ask  bool // runs only when named by -only
 }{
-	{"latency", measureLatency},
-	{"decisions", func(rep *report, quick bool) error { measureDecisions(rep, quick); return nil }},
+	{name: "latency", run: measureLatency},
+	{name: "decisions", run: func(rep *report, quick bool) error { measureDecisions(rep, quick); return nil }},
+	{name: "capacity", run: measureCapacity, ask: true},
 }
 
 func main() {
 	quick := flag.Bool("quick", false, "one seed and short runs, for trials; bounds are not judged")
-	only := flag.String("only", "", "parts to run, separated by commas; all when empty")
+	only := flag.String("only", "", "parts to run, separated by commas; all but capacity when empty")
 	flag.Parse()
 	rep := newReport(os.Stdout)
 	for _, msr := range measures {
-		if *only != "" && !slices.Contains(strings.Split(*only, ","), msr.name) {
+		if *only == "" && msr.ask || *only != "" && !slices.Contains(strings.Split(*only, ","), msr.name) {
 			continue
 		}
 		if err := msr.run(rep, *quick); err != nil {
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -30,6 +30,9 @@
 	Folder string
 	// PortOffset is added to every port of the settings.
 	PortOffset int
+	// Instances is the number of instances, those of the deployment when smaller.
+	// Further ones are copies with ports of their own, spread over the data centres.
+	Instances int
 	// EndpointArgs are added to the arguments of every endpoint stand-in.
 	EndpointArgs []string
 }
@@ -150,7 +153,11 @@
 	if err != nil {
 		return errors.Wrap(err, "list entries")
 	}
-	for _, name := range agents {
+	copies, err := fle.copyInstances(agents)
+	if err != nil {
+		return err
+	}
+	for _, name := range append(agents, copies...) {
 		if err := fle.launchInstance(name); err != nil {
 			return err
 		}
@@ -183,7 +190,7 @@
 	if err := json.Unmarshal(raw, &set); err != nil {
 		return set, "", errors.Wrap(err, "decode settings")
 	}
-	file := filepath.Join(fle.options.Folder, filepath.Base(name))
+	file := filepath.Join(fle.options.Folder, "settings-"+filepath.Base(name))
 	if err := os.WriteFile(file, raw, 0o644); err != nil {
 		return set, "", errors.Wrap(err, "write settings")
 	}
