--- a/io/config/rounds.go
+++ b/io/config/rounds.go
@@ -59,8 +59,9 @@
 		nod.readFailed(now, res)
 	case res.head < res.have:
 		// The table may have been restored from an older copy. The node keeps what
-		// it has, and an answer that contradicts it confirms nothing.
+		// it has, and a table that contradicts it counts as down.
 		metrics.GetOrCreateCounter("jacinthpost_config_older_heads_total").Inc()
+		nod.readFailed(now, res)
 	default:
 		sta.downSince = time.Time{}
 		nod.adoptState(res.loaded)
@@ -78,7 +79,11 @@
 	if sta.downSince.IsZero() {
 		sta.downSince = res.sentAt
 	}
-	sta.freshness = sta.freshness.Observe(ticket.NewUnconfirmed(now).WithStoreDown(now.Sub(sta.downSince)))
+	// A reader that is cut off can't reach the store either, so its own failures
+	// prove nothing to itself while there are other readers that it can ask.
+	if len(sta.sources) == 0 {
+		sta.freshness = sta.freshness.Observe(ticket.NewUnconfirmed(now).WithStoreDown(now.Sub(sta.downSince)))
+	}
 }
 
 // pullResult is what one pull brought.
