--- a/io/config/fleet_test.go
+++ b/io/config/fleet_test.go
@@ -45,6 +45,7 @@
 	calls   map[string]int
 	heads   map[string]ticket.Number // highest head published by each node
 	errors  []string
+	filedAt []time.Time // when each ticket was accepted
 }
 
 // port is the view that one node has of the network and the table.
@@ -191,8 +192,21 @@
 	return clu.countIf(func(_ config.Peer, vie *config.View) bool { return vie.State().Head() == head })
 }
 
+// maySend counts the nodes that start tasks and admit requests. A node that
+// starts tasks must have every ticket that is older than the freshness limit.
 func (clu *cluster) maySend() (tasks, requests int) {
 	now := time.Now()
+	needed := ticket.Number(0)
+	for idx, at := range clu.filedAt {
+		if now.Sub(at) > ticket.FreshnessLimit {
+			needed = ticket.Number(idx + 1)
+		}
+	}
+	clu.each(func(per config.Peer, vie *config.View) {
+		if vie.MayStartTasks(now) && vie.State().Head() < needed {
+			clu.errors = append(clu.errors, fmt.Sprintf("%s starts tasks at %d, %d is in force", per.ID(), vie.State().Head(), needed))
+		}
+	})
 	tasks = clu.countIf(func(_ config.Peer, vie *config.View) bool { return vie.MayStartTasks(now) })
 	return tasks, clu.countIf(func(_ config.Peer, vie *config.View) bool { return vie.MayAdmitRequests(now) })
 }
