Keep confirming pings small and simulate in parallel

Cause: a cut region made each node send up to 80 full datagrams a second. Change: confirming pings carry only the claim; machines of the simulation run in parallel, which lets the race detector check that they share no state.

--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -47,7 +47,8 @@
 	stale     bool // near and far don't reflect the roster
 	probe     probe
 	relays    []relay
-	suspects  []fleet.InstanceID
+	suspects  []*entry
+	lacking   bool // a profile may be missing
 	claims    []Update
 	replaced  bool
 	lastTick  time.Time
@@ -176,10 +177,8 @@
 	mac.relays = nil
 	mac.nextProbe = now.Add(ProbePeriod)
 	mac.health.worsen()
-	for _, id := range mac.suspects {
-		if ent, found := mac.roster.Get(id); found {
-			ent.expiresAt = ent.expiresAt.Add(gap)
-		}
+	for _, ent := range mac.suspects {
+		ent.expiresAt = ent.expiresAt.Add(gap)
 	}
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -58,7 +58,7 @@
 	CrossRegion     = 8    // one probe in this many goes to another region
 	MaxDatagram     = 1400 // bytes; larger ones may be fragmented
 	SyncBuckets     = 64
-	syncBucketLimit = 8  // buckets sent in answer to one comparison
+	syncBucketLimit = 16 // buckets sent in answer to one comparison
 	fetchLimit      = 32 // profiles asked for at a time
 	confirmLimit    = 4  // confirming pings a tick
 	claimLimit      = 256
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -94,6 +94,7 @@
 		mac.stale = true
 	}
 	ent.update.profileAt = upd.profileAt
+	mac.lacking = mac.lacking || ent.lacksProfile()
 	mac.mergeProfile(ent, upd, src)
 	if revived {
 		mac.nextDead = now // others of its partition may be back too
@@ -156,6 +157,7 @@
 	mac.mergeProfile(ent, upd, src)
 	mac.roster.Set(upd.instance, ent)
 	mac.rehash(ent)
+	mac.lacking = true
 	mac.changes = append(mac.changes, Change{instance: upd.instance, to: StateAlive, added: true})
 	if src == sourceGossip {
 		mac.news.add(upd.instance, false)
@@ -220,8 +222,8 @@
 	ent.accused = accused
 	ent.expiresAt = now.Add(SuspicionPeriod)
 	ent.confirmAt = now
-	if !slices.Contains(mac.suspects, ent.update.instance) {
-		mac.suspects = append(mac.suspects, ent.update.instance)
+	if !slices.Contains(mac.suspects, ent) {
+		mac.suspects = append(mac.suspects, ent)
 	}
 	if ent.update.state == StateLeaving {
 		ent.doubted = true
@@ -235,21 +237,20 @@
 func (mac *Machine) tickSuspects(now time.Time) {
 	kept := mac.suspects[:0]
 	pings := 0
-	for _, id := range mac.suspects {
-		ent, found := mac.roster.Get(id)
-		if !found || !ent.doubted {
+	for _, ent := range mac.suspects {
+		if !ent.doubted {
 			continue
 		}
 		if !now.Before(ent.expiresAt) {
 			mac.setState(now, ent, StateDead)
 			continue
 		}
-		kept = append(kept, id)
+		kept = append(kept, ent)
 		asks := ent.accused || ent.expiresAt.Sub(now) <= confirmWindow
 		if asks && ent.profile != nil && pings < confirmLimit && !now.Before(ent.confirmAt) {
 			pings++
 			ent.confirmAt = now.Add(confirmPeriod)
-			mac.ping(ent)
+			mac.challenge(ent)
 		}
 	}
 	mac.suspects = kept
@@ -273,6 +274,6 @@
 		mac.stale = true
 	}
 	if len(dead) > 0 {
-		mac.ping(dead[mac.random.IntN(len(dead))])
+		mac.challenge(dead[mac.random.IntN(len(dead))])
 	}
 }
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -102,6 +102,14 @@
 	return sequence
 }
 
+// challenge sends a ping that carries only what is believed about the member.
+// While a region is cut off, thousands of these are sent, so they stay small.
+func (mac *Machine) challenge(ent *entry) {
+	msg := mac.compose(KindPing, mac.nextSequence(), ent.update.instance)
+	mac.sendTo(ent, msg.WithUpdates(mac.claimsAbout(ent.update.instance)))
+}
+
+// claimsAbout returns what a member should hear about itself, so that it can refute.
 func (mac *Machine) claimsAbout(id fleet.InstanceID) []Update {
 	ent, found := mac.roster.Get(id)
 	if !found || ent.update.state == StateAlive || ent.update.state == StateLeaving {
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -99,9 +100,9 @@
 			net.deliver(dlv)
 		}
 		delete(net.pending, slot)
+		net.turns(slot)
 		for idx, nod := range net.nodes {
 			if nod.running && !net.now.Before(nod.pausedT) {
-				net.turn(idx, nod, slot)
 				wrong = append(wrong, net.collect(idx, nod, alive)...)
 			}
 		}
@@ -109,6 +110,23 @@
 	return wrong
 }
 
+// turns runs all machines in parallel. They share nothing but immutable
+// messages, which the race detector checks, so the result doesn't depend on the order.
+func (net *network) turns(slot int64) {
+	const chunk = 64
+	var group sync.WaitGroup
+	defer group.Wait()
+	for first := 0; first < len(net.nodes); first += chunk {
+		group.Go(func() {
+			for idx := first; idx < min(first+chunk, len(net.nodes)); idx++ {
+				if nod := net.nodes[idx]; nod.running && !net.now.Before(nod.pausedT) {
+					net.turn(idx, nod, slot)
+				}
+			}
+		})
+	}
+}
+
 func (net *network) turn(idx int, nod *node, slot int64) {
 	inbox := nod.inbox
 	nod.inbox = nil
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -77,6 +77,9 @@
 
 // fetch asks a random member for profiles that this process lacks.
 func (mac *Machine) fetch() {
+	if !mac.lacking {
+		return
+	}
 	var wanted []fleet.InstanceID
 	for id, ent := range mac.roster.All() {
 		if ent.update.state != StateDead && ent.lacksProfile() && len(wanted) < fetchLimit {
@@ -84,6 +87,7 @@
 		}
 	}
 	if len(wanted) == 0 {
+		mac.lacking = false
 		return
 	}
 	if ent := mac.partner(); ent != nil {
