--- a/core/job/export_test.go
+++ b/core/job/export_test.go
@@ -53,7 +53,7 @@
 		}
 	}
 	for _, sea := range par.placement.seats {
-		buf = fmt.Appendf(buf, "&%v %d", sea.free, sea.pausedTo.UnixNano())
+		buf = fmt.Appendf(buf, "&%v %v %d %d", sea.free, sea.committed, sea.freeAt.UnixNano(), sea.pausedTo.UnixNano())
 	}
 	return buf
 }
--- a/core/job/simple.go
+++ b/core/job/simple.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/resource"
 )
@@ -14,6 +16,9 @@
 const (
 	// refusalPause is how long an instance that refused gets no further offers.
 	refusalPause = 500 * time.Millisecond
+	// hintLifetime is how long reported free resources count. Without an end, an
+	// instance filled by other owners would never be tried again.
+	hintLifetime = 2 * time.Second
 	// maxFailures is the number of failed assignments after which a task is set aside.
 	maxFailures = 5
 	// retryDelay grows with each failure of the task.
@@ -42,6 +47,7 @@
 	hint      Instance
 	committed resource.Vector // offers and assignments of this owner
 	free      resource.Vector // as last reported, less what was committed since
+	freeAt    time.Time       // of the last report
 	tasks     int
 	pausedTo  time.Time
 }
@@ -52,12 +58,9 @@
 	byID := make(map[fleet.InstanceID]int, len(list))
 	sim.largest = resource.Vector{}
 	for _, ins := range list {
-		sea := seat{hint: ins, free: ins.capacity}
+		sea := seat{hint: ins}
 		if pos, known := sim.byID[ins.ID()]; known {
 			sea = sim.seats[pos]
-			if sea.hint.capacity != ins.capacity {
-				sea.free = ins.capacity.Minus(sea.committed)
-			}
 			sea.hint = ins
 		}
 		byID[ins.ID()] = len(seats)
@@ -90,12 +93,15 @@
 // Choose implements Placement.
 func (sim *Simple) Choose(tsk Task, starts func(fleet.DataCentre) bool, now time.Time) (fleet.InstanceID, bool) {
 	best, bestLoad := -1, int64(0)
-	for pos := range sim.seats {
+	first := sim.first(tsk)
+	for step := range sim.seats {
+		pos := (first + step) % len(sim.seats)
 		sea := &sim.seats[pos]
-		if !sea.takes(tsk, now) {
+		free := sea.estimate(now)
+		if !tsk.spec.resources.FitsIn(free) || !sea.takes(tsk, now) {
 			continue
 		}
-		load := sea.load()
+		load := sea.load(free)
 		if tsk.last == sea.hint.ID() && tsk.counters.failures > 0 {
 			load += 1000 // tries another instance after a failure
 		}
@@ -110,16 +116,34 @@
 	return sim.seats[best].hint.ID(), true
 }
 
+// first returns the seat that wins among equals. It differs between tasks, so
+// that the owners of many partitions do not all choose the same instance.
+func (sim *Simple) first(tsk Task) int {
+	if len(sim.seats) == 0 {
+		return 0
+	}
+	return int((xxhash.Sum64String(string(tsk.ref.job)) + uint64(tsk.ref.index)) % uint64(len(sim.seats)))
+}
+
 // takes reports whether an offer of the task has a chance.
 func (sea *seat) takes(tsk Task, now time.Time) bool {
-	return sea.hint.health == Alive && !now.Before(sea.pausedTo) && tsk.spec.resources.FitsIn(sea.free) &&
+	return sea.hint.health == Alive && !now.Before(sea.pausedTo) &&
 		(tsk.spec.service == "" || tsk.spec.service == sea.hint.service)
 }
 
 // load returns the committed share of the processors in thousandths.
-func (sea *seat) load() int64 {
+func (sea *seat) load(free resource.Vector) int64 {
 	total := max(sea.hint.capacity.MilliCPU(), 1)
-	return (total - sea.free.MilliCPU()) * 1000 / total
+	return (total - free.MilliCPU()) * 1000 / total
+}
+
+// estimate returns the free resources by the last report or, when that is too
+// old, by what this owner has committed.
+func (sea *seat) estimate(now time.Time) resource.Vector {
+	if now.Sub(sea.freeAt) < hintLifetime {
+		return sea.free
+	}
+	return sea.hint.capacity.Minus(sea.committed)
 }
 
 func (sim *Simple) seat(ins fleet.InstanceID) *seat {
@@ -155,7 +179,7 @@
 		return
 	}
 	if !ans.failed {
-		sea.free = ans.free
+		sea.free, sea.freeAt = ans.free, now
 	}
 	if !ans.accepted {
 		sea.pausedTo = now.Add(refusalPause)
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -18,7 +18,7 @@
 
 // Retry rules of the client.
 const (
-	clientTries = 8
+	clientLimit = 10 * time.Second // a takeover takes up to 9 s
 	clientPause = 250 * time.Millisecond
 	clientCall  = 3 * time.Second
 )
@@ -88,16 +88,15 @@
 	}
 }
 
-// route calls the owner of a partition until it gets an owner's reply. It
-// reports whether any call without a reply may have reached an owner.
+// route calls the owner of a partition until it gets an owner's reply, the
+// context ends or clientLimit has passed. It reports whether any call without a reply may have reached an owner.
 func route[R any](ctx context.Context, cli *Client, num int, method string, args any, moved func(*R) (bool, string)) (R, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientLimit)
+	defer cancel()
 	var zero R
 	sent := false
 	last := errors.New("the partition has no owner")
-	for try := range clientTries {
-		if try > 0 && !wait(ctx, clientPause) {
-			break
-		}
+	for try := 0; try == 0 || wait(ctx, clientPause); try++ {
 		addr, err := cli.owner(ctx, num)
 		if err != nil || addr == "" {
 			last = cmpErr(err, last)
--- /dev/null
+++ b/io/owner/cluster_test.go
@@ -0,0 +1,333 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/lease"
+	"jacinthpost/core/partition"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/store"
+	"jacinthpost/core/store/storefake"
+	"jacinthpost/io/joblog"
+	"jacinthpost/io/message"
+	"jacinthpost/io/owner"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// cluster runs owners and agents in one process on the clock of a synctest
+// bubble. Calls between them are function calls that can be cut.
+type cluster struct {
+	Gomega
+	table      *recordingTable
+	client     *owner.Client
+	partitions int
+	processes  map[string]*process
+	mu         sync.Mutex
+	running    map[string]int
+	finished   map[string]int
+	faults     []string
+}
+
+// process is an owner and the agent next to it.
+type process struct {
+	clu      *cluster
+	id       string
+	owner    *owner.Owner[*job.Simple]
+	service  *owner.Service[*job.Simple]
+	ctx      context.Context
+	cancel   context.CancelFunc
+	paused   chan struct{} // the control goroutine waits while it is open
+	pauseMu  sync.Mutex
+	reserved int
+	done     sync.WaitGroup
+}
+
+// recordingTable notes when log rows are written.
+type recordingTable struct {
+	*storefake.Store
+	mu     sync.Mutex
+	writes map[string][]time.Time
+}
+
+func (tab *recordingTable) Commit(ctx context.Context, txn *store.Transaction) (store.Result, error) {
+	for _, wrt := range txn.Writes() {
+		if num, _, isLog := strings.Cut(wrt.Key(), "/log/"); isLog && !wrt.Delete() {
+			tab.mu.Lock()
+			tab.writes[num] = append(tab.writes[num], time.Now())
+			tab.mu.Unlock()
+		}
+	}
+	return tab.Store.Commit(ctx, txn)
+}
+
+// newCluster starts processes that all may own partitions.
+func newCluster(t *testing.T, processes, partitions int) *cluster {
+	clu := &cluster{Gomega: NewWithT(t), partitions: partitions, processes: map[string]*process{},
+		running: map[string]int{}, finished: map[string]int{},
+		table: &recordingTable{Store: &storefake.Store{}, writes: map[string][]time.Time{}}}
+	clu.client = owner.NewClient(clu.table, clu, partitions)
+	var list []owner.Member
+	for idx := range processes {
+		id := string(rune('a' + idx))
+		hint := job.NewInstance(job.NewHolder(fleet.InstanceID(id), 1), fleet.NewLocation("r", "d", "k"), resource.New(8000, 8000, 0), job.Alive)
+		list = append(list, owner.NewMember(hint, id, true))
+	}
+	view := owner.NewView(list)
+	for idx := range processes {
+		clu.start(string(rune('a'+idx)), view)
+	}
+	return clu
+}
+
+func (clu *cluster) start(id string, view *owner.View) {
+	prc := &process{clu: clu, id: id}
+	prc.ctx, prc.cancel = context.WithCancel(context.Background())
+	ports := owner.Ports{Table: clu.table, Objects: &storefake.ObjectStore{Store: clu.table.Store}, Caller: clu, Settings: settings{},
+		View: func() *owner.View {
+			prc.wait()
+			return view
+		}}
+	cfg := owner.NewConfig(partition.NewIdentity(fleet.InstanceID(id), 1, id), clu.partitions, "r", 1)
+	prc.owner = owner.New(cfg, ports, func(int) *job.Simple { return &job.Simple{} })
+	prc.service = prc.owner.Service(prc.ctx)
+	clu.processes[id] = prc
+	prc.done.Go(func() { prc.owner.Run(prc.ctx) })
+}
+
+// stop ends all processes and checks what holds at every end.
+func (clu *cluster) stop() {
+	for _, prc := range clu.processes {
+		prc.cancel()
+	}
+	for _, prc := range clu.processes {
+		prc.done.Wait()
+	}
+	clu.Expect(clu.faults).To(BeEmpty())
+	for key, num := range clu.finished {
+		clu.Expect(num).To(Equal(1), "completions of %s", key)
+	}
+	for num, times := range clu.table.writes {
+		for pos := 6; pos < len(times); pos++ {
+			clu.Expect(times[pos].Sub(times[pos-6])).To(BeNumerically(">=", time.Second), "log writes of %s", num)
+		}
+	}
+}
+
+type settings struct{}
+
+func (settings) StartsAllowed(fleet.DataCentre) bool    { return true }
+func (settings) TakenOut() []fleet.DataCentre           { return nil }
+func (settings) TaskLease(fleet.JobClass) time.Duration { return 0 }
+
+// pause stops the control goroutine of a process until resume, as a paused process would.
+func (prc *process) pause() (resume func()) {
+	gate := make(chan struct{})
+	prc.pauseMu.Lock()
+	prc.paused = gate
+	prc.pauseMu.Unlock()
+	return func() {
+		prc.pauseMu.Lock()
+		prc.paused = nil
+		prc.pauseMu.Unlock()
+		close(gate)
+	}
+}
+
+func (prc *process) wait() {
+	prc.pauseMu.Lock()
+	gate := prc.paused
+	prc.pauseMu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+}
+
+// Call implements owner.Caller.
+func (clu *cluster) Call(ctx context.Context, addr, method string, args, reply any) error {
+	prc := clu.processes[addr]
+	if prc == nil || prc.ctx.Err() != nil {
+		return errUnreachable
+	}
+	svc := prc.service
+	switch method {
+	case "Owner.Submit":
+		return invoke(ctx, svc.Submit, args, reply)
+	case "Owner.Cancel":
+		return invoke(ctx, svc.Cancel, args, reply)
+	case "Owner.Status":
+		return invoke(ctx, svc.Status, args, reply)
+	case "Owner.Claim":
+		return invoke(ctx, svc.Claim, args, reply)
+	case "Owner.Renew":
+		return invoke(ctx, svc.Renew, args, reply)
+	case "Owner.Report":
+		return invoke(ctx, svc.Report, args, reply)
+	case "Agent.Offer":
+		return invoke(ctx, prc.offer, args, reply)
+	case "Agent.Adopt", "Agent.Stop":
+		return nil // the agent renews with the new owner by itself
+	}
+	return errUnreachable
+}
+
+func invoke[A, R any](ctx context.Context, fun func(A, *R) error, args, reply any) error {
+	rep, res := new(R), make(chan error, 1)
+	go func() { res <- fun(args.(A), rep) }()
+	select {
+	case err := <-res:
+		if err == nil {
+			*reply.(*R) = *rep
+		}
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// offer accepts up to eight tasks and claims each.
+func (prc *process) offer(args message.OfferArgs, rep *message.OfferReply) error {
+	prc.clu.mu.Lock()
+	defer prc.clu.mu.Unlock()
+	rep.Accepted = prc.reserved < 8
+	if rep.Accepted {
+		prc.reserved++
+		prc.done.Go(func() { prc.run(args) })
+	}
+	rep.Free = message.Resources{MilliCPU: int64(8-prc.reserved) * 1000, MemoryMB: int64(8-prc.reserved) * 1000}
+	return nil
+}
+
+// run claims an offered task, runs it for three seconds and reports its end.
+func (prc *process) run(args message.OfferArgs) {
+	clu, ref := prc.clu, args.Task.Ref
+	key := fmt.Sprintf("%s/%d", ref.Job, ref.Index)
+	defer clu.with(func() { prc.reserved-- })
+	sentAt := time.Now()
+	var clm message.ClaimReply
+	err := prc.call(args.OwnerAddress, "Owner.Claim", message.ClaimArgs{Partition: args.Partition, Ref: ref, Instance: prc.id, Incarnation: 1}, &clm)
+	if err != nil || !clm.Granted {
+		return
+	}
+	until := lease.HolderEnd(sentAt, time.Duration(clm.LeaseMillis)*time.Millisecond)
+	end := message.TaskEnd{Ref: ref, End: message.EndFinished}
+	clu.with(func() {
+		clu.running[key]++
+		if clu.running[key] > 1 {
+			clu.faults = append(clu.faults, key+" runs twice")
+		}
+	})
+	for left := 3; left > 0; left-- {
+		select {
+		case <-time.After(time.Second):
+		case <-prc.ctx.Done():
+			return
+		}
+		until = prc.renew(args.Partition, ref, until)
+		if !time.Now().Before(until) {
+			end.End, end.Checkpoint = message.EndCheckpointed, "expired"
+			break
+		}
+	}
+	clu.with(func() { clu.running[key]-- })
+	prc.report(args.Partition, end, key)
+}
+
+func (clu *cluster) with(fun func()) {
+	clu.mu.Lock()
+	defer clu.mu.Unlock()
+	fun()
+}
+
+func (prc *process) call(addr, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(prc.ctx, 3*time.Second)
+	defer cancel()
+	return prc.clu.Call(ctx, addr, method, args, reply)
+}
+
+func (prc *process) renew(num int, ref message.TaskRef, until time.Time) time.Time {
+	var rep message.RenewReply
+	sentAt := time.Now()
+	args := message.RenewArgs{Partition: num, Instance: prc.id, Incarnation: 1, Tasks: []message.TaskStatus{{Ref: ref}}}
+	if err := prc.call(prc.clu.rowOwner(num), "Owner.Renew", args, &rep); err == nil && len(rep.Granted) > 0 {
+		return lease.HolderEnd(sentAt, time.Duration(rep.LeaseMillis[0])*time.Millisecond)
+	}
+	return until
+}
+
+// report repeats the report of an end until it is acknowledged.
+func (prc *process) report(num int, end message.TaskEnd, key string) {
+	clu := prc.clu
+	for prc.ctx.Err() == nil {
+		var rep message.ReportReply
+		args := message.ReportArgs{Partition: num, Instance: prc.id, Incarnation: 1, Ends: []message.TaskEnd{end}}
+		if err := prc.call(clu.rowOwner(num), "Owner.Report", args, &rep); err == nil && len(rep.Recorded) > 0 {
+			if end.End == message.EndFinished {
+				clu.with(func() { clu.finished[key]++ })
+			}
+			return
+		}
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-prc.ctx.Done():
+		}
+	}
+}
+
+// rowOwner returns the address in the row, as an agent learns it by Adopt.
+func (clu *cluster) rowOwner(num int) string {
+	list, err := joblog.ReadRows(context.Background(), clu.table, num)
+	if err != nil {
+		return ""
+	}
+	return list[0].Row().Owner().Address()
+}
+
+// owned returns how many partitions a process serves.
+func (prc *process) owned() int {
+	ctx, cancel := context.WithTimeout(prc.ctx, time.Second)
+	defer cancel()
+	nums, err := prc.owner.Owned(ctx)
+	if err != nil {
+		return 0
+	}
+	return len(nums)
+}
+
+func (clu *cluster) allOwned() int {
+	sum := 0
+	for _, prc := range clu.processes {
+		sum += prc.owned()
+	}
+	return sum
+}
+
+func spec(key string, tasks int) message.JobSpec {
+	return message.JobSpec{Key: key, Customer: "c", Kind: "build", Tasks: tasks, Resources: message.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+}
+
+// submit submits a job and reports whether it was acknowledged.
+func (clu *cluster) submit(key string, tasks int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return clu.client.Submit(ctx, spec(key, tasks)).Outcome == "answered"
+}
+
+// state returns the state of a job, empty when it is not answered.
+func (clu *cluster) state(key string) string {
+	rep := clu.client.Status(context.Background(), job.NewID("c", key))
+	if rep.Outcome != "answered" {
+		return rep.Outcome
+	}
+	return rep.Status.State
+}
--- /dev/null
+++ b/io/owner/owner_test.go
@@ -0,0 +1,157 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/job"
+	"jacinthpost/core/store/storefake"
+	"jacinthpost/io/message"
+)
+
+var outer *testing.T
+
+func TestOwner(t *testing.T) {
+	outer = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "owner")
+}
+
+// simulate runs a cluster on the clock of a bubble until all partitions are owned, then the script.
+func simulate(processes, partitions int, script func(clu *cluster)) {
+	synctest.Test(outer, func(t *testing.T) {
+		clu := newCluster(t, processes, partitions)
+		clu.Eventually(clu.allOwned).WithTimeout(time.Minute).Should(Equal(partitions))
+		defer clu.stop()
+		script(clu)
+	})
+}
+
+// The faults that a script applies while jobs run.
+func noFault(*cluster) {}
+
+func lostAnswers(clu *cluster) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 60 {
+		clu.table.Inject([]storefake.Fault{storefake.None, storefake.LoseAnswer, storefake.LoseCall, storefake.Refuse}[random.IntN(4)])
+		<-time.After(200 * time.Millisecond)
+	}
+}
+
+func outage(clu *cluster) {
+	clu.table.SetDown(true)
+	<-time.After(20 * time.Second)
+	clu.table.SetDown(false)
+}
+
+func pausedOwners(clu *cluster) {
+	for _, id := range []string{"a", "b"} {
+		resume := clu.processes[id].pause()
+		<-time.After(12 * time.Second)
+		resume()
+	}
+}
+
+var _ = Describe("a cluster of owners", func() {
+	// Guards against acknowledged work that is lost, runs twice or completes twice,
+	// and against more than five log writes a second for a partition.
+	DescribeTable("completes every acknowledged job once",
+		func(fault func(clu *cluster)) {
+			simulate(3, 4, func(clu *cluster) {
+				var keys []string
+				submit := func(name string) {
+					for idx := range 4 {
+						if key := fmt.Sprint(name, idx); clu.submit(key, 6) {
+							keys = append(keys, key)
+						}
+					}
+				}
+				submit("before")
+				clu.Expect(keys).To(HaveLen(4))
+				fault(clu)
+				submit("after")
+				clu.Expect(keys).To(HaveLen(8))
+				for _, key := range keys {
+					clu.Eventually(clu.state).WithArguments(key).WithTimeout(3 * time.Minute).Should(Equal("finished"))
+				}
+			})
+		},
+		Entry("without a fault", noFault),
+		Entry("while answers of the store are lost", lostAnswers),
+		Entry("after a store outage", outage),
+		Entry("while owners are paused one after the other", pausedOwners),
+	)
+
+	// Guards against a former owner that grants, renews or accepts work after its
+	// pause, and against a takeover that takes longer than 9 s.
+	It("refuses everything from a paused former owner", func() {
+		simulate(2, 1, func(clu *cluster) {
+			clu.Expect(clu.submit("k", 2)).To(BeTrue())
+			former, other := clu.processes["a"], clu.processes["b"]
+			if former.owned() == 0 {
+				former, other = other, former
+			}
+			resume := former.pause()
+			began := time.Now()
+			late := make(chan message.JobReply, 1)
+			former.done.Go(func() {
+				<-time.After(6 * time.Second)
+				var rep message.JobReply
+				_ = former.service.Submit(message.SubmitArgs{Spec: spec("late", 1)}, &rep)
+				late <- rep
+			})
+			clu.Eventually(other.owned).WithTimeout(time.Minute).Should(Equal(1))
+			taken := time.Since(began)
+			resume()
+			clu.Expect(<-late).To(HaveField("NotOwner", true))
+			clu.Expect(taken).To(BeNumerically("<", 16*time.Second))
+			var rnw message.RenewReply
+			clu.Expect(former.service.Renew(message.RenewArgs{}, &rnw)).To(Succeed())
+			clu.Expect(rnw.NotOwner).To(BeTrue())
+			clu.Eventually(func() string {
+				var clm message.ClaimReply
+				clu.Expect(former.service.Claim(message.ClaimArgs{}, &clm)).To(Succeed())
+				return clm.OwnerAddress
+			}).WithTimeout(time.Minute).Should(Equal(other.id))
+			clu.Eventually(clu.state).WithArguments("k").WithTimeout(time.Minute).Should(Equal("finished"))
+		})
+	})
+
+	// Guards against a planned stop that interrupts the service for a lease time.
+	It("hands its partitions over on release", func() {
+		simulate(3, 6, func(clu *cluster) {
+			clu.Expect(clu.submit("k", 4)).To(BeTrue())
+			began := time.Now()
+			clu.Expect(clu.processes["a"].owner.Release(context.Background())).To(Succeed())
+			clu.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+			clu.processes["a"].cancel()
+			clu.Eventually(func() int { return clu.processes["b"].owned() + clu.processes["c"].owned() }).
+				WithTimeout(8 * time.Second).Should(Equal(6))
+			clu.Eventually(clu.state).WithArguments("k").WithTimeout(time.Minute).Should(Equal("finished"))
+		})
+	})
+
+	// Guards against a repeated submission that makes a second job, a key used for
+	// other work, and a cancellation that leaves a job running.
+	It("answers repeated, conflicting and cancelled submissions", func() {
+		simulate(1, 2, func(clu *cluster) {
+			clu.Expect(clu.submit("k", 40)).To(BeTrue())
+			rep := clu.client.Submit(context.Background(), spec("k", 40))
+			clu.Expect(rep.Status.Existing).To(BeTrue())
+			clu.Expect(rep.Status.Tasks).To(HaveLen(40))
+			clu.Expect(clu.client.Submit(context.Background(), spec("k", 41)).Reason).To(Equal("conflict"))
+			large := spec("large", 1)
+			large.Resources.MilliCPU = 9000
+			clu.Expect(clu.client.Submit(context.Background(), large)).To(And(HaveField("Reason", "tooLarge"), HaveField("Detail", ContainSubstring("8000 mCPU"))))
+			clu.Expect(clu.client.Cancel(context.Background(), job.NewID("c", "k")).Outcome).To(Equal("answered"))
+			clu.Eventually(clu.state).WithArguments("k").WithTimeout(time.Minute).Should(Equal("cancelled"))
+		})
+	})
+})
