Bound batches and ranking, keep awaited row writes apart

Cause: the result of a renewal that outlives a forfeited ownership could confirm a later acquisition; ranking 1,400 candidates for 64 partitions every 100 ms would use several percent of a core. Change: a forfeited ownership still awaits its write; ranks are computed when the candidates change; log rows hold at most 1 MiB of payloads; tests of limits, watches, parking and drain.

--- a/core/job/end.go
+++ b/core/job/end.go
@@ -185,7 +185,7 @@
 	limit := env.now.Add(-par.limits.retention).UnixMilli()
 	var old []ID
 	for _, ent := range par.order {
-		if ent.endedAt != 0 && ent.endedAt < limit {
+		if ent.endedAt != 0 && ent.endedAt < limit && len(old) < maxRemoved {
 			old = append(old, ent.id)
 		}
 	}
--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -33,6 +33,8 @@
 const (
 	maxOffers = 64 // outstanding offers of a partition
 	maxTries  = 64 // tasks without a fitting instance in one pass
+	// maxRemoved bounds the jobs removed at a time, and with them the size of a batch of records.
+	maxRemoved = 256
 )
 
 // Limits bound the state of a partition.
--- /dev/null
+++ b/core/job/rules_test.go
@@ -0,0 +1,70 @@
+package job_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/resource"
+)
+
+var size = resource.New(1000, 1000, 0)
+
+// only returns the effects of one type.
+func only[E job.Effect](out *job.Output) []E {
+	var list []E
+	for _, eff := range out.Effects() {
+		if typed, is := eff.(E); is {
+			list = append(list, typed)
+		}
+	}
+	return list
+}
+
+// Guards against work that no instance can run, and against unbounded state.
+var _ = DescribeTable("a job that breaks a limit is refused", func(spc job.Spec, reason, detail string) {
+	ben := newBench()
+	out := only[job.Reply](ben.part.Submit(ben.env(), 0, spc))[0].Outcome()
+	Expect(string(out.Reason())).To(Equal(reason))
+	Expect(out.Detail()).To(ContainSubstring(detail))
+},
+	Entry("no key", job.NewSpec(job.KindBuild, 1, size), "invalid", "key"),
+	Entry("too many tasks", job.NewSpec(job.KindBuild, 1001, size).WithKey("c", "k"), "invalid", "1 to 1000"),
+	Entry("payload", job.NewSpec(job.KindBuild, 1, size).WithKey("c", "k").WithPayload([]byte(strings.Repeat("x", 256<<10+1))), "invalid", "payload"),
+	Entry("too large", job.NewSpec(job.KindBuild, 1, resource.New(33_000, 1, 0)).WithKey("c", "k"), "tooLarge", "32000 mCPU"),
+)
+
+// Guards against a watch that counts as done, and against a poison job that is tried for ever.
+var _ = It("never finishes a watch and sets it aside after repeated failures", func() {
+	ben := newBench()
+	ben.claim(ben.part.Submit(ben.env(), 0, job.NewSpec(job.KindWatch, 1, size).WithKey("c", "w")))
+	for len(ben.running) > 0 {
+		ref := ben.running[0]
+		ben.running = nil
+		ben.part.Report(ben.env(), 0, []job.Report{job.NewReport(ref, job.NewEnd(job.EndFinished, ""))})
+		ben.now = ben.now.Add(6 * time.Second)
+		ben.claim(ben.part.Tick(ben.env()))
+	}
+	sta, _ := ben.part.Status(job.NewID("c", "w"))
+	Expect(sta.State()).To(Equal(job.Parked))
+	Expect(sta.Tasks()[0].Counters().Attempts()).To(Equal(5))
+	Expect(sta.Tasks()[0].Detail()).To(ContainSubstring("ended by itself"))
+	ben.part.Cancel(ben.env(), 0, job.NewID("c", "w"))
+	sta, _ = ben.part.Status(job.NewID("c", "w"))
+	Expect(sta.State()).To(Equal(job.Cancelled))
+})
+
+// Guards against a burst of evictions when a data centre is taken out, and against a drain that stalls.
+var _ = It("moves five percent of the tasks of a data centre a second", func() {
+	ben := newBench()
+	ben.fill(1400)
+	ben.part.TakeOut(ben.env(), []fleet.DataCentre{"d0"})
+	for range 2 {
+		ben.now = ben.now.Add(time.Second)
+		Expect(len(only[job.Stop](ben.part.Tick(ben.env())))).To(BeNumerically("~", 10, 3))
+	}
+})
--- a/core/partition/ownership.go
+++ b/core/partition/ownership.go
@@ -73,7 +73,8 @@
 }
 
 // Forfeit gives an ownership up without a write, for example when the state of
-// the log is not known. Other candidates wait for the lease.
+// the log is not known. Other candidates wait for the lease. A write under way
+// is still awaited: a further one could be confirmed by its result.
 func (own *Ownership) Forfeit() {
 	if own.phase == owning {
 		own.lose()
@@ -81,8 +82,7 @@
 }
 
 func (own *Ownership) lose() {
-	own.phase, own.leaseEnd, own.writing = watching, time.Time{}, Action{}
-	own.seenAt = time.Time{}
+	own.phase, own.leaseEnd, own.seenAt = watching, time.Time{}, time.Time{}
 }
 
 // Decide returns the next action. The rank is the number of live candidates
@@ -164,9 +164,6 @@
 // to its rows. It returns the kind of write that took effect.
 func (own *Ownership) Written(now time.Time, ver store.Version) ActionKind {
 	act := own.writing
-	if act.kind == Idle {
-		return Idle // the ownership was forfeited meanwhile
-	}
 	own.writing = Action{}
 	own.seen = NewSighting(act.row, ver, own.seen.epochVersion)
 	own.seenAt = now
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -47,6 +47,7 @@
 	stopLimit      = 2 * time.Second  // one Stop or Adopt call
 	answerLimit    = 10 * time.Second // one call of Service
 	maxUnsaved     = 16 * 256         // records without a snapshot before submissions are refused
+	maxBatchBytes  = 1 << 20          // payloads and results in one log row
 	releasePolling = 20 * time.Millisecond
 )
 
@@ -141,7 +142,7 @@
 	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
 		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
 	for num := range cfg.partitions {
-		sta.slots = append(sta.slots, &slot[P]{num: num, ownership: partition.NewOwnership(cfg.self)})
+		sta.slots = append(sta.slots, &slot[P]{num: num, rank: partition.Watchers, ownership: partition.NewOwnership(cfg.self)})
 	}
 	own.loop = control.NewLoop(sta, queueCapacity, nil)
 	return own
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -38,6 +38,7 @@
 type slot[P job.Placement] struct {
 	num       int
 	ownership *partition.Ownership
+	rank      int // live candidates preferred over this process
 	jitter    time.Duration
 	tenure    *tenure[P] // set while the partition is owned
 }
@@ -84,14 +85,23 @@
 
 func (sta *state[P]) setView(viw *View, now time.Time) {
 	sta.view = viw
-	sta.hints, sta.candidates = nil, nil
+	sta.hints = nil
 	clear(sta.addresses)
+	var candidates []partition.Candidate
 	for _, mem := range viw.list {
 		sta.hints = append(sta.hints, mem.hint)
 		sta.addresses[mem.hint.ID()] = mem.address
 		if mem.candidate && mem.hint.Health() == job.Alive {
 			near := mem.hint.Location().Region() == sta.config.storeRegion
-			sta.candidates = append(sta.candidates, partition.NewCandidate(mem.hint.ID(), near))
+			candidates = append(candidates, partition.NewCandidate(mem.hint.ID(), near))
+		}
+	}
+	// Ranking hashes every candidate for every partition, which at 1,400
+	// candidates and 64 partitions costs too much for each change of a hint.
+	if !slices.Equal(candidates, sta.candidates) {
+		sta.candidates = candidates
+		for _, slt := range sta.slots {
+			slt.rank = sta.rank(slt.num)
 		}
 	}
 	for _, slt := range sta.slots {
@@ -121,7 +131,7 @@
 	sta.watchedAt = now
 	var nums []int
 	for _, slt := range sta.slots {
-		if slt.tenure == nil && !slt.ownership.Awaiting() && sta.rank(slt.num) < partition.Watchers {
+		if slt.tenure == nil && !slt.ownership.Awaiting() && slt.rank < partition.Watchers {
 			nums = append(nums, slt.num)
 		}
 	}
@@ -151,8 +161,7 @@
 
 // decide lets the ownership of a partition act.
 func (sta *state[P]) decide(slt *slot[P], now time.Time) {
-	rank := sta.rank(slt.num)
-	if slt.tenure == nil && rank >= partition.Watchers {
+	if slt.tenure == nil && slt.rank >= partition.Watchers {
 		return
 	}
 	if slt.jitter == 0 {
@@ -162,7 +171,7 @@
 		sta.handOver(slt, now)
 		return
 	}
-	act := slt.ownership.Decide(now, rank, slt.jitter)
+	act := slt.ownership.Decide(now, slt.rank, slt.jitter)
 	switch act.Kind() {
 	case partition.Acquire, partition.Renew:
 		sta.write(slt, act)
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -133,11 +134,11 @@
 }
 
 func (sta *state[P]) append(slt *slot[P], ten *tenure[P], now time.Time) {
-	batch := ten.pending
-	ten.pending, ten.writing, ten.writtenAt = nil, true, now
+	batch := ten.cut()
+	ten.writing, ten.writtenAt = true, now
 	ten.unsaved += len(batch)
 	var snapshot []job.Record
-	if ten.unsaved >= joblog.SnapshotRecords && !ten.saving {
+	if ten.unsaved >= joblog.SnapshotRecords && !ten.saving && len(ten.pending) == 0 {
 		// The state holds exactly the records up to the end of this batch.
 		snapshot, ten.saving, ten.unsaved = ten.part.Snapshot(), true, 0
 	}
@@ -163,6 +164,18 @@
 	})
 }
 
+// cut takes the next batch from the pending records.
+func (ten *tenure[P]) cut() []job.Record {
+	size, end := 0, 0
+	for end < len(ten.pending) && (end == 0 || size < maxBatchBytes) {
+		size += len(ten.pending[end].Spec().Payload()) + len(ten.pending[end].End().Result())
+		end++
+	}
+	batch := ten.pending[:end:end]
+	ten.pending = slices.Clone(ten.pending[end:])
+	return batch
+}
+
 // appended releases what waited for the records of a batch.
 func (sta *state[P]) appended(slt *slot[P], ten *tenure[P], records uint64, now time.Time) {
 	ten.writing = false
