--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -33,6 +33,8 @@
 const (
 	maxOffers = 64 // outstanding offers of a partition
 	maxTries  = 64 // tasks without a fitting instance in one pass
+	// maxRemoved bounds the jobs removed at a time, and with them the size of a batch of records.
+	maxRemoved = 256
 )
 
 // Limits bound the state of a partition.
@@ -98,6 +100,7 @@
 	order     uint64
 	recorded  uint64 // number of the last record about the job
 	cancelled bool
+	waiting   string // why a task of the job has no instance yet
 	endedAt   int64
 	tasks     []task
 	counts    [stateCount]int
