Test the task role of an agent in virtual time

Cause: leases, restarts and drains take tens of seconds. Change: specs run the real loop and goroutines in testing/synctest bubbles.

--- /dev/null
+++ b/io/taskhost/taskhost_test.go
@@ -0,0 +1,277 @@
+package taskhost_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/intake"
+	"jacinthpost/core/ledger"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/runner/workerfake"
+	"jacinthpost/core/worker"
+	"jacinthpost/io/agentstate"
+	"jacinthpost/io/control"
+	"jacinthpost/io/message"
+	"jacinthpost/io/taskhost"
+)
+
+var suite *testing.T
+
+func TestTaskhost(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite = t
+	RunSpecs(t, "taskhost")
+}
+
+const lease = 15 * time.Second
+
+// bubble runs a spec with virtual time, so that leases cost no real time.
+func bubble(spec func(ctx context.Context)) {
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		spec(ctx)
+	})
+}
+
+// pass lets virtual time pass.
+func pass(dur time.Duration) { <-time.After(dur) }
+
+// owner grants every claim and renewal of the tasks it knows, unless it is down.
+type owner struct {
+	mu     sync.Mutex
+	down   bool
+	claims int
+	renews int
+	ends   map[string]message.TaskEnd
+}
+
+// Call implements taskhost.Caller.
+func (own *owner) Call(ctx context.Context, _, method string, args, reply any) error {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if own.down || ctx.Err() != nil {
+		return context.DeadlineExceeded
+	}
+	switch method {
+	case "Owner.Claim":
+		own.claims++
+		*reply.(*message.ClaimReply) = message.ClaimReply{Granted: true, LeaseMillis: lease.Milliseconds()}
+	case "Owner.Renew":
+		own.renews++
+		rep := reply.(*message.RenewReply)
+		for _, sta := range args.(*message.RenewArgs).Tasks {
+			rep.Granted = append(rep.Granted, sta.Ref)
+			rep.LeaseMillis = append(rep.LeaseMillis, lease.Milliseconds())
+		}
+	case "Owner.Report":
+		rep := reply.(*message.ReportReply)
+		for _, end := range args.(*message.ReportArgs).Ends {
+			own.ends[end.Ref.Job] = end
+			rep.Recorded = append(rep.Recorded, end.Ref)
+		}
+	}
+	return nil
+}
+
+func (own *owner) end(job string) string {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.ends[job].End
+}
+
+func (own *owner) counts() (claims, renews int) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.claims, own.renews
+}
+
+func (own *owner) set(down bool) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.down = down
+}
+
+// site allows everything and knows the owner.
+type site struct{}
+
+func (site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, true
+}
+func (site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.Limits{} }
+func (site) StartsAllowed(time.Time) (outcome.Outcome, bool)   { return outcome.Outcome{}, true }
+func (site) Partition(string) int                              { return 0 }
+func (site) Owner(int) (string, bool)                          { return "owner", true }
+
+// host is an agent process on a worker of 10 cores.
+type host struct {
+	*taskhost.Host
+	state *agentstate.State
+	loop  *control.Loop[agentstate.State]
+	stop  context.CancelFunc
+}
+
+func newHost(ctx context.Context, wkr worker.Worker, own *owner) *host {
+	ctx, stop := context.WithCancel(ctx)
+	sta := agentstate.New(site{}, ledger.NewCapacity(25), intake.DefaultOptions())
+	lop := control.NewLoop(sta, 1024, nil)
+	go lop.Run(ctx)
+	hst := taskhost.New(ctx, lop, wkr, own, taskhost.NewIdentity("agent", 1))
+	go hst.Run(ctx)
+	return &host{Host: hst, state: sta, loop: lop, stop: stop}
+}
+
+// world returns a worker, an owner and a settled agent.
+func world(ctx context.Context) (*workerfake.Worker, *owner, *host) {
+	begin := time.Now()
+	wkr := workerfake.New(resource.New(10000, 10000, 0), func() worker.Instant { return worker.Instant(time.Since(begin)) })
+	own := &owner{ends: make(map[string]message.TaskEnd)}
+	hst := newHost(ctx, wkr, own)
+	pass(3500 * time.Millisecond)
+	return wkr, own, hst
+}
+
+func (hst *host) offer(job string, sequence uint64, milliCPU int64) message.OfferReply {
+	ref := message.TaskRef{Job: job, Token: message.Token{Epoch: 1, Sequence: sequence}}
+	tsk := message.TaskSpec{Ref: ref, Kind: "build", Class: "class", Resources: message.Resources{MilliCPU: milliCPU}}
+	var rep message.OfferReply
+	Expect(hst.Offer(message.OfferArgs{OwnerAddress: "owner", Task: tsk}, &rep)).To(Succeed())
+	return rep
+}
+
+func running(wkr *workerfake.Worker) int {
+	refs, _ := wkr.Running()
+	return len(refs)
+}
+
+func (hst *host) held() (held resource.Vector) {
+	held, err := agentstate.Ask(context.Background(), hst.loop, func(sta *agentstate.State, _ time.Time) resource.Vector { return sta.Ledger().TaskSum() })
+	Expect(err).NotTo(HaveOccurred())
+	return held
+}
+
+// Guards against a break anywhere on the path of a task, and against records that pile up at the worker.
+var _ = It("runs a task from the offer to the recorded end", func() {
+	bubble(func(ctx context.Context) {
+		wkr, own, hst := world(ctx)
+		rep := hst.offer("build", 1, 7000)
+		Expect(rep.Accepted).To(BeTrue(), rep.Detail)
+		Expect(hst.offer("other", 2, 1000)).To(HaveField("Reason", string(outcome.ReasonCapacity)))
+		Expect(hst.offer("build", 1, 7000).Accepted).To(BeTrue(), "a repeated offer")
+		pass(time.Minute) // several leases
+		refs, _ := wkr.Running()
+		Expect(refs).To(HaveLen(1))
+		claims, renews := own.counts()
+		Expect(claims).To(Equal(1))
+		Expect(renews).To(BeNumerically("~", 12, 2))
+		wkr.Finish(refs[0], "result")
+		pass(4 * time.Second)
+		Expect(own.end("build")).To(Equal(message.EndFinished))
+		Expect(hst.held()).To(BeZero())
+		rpt, _ := wkr.State(ctx)
+		Expect(rpt.Tasks()).To(BeEmpty())
+	})
+})
+
+// Guards against tasks that end, double or leak through each kind of fault.
+var _ = DescribeTable("three running tasks",
+	func(fault func(ctx context.Context, wkr *workerfake.Worker, own *owner, hst *host) *host, left int, end string) {
+		bubble(func(ctx context.Context) {
+			wkr, own, hst := world(ctx)
+			for num := range 3 {
+				Expect(hst.offer(fmt.Sprint("job", num), uint64(num+1), 2000).Accepted).To(BeTrue())
+			}
+			pass(time.Second)
+			Expect(running(wkr)).To(Equal(3))
+			hst = fault(ctx, wkr, own, hst)
+			pass(20 * time.Second)
+			Expect(running(wkr)).To(Equal(left))
+			Expect(own.end("job0")).To(Equal(end))
+			Expect(hst.held()).To(Equal(resource.New(int64(2000*left), 0, 0)))
+			Expect(wkr.Starts()).To(HaveLen(3))
+		})
+	},
+	Entry("survive a restart of the agent", func(ctx context.Context, wkr *workerfake.Worker, own *owner, hst *host) *host {
+		hst.stop()
+		pass(5 * time.Second)
+		return newHost(ctx, wkr, own)
+	}, 3, ""),
+	Entry("survive the loss of all answers of the worker", func(_ context.Context, wkr *workerfake.Worker, _ *owner, hst *host) *host {
+		wkr.SetFault(workerfake.LostReplies)
+		pass(20 * time.Second)
+		wkr.SetFault(workerfake.None)
+		return hst
+	}, 3, ""),
+	Entry("survive a silent owner for less than a lease", func(_ context.Context, _ *workerfake.Worker, own *owner, hst *host) *host {
+		own.set(true)
+		pass(8 * time.Second)
+		own.set(false)
+		return hst
+	}, 3, ""),
+	Entry("end with a checkpoint when the owner is silent for a lease", func(_ context.Context, _ *workerfake.Worker, own *owner, hst *host) *host {
+		own.set(true)
+		pass(lease)
+		own.set(false)
+		return hst
+	}, 0, message.EndCheckpointed),
+	Entry("are lost when the worker restarts", func(_ context.Context, wkr *workerfake.Worker, _ *owner, hst *host) *host {
+		wkr.Restart()
+		return hst
+	}, 0, message.EndLost),
+	Entry("are handed back by a drain", func(ctx context.Context, _ *workerfake.Worker, _ *owner, hst *host) *host {
+		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		Expect(hst.Drain(ctx)).To(Succeed())
+		return hst
+	}, 0, message.EndCheckpointed),
+	Entry("are handed back when the endpoint leaves", func(_ context.Context, _ *workerfake.Worker, _ *owner, hst *host) *host {
+		hst.loop.TryPost(control.Func[agentstate.State](func(sta *agentstate.State, now time.Time) {
+			sta.Intake().Hear(admit.NewAnnouncement("svc", "addr", 1).WithLeaving(true), now)
+		}))
+		return hst
+	}, 0, message.EndCheckpointed),
+)
+
+// Guards against a drain that waits for an unreachable owner beyond its bound.
+var _ = It("ends a drain at its bound", func() {
+	bubble(func(ctx context.Context) {
+		_, own, hst := world(ctx)
+		hst.offer("build", 1, 2000)
+		pass(time.Second)
+		own.set(true)
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		Expect(hst.Drain(ctx)).To(MatchError(context.DeadlineExceeded))
+		Expect(hst.offer("late", 2, 1).Reason).To(Equal(string(outcome.ReasonLeaving)))
+	})
+})
+
+// Guards against an owner that is outdated or unknown to the new agent process.
+var _ = It("stops tasks by order and refuses an outdated owner", func() {
+	bubble(func(ctx context.Context) {
+		wkr, own, hst := world(ctx)
+		hst.offer("build", 1, 2000)
+		pass(time.Second)
+		var rep message.AdoptReply
+		Expect(hst.Adopt(message.AdoptArgs{Epoch: 2, OwnerAddress: "owner"}, &rep)).To(Succeed())
+		Expect(rep.Tasks).To(HaveLen(1))
+		Expect(hst.Adopt(message.AdoptArgs{Epoch: 1, OwnerAddress: "old"}, &rep)).To(MatchError(taskhost.ErrOutdatedOwner))
+		order := message.StopOrder{Ref: rep.Tasks[0].Ref, Reason: "cancelled"}
+		Expect(hst.Stop(message.StopArgs{Orders: []message.StopOrder{order}}, nil)).To(Succeed())
+		pass(time.Second)
+		Expect(running(wkr)).To(BeZero())
+		Expect(own.end("build")).To(Equal(message.EndStopped))
+	})
+})
