Refuse queued requests soon after a leave

Cause: queued requests with long deadlines could start on an endpoint long after it began to leave. Change: they may start for 2 s more, then they are refused; configuration is checked again at the start. Result: go test ./core/intake ./io/serve passes.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -8,9 +8,10 @@
 // without a start. A request that was refused stays refused: another delivery of
 // the same ID does not start it.
 //
-// A leaving endpoint and a draining agent get no new requests; those that are
-// queued or running go on. When the endpoint stops announcing itself, the queued
-// ones are refused.
+// A leaving endpoint and a draining agent get no new requests. Running ones go on,
+// and queued ones may still start within LeaveGrace; after it they are refused,
+// so that their callers can try elsewhere. When the endpoint stops announcing
+// itself, the queued ones are refused at the next tick.
 //
 // V is the caller's value of a request, A the type of answers. An Intake is not
 // safe for concurrent use: the control goroutine owns it.
@@ -26,6 +27,10 @@
 	"jacinthpost/core/reqlog"
 )
 
+// LeaveGrace is how long queued requests may start after a leave was announced. An
+// endpoint has to be without new work within a few seconds.
+const LeaveGrace = 2 * time.Second
+
 // Account is the port to the ledger of the instance.
 type Account interface {
 	Admit(rid reqlog.ID, batch bool) (outcome.Outcome, bool)
@@ -103,6 +108,7 @@
 	endpoint admit.Endpoint
 	active   map[reqlog.ID]active
 	draining bool
+	leftAt   time.Time // when the endpoint or the agent began to leave
 }
 
 // DefaultQueue is the number of requests that wait for a slot. Thirty-two
@@ -240,6 +246,12 @@
 		WithEndpoint(ann.Slots(), ann.Connections()).
 		WithCriticalSlots(criticalSlots(ann.Slots()))
 	itk.account.Resize(cpy)
+	switch {
+	case !ann.Leaving() && !itk.draining:
+		itk.leftAt = time.Time{}
+	case itk.leftAt.IsZero():
+		itk.leftAt = now
+	}
 	return itk.dispatch(now), true
 }
 
@@ -252,16 +264,27 @@
 	return max(1, slots/4)
 }
 
-// Tick refuses queued requests that passed their deadline or whose endpoint is missing.
+// Tick refuses queued requests that passed their deadline or whose endpoint is
+// missing or has left.
 func (itk *Intake[V, A]) Tick(now time.Time) []Verdict[V, A] {
-	if itk.queue.Len() > 0 && !itk.endpoint.Present(now) {
+	switch {
+	case itk.queue.Len() == 0:
+		return nil
+	case !itk.endpoint.Present(now):
 		return itk.refuseAll(itk.queue.Clear(), outcome.NotRun(outcome.ReasonNoEndpoint, "the endpoint does not announce itself"), now)
+	case !itk.leftAt.IsZero() && now.Sub(itk.leftAt) >= LeaveGrace:
+		return itk.refuseAll(itk.queue.Clear(), outcome.NotRun(outcome.ReasonLeaving, "the endpoint is leaving"), now)
 	}
 	return itk.startQueued(now)
 }
 
 // Drain refuses all further requests. It is done when Drained reports true.
-func (itk *Intake[V, A]) Drain() { itk.draining = true }
+func (itk *Intake[V, A]) Drain(now time.Time) {
+	itk.draining = true
+	if itk.leftAt.IsZero() {
+		itk.leftAt = now
+	}
+}
 
 // Drained reports whether no request is queued or running.
 func (itk *Intake[V, A]) Drained() bool { return len(itk.active) == 0 }
@@ -292,9 +315,15 @@
 		if !found {
 			return res
 		}
-		wtg := nxt.Value()
-		itk.account.Admit(wtg.id, nxt.Request().Batch())
-		itk.active[wtg.id] = active{request: nxt.Request(), started: now}
+		wtg, req := nxt.Value(), nxt.Request()
+		if out, ok := itk.site.RequestsAllowed(req.Service(), now); !ok {
+			// The configuration changed while the request was queued.
+			itk.queue.Done(req)
+			res = append(res, itk.refuseAll([]admit.Item[waiting[V]]{nxt}, out, now)...)
+			continue
+		}
+		itk.account.Admit(wtg.id, req.Batch())
+		itk.active[wtg.id] = active{request: req, started: now}
 		dec := Decision[A]{started: true, address: itk.endpoint.Last().Address()}
 		res = append(res, Verdict[V, A]{value: wtg.value, decision: dec})
 	}
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -79,12 +79,35 @@
 	},
 	Entry("before the rebuild", func(dsk *desk) { dsk.led.Invalidate() }, outcome.ReasonNotReady),
 	Entry("while the endpoint leaves", func(dsk *desk) { dsk.announce(1, true) }, outcome.ReasonLeaving),
-	Entry("while the agent drains", func(dsk *desk) { dsk.Drain() }, outcome.ReasonLeaving),
+	Entry("while the agent drains", func(dsk *desk) { dsk.Drain(dsk.now) }, outcome.ReasonLeaving),
 	Entry("without announcements", func(dsk *desk) { dsk.now = dsk.now.Add(admit.AnnounceLimit) }, outcome.ReasonNoEndpoint),
 	Entry("with stale configuration", func(dsk *desk) { dsk.site.refusal = outcome.ReasonStaleConfig }, outcome.ReasonStaleConfig),
 	Entry("that was fenced", func(dsk *desk) { dsk.Resolve(reqlog.NewID("entry", 1, 1), dsk.now) }, outcome.ReasonFenced),
 )
 
+// Guards against queued requests that start on an endpoint long after it was
+// told to leave, disappeared or became forbidden.
+var _ = DescribeTable("refuses a queued request",
+	func(change func(dsk *desk), after time.Duration, want outcome.Reason) {
+		dsk := newDesk()
+		for cnt := range uint64(3) {
+			dsk.arrive(cnt+1, int(cnt), time.Minute, false)
+		}
+		Expect(dsk.Queued()).To(Equal(1))
+		change(dsk)
+		dsk.now = dsk.now.Add(after)
+		vers := append(dsk.Tick(dsk.now), dsk.Finish(reqlog.NewID("entry", 1, 1), outcome.Answered(), "", 0, dsk.now)...)
+		Expect(vers).To(HaveLen(1))
+		Expect(vers[0].Decision().Started()).To(Equal(want == ""))
+		Expect(vers[0].Decision().Outcome().Reason()).To(Equal(want))
+	},
+	Entry("not within the grace of a leave", func(dsk *desk) { dsk.announce(1, true) }, intake.LeaveGrace-1, outcome.Reason("")),
+	Entry("after the grace of a leave", func(dsk *desk) { dsk.announce(1, true) }, intake.LeaveGrace, outcome.ReasonLeaving),
+	Entry("after the grace of a drain", func(dsk *desk) { dsk.Drain(dsk.now) }, intake.LeaveGrace, outcome.ReasonLeaving),
+	Entry("without announcements", func(*desk) {}, admit.AnnounceLimit, outcome.ReasonNoEndpoint),
+	Entry("when the configuration became stale", func(dsk *desk) { dsk.site.refusal = outcome.ReasonStaleConfig }, time.Second, outcome.ReasonStaleConfig),
+)
+
 // Guards against two starts of one ID, a start after "not run", more requests
 // than slots, and deliveries that get no decision or two.
 var _ = It("decides once about every delivery and starts an ID at most once", func() {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -163,7 +163,8 @@
 		svc.settle(sta, sta.Intake().Arrive(cal.id, cal.request, cal.waiter, now))
 	})
 	if err := svc.loop.Post(ctx, arrive); err != nil {
-		return svc.notPosted()
+		// The loop never got the request, so it cannot start later.
+		return agentstate.Refused(svc.notPosted()), nil
 	}
 	select {
 	case dec := <-cal.waiter:
@@ -184,12 +185,11 @@
 	}
 }
 
-// notPosted decides about a request that never reached the control loop.
-func (svc *Service) notPosted() (agentstate.Decision, error) {
-	if err := svc.base.Err(); err != nil {
-		return agentstate.Decision{}, err
+func (svc *Service) notPosted() outcome.Outcome {
+	if svc.base.Err() != nil {
+		return outcome.NotRun(outcome.ReasonLeaving, "the agent is stopping")
 	}
-	return agentstate.Refused(outcome.NotRun(outcome.ReasonDeadline, "the deadline passed before the control loop took the request")), nil
+	return outcome.NotRun(outcome.ReasonDeadline, "the deadline passed before the control loop took the request")
 }
 
 // settle delivers verdicts and completes drains. It runs on the control goroutine.
@@ -277,8 +277,8 @@
 // running, or until the context ends.
 func (svc *Service) Drain(ctx context.Context) error {
 	done := make(chan struct{})
-	err := svc.loop.Post(ctx, control.Func[agentstate.State](func(sta *agentstate.State, _ time.Time) {
-		sta.Intake().Drain()
+	err := svc.loop.Post(ctx, control.Func[agentstate.State](func(sta *agentstate.State, now time.Time) {
+		sta.Intake().Drain(now)
 		svc.drains = append(svc.drains, done)
 		svc.settle(sta, nil)
 	}))
