--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -78,10 +78,6 @@
 	led.ready = true
 }
 
-// Invalidate withdraws the readiness, for example when the worker restarted.
-// The commitments stay until they are released.
-func (led *Ledger[T, R]) Invalidate() { led.ready = false }
-
 // Resize changes the capacity. Present commitments stay, so a smaller capacity
 // can lead to a deficit.
 func (led *Ledger[T, R]) Resize(cpy Capacity) { led.capacity = cpy }
--- a/core/reqlog/reqlog.go
+++ b/core/reqlog/reqlog.go
@@ -18,8 +18,8 @@
 // Memory for entries themselves is bounded too: beyond a number of entries, those
 // that were idle for an hour are dropped. From then on IDs of unknown entries
 // resolve to unknown, and the first delivery from one sets its mark just below
-// it. That delivery is trusted to be new: the one assumption of the scheme is
-// that no frame is delayed for an hour.
+// it, for each of their processes. That delivery is trusted to be new: the one
+// assumption of the scheme is that no frame is delayed for an hour.
 //
 // Records of running requests are never dropped; their number is bounded by the
 // admission queue and the slots. Answers are kept for a shorter time and within a
@@ -114,6 +114,7 @@
 	closed  fleet.Incarnation // every process up to this one is forgotten unless it has records
 	streams []*stream[A]      // in order of incarnation
 	used    time.Time
+	doubted bool // it may have been dropped before, so only IDs above the marks are known to be new
 }
 
 // Log is the memory of one agent process.
@@ -153,7 +154,7 @@
 	if ent.state != Fresh {
 		return ent
 	}
-	if lgr.dropped && lgr.sources[rid.entry] == nil {
+	if lgr.doubtful(rid) {
 		return Entry[A]{state: Forgotten}
 	}
 	lgr.end(lgr.insert(rid, now), NotRun, now)
@@ -237,6 +238,9 @@
 	stm := src.stream(rid.incarnation)
 	if stm == nil {
 		stm = src.addStream(rid.incarnation)
+		if src.doubted {
+			stm.low = rid.counter - 1
+		}
 	}
 	rec := &record[A]{stream: stm, counter: rid.counter}
 	stm.records[rid.counter] = rec
@@ -245,16 +249,21 @@
 
 func (lgr *Log[A]) addSource(rid ID, now time.Time) *source[A] {
 	lgr.dropIdleSource(now)
-	src := &source[A]{name: rid.entry}
-	if lgr.dropped {
-		src.closed = rid.incarnation - 1
-		src.addStream(rid.incarnation).low = rid.counter - 1
-	}
+	src := &source[A]{name: rid.entry, doubted: lgr.dropped}
 	lgr.sources[rid.entry] = src
 	lgr.byAge = append(lgr.byAge, src)
 	return src
 }
 
+// doubtful reports whether a fresh ID may be one of a process that was dropped.
+func (lgr *Log[A]) doubtful(rid ID) bool {
+	src := lgr.sources[rid.entry]
+	if src == nil {
+		return lgr.dropped
+	}
+	return src.doubted && src.stream(rid.incarnation) == nil
+}
+
 // dropIdleSource makes room for a new source. Sources that were used recently
 // stay, even if the limit is exceeded.
 func (lgr *Log[A]) dropIdleSource(now time.Time) {
--- a/core/runner/owner.go
+++ b/core/runner/owner.go
@@ -155,7 +155,8 @@
 	if par.reporting == cal.sequence {
 		par.reporting = 0
 		par.reportAt = now.Add(RetryPeriod)
-		par.doubtful = !answered
+		// A process that does not own the partition records nothing.
+		par.doubtful = !answered || len(recorded) == 0
 	}
 	var efs []Effect
 	for _, ref := range recorded {
--- /dev/null
+++ b/io/agentstate/sitefake/sitefake.go
@@ -0,0 +1,39 @@
+// Package sitefake is a double of what the decisions of an agent need from the
+// other parts of its process.
+//
+// The zero value allows everything, sets no limits and knows no owner. A Site
+// must not change after its first use; then any goroutine may use it.
+package sitefake
+
+import (
+	"time"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/outcome"
+)
+
+// Site is the double.
+type Site struct {
+	owner string
+}
+
+// New returns a site that knows the owner of every partition.
+func New(owner string) Site { return Site{owner: owner} }
+
+// RequestsAllowed implements intake.Site.
+func (Site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, true
+}
+
+// Limits implements intake.Site.
+func (Site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.Limits{} }
+
+// StartsAllowed implements runner.Site.
+func (Site) StartsAllowed(time.Time) (outcome.Outcome, bool) { return outcome.Outcome{}, true }
+
+// Partition implements runner.Site.
+func (Site) Partition(string) int { return 0 }
+
+// Owner implements runner.Site.
+func (sit Site) Owner(int) (string, bool) { return sit.owner, sit.owner != "" }
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -274,7 +274,7 @@
 }
 
 // Drain refuses further requests as not run and waits until none is queued or
-// running, or until the context ends.
+// running, or until the context ends. Run has to go on meanwhile.
 func (svc *Service) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	err := svc.loop.Post(ctx, control.Func[agentstate.State](func(sta *agentstate.State, now time.Time) {
--- a/io/taskhost/perform.go
+++ b/io/taskhost/perform.go
@@ -137,6 +137,7 @@
 	for _, ref := range rep.Recorded {
 		recorded = append(recorded, refFrom(ref))
 	}
+	countEnds(rpt.Ends(), recorded)
 	hst.post(func(run *runner.Runner, now time.Time) []runner.Effect {
 		return run.Reported(rpt.Call(), recorded, err == nil, now)
 	})
--- a/io/taskhost/taskhost.go
+++ b/io/taskhost/taskhost.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -210,6 +211,21 @@
 	return metrics.GetOrCreateCounter(`jacinthpost_taskhost_failed_calls_total{call="` + call + `"}`)
 }
 
+// countEnds counts the ends that the owner recorded, so that repetitions count once.
+func countEnds(ends []runner.End, recorded []worker.Ref) {
+	for _, end := range ends {
+		if !slices.Contains(recorded, end.Ref()) {
+			continue
+		}
+		metrics.GetOrCreateCounter(`jacinthpost_taskhost_ends_total{end="` + string(end.Kind()) + `"}`).Inc()
+		if end.Evicted() {
+			evictions.Inc()
+		}
+	}
+}
+
+var evictions = metrics.NewCounter("jacinthpost_taskhost_evictions_total")
+
 func offers(out outcome.Outcome, accepted bool) *metrics.Counter {
 	if accepted {
 		return metrics.GetOrCreateCounter(`jacinthpost_taskhost_offers_total{result="accepted"}`)
