Keep pairings by handle on each host

Cause: looking pairings up by name took 40% of a placement. Change: hosts keep the pairings of the classes they run, jobs their own tallies.

--- a/core/interfere/pairing.go
+++ b/core/interfere/pairing.go
@@ -17,7 +17,10 @@
 	// of the evidence is dropped: the load has shifted.
 	surpriseFactor = 4
 	// firstTrials is the number of tasks of an unknown pairing that may run at once.
-	firstTrials = 4
+	// On a large fleet it is trialPercent of the instances, because a new owner
+	// relearns every pairing.
+	firstTrials  = 4
+	trialPercent = 10
 	// unknownCost is assumed for a pairing without evidence: a whole instance
 	// of such tasks would slow the service down by 20%.
 	unknownCost = 0.2
@@ -44,10 +47,12 @@
 // Known reports whether the evidence suffices to place tasks freely.
 func (est Estimate) Known() bool { return est.weight >= confidentWeight }
 
-// TrialLimit returns how many tasks of the pairing may run at once. It grows
-// with the evidence, so that a harmless class is not held back for long.
-func (est Estimate) TrialLimit() int {
-	return firstTrials + int(firstTrials*est.weight)
+// TrialLimit returns how many tasks of the pairing may run at once on a number
+// of instances. It grows with the evidence, so that a harmless class is not
+// held back for long.
+func (est Estimate) TrialLimit(instances int) int {
+	first := max(firstTrials, instances*trialPercent/100)
+	return first + int(float64(first)*est.weight)
 }
 
 type pair struct {
@@ -55,7 +60,9 @@
 	class   fleet.JobClass
 }
 
-type evidence struct {
+// Pairing is what is known of one service and one job class. Its address does
+// not change, so that frequent readers keep it.
+type Pairing struct {
 	mean     float64
 	variance float64
 	weight   float64
@@ -66,20 +73,22 @@
 // Pairings learns the cost of running tasks of a class next to a service, over
 // many instances. The zero value knows nothing.
 type Pairings struct {
-	pairs map[pair]*evidence
+	pairs map[pair]*Pairing
 }
 
-func (prs *Pairings) find(svc fleet.Service, cls fleet.JobClass) *evidence {
-	if prs.pairs == nil {
-		prs.pairs = make(map[pair]*evidence)
-	}
+// Find returns the pairing of a service and a class, which it creates if needed.
+func (prs *Pairings) Find(svc fleet.Service, cls fleet.JobClass) *Pairing {
 	key := pair{svc, cls}
-	evi, found := prs.pairs[key]
-	if !found {
-		evi = &evidence{mean: unknownCost}
-		prs.pairs[key] = evi
+	pai, found := prs.pairs[key]
+	if found {
+		return pai
+	}
+	if prs.pairs == nil {
+		prs.pairs = make(map[pair]*Pairing)
 	}
-	return evi
+	pai = &Pairing{mean: unknownCost}
+	prs.pairs[key] = pai
+	return pai
 }
 
 // Observe adds one measured cost with its weight.
@@ -87,49 +96,39 @@
 	if weight <= 0 || math.IsNaN(cost) || math.IsInf(cost, 0) {
 		return
 	}
-	evi := prs.find(svc, cls)
-	evi.decay(now)
-	diff := cost - evi.mean
-	if evi.weight >= confidentWeight && diff*diff > surpriseFactor*surpriseFactor*(evi.variance+1e-4) {
-		evi.weight /= 4
+	pai := prs.Find(svc, cls)
+	pai.decay(now)
+	diff := cost - pai.mean
+	if pai.weight >= confidentWeight && diff*diff > surpriseFactor*surpriseFactor*(pai.variance+1e-4) {
+		pai.weight /= 4
 	}
-	evi.weight += weight
-	gain := weight / evi.weight
-	evi.mean += gain * diff
-	evi.variance = (1 - gain) * (evi.variance + gain*diff*diff)
+	pai.weight += weight
+	gain := weight / pai.weight
+	pai.mean += gain * diff
+	pai.variance = (1 - gain) * (pai.variance + gain*diff*diff)
 }
 
-func (evi *evidence) decay(now time.Time) {
-	if !evi.at.IsZero() && now.After(evi.at) {
-		evi.weight *= math.Exp2(-float64(now.Sub(evi.at)) / float64(pairingHalfLife))
-	}
-	evi.at = now
-}
+// Len returns the number of pairings with any record.
+func (prs *Pairings) Len() int { return len(prs.pairs) }
 
-// Estimate returns what is known of a pairing.
-func (prs *Pairings) Estimate(svc fleet.Service, cls fleet.JobClass) Estimate {
-	evi, found := prs.pairs[pair{svc, cls}]
-	if !found {
-		return Estimate{cost: unknownCost, upper: unknownCost}
+func (pai *Pairing) decay(now time.Time) {
+	if !pai.at.IsZero() && now.After(pai.at) {
+		pai.weight *= math.Exp2(-float64(now.Sub(pai.at)) / float64(pairingHalfLife))
 	}
-	upper := evi.mean + math.Sqrt(evi.variance/max(1, evi.weight))
-	return Estimate{cost: evi.mean, upper: upper, weight: evi.weight}
+	pai.at = now
 }
 
-// Running returns the number of tasks counted by Enter for a pairing.
-func (prs *Pairings) Running(svc fleet.Service, cls fleet.JobClass) int {
-	evi, found := prs.pairs[pair{svc, cls}]
-	if !found {
-		return 0
-	}
-	return evi.running
-}
+// Cost returns the expected cost.
+func (pai *Pairing) Cost() float64 { return pai.mean }
 
-// Enter counts one more running task of a pairing.
-func (prs *Pairings) Enter(svc fleet.Service, cls fleet.JobClass) { prs.find(svc, cls).running++ }
+// Estimate returns what is known of the pairing.
+func (pai *Pairing) Estimate() Estimate {
+	upper := pai.mean + math.Sqrt(pai.variance/max(1, pai.weight))
+	return Estimate{cost: pai.mean, upper: upper, weight: pai.weight}
+}
 
-// Exit counts one running task less.
-func (prs *Pairings) Exit(svc fleet.Service, cls fleet.JobClass) { prs.find(svc, cls).running-- }
+// Running returns the number of tasks counted by Count.
+func (pai *Pairing) Running() int { return pai.running }
 
-// Len returns the number of pairings with any record.
-func (prs *Pairings) Len() int { return len(prs.pairs) }
+// Count changes the number of running tasks of the pairing.
+func (pai *Pairing) Count(change int) { pai.running += change }
--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
 )
 
@@ -51,18 +52,24 @@
 	return hos.Free()
 }
 
-// classUse is the processors reserved by the tasks of one class on a host.
+// classUse is the processors reserved by the tasks of one class on a host, and
+// the pairings of the class with the services of the host, in their order.
 type classUse struct {
 	class    fleet.JobClass
 	milliCPU int64
+	pairings []*interfere.Pairing
 }
 
-func (hos *Host) use(cls fleet.JobClass, change int64) {
+func (hos *Host) use(cls fleet.JobClass, prs *interfere.Pairings, change int64) {
 	pos, found := slices.BinarySearchFunc(hos.classes, cls, func(cus classUse, key fleet.JobClass) int {
 		return strings.Compare(string(cus.class), string(key))
 	})
 	if !found {
-		hos.classes = slices.Insert(hos.classes, pos, classUse{class: cls})
+		cus := classUse{class: cls}
+		for _, svc := range hos.instance.services {
+			cus.pairings = append(cus.pairings, prs.Find(svc, cls))
+		}
+		hos.classes = slices.Insert(hos.classes, pos, cus)
 	}
 	if hos.classes[pos].milliCPU += change; hos.classes[pos].milliCPU <= 0 {
 		hos.classes = slices.Delete(hos.classes, pos, pos+1)
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"jacinthpost/core/blame"
-	"jacinthpost/core/fleet"
 	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
 )
@@ -13,15 +12,9 @@
 	pairings interfere.Pairings
 	blame    blame.Ledger
 	jobs     map[string]*jobTally
-	racks    map[tallyKey]int32
-	sites    map[tallyKey]int32
 	largest  resource.Vector
-}
-
-// tallyKey names a job in one rack or data centre.
-type tallyKey struct {
-	job   string
-	index int32
+	// instances is the number of instances that have joined.
+	instances int
 }
 
 // jobTally counts the tasks of a job that are waiting, running or set aside.
@@ -30,6 +23,8 @@
 	placed   int32
 	finished int32
 	parked   []Task
+	racks    map[int32]int32 // placed tasks by rack
+	sites    map[int32]int32 // placed tasks by data centre
 }
 
 // Sizes returns the learned sizes.
@@ -63,30 +58,31 @@
 // hurt no more than the task. The others are throttled before it.
 func (knw *Knowledge) Pressure(hos *Host, tsk *Task, need resource.Vector) (total, unyielding float64) {
 	cores := float64(max(1, hos.instance.capacity.MilliCPU()))
-	for _, svc := range hos.instance.services {
-		own := knw.pairings.Estimate(svc, tsk.class).Upper()
-		all := own * float64(need.MilliCPU()) / cores
+	for pos, svc := range hos.instance.services {
+		own := knw.pairings.Find(svc, tsk.class).Estimate().Upper()
+		all := own * float64(need.MilliCPU())
 		kept := all
-		for _, cus := range hos.classes {
-			cost := knw.pairings.Estimate(svc, cus.class).Cost()
-			part := cost * float64(cus.milliCPU) / cores
+		for ind := range hos.classes {
+			cus := &hos.classes[ind]
+			cost := cus.pairings[pos].Cost()
+			part := cost * float64(cus.milliCPU)
 			all += part
 			if cost <= own {
 				kept += part
 			}
 		}
-		total, unyielding = max(total, all), max(unyielding, kept)
+		total, unyielding = max(total, all/cores), max(unyielding, kept/cores)
 	}
 	return total, unyielding
 }
 
-// Bearable reports whether the services of an instance bear one more task: its
-// expected slowdown fits into what the guard of the instance plans for, or it
-// is the only task there that does not fit and runs throttled. The number of
-// tasks of an unproven pairing is limited, unless even the worst known cost
-// would be negligible.
-func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector) bool {
-	if _, unyielding := knw.Pressure(hos, tsk, need); unyielding > interfere.PlannedSlowdown() && hos.loud > 0 {
+// Bearable reports whether the services of an instance bear one more task with
+// the given unyielding pressure: it fits into what the guard of the instance
+// plans for, or the task is the only one there that does not fit and runs
+// throttled. The number of tasks of an unproven pairing is limited, unless
+// even the worst known cost would be negligible.
+func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, unyielding float64) bool {
+	if unyielding > interfere.PlannedSlowdown() && hos.loud > 0 {
 		return false
 	}
 	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
@@ -94,8 +90,9 @@
 		return true
 	}
 	for _, svc := range hos.instance.services {
-		est := knw.pairings.Estimate(svc, tsk.class)
-		if !est.Known() && knw.pairings.Running(svc, tsk.class) >= est.TrialLimit() {
+		pai := knw.pairings.Find(svc, tsk.class)
+		est := pai.Estimate()
+		if !est.Known() && pai.Running() >= est.TrialLimit(knw.instances) {
 			return false
 		}
 	}
@@ -110,9 +107,7 @@
 		return 0, 0
 	}
 	placed := float64(job.placed)
-	rack = float64(knw.racks[tallyKey{tsk.job, hos.rack}]) / placed
-	dataCentre = float64(knw.sites[tallyKey{tsk.job, hos.site.index}]) / placed
-	return rack, dataCentre
+	return float64(job.racks[hos.rack]) / placed, float64(job.sites[hos.site.index]) / placed
 }
 
 // FailedOn reports whether the job of the task has failed on the instance.
@@ -133,12 +128,10 @@
 func (knw *Knowledge) tally(name string) *jobTally {
 	if knw.jobs == nil {
 		knw.jobs = make(map[string]*jobTally)
-		knw.racks = make(map[tallyKey]int32)
-		knw.sites = make(map[tallyKey]int32)
 	}
 	job, found := knw.jobs[name]
 	if !found {
-		job = new(jobTally)
+		job = &jobTally{racks: make(map[int32]int32), sites: make(map[int32]int32)}
 		knw.jobs[name] = job
 	}
 	return job
@@ -160,22 +153,14 @@
 func (knw *Knowledge) spread(hos *Host, tsk *Task, change int32) {
 	job := knw.tally(tsk.job)
 	job.placed += change
-	count(knw.racks, tallyKey{tsk.job, hos.rack}, change)
-	count(knw.sites, tallyKey{tsk.job, hos.site.index}, change)
+	count(job.racks, hos.rack, change)
+	count(job.sites, hos.site.index, change)
 	for _, svc := range hos.instance.services {
-		knw.pair(svc, tsk.class, change)
-	}
-}
-
-func (knw *Knowledge) pair(svc fleet.Service, cls fleet.JobClass, change int32) {
-	if change > 0 {
-		knw.pairings.Enter(svc, cls)
-		return
+		knw.pairings.Find(svc, tsk.class).Count(int(change))
 	}
-	knw.pairings.Exit(svc, cls)
 }
 
-func count(counts map[tallyKey]int32, key tallyKey, change int32) {
+func count(counts map[int32]int32, key, change int32) {
 	if counts[key] += change; counts[key] == 0 {
 		delete(counts, key)
 	}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -16,6 +16,7 @@
 func (sch *Scheduler[P]) Join(ins Instance, now time.Time) {
 	sch.Leave(ins.id)
 	hos := sch.hosts.join(ins)
+	sch.know.instances = sch.hosts.Len()
 	sch.know.largest = sch.know.largest.Max(ins.capacity)
 	sch.queue.SetCapacity(sch.queue.Capacity() + ins.capacity.MilliCPU())
 	switch sch.know.blame.State(ins.id, now) {
@@ -34,6 +35,7 @@
 	if hos == nil {
 		return
 	}
+	sch.know.instances = sch.hosts.Len()
 	sch.queue.SetCapacity(sch.queue.Capacity() - hos.instance.capacity.MilliCPU())
 	sch.know.largest = resource.Vector{}
 	for _, sit := range sch.hosts.sites {
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -54,10 +54,11 @@
 		if hos == nil {
 			return nil
 		}
-		if !tsk.urgent && !knw.Bearable(hos, tsk, can.need) {
+		total, unyielding := knw.Pressure(hos, tsk, can.need)
+		if !tsk.urgent && !knw.Bearable(hos, tsk, can.need, unyielding) {
 			continue
 		}
-		score := sco.score(can, hos, tsk, knw)
+		score := pressureWeight*total*total + sco.score(can, hos, tsk, knw)
 		if best == nil || score < lowest {
 			best, lowest = hos, score
 		}
@@ -73,9 +74,9 @@
 	return can.Sample()
 }
 
-func (sco Scored) score(can *Candidates, hos *Host, tsk *Task, knw *Knowledge) float64 {
-	slowdown, _ := knw.Pressure(hos, tsk, can.need)
-	score := load(hos, can.need) + pressureWeight*slowdown*slowdown
+// score returns the terms other than the slowdown of the services.
+func (Scored) score(can *Candidates, hos *Host, tsk *Task, knw *Knowledge) float64 {
+	score := load(hos, can.need)
 	rck, sit := knw.Crowding(hos, tsk)
 	score += rackWeight*rck + siteWeight*sit
 	if tsk.origin.Region() != "" {
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -297,12 +297,12 @@
 	}
 	sch.sequence++
 	plc := &placement{task: tsk, host: hos, size: size, placed: now, sequence: sch.sequence}
-	_, pressure := sch.know.Pressure(hos, &tsk, size)
+	pressure, _ := sch.know.Pressure(hos, &tsk, size)
 	plc.loud = pressure > interfere.PlannedSlowdown()
 	hos.loud += countIf(plc.loud)
 	hos.pending = hos.pending.Plus(size)
 	hos.tasks++
-	hos.use(tsk.class, size.MilliCPU())
+	hos.use(tsk.class, &sch.know.pairings, size.MilliCPU())
 	hos.site.refresh(hos)
 	sch.placements[tsk.id] = plc
 	sch.know.spread(hos, &tsk, 1)
@@ -329,7 +329,7 @@
 		hos.pending = hos.pending.Minus(plc.size)
 	}
 	hos.tasks--
-	hos.use(plc.task.class, -plc.size.MilliCPU())
+	hos.use(plc.task.class, &sch.know.pairings, -plc.size.MilliCPU())
 	hos.loud -= countIf(plc.loud)
 	sch.know.spread(hos, &plc.task, -1)
 	sch.queue.Ended(plc.task.team, plc.task.urgent, plc.size.MilliCPU())
--- a/core/place/shelf.go
+++ b/core/place/shelf.go
@@ -78,10 +78,10 @@
 // gateRefusal explains why a policy takes no instance although one has room.
 func (sch *Scheduler[P]) gateRefusal(hos *Host, tsk *Task, now time.Time) explain.Reason {
 	for _, svc := range hos.instance.services {
-		est := sch.know.pairings.Estimate(svc, tsk.class)
-		running := sch.know.pairings.Running(svc, tsk.class)
-		if !est.Known() && running >= est.TrialLimit() {
-			return explain.New(explain.TrialLimit, now, string(tsk.id)).With(string(tsk.class)).Counts(running, est.TrialLimit())
+		pai := sch.know.pairings.Find(svc, tsk.class)
+		limit := pai.Estimate().TrialLimit(sch.know.instances)
+		if !pai.Estimate().Known() && pai.Running() >= limit {
+			return explain.New(explain.TrialLimit, now, string(tsk.id)).With(string(tsk.class)).Counts(pai.Running(), limit)
 		}
 	}
 	return explain.New(explain.PressureLimit, now, string(tsk.id)).With(string(tsk.class))
--- a/core/scenario/model.go
+++ b/core/scenario/model.go
@@ -49,7 +49,7 @@
 	outSite     fleet.DataCentre
 	outFrom     time.Duration
 	outUntil    time.Duration
-	stays       bool // the data centre is not taken out; its work is still counted
+	stays       bool          // the data centre is not taken out; its work is still counted
 	waveEvery   time.Duration // period of waves of the last class
 	waveTasks   int
 	step        time.Duration
--- a/core/scenario/scenario.go
+++ b/core/scenario/scenario.go
@@ -328,7 +328,7 @@
 	wrk.tasks = append(wrk.tasks, exe)
 	wrk.committed = wrk.committed.Plus(exe.size)
 	pairs := run.scheduler.Knowledge().Pairings()
-	wrk.guard.Prime(run.shape.service, tsk.class.name, pairs.Estimate(run.shape.service, tsk.class.name))
+	wrk.guard.Prime(run.shape.service, tsk.class.name, pairs.Find(run.shape.service, tsk.class.name).Estimate())
 	wrk.guard.Started(interfere.NewTask(string(exe.id), tsk.class.name, exe.size), run.time())
 	run.result.starts++
 	if tsk.urgent && !tsk.started {
