Free reservations that throttled tasks hold and measure steady rates

Cause: tasks throttled to the limit kept their reservations, which cost most of the work during the loss of a data centre; baselines learned next to tasks hid their cost; urgent tasks could wait behind tasks that were not placed. Change: starved tasks are evicted after a checkpoint, undisturbed windows are found by exposure, urgent rows count what is served, reclaims don't undo each other.

--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -13,7 +13,9 @@
 //
 // The order of measures is throttle, checkpoint, evict. An eviction needs all
 // tasks throttled to the limit, a slowdown that the tasks still explain, and a
-// confirmed checkpoint, and there is at most one in EvictionSpacing. When the
+// confirmed checkpoint, and there is at most one in EvictionSpacing. A task
+// that has been near the throttle limit for StarvedPeriod is evicted in the
+// same way, because it holds a reservation that others could use. When the
 // latency stays high with all tasks throttled and their expected part is small,
 // the load has shifted: the baseline follows and no task is evicted.
 //
@@ -44,8 +46,10 @@
 	pressureShare = 1.0
 	// negligibleHarm is the part of the budget below which throttling a task is pointless.
 	negligibleHarm = 0.02
-	// quietShare is the part of the budget below which a window counts as undisturbed.
-	quietShare = 0.15
+	// quietExposure is the part of the processors used by tasks below which a
+	// window counts as undisturbed. It doesn't use the learned costs, because
+	// costs that are too low would then raise the baseline and hide themselves.
+	quietExposure = 0.03
 	// throttleLimit keeps a tenth of its processor time for every task, so that none stands still.
 	throttleLimit = 90
 	// throttleStep is the granularity of throttling; smaller differences are ignored.
@@ -106,6 +110,15 @@
 	return sum
 }
 
+// exposure returns the part of the processors that the tasks use now.
+func (mon *monitor) exposure() float64 {
+	sum := 0.0
+	for _, cco := range mon.costs.classes {
+		sum += cco.exposure
+	}
+	return sum
+}
+
 // alarmed reports whether the slowdown is above the budget beyond doubt.
 func (mon *monitor) alarmed() bool {
 	mean, deviation := mon.signal.slowdown()
@@ -238,7 +251,7 @@
 	if !mon.signal.tick(length) {
 		return
 	}
-	quiet := mon.expected() < quietShare*mon.budget()
+	quiet := mon.exposure() < quietExposure
 	switch {
 	case quiet || !mon.signal.learned():
 		mon.signal.learn(baselineSamples)
@@ -352,6 +365,7 @@
 		return Action{}, false
 	}
 	run.percent, run.changed = percent, now
+	run.noteStarved(now)
 	rsn := explain.New(code, now, run.task.id).With(con.serviceNames()).Counts(percent, 0).For(releaseHold)
 	return Action{kind: Throttle, task: run.task.id, percent: percent, reason: rsn}, true
 }
--- a/core/interfere/cost.go
+++ b/core/interfere/cost.go
@@ -18,11 +18,10 @@
 	drift = 2e-5
 	// surprise is the squared error, in variances, that counts as a change of behaviour.
 	surprise = 16.0
-	// informationPerWeight scales the precision of a cost to the evidence
-	// weights of Pairings: eight of them correspond to a standard error of 0.1.
-	informationPerWeight = 12.5
 	// reportWeight bounds the weight of one report, so that one instance alone does not decide.
 	reportWeight = 4.0
+	// reportMinimum leaves weak evidence to accumulate until a later report.
+	reportMinimum = 0.02
 )
 
 // classCost is the estimate for one class next to one service.
@@ -31,7 +30,8 @@
 	cost        float64
 	variance    float64
 	exposure    float64 // share of the instance in use by the class, now
-	information float64 // since the last report
+	information float64 // precision of the measurements since the last report
+	measured    float64 // their sum, weighted by precision
 }
 
 // filter estimates the cost of each class from the slowdown and the changing
@@ -89,11 +89,15 @@
 		if cco.exposure == 0 {
 			continue
 		}
+		own := cco.cost
 		cco.variance = min(priorVariance, cco.variance*inflate)
 		gain := cco.variance * cco.exposure / variance
 		cco.cost = max(0, cco.cost+gain*miss)
 		cco.variance *= 1 - min(0.9, gain*cco.exposure)
+		// The report carries what this window measured, without the prior
+		// and the lower bound of the estimate, which would bias an average.
 		cco.information += cco.exposure * cco.exposure / noise
+		cco.measured += cco.exposure * (miss + own*cco.exposure) / noise
 	}
 }
 
@@ -111,7 +115,8 @@
 // Class returns the class of the tasks.
 func (obs Observation) Class() fleet.JobClass { return obs.class }
 
-// Cost returns the slowdown by tasks of the class that use the whole instance.
+// Cost returns the measured slowdown by tasks of the class that use the whole
+// instance. A single measurement is imprecise and can be negative.
 func (obs Observation) Cost() float64 { return obs.cost }
 
 // Weight returns the evidence since the last report.
@@ -123,11 +128,12 @@
 	for pos := range flt.classes {
 		cco := &flt.classes[pos]
 		weight := min(reportWeight, cco.information/informationPerWeight)
-		if weight < 0.1 {
+		if weight < reportMinimum {
 			continue
 		}
-		cco.information = 0
-		obss = append(obss, Observation{service: svc, class: cco.class, cost: cco.cost, weight: weight})
+		cost := cco.measured / cco.information
+		cco.information, cco.measured = 0, 0
+		obss = append(obss, Observation{service: svc, class: cco.class, cost: cost, weight: weight})
 	}
 	return obss
 }
--- a/core/interfere/pairing.go
+++ b/core/interfere/pairing.go
@@ -13,9 +13,14 @@
 	pairingHalfLife = 30 * time.Minute
 	// confidentWeight is the evidence after which a pairing counts as known.
 	confidentWeight = 8
-	// surpriseFactor is the distance in standard deviations after which most
-	// of the evidence is dropped: the load has shifted.
+	// informationPerWeight scales evidence weights to the precision of a cost:
+	// a weight of eight corresponds to a standard error of 0.1.
+	informationPerWeight = 12.5
+	// surpriseFactor is the distance in standard errors after which most of
+	// the evidence is dropped: the load has shifted.
 	surpriseFactor = 4
+	// heaviest bounds the weight of a pairing, so that new evidence always counts.
+	heaviest = 1000
 	// firstTrials is the number of tasks of an unknown pairing that may run at once.
 	// On a large fleet it is trialPercent of the instances, because a new owner
 	// relearns every pairing.
@@ -63,11 +68,10 @@
 // Pairing is what is known of one service and one job class. Its address does
 // not change, so that frequent readers keep it.
 type Pairing struct {
-	mean     float64
-	variance float64
-	weight   float64
-	at       time.Time
-	running  int
+	mean    float64
+	weight  float64
+	at      time.Time
+	running int
 }
 
 // Pairings learns the cost of running tasks of a class next to a service, over
@@ -99,15 +103,16 @@
 	pai := prs.Find(svc, cls)
 	pai.decay(now)
 	diff := cost - pai.mean
-	if pai.weight >= confidentWeight && diff*diff > surpriseFactor*surpriseFactor*(pai.variance+1e-4) {
+	if pai.weight >= confidentWeight && diff*diff > surpriseFactor*surpriseFactor*(errorOf(weight)+errorOf(pai.weight)) {
 		pai.weight /= 4
 	}
-	pai.weight += weight
-	gain := weight / pai.weight
-	pai.mean += gain * diff
-	pai.variance = (1 - gain) * (pai.variance + gain*diff*diff)
+	pai.weight = min(heaviest, pai.weight+weight)
+	pai.mean += weight / pai.weight * diff
 }
 
+// errorOf returns the squared standard error of a cost with the given evidence.
+func errorOf(weight float64) float64 { return 1 / (weight * informationPerWeight) }
+
 // Len returns the number of pairings with any record.
 func (prs *Pairings) Len() int { return len(prs.pairs) }
 
@@ -119,12 +124,12 @@
 }
 
 // Cost returns the expected cost.
-func (pai *Pairing) Cost() float64 { return pai.mean }
+func (pai *Pairing) Cost() float64 { return max(0, pai.mean) }
 
 // Estimate returns what is known of the pairing.
 func (pai *Pairing) Estimate() Estimate {
-	upper := pai.mean + math.Sqrt(pai.variance/max(1, pai.weight))
-	return Estimate{cost: pai.mean, upper: upper, weight: pai.weight}
+	cost := pai.Cost()
+	return Estimate{cost: cost, upper: cost + min(unknownCost, math.Sqrt(errorOf(max(pai.weight, 0.01)))), weight: pai.weight}
 }
 
 // Running returns the number of tasks counted by Count.
--- a/core/interfere/relieve.go
+++ b/core/interfere/relieve.go
@@ -10,6 +10,15 @@
 // that another task is chosen.
 const checkpointTimeout = 30 * time.Second
 
+const (
+	// StarvedPeriod is how long a task may hold its reservation near the throttle limit.
+	StarvedPeriod = 10 * time.Minute
+	// starvedPercent is the throttle from which a task hardly uses its reservation.
+	starvedPercent = 80
+	// starvedShare is the part of the processors below which a reservation is not worth an eviction.
+	starvedShare = 0.05
+)
+
 // relieve asks for a checkpoint, and for an eviction once it is confirmed. At
 // most one task is on its way out at a time.
 func (con *Controller) relieve(now time.Time) []Action {
@@ -25,6 +34,9 @@
 	if run == nil && con.overloaded(now) {
 		run = con.cheapest(now)
 	}
+	if run == nil {
+		run = con.starved(now)
+	}
 	if run == nil {
 		return nil
 	}
@@ -41,7 +53,7 @@
 	}
 	confirmed := run.checkpoint
 	run.asked, run.checkpoint = time.Time{}, false
-	if !confirmed || (con.outgrown() == nil && !con.overloaded(now)) {
+	if !confirmed || (con.outgrown() == nil && !con.overloaded(now) && !run.isStarved(now)) {
 		return nil
 	}
 	con.evicted = now
@@ -81,6 +93,31 @@
 	return worst
 }
 
+func (run *running) noteStarved(now time.Time) {
+	switch {
+	case run.percent < starvedPercent:
+		run.starved = time.Time{}
+	case run.starved.IsZero():
+		run.starved = now
+	}
+}
+
+func (run *running) isStarved(now time.Time) bool {
+	return !run.starved.IsZero() && now.Sub(run.starved) >= StarvedPeriod
+}
+
+// starved returns the task with the largest reservation that has hardly used it for StarvedPeriod.
+func (con *Controller) starved(now time.Time) *running {
+	var largest *running
+	least := int64(float64(con.capacity.MilliCPU()) * starvedShare)
+	for _, run := range con.tasks {
+		if size := run.task.size.MilliCPU(); run.isStarved(now) && size > least {
+			largest, least = run, size
+		}
+	}
+	return largest
+}
+
 // cheapest returns the task with the most harm for the work that its eviction loses.
 func (con *Controller) cheapest(now time.Time) *running {
 	var best *running
--- a/core/interfere/task.go
+++ b/core/interfere/task.go
@@ -88,6 +88,7 @@
 	percent    int
 	raised     time.Time // latest increase of the throttle
 	changed    time.Time // latest change of the throttle
+	starved    time.Time // since when the throttle is near its limit, zero when it is not
 	asked      time.Time // when a checkpoint before eviction was asked for, zero when none
 	checkpoint bool      // the checkpoint asked for is confirmed
 }
--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -84,6 +84,7 @@
 	hosts    []*Host
 	vacant   []int
 	count    int
+	milliCPU int64 // of all instances
 	out      bool
 	returned time.Time
 }
@@ -142,6 +143,17 @@
 	return largest.Max(resource.Vector{})
 }
 
+// total returns the processors of the open sites, which the shares divide.
+func (hss *Hosts) total() int64 {
+	sum := int64(0)
+	for _, sit := range hss.sites {
+		if !sit.out {
+			sum += sit.milliCPU
+		}
+	}
+	return sum
+}
+
 func (hss *Hosts) join(ins Instance) *Host {
 	if hss.byID == nil {
 		hss.byID = make(map[fleet.InstanceID]*Host)
@@ -162,6 +174,7 @@
 		sit.hosts = append(sit.hosts, hos)
 	}
 	sit.count++
+	sit.milliCPU += ins.capacity.MilliCPU()
 	hss.byID[ins.id] = hos
 	sit.refresh(hos)
 	return hos
@@ -177,6 +190,7 @@
 	hos.site.hosts[hos.leaf] = nil
 	hos.site.vacant = append(hos.site.vacant, hos.leaf)
 	hos.site.count--
+	hos.site.milliCPU -= hos.instance.capacity.MilliCPU()
 	return hos
 }
 
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -53,36 +53,64 @@
 	)
 }
 
-// Pressure returns the expected slowdown of the service that suffers most on
-// an instance with one more task: in total, and counting only the classes that
-// hurt no more than the task. The others are throttled before it.
-func (knw *Knowledge) Pressure(hos *Host, tsk *Task, need resource.Vector) (total, unyielding float64) {
+// Pressure is the expected slowdown of the service that suffers most on an
+// instance with one more task.
+type Pressure struct {
+	total      float64 // by all tasks
+	unyielding float64 // by the classes that hurt no more than the task; the others are throttled before it
+	own        float64 // by the task
+}
+
+// Total returns the slowdown by all tasks.
+func (prr Pressure) Total() float64 { return prr.total }
+
+// fits reports whether the task can run unthrottled.
+func (prr Pressure) fits() bool { return prr.unyielding <= interfere.PlannedSlowdown() }
+
+// speed returns the part of its processor time that the guard would leave to the task.
+func (prr Pressure) speed() float64 {
+	return (interfere.PlannedSlowdown() - prr.unyielding + prr.own) / prr.own
+}
+
+// Pressure returns the expected slowdown by the tasks of an instance and one more.
+func (knw *Knowledge) Pressure(hos *Host, tsk *Task, need resource.Vector) Pressure {
 	cores := float64(max(1, hos.instance.capacity.MilliCPU()))
+	var worst Pressure
 	for pos, svc := range hos.instance.services {
-		own := knw.pairings.Find(svc, tsk.class).Estimate().Upper()
-		all := own * float64(need.MilliCPU())
-		kept := all
+		cost := knw.pairings.Find(svc, tsk.class).Estimate().Upper()
+		prr := Pressure{own: cost * float64(need.MilliCPU()) / cores}
+		prr.total, prr.unyielding = prr.own, prr.own
 		for ind := range hos.classes {
 			cus := &hos.classes[ind]
-			cost := cus.pairings[pos].Cost()
-			part := cost * float64(cus.milliCPU)
-			all += part
-			if cost <= own {
-				kept += part
+			other := cus.pairings[pos].Cost()
+			part := other * float64(cus.milliCPU) / cores
+			prr.total += part
+			if other <= cost {
+				prr.unyielding += part
 			}
 		}
-		total, unyielding = max(total, all/cores), max(unyielding, kept/cores)
+		if prr.total > worst.total {
+			worst = prr
+		}
 	}
-	return total, unyielding
+	return worst
 }
 
-// Bearable reports whether the services of an instance bear one more task with
-// the given unyielding pressure: it fits into what the guard of the instance
-// plans for, or the task is the only one there that does not fit and runs
-// throttled. The number of tasks of an unproven pairing is limited, unless
-// even the worst known cost would be negligible.
-func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, unyielding float64) bool {
-	if unyielding > interfere.PlannedSlowdown() && hos.loud > 0 {
+const (
+	// lowestSpeed is the part of its processor time below which a task is not
+	// started: it would hold its reservation without using it.
+	lowestSpeed = 0.3
+	// slowPart is the part of the instances, as a divisor, that may run tasks
+	// of one class more slowly, so that a class is never stopped for good.
+	slowPart = 8
+)
+
+// Bearable reports whether the services of an instance bear one more task: it
+// fits into what the guard of the instance plans for, or it is the only task
+// there that does not fit and runs throttled. The number of tasks of an
+// unproven pairing is limited, unless even the worst known cost would be negligible.
+func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, prr Pressure) bool {
+	if !prr.fits() && (hos.loud > 0 || !knw.bearsSlow(hos, tsk, prr)) {
 		return false
 	}
 	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
@@ -99,6 +127,19 @@
 	return true
 }
 
+// bearsSlow reports whether a task may start although it will be throttled.
+func (knw *Knowledge) bearsSlow(hos *Host, tsk *Task, prr Pressure) bool {
+	if prr.speed() >= lowestSpeed {
+		return true
+	}
+	for _, svc := range hos.instance.services {
+		if knw.pairings.Find(svc, tsk.class).Running() >= max(1, knw.instances/slowPart) {
+			return false
+		}
+	}
+	return true
+}
+
 // Crowding returns the fractions of the placed tasks of the job that are in
 // the rack and in the data centre of the instance.
 func (knw *Knowledge) Crowding(hos *Host, tsk *Task) (rack, dataCentre float64) {
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -18,7 +18,7 @@
 	hos := sch.hosts.join(ins)
 	sch.know.instances = sch.hosts.Len()
 	sch.know.largest = sch.know.largest.Max(ins.capacity)
-	sch.queue.SetCapacity(sch.queue.Capacity() + ins.capacity.MilliCPU())
+	sch.queue.SetCapacity(sch.hosts.total())
 	switch sch.know.blame.State(ins.id, now) {
 	case blame.Suspended:
 		sch.rest(hos)
@@ -36,7 +36,7 @@
 		return
 	}
 	sch.know.instances = sch.hosts.Len()
-	sch.queue.SetCapacity(sch.queue.Capacity() - hos.instance.capacity.MilliCPU())
+	sch.queue.SetCapacity(sch.hosts.total())
 	sch.know.largest = resource.Vector{}
 	for _, sit := range sch.hosts.sites {
 		for _, oth := range sit.hosts {
@@ -72,6 +72,7 @@
 // offers grow over RampPeriod.
 func (sch *Scheduler[P]) SetDataCentre(name fleet.DataCentre, out bool, now time.Time) {
 	sch.hosts.setOut(name, out, now)
+	sch.queue.SetCapacity(sch.hosts.total())
 	if !out {
 		sch.queue.WakeAll()
 	}
@@ -322,7 +323,7 @@
 				break
 			}
 			seen = append(seen, nwt)
-			if sch.frees(nwt.placement, clm.Need()) {
+			if sch.frees(nwt.placement, clm.Need()) && sch.spares(nwt.placement) {
 				chosen = nwt.placement
 				break
 			}
@@ -344,6 +345,13 @@
 	return usable && need.FitsIn(hos.Free().Plus(plc.size))
 }
 
+// spares reports whether the team of a task keeps its share without it, so
+// that it does not claim the capacity back at once.
+func (sch *Scheduler[P]) spares(plc *placement) bool {
+	name := plc.task.team
+	return sch.queue.Used(name)-plc.size.MilliCPU() >= sch.queue.Share(name)
+}
+
 func join(ids []fleet.InstanceID) string {
 	names := make([]string, 0, len(ids))
 	for _, id := range ids {
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -54,11 +54,11 @@
 		if hos == nil {
 			return nil
 		}
-		total, unyielding := knw.Pressure(hos, tsk, can.need)
-		if !tsk.urgent && !knw.Bearable(hos, tsk, can.need, unyielding) {
+		prr := knw.Pressure(hos, tsk, can.need)
+		if !tsk.urgent && !knw.Bearable(hos, tsk, can.need, prr) {
 			continue
 		}
-		score := pressureWeight*total*total + sco.score(can, hos, tsk, knw)
+		score := pressureWeight*prr.total*prr.total + sco.score(can, hos, tsk, knw)
 		if best == nil || score < lowest {
 			best, lowest = hos, score
 		}
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -29,7 +29,6 @@
 	"jacinthpost/core/explain"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/heap"
-	"jacinthpost/core/interfere"
 	"jacinthpost/core/queue"
 	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
@@ -43,7 +42,7 @@
 	CoolPeriod = time.Second
 	// SamplePeriod is the run time after which the usage of a running task
 	// teaches its class, so that classes with long runs are learned early.
-	SamplePeriod = time.Minute
+	SamplePeriod = 15 * time.Second
 	// attemptLimit bounds the tasks tried by one call of Next.
 	attemptLimit = 64
 )
@@ -231,28 +230,39 @@
 	if !now.Before(sch.nextTick) {
 		sch.tick(now)
 	}
-	for range attemptLimit {
+	for attempts := 0; attempts < attemptLimit; {
 		id, wai, found := sch.queue.Next(now)
 		if !found {
 			return Offer{}, false
 		}
+		if sch.divert(id, wai, now) {
+			continue
+		}
 		if off, placed := sch.try(id, wai, now); placed {
 			return off, true
 		}
+		attempts++
 	}
 	return Offer{}, false
 }
 
-func (sch *Scheduler[P]) try(id TaskID, wai waiting, now time.Time) (Offer, bool) {
-	if sch.know.blame.Parked(sch.know.unit(&wai.task)) {
+// divert takes a task out of the queue that needs no attempt: its job is
+// parked, or other tasks of its class wait on the shelf.
+func (sch *Scheduler[P]) divert(id TaskID, wai waiting, now time.Time) bool {
+	switch {
+	case sch.know.blame.Parked(sch.know.unit(&wai.task)):
 		job := sch.know.tally(wai.task.job)
 		job.parked = append(job.parked, wai.task)
-		return Offer{}, false
-	}
-	if !wai.retried && !wai.task.urgent && sch.shelfHas(wai.task.class) {
+		return true
+	case !wai.retried && !wai.task.urgent && sch.shelfHas(wai.task.class):
 		sch.shelve(id, wai, now)
-		return Offer{}, false
+		return true
+	default:
+		return false
 	}
+}
+
+func (sch *Scheduler[P]) try(id TaskID, wai waiting, now time.Time) (Offer, bool) {
 	need := sch.policy.Reserve(&wai.task, &sch.know)
 	sch.candidates.reset(&sch.hosts, need, now, sch.random())
 	hos := sch.policy.Choose(&sch.candidates, &wai.task, &sch.know)
@@ -261,6 +271,9 @@
 		return Offer{}, false
 	}
 	sch.put(wai.task, hos, need, now)
+	if wai.retried {
+		sch.unshelve(wai.task.class, 1)
+	}
 	return Offer{task: wai.task, instance: hos.instance.id, size: need}, true
 }
 
@@ -297,8 +310,7 @@
 	}
 	sch.sequence++
 	plc := &placement{task: tsk, host: hos, size: size, placed: now, sequence: sch.sequence}
-	pressure, _ := sch.know.Pressure(hos, &tsk, size)
-	plc.loud = pressure > interfere.PlannedSlowdown()
+	plc.loud = !sch.know.Pressure(hos, &tsk, size).fits()
 	hos.loud += countIf(plc.loud)
 	hos.pending = hos.pending.Plus(size)
 	hos.tasks++
@@ -427,7 +439,9 @@
 		sch.requeue(del.task, now)
 	}
 	sch.review(now)
-	sch.unshelve()
+	for _, she := range sch.shelves {
+		sch.unshelve(she.class, shelfRetries)
+	}
 	sch.queue.WakeAll()
 }
 
--- a/core/place/shelf.go
+++ b/core/place/shelf.go
@@ -13,7 +13,7 @@
 const (
 	// shelfLimit is the number of tasks on the shelf of a class.
 	shelfLimit = 1 << 20
-	// shelfRetries is the number of tasks of a class that are tried again in each RetryPeriod.
+	// shelfRetries is the number of tasks of a class that start a new try in each RetryPeriod.
 	shelfRetries = 8
 )
 
@@ -43,23 +43,26 @@
 	sch.shelved++
 }
 
-// unshelve queues some tasks of each class again.
-func (sch *Scheduler[P]) unshelve() {
-	for _, she := range sch.shelves {
-		for range shelfRetries {
-			ent, found := she.tasks.Pop()
-			if !found {
-				break
-			}
-			sch.shelved--
-			wai := ent.Value()
-			wai.retried = true
-			if !sch.queue.Add(ent.Key(), wai.task.team, wai.task.urgent, wai.task.deadline, wai) {
-				sch.shelved++
-				she.tasks.Push(ent.Key(), 0, wai.since, wai)
-				break
-			}
+// unshelve queues some tasks of a class again. Each that is placed brings one
+// more, so a shelf whose limit was lifted empties as fast as tasks start.
+func (sch *Scheduler[P]) unshelve(cls fleet.JobClass, limit int) {
+	pos, found := sch.findShelf(cls)
+	if !found {
+		return
+	}
+	she := sch.shelves[pos]
+	for range limit {
+		ent, found := she.tasks.Pop()
+		if !found {
+			return
+		}
+		wai := ent.Value()
+		wai.retried = true
+		if !sch.queue.Add(ent.Key(), wai.task.team, wai.task.urgent, wai.task.deadline, wai) {
+			she.tasks.Push(ent.Key(), 0, wai.since, wai)
+			return
 		}
+		sch.shelved--
 	}
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -227,6 +227,7 @@
 				continue
 			}
 			ent, _ := rnk.lane.waiting.Pop()
+			arb.countRow(urgent)
 			delete(arb.byKey, ent.Key())
 			arb.enlist(rnk.lane)
 			return ent.Key(), ent.Value(), true
@@ -257,6 +258,10 @@
 // Started adds the cost of a task to the use of its team.
 func (arb *Arbiter[K, T]) Started(name fleet.Team, urgent bool, cost int64) {
 	arb.account(name, urgent, cost)
+}
+
+// countRow counts the urgent tasks served in a row.
+func (arb *Arbiter[K, T]) countRow(urgent bool) {
 	if !urgent {
 		arb.row = 0
 		return
@@ -401,17 +406,20 @@
 // Waited returns how long the task has been set aside.
 func (clm Claim[K, T]) Waited() time.Duration { return clm.waited }
 
-// Claims returns the oldest task set aside of each lane whose team uses less
-// than its share and has waited for longer than the bound. A lane claims once in that period.
+// Claims returns the oldest task set aside of each lane whose team stays
+// within its share with it and has waited for longer than the bound. A lane claims once in that period.
 func (arb *Arbiter[K, T]) Claims(now time.Time) []Claim[K, T] {
 	var claims []Claim[K, T]
 	for _, tem := range arb.teams {
 		for pos := len(tem.lanes) - 1; pos >= 0; pos-- {
 			lan := tem.lanes[pos]
-			if len(lan.asides) == 0 || tem.used >= arb.Share(tem.name) {
+			if len(lan.asides) == 0 {
 				continue
 			}
 			asd := lan.asides[0]
+			if tem.used+asd.need.MilliCPU() > arb.Share(tem.name) {
+				continue
+			}
 			waited := now.Sub(asd.since)
 			after := reclaimAfter(lan.urgent)
 			if waited >= after && now.Sub(lan.claimed) >= max(claimSpacing, after) {
--- a/core/scenario/scenario.go
+++ b/core/scenario/scenario.go
@@ -76,6 +76,9 @@
 	finished   int
 	starts     int
 	outOfMem   int
+	steadyWork float64
+	steady     int // starts
+	fillWait   time.Duration
 	urgentWait time.Duration
 	urgents    int
 	hash       uint64
@@ -108,7 +111,26 @@
 // OutOfMemory returns the number of tasks killed for lack of memory.
 func (res *Result) OutOfMemory() int { return res.outOfMem }
 
-// UrgentWait returns the longest wait of an urgent task for its first start, and Urgents how many started.
+// SteadyWork returns the processor seconds of work done after the shape's Settled time.
+func (res *Result) SteadyWork() float64 { return res.steadyWork }
+
+// SteadyStarts returns the number of task starts after the shape's Settled time.
+func (res *Result) SteadyStarts() int { return res.steady }
+
+func (res *Result) noteUrgent(wait time.Duration, steady bool) {
+	res.urgents++
+	if steady {
+		res.urgentWait = max(res.urgentWait, wait)
+		return
+	}
+	res.fillWait = max(res.fillWait, wait)
+}
+
+// FillWait returns the longest wait of an urgent task for its first start
+// among those that came before the shape's Settled time.
+func (res *Result) FillWait() time.Duration { return res.fillWait }
+
+// UrgentWait returns the same for those that came after it.
 func (res *Result) UrgentWait() time.Duration { return res.urgentWait }
 
 // Urgents returns the number of urgent tasks that started.
@@ -331,9 +353,11 @@
 	wrk.guard.Prime(run.shape.service, tsk.class.name, pairs.Find(run.shape.service, tsk.class.name).Estimate())
 	wrk.guard.Started(interfere.NewTask(string(exe.id), tsk.class.name, exe.size), run.time())
 	run.result.starts++
+	if run.now >= run.shape.settled {
+		run.result.steady++
+	}
 	if tsk.urgent && !tsk.started {
-		run.result.urgents++
-		run.result.urgentWait = max(run.result.urgentWait, run.now-tsk.submitted)
+		run.result.noteUrgent(run.now-tsk.submitted, tsk.submitted >= run.shape.settled)
 	}
 	tsk.started = true
 }
