--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
 )
 
@@ -51,18 +52,24 @@
 	return hos.Free()
 }
 
-// classUse is the processors reserved by the tasks of one class on a host.
+// classUse is the processors reserved by the tasks of one class on a host, and
+// the pairings of the class with the services of the host, in their order.
 type classUse struct {
 	class    fleet.JobClass
 	milliCPU int64
+	pairings []*interfere.Pairing
 }
 
-func (hos *Host) use(cls fleet.JobClass, change int64) {
+func (hos *Host) use(cls fleet.JobClass, prs *interfere.Pairings, change int64) {
 	pos, found := slices.BinarySearchFunc(hos.classes, cls, func(cus classUse, key fleet.JobClass) int {
 		return strings.Compare(string(cus.class), string(key))
 	})
 	if !found {
-		hos.classes = slices.Insert(hos.classes, pos, classUse{class: cls})
+		cus := classUse{class: cls}
+		for _, svc := range hos.instance.services {
+			cus.pairings = append(cus.pairings, prs.Find(svc, cls))
+		}
+		hos.classes = slices.Insert(hos.classes, pos, cus)
 	}
 	if hos.classes[pos].milliCPU += change; hos.classes[pos].milliCPU <= 0 {
 		hos.classes = slices.Delete(hos.classes, pos, pos+1)
@@ -77,6 +84,7 @@
 	hosts    []*Host
 	vacant   []int
 	count    int
+	milliCPU int64 // of all instances
 	out      bool
 	returned time.Time
 }
@@ -135,6 +143,17 @@
 	return largest.Max(resource.Vector{})
 }
 
+// total returns the processors of the open sites, which the shares divide.
+func (hss *Hosts) total() int64 {
+	sum := int64(0)
+	for _, sit := range hss.sites {
+		if !sit.out {
+			sum += sit.milliCPU
+		}
+	}
+	return sum
+}
+
 func (hss *Hosts) join(ins Instance) *Host {
 	if hss.byID == nil {
 		hss.byID = make(map[fleet.InstanceID]*Host)
@@ -155,6 +174,7 @@
 		sit.hosts = append(sit.hosts, hos)
 	}
 	sit.count++
+	sit.milliCPU += ins.capacity.MilliCPU()
 	hss.byID[ins.id] = hos
 	sit.refresh(hos)
 	return hos
@@ -170,6 +190,7 @@
 	hos.site.hosts[hos.leaf] = nil
 	hos.site.vacant = append(hos.site.vacant, hos.leaf)
 	hos.site.count--
+	hos.site.milliCPU -= hos.instance.capacity.MilliCPU()
 	return hos
 }
 
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"jacinthpost/core/blame"
-	"jacinthpost/core/fleet"
 	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
 )
@@ -13,15 +12,9 @@
 	pairings interfere.Pairings
 	blame    blame.Ledger
 	jobs     map[string]*jobTally
-	racks    map[tallyKey]int32
-	sites    map[tallyKey]int32
 	largest  resource.Vector
-}
-
-// tallyKey names a job in one rack or data centre.
-type tallyKey struct {
-	job   string
-	index int32
+	// instances is the number of instances that have joined.
+	instances int
 }
 
 // jobTally counts the tasks of a job that are waiting, running or set aside.
@@ -30,6 +23,8 @@
 	placed   int32
 	finished int32
 	parked   []Task
+	racks    map[int32]int32 // placed tasks by rack
+	sites    map[int32]int32 // placed tasks by data centre
 }
 
 // Sizes returns the learned sizes.
@@ -58,35 +53,64 @@
 	)
 }
 
-// Pressure returns the expected slowdown of the service that suffers most on
-// an instance with one more task: in total, and counting only the classes that
-// hurt no more than the task. The others are throttled before it.
-func (knw *Knowledge) Pressure(hos *Host, tsk *Task, need resource.Vector) (total, unyielding float64) {
+// Pressure is the expected slowdown of the service that suffers most on an
+// instance with one more task.
+type Pressure struct {
+	total      float64 // by all tasks
+	unyielding float64 // by the classes that hurt no more than the task; the others are throttled before it
+	own        float64 // by the task
+}
+
+// Total returns the slowdown by all tasks.
+func (prr Pressure) Total() float64 { return prr.total }
+
+// fits reports whether the task can run unthrottled.
+func (prr Pressure) fits() bool { return prr.unyielding <= interfere.PlannedSlowdown() }
+
+// speed returns the part of its processor time that the guard would leave to the task.
+func (prr Pressure) speed() float64 {
+	return (interfere.PlannedSlowdown() - prr.unyielding + prr.own) / prr.own
+}
+
+// Pressure returns the expected slowdown by the tasks of an instance and one more.
+func (knw *Knowledge) Pressure(hos *Host, tsk *Task, need resource.Vector) Pressure {
 	cores := float64(max(1, hos.instance.capacity.MilliCPU()))
-	for _, svc := range hos.instance.services {
-		own := knw.pairings.Estimate(svc, tsk.class).Upper()
-		all := own * float64(need.MilliCPU()) / cores
-		kept := all
-		for _, cus := range hos.classes {
-			cost := knw.pairings.Estimate(svc, cus.class).Cost()
-			part := cost * float64(cus.milliCPU) / cores
-			all += part
-			if cost <= own {
-				kept += part
+	var worst Pressure
+	for pos, svc := range hos.instance.services {
+		cost := knw.pairings.Find(svc, tsk.class).Estimate().Upper()
+		prr := Pressure{own: cost * float64(need.MilliCPU()) / cores}
+		prr.total, prr.unyielding = prr.own, prr.own
+		for ind := range hos.classes {
+			cus := &hos.classes[ind]
+			other := cus.pairings[pos].Cost()
+			part := other * float64(cus.milliCPU) / cores
+			prr.total += part
+			if other <= cost {
+				prr.unyielding += part
 			}
 		}
-		total, unyielding = max(total, all), max(unyielding, kept)
+		if prr.total > worst.total {
+			worst = prr
+		}
 	}
-	return total, unyielding
+	return worst
 }
 
-// Bearable reports whether the services of an instance bear one more task: its
-// expected slowdown fits into what the guard of the instance plans for, or it
-// is the only task there that does not fit and runs throttled. The number of
-// tasks of an unproven pairing is limited, unless even the worst known cost
-// would be negligible.
-func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector) bool {
-	if _, unyielding := knw.Pressure(hos, tsk, need); unyielding > interfere.PlannedSlowdown() && hos.loud > 0 {
+const (
+	// lowestSpeed is the part of its processor time below which a task is not
+	// started: it would hold its reservation without using it.
+	lowestSpeed = 0.3
+	// slowPart is the part of the instances, as a divisor, that may run tasks
+	// of one class more slowly, so that a class is never stopped for good.
+	slowPart = 8
+)
+
+// Bearable reports whether the services of an instance bear one more task: it
+// fits into what the guard of the instance plans for, or it is the only task
+// there that does not fit and runs throttled. The number of tasks of an
+// unproven pairing is limited, unless even the worst known cost would be negligible.
+func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, prr Pressure) bool {
+	if !prr.fits() && (hos.loud > 0 || !knw.bearsSlow(hos, tsk, prr)) {
 		return false
 	}
 	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
@@ -94,8 +118,22 @@
 		return true
 	}
 	for _, svc := range hos.instance.services {
-		est := knw.pairings.Estimate(svc, tsk.class)
-		if !est.Known() && knw.pairings.Running(svc, tsk.class) >= est.TrialLimit() {
+		pai := knw.pairings.Find(svc, tsk.class)
+		est := pai.Estimate()
+		if !est.Known() && pai.Running() >= est.TrialLimit(knw.instances) {
+			return false
+		}
+	}
+	return true
+}
+
+// bearsSlow reports whether a task may start although it will be throttled.
+func (knw *Knowledge) bearsSlow(hos *Host, tsk *Task, prr Pressure) bool {
+	if prr.speed() >= lowestSpeed {
+		return true
+	}
+	for _, svc := range hos.instance.services {
+		if knw.pairings.Find(svc, tsk.class).Running() >= max(1, knw.instances/slowPart) {
 			return false
 		}
 	}
@@ -110,9 +148,7 @@
 		return 0, 0
 	}
 	placed := float64(job.placed)
-	rack = float64(knw.racks[tallyKey{tsk.job, hos.rack}]) / placed
-	dataCentre = float64(knw.sites[tallyKey{tsk.job, hos.site.index}]) / placed
-	return rack, dataCentre
+	return float64(job.racks[hos.rack]) / placed, float64(job.sites[hos.site.index]) / placed
 }
 
 // FailedOn reports whether the job of the task has failed on the instance.
@@ -133,12 +169,10 @@
 func (knw *Knowledge) tally(name string) *jobTally {
 	if knw.jobs == nil {
 		knw.jobs = make(map[string]*jobTally)
-		knw.racks = make(map[tallyKey]int32)
-		knw.sites = make(map[tallyKey]int32)
 	}
 	job, found := knw.jobs[name]
 	if !found {
-		job = new(jobTally)
+		job = &jobTally{racks: make(map[int32]int32), sites: make(map[int32]int32)}
 		knw.jobs[name] = job
 	}
 	return job
@@ -160,22 +194,14 @@
 func (knw *Knowledge) spread(hos *Host, tsk *Task, change int32) {
 	job := knw.tally(tsk.job)
 	job.placed += change
-	count(knw.racks, tallyKey{tsk.job, hos.rack}, change)
-	count(knw.sites, tallyKey{tsk.job, hos.site.index}, change)
+	count(job.racks, hos.rack, change)
+	count(job.sites, hos.site.index, change)
 	for _, svc := range hos.instance.services {
-		knw.pair(svc, tsk.class, change)
-	}
-}
-
-func (knw *Knowledge) pair(svc fleet.Service, cls fleet.JobClass, change int32) {
-	if change > 0 {
-		knw.pairings.Enter(svc, cls)
-		return
+		knw.pairings.Find(svc, tsk.class).Count(int(change))
 	}
-	knw.pairings.Exit(svc, cls)
 }
 
-func count(counts map[tallyKey]int32, key tallyKey, change int32) {
+func count(counts map[int32]int32, key, change int32) {
 	if counts[key] += change; counts[key] == 0 {
 		delete(counts, key)
 	}
