Test the HTTP interface against bad input and fuzz it

Cause: a fuzz run found that a job reply without an outcome made the handler panic on status 0. Change: such a reply is answered as unknown; table tests of bad input and of outcomes, FuzzRequest.

--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -23,8 +23,8 @@
 	// that its answer still crosses the regional link (12 ms) in time.
 	replyMargin = 30 * time.Millisecond
 	// Pauses between questions about a request that is still running.
-	resolvePauseMin = 20 * time.Millisecond
-	resolvePauseMax = 250 * time.Millisecond
+	resolveFirstPause = 20 * time.Millisecond
+	resolveLongestPause = 250 * time.Millisecond
 )
 
 // Caller sends calls to other processes.
@@ -202,7 +202,7 @@
 func (rqs *Requests[P]) resolve(ctx context.Context, tgt attempt.Target, requestID string) Answer {
 	resolves.Inc()
 	args := message.ResolveArgs{RequestID: requestID, Incarnation: uint64(tgt.Incarnation())}
-	pause := resolvePauseMin
+	pause := resolveFirstPause
 	for {
 		var reply message.ResolveReply
 		err := rqs.ports.Caller.Call(ctx, tgt.Address(), "Agent.Resolve", args, &reply)
@@ -219,7 +219,7 @@
 		if !wait(ctx, pause) {
 			return Answer{outcome: outcome.Unknown(outcome.ReasonTimeout, "the request is still running")}
 		}
-		pause = min(2*pause, resolvePauseMax)
+		pause = min(2*pause, resolveLongestPause)
 	}
 }
 
--- a/io/web/jobs.go
+++ b/io/web/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"jacinthpost/core/job"
 	"jacinthpost/core/outcome"
 	"jacinthpost/io/message"
 )
@@ -48,13 +49,17 @@
 
 // Reasons of refused job operations that are the sender's fault.
 var jobFaultStatus = map[string]int{
-	"badInput":                     http.StatusBadRequest,
-	"notFound":                     http.StatusNotFound,
-	"conflict":                     http.StatusConflict,
+	string(job.ReasonInvalid):      http.StatusBadRequest,
+	string(job.ReasonNoJob):        http.StatusNotFound,
+	string(job.ReasonConflict):     http.StatusConflict,
 	string(outcome.ReasonTooLarge): http.StatusUnprocessableEntity,
 }
 
 func writeJob(rw http.ResponseWriter, rep message.JobReply) {
+	if _, known := jobOutcomeStatus[rep.Outcome]; !known {
+		// A reply without an outcome proves nothing.
+		rep = message.JobReply{Outcome: outcome.KindUnknown.String(), Detail: "the owner replied without an outcome"}
+	}
 	status, known := jobFaultStatus[rep.Reason]
 	if !known {
 		status = jobOutcomeStatus[rep.Outcome]
--- /dev/null
+++ b/io/web/web_test.go
@@ -0,0 +1,193 @@
+package web_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/member"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/ticket"
+	"jacinthpost/io/audit"
+	"jacinthpost/io/entry"
+	"jacinthpost/io/message"
+	"jacinthpost/io/web"
+)
+
+func TestWeb(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "web")
+}
+
+// backend records which port was called and answers with what the test sets.
+type backend struct {
+	calls  int
+	answer entry.Answer
+	job    message.JobReply
+	filed  ticket.Outcome
+}
+
+func (bck *backend) Serve(context.Context, entry.Request) entry.Answer {
+	bck.calls++
+	return bck.answer
+}
+
+func (bck *backend) Submit(context.Context, message.JobSpec) message.JobReply {
+	bck.calls++
+	return bck.job
+}
+func (bck *backend) Cancel(context.Context, string) message.JobReply { bck.calls++; return bck.job }
+func (bck *backend) Status(context.Context, string) message.JobReply { return bck.job }
+
+func (bck *backend) File(context.Context, ticket.Ticket) ticket.Outcome {
+	bck.calls++
+	return bck.filed
+}
+func (bck *backend) State() ticket.State         { return ticket.State{} }
+func (bck *backend) Freshness() ticket.Freshness { return ticket.Freshness{} }
+func (bck *backend) View() member.View           { return member.View{} }
+
+func (bck *backend) List(context.Context, string, int) ([]audit.Entry, error) { return nil, nil }
+
+func (bck *backend) Job(context.Context, string) ([]string, bool)      { return nil, false }
+func (bck *backend) Instance(context.Context, string) ([]string, bool) { return nil, false }
+func (bck *backend) Ticket(context.Context, string) ([]string, bool)   { return nil, false }
+
+func (bck *backend) handler() http.Handler {
+	return web.NewHandler(web.Ports{Requests: bck, Jobs: bck, Configuration: bck, Fleet: bck, Audit: bck, Explain: bck, Timeout: time.Second})
+}
+
+// send returns the status and the decoded answer, which must be JSON whatever was sent.
+func send(bck *backend, method, path, body string, headers http.Header) (int, map[string]any) {
+	GinkgoHelper()
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	for name, vals := range headers {
+		req.Header[name] = vals
+	}
+	rec := httptest.NewRecorder()
+	bck.handler().ServeHTTP(rec, req)
+	var answer map[string]any
+	Expect(json.Unmarshal(rec.Body.Bytes(), &answer)).To(Succeed(), rec.Body.String())
+	return rec.Code, answer
+}
+
+const (
+	requests = "/v1/services/svc/requests"
+	jobs     = "/v1/jobs"
+	tickets  = "/v1/tickets/1"
+)
+
+func header(pairs ...string) http.Header {
+	hdr := http.Header{}
+	for num := 0; num < len(pairs); num += 2 {
+		hdr.Add(pairs[num], pairs[num+1])
+	}
+	return hdr
+}
+
+// Guards against bad input that runs or changes something, or gets no explanation.
+var _ = DescribeTable("bad input is refused and touches nothing",
+	func(method, path, body string, headers http.Header, status int, detail string) {
+		bck := new(backend)
+		code, answer := send(bck, method, path, body, headers)
+		Expect(code).To(Equal(status))
+		Expect(bck.calls).To(BeZero())
+		if faults, listed := answer["faults"].([]any); listed {
+			Expect(faults).NotTo(BeEmpty())
+			return
+		}
+		Expect(answer["outcome"]).To(Equal("notRun"))
+		Expect(answer["detail"]).To(ContainSubstring(detail))
+	},
+	Entry("repeated header", "POST", requests, "{}", header("Idempotency-Key", "a", "Idempotency-Key", "b"), 400, "more than once"),
+	Entry("timeout no number", "POST", requests, "{}", header("Jacinthpost-Timeout-Millis", "soon"), 400, "expected 1 to"),
+	Entry("timeout absurd", "POST", requests, "{}", header("Jacinthpost-Timeout-Millis", "99999999999"), 400, "expected 1 to"),
+	Entry("timeout zero", "POST", requests, "{}", header("Jacinthpost-Timeout-Millis", "0"), 400, "expected 1 to"),
+	Entry("idempotent no boolean", "POST", requests, "{}", header("Jacinthpost-Idempotent", "yes"), 400, "expected one of"),
+	Entry("unknown priority", "POST", requests, "{}", header("Jacinthpost-Priority", "high"), 400, "expected one of"),
+	Entry("key with control characters", "POST", requests, "{}", header("Idempotency-Key", "a\x01"), 400, "printable"),
+	Entry("key too long", "POST", requests, "{}", header("Idempotency-Key", strings.Repeat("k", 200)), 400, "printable"),
+	Entry("body too large", "POST", requests, strings.Repeat("x", web.RequestBodyLimit+1), nil, 413, "larger than"),
+	Entry("job with unknown field", "POST", jobs, `{"key":"a","priority":1}`, nil, 400, "unknown field"),
+	Entry("job of wrong type", "POST", jobs, `{"tasks":"many"}`, nil, 400, "cannot unmarshal"),
+	Entry("job truncated", "POST", jobs, `{"key":"a"`, nil, 400, "unexpected EOF"),
+	Entry("job followed by data", "POST", jobs, `{"key":"a"}{}`, nil, 400, "data after"),
+	Entry("job too large", "POST", jobs, `{"key":"`+strings.Repeat("x", web.JSONBodyLimit)+`"}`, nil, 413, "larger than"),
+	Entry("ticket number no number", "PUT", "/v1/tickets/last", "{}", nil, 400, "not a ticket number"),
+	Entry("ticket number negative", "PUT", "/v1/tickets/-1", "{}", nil, 400, "not a ticket number"),
+	Entry("ticket without changes", "PUT", tickets, `{"author":"a","reason":"r","changes":[]}`, nil, 400, ""),
+	Entry("ticket of unknown kind", "PUT", tickets, `{"author":"a","reason":"r","changes":[{"kind":"planet","name":"x","baseVersion":0,"state":{}}]}`, nil, 400, ""),
+	Entry("audit limit absurd", "GET", "/v1/audit?limit=1000000", "", nil, 400, "expected"),
+	Entry("unknown subject", "GET", "/v1/explain/planet/x", "", nil, 404, "can be explained"),
+	Entry("unknown object", "GET", "/v1/state/dataCentre/x", "", nil, 404, "no accepted ticket"),
+)
+
+// Guards against an outcome that a caller reads as another one.
+var _ = DescribeTable("outcomes of requests",
+	func(ans entry.Answer, status int, name string) {
+		code, answer := send(&backend{answer: ans}, "POST", requests, "{}", nil)
+		Expect(code).To(Equal(status))
+		Expect(answer["outcome"]).To(Equal(name))
+	},
+	Entry("not run", entry.Refused(outcome.NotRun(outcome.ReasonQueueFull, "")), 503, "notRun"),
+	Entry("unknown", entry.Refused(outcome.Unknown(outcome.ReasonTimeout, "")), 504, "unknown"),
+	Entry("answered", entry.Refused(outcome.Answered()), 200, "answered"),
+)
+
+var _ = DescribeTable("outcomes of jobs",
+	func(rep message.JobReply, status int) {
+		code, _ := send(&backend{job: rep}, "POST", jobs, "{}", nil)
+		Expect(code).To(Equal(status))
+	},
+	Entry("accepted", message.JobReply{Outcome: "answered"}, 200),
+	Entry("store down", message.JobReply{Outcome: "notRun", Reason: "storeUnavailable"}, 503),
+	Entry("answer lost", message.JobReply{Outcome: "unknown", Reason: "timeout"}, 504),
+	Entry("too large", message.JobReply{Outcome: "notRun", Reason: "tooLarge"}, 422),
+	Entry("key used for another job", message.JobReply{Outcome: "notRun", Reason: "conflict"}, 409),
+	Entry("reply without an outcome", message.JobReply{}, 504),
+	Entry("unknown job", message.JobReply{Outcome: "notRun", Reason: "noJob"}, 404),
+	Entry("limits broken", message.JobReply{Outcome: "notRun", Reason: "invalid"}, 400),
+)
+
+var _ = DescribeTable("outcomes of tickets",
+	func(out ticket.Outcome, status int) {
+		body := `{"author":"a","reason":"r","changes":[{"kind":"endpoint","name":"x","baseVersion":0,"state":{"draining":true}}]}`
+		code, answer := send(&backend{filed: out}, "PUT", tickets, body, nil)
+		Expect(code).To(Equal(status), "%v", answer)
+		Expect(answer["outcome"]).To(Equal(out.Kind().String()))
+	},
+	Entry("store down", ticket.Unavailable("down"), 503),
+	Entry("answer lost", ticket.Unknown("lost"), 504),
+)
+
+// FuzzRequest looks for input that crashes the interface or gets an answer that is no JSON.
+func FuzzRequest(f *testing.F) {
+	f.Add("POST", requests, "100", "key", []byte(`{"a":1}`))
+	f.Add("POST", jobs, "", "", []byte(`{"key":"a","tasks":1,"kind":"build"}`))
+	f.Add("PUT", tickets, "", "", []byte(`{"author":"a","reason":"r","changes":[{"kind":"dataCentre","name":"x","state":{"state":"out"}}]}`))
+	f.Add("DELETE", "/v1/jobs/%2F", "-1", "\x00", []byte{0xff})
+	f.Fuzz(func(t *testing.T, method, path, timeout, key string, body []byte) {
+		if !strings.HasPrefix(path, "/v1/") || strings.ContainsAny(method+path, " \r\n\t\x00") || method == "" {
+			t.Skip()
+		}
+		req, err := http.NewRequest(method, "http://entry"+path, bytes.NewReader(body))
+		if err != nil {
+			t.Skip()
+		}
+		req.Header["Jacinthpost-Timeout-Millis"] = []string{timeout}
+		req.Header["Idempotency-Key"] = []string{key}
+		rec := httptest.NewRecorder()
+		new(backend).handler().ServeHTTP(rec, req)
+		if rec.Header().Get("Content-Type") == "application/json" && !json.Valid(rec.Body.Bytes()) {
+			t.Fatalf("status %d with a broken body %q", rec.Code, rec.Body.String())
+		}
+	})
+}
