Count bytes between processes by kind and by region

Cause: the link between regions is paid by volume. Change: peer pools label their byte counters with whether the connection crosses regions; the node looks the address up in the membership.

--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -161,9 +161,9 @@
 var traffic = []struct{ name, prefix string }{
 	{"gossip-sent", "jacinthpost_gossip_sent_bytes_total"},
 	{"gossip-received", "jacinthpost_gossip_received_bytes_total"},
-	{"config-sent", `jacinthpost_peer_sent_bytes_total{kind="config"}`},
-	{"jobs-sent", `jacinthpost_peer_sent_bytes_total{kind="jobs"}`},
-	{"served-sent", `jacinthpost_peer_sent_bytes_total{kind="served"}`},
+	{"config-sent", `jacinthpost_peer_sent_bytes_total{kind="config"`},
+	{"jobs-sent", `jacinthpost_peer_sent_bytes_total{kind="jobs"`},
+	{"served-sent", `jacinthpost_peer_sent_bytes_total{kind="served"`},
 	{"all-peers-sent", "jacinthpost_peer_sent_bytes_total"},
 	{"all-peers-received", "jacinthpost_peer_received_bytes_total"},
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -101,12 +101,29 @@
 		return nil, err
 	}
 	self := config.NewPeer(set.Instance(), set.PeerAddress(), set.Location(), member.Role(set.Role()))
+	for _, pool := range []*peer.Pool{poo.Requests(), poo.Jobs(), poo.Config()} {
+		pool.SetRegions(nod.reach)
+	}
 	nod.config = config.NewNode(self, tab, poo.Config(), func() []config.Peer { return config.PeersOf(*nod.gossip.View()) }, thr)
 	nod.config.SetFiler(config.NewFiler(tab, nod.recorder, string(set.Instance()), time.Now))
 	nod.server.Register(config.ServiceName, nod.config.Service())
 	return nod, nil
 }
 
+// reach tells whether the process at an address is in another region. It is
+// asked once per connection.
+func (nod *Node) reach(addr string) peer.Reach {
+	found := nod.gossip.View().Select(func(mem member.Member) bool { return string(mem.Profile().PeerAddress()) == addr })
+	switch {
+	case len(found) == 0:
+		return peer.ReachUnknown
+	case found[0].Profile().Location().Region() == nod.settings.Location().Region():
+		return peer.ReachOwn
+	default:
+		return peer.ReachOther
+	}
+}
+
 // NewThread returns the control thread of a process.
 func NewThread() *control.Thread { return control.NewThread(controlQueue) }
 
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
@@ -16,14 +17,15 @@
 	last     atomic.Int64
 }
 
-func newCountedConn(con net.Conn, kind string) *countedConn {
+func newCountedConn(con net.Conn, kind string, rch Reach) *countedConn {
 	if kind == "" {
 		kind = "other"
 	}
+	labels := fmt.Sprintf("{kind=%q,region=%q}", kind, string(rch))
 	cnt := &countedConn{
 		Conn:     con,
-		sent:     metrics.GetOrCreateCounter(`jacinthpost_peer_sent_bytes_total{kind="` + kind + `"}`),
-		received: metrics.GetOrCreateCounter(`jacinthpost_peer_received_bytes_total{kind="` + kind + `"}`),
+		sent:     metrics.GetOrCreateCounter("jacinthpost_peer_sent_bytes_total" + labels),
+		received: metrics.GetOrCreateCounter("jacinthpost_peer_received_bytes_total" + labels),
 	}
 	cnt.last.Store(time.Now().UnixNano())
 	return cnt
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -37,14 +37,36 @@
 // Pool holds one connection per address for one kind of traffic. The zero
 // value works and counts its bytes under the kind "other".
 type Pool struct {
-	kind  string
-	mu    sync.Mutex
-	links map[string]*link
+	kind    string
+	regions func(addr string) Reach
+	mu      sync.Mutex
+	links   map[string]*link
 }
 
+// Reach tells whether a connection crosses the paid link between regions.
+type Reach string
+
+// Reaches of connections.
+const (
+	ReachUnknown Reach = "unknown"
+	ReachOwn     Reach = "own"   // within the region
+	ReachOther   Reach = "other" // to another region
+)
+
 // NewPool returns a pool whose bytes are counted under the kind.
 func NewPool(kind string) *Pool { return &Pool{kind: kind} }
 
+// SetRegions sets the function that tells where an address is, for the byte
+// counters. It must be called before the first call.
+func (poo *Pool) SetRegions(reg func(addr string) Reach) { poo.regions = reg }
+
+func (poo *Pool) reach(addr string) Reach {
+	if poo.regions == nil {
+		return ReachUnknown
+	}
+	return poo.regions(addr)
+}
+
 // link is one connection and the calls in flight on it.
 type link struct {
 	client   *rpc.Client
@@ -101,7 +123,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	con := newCountedConn(raw, poo.kind)
+	con := newCountedConn(raw, poo.kind, poo.reach(addr))
 	lnk := &link{client: rpc.NewClient(con), conn: con, closed: make(chan struct{})}
 	lnk.lastUse.Store(time.Now().UnixNano())
 	poo.mu.Lock()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -61,7 +61,7 @@
 	srv.mu.Lock()
 	srv.conns[con] = struct{}{}
 	srv.mu.Unlock()
-	srv.rpc.ServeConn(newCountedConn(con, "served"))
+	srv.rpc.ServeConn(newCountedConn(con, "served", ReachUnknown))
 	srv.mu.Lock()
 	delete(srv.conns, con)
 	srv.mu.Unlock()
