Ping idle connections and bound a call whose socket is full

Cause: a call on an idle connection that had gone silent paid the whole silence limit, and net/rpc ignores the caller's deadline while a socket takes no more bytes. Change: io/peer decides by a pure liveness state; idle connections are pinged each 2 s and closed after 10 s without use; sending runs beside the caller.

--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -23,7 +23,7 @@
 	// that its answer still crosses the regional link (12 ms) in time.
 	replyMargin = 30 * time.Millisecond
 	// Pauses between questions about a request that is still running.
-	resolveFirstPause = 20 * time.Millisecond
+	resolveFirstPause   = 20 * time.Millisecond
 	resolveLongestPause = 250 * time.Millisecond
 )
 
--- /dev/null
+++ b/io/peer/liveness.go
@@ -0,0 +1,51 @@
+package peer
+
+import "time"
+
+// Timing of connections.
+const (
+	PingPeriod   = 250 * time.Millisecond // while calls are in flight
+	SilenceLimit = time.Second
+	DialTimeout  = time.Second
+	// IdlePingPeriod is the pause between pings of a connection without calls, so
+	// that a call rarely meets a connection that went silent before it.
+	IdlePingPeriod = 2 * time.Second
+	// IdleLimit closes unused connections well before a middlebox forgets them.
+	IdleLimit = 10 * time.Second
+)
+
+// action is what to do with a connection.
+type action int
+
+const (
+	actNone action = iota
+	actPing
+	actSilent // close: nothing arrives
+	actUnused // close: not needed
+)
+
+// liveness decides about one connection. The zero value is a new connection.
+type liveness struct {
+	askedAt time.Time // since when an answer is due, zero when none is
+}
+
+// decide is called each PingPeriod with whether calls are in flight, when the
+// last call began and when the last byte arrived.
+func (lvn *liveness) decide(now time.Time, busy bool, lastUse, lastRead time.Time) action {
+	if lastRead.After(lvn.askedAt) {
+		lvn.askedAt = time.Time{}
+	}
+	if !lvn.askedAt.IsZero() && now.Sub(lvn.askedAt) > SilenceLimit {
+		return actSilent
+	}
+	if !busy && now.Sub(lastUse) > IdleLimit {
+		return actUnused
+	}
+	if !busy && lvn.askedAt.IsZero() && now.Sub(lastRead) < IdlePingPeriod {
+		return actNone
+	}
+	if lvn.askedAt.IsZero() {
+		lvn.askedAt = now
+	}
+	return actPing
+}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -1,10 +1,11 @@
 // Package peer carries net/rpc calls between the processes of the system.
 //
 // A connection can go silent for good while new ones work: writes succeed and
-// nothing arrives. Each connection with calls in flight is therefore pinged,
-// and one that delivers no byte for SilenceLimit is closed; its calls end with
-// ErrSilent, which says nothing about whether the remote side ran them. Pools
-// are safe for use from any goroutine.
+// nothing arrives. Each connection is therefore pinged, often while calls are in
+// flight and now and then between them, and one that delivers no byte for
+// SilenceLimit after a ping is closed; its calls end with ErrSilent, which says
+// nothing about whether the remote side ran them. After an error the reply may
+// still be written to and must not be read. Pools are safe for use from any goroutine.
 package peer
 
 import (
@@ -19,14 +20,6 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// Timing of connections.
-const (
-	PingPeriod   = 250 * time.Millisecond
-	SilenceLimit = time.Second
-	DialTimeout  = time.Second
-	IdleLimit    = 30 * time.Second
-)
-
 var (
 	// ErrSilent reports that the connection delivered nothing for SilenceLimit; the call may have run.
 	ErrSilent = errors.New("connection went silent")
@@ -87,9 +80,11 @@
 	lnk.inFlight.Add(1)
 	defer lnk.inFlight.Add(-1)
 	lnk.lastUse.Store(time.Now().UnixNano())
-	cal := lnk.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	// Go blocks while the socket takes no more bytes, so the caller's deadline needs a goroutine.
+	go lnk.client.Go(method, args, reply, done)
 	select {
-	case <-cal.Done:
+	case cal := <-done:
 		return poo.finish(addr, lnk, cal.Error)
 	case <-lnk.closed:
 		return ErrSilent
@@ -141,33 +136,28 @@
 	return lnk, nil
 }
 
-// watch pings a busy connection and drops it when it is silent or idle.
+// watch pings a connection as liveness decides and drops it when it is silent or unused.
 func (poo *Pool) watch(addr string, lnk *link) {
 	tkr := time.NewTicker(PingPeriod)
 	defer tkr.Stop()
 	var pinging atomic.Bool
-	busySince := time.Time{}
+	var lvn liveness
 	for {
 		select {
 		case <-lnk.closed:
 			return
 		case now := <-tkr.C:
-			if lnk.inFlight.Load() == 0 {
-				busySince = time.Time{}
-				if now.UnixNano()-lnk.lastUse.Load() > int64(IdleLimit) {
-					poo.drop(addr, lnk)
-				}
-				continue
-			}
-			if busySince.IsZero() {
-				busySince = now
-			}
-			if now.Sub(busySince) > SilenceLimit && now.Sub(lnk.conn.lastRead()) > SilenceLimit {
+			switch lvn.decide(now, lnk.inFlight.Load() > 0, time.Unix(0, lnk.lastUse.Load()), lnk.conn.lastRead()) {
+			case actPing:
+				lnk.ping(&pinging)
+			case actSilent:
 				silentConnections(poo.kind).Inc()
 				poo.drop(addr, lnk)
 				return
+			case actUnused:
+				poo.drop(addr, lnk)
+				return
 			}
-			lnk.ping(&pinging)
 		}
 	}
 }
