--- a/core/member/member.go
+++ b/core/member/member.go
@@ -212,8 +212,8 @@
 // Profile returns the description of the process.
 func (mem Member) Profile() Profile { return mem.profile.value() }
 
-// Head returns the configuration head in the last datagram received from the
-// member itself, zero if there was none. It is not gossiped: with 1,100 changes
+// Head returns the configuration head in the last datagram that had come from
+// the member itself when the view was made, zero if there was none. It is not gossiped: with 1,100 changes
 // a day and 1,400 members that would be 20 updates a second for everybody.
 func (mem Member) Head() uint64 { return mem.head }
 
--- a/io/audit/recorder.go
+++ b/io/audit/recorder.go
@@ -17,6 +17,7 @@
 	batchLimit   = 32 // rows in one transaction
 	writeTimeout = 5 * time.Second
 	retryPeriod  = time.Second
+	flushTimeout = 2 * time.Second
 	writeTries   = 10 // then the rows count as lost, so that an outage doesn't hold the queue for hours
 )
 
@@ -58,6 +59,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			rec.flush()
 			return
 		case first := <-rec.queue:
 			rec.write(ctx, rec.batch(first))
@@ -65,6 +67,15 @@
 	}
 }
 
+// flush writes what is queued when the process stops, as far as the time allows.
+func (rec *Recorder) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	for len(rec.queue) > 0 {
+		rec.write(ctx, rec.batch(<-rec.queue))
+	}
+}
+
 func (rec *Recorder) batch(first Entry) []Entry {
 	batch := []Entry{first}
 	for len(batch) < batchLimit {
--- a/io/config/node.go
+++ b/io/config/node.go
@@ -263,14 +263,23 @@
 	return targets[:min(nudgeFanout, len(targets))]
 }
 
+// filed takes over a ticket that was just accepted, or reads the ones before it first.
+func (nod *Node) filed(now time.Time, tic ticket.Ticket) {
+	sta := &nod.state
+	switch {
+	case tic.Number() == sta.config.Head()+1:
+		nod.adopt([]ticket.Ticket{tic})
+		nod.settle()
+	case tic.Number() > sta.config.Head() && !sta.reading:
+		nod.startRead(now)
+	}
+}
+
 // File files a ticket through the table and spreads it if it was accepted.
 func (nod *Node) File(ctx context.Context, tic ticket.Ticket) ticket.Outcome {
 	out := nod.filer.File(ctx, tic)
 	if out.InForce() {
-		nod.exec.TryExecute(func(time.Time) {
-			nod.adopt([]ticket.Ticket{tic})
-			nod.settle()
-		})
+		nod.exec.TryExecute(func(now time.Time) { nod.filed(now, tic) })
 	}
 	return out
 }
