--- a/core/job/apply.go
+++ b/core/job/apply.go
@@ -12,6 +12,8 @@
 		panic("job: " + rec.kind.String() + " of unknown job " + string(rec.ref.job))
 	case rec.kind == JobCancelled:
 		par.applyCancelled(ent)
+	case rec.kind == JobRetried:
+		par.applyRetried(ent)
 	case rec.kind == JobRemoved:
 		par.applyRemoved(ent)
 		return
@@ -54,6 +56,16 @@
 	}
 }
 
+// applyRetried returns parked tasks to the queue as if they had not failed yet.
+func (par *Partition[P]) applyRetried(ent *entry) {
+	for idx := range ent.tasks {
+		if tsk := &ent.tasks[idx]; tsk.state == Parked {
+			tsk.counters.failures = 0
+			par.setState(tsk, Queued)
+		}
+	}
+}
+
 func (par *Partition[P]) applyRemoved(ent *entry) {
 	delete(par.jobs, ent.id)
 	for pos, oth := range par.order {
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -14,12 +14,13 @@
 	TaskParked
 	JobCancelled
 	JobRemoved
+	JobRetried   // parked tasks return to the queue
 	TaskRestored // the whole durable state of a task, in snapshots only
 )
 
 var recordNames = [...]string{JobSubmitted: "jobSubmitted", TaskAssigned: "taskAssigned",
 	TaskCheckpointed: "taskCheckpointed", TaskEnded: "taskEnded", TaskParked: "taskParked",
-	JobCancelled: "jobCancelled", JobRemoved: "jobRemoved", TaskRestored: "taskRestored"}
+	JobCancelled: "jobCancelled", JobRemoved: "jobRemoved", JobRetried: "jobRetried", TaskRestored: "taskRestored"}
 
 // String returns the name of the kind as used in formats.
 func (knd RecordKind) String() string { return recordNames[knd] }
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -53,6 +53,7 @@
 	Expect(sta.State()).To(Equal(job.Parked))
 	Expect(sta.Tasks()[0].Counters().Attempts()).To(Equal(5))
 	Expect(sta.Tasks()[0].Detail()).To(ContainSubstring("ended by itself"))
+	Expect(only[job.Offer](ben.part.Retry(ben.env(), 0, job.NewID("c", "w")))).To(HaveLen(1))
 	ben.part.Cancel(ben.env(), 0, job.NewID("c", "w"))
 	sta, _ = ben.part.Status(job.NewID("c", "w"))
 	Expect(sta.State()).To(Equal(job.Cancelled))
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -71,6 +71,34 @@
 	return out
 }
 
+// Retry returns the parked tasks of a job to the queue, for operators that have
+// removed the cause of the failures.
+func (par *Partition[P]) Retry(env Env, tag Tag, id ID) *Output {
+	out := &Output{}
+	ent := par.jobs[id]
+	if ent == nil {
+		out.emit(Reply{tag: tag, job: id, out: outcome.NotRun(ReasonNoJob, "")})
+		return out
+	}
+	if ent.counts[Parked] > 0 {
+		par.record(out, NewRecord(JobRetried, jobRef(id), env.now.UnixMilli()))
+	}
+	out.emit(Reply{durable: durable{after: ent.recorded}, tag: tag, job: id, out: outcome.Answered()})
+	par.dispatch(env, out)
+	return out
+}
+
+// Counts returns the number of tasks in each state, indexed by State.
+func (par *Partition[P]) Counts() []int {
+	sum := make([]int, stateCount)
+	for _, ent := range par.order {
+		for sta, num := range ent.counts {
+			sum[sta] += num
+		}
+	}
+	return sum
+}
+
 // withdrawOffers tells the placement that the offered tasks of a job will not start.
 func (par *Partition[P]) withdrawOffers(ent *entry) {
 	for idx := range ent.tasks {
--- a/core/partition/rank.go
+++ b/core/partition/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,16 +58,3 @@
 	buf = append(append(buf, '/'), can.instance...)
 	return xxhash.Sum64(buf)
 }
-
-// Preferred returns the instances ordered by preference for a partition.
-func Preferred(num int, cans []Candidate) []fleet.InstanceID {
-	sorted := slices.Clone(cans)
-	slices.SortFunc(sorted, func(one, two Candidate) int {
-		return compare(one, weight(num, one), two, weight(num, two))
-	})
-	ids := make([]fleet.InstanceID, 0, len(sorted))
-	for _, can := range sorted {
-		ids = append(ids, can.instance)
-	}
-	return ids
-}
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -55,6 +55,12 @@
 	return cli.call(ctx, num, "Owner.Cancel", message.JobRefArgs{Partition: num, JobID: string(id)})
 }
 
+// Retry returns the parked tasks of a job to the queue.
+func (cli *Client) Retry(ctx context.Context, id job.ID) message.JobReply {
+	num := job.PartitionOf(id, cli.partitions)
+	return cli.call(ctx, num, "Owner.Retry", message.JobRefArgs{Partition: num, JobID: string(id)})
+}
+
 // Status describes a job.
 func (cli *Client) Status(ctx context.Context, id job.ID) message.JobReply {
 	num := job.PartitionOf(id, cli.partitions)
--- a/io/owner/metrics.go
+++ b/io/owner/metrics.go
@@ -1,6 +1,13 @@
 package owner
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jacinthpost/core/job"
+)
 
 var (
 	takeovers     = metrics.NewCounter("jacinthpost_owner_takeovers_total")
@@ -21,6 +28,38 @@
 	notOwner      = metrics.NewCounter("jacinthpost_owner_not_owner_total")
 )
 
+// Gauges. The control goroutine publishes the counts; a scrape only reads them.
+var (
+	partitionsOwned atomic.Int64
+	tasksByState    [job.Parked + 1]atomic.Int64
+)
+
+func init() {
+	metrics.NewGauge("jacinthpost_owner_partitions", func() float64 { return float64(partitionsOwned.Load()) })
+	for sta := range tasksByState {
+		name := `jacinthpost_owner_tasks{state="` + job.State(sta).String() + `"}`
+		metrics.NewGauge(name, func() float64 { return float64(tasksByState[sta].Load()) })
+	}
+}
+
+// measure publishes the gauges of the partitions served now.
+func (sta *state[P]) measure(now time.Time) {
+	owned, sum := int64(0), [job.Parked + 1]int64{}
+	for _, slt := range sta.slots {
+		if !slt.serves(now) {
+			continue
+		}
+		owned++
+		for pos, num := range slt.tenure.part.Counts() {
+			sum[pos] += int64(num)
+		}
+	}
+	partitionsOwned.Store(owned)
+	for pos := range sum {
+		tasksByState[pos].Store(sum[pos])
+	}
+}
+
 // dropped counts the ends of tenures by reason.
 func dropped(reason string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`jacinthpost_owner_tenures_ended_total{reason="` + reason + `"}`)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
@@ -110,6 +111,8 @@
 	View func() *View
 	// Settings returns the configuration in force.
 	Settings Settings
+	// Log takes the changes of ownership; nil means none.
+	Log *zap.Logger
 }
 
 // Config names the process and the partitions.
@@ -138,6 +141,9 @@
 
 // New returns a component. The function place makes the placement of a partition.
 func New[P job.Placement](cfg Config, prt Ports, place func(num int) P) *Owner[P] {
+	if prt.Log == nil {
+		prt.Log = zap.NewNop()
+	}
 	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity)}
 	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
 		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -127,7 +127,19 @@
 	})
 }
 
-// jobReply answers a submission or a cancellation.
+// Retry returns the parked tasks of a job to the queue; see job.Partition.Retry.
+func (svc *Service[P]) Retry(args message.JobRefArgs, reply *message.JobReply) error {
+	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.JobReply)) {
+		if trn.slot == nil {
+			done(message.JobReply{NotOwner: true, OwnerAddress: trn.owner})
+			return
+		}
+		tag := trn.wait(func(eff job.Effect) { trn.jobReply(eff, done) })
+		trn.collect(trn.part().Retry(trn.env(), tag, job.ID(args.JobID)))
+	})
+}
+
+// jobReply answers a submission, a cancellation or a retry.
 func (trn *turn[P]) jobReply(eff job.Effect, done func(message.JobReply)) {
 	rep, answered := eff.(job.Reply)
 	switch {
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -70,6 +70,7 @@
 		return
 	}
 	sta.observedAt = now
+	sta.measure(now)
 	if out := sta.owner.ports.Settings.TakenOut(); !slices.Equal(out, sta.takenOut) {
 		sta.takenOut = slices.Clone(out)
 		for _, slt := range sta.slots {
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"jacinthpost/core/job"
 	"jacinthpost/core/store"
@@ -61,6 +62,7 @@
 	}
 	if err != nil {
 		storeErrors.Inc()
+		sta.log(slt).Warn("partition log not read", zap.Error(err))
 		if errors.Is(err, joblog.ErrFenced) {
 			sta.drop(slt, "fenced")
 			return
@@ -79,6 +81,12 @@
 	sta.collect(slt, ten.part.Observe(env, sta.hints), now)
 	sta.collect(slt, ten.part.TakeOver(env, slt.ownership.Epoch()), now)
 	sta.collect(slt, ten.part.TakeOut(env, sta.takenOut), now)
+	sta.log(slt).Info("partition taken over", zap.Int("records", len(recs)), zap.Int("queuedTasks", ten.part.Queued()))
+}
+
+// log returns the logger of a partition.
+func (sta *state[P]) log(slt *slot[P]) *zap.Logger {
+	return sta.owner.ports.Log.With(zap.Int("partition", slt.num), zap.Uint64("epoch", slt.ownership.Epoch()))
 }
 
 // drop ends a tenure. Callers that wait are told that this process is not the owner.
@@ -88,6 +96,7 @@
 		return
 	}
 	dropped(reason).Inc()
+	sta.log(slt).Info("partition given up", zap.String("reason", reason), zap.Int("pendingRecords", len(ten.pending)))
 	slt.tenure = nil
 	ten.cancel()
 	for _, done := range ten.waiting {
@@ -197,6 +206,7 @@
 func (sta *state[P]) appendFailed(slt *slot[P], ten *tenure[P], batch []job.Record, withSnapshot bool, err error) {
 	storeErrors.Inc()
 	if !errors.Is(err, store.ErrUnavailable) {
+		sta.log(slt).Warn("append to partition log failed", zap.Error(err))
 		slt.ownership.Forfeit()
 		sta.drop(slt, "append failed")
 		return
