Recover faster from silent connections to the endpoint and the worker

Cause: with 8 slots blocked by silent connections for 30 s after their deadlines, a trial with the stand-in relay gave no answer for the rest of the run; a stop waited 30 s for a lost answer. Change: a request holds its slot for 0.5 s after its deadline, a timeout closes the idle connections, and start and stop orders are repeated sooner.

--- a/io/serve/backend.go
+++ b/io/serve/backend.go
@@ -18,7 +18,12 @@
 
 // Call implements Endpoint.
 func (bck *Backend) Call(ctx context.Context, req Request) (int, []byte, outcome.Outcome) {
-	ans, out := bck.at(req.address).Serve(ctx, backend.NewRequest(req.id, req.body).WithTarget(req.method, req.path))
+	cli := bck.at(req.address)
+	ans, out := cli.Serve(ctx, backend.NewRequest(req.id, req.body).WithTarget(req.method, req.path))
+	if out.Reason() == outcome.ReasonTimeout {
+		// Connections go silent together, so the idle ones are not trusted either.
+		cli.Close()
+	}
 	return ans.Status(), ans.Body(), out
 }
 
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -27,7 +27,9 @@
 
 // HangLimit is how long after its deadline a request may occupy a slot. After
 // it the connection to the endpoint is closed and the outcome stays unknown.
-const HangLimit = 30 * time.Second
+// Connections that went silent block their slots until then, so a longer limit
+// prolongs the outage; a shorter one loses more late answers.
+const HangLimit = 500 * time.Millisecond
 
 // maxRemaining bounds the deadline that a caller can ask for.
 const maxRemaining = 10 * time.Minute
--- a/io/taskhost/taskhost.go
+++ b/io/taskhost/taskhost.go
@@ -30,11 +30,11 @@
 	TickPeriod = 200 * time.Millisecond
 )
 
-// Time limits of calls. A lost answer is repeated after its limit.
+// Time limits of calls. A call whose answer is lost is repeated after its limit.
 const (
-	claimLimit  = 5 * time.Second // the owner writes to the store before it answers
-	startLimit  = 2 * time.Second
-	stopLimit   = 30 * time.Second // a checkpoint can take long; the worker's deadline applies as well
+	claimLimit  = 5 * time.Second        // the owner writes to the store before it answers
+	startLimit  = runner.StartWindow / 3 // a second order on a new connection still takes effect
+	stopLimit   = 5 * time.Second        // covers most checkpoints; repeating a stop is safe
 	workerLimit = 2 * time.Second
 	ownerLimit  = 3 * time.Second
 )
