Report a refused claim whose first copy may have been granted

Cause: the owner of such an assignment would wait for the end of its lease, for example to complete a cancellation. Change: the task ends as not started and is reported until the owner has recorded it.

--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -182,7 +182,11 @@
 	tsk.claiming = false
 	switch {
 	case ans.failed:
-		tsk.retryAt = now.Add(RetryPeriod)
+		tsk.retryAt, tsk.unsure = now.Add(RetryPeriod), true
+		return nil
+	case !ans.granted && tsk.unsure:
+		// An earlier claim may have been granted: the owner has to know that nothing runs.
+		run.end(tsk, EndNotStarted, "the claim was refused", now)
 		return nil
 	case !ans.granted:
 		run.account.Release(ref)
@@ -310,7 +314,6 @@
 	case tsk.claiming:
 		return nil
 	case !now.Before(tsk.expires) && tsk.claimed:
-		// A claim without an answer may have been granted: the owner has to know.
 		run.end(tsk, EndNotStarted, "no answer to the claim", now)
 	case !now.Before(tsk.expires):
 		run.account.Release(tsk.ref)
--- a/core/runner/task.go
+++ b/core/runner/task.go
@@ -81,6 +81,7 @@
 	retryAt    time.Time // of the claim, start or stop that failed
 	claiming   bool      // a claim is not answered
 	claimed    bool      // a claim was sent
+	unsure     bool      // a claim got no answer, so it may have been granted
 	starting   bool      // a start order is not answered
 	stopping   bool      // a stop order is not answered
 	checkpoint bool      // the stop takes a checkpoint
