--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -122,17 +122,22 @@
 		})
 	})
 
-	// Guards against a planned stop that interrupts the service for a lease time.
+	// Guards against a planned stop that interrupts the service for a lease time,
+	// and against results that a snapshot and the trimmed log lose.
 	It("hands its partitions over on release", func() {
 		simulate(3, 6, func(clu *cluster) {
-			clu.Expect(clu.submit("k", 4)).To(BeTrue())
+			clu.Expect(clu.submit("k", 150)).To(BeTrue())
+			clu.Eventually(clu.state).WithArguments("k").WithTimeout(3 * time.Minute).Should(Equal("finished"))
+			rows, err := clu.table.List(context.Background(), "partition/", "", 1000)
+			clu.Expect(err).NotTo(HaveOccurred())
+			clu.Expect(rows).To(ContainElement(HaveField("Key()", HaveSuffix("/snapshot"))))
+			former := clu.processes[clu.rowOwner(job.PartitionOf(job.NewID("c", "k"), 6))]
 			began := time.Now()
-			clu.Expect(clu.processes["a"].owner.Release(context.Background())).To(Succeed())
+			clu.Expect(former.owner.Release(context.Background())).To(Succeed())
 			clu.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
-			clu.processes["a"].cancel()
-			clu.Eventually(func() int { return clu.processes["b"].owned() + clu.processes["c"].owned() }).
-				WithTimeout(8 * time.Second).Should(Equal(6))
-			clu.Eventually(clu.state).WithArguments("k").WithTimeout(time.Minute).Should(Equal("finished"))
+			former.cancel()
+			clu.Eventually(clu.allOwned).WithTimeout(8 * time.Second).Should(Equal(6))
+			clu.Expect(clu.state("k")).To(Equal("finished"))
 		})
 	})
 
