--- a/core/job/export_test.go
+++ b/core/job/export_test.go
@@ -1,9 +1,9 @@
 package job
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 )
 
 // Clone copies a partition without delayed tasks, so that an explorer can branch.
@@ -61,7 +61,7 @@
 // Put appends numbers; it is much faster than formatting under the race detector.
 func Put(buf []byte, values ...int64) []byte {
 	for _, val := range values {
-		buf = binary.AppendVarint(buf, val)
+		buf = append(strconv.AppendInt(buf, val, 36), ' ')
 	}
 	return buf
 }
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -93,13 +93,13 @@
 func (clu *cluster) start(id string, view *owner.View) {
 	prc := &process{clu: clu, id: id}
 	prc.ctx, prc.cancel = context.WithCancel(context.Background())
-	ports := owner.Ports{Table: clu.table, Objects: &storefake.ObjectStore{Store: clu.table.Store}, Caller: clu, Settings: settings{},
-		View: func() *owner.View {
+	ports := owner.NewPorts(clu.table, &storefake.ObjectStore{Store: clu.table.Store}, clu, settings{}).
+		WithView(func() *owner.View {
 			if gate := prc.gate.Load(); gate != nil {
 				<-*gate
 			}
 			return view
-		}}
+		})
 	cfg := owner.NewConfig(partition.NewIdentity(fleet.InstanceID(id), 1, id), clu.partitions, "r", 1)
 	prc.owner = owner.New(cfg, ports, func(int) *job.Simple { return &job.Simple{} })
 	prc.service = prc.owner.Service(prc.ctx)
--- a/io/owner/effects.go
+++ b/io/owner/effects.go
@@ -50,7 +50,7 @@
 		defer cancel()
 		var rep message.OfferReply
 		ans := job.NoAnswer(ref, ins)
-		if err := own.ports.Caller.Call(limited, addr, "Agent.Offer", args, &rep); err == nil {
+		if err := own.ports.caller.Call(limited, addr, "Agent.Offer", args, &rep); err == nil {
 			ans = job.NewAnswer(ref, ins, rep.Accepted, rep.Reason, decodeVector(rep.Free))
 		}
 		count(ans)
@@ -78,7 +78,7 @@
 	own.call(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, stopLimit)
 		defer cancel()
-		_ = own.ports.Caller.Call(limited, addr, "Agent.Stop", args, &message.StopReply{})
+		_ = own.ports.caller.Call(limited, addr, "Agent.Stop", args, &message.StopReply{})
 	})
 }
 
@@ -92,7 +92,7 @@
 		limited, cancel := context.WithTimeout(ctx, stopLimit)
 		defer cancel()
 		var rep message.AdoptReply
-		if err := own.ports.Caller.Call(limited, addr, "Agent.Adopt", args, &rep); err != nil {
+		if err := own.ports.caller.Call(limited, addr, "Agent.Adopt", args, &rep); err != nil {
 			return
 		}
 		hol := job.NewHolder(ins, fleet.Incarnation(rep.Incarnation))
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -101,18 +101,31 @@
 
 // Ports connects the component with the rest of the process.
 type Ports struct {
-	// Table and Objects hold the durable state.
-	Table   store.Table
-	Objects store.Objects
-	// Caller reaches Agent.Offer, Agent.Stop and Agent.Adopt.
-	Caller Caller
-	// View returns the present members. It must not block and returns the same
-	// pointer while nothing changes.
-	View func() *View
-	// Settings returns the configuration in force.
-	Settings Settings
-	// Log takes the changes of ownership; nil means none.
-	Log *zap.Logger
+	table    store.Table
+	objects  store.Objects
+	caller   Caller
+	view     func() *View
+	settings Settings
+	log      *zap.Logger
+}
+
+// NewPorts returns ports to the durable state, to the configuration in force and,
+// through the caller, to Agent.Offer, Agent.Stop and Agent.Adopt.
+func NewPorts(tab store.Table, obj store.Objects, cal Caller, set Settings) Ports {
+	return Ports{table: tab, objects: obj, caller: cal, settings: set, view: func() *View { return nil }, log: zap.NewNop()}
+}
+
+// WithView returns the ports with a function that returns the present members.
+// It must not block and returns the same pointer while nothing changes.
+func (prt Ports) WithView(view func() *View) Ports {
+	prt.view = view
+	return prt
+}
+
+// WithLog returns the ports with a log of the changes of ownership.
+func (prt Ports) WithLog(log *zap.Logger) Ports {
+	prt.log = log
+	return prt
 }
 
 // Config names the process and the partitions.
@@ -141,9 +154,6 @@
 
 // New returns a component. The function place makes the placement of a partition.
 func New[P job.Placement](cfg Config, prt Ports, place func(num int) P) *Owner[P] {
-	if prt.Log == nil {
-		prt.Log = zap.NewNop()
-	}
 	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity)}
 	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
 		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -97,7 +97,7 @@
 			done(message.JobReply{NotOwner: true, OwnerAddress: trn.owner})
 			return
 		}
-		spc, known := decodeSpec(args.Spec, svc.owner.ports.Settings)
+		spc, known := decodeSpec(args.Spec, svc.owner.ports.settings)
 		id := job.NewID(spc.Customer(), spc.Key())
 		switch {
 		case !known:
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -61,7 +61,7 @@
 }
 
 func (sta *state[P]) env(slt *slot[P], now time.Time) job.Env {
-	return job.NewEnv(now, slt.ownership.LeaseEnd(), sta.owner.ports.Settings.StartsAllowed)
+	return job.NewEnv(now, slt.ownership.LeaseEnd(), sta.owner.ports.settings.StartsAllowed)
 }
 
 // observe takes in changes of the members and of the data centres taken out.
@@ -71,7 +71,7 @@
 	}
 	sta.observedAt = now
 	sta.measure(now)
-	if out := sta.owner.ports.Settings.TakenOut(); !slices.Equal(out, sta.takenOut) {
+	if out := sta.owner.ports.settings.TakenOut(); !slices.Equal(out, sta.takenOut) {
 		sta.takenOut = slices.Clone(out)
 		for _, slt := range sta.slots {
 			if slt.serves(now) {
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	if viw := sta.owner.ports.View(); viw != nil && viw != sta.view {
+	if viw := sta.owner.ports.view(); viw != nil && viw != sta.view {
 		sta.setView(viw, now)
 	}
 }
@@ -143,7 +143,7 @@
 	sta.owner.store(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, storeLimit)
 		defer cancel()
-		list, err := joblog.ReadRows(limited, sta.owner.ports.Table, nums...)
+		list, err := joblog.ReadRows(limited, sta.owner.ports.table, nums...)
 		sta.owner.post(ctx, func(sta *state[P], now time.Time) {
 			sta.watching = false
 			if err != nil {
@@ -236,7 +236,7 @@
 func (sta *state[P]) write(slt *slot[P], act partition.Action) {
 	own, num := sta.owner, slt.num
 	own.store(func(ctx context.Context) {
-		res := writeRow(ctx, own.ports.Table, num, act)
+		res := writeRow(ctx, own.ports.table, num, act)
 		own.post(ctx, func(sta *state[P], now time.Time) { sta.rowWritten(slt, res, now) })
 	})
 }
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -50,7 +50,7 @@
 	own.store(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ten.ctx, storeLimit)
 		defer cancel()
-		log, recs, err := joblog.Open(limited, own.ports.Table, own.ports.Objects, num, epoch, ver)
+		log, recs, err := joblog.Open(limited, own.ports.table, own.ports.objects, num, epoch, ver)
 		own.post(ctx, func(sta *state[P], now time.Time) { sta.opened(slt, ten, log, recs, err, now) })
 	})
 }
@@ -86,7 +86,7 @@
 
 // log returns the logger of a partition.
 func (sta *state[P]) log(slt *slot[P]) *zap.Logger {
-	return sta.owner.ports.Log.With(zap.Int("partition", slt.num), zap.Uint64("epoch", slt.ownership.Epoch()))
+	return sta.owner.ports.log.With(zap.Int("partition", slt.num), zap.Uint64("epoch", slt.ownership.Epoch()))
 }
 
 // drop ends a tenure. Callers that wait are told that this process is not the owner.
