--- a/io/joblog/joblog.go
+++ b/io/joblog/joblog.go
@@ -68,6 +68,7 @@
 	next         uint64 // sequence of the next batch
 	batches      uint64
 	triedAt      time.Time
+	tail         int // records found by Open that no snapshot covers
 
 	// Save alone uses the fields below.
 	first    uint64 // lowest batch that may still have a row
@@ -94,9 +95,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	log.tail = len(tail)
 	return log, append(recs, tail...), nil
 }
 
+// Tail returns how many of the records that Open returned are not in a snapshot.
+func (log *Log) Tail() int { return log.tail }
+
 func (log *Log) readSnapshot(ctx context.Context, row store.Row) ([]job.Record, error) {
 	if !row.Exists() {
 		return nil, nil
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -48,6 +48,7 @@
 	stopLimit      = 2 * time.Second  // one Stop or Adopt call
 	answerLimit    = 10 * time.Second // one call of Service
 	maxUnsaved     = 16 * 256         // records without a snapshot before submissions are refused
+	saveRetry      = 10 * time.Second // between snapshots that fail
 	maxBatchBytes  = 1 << 20          // payloads and results in one log row
 	releasePolling = 20 * time.Millisecond
 )
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -26,8 +26,9 @@
 	writing   bool
 	scheduled bool
 	writtenAt time.Time
-	unsaved   int // records since the last snapshot
+	unsaved   int // records that no snapshot covers
 	saving    bool
+	saveAfter time.Time
 	releasing bool
 }
 
@@ -76,7 +77,7 @@
 	}
 	ten.log, ten.part = log, job.New(sta.place(slt.num), job.DefaultLimits())
 	ten.part.Replay(recs)
-	ten.durable, ten.unsaved = ten.part.Recorded(), len(recs)
+	ten.durable, ten.unsaved = ten.part.Recorded(), log.Tail()
 	env := sta.env(slt, now)
 	sta.collect(slt, ten.part.Observe(env, sta.hints), now)
 	sta.collect(slt, ten.part.TakeOver(env, slt.ownership.Epoch()), now)
@@ -147,9 +148,10 @@
 	ten.writing, ten.writtenAt = true, now
 	ten.unsaved += len(batch)
 	var snapshot []job.Record
-	if ten.unsaved >= joblog.SnapshotRecords && !ten.saving && len(ten.pending) == 0 {
+	covered := ten.unsaved
+	if covered >= joblog.SnapshotRecords && !ten.saving && len(ten.pending) == 0 && !now.Before(ten.saveAfter) {
 		// The state holds exactly the records up to the end of this batch.
-		snapshot, ten.saving, ten.unsaved = ten.part.Snapshot(), true, 0
+		snapshot, ten.saving = ten.part.Snapshot(), true
 	}
 	logWrites.Inc()
 	logRecords.Add(len(batch))
@@ -168,7 +170,7 @@
 			}
 			sta.appended(slt, ten, uint64(len(batch)), now)
 			if snapshot != nil {
-				sta.save(ten, snapshot, next)
+				sta.save(ten, snapshot, covered, next)
 			}
 		})
 	})
@@ -215,9 +217,7 @@
 	ten.writing = false
 	ten.pending = append(batch, ten.pending...)
 	ten.unsaved -= len(batch)
-	if withSnapshot {
-		ten.saving, ten.unsaved = false, joblog.SnapshotRecords
-	}
+	ten.saving = ten.saving && !withSnapshot
 	sta.owner.after(WritePeriod, func(sta *state[P], now time.Time) {
 		if slt.tenure == ten {
 			sta.flush(slt, now)
@@ -225,18 +225,21 @@
 	})
 }
 
-// save stores a snapshot. If it fails, the next batch tries again.
-func (sta *state[P]) save(ten *tenure[P], recs []job.Record, next uint64) {
+// save stores a snapshot that covers a number of records. If it fails, a batch
+// after saveRetry tries again.
+func (sta *state[P]) save(ten *tenure[P], recs []job.Record, covered int, next uint64) {
 	own, log := sta.owner, ten.log
 	own.store(func(ctx context.Context) {
 		err := log.Save(ten.ctx, recs, next)
 		snapshots.Inc()
-		own.post(ctx, func(*state[P], time.Time) {
+		own.post(ctx, func(_ *state[P], now time.Time) {
 			ten.saving = false
 			if err != nil {
 				storeErrors.Inc()
-				ten.unsaved += joblog.SnapshotRecords
+				ten.saveAfter = now.Add(saveRetry)
+				return
 			}
+			ten.unsaved -= covered
 		})
 	})
 }
