Choose readers once per membership view

Change: one pass groups peers by data centre, hashes need no allocation, and the choice is kept until the slice of peers changes; PeersFrom caches it.

--- a/io/config/node.go
+++ b/io/config/node.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/store"
@@ -101,6 +102,7 @@
 	freshness ticket.Freshness
 	reader    bool
 	sources   []Peer
+	ranked    []Peer // from which the sources were chosen
 	rankedAt  time.Time
 	downSince time.Time
 	reading   bool
@@ -121,7 +123,7 @@
 // NewNode returns the node of a process. The function peers returns the current
 // processes of the system; it must be quick and safe for use from any goroutine.
 func NewNode(self Peer, tab store.Table, cal Caller, peers func() []Peer, exec control.Executor) *Node {
-	seed := weight("node", string(self.id))
+	seed := weight(xxhash.Sum64String("seed"), self.id)
 	return &Node{self: self, table: tableOrigin{tab}, caller: cal, peers: peers, exec: exec,
 		state: nodeState{seen: make(map[string]headSeen), random: rand.New(rand.NewPCG(seed, 1))}}
 }
@@ -139,7 +141,7 @@
 		return
 	}
 	// Nodes started together must not read and pull together.
-	first := time.Duration(weight("phase", string(nod.self.id)) % uint64(PullPeriod))
+	first := time.Duration(weight(xxhash.Sum64String("phase"), nod.self.id) % uint64(PullPeriod))
 	wait := time.NewTimer(first)
 	defer wait.Stop()
 	for {
@@ -173,13 +175,16 @@
 	nod.publish()
 }
 
-// rank chooses the readers. Hashing all peers in each period would cost a tenth
-// of the processor time that a node may spend on control.
+// rank chooses the readers, unless the peers are the same slice as before.
 func (nod *Node) rank(now time.Time) {
+	sta := &nod.state
 	peers := nod.peers()
-	nod.state.rankedAt = now
-	nod.state.reader = isReader(nod.self, peers)
-	nod.state.sources = sourcesFor(nod.self, peers)
+	sta.rankedAt = now
+	if len(peers) > 0 && len(peers) == len(sta.ranked) && &peers[0] == &sta.ranked[0] {
+		return
+	}
+	sta.ranked = peers
+	sta.reader, sta.sources = roles(nod.self, peers)
 }
 
 // publish makes the state visible to traffic goroutines.
--- a/io/config/readers.go
+++ b/io/config/readers.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -51,88 +53,104 @@
 	return peers
 }
 
-func weight(one, two string) uint64 { return xxhash.Sum64String(one + "\x00" + two) }
-
-// readersIn returns the configuration readers of a data centre: all entries and
-// the agents that rank highest. Nodes with the same view agree on them, and a
-// change of the view moves few.
-func readersIn(dc fleet.DataCentre, peers []Peer) []Peer {
-	var readers, agents []Peer
-	for _, per := range peers {
-		switch {
-		case per.location.DataCentre() != dc:
-		case per.role == member.RoleEntry:
-			readers = append(readers, per)
-		default:
-			agents = append(agents, per)
+// PeersFrom returns a function for NewNode that translates a membership view
+// once and then returns the same slice until the view is replaced.
+func PeersFrom(view func() *member.View) func() []Peer {
+	type translated struct {
+		view  *member.View
+		peers []Peer
+	}
+	var last atomic.Pointer[translated]
+	return func() []Peer {
+		vie := view()
+		if vie == nil {
+			return nil
 		}
+		trn := last.Load()
+		if trn == nil || trn.view != vie {
+			trn = &translated{view: vie, peers: PeersOf(*vie)}
+			last.Store(trn)
+		}
+		return trn.peers
 	}
-	ranked := rankedBy("reader of "+string(dc), agents)
-	num := (len(agents) + nodesPerReader - 1) / nodesPerReader
-	return append(readers, ranked[:num]...)
+}
+
+// weight is the rendezvous hash of a key and a process: a bijective mixture of both hashes.
+func weight(key uint64, id fleet.InstanceID) uint64 {
+	sum := key ^ xxhash.Sum64String(string(id))
+	sum = (sum ^ sum>>30) * 0xbf58476d1ce4e5b9 // constants of splitmix64
+	sum = (sum ^ sum>>27) * 0x94d049bb133111eb
+	return sum ^ sum>>31
 }
 
 // rankedBy orders processes by rendezvous hash with a key, highest first.
 func rankedBy(key string, peers []Peer) []Peer {
-	type weighted struct {
-		peer   Peer
+	type position struct {
 		weight uint64
+		index  int
 	}
-	list := make([]weighted, 0, len(peers))
-	for _, per := range peers {
-		list = append(list, weighted{peer: per, weight: weight(key, string(per.id))})
+	sum := xxhash.Sum64String(key)
+	order := make([]position, 0, len(peers))
+	for idx, per := range peers {
+		order = append(order, position{weight: weight(sum, per.id), index: idx})
 	}
-	slices.SortFunc(list, func(one, two weighted) int {
-		return cmp.Or(cmp.Compare(two.weight, one.weight), cmp.Compare(one.peer.id, two.peer.id))
+	slices.SortFunc(order, func(one, two position) int {
+		return cmp.Or(cmp.Compare(two.weight, one.weight), cmp.Compare(peers[one.index].id, peers[two.index].id))
 	})
-	ranked := make([]Peer, 0, len(list))
-	for _, itm := range list {
-		ranked = append(ranked, itm.peer)
+	ranked := make([]Peer, 0, len(order))
+	for _, pos := range order {
+		ranked = append(ranked, peers[pos.index])
 	}
 	return ranked
 }
 
-// isReader reports whether the process reads the store itself.
-func isReader(self Peer, peers []Peer) bool {
-	if self.role == member.RoleEntry {
-		return true
+// readersByCentre returns the configuration readers of each data centre, in a
+// fixed order: all entries and the agents that rank highest. Nodes with the same
+// view agree on them, and a change of the view moves few.
+func readersByCentre(peers []Peer) [][]Peer {
+	agents := make(map[fleet.DataCentre][]Peer)
+	entries := make(map[fleet.DataCentre][]Peer)
+	for _, per := range peers {
+		group := agents
+		if per.role == member.RoleEntry {
+			group = entries
+		}
+		group[per.location.DataCentre()] = append(group[per.location.DataCentre()], per)
+	}
+	centres := append(slices.Collect(maps.Keys(agents)), slices.Collect(maps.Keys(entries))...)
+	slices.Sort(centres)
+	var readers [][]Peer
+	for _, dc := range slices.Compact(centres) {
+		ranked := rankedBy("reader of "+string(dc), agents[dc])
+		num := (len(agents[dc]) + nodesPerReader - 1) / nodesPerReader
+		readers = append(readers, append(entries[dc], ranked[:num]...))
 	}
-	return slices.ContainsFunc(readersIn(self.location.DataCentre(), withSelf(self, peers)), func(per Peer) bool { return per.id == self.id })
+	return readers
 }
 
-func withSelf(self Peer, peers []Peer) []Peer {
+// roles returns whether the process reads the store itself, and the nodes that
+// it pulls from otherwise, in order of preference: readers of the data centre,
+// of the region, of other regions. The rank depends on the process, which spreads
+// the load over the readers.
+func roles(self Peer, peers []Peer) (reader bool, sources []Peer) {
 	others := slices.DeleteFunc(slices.Clone(peers), func(per Peer) bool { return per.id == self.id })
-	return append(others, self)
-}
-
-// Number of sources of each tier that a node tries in turn.
-var sourcesPerTier = [fleet.TierCount]int{fleet.SameDataCentre: 3, fleet.SameRegion: 2, fleet.OtherRegion: 1}
-
-// sourcesFor returns the nodes to pull from, in order of preference: readers of
-// the data centre, of the region, of other regions. The rank depends on the
-// node, which spreads the load over the readers.
-func sourcesFor(self Peer, peers []Peer) []Peer {
-	others := slices.DeleteFunc(slices.Clone(peers), func(per Peer) bool { return per.id == self.id || per.address == "" })
 	var tiers [fleet.TierCount][]Peer
-	for _, dc := range dataCentres(others) {
-		for _, per := range readersIn(dc, others) {
-			tier := self.location.TierTo(per.location)
-			tiers[tier] = append(tiers[tier], per)
+	for _, readers := range readersByCentre(append(others, self)) {
+		for _, per := range readers {
+			if per.id == self.id {
+				reader = true
+			} else if per.address != "" {
+				tier := self.location.TierTo(per.location)
+				tiers[tier] = append(tiers[tier], per)
+			}
 		}
 	}
-	var sources []Peer
 	for tier, readers := range tiers {
 		ranked := rankedBy(string(self.id), readers)
 		sources = append(sources, ranked[:min(len(ranked), sourcesPerTier[tier])]...)
 	}
-	return sources
+	return reader, sources
 }
 
-func dataCentres(peers []Peer) []fleet.DataCentre {
-	var all []fleet.DataCentre
-	for _, per := range peers {
-		all = append(all, per.location.DataCentre())
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
+// Number of sources of each tier that a node tries in turn.
+var sourcesPerTier = [fleet.TierCount]int{fleet.SameDataCentre: 3, fleet.SameRegion: 2, fleet.OtherRegion: 1}
--- a/io/config/service.go
+++ b/io/config/service.go
@@ -112,11 +112,7 @@
 // highest of each node. A node that is missing has not confirmed anything lately.
 func (nod *Node) CollectHeads(ctx context.Context) []HeadSeen {
 	heads := nod.ConfirmedHeads(ctx)
-	var readers []Peer
-	peers := nod.peers()
-	for _, dc := range dataCentres(peers) {
-		readers = append(readers, readersIn(dc, peers)...)
-	}
+	readers := slices.Concat(readersByCentre(nod.peers())...)
 	replies := make([]HeadsReply, len(readers))
 	var calls sync.WaitGroup
 	for idx, per := range readers {
--- a/io/config/spread_test.go
+++ b/io/config/spread_test.go
@@ -198,6 +198,37 @@
 	return lop
 }
 
+// Guards against data centres without a reader, and against so many that the store is overloaded.
+var _ = It("about one node in 20 of each data centre reads the store", func() {
+	bubble(func(ctx context.Context) {
+		clu := steady(ctx, filed(), 124) // 31 nodes in each data centre
+		perCentre := make(map[string]int)
+		clu.each(func(per config.Peer, vie *config.View) {
+			if vie.Reader() {
+				perCentre[string(per.Location().DataCentre())]++
+			}
+		})
+		Expect(perCentre).To(Equal(map[string]int{"dc-0": 2, "dc-1": 2, "dc-2": 2, "dc-3": 2}))
+		before := clu.table.Reads()
+		advance(10 * time.Second)
+		Expect(clu.table.Reads() - before).To(BeNumerically("<=", 8*21))
+	})
+})
+
+// Guards against nodes that pull from members that leave, and against a new slice at every call.
+var _ = It("translates a membership view once", func() {
+	profile := member.NewProfile(member.RoleEntry, "10.0.0.1:7000", "10.0.0.1:7100", peerAt(1).Location())
+	mac := member.New("entry-1", 1, profile, rand.New(rand.NewPCG(1, 1)))
+	vie := mac.View()
+	peers := config.PeersFrom(func() *member.View { return &vie })
+	Expect(peers()).To(Equal([]config.Peer{config.NewPeer("entry-1", "10.0.0.1:7000", peerAt(1).Location(), member.RoleEntry)}))
+	Expect(&peers()[0]).To(BeIdenticalTo(&peers()[0]))
+	mac.Leave(time.Now())
+	left := mac.View()
+	Expect(config.PeersFrom(func() *member.View { return &left })()).To(BeEmpty())
+	Expect(config.PeersFrom(func() *member.View { return nil })()).To(BeEmpty())
+})
+
 // Guards against operators who can't see where a ticket is in force.
 var _ = It("collects the heads of all nodes", func() {
 	bubble(func(ctx context.Context) {
