Check claims of deaths with a higher version

Cause: a member that had missed a refutation dropped every later claim that the other is dead, and learned of the death only by its own probe. Change: a claim counts if its version is at least the known one.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -117,6 +117,28 @@
 	Expect(took).To(BeNumerically("<", 20*time.Second))
 })
 
+// Guards against members that stay in the view of one process for good because it missed their end.
+var _ = It("a member that was cut off learns what it missed", func() {
+	net := converged(64, 47)
+	tgt := net.nodes[9]
+	net.cut = func(from, to *node) bool { return from == tgt || to == tgt }
+	for _, idx := range []int{20, 31, 42} {
+		net.nodes[idx].mac.SetProfile(profileOf(idx, 2).WithService("other", 1, 1)) // raises the counter
+	}
+	net.run(3*time.Second, nil)
+	for _, idx := range []int{20, 31, 42} {
+		net.nodes[idx].running = false
+	}
+	net.run(5*time.Second, nil)
+	net.start(31, 2, 2)
+	net.run(time.Second, nil)
+	net.cut = nil
+	took := net.timeUntil(time.Minute, func() bool { return net.complete() == 62 })
+	GinkgoWriter.Println("repaired after", took)
+	Expect(took).To(BeNumerically("<", 15*time.Second))
+	Expect(tgt.mac.Count(member.StateDead)).To(Equal(2))
+})
+
 // Guards against a partition that outlives its cause: the seeds are not used to heal it.
 var _ = DescribeTable("a partition between regions heals", sizes(func(size int, seed uint64) {
 	net := converged(size, seed+29)
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -12,7 +12,7 @@
 
 const (
 	sourceGossip source = iota // piggybacked news
-	sourceRepair               // comparison of digests or fetch: possibly long outdated, not spread further
+	sourceRepair               // comparison of digests or fetch: possibly long outdated; its profiles are not spread further
 )
 
 // Receive processes a datagram that came from an address.
@@ -127,7 +127,8 @@
 		clm := mac.claims[0]
 		mac.claims = mac.claims[1:]
 		ent, found := mac.roster.Get(clm.instance)
-		if found && ent.update.state == StateAlive && clm.version == ent.update.version {
+		if found && ent.update.state == StateAlive && clm.version.Compare(ent.update.version) >= 0 {
+			ent.update.version = clm.version
 			mac.suspect(now, ent, true)
 			return
 		}
