--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -16,8 +16,8 @@
 // confirmed checkpoint, and there is at most one in EvictionSpacing. A task
 // that has been near the throttle limit for StarvedPeriod is evicted in the
 // same way, because it holds a reservation that others could use. When the
-// latency stays high with all tasks throttled and their expected part is small,
-// the load has shifted: the baseline follows and no task is evicted.
+// latency stays as high with all tasks throttled as it was before, the load has
+// shifted: the baseline follows and no task is evicted for it.
 //
 // Limits: costs add up linearly; interference that appears only when two
 // certain classes meet is charged to both. Before an undisturbed baseline has
@@ -58,12 +58,21 @@
 	releaseHold = 5 * time.Second
 	// settleTime is how long all tasks must be at the limit before more is done.
 	settleTime = 15 * time.Second
+	// shiftTime is the same where the learned costs still blame the tasks.
+	shiftTime = time.Minute
+	// easedPart is the part of the slowdown that may remain when throttling has helped.
+	easedPart = 0.6
 	// EvictionSpacing is the shortest time between two evictions on an instance.
 	EvictionSpacing = time.Minute
 	// usageLag is the age of a usage report up to which a change of the throttle makes it useless.
 	usageLag = 15 * time.Second
 	// memoryLimit is the percentage of the memory in use at which a task must leave.
 	memoryLimit = 95
+	// highestGain and calmPart let the planned slowdown exceed the budget while
+	// the measured one is far below it, so that costs estimated too high are
+	// put to the test.
+	highestGain = 2.0
+	calmPart    = 0.6
 	// alarmPeriod is the shortest time between two corrections of the gain.
 	alarmPeriod = 2 * time.Second
 )
@@ -89,6 +98,7 @@
 	service Service
 	signal  signal
 	costs   filter
+	before  float64 // peak slowdown when all tasks reached the throttle limit
 }
 
 // budget returns the slowdown that the tasks may cause.
@@ -125,10 +135,10 @@
 	return mean-2*deviation > mon.budget()
 }
 
-// calm reports whether the slowdown leaves room in the budget.
-func (mon *monitor) calm() bool {
+// calm reports whether the slowdown is surely below a part of the budget.
+func (mon *monitor) calm(part float64) bool {
 	mean, deviation := mon.signal.slowdown()
-	return mean+deviation < mon.budget()
+	return mean+deviation < mon.budget()*part
 }
 
 // Controller is the guard of one instance.
@@ -264,15 +274,25 @@
 	}
 }
 
-// shifted reports whether the slowdown persists although throttling has taken
-// the tasks' expected part of it away.
+// eased reports whether throttling all tasks took a clear part of the slowdown
+// away, which shows that they caused it.
+func (mon *monitor) eased() bool {
+	mean, _ := mon.signal.slowdown()
+	return mean <= mon.before*easedPart
+}
+
+// shifted reports whether the slowdown persists although all tasks are
+// throttled, so that they are not its cause.
 func (con *Controller) shifted(mon *monitor, now time.Time) bool {
-	return con.settled(now) && mon.alarmed() && mon.expected() < mon.budget()
+	if !con.settled(settleTime, now) || !mon.alarmed() || mon.eased() {
+		return false
+	}
+	return mon.expected() < mon.budget() || con.settled(shiftTime, now)
 }
 
-// settled reports whether all tasks have been at the throttle limit for settleTime.
-func (con *Controller) settled(now time.Time) bool {
-	return !con.saturated.IsZero() && now.Sub(con.saturated) >= settleTime
+// settled reports whether all tasks have been at the throttle limit for a period.
+func (con *Controller) settled(period time.Duration, now time.Time) bool {
+	return !con.saturated.IsZero() && now.Sub(con.saturated) >= period
 }
 
 // adjust lowers the planned slowdown quickly while a service is too slow and
@@ -285,11 +305,20 @@
 	if alarmed && now.Sub(con.alarm) >= alarmPeriod {
 		con.gain, con.alarm = max(0.1, con.gain*0.8), now
 	}
-	if !alarmed && !slices.ContainsFunc(con.monitors, func(mon *monitor) bool { return !mon.calm() }) {
-		con.gain = min(1, con.gain+0.02*length.Seconds())
+	rise := 0.02 * length.Seconds()
+	switch {
+	case alarmed:
+	case con.allCalm(calmPart):
+		con.gain = min(highestGain, con.gain+rise)
+	case con.allCalm(1):
+		con.gain = min(1, con.gain+rise)
 	}
 }
 
+func (con *Controller) allCalm(part float64) bool {
+	return !slices.ContainsFunc(con.monitors, func(mon *monitor) bool { return !mon.calm(part) })
+}
+
 // harm returns the cost of a class in budgets of the service it hurts most.
 func (con *Controller) harm(run *running) float64 {
 	worst := 0.0
@@ -348,6 +377,9 @@
 		con.saturated = time.Time{}
 	case con.saturated.IsZero():
 		con.saturated = now
+		for _, mon := range con.monitors {
+			mon.before = mon.signal.peak
+		}
 	}
 }
 
--- a/core/interfere/cost.go
+++ b/core/interfere/cost.go
@@ -92,7 +92,7 @@
 		own := cco.cost
 		cco.variance = min(priorVariance, cco.variance*inflate)
 		gain := cco.variance * cco.exposure / variance
-		cco.cost = max(0, cco.cost+gain*miss)
+		cco.cost = min(WorstCost, max(0, cco.cost+gain*miss))
 		cco.variance *= 1 - min(0.9, gain*cco.exposure)
 		// The report carries what this window measured, without the prior
 		// and the lower bound of the estimate, which would bias an average.
--- a/core/interfere/pairing.go
+++ b/core/interfere/pairing.go
@@ -19,6 +19,8 @@
 	// surpriseFactor is the distance in standard errors after which most of
 	// the evidence is dropped: the load has shifted.
 	surpriseFactor = 4
+	// surprisable is the weight from which evidence can be contradicted.
+	surprisable = 2
 	// heaviest bounds the weight of a pairing, so that new evidence always counts.
 	heaviest = 1000
 	// firstTrials is the number of tasks of an unknown pairing that may run at once.
@@ -103,7 +105,7 @@
 	pai := prs.Find(svc, cls)
 	pai.decay(now)
 	diff := cost - pai.mean
-	if pai.weight >= confidentWeight && diff*diff > surpriseFactor*surpriseFactor*(errorOf(weight)+errorOf(pai.weight)) {
+	if pai.weight >= surprisable && diff*diff > surpriseFactor*surpriseFactor*(errorOf(weight)+errorOf(pai.weight)) {
 		pai.weight /= 4
 	}
 	pai.weight = min(heaviest, pai.weight+weight)
--- a/core/interfere/relieve.go
+++ b/core/interfere/relieve.go
@@ -16,7 +16,7 @@
 	// starvedPercent is the throttle from which a task hardly uses its reservation.
 	starvedPercent = 80
 	// starvedShare is the part of the processors below which a reservation is not worth an eviction.
-	starvedShare = 0.05
+	starvedShare = 0.1
 )
 
 // relieve asks for a checkpoint, and for an eviction once it is confirmed. At
@@ -64,11 +64,11 @@
 // overloaded reports whether a service stays too slow with all tasks at the
 // throttle limit and the tasks explain it.
 func (con *Controller) overloaded(now time.Time) bool {
-	if !con.settled(now) {
+	if !con.settled(settleTime, now) {
 		return false
 	}
 	for _, mon := range con.monitors {
-		if mon.alarmed() && mon.expected() >= mon.budget() {
+		if mon.alarmed() && mon.eased() && mon.expected() >= mon.budget() {
 			return true
 		}
 	}
--- a/core/interfere/signal.go
+++ b/core/interfere/signal.go
@@ -19,6 +19,9 @@
 	// signalSamples is the number of requests over which the slowdown is
 	// averaged: with a spread of 0.4 its standard error is then 2%.
 	signalSamples = 400
+	// recentGain and peakKeep smooth the slowdown over windows for its peak.
+	recentGain = 0.3
+	peakKeep   = 0.95
 	// tailQuantile is the score of a standard normal variable at the 95th percentile.
 	tailQuantile = 1.645
 	// tailDensity is the density of a standard normal variable there.
@@ -59,6 +62,8 @@
 	shift   float64   // weighted sum of the slowdowns of single requests
 	weight  float64
 	current float64 // slowdown in the last window
+	recent  float64 // average over about three windows
+	peak    float64 // highest recent slowdown, forgotten within some seconds
 	count   int     // requests in the last window
 }
 
@@ -82,6 +87,8 @@
 		sum += shiftOf(val-bas.mean, spread)
 	}
 	sig.current = sum / float64(sig.count)
+	sig.recent += recentGain * (sig.current - sig.recent)
+	sig.peak = max(sig.recent, sig.peak*peakKeep)
 	keep := max(0, 1-float64(sig.count)/signalSamples)
 	sig.shift = sig.shift*keep + sum
 	sig.weight = sig.weight*keep + float64(sig.count)
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -1,7 +1,10 @@
 package place
 
 import (
+	"slices"
+
 	"jacinthpost/core/blame"
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
 )
@@ -15,6 +18,7 @@
 	largest  resource.Vector
 	// instances is the number of instances that have joined.
 	instances int
+	services  []fleet.Service // of all instances ever seen, sorted
 }
 
 // jobTally counts the tasks of a job that are waiting, running or set aside.
@@ -37,9 +41,33 @@
 func (knw *Knowledge) Blame() *blame.Ledger { return &knw.blame }
 
 // Learned returns the learned size of a task, at most the largest instance and
-// at least what an earlier attempt of the task is known to need.
+// at least what an earlier attempt of the task is known to need. Processors are
+// only counted as far as the guard will let the task use them.
 func (knw *Knowledge) Learned(tsk *Task) resource.Vector {
-	size := knw.sizes.Estimate(tsk.class, tsk.declared).Max(tsk.floor)
+	size := knw.bounded(tsk, knw.sizes.Estimate(tsk.class, tsk.declared).Max(tsk.floor))
+	part := knw.usablePart(tsk, size)
+	return resource.New(max(1, int64(float64(size.MilliCPU())*part)), size.MemoryMB(), size.Accelerators())
+}
+
+// usablePart returns the part of its processors that the guard is expected to
+// leave to a task next to others that use half of the planned slowdown. In
+// trials, reserving the rest as well kept up to a third of a worker idle.
+func (knw *Knowledge) usablePart(tsk *Task, size resource.Vector) float64 {
+	if knw.largest.MilliCPU() == 0 {
+		return 1
+	}
+	share := float64(size.MilliCPU()) / float64(knw.largest.MilliCPU())
+	part := 1.0
+	for _, svc := range knw.services {
+		est := knw.pairings.Find(svc, tsk.class).Estimate()
+		if own := est.Cost() * share; est.Known() && own > interfere.PlannedSlowdown()/2 {
+			part = min(part, max(lowestPart, interfere.PlannedSlowdown()/2/own))
+		}
+	}
+	return part
+}
+
+func (knw *Knowledge) bounded(tsk *Task, size resource.Vector) resource.Vector {
 	if size.FitsIn(knw.largest) || knw.largest == (resource.Vector{}) {
 		return size
 	}
@@ -100,6 +128,8 @@
 	// lowestSpeed is the part of its processor time below which a task is not
 	// started: it would hold its reservation without using it.
 	lowestSpeed = 0.3
+	// lowestPart is the least part of its processors that is reserved for a task.
+	lowestPart = 0.25
 	// slowPart is the part of the instances, as a divisor, that may run tasks
 	// of one class more slowly, so that a class is never stopped for good.
 	slowPart = 8
@@ -108,11 +138,16 @@
 // Bearable reports whether the services of an instance bear one more task: it
 // fits into what the guard of the instance plans for, or it is the only task
 // there that does not fit and runs throttled. The number of tasks of an
-// unproven pairing is limited, unless even the worst known cost would be negligible.
+// unproven pairing is limited, unless even the worst known cost would be
+// negligible. Urgent tasks pass all limits but the first: several loud tasks on
+// one instance would be throttled to a standstill with everything else there.
 func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, prr Pressure) bool {
-	if !prr.fits() && (hos.loud > 0 || !knw.bearsSlow(hos, tsk, prr)) {
+	if !prr.fits() && (hos.loud > 0 || !(tsk.urgent || knw.bearsSlow(hos, tsk, prr))) {
 		return false
 	}
+	if tsk.urgent {
+		return true
+	}
 	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
 	if share*interfere.WorstCost < interfere.Negligible {
 		return true
@@ -151,6 +186,15 @@
 	return float64(job.racks[hos.rack]) / placed, float64(job.sites[hos.site.index]) / placed
 }
 
+// meet notes the services of an instance that joined.
+func (knw *Knowledge) meet(svcs []fleet.Service) {
+	for _, svc := range svcs {
+		if pos, found := slices.BinarySearch(knw.services, svc); !found {
+			knw.services = slices.Insert(knw.services, pos, svc)
+		}
+	}
+}
+
 // FailedOn reports whether the job of the task has failed on the instance.
 func (knw *Knowledge) FailedOn(hos *Host, tsk *Task) bool {
 	return knw.blame.FailedOn(knw.unit(tsk), hos.instance.id)
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -17,6 +17,7 @@
 	sch.Leave(ins.id)
 	hos := sch.hosts.join(ins)
 	sch.know.instances = sch.hosts.Len()
+	sch.know.meet(ins.services)
 	sch.know.largest = sch.know.largest.Max(ins.capacity)
 	sch.queue.SetCapacity(sch.hosts.total())
 	switch sch.know.blame.State(ins.id, now) {
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -55,7 +55,7 @@
 			return nil
 		}
 		prr := knw.Pressure(hos, tsk, can.need)
-		if !tsk.urgent && !knw.Bearable(hos, tsk, can.need, prr) {
+		if !knw.Bearable(hos, tsk, can.need, prr) {
 			continue
 		}
 		score := pressureWeight*prr.total*prr.total + sco.score(can, hos, tsk, knw)
--- a/core/scenario/model.go
+++ b/core/scenario/model.go
@@ -75,6 +75,12 @@
 	return shp
 }
 
+// Between returns the shape cut to a length, with its data centre out for a part of it.
+func (shp Shape) Between(length, outFrom, outUntil time.Duration) Shape {
+	shp.length, shp.outFrom, shp.outUntil = length, outFrom, outUntil
+	return shp
+}
+
 // WithoutOutage returns the shape without the loss of a data centre.
 func (shp Shape) WithoutOutage() Shape {
 	shp.stays = true
