Probe throttled classes one at a time and tune the throttling baseline

Change: core/interfere releases one class for 3 s at growing intervals while there is room; ThrottleAll has an aim.

--- a/cmd/bench/decisions.go
+++ b/cmd/bench/decisions.go
@@ -48,7 +48,12 @@
 }
 
 func throttleAll(room resource.Vector, svc interfere.Service) *interfere.ThrottleAll {
-	return interfere.NewThrottleAll(room, svc)
+	return interfere.NewThrottleAll(room, 1, svc)
+}
+
+// throttleEarly is throttleAll with an aim at which it keeps the allowed tail latency.
+func throttleEarly(room resource.Vector, svc interfere.Service) *interfere.ThrottleAll {
+	return interfere.NewThrottleAll(room, 0.7, svc)
 }
 
 func unguarded(resource.Vector, interfere.Service) interfere.Unguarded { return interfere.Unguarded{} }
@@ -64,8 +69,9 @@
 	vars := []variant{
 		combine(name+"+evict-newest", pol, evictNewest, 1),
 		combine(name+"+throttle-all", pol, throttleAll, 1),
+		combine(name+"+throttle-early", pol, throttleEarly, 1),
 	}
-	for _, part := range []float64{0.3, 0.4, 0.5, 0.6} {
+	for _, part := range []float64{0.2, 0.3, 0.4, 0.5, 0.6} {
 		vars = append(vars, combine(fmt.Sprintf("%s+limit-%.0f%%", name, part*100), pol, unguarded, part))
 	}
 	return vars
@@ -143,6 +149,7 @@
 	measureUrgent(rep, seeds)
 	measureRepeat(rep)
 	measurePlacement(rep)
+	measureCancellation(rep)
 	measureMemory(rep)
 }
 
@@ -328,6 +335,21 @@
 	rep.atMost("decisions.placement.cost-ratio-1400-to-140", small/large, scaleBound, "ratio")
 }
 
+// measureCancellation compares the cost of one cancellation in a short and a long queue.
+func measureCancellation(rep *report) {
+	for _, waiting := range []int{1_000, 20_000} {
+		sch := place.NewScheduler(place.Scored{}, 1)
+		for pos := range waiting {
+			sch.Submit(place.NewTask(place.TaskID(fmt.Sprint(pos)), "job", "team", "class", resource.New(1, 1, 0)), time.Unix(0, 0))
+		}
+		begin := time.Now()
+		for pos := range waiting {
+			sch.Cancel(place.TaskID(fmt.Sprint(pos)), "job")
+		}
+		rep.value(fmt.Sprintf("decisions.cancellation-cost-of-%d", waiting), float64(time.Since(begin).Nanoseconds())/float64(waiting), "ns")
+	}
+}
+
 // measureMemory counts the live heap of a full scheduler with 8,300 waiting tasks.
 func measureMemory(rep *report) {
 	before := liveHeap()
--- a/core/interfere/baseline.go
+++ b/core/interfere/baseline.go
@@ -77,9 +77,14 @@
 	acted   time.Time
 }
 
-// NewThrottleAll returns the baseline for an instance.
-func NewThrottleAll(capacity resource.Vector, svcs ...Service) *ThrottleAll {
-	return &ThrottleAll{Controller: *NewController(capacity, svcs...)}
+// NewThrottleAll returns the baseline for an instance, with the part of the
+// slack of the services above which it throttles.
+func NewThrottleAll(capacity resource.Vector, aim float64, svcs ...Service) *ThrottleAll {
+	tha := &ThrottleAll{Controller: *NewController(capacity, svcs...)}
+	for _, mon := range tha.monitors {
+		mon.aim = aim
+	}
+	return tha
 }
 
 // Decide implements Guard.
--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -98,6 +98,7 @@
 	service Service
 	signal  signal
 	costs   filter
+	aim     float64 // part of the slack that is planned for, zero for pressureShare
 	before  float64 // peak slowdown when all tasks reached the throttle limit
 }
 
@@ -108,6 +109,9 @@
 		slack = math.Log(float64(mon.service.objective) / float64(mon.signal.extreme()))
 		slack = min(math.Log(2), max(slack, 0.02))
 	}
+	if mon.aim != 0 {
+		return slack * mon.aim
+	}
 	return slack * pressureShare
 }
 
@@ -151,6 +155,7 @@
 	alarm     time.Time
 	saturated time.Time // since when all tasks are at the limit, zero when they are not
 	evicted   time.Time
+	probes    probes
 }
 
 var _ Guard = (*Controller)(nil)
@@ -353,6 +358,7 @@
 	for _, dem := range dems {
 		excess += dem.harm * dem.run.share(0, con.capacity)
 	}
+	con.probe(dems, now)
 	var acts []Action
 	limited := len(dems) > 0
 	for _, dem := range dems {
@@ -362,6 +368,13 @@
 			percent = min(throttleLimit, int(math.Ceil(excess/full*100/throttleStep))*throttleStep)
 			excess -= full * float64(percent) / 100
 		}
+		if con.probes.active(dem.run.task.class) {
+			percent = max(0, min(percent, dem.run.percent)-probeRelief)
+			if dem.run.probed {
+				percent = dem.run.percent
+			}
+		}
+		dem.run.probed = con.probes.active(dem.run.task.class)
 		if act, changed := con.throttle(dem.run, percent, now); changed {
 			acts = append(acts, act)
 		}
@@ -390,6 +403,8 @@
 	switch {
 	case percent > run.percent:
 		run.raised = now
+	case percent < run.percent && run.probed:
+		code = explain.Released
 	case percent < run.percent && now.Sub(run.raised) >= releaseHold:
 		code = explain.Released
 		percent = max(percent, run.percent-throttleStep)
--- a/core/interfere/task.go
+++ b/core/interfere/task.go
@@ -91,6 +91,7 @@
 	starved    time.Time // since when the throttle is near its limit, zero when it is not
 	asked      time.Time // when a checkpoint before eviction was asked for, zero when none
 	checkpoint bool      // the checkpoint asked for is confirmed
+	probed     bool      // released for a measurement
 }
 
 func newRunning(tsk Task, now time.Time) *running {
