Explain waiting tasks and load shifts; fix the seeds of random tests

Cause: a task that was never tried had no reason, and rapid chose its own seeds. Change: ExplainWaiting, a reason log in Controller, fixed rapid seeds.

--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -1,7 +1,9 @@
 package blame_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -15,9 +17,18 @@
 
 func TestBlame(t *testing.T) {
 	RegisterFailHandler(Fail)
+	fixSeeds()
 	RunSpecs(t, "blame")
 }
 
+// fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
+func fixSeeds() {
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	if count := os.Getenv("JACINTHPOST_SEEDS"); count != "" {
+		Expect(flag.Set("rapid.checks", count)).To(Succeed())
+	}
+}
+
 var start = time.Unix(1_000, 0)
 
 // history applies "job@worker" successes (+) and failures (-) one second apart.
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -42,8 +42,6 @@
 	Evicted
 	NotTheTasks
 	Drained
-	Resized
-	Ended
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -115,7 +113,7 @@
 // refusal, what would have to change.
 var formats = [...]func(rsn Reason) string{
 	Queued: func(rsn Reason) string {
-		return fmt.Sprintf("%s waits in the queue of team %s behind %d tasks", rsn.subject, rsn.other, rsn.count)
+		return fmt.Sprintf("%s waits in the queue of team %s with %d others; it is tried when it is first among them", rsn.subject, rsn.other, rsn.count)
 	},
 	QueueFull: func(rsn Reason) string {
 		return fmt.Sprintf("%s was refused: the queue of team %s holds its limit of %d tasks; it is accepted once one of them starts or is cancelled", rsn.subject, rsn.other, rsn.bound)
@@ -178,17 +176,11 @@
 		return fmt.Sprintf("%s is evicted after its checkpoint: requests of %s have missed their target for %v and throttling did not help", rsn.subject, rsn.other, rsn.period)
 	},
 	NotTheTasks: func(rsn Reason) string {
-		return fmt.Sprintf("tasks on %s are not stopped: the latency of %s stays high with all of them throttled, so they are not the cause", rsn.subject, rsn.other)
+		return fmt.Sprintf("tasks next to %s are not stopped: its latency stays high with all of them throttled, so they are not the cause; its present latency becomes the target", rsn.subject)
 	},
 	Drained: func(rsn Reason) string {
 		return fmt.Sprintf("nothing is offered to %s: %s", rsn.subject, rsn.detail)
 	},
-	Resized: func(rsn Reason) string {
-		return fmt.Sprintf("class %s is counted as %v instead of the declared %v after %d runs", rsn.subject, rsn.need, rsn.limit, rsn.count)
-	},
-	Ended: func(rsn Reason) string {
-		return fmt.Sprintf("%s ended on %s: %s", rsn.subject, rsn.other, rsn.detail)
-	},
 }
 
 // String formats the reason in one sentence.
--- a/core/heap/heap_test.go
+++ b/core/heap/heap_test.go
@@ -1,6 +1,8 @@
 package heap_test
 
 import (
+	"flag"
+	"os"
 	"slices"
 	"testing"
 
@@ -13,9 +15,18 @@
 
 func TestHeap(t *testing.T) {
 	RegisterFailHandler(Fail)
+	fixSeeds()
 	RunSpecs(t, "heap")
 }
 
+// fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
+func fixSeeds() {
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	if count := os.Getenv("JACINTHPOST_SEEDS"); count != "" {
+		Expect(flag.Set("rapid.checks", count)).To(Succeed())
+	}
+}
+
 type number int
 
 func (num number) Before(oth number) bool { return num < oth }
--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -95,11 +95,12 @@
 
 // monitor holds what is known of one service.
 type monitor struct {
-	service Service
-	signal  signal
-	costs   filter
-	aim     float64 // part of the slack that is planned for, zero for pressureShare
-	before  float64 // peak slowdown when all tasks reached the throttle limit
+	service  Service
+	signal   signal
+	costs    filter
+	aim      float64 // part of the slack that is planned for, zero for pressureShare
+	shifting bool    // a shift of the load is being followed
+	before   float64 // peak slowdown when all tasks reached the throttle limit
 }
 
 // budget returns the slowdown that the tasks may cause.
@@ -156,6 +157,7 @@
 	saturated time.Time // since when all tasks are at the limit, zero when they are not
 	evicted   time.Time
 	probes    probes
+	log       explain.Log
 }
 
 var _ Guard = (*Controller)(nil)
@@ -250,10 +252,16 @@
 		con.measure(mon, length, now)
 	}
 	con.adjust(length, now)
-	acts := con.plan(now)
-	return append(acts, con.relieve(now)...)
+	acts := append(con.plan(now), con.relieve(now)...)
+	for _, act := range acts {
+		con.log.Add(act.reason)
+	}
+	return acts
 }
 
+// Explain returns the newest reasons about a task or a service.
+func (con *Controller) Explain(subject string) []explain.Reason { return con.log.Reasons(subject) }
+
 // measure ends a window of one service.
 func (con *Controller) measure(mon *monitor, length time.Duration, now time.Time) {
 	for pos := range mon.costs.classes {
@@ -267,10 +275,16 @@
 		return
 	}
 	quiet := mon.exposure() < quietExposure
+	shifted := con.shifted(mon, now)
+	if shifted && !mon.shifting {
+		name := string(mon.service.name)
+		con.log.Add(explain.New(explain.NotTheTasks, now, name).With(name))
+	}
+	mon.shifting = shifted
 	switch {
 	case quiet || !mon.signal.learned():
 		mon.signal.learn(baselineSamples)
-	case con.shifted(mon, now):
+	case shifted:
 		mon.signal.learn(shiftSamples)
 		return
 	}
--- a/core/interfere/interfere_test.go
+++ b/core/interfere/interfere_test.go
@@ -116,6 +116,7 @@
 	lod.factor = 1.5
 	lod.run(300)
 	Expect(lod.kinds[interfere.Evict]).To(BeZero())
+	Expect(lod.con.Explain("svc")).NotTo(BeEmpty())
 	lod.run(300)
 	Expect(lod.percent["quiet"]).To(BeNumerically("<=", 20), "the new latency is the baseline")
 })
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -1,7 +1,9 @@
 package place_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -18,9 +20,18 @@
 
 func TestPlace(t *testing.T) {
 	RegisterFailHandler(Fail)
+	fixSeeds()
 	RunSpecs(t, "place")
 }
 
+// fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
+func fixSeeds() {
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	if count := os.Getenv("JACINTHPOST_SEEDS"); count != "" {
+		Expect(flag.Set("rapid.checks", count)).To(Succeed())
+	}
+}
+
 var (
 	start = time.Unix(1_000, 0)
 	room  = resource.New(8_000, 8_000, 1)
@@ -215,6 +226,20 @@
 	}, explain.TrialLimit),
 )
 
+// Guards against a task that waits without any reason because it was never tried.
+var _ = It("explains a task whose team waits or exceeds its share", func() {
+	wld := newWorld(place.Scored{}, 1)
+	id := wld.submit(0, resource.New(4_000, 1, 0), false)
+	last := func(name fleet.Team) explain.Code {
+		rsns := wld.sch.ExplainWaiting(id, name, wld.now)
+		return rsns[len(rsns)-1].Code()
+	}
+	Expect(last("team0")).To(Equal(explain.Queued))
+	wld.settle()
+	wld.sch.SetTeam("team1", 9)
+	Expect(last("team0")).To(Equal(explain.TeamOverShare))
+})
+
 // Guards against a job that is concentrated in one rack, and against payloads sent to another region without need.
 var _ = It("spreads a job over racks and stays in the region of the payload", func() {
 	wld := newWorld(place.Scored{}, 12)
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -158,6 +158,18 @@
 // Explain returns the newest reasons about a task, job, instance or team.
 func (sch *Scheduler[P]) Explain(subject string) []explain.Reason { return sch.log.Reasons(subject) }
 
+// ExplainWaiting returns the newest reasons about a waiting task and, last, what
+// holds its team back now.
+func (sch *Scheduler[P]) ExplainWaiting(id TaskID, name fleet.Team, now time.Time) []explain.Reason {
+	rsn := explain.New(explain.Queued, now, string(id)).With(string(name)).Counts(max(0, sch.queue.Waiting(name)-1), 0)
+	if used, share := sch.queue.Used(name), sch.queue.Share(name); used > share {
+		total := max(1, sch.queue.Capacity())
+		rsn = explain.New(explain.TeamOverShare, now, string(id)).With(string(name)).
+			Counts(int(used*1000/total), int(share*1000/total))
+	}
+	return append(sch.Explain(string(id)), rsn)
+}
+
 func (sch *Scheduler[P]) random() *rand.Rand {
 	if sch.rnd == nil {
 		sch.rnd = rand.New(rand.NewPCG(0, 0))
