--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -16,8 +16,8 @@
 // confirmed checkpoint, and there is at most one in EvictionSpacing. A task
 // that has been near the throttle limit for StarvedPeriod is evicted in the
 // same way, because it holds a reservation that others could use. When the
-// latency stays high with all tasks throttled and their expected part is small,
-// the load has shifted: the baseline follows and no task is evicted.
+// latency stays as high with all tasks throttled as it was before, the load has
+// shifted: the baseline follows and no task is evicted for it.
 //
 // Limits: costs add up linearly; interference that appears only when two
 // certain classes meet is charged to both. Before an undisturbed baseline has
@@ -58,12 +58,21 @@
 	releaseHold = 5 * time.Second
 	// settleTime is how long all tasks must be at the limit before more is done.
 	settleTime = 15 * time.Second
+	// shiftTime is the same where the learned costs still blame the tasks.
+	shiftTime = time.Minute
+	// easedPart is the part of the slowdown that may remain when throttling has helped.
+	easedPart = 0.6
 	// EvictionSpacing is the shortest time between two evictions on an instance.
 	EvictionSpacing = time.Minute
 	// usageLag is the age of a usage report up to which a change of the throttle makes it useless.
 	usageLag = 15 * time.Second
 	// memoryLimit is the percentage of the memory in use at which a task must leave.
 	memoryLimit = 95
+	// highestGain and calmPart let the planned slowdown exceed the budget while
+	// the measured one is far below it, so that costs estimated too high are
+	// put to the test.
+	highestGain = 2.0
+	calmPart    = 0.6
 	// alarmPeriod is the shortest time between two corrections of the gain.
 	alarmPeriod = 2 * time.Second
 )
@@ -86,9 +95,12 @@
 
 // monitor holds what is known of one service.
 type monitor struct {
-	service Service
-	signal  signal
-	costs   filter
+	service  Service
+	signal   signal
+	costs    filter
+	aim      float64 // part of the slack that is planned for, zero for pressureShare
+	shifting bool    // a shift of the load is being followed
+	before   float64 // peak slowdown when all tasks reached the throttle limit
 }
 
 // budget returns the slowdown that the tasks may cause.
@@ -98,6 +110,9 @@
 		slack = math.Log(float64(mon.service.objective) / float64(mon.signal.extreme()))
 		slack = min(math.Log(2), max(slack, 0.02))
 	}
+	if mon.aim != 0 {
+		return slack * mon.aim
+	}
 	return slack * pressureShare
 }
 
@@ -125,10 +140,10 @@
 	return mean-2*deviation > mon.budget()
 }
 
-// calm reports whether the slowdown leaves room in the budget.
-func (mon *monitor) calm() bool {
+// calm reports whether the slowdown is surely below a part of the budget.
+func (mon *monitor) calm(part float64) bool {
 	mean, deviation := mon.signal.slowdown()
-	return mean+deviation < mon.budget()
+	return mean+deviation < mon.budget()*part
 }
 
 // Controller is the guard of one instance.
@@ -141,6 +156,8 @@
 	alarm     time.Time
 	saturated time.Time // since when all tasks are at the limit, zero when they are not
 	evicted   time.Time
+	probes    probes
+	log       explain.Log
 }
 
 var _ Guard = (*Controller)(nil)
@@ -235,10 +252,16 @@
 		con.measure(mon, length, now)
 	}
 	con.adjust(length, now)
-	acts := con.plan(now)
-	return append(acts, con.relieve(now)...)
+	acts := append(con.plan(now), con.relieve(now)...)
+	for _, act := range acts {
+		con.log.Add(act.reason)
+	}
+	return acts
 }
 
+// Explain returns the newest reasons about a task or a service.
+func (con *Controller) Explain(subject string) []explain.Reason { return con.log.Reasons(subject) }
+
 // measure ends a window of one service.
 func (con *Controller) measure(mon *monitor, length time.Duration, now time.Time) {
 	for pos := range mon.costs.classes {
@@ -252,10 +275,16 @@
 		return
 	}
 	quiet := mon.exposure() < quietExposure
+	shifted := con.shifted(mon, now)
+	if shifted && !mon.shifting {
+		name := string(mon.service.name)
+		con.log.Add(explain.New(explain.NotTheTasks, now, name).With(name))
+	}
+	mon.shifting = shifted
 	switch {
 	case quiet || !mon.signal.learned():
 		mon.signal.learn(baselineSamples)
-	case con.shifted(mon, now):
+	case shifted:
 		mon.signal.learn(shiftSamples)
 		return
 	}
@@ -264,15 +293,25 @@
 	}
 }
 
-// shifted reports whether the slowdown persists although throttling has taken
-// the tasks' expected part of it away.
+// eased reports whether throttling all tasks took a clear part of the slowdown
+// away, which shows that they caused it.
+func (mon *monitor) eased() bool {
+	mean, _ := mon.signal.slowdown()
+	return mean <= mon.before*easedPart
+}
+
+// shifted reports whether the slowdown persists although all tasks are
+// throttled, so that they are not its cause.
 func (con *Controller) shifted(mon *monitor, now time.Time) bool {
-	return con.settled(now) && mon.alarmed() && mon.expected() < mon.budget()
+	if !con.settled(settleTime, now) || !mon.alarmed() || mon.eased() {
+		return false
+	}
+	return mon.expected() < mon.budget() || con.settled(shiftTime, now)
 }
 
-// settled reports whether all tasks have been at the throttle limit for settleTime.
-func (con *Controller) settled(now time.Time) bool {
-	return !con.saturated.IsZero() && now.Sub(con.saturated) >= settleTime
+// settled reports whether all tasks have been at the throttle limit for a period.
+func (con *Controller) settled(period time.Duration, now time.Time) bool {
+	return !con.saturated.IsZero() && now.Sub(con.saturated) >= period
 }
 
 // adjust lowers the planned slowdown quickly while a service is too slow and
@@ -285,11 +324,20 @@
 	if alarmed && now.Sub(con.alarm) >= alarmPeriod {
 		con.gain, con.alarm = max(0.1, con.gain*0.8), now
 	}
-	if !alarmed && !slices.ContainsFunc(con.monitors, func(mon *monitor) bool { return !mon.calm() }) {
-		con.gain = min(1, con.gain+0.02*length.Seconds())
+	rise := 0.02 * length.Seconds()
+	switch {
+	case alarmed:
+	case con.allCalm(calmPart):
+		con.gain = min(highestGain, con.gain+rise)
+	case con.allCalm(1):
+		con.gain = min(1, con.gain+rise)
 	}
 }
 
+func (con *Controller) allCalm(part float64) bool {
+	return !slices.ContainsFunc(con.monitors, func(mon *monitor) bool { return !mon.calm(part) })
+}
+
 // harm returns the cost of a class in budgets of the service it hurts most.
 func (con *Controller) harm(run *running) float64 {
 	worst := 0.0
@@ -324,6 +372,7 @@
 	for _, dem := range dems {
 		excess += dem.harm * dem.run.share(0, con.capacity)
 	}
+	con.probe(dems, now)
 	var acts []Action
 	limited := len(dems) > 0
 	for _, dem := range dems {
@@ -333,6 +382,13 @@
 			percent = min(throttleLimit, int(math.Ceil(excess/full*100/throttleStep))*throttleStep)
 			excess -= full * float64(percent) / 100
 		}
+		if con.probes.active(dem.run.task.class) {
+			percent = max(0, min(percent, dem.run.percent)-probeRelief)
+			if dem.run.probed {
+				percent = dem.run.percent
+			}
+		}
+		dem.run.probed = con.probes.active(dem.run.task.class)
 		if act, changed := con.throttle(dem.run, percent, now); changed {
 			acts = append(acts, act)
 		}
@@ -348,6 +404,9 @@
 		con.saturated = time.Time{}
 	case con.saturated.IsZero():
 		con.saturated = now
+		for _, mon := range con.monitors {
+			mon.before = mon.signal.peak
+		}
 	}
 }
 
@@ -358,6 +417,8 @@
 	switch {
 	case percent > run.percent:
 		run.raised = now
+	case percent < run.percent && run.probed:
+		code = explain.Released
 	case percent < run.percent && now.Sub(run.raised) >= releaseHold:
 		code = explain.Released
 		percent = max(percent, run.percent-throttleStep)
