Add the dispatcher: one placement for all partitions of a process

Cause: the owner role placed tasks with the built-in job.Simple, so none of the scheduling decisions reached a real process. Change: core/dispatch implements job.Placement from core/place, core/quota, core/blame and core/explain. The partitions of a process share it; each has a Part that gives its commitments back when the partition is lost. Additive changes: place.Scheduler Choose/Commit/Withdraw/Conclude for a caller with its own queue (core/place/direct.go), a restriction in place.Candidates, quota.Arbiter.Relative, explain.Log.Update, ring.Ring.Replace. The property test found an endless offer to an instance that refuses although the task fits.

--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,276 @@
+// Package dispatch makes the scheduling decisions of one process: it implements
+// job.Placement from the hosts, learned sizes and policies of core/place, the
+// shares of core/quota, the judgement of failures of core/blame and the reasons
+// of core/explain.
+//
+// Model: all partitions that the process owns share one Dispatcher, so that they
+// share what is learned and do not offer the same free amounts twice. Each
+// partition has a Part, which remembers its commitments and gives them back when
+// the partition is lost. Free amounts are hints: the answer of an agent corrects
+// them, and a hint that the process has no newer answer for is relaxed slowly,
+// because the tasks of other owners end without notice. The bookkeeping never
+// offers more than the capacity of an instance less the commitments made here.
+//
+// Queue order: a lane is a team and whether its tasks are urgent. Urgent lanes
+// go first, with one ordinary task after quota.UrgentRow urgent ones, then the
+// team that uses least for its share. A lane whose tasks fit nowhere goes last
+// for the rest of a pass, so that it does not use up the tries of the others.
+//
+// A data centre that returns takes commitments up to a part of its capacity that
+// grows over RampPeriod.
+//
+// Sizes: agents reserve the declared size, so the bookkeeping counts at least
+// that. A class that is known to use clearly more memory than declared is
+// counted with what it uses, so that instances are not filled beyond their memory.
+//
+// Limits: quota and spread count the commitments of this process only; other
+// owners are seen through refusals. What is learned is lost with the process.
+// Memory is bounded by the number of instances, the commitments, and the
+// constants below. A Dispatcher must be used from one goroutine at a time: the
+// control goroutine of the owner role.
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/place"
+	"jacinthpost/core/resource"
+)
+
+// Bounds of what is kept by name.
+const (
+	// trackedLimit is the number of jobs, and of single tasks, whose failures are remembered.
+	trackedLimit = 4096
+	// classLimit and teamLimit are the numbers of names with a record of their
+	// own. Callers choose these names, so further ones share a record.
+	classLimit = 512
+	teamLimit  = 1024
+	otherName  = "(other)"
+)
+
+// Dispatcher holds the scheduling state of one process under the placement policy P.
+type Dispatcher[P place.Policy] struct {
+	sched   *place.Scheduler[padded[P]]
+	now     time.Time // of the latest event
+	owners  int
+	list    []job.Instance
+	seats   map[fleet.InstanceID]*seat
+	centres []*centre // by name
+	cursor  int       // where the next relaxation of hints begins
+	relaxed time.Time
+	missed  bool // a task found no instance since the last relaxation
+	holds   map[place.TaskID]*hold
+	parts   map[int]*Part[P]
+	chosen  place.Offer
+	undone  place.TaskID    // the latest withdrawal
+	freed   resource.Vector // what it had committed
+	row     int             // urgent tasks chosen since an ordinary one was tried
+	misses  map[job.Lane]int
+	missAt  time.Time
+	shares  []Share // by team
+	teams   names[fleet.Team]
+	classes names[fleet.JobClass]
+	jobs    tracked[string]
+	left    tracked[fleet.InstanceID]
+}
+
+// hold is the commitment of one task to an instance.
+type hold struct {
+	seat     *seat
+	size     resource.Vector
+	accepted bool
+}
+
+// New returns a dispatcher with a policy and the seed of its random choices.
+// The number of owners is that of the processes that share the partitions.
+func New[P place.Policy](pol P, seed uint64, owners int) *Dispatcher[P] {
+	return &Dispatcher[P]{
+		sched: place.NewScheduler(padded[P]{policy: pol}, seed), owners: max(1, owners),
+		seats:  make(map[fleet.InstanceID]*seat),
+		holds:  make(map[place.TaskID]*hold),
+		parts:  make(map[int]*Part[P]),
+		misses: make(map[job.Lane]int),
+	}
+}
+
+// Committed returns what the tasks committed by this process reserve on an instance.
+func (dsp *Dispatcher[P]) Committed(id fleet.InstanceID) resource.Vector {
+	if sea := dsp.seats[id]; sea != nil {
+		return sea.pending.Plus(sea.accepted)
+	}
+	return resource.Vector{}
+}
+
+// Holds returns the number of commitments.
+func (dsp *Dispatcher[P]) Holds() int { return len(dsp.holds) }
+
+func taskID(ref job.Ref) place.TaskID {
+	return place.TaskID(string(ref.Job()) + "/" + strconv.Itoa(ref.Index()))
+}
+
+// request translates a task for core/place.
+func (dsp *Dispatcher[P]) request(tsk job.Task) place.Task {
+	spc := tsk.Spec()
+	req := place.NewTask(taskID(tsk.Ref()), string(tsk.Ref().Job()), dsp.teams.bound(spc.Team(), teamLimit),
+		dsp.classes.bound(spc.Class(), classLimit), spc.Resources())
+	if spc.Urgent() {
+		req = req.Urgent()
+	}
+	return req
+}
+
+// choose returns the instance for a task.
+func (dsp *Dispatcher[P]) choose(tsk job.Task, starts func(fleet.DataCentre) bool, now time.Time) (fleet.InstanceID, bool) {
+	dsp.now = now
+	dsp.relax()
+	dsp.openCentres(starts)
+	req := dsp.request(tsk)
+	off, found := place.Offer{}, false
+	if dsp.mayUse(req) {
+		off, found = dsp.sched.Choose(req, dsp.accepts(tsk.Spec().Service()), now)
+	}
+	dsp.tried(tsk.Spec(), found)
+	if !found {
+		dsp.missed = true
+		return "", false
+	}
+	dsp.chosen = off
+	return off.Instance(), true
+}
+
+// accepts returns the restriction to the instances of a service, nil for none.
+func (dsp *Dispatcher[P]) accepts(svc fleet.Service) func(fleet.InstanceID) bool {
+	if svc == "" {
+		return nil
+	}
+	return func(id fleet.InstanceID) bool { return dsp.seats[id].hint.Service() == svc }
+}
+
+// commit takes in an offer, or a task found running after a takeover, whose
+// size is the declared one and which its agent has accepted.
+func (dsp *Dispatcher[P]) commit(tsk job.Task, id fleet.InstanceID) bool {
+	sea := dsp.seats[id]
+	req := dsp.request(tsk)
+	off, offered := dsp.chosen, dsp.chosen.Task().ID() == req.ID() && dsp.chosen.Instance() == id
+	if !offered {
+		off = place.NewOffer(req, id, tsk.Spec().Resources())
+	}
+	dsp.chosen = place.Offer{}
+	if sea == nil || !dsp.sched.Commit(off, dsp.now) {
+		return false
+	}
+	hol := &hold{seat: sea, size: off.Size()}
+	dsp.holds[req.ID()] = hol
+	sea.pending = sea.pending.Plus(hol.size)
+	sea.centre.used += hol.size.MilliCPU()
+	dsp.track(string(tsk.Ref().Job()))
+	if !offered {
+		dsp.accept(req.ID(), hol, dsp.reported(sea).Minus(hol.size))
+	}
+	return true
+}
+
+// accept notes that the agent has reserved the amounts; free is what it has left.
+func (dsp *Dispatcher[P]) accept(id place.TaskID, hol *hold, free resource.Vector) {
+	sea := hol.seat
+	hol.accepted = true
+	sea.pending, sea.accepted = sea.pending.Minus(hol.size), sea.accepted.Plus(hol.size)
+	dsp.sched.Accepted(id, sea.clamp(free))
+}
+
+// release ends the bookkeeping of a commitment that the scheduler has taken off.
+func (dsp *Dispatcher[P]) release(id place.TaskID, hol *hold) {
+	delete(dsp.holds, id)
+	sea := hol.seat
+	if hol.accepted {
+		sea.accepted = sea.accepted.Minus(hol.size)
+	} else {
+		sea.pending = sea.pending.Minus(hol.size)
+	}
+	sea.centre.used -= hol.size.MilliCPU()
+	if !sea.present && sea.idle() {
+		delete(dsp.seats, sea.hint.ID())
+	}
+	dsp.check(sea)
+}
+
+func (dsp *Dispatcher[P]) check(sea *seat) {
+	if !sea.pending.Valid() || !sea.accepted.Valid() || sea.centre.used < 0 {
+		panic(fmt.Sprintf("dispatch: instance %s has %v pending, %v accepted, centre %s uses %d",
+			sea.hint.ID(), sea.pending, sea.accepted, sea.centre.name, sea.centre.used))
+	}
+}
+
+// withdraw undoes a commitment without a result.
+func (dsp *Dispatcher[P]) withdraw(id place.TaskID) {
+	if hol := dsp.holds[id]; hol != nil {
+		dsp.undone, dsp.freed = id, hol.size
+		dsp.sched.Withdraw(id)
+		dsp.release(id, hol)
+	}
+}
+
+// Used takes in the present usage of a running task, from which the sizes of its class are learned.
+func (dsp *Dispatcher[P]) Used(ref job.Ref, used resource.Vector, now time.Time) {
+	if used != (resource.Vector{}) {
+		dsp.sched.Used(taskID(ref), used, now)
+	}
+}
+
+// track remembers that failures of a job or a task may be on record, and drops the oldest beyond the bound.
+func (dsp *Dispatcher[P]) track(name string) {
+	dsp.jobs.add(name, trackedLimit, func(old string) bool { return dsp.sched.Forget(old) })
+}
+
+// tracked holds names in the order of their first use, up to a bound.
+type tracked[K comparable] struct {
+	order []K
+	known map[K]struct{}
+}
+
+// add notes a name. Beyond the bound it removes the oldest for which drop
+// succeeds; it tries a few, so that the cost of one call is bounded.
+func (tra *tracked[K]) add(name K, limit int, drop func(K) bool) {
+	if _, found := tra.known[name]; found {
+		return
+	}
+	if tra.known == nil {
+		tra.known = make(map[K]struct{})
+	}
+	tra.known[name] = struct{}{}
+	tra.order = append(tra.order, name)
+	for tries := 0; len(tra.order) > limit && tries < 8; tries++ {
+		oldest := tra.order[0]
+		tra.order = slices.Delete(tra.order, 0, 1)
+		if drop(oldest) {
+			delete(tra.known, oldest)
+			continue
+		}
+		tra.order = append(tra.order, oldest)
+	}
+}
+
+// names bounds a set of names that callers choose.
+type names[N ~string] struct {
+	known map[N]struct{}
+}
+
+// bound returns the name, or otherName when the set is full of others.
+func (nam *names[N]) bound(name N, limit int) N {
+	if _, found := nam.known[name]; found {
+		return name
+	}
+	if len(nam.known) >= limit {
+		return otherName
+	}
+	if nam.known == nil {
+		nam.known = make(map[N]struct{})
+	}
+	nam.known[name] = struct{}{}
+	return name
+}
--- /dev/null
+++ b/core/dispatch/explain.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+
+	"jacinthpost/core/explain"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+)
+
+// lineLimit bounds the lines about one job.
+const lineLimit = 64
+
+const timeFormat = "2006-01-02 15:04:05.000"
+
+// ExplainJob returns what was decided about a job, its tasks and its team.
+// Reasons are kept by the process that owns the partition, since it took it over.
+func (dsp *Dispatcher[P]) ExplainJob(sta job.Status) []string {
+	rsns := dsp.sched.Explain(string(sta.ID()))
+	for idx := range sta.Tasks() {
+		rsns = append(rsns, dsp.sched.Explain(string(taskID(job.NewRef(sta.ID(), idx, sta.Tasks()[idx].Token()))))...)
+	}
+	slices.SortStableFunc(rsns, func(one, two explain.Reason) int { return one.At().Compare(two.At()) })
+	if len(rsns) > lineLimit {
+		rsns = rsns[len(rsns)-lineLimit:]
+	}
+	lines := format(rsns)
+	if len(lines) == 0 {
+		lines = append(lines, "this process has made no decision about the job since it took over the partition")
+	}
+	return append(lines, dsp.ExplainTeam(sta.Spec().Team())...)
+}
+
+// ExplainTeam returns the use and the share of a team.
+func (dsp *Dispatcher[P]) ExplainTeam(name fleet.Team) []string {
+	acc := dsp.teams.bound(name, teamLimit)
+	sha, listed := dsp.share(name)
+	line := fmt.Sprintf("team %q uses %d mCPU through this owner; its part of %d mCPU is %d while all teams have work",
+		name, dsp.sched.UsedBy(acc), dsp.sched.FleetCapacity(), dsp.sched.ShareOf(acc))
+	switch {
+	case !listed:
+		line += "; no ticket sets its share, so it has the smallest weight and may borrow"
+	case !sha.mayBorrow:
+		line += fmt.Sprintf("; it may not borrow, so it waits above a share of %.3f until a ticket raises the share or its tasks end", sha.part)
+	}
+	return append([]string{line}, format(dsp.sched.Explain(string(name)))...)
+}
+
+// ExplainInstance returns what was decided about an instance.
+func (dsp *Dispatcher[P]) ExplainInstance(id fleet.InstanceID) []string {
+	sea := dsp.seats[id]
+	if sea == nil {
+		return []string{fmt.Sprintf("instance %s is not known to this owner", id)}
+	}
+	line := fmt.Sprintf("owner's view of %s: capacity %v; committed by this owner %v, of which %v is not answered; believed free %v",
+		id, sea.hint.Capacity(), dsp.Committed(id), sea.pending, dsp.reported(sea).Minus(sea.pending))
+	if cen := sea.centre; cen.closed {
+		line += fmt.Sprintf("; data centre %s takes no task now", cen.name)
+		if !cen.ramp.IsZero() {
+			line += fmt.Sprintf(", it returned at %s and takes up to its whole capacity over %v", cen.ramp.UTC().Format(timeFormat), RampPeriod)
+		}
+	}
+	return append([]string{line}, format(dsp.sched.Explain(string(id)))...)
+}
+
+func format(rsns []explain.Reason) []string {
+	lines := make([]string, 0, len(rsns))
+	for _, rsn := range rsns {
+		lines = append(lines, rsn.At().UTC().Format(timeFormat)+" "+rsn.String())
+	}
+	return lines
+}
--- /dev/null
+++ b/core/dispatch/part.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/place"
+	"jacinthpost/core/resource"
+)
+
+// Part is the placement of one partition during one tenure.
+type Part[P place.Policy] struct {
+	dispatcher *Dispatcher[P]
+	number     int
+	holds      map[place.TaskID]struct{}
+	closed     bool
+}
+
+var _ job.Placement = (*Part[place.Scored])(nil)
+
+// Part returns the placement of a partition. A former one of the same partition is closed.
+func (dsp *Dispatcher[P]) Part(number int) *Part[P] {
+	if old := dsp.parts[number]; old != nil {
+		old.Close()
+	}
+	prt := &Part[P]{dispatcher: dsp, number: number, holds: make(map[place.TaskID]struct{})}
+	dsp.parts[number] = prt
+	return prt
+}
+
+// Close gives the commitments of the partition back, when the process no longer owns it.
+func (prt *Part[P]) Close() {
+	if prt.closed {
+		return
+	}
+	prt.closed = true
+	ids := make([]place.TaskID, 0, len(prt.holds))
+	for id := range prt.holds {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		prt.dispatcher.withdraw(id)
+	}
+	clear(prt.holds)
+	if prt.dispatcher.parts[prt.number] == prt {
+		delete(prt.dispatcher.parts, prt.number)
+	}
+}
+
+// Observe implements job.Placement.
+func (prt *Part[P]) Observe(list []job.Instance, now time.Time) { prt.dispatcher.observe(list, now) }
+
+// Admits implements job.Placement. While no instance is known, every size is admitted.
+func (prt *Part[P]) Admits(spc job.Spec) (bool, resource.Vector) { return prt.dispatcher.admits(spc) }
+
+// Lane implements job.Placement.
+func (*Part[P]) Lane(spc job.Spec) job.Lane { return laneOf(spc) }
+
+// CompareLanes implements job.Placement.
+func (prt *Part[P]) CompareLanes(one, two job.Lane) int { return prt.dispatcher.compareLanes(one, two) }
+
+// Choose implements job.Placement.
+func (prt *Part[P]) Choose(tsk job.Task, starts func(fleet.DataCentre) bool, now time.Time) (fleet.InstanceID, bool) {
+	return prt.dispatcher.choose(tsk, starts, now)
+}
+
+// Committed implements job.Placement.
+func (prt *Part[P]) Committed(tsk job.Task, ins fleet.InstanceID) {
+	if !prt.closed && prt.dispatcher.commit(tsk, ins) {
+		prt.holds[taskID(tsk.Ref())] = struct{}{}
+	}
+}
+
+// Withdrawn implements job.Placement.
+func (prt *Part[P]) Withdrawn(tsk job.Task, _ fleet.InstanceID) {
+	if id := taskID(tsk.Ref()); prt.owns(id) {
+		delete(prt.holds, id)
+		prt.dispatcher.withdraw(id)
+	}
+}
+
+func (prt *Part[P]) owns(id place.TaskID) bool {
+	_, found := prt.holds[id]
+	return found
+}
+
+// Answered implements job.Placement.
+func (prt *Part[P]) Answered(ans job.Answer, now time.Time) { prt.dispatcher.answered(ans, now) }
+
+// Ended implements job.Placement.
+func (prt *Part[P]) Ended(tsk job.Task, ins fleet.InstanceID, end job.End, now time.Time) job.Verdict {
+	delete(prt.holds, taskID(tsk.Ref()))
+	return prt.dispatcher.ended(tsk, ins, end, now)
+}
+
+// Used takes in the present usage of a running task.
+func (prt *Part[P]) Used(ref job.Ref, used resource.Vector, now time.Time) {
+	prt.dispatcher.Used(ref, used, now)
+}
+
+// Explain returns what was decided about a job, its tasks and its team, as lines.
+func (prt *Part[P]) Explain(sta job.Status) []string { return prt.dispatcher.ExplainJob(sta) }
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -235,6 +235,18 @@
 	rng.Push(rsn)
 }
 
+// Update is Add, but replaces the newest reason of the subject if it has the
+// same code and second party, so that repeated attempts don't push out what happened before.
+func (log *Log) Update(rsn Reason) {
+	if rng, found := log.rings[rsn.subject]; found && rng.Len() > 0 {
+		if last := rng.At(rng.Len() - 1); last.code == rsn.code && last.other == rsn.other {
+			rng.Replace(rsn)
+			return
+		}
+	}
+	log.Add(rsn)
+}
+
 func (log *Log) init() {
 	if log.subjects == 0 {
 		log.subjects, log.perSubject = DefaultSubjects, DefaultReasonsPerSubject
--- /dev/null
+++ b/core/place/direct.go
@@ -0,0 +1,167 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jacinthpost/core/blame"
+	"jacinthpost/core/explain"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+)
+
+// The methods in this file serve an owner that keeps the queue of tasks itself
+// and asks for one task at a time: Choose, Commit, then Accepted or Withdraw,
+// then Conclude. Such a caller uses neither Submit nor Next.
+
+// Choose returns the instance and the amounts for one task and commits nothing.
+// The function accept limits the instances; nil accepts all. When none is
+// found, the reason is recorded under the task.
+func (sch *Scheduler[P]) Choose(tsk Task, accept func(id fleet.InstanceID) bool, now time.Time) (Offer, bool) {
+	if !now.Before(sch.nextTick) {
+		sch.nextTick = now.Add(RetryPeriod)
+		sch.review(now)
+	}
+	need := sch.policy.Reserve(&tsk, &sch.know)
+	sch.candidates.reset(&sch.hosts, need, now, sch.random())
+	sch.candidates.accept = accept
+	hos := sch.policy.Choose(&sch.candidates, &tsk, &sch.know)
+	if hos == nil {
+		sch.log.Update(sch.unchosen(&tsk, need, now))
+	}
+	sch.candidates.accept = nil
+	if hos == nil {
+		return Offer{}, false
+	}
+	return Offer{task: tsk, instance: hos.instance.id, size: need}, true
+}
+
+func (sch *Scheduler[P]) unchosen(tsk *Task, need resource.Vector, now time.Time) explain.Reason {
+	if hos := sch.candidates.First(); hos != nil {
+		return sch.gateRefusal(hos, tsk, now)
+	}
+	return sch.refusal(tsk, need, now)
+}
+
+// NewOffer returns an offer that was not chosen here, for a task that is found
+// running after a change of owner.
+func NewOffer(tsk Task, id fleet.InstanceID, size resource.Vector) Offer {
+	return Offer{task: tsk, instance: id, size: size}
+}
+
+// Commit reserves the amounts of an offer. It reports false when the instance
+// is unknown or the task is already committed.
+func (sch *Scheduler[P]) Commit(off Offer, now time.Time) bool {
+	hos := sch.hosts.Find(off.instance)
+	if hos == nil || sch.placements[off.task.id] != nil {
+		return false
+	}
+	sch.put(off.task, hos, off.size, now)
+	return true
+}
+
+// Withdraw undoes Commit without a result.
+func (sch *Scheduler[P]) Withdraw(id TaskID) {
+	if plc, found := sch.placements[id]; found {
+		sch.take(plc)
+	}
+}
+
+// Rest gives an instance no task until the next review, because it refused or did not answer.
+func (sch *Scheduler[P]) Rest(id fleet.InstanceID) {
+	hos := sch.hosts.Find(id)
+	if hos == nil || hos.barred {
+		return
+	}
+	sch.rest(hos)
+	hos.site.refresh(hos)
+}
+
+// Conclude records the end of a committed task and returns what follows for
+// jobs and instances, and whether the task must be set aside.
+func (sch *Scheduler[P]) Conclude(id TaskID, end End, detail string, now time.Time) (ver blame.Verdict, parked bool) {
+	plc, found := sch.placements[id]
+	if !found {
+		return ver, false
+	}
+	if plc.peak != (resource.Vector{}) && (end == Finished || end == Failed) {
+		sch.know.sizes.Observe(plc.task.class, plc.task.declared, plc.peak)
+	}
+	ins, unit := plc.host.instance.id, sch.know.unit(&plc.task)
+	sch.take(plc)
+	switch end {
+	case Finished:
+		ver = sch.know.blame.Succeeded(unit, ins, now)
+		sch.know.tally(plc.task.job).finished++
+		sch.know.blame.Forget(string(id))
+		sch.record(explain.New(explain.Ended, now, string(id)).With(string(ins)).Detail("finished"))
+	case Failed:
+		ver = sch.know.blame.Failed(unit, ins, now)
+		parked = sch.know.blame.Parked(unit)
+		sch.record(explain.New(explain.Failed, now, string(id)).With(string(ins)).Detail(detail).For(ver.Retry()))
+	default:
+		sch.record(explain.New(explain.Ended, now, string(id)).With(string(ins)).Detail(detail))
+	}
+	sch.apply(ver, now)
+	return ver, parked
+}
+
+// FailedOn returns on how many of the present instances the job of a task failed.
+func (sch *Scheduler[P]) FailedOn(tsk Task) int {
+	count := 0
+	for _, hos := range sch.hosts.byID {
+		count += countIf(sch.know.FailedOn(hos, &tsk))
+	}
+	return count
+}
+
+// Forget drops what is known of a job without committed tasks and reports whether it did.
+func (sch *Scheduler[P]) Forget(job string) bool {
+	if tal, found := sch.know.jobs[job]; found && tal.placed > 0 {
+		return false
+	}
+	delete(sch.know.jobs, job)
+	sch.know.blame.Forget(job)
+	return true
+}
+
+// Change replaces the description of an instance and keeps the tasks on it.
+func (sch *Scheduler[P]) Change(ins Instance, now time.Time) {
+	var plcs []*placement
+	for _, plc := range sch.placements {
+		if plc.host.instance.id == ins.id {
+			plcs = append(plcs, plc)
+		}
+	}
+	slices.SortFunc(plcs, func(one, two *placement) int { return cmp.Compare(one.sequence, two.sequence) })
+	for _, plc := range plcs {
+		sch.take(plc)
+	}
+	sch.Join(ins, now)
+	hos := sch.hosts.Find(ins.id)
+	for _, old := range plcs {
+		plc := sch.put(old.task, hos, old.size, old.placed)
+		plc.peak, plc.sampled = old.peak, old.sampled
+		if old.accepted {
+			sch.Accepted(old.task.id, hos.reported.Minus(old.size))
+		}
+	}
+}
+
+// Record adds a reason to the log.
+func (sch *Scheduler[P]) Record(rsn explain.Reason) { sch.log.Update(rsn) }
+
+// Relative returns the use of a team for its weight.
+func (sch *Scheduler[P]) Relative(name fleet.Team, urgent bool) float64 {
+	return sch.queue.Relative(name, urgent)
+}
+
+// UsedBy returns the thousandths of a core that the tasks of a team have committed.
+func (sch *Scheduler[P]) UsedBy(name fleet.Team) int64 { return sch.queue.Used(name) }
+
+// ShareOf returns the thousandths of a core to which a team is entitled while all teams have work.
+func (sch *Scheduler[P]) ShareOf(name fleet.Team) int64 { return sch.queue.Share(name) }
+
+// FleetCapacity returns the thousandths of a core that tasks may use on all instances.
+func (sch *Scheduler[P]) FleetCapacity() int64 { return sch.queue.Capacity() }
--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -209,6 +209,8 @@
 	open  []*site
 	rnd   *rand.Rand
 	sum   int
+	// accept limits the instances further, nil accepts all that fit.
+	accept func(id fleet.InstanceID) bool
 }
 
 func (can *Candidates) reset(hss *Hosts, need resource.Vector, now time.Time, rnd *rand.Rand) {
@@ -228,13 +230,29 @@
 // First returns the first fitting instance in the order of data centre and arrival.
 func (can *Candidates) First() *Host {
 	for _, sit := range can.open {
-		if leaf := sit.free.next(can.need, 0); leaf >= 0 {
-			return sit.hosts[leaf]
+		if hos := can.cyclic(sit, 0); hos != nil {
+			return hos
 		}
 	}
 	return nil
 }
 
+// cyclic returns the first fitting and accepted instance of a site at or after
+// a leaf, continuing at the first leaf. It looks at each fitting instance once.
+func (can *Candidates) cyclic(sit *site, start int) *Host {
+	leaf := sit.free.cyclic(can.need, start)
+	for range sit.count {
+		if leaf < 0 {
+			return nil
+		}
+		if hos := sit.hosts[leaf]; can.accept == nil || can.accept(hos.instance.id) {
+			return hos
+		}
+		leaf = sit.free.cyclic(can.need, leaf+1)
+	}
+	return nil
+}
+
 // Sample returns a random fitting instance, nil when there is none. Instances
 // after a run of full ones are slightly more likely than others.
 func (can *Candidates) Sample() *Host { return can.sampleFrom(can.pick(can.sum, "")) }
@@ -274,8 +292,8 @@
 func (can *Candidates) sampleFrom(start int) *Host {
 	for step := range can.open {
 		sit := can.open[(start+step)%len(can.open)]
-		if leaf := sit.free.cyclic(can.need, can.rnd.IntN(len(sit.hosts))); leaf >= 0 {
-			return sit.hosts[leaf]
+		if hos := can.cyclic(sit, can.rnd.IntN(len(sit.hosts))); hos != nil {
+			return hos
 		}
 	}
 	return nil
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -159,6 +159,12 @@
 // Used returns the cost of the running tasks of a team.
 func (arb *Arbiter[K, T]) Used(name fleet.Team) int64 { return arb.team(name).used }
 
+// Relative returns the use of a team for its weight, which orders its lanes:
+// the lane with the lower value is served first.
+func (arb *Arbiter[K, T]) Relative(name fleet.Team, urgent bool) float64 {
+	return arb.team(name).lanes[side(urgent)].relative()
+}
+
 // Waiting returns the number of waiting tasks of a team.
 func (arb *Arbiter[K, T]) Waiting(name fleet.Team) int {
 	tem, found := arb.byName[name]
--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -49,6 +49,11 @@
 	return rng.values[(rng.first+pos)%len(rng.values)]
 }
 
+// Replace sets the newest value of a ring that is not empty.
+func (rng *Ring[T]) Replace(val T) {
+	rng.values[(rng.first+len(rng.values)-1)%len(rng.values)] = val
+}
+
 // All yields the values from oldest to newest.
 func (rng *Ring[T]) All() iter.Seq[T] {
 	return func(yield func(T) bool) {
