Let the dispatcher and the interference control drive the agents

Cause: the owner role used job.Simple, the agent did no interference control, the customer rate of an admission ticket was taken as a number of outstanding requests, and its batch share was not used. Change: agentnode shares one dispatch.Dispatcher among its partitions, passes team quotas and data centres from tickets, and runs interfere.Controller on the control goroutine (io/guard). core/rate holds a token bucket per customer; an agent enforces its part of the fleet-wide rate. io/owner tells the placement of usage, explanations and the end of a tenure through optional interfaces; core/intake asks an optional intake.Admission for rate and critical slots.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -55,28 +55,28 @@
 
 // Dispatcher holds the scheduling state of one process under the placement policy P.
 type Dispatcher[P place.Policy] struct {
-	sched   *place.Scheduler[padded[P]]
-	now     time.Time // of the latest event
-	owners  int
-	list    []job.Instance
-	seats   map[fleet.InstanceID]*seat
-	centres []*centre // by name
-	cursor  int       // where the next relaxation of hints begins
-	relaxed time.Time
-	missed  bool // a task found no instance since the last relaxation
-	holds   map[place.TaskID]*hold
-	parts   map[int]*Part[P]
-	chosen  place.Offer
-	undone  place.TaskID    // the latest withdrawal
-	freed   resource.Vector // what it had committed
-	row     int             // urgent tasks chosen since an ordinary one was tried
-	misses  map[job.Lane]int
-	missAt  time.Time
-	shares  []Share // by team
-	teams   names[fleet.Team]
-	classes names[fleet.JobClass]
-	jobs    tracked[string]
-	left    tracked[fleet.InstanceID]
+	sched      *place.Scheduler[padded[P]]
+	now        time.Time // of the latest event
+	partitions int
+	list       []job.Instance
+	seats      map[fleet.InstanceID]*seat
+	centres    []*centre // by name
+	cursor     int       // where the next relaxation of hints begins
+	relaxed    time.Time
+	missed     bool // a task found no instance since the last relaxation
+	holds      map[place.TaskID]*hold
+	parts      map[int]*Part[P]
+	chosen     place.Offer
+	undone     place.TaskID    // the latest withdrawal
+	freed      resource.Vector // what it had committed
+	row        int             // urgent tasks chosen since an ordinary one was tried
+	misses     map[job.Lane]int
+	missAt     time.Time
+	shares     []Share // by team
+	teams      names[fleet.Team]
+	classes    names[fleet.JobClass]
+	jobs       tracked[string]
+	left       tracked[fleet.InstanceID]
 }
 
 // hold is the commitment of one task to an instance.
@@ -87,10 +87,10 @@
 }
 
 // New returns a dispatcher with a policy and the seed of its random choices.
-// The number of owners is that of the processes that share the partitions.
-func New[P place.Policy](pol P, seed uint64, owners int) *Dispatcher[P] {
+// The partitions are those of all processes.
+func New[P place.Policy](pol P, seed uint64, partitions int) *Dispatcher[P] {
 	return &Dispatcher[P]{
-		sched: place.NewScheduler(padded[P]{policy: pol}, seed), owners: max(1, owners),
+		sched: place.NewScheduler(padded[P]{policy: pol}, seed), partitions: partitions,
 		seats:  make(map[fleet.InstanceID]*seat),
 		holds:  make(map[place.TaskID]*hold),
 		parts:  make(map[int]*Part[P]),
@@ -106,6 +106,9 @@
 	return resource.Vector{}
 }
 
+// owners returns the number of processes that share the partitions.
+func (dsp *Dispatcher[P]) owners() int64 { return int64(max(1, min(dsp.partitions, len(dsp.list)))) }
+
 // Holds returns the number of commitments.
 func (dsp *Dispatcher[P]) Holds() int { return len(dsp.holds) }
 
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -158,7 +158,7 @@
 func (dsp *Dispatcher[P]) openCentres(starts func(fleet.DataCentre) bool) {
 	for _, cen := range dsp.centres {
 		cen.allow(starts(cen.name), dsp.now)
-		closed := !cen.allowed || !cen.within(dsp.now, int64(dsp.owners))
+		closed := !cen.allowed || !cen.within(dsp.now, dsp.owners())
 		if closed != cen.closed {
 			cen.closed = closed
 			// The ramp is counted here, so that of the scheduler is over at once.
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -46,6 +46,14 @@
 	Limits(svc fleet.Service, cus fleet.Customer) admit.Limits
 }
 
+// Admission is an optional part of a Site: the settings that tickets make for a service.
+type Admission interface {
+	// Permit counts a request of a customer against its rate, and reports whether it may run.
+	Permit(svc fleet.Service, cus fleet.Customer, now time.Time) (outcome.Outcome, bool)
+	// CriticalSlots returns how many of the slots batch requests may not use, false when no ticket says so.
+	CriticalSlots(svc fleet.Service, slots int) (int, bool)
+}
+
 // Decision is what happens with a request.
 type Decision[A any] struct {
 	started bool
@@ -173,7 +181,13 @@
 	if out, ok := itk.endpoint.Admits(req.Service(), now); !ok {
 		return out, false
 	}
-	return itk.site.RequestsAllowed(req.Service(), now)
+	if out, ok := itk.site.RequestsAllowed(req.Service(), now); !ok {
+		return out, false
+	}
+	if adm, ok := itk.site.(Admission); ok {
+		return adm.Permit(req.Service(), req.Customer(), now)
+	}
+	return outcome.Outcome{}, true
 }
 
 // repeated is the decision about a delivery whose ID is known.
@@ -238,11 +252,20 @@
 	}
 	cpy := itk.account.Capacity().
 		WithEndpoint(ann.Slots(), ann.Connections()).
-		WithCriticalSlots(criticalSlots(ann.Slots()))
+		WithCriticalSlots(itk.criticalSlots(ann))
 	itk.account.Resize(cpy)
 	return itk.dispatch(now), true
 }
 
+func (itk *Intake[V, A]) criticalSlots(ann admit.Announcement) int {
+	if adm, ok := itk.site.(Admission); ok {
+		if slots, set := adm.CriticalSlots(ann.Service(), ann.Slots()); set {
+			return slots
+		}
+	}
+	return criticalSlots(ann.Slots())
+}
+
 // criticalSlots leaves a quarter of the slots, and at least one of several, to
 // latency-critical requests, so that they never wait for batch requests alone.
 func criticalSlots(slots int) int {
--- /dev/null
+++ b/io/guard/tasks.go
@@ -0,0 +1,99 @@
+package guard
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/interfere"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/runner"
+	"jacinthpost/core/worker"
+	"jacinthpost/io/agentstate"
+)
+
+// task is a running task as the guard last saw it.
+type task struct {
+	ref        worker.Ref
+	id         string
+	class      fleet.JobClass
+	size       resource.Vector
+	usage      resource.Vector
+	checkpoint string
+	percent    int       // of its speed that it has to lose
+	ordered    time.Time // when the worker was last told
+}
+
+func (tsk *task) known() interfere.Task { return interfere.NewTask(tsk.id, tsk.class, tsk.size) }
+
+// taskName names an assignment to the guard and in explanations.
+func taskName(ref worker.Ref) string {
+	return fmt.Sprintf("%s/%d (token %d.%d)", ref.Job(), ref.Index(), ref.Token().Epoch(), ref.Token().Sequence())
+}
+
+func (sti *state[G]) find(id string) *task {
+	pos := slices.IndexFunc(sti.tasks, func(tsk *task) bool { return tsk.id == id })
+	if pos < 0 {
+		return nil
+	}
+	return sti.tasks[pos]
+}
+
+// followTasks tells the guard what has changed since the last period. A task
+// that is being stopped can no longer be influenced and counts as ended.
+func (grd *Guard[G]) followTasks(sta *agentstate.State, now time.Time) {
+	sti := &grd.state
+	var next []*task
+	for _, cur := range sta.Runner().Tasks() {
+		if cur.Phase() != runner.Running {
+			continue
+		}
+		pos, found := slices.BinarySearchFunc(sti.tasks, cur.Ref(), func(tsk *task, ref worker.Ref) int { return tsk.ref.Compare(ref) })
+		if found {
+			next = append(next, sti.tasks[pos])
+		} else {
+			next = append(next, sti.started(cur, now))
+		}
+		sti.update(next[len(next)-1], cur, now)
+	}
+	for _, tsk := range sti.tasks {
+		if !slices.Contains(next, tsk) {
+			sti.guard.Ended(tsk.id)
+		}
+	}
+	sti.tasks = next
+}
+
+func (sti *state[G]) started(cur runner.Status, now time.Time) *task {
+	tsk := &task{ref: cur.Ref(), id: taskName(cur.Ref()), class: sti.class(cur.Class()), size: cur.Resources()}
+	sti.guard.Started(tsk.known(), now)
+	return tsk
+}
+
+// update passes new reports of the worker on. Usage is zero before the first one.
+func (sti *state[G]) update(tsk *task, cur runner.Status, now time.Time) {
+	if use := cur.Usage(); use != tsk.usage && use != (resource.Vector{}) {
+		tsk.usage = use
+		sti.guard.Usage(tsk.id, use, now)
+	}
+	if cpt := cur.Checkpoint(); cpt != tsk.checkpoint {
+		tsk.checkpoint = cpt
+		sti.guard.Checkpointed(tsk.id, now)
+	}
+}
+
+// class bounds the number of classes with a record of their own.
+func (sti *state[G]) class(name fleet.JobClass) fleet.JobClass {
+	if _, found := sti.classes[name]; found {
+		return name
+	}
+	if len(sti.classes) >= classLimit {
+		return otherClass
+	}
+	if sti.classes == nil {
+		sti.classes = make(map[fleet.JobClass]struct{})
+	}
+	sti.classes[name] = struct{}{}
+	return name
+}
--- a/io/node/agentnode/agentnode.go
+++ b/io/node/agentnode/agentnode.go
@@ -16,13 +16,12 @@
 
 	"jacinthpost/core/admit"
 	"jacinthpost/core/intake"
-	"jacinthpost/core/job"
+	"jacinthpost/core/interfere"
 	"jacinthpost/core/ledger"
-	"jacinthpost/core/partition"
 	"jacinthpost/io/agentstate"
 	"jacinthpost/io/control"
+	"jacinthpost/io/guard"
 	"jacinthpost/io/node"
-	"jacinthpost/io/owner"
 	"jacinthpost/io/serve"
 	"jacinthpost/io/taskhost"
 	"jacinthpost/io/worker"
@@ -39,7 +38,8 @@
 	state  *agentstate.State
 	serve  *serve.Service
 	tasks  *taskhost.Host
-	owner  *owner.Owner[*job.Simple]
+	owner  *placedOwner
+	guard  *guard.Guard[*interfere.Controller]
 	worker *worker.Client
 	life   context.Context // of the services; ends with Run
 	end    context.CancelFunc
@@ -58,29 +58,23 @@
 	agt := &Agent{node: nod, worker: worker.New(set.WorkerAddress())}
 	agt.life, agt.end = context.WithCancel(context.Background())
 	directory := newOwnerDirectory(nod.Table(), set.Partitions())
-	sit := &site{instance: set.Instance(), location: set.Location(), partitions: set.Partitions(), config: nod, owners: directory}
+	mbs := newMembers(nod.Gossip().View)
+	sit := &site{
+		instance: set.Instance(), location: set.Location(), partitions: set.Partitions(),
+		config: nod, owners: directory, serving: mbs.serving,
+	}
 	opt := intake.DefaultOptions().WithQueue(set.QueueLimit(), admit.CriticalFirst{})
 	agt.state = agentstate.New(sit, ledger.NewCapacity(ledger.DefaultReservePercent), opt)
 	loop := control.NewLoopOn(nod.Thread(), agt.state, func(sta *agentstate.State, _ time.Time) { sta.Publish() })
-	agt.serve = serve.New(agt.life, loop, newEndpoints(), nod.Incarnation(), nil)
 	agt.tasks = taskhost.New(agt.life, loop, agt.worker, nod.Pools().Jobs(), taskhost.NewIdentity(set.Instance(), nod.Incarnation()))
-	agt.owner = newOwner(nod)
+	agt.guard = guard.New(loop, agt.tasks, interfere.NewController, nod.Logger())
+	agt.serve = serve.New(agt.life, loop, newEndpoints(), nod.Incarnation(), agt.guard.Observe)
+	agt.owner = newOwner(nod, mbs)
 	nod.Server().Register("Agent", calls{Service: agt.serve, Host: agt.tasks, explainer: &explainer{agent: agt}})
-	nod.Server().Register("Owner", agt.owner.Service(agt.life))
+	nod.Server().Register("Owner", agt.owner.partitions.Service(agt.life))
 	return agt
 }
 
-func newOwner(nod *node.Node) *owner.Owner[*job.Simple] {
-	set := nod.Settings()
-	self := partition.NewIdentity(set.Instance(), nod.Incarnation(), set.PeerAddress())
-	cfg := owner.NewConfig(self, set.Partitions(), set.StoreRegion(), uint64(nod.Incarnation()))
-	prt := owner.Ports{
-		Table: nod.Table(), Objects: nod.Objects(), Caller: nod.Pools().Jobs(),
-		View: newMembers(nod.Gossip().View).view, Settings: ownerSettings{config: nod},
-	}
-	return owner.New(cfg, prt, func(int) *job.Simple { return &job.Simple{} })
-}
-
 // Ready implements node.Role: the ledger must be rebuilt from the worker's report first.
 func (agt *Agent) Ready() bool { return agt.state.View().Ready() }
 
@@ -96,7 +90,8 @@
 	grp.Go(func() error { return node.ServeHTTP(ctx, lsn, srv) })
 	grp.Go(func() error { agt.serve.Run(ctx); return nil })
 	grp.Go(func() error { agt.tasks.Run(ctx); return nil })
-	grp.Go(func() error { agt.owner.Run(ctx); return nil })
+	grp.Go(func() error { agt.owner.run(ctx); return nil })
+	grp.Go(func() error { agt.guard.Run(ctx); return nil })
 	grp.Go(func() error { agt.updateProfile(ctx); return nil })
 	return grp.Wait()
 }
@@ -109,7 +104,7 @@
 	wgr.Go(func() { agt.warn("requests not drained", agt.serve.Drain(ctx)) })
 	wgr.Go(func() { agt.warn("tasks not handed back", agt.tasks.Drain(ctx)) })
 	wgr.Wait()
-	agt.warn("partitions not released", agt.owner.Release(ctx))
+	agt.warn("partitions not released", agt.owner.partitions.Release(ctx))
 }
 
 func (agt *Agent) warn(msg string, err error) {
--- a/io/node/agentnode/explain.go
+++ b/io/node/agentnode/explain.go
@@ -1,12 +1,16 @@
 package agentnode
 
 import (
+	"context"
 	"fmt"
 	"time"
 
 	"jacinthpost/io/message"
 )
 
+// explainLimit ends the wait for the control goroutines.
+const explainLimit = time.Second
+
 // explainer describes the instance to operators.
 type explainer struct {
 	agent *Agent
@@ -41,6 +45,12 @@
 		add("task %s/%d token %d.%d: %v, class %s, %s, progress %d%%", tsk.Ref().Job(), tsk.Ref().Index(),
 			tsk.Ref().Token().Epoch(), tsk.Ref().Token().Sequence(), tsk.Phase(), tsk.Class(), tsk.Resources(), tsk.Progress())
 	}
+	ctx, cancel := context.WithTimeout(agt.life, explainLimit)
+	defer cancel()
+	if lines, err := agt.guard.Lines(ctx); err == nil {
+		rep.Lines = append(rep.Lines, lines...)
+	}
+	rep.Lines = append(rep.Lines, agt.owner.explain(ctx, set.Instance())...)
 	return nil
 }
 
--- a/io/node/agentnode/members.go
+++ b/io/node/agentnode/members.go
@@ -20,28 +20,38 @@
 }
 
 type translation struct {
-	source *member.View
-	result *owner.View
+	source  *member.View
+	result  *owner.View
+	serving map[fleet.Service]int
 }
 
 func newMembers(source func() *member.View) *members { return &members{source: source} }
 
 // view returns the members that are not dead.
-func (mbs *members) view() *owner.View {
+func (mbs *members) view() *owner.View { return mbs.translated().result }
+
+// serving returns how many agents have an endpoint of a service beside them.
+func (mbs *members) serving(svc fleet.Service) int { return mbs.translated().serving[svc] }
+
+func (mbs *members) translated() *translation {
 	src := mbs.source()
 	if tra := mbs.last.Load(); tra != nil && tra.source == src {
-		return tra.result
+		return tra
 	}
 	list := src.Select(func(mem member.Member) bool {
 		return mem.State() != member.StateDead && mem.Profile().Role() == member.RoleAgent
 	})
 	result := make([]owner.Member, 0, len(list))
+	tra := &translation{source: src, serving: make(map[fleet.Service]int)}
 	for _, mem := range list {
 		result = append(result, translate(mem))
+		if svc := mem.Profile().Service(); svc != "" && mem.State() == member.StateAlive {
+			tra.serving[svc]++
+		}
 	}
-	tra := &translation{source: src, result: owner.NewView(result)}
+	tra.result = owner.NewView(result)
 	mbs.last.Store(tra)
-	return tra.result
+	return tra
 }
 
 var healthOf = map[member.State]job.Health{
--- /dev/null
+++ b/io/node/agentnode/placement.go
@@ -0,0 +1,92 @@
+package agentnode
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"jacinthpost/core/dispatch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/partition"
+	"jacinthpost/core/place"
+	"jacinthpost/core/ticket"
+	"jacinthpost/io/node"
+	"jacinthpost/io/owner"
+)
+
+// quotaPeriod is how often the placement learns of new tickets, well within the
+// 3 s in which a ticket is in force.
+const quotaPeriod = 500 * time.Millisecond
+
+// placedOwner is the owner role with the dispatcher that its partitions share.
+// Only the control goroutine of the partitions may use the dispatcher.
+type placedOwner struct {
+	partitions *owner.Owner[*dispatch.Part[place.Scored]]
+	dispatcher *dispatch.Dispatcher[place.Scored]
+	config     Configuration
+}
+
+func newOwner(nod *node.Node, mbs *members) *placedOwner {
+	set := nod.Settings()
+	self := partition.NewIdentity(set.Instance(), nod.Incarnation(), set.PeerAddress())
+	cfg := owner.NewConfig(self, set.Partitions(), set.StoreRegion(), uint64(nod.Incarnation()))
+	prt := owner.Ports{
+		Table: nod.Table(), Objects: nod.Objects(), Caller: nod.Pools().Jobs(),
+		View: mbs.view, Settings: ownerSettings{config: nod},
+	}
+	dsp := dispatch.New(place.Scored{}, uint64(nod.Incarnation()), set.Partitions())
+	return &placedOwner{partitions: owner.New(cfg, prt, dsp.Part), dispatcher: dsp, config: nod}
+}
+
+func (pow *placedOwner) run(ctx context.Context) {
+	var grp errgroup.Group
+	grp.Go(func() error { pow.partitions.Run(ctx); return nil })
+	grp.Go(func() error { pow.follow(ctx); return nil })
+	_ = grp.Wait() // neither part returns an error
+}
+
+// follow passes tickets about teams and data centres to the dispatcher.
+func (pow *placedOwner) follow(ctx context.Context) {
+	tkr := time.NewTicker(quotaPeriod)
+	defer tkr.Stop()
+	last, passed := ticket.Number(0), false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+		}
+		sta := pow.config.State()
+		if passed && sta.Head() == last {
+			continue
+		}
+		shares, out := shares(sta), ownerSettings{config: pow.config}.TakenOut()
+		err := pow.partitions.Inspect(ctx, func(now time.Time) {
+			pow.dispatcher.SetShares(shares)
+			pow.dispatcher.SetOut(out, now)
+		})
+		last, passed = sta.Head(), err == nil
+	}
+}
+
+// shares returns the quotas of all teams. The shares of the three resources
+// are given by tickets; processors decide, because they are what runs out first.
+func shares(sta ticket.State) []dispatch.Share {
+	var list []dispatch.Share
+	for _, rec := range sta.Records("", sta.Len()) {
+		if tea, ok := rec.Object().(ticket.Team); ok {
+			list = append(list, dispatch.NewShare(fleet.Team(rec.Key().Name()), tea.CPUShare(), tea.MayBorrow()))
+		}
+	}
+	return list
+}
+
+// explain returns what this owner has decided about an instance.
+func (pow *placedOwner) explain(ctx context.Context, id fleet.InstanceID) []string {
+	var lines []string
+	if err := pow.partitions.Inspect(ctx, func(time.Time) { lines = pow.dispatcher.ExplainInstance(id) }); err != nil {
+		return nil
+	}
+	return lines
+}
--- a/io/node/agentnode/site.go
+++ b/io/node/agentnode/site.go
@@ -1,12 +1,14 @@
 package agentnode
 
 import (
+	"fmt"
 	"time"
 
 	"jacinthpost/core/admit"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/outcome"
+	"jacinthpost/core/rate"
 	"jacinthpost/core/ticket"
 )
 
@@ -24,14 +26,27 @@
 	Address(partition int) (string, bool)
 }
 
+// serving returns how many agents have an endpoint of a service beside them.
+type serving func(svc fleet.Service) int
+
 // site answers the questions of the request and task decisions from the
-// configuration and the location of this instance.
+// configuration and the location of this instance. Permit and CriticalSlots
+// belong to the control goroutine.
 type site struct {
 	instance   fleet.InstanceID
 	location   fleet.Location
 	partitions int
 	config     Configuration
 	owners     Owners
+	serving    serving
+	rates      rate.Limiter[sender]
+	slots      int // of the endpoint, as last announced
+}
+
+// sender is a customer of a service.
+type sender struct {
+	service  fleet.Service
+	customer fleet.Customer
 }
 
 // RequestsAllowed implements intake.Site.
@@ -64,14 +79,48 @@
 }
 
 // Limits implements intake.Site. The admission ticket of a service bounds the
-// outstanding requests; the limit a customer may use is the rate of the ticket,
-// as requests outstanding at one instance.
+// requests that wait; those in the slots do not count.
 func (sit *site) Limits(svc fleet.Service, _ fleet.Customer) admit.Limits {
 	adm, found := sit.config.State().Admission(svc)
 	if !found {
 		return admit.Limits{}
 	}
-	return admit.NewLimits(adm.MaxQueue(), int(adm.CustomerRate()))
+	return admit.NewLimits(adm.MaxQueue()+sit.slots, 0)
+}
+
+// Permit implements intake.Admission. The rate of a customer holds for the whole
+// fleet and requests are spread evenly over the agents, so each agent enforces
+// its part; a request refused here may find a part that is not used up elsewhere.
+func (sit *site) Permit(svc fleet.Service, cus fleet.Customer, now time.Time) (outcome.Outcome, bool) {
+	adm, found := sit.config.State().Admission(svc)
+	if !found {
+		return outcome.Outcome{}, true
+	}
+	part := adm.CustomerRate() / float64(max(1, sit.serving(svc)))
+	if wait, allowed := sit.rates.Allow(sender{service: svc, customer: cus}, part, now); !allowed {
+		return outcome.NotRun(outcome.ReasonAdmission, fmt.Sprintf("customer %s sends more than %g requests a second; the next one is admitted here in %v",
+			cus, adm.CustomerRate(), wait.Round(time.Millisecond))), false
+	}
+	return outcome.Outcome{}, true
+}
+
+// CriticalSlots implements intake.Admission: it keeps the slots beyond the share of batch requests.
+func (sit *site) CriticalSlots(svc fleet.Service, slots int) (int, bool) {
+	sit.slots = slots
+	adm, found := sit.config.State().Admission(svc)
+	if !found {
+		return 0, false
+	}
+	return slots - batchSlots(adm.BatchShare(), slots), true
+}
+
+// batchSlots returns the slots that batch requests may use: none at a share of
+// zero, and at least one otherwise, because they would never run.
+func batchSlots(share float64, slots int) int {
+	if share <= 0 || slots <= 0 {
+		return 0
+	}
+	return min(slots, max(1, int(share*float64(slots))))
 }
 
 // Partition implements runner.Site.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -240,3 +240,13 @@
 		return nums
 	})
 }
+
+// Inspect runs a function on the control goroutine, for example on a placement
+// that the partitions share.
+func (own *Owner[P]) Inspect(ctx context.Context, fun func(now time.Time)) error {
+	_, err := control.Query(ctx, own.loop, func(_ *state[P], now time.Time) struct{} {
+		fun(now)
+		return struct{}{}
+	})
+	return err
+}
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -143,12 +143,13 @@
 		done(refusal(job.ReasonNoJob, ""))
 		return
 	}
+	lines := explain(trn.part().Placement(), sta)
 	tag := trn.wait(func(eff job.Effect) {
 		if _, held := eff.(read); !held {
 			done(message.JobReply{NotOwner: true})
 			return
 		}
-		done(message.JobReply{Outcome: outcome.KindAnswered.String(), Status: encodeStatus(sta, existing)})
+		done(message.JobReply{Outcome: outcome.KindAnswered.String(), Status: encodeStatus(sta, existing), Explain: lines})
 	})
 	trn.slot.tenure.read(tag, sta.After())
 }
@@ -251,6 +252,7 @@
 			done(encodeRenewal(rep))
 		})
 		hol := decodeHolder(args.Instance, args.Incarnation)
+		observeUsage(trn.part().Placement(), args.Tasks, trn.now)
 		trn.collect(trn.part().Renew(trn.env(), tag, hol, decodeProgress(args.Tasks)))
 	})
 }
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -89,6 +89,9 @@
 	dropped(reason).Inc()
 	slt.tenure = nil
 	ten.cancel()
+	if ten.part != nil {
+		closePlacement(ten.part.Placement())
+	}
 	for _, done := range ten.waiting {
 		done(nil)
 	}
