--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -42,6 +42,7 @@
 	Evicted
 	NotTheTasks
 	Drained
+	Ended
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -181,6 +182,9 @@
 	Drained: func(rsn Reason) string {
 		return fmt.Sprintf("nothing is offered to %s: %s", rsn.subject, rsn.detail)
 	},
+	Ended: func(rsn Reason) string {
+		return fmt.Sprintf("%s ended on %s: %s", rsn.subject, rsn.other, rsn.detail)
+	},
 }
 
 // String formats the reason in one sentence.
@@ -227,6 +231,18 @@
 	rng.Push(rsn)
 }
 
+// Update is Add, but replaces the newest reason of the subject if it has the
+// same code and second party, so that repeated attempts don't push out what happened before.
+func (log *Log) Update(rsn Reason) {
+	if rng, found := log.rings[rsn.subject]; found && rng.Len() > 0 {
+		if last := rng.At(rng.Len() - 1); last.code == rsn.code && last.other == rsn.other {
+			rng.Replace(rsn)
+			return
+		}
+	}
+	log.Add(rsn)
+}
+
 func (log *Log) init() {
 	if log.subjects == 0 {
 		log.subjects, log.perSubject = DefaultSubjects, DefaultReasonsPerSubject
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -159,12 +159,13 @@
 		done(refusal(job.ReasonNoJob, ""))
 		return
 	}
+	lines := append(reasonsOf(sta), explain(trn.part().Placement(), sta)...)
 	tag := trn.wait(func(eff job.Effect) {
 		if _, held := eff.(read); !held {
 			done(message.JobReply{NotOwner: true})
 			return
 		}
-		done(message.JobReply{Outcome: outcome.KindAnswered.String(), Status: encodeStatus(sta, existing), Explain: explain(sta)})
+		done(message.JobReply{Outcome: outcome.KindAnswered.String(), Status: encodeStatus(sta, existing), Explain: lines})
 	})
 	trn.slot.tenure.read(tag, sta.After())
 }
@@ -184,8 +185,8 @@
 	})
 }
 
-// explain returns the reasons for the state of a job that an operator may act on.
-func explain(sta job.Status) []string {
+// reasonsOf returns the reasons for the state of a job that an operator may act on.
+func reasonsOf(sta job.Status) []string {
 	var reasons []string
 	if sta.Waiting() != "" {
 		reasons = append(reasons, "waiting: "+sta.Waiting())
@@ -281,6 +282,7 @@
 			done(encodeRenewal(rep))
 		})
 		hol := decodeHolder(args.Instance, args.Incarnation)
+		observeUsage(trn.part().Placement(), args.Tasks, trn.now)
 		trn.collect(trn.part().Renew(trn.env(), tag, hol, decodeProgress(args.Tasks)))
 	})
 }
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -100,6 +100,9 @@
 	sta.log(slt).Info("partition given up", zap.String("reason", reason), zap.Int("pendingRecords", len(ten.pending)))
 	slt.tenure = nil
 	ten.cancel()
+	if ten.part != nil {
+		closePlacement(ten.part.Placement())
+	}
 	for _, done := range ten.waiting {
 		done(nil)
 	}
