Share one control thread in a process and retry parked jobs by command

Cause: the owner role ran a control goroutine of its own beside that of the process; parked jobs could not be queued again by operators. Change: owner.Ports takes the thread of the process, which outlives the components; POST /v1/jobs/{job}/retry and 'job retry'.

--- a/cmd/jacinthpost/job.go
+++ b/cmd/jacinthpost/job.go
@@ -41,6 +41,11 @@
 				Description: "Example: jacinthpost job cancel JOB",
 				Action:      func(ctx context.Context, cmd *cli.Command) error { return onJob(ctx, cmd, "DELETE") },
 			},
+			{
+				Name: "retry", Usage: "queue the parked tasks of a job again", ArgsUsage: "JOB",
+				Description: "Example: jacinthpost job retry JOB",
+				Action:      func(ctx context.Context, cmd *cli.Command) error { return onJob(ctx, cmd, "POST", "retry") },
+			},
 		},
 	}
 }
@@ -109,12 +114,12 @@
 	return show(cmd, ans, func(out io.Writer) error { return printJob(out, ans) })
 }
 
-func onJob(ctx context.Context, cmd *cli.Command, method string) error {
+func onJob(ctx context.Context, cmd *cli.Command, method string, action ...string) error {
 	id, err := argument(cmd, 0, "JOB")
 	if err != nil {
 		return err
 	}
-	ans, err := call(ctx, cmd, method, operator.Path("v1", "jobs", id), nil, nil)
+	ans, err := call(ctx, cmd, method, operator.Path(append([]string{"v1", "jobs", id}, action...)...), nil, nil)
 	if err != nil {
 		return err
 	}
--- a/io/node/agentnode/placement.go
+++ b/io/node/agentnode/placement.go
@@ -31,10 +31,8 @@
 	set := nod.Settings()
 	self := partition.NewIdentity(set.Instance(), nod.Incarnation(), set.PeerAddress())
 	cfg := owner.NewConfig(self, set.Partitions(), set.StoreRegion(), uint64(nod.Incarnation()))
-	prt := owner.Ports{
-		Table: nod.Table(), Objects: nod.Objects(), Caller: nod.Pools().Jobs(),
-		View: mbs.view, Settings: ownerSettings{config: nod},
-	}
+	prt := owner.NewPorts(nod.Table(), nod.Objects(), nod.Pools().Jobs(), ownerSettings{config: nod}).
+		WithView(mbs.view).WithLog(nod.Logger()).WithThread(nod.Thread())
 	dsp := dispatch.New(place.Scored{}, uint64(nod.Incarnation()), set.Partitions())
 	return &placedOwner{partitions: owner.New(cfg, prt, dsp.Part), dispatcher: dsp, config: nod}
 }
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -176,6 +176,11 @@
 	return jcl.client.Status(ctx, job.ID(id))
 }
 
+// Retry implements web.Jobs.
+func (jcl jobClient) Retry(ctx context.Context, id string) message.JobReply {
+	return jcl.client.Retry(ctx, job.ID(id))
+}
+
 // requestIDs numbers the requests of this process.
 type requestIDs struct {
 	entry       fleet.InstanceID
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -220,7 +220,11 @@
 
 // Run runs the process until the context ends, then stops it gracefully.
 func (nod *Node) Run(ctx context.Context, rol Role) error {
-	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	// The control thread outlives the components, which hand their last events to it.
+	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	go nod.thread.Run(control)
+	life, end := context.WithCancel(control)
 	defer end()
 	grp, life := errgroup.WithContext(life)
 	if err := nod.start(life, grp); err != nil {
@@ -280,7 +284,6 @@
 		_ = lsn.Close()
 		return errors.Wrap(err, "listen for metrics")
 	}
-	grp.Go(func() error { nod.thread.Run(ctx); return nil })
 	grp.Go(func() error { return nod.server.Serve(ctx, lsn) })
 	grp.Go(func() error {
 		return ServeHTTP(ctx, mtr, &http.Server{Handler: telemetry.Handler(&nod.health), ReadHeaderTimeout: headerTimeout})
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -108,6 +108,7 @@
 	view     func() *View
 	settings Settings
 	log      *zap.Logger
+	thread   *control.Thread // shared control thread, or nil for one of its own
 }
 
 // NewPorts returns ports to the durable state, to the configuration in force and,
@@ -129,6 +130,13 @@
 	return prt
 }
 
+// WithThread returns the ports with the control thread of the process, which must
+// run for as long as Run does.
+func (prt Ports) WithThread(thr *control.Thread) Ports {
+	prt.thread = thr
+	return prt
+}
+
 // Config names the process and the partitions.
 type Config struct {
 	self        partition.Identity
@@ -149,7 +157,7 @@
 	ports Ports
 	loop  *control.Loop[state[P]]
 	calls chan func(ctx context.Context)
-	ctx   context.Context // of Run; set before the loop starts
+	ctx   context.Context // of Run, nil before it; used on the control goroutine only
 	group sync.WaitGroup
 }
 
@@ -162,23 +170,41 @@
 		sta.slots = append(sta.slots, &slot[P]{num: num, rank: partition.Watchers, ownership: partition.NewOwnership(cfg.self)})
 	}
 	own.loop = control.NewLoop(sta, queueCapacity, nil)
+	if prt.thread != nil {
+		own.loop = control.NewLoopOn(prt.thread, sta, nil)
+	}
 	return own
 }
 
 // Run owns partitions until the context ends. It must be called once. After a
 // Run without Release the partitions are taken over when their leases have ended.
 func (own *Owner[P]) Run(ctx context.Context) {
-	own.ctx = ctx
+	own.post(ctx, func(*state[P], time.Time) { own.ctx = ctx })
 	for range callWorkers {
 		own.group.Go(func() { own.serveCalls(ctx) })
 	}
 	own.group.Go(func() {
 		control.Tick(ctx, own.loop, job.TickPeriod, func() control.Event[state[P]] { return control.Func[state[P]](tick[P]) })
 	})
-	own.loop.Run(ctx)
+	if own.ports.thread == nil {
+		own.loop.Run(ctx)
+	} else {
+		<-ctx.Done()
+		own.close()
+	}
 	own.group.Wait()
 }
 
+// close makes later events on the shared thread start nothing more.
+func (own *Owner[P]) close() {
+	closed := make(chan struct{})
+	own.post(context.Background(), func(*state[P], time.Time) {
+		own.ctx = nil
+		close(closed)
+	})
+	<-closed
+}
+
 func (own *Owner[P]) serveCalls(ctx context.Context) {
 	for {
 		select {
@@ -203,7 +229,9 @@
 // store runs a store operation on its own goroutine. The caller makes sure that
 // a partition has at most one of each kind under way.
 func (own *Owner[P]) store(fun func(ctx context.Context)) {
-	own.group.Go(func() { fun(own.ctx) })
+	if ctx := own.ctx; ctx != nil {
+		own.group.Go(func() { fun(ctx) })
+	}
 }
 
 // post queues an event; it is lost only when the component ends.
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -50,6 +50,9 @@
 
 // tick lets time pass in all partitions.
 func tick[P job.Placement](sta *state[P], now time.Time) {
+	if sta.owner.ctx == nil {
+		return // not started yet, or ended
+	}
 	sta.observe(now)
 	sta.watch(now)
 	for _, slt := range sta.slots {
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -40,6 +40,9 @@
 
 // begin starts a tenure by reading the log.
 func (sta *state[P]) begin(slt *slot[P], _ time.Time) {
+	if sta.owner.ctx == nil {
+		return // the component has ended
+	}
 	takeovers.Inc()
 	ctx, cancel := context.WithCancel(sta.owner.ctx)
 	slt.tenure = &tenure[P]{ctx: ctx, cancel: cancel, waiting: make(map[job.Tag]func(job.Effect))}
--- a/io/web/jobs.go
+++ b/io/web/jobs.go
@@ -14,6 +14,8 @@
 	Submit(ctx context.Context, spec message.JobSpec) message.JobReply
 	Cancel(ctx context.Context, jobID string) message.JobReply
 	Status(ctx context.Context, jobID string) message.JobReply
+	// Retry queues the parked tasks of a job again.
+	Retry(ctx context.Context, jobID string) message.JobReply
 }
 
 func registerJobs(mux *http.ServeMux, jbs Jobs) {
@@ -43,6 +45,7 @@
 	mux.HandleFunc("POST /v1/watches", submit("watch"))
 	mux.HandleFunc("GET /v1/jobs/{job}", onJob(jbs.Status))
 	mux.HandleFunc("DELETE /v1/jobs/{job}", onJob(jbs.Cancel))
+	mux.HandleFunc("POST /v1/jobs/{job}/retry", onJob(jbs.Retry))
 	mux.HandleFunc("GET /v1/watches/{job}", onJob(jbs.Status))
 	mux.HandleFunc("DELETE /v1/watches/{job}", onJob(jbs.Cancel))
 }
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -45,6 +45,7 @@
 	return bck.job
 }
 func (bck *backend) Cancel(context.Context, string) message.JobReply { bck.calls++; return bck.job }
+func (bck *backend) Retry(context.Context, string) message.JobReply  { bck.calls++; return bck.job }
 func (bck *backend) Status(context.Context, string) message.JobReply { return bck.job }
 
 func (bck *backend) File(context.Context, ticket.Ticket) ticket.Outcome {
