--- a/core/member/broadcast.go
+++ b/core/member/broadcast.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"math/bits"
 	"slices"
 
@@ -72,15 +71,30 @@
 				sent = append(sent, itm)
 			}
 		}
-		list = append(kept, sent...)
-		slices.SortStableFunc(list, func(one, two broadcast) int { return cmp.Compare(one.sends, two.sends) })
-		return list
+		return mergeSorted(kept, sent)
 	}
 	bro.briefs = pick(bro.briefs, false)
 	bro.fulls = pick(bro.fulls, true)
 	return taken
 }
 
+// mergeSorted merges two lists that are ordered by sends. At equal numbers the
+// first list goes first, so that news takes turns.
+func mergeSorted(one, two []broadcast) []broadcast {
+	if len(two) == 0 {
+		return one
+	}
+	merged := make([]broadcast, 0, len(one)+len(two))
+	for len(one) > 0 && len(two) > 0 {
+		if one[0].sends <= two[0].sends {
+			merged, one = append(merged, one[0]), one[1:]
+		} else {
+			merged, two = append(merged, two[0]), two[1:]
+		}
+	}
+	return append(append(merged, one...), two...)
+}
+
 // sentOften reports whether brief news about the member was sent at least num times or is no longer pending.
 func (bro *broadcasts) sentOften(id fleet.InstanceID, num int) bool {
 	return !slices.ContainsFunc(bro.briefs, func(itm broadcast) bool { return itm.instance == id && itm.sends < num })
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -14,6 +14,7 @@
 	profile   *Profile // nil until it arrives
 	profileAt uint32
 	head      uint64
+	bucket    int
 	hash      uint32
 	doubted   bool      // in its suspicion period
 	accused   bool      // the suspicion is our own
@@ -245,7 +246,7 @@
 			updates = append(updates, upd)
 		}
 	}
-	news := mac.news.take(room, transmitLimit(mac.liveCount()), mac.statement)
+	news := mac.news.take(room, transmitLimit(mac.roster.Len()+1), mac.statement)
 	return msg.WithUpdates(append(updates, news...))
 }
 
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -153,7 +153,7 @@
 	if upd.state == StateDead {
 		return
 	}
-	ent := &entry{update: upd.brief()}
+	ent := &entry{update: upd.brief(), bucket: bucketOf(upd.instance)}
 	ent.update.state = StateAlive
 	mac.mergeProfile(ent, upd, src)
 	mac.roster.Set(upd.instance, ent)
@@ -211,10 +211,9 @@
 
 // rehash updates the digest of the bucket of a member.
 func (mac *Machine) rehash(ent *entry) {
-	bucket := bucketOf(ent.update.instance)
-	mac.digests[bucket] ^= ent.hash
+	mac.digests[ent.bucket] ^= ent.hash
 	ent.hash = ent.update.hash()
-	mac.digests[bucket] ^= ent.hash
+	mac.digests[ent.bucket] ^= ent.hash
 }
 
 // suspect starts the suspicion period of a member. A leaving member keeps its
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -49,8 +49,8 @@
 	if bucketOf(mac.self.instance) == bucket {
 		updates = append(updates, mac.self.brief())
 	}
-	for id, ent := range mac.roster.All() {
-		if bucketOf(id) == bucket {
+	for _, ent := range mac.roster.All() {
+		if ent.bucket == bucket {
 			updates = append(updates, ent.update)
 		}
 	}
