Pack news through a small type instead of a closure

Cause: the selection of news was one long closure. Change: packer with pick and add; filing tests repeat with a restarted filer.

--- a/core/member/broadcast.go
+++ b/core/member/broadcast.go
@@ -44,38 +44,53 @@
 // transmitLimit returns how often news is sent in a fleet of the given size.
 func transmitLimit(members int) int { return transmitFactor * bits.Len(uint(max(members-1, 1))) }
 
-// take returns the news that fits into the room in bytes and counts it as sent.
-// The function statement returns the present statement, false if there is none.
-func (bro *broadcasts) take(room, limit int, statement func(id fleet.InstanceID, full bool) (Update, bool)) []Update {
-	var taken []Update
-	pick := func(list []broadcast, full bool) []broadcast {
-		var sent []broadcast
-		kept := list[:0]
-		for pos, itm := range list {
-			if room < briefOverhead {
-				kept = append(kept, list[pos:]...)
-				break
-			}
-			upd, found := statement(itm.instance, full)
-			switch size := upd.Size(); {
-			case !found:
-				continue
-			case size > room:
-				kept = append(kept, itm)
-				continue
-			default:
-				room -= size
-			}
-			taken = append(taken, upd)
-			if itm.sends++; itm.sends < limit {
-				sent = append(sent, itm)
-			}
+// packer fills the room of one datagram with news.
+type packer struct {
+	room      int // bytes
+	limit     int // sends of each news
+	statement func(id fleet.InstanceID, full bool) (Update, bool)
+	updates   []Update
+}
+
+// take adds the pending news that fits and counts it as sent.
+func (bro *broadcasts) take(pck *packer) {
+	bro.briefs = pck.pick(bro.briefs, false)
+	bro.fulls = pck.pick(bro.fulls, true)
+}
+
+// pick returns what remains pending of a list.
+func (pck *packer) pick(list []broadcast, full bool) []broadcast {
+	var sent []broadcast
+	kept := list[:0]
+	for pos, itm := range list {
+		if pck.room < briefOverhead {
+			kept = append(kept, list[pos:]...)
+			break
+		}
+		upd, found := pck.statement(itm.instance, full)
+		if !found {
+			continue // forgotten meanwhile
 		}
-		return mergeSorted(kept, sent)
+		if !pck.add(upd) {
+			kept = append(kept, itm)
+			continue
+		}
+		if itm.sends++; itm.sends < pck.limit {
+			sent = append(sent, itm)
+		}
+	}
+	return mergeSorted(kept, sent)
+}
+
+// add adds an update if it fits.
+func (pck *packer) add(upd Update) bool {
+	size := upd.Size()
+	if size > pck.room {
+		return false
 	}
-	bro.briefs = pick(bro.briefs, false)
-	bro.fulls = pick(bro.fulls, true)
-	return taken
+	pck.room -= size
+	pck.updates = append(pck.updates, upd)
+	return true
 }
 
 // mergeSorted merges two lists that are ordered by sends. At equal numbers the
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -238,16 +238,12 @@
 
 // fill adds the given updates and then pending news, as far as they fit into a datagram.
 func (mac *Machine) fill(msg Message, first []Update) Message {
-	room := MaxDatagram - msg.Size()
-	updates := make([]Update, 0, len(first)+4)
+	pck := &packer{room: MaxDatagram - msg.Size(), limit: transmitLimit(mac.roster.Len() + 1), statement: mac.statement}
 	for _, upd := range first {
-		if size := upd.Size(); size <= room {
-			room -= size
-			updates = append(updates, upd)
-		}
+		pck.add(upd)
 	}
-	news := mac.news.take(room, transmitLimit(mac.roster.Len()+1), mac.statement)
-	return msg.WithUpdates(append(updates, news...))
+	mac.news.take(pck)
+	return msg.WithUpdates(pck.updates)
 }
 
 // statement returns the present statement about a member.
--- a/io/config/filer_test.go
+++ b/io/config/filer_test.go
@@ -75,7 +75,8 @@
 	fil, rfd := newFiler(tab)
 	out := fil.File(context.Background(), tic)
 	Expect(out.Kind()).To(Equal(want), config.Explain(out))
-	again := fil.File(context.Background(), tic)
+	restarted, _ := newFiler(tab)
+	again := restarted.File(context.Background(), tic)
 	if out.InForce() {
 		Expect(again.Kind()).To(Equal(ticket.OutcomeSame))
 	}
