--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -216,10 +216,11 @@
 	State    string        `json:"state"`
 }
 
-// History returns every start at every worker that answers.
+// History returns every start at every worker that runs, and what KillEndpoint kept.
 func (fle *Fleet) History(ctx context.Context) ([]Run, error) {
 	var all []Run
 	for _, ins := range fle.instances {
+		all = append(all, ins.former...)
 		if !ins.endpoint.Running() {
 			continue
 		}
--- a/internal/harness/check.go
+++ b/internal/harness/check.go
@@ -13,11 +13,17 @@
 	slices.SortFunc(sorted, func(one, two Run) int {
 		return cmp.Or(cmp.Compare(one.Job, two.Job), cmp.Compare(one.Index, two.Index), cmp.Compare(one.Started, two.Started))
 	})
-	for num := 1; num < len(sorted); num++ {
-		prev, next := sorted[num-1], sorted[num]
-		sameTask := prev.Job == next.Job && prev.Index == next.Index
-		if sameTask && next.Started < end(prev) && prev.Instance != next.Instance {
-			return prev, next, true
+	var last Run // of the present task, the run that ends last
+	for _, next := range sorted {
+		if last.Job != next.Job || last.Index != next.Index {
+			last = next
+			continue
+		}
+		if next.Started < end(last) && last.Instance != next.Instance {
+			return last, next, true
+		}
+		if end(next) > end(last) {
+			last = next
 		}
 	}
 	return Run{}, Run{}, false
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -58,6 +58,7 @@
 	endpoint   *Process
 	address    string // of the endpoint and worker
 	metrics    string
+	former     []Run // runs of killed processes of the endpoint
 }
 
 // ID returns the name of the instance.
