Let leaving entries keep the connections that callers use

Cause: on SIGTERM an entry closed idle connections at once (SetKeepAlivesEnabled); requests that callers were just sending on them ended with EOF.

--- /dev/null
+++ b/internal/failure/capacity_test.go
@@ -0,0 +1,52 @@
+package failure_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/harness"
+)
+
+// expectWithinCapacity checks the highest commitment that each endpoint has ever seen.
+func expectWithinCapacity(ctx context.Context, fle *harness.Fleet) {
+	GinkgoHelper()
+	svc := fle.Deployment().Service
+	for _, ins := range fle.Instances() {
+		pek, err := fle.Peak(ctx, ins)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pek.MilliCPU).To(BeNumerically("<=", svc.MilliCPU), "processors of %s", ins.ID())
+		Expect(pek.MemoryMB).To(BeNumerically("<=", svc.MemoryMB), "memory of %s", ins.ID())
+		Expect(pek.ConcurrentRequests).To(BeNumerically("<=", svc.Slots), "requests at once at %s", ins.ID())
+	}
+}
+
+var _ = Describe("invariant 1 (capacity)", func() {
+	// Guards against a commitment beyond the instance when far more is asked for
+	// than fits and an agent forgets its ledger: it must rebuild it from the
+	// worker's report before it accepts anything. One job is limited by
+	// processors, the other by memory.
+	It("commits no instance beyond its capacity while an agent restarts under overload", func(ctx SpecContext) {
+		fle := startFleet(ctx, "sen-vang", "--service-time", "20ms")
+		jobs := []string{
+			submit(ctx, fle, jobSpec("wide", "plan", `{"workMillis":500}`, 100, 4000, 1024)),
+			submit(ctx, fle, jobSpec("large", "plan", `{"workMillis":500}`, 100, 500, 20_000)),
+		}
+		call := func(ctx context.Context, num int) {
+			_, err := fle.Request(ctx, num%2, fmt.Sprintf("load %d", num), "", true, requestLimit)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		underLoad(ctx, 64, call, func() {
+			hold(ctx, leadTime)
+			Expect(fle.Instances()[0].Agent().Restart()).To(Succeed())
+			for _, id := range jobs {
+				Eventually(jobState(ctx, fle, 0, id)).WithContext(ctx).Within(40 * time.Second).Should(Equal("finished"))
+			}
+		})
+		expectWithinCapacity(ctx, fle)
+		expectNoOverlap(ctx, fle)
+	}, SpecTimeout(90*time.Second))
+})
--- /dev/null
+++ b/internal/failure/config_test.go
@@ -0,0 +1,223 @@
+package failure_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/harness"
+	"jacinthpost/io/table/tableapi"
+)
+
+// racedCustomer is the object that both operators change.
+const racedCustomer = "raced"
+
+// operator files tickets through one entry until it has enough of its own accepted.
+type operator struct {
+	fleet    *harness.Fleet
+	entry    int
+	accepted map[uint64]string // content of its accepted tickets by number
+}
+
+// customerState is the complete state of a customer whose settings name the content.
+func customerState(active bool, content string) map[string]any {
+	return map[string]any{"active": active, "settings": map[string]string{"content": content}}
+}
+
+// versionOf returns the version and state of an object at an entry, zero if there is none.
+func versionOf(sta harness.State, kind, name string) (uint64, string) {
+	for _, obj := range sta.Objects {
+		if obj.Kind == kind && obj.Name == name {
+			return obj.Version, string(obj.State)
+		}
+	}
+	return 0, ""
+}
+
+// race files changes of the shared object until enough are accepted. After an
+// unknown outcome it files the same ticket again until it knows.
+func (opr *operator) race(ctx context.Context, enough int) {
+	for try := 0; len(opr.accepted) < enough && ctx.Err() == nil; try++ {
+		sta, err := opr.fleet.State(ctx, opr.entry)
+		Expect(err).NotTo(HaveOccurred())
+		base, _ := versionOf(sta, "customer", racedCustomer)
+		content := fmt.Sprintf("operator %d try %d", opr.entry, try)
+		chg := harness.Change{Kind: "customer", Name: racedCustomer, BaseVersion: base, State: customerState(true, content)}
+		if opr.fileUntilKnown(ctx, sta.Head+1, chg) {
+			opr.accepted[sta.Head+1] = content
+		}
+		_ = harness.Pause(ctx, 20*time.Millisecond)
+	}
+}
+
+// fileUntilKnown reports whether the ticket was accepted.
+func (opr *operator) fileUntilKnown(ctx context.Context, num uint64, chg harness.Change) bool {
+	outcome := ""
+	Eventually(func(gom Gomega) {
+		fld, err := opr.fleet.File(ctx, opr.entry, num, chg)
+		gom.Expect(err).NotTo(HaveOccurred())
+		outcome = fld.Outcome
+		gom.Expect(outcome).To(BeElementOf("accepted", "same", "conflict", "gap", "wrongBase"), fld.Detail)
+	}).WithContext(ctx).Within(20 * time.Second).Should(Succeed())
+	return outcome == "accepted" || outcome == "same"
+}
+
+// pollHeads fails when the confirmed head of an entry ever decreases.
+func pollHeads(fle *harness.Fleet) func(ctx context.Context, num int) {
+	var mut sync.Mutex
+	highest := map[int]uint64{}
+	return func(ctx context.Context, num int) {
+		mut.Lock()
+		defer mut.Unlock()
+		sta, err := fle.State(ctx, num%2)
+		if err != nil || !sta.Confirmed {
+			return // the entry is being restarted
+		}
+		Expect(sta.Head).To(BeNumerically(">=", highest[num%2]), "head at entry %d", num%2)
+		highest[num%2] = sta.Head
+	}
+}
+
+// contentOf returns the content that an accepted ticket has at an entry.
+func contentOf(ctx context.Context, fle *harness.Fleet, ent int, num uint64) string {
+	GinkgoHelper()
+	var tic struct {
+		Changes []struct {
+			State struct {
+				Settings map[string]string `json:"settings"`
+			} `json:"state"`
+		} `json:"changes"`
+	}
+	_, err := harness.Call(ctx, "GET", fle.Entries()[ent].Address()+"/v1/tickets/"+strconv.FormatUint(num, 10), nil, nil, &tic)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(tic.Changes).To(HaveLen(1), "ticket %d at entry %d", num, ent)
+	return tic.Changes[0].State.Settings["content"]
+}
+
+// restartAll kills and restarts every entry and agent at once.
+func restartAll(ctx context.Context, fle *harness.Fleet) {
+	GinkgoHelper()
+	var all []*harness.Process
+	for _, ent := range fle.Entries() {
+		all = append(all, ent.Process())
+	}
+	for _, ins := range fle.Instances() {
+		all = append(all, ins.Agent())
+	}
+	for _, pro := range all {
+		pro.Kill()
+	}
+	for _, pro := range all {
+		Expect(pro.Restart()).To(Succeed())
+	}
+	awaitComplete(ctx, fle)
+}
+
+// awaitInForce checks that a ticket is in force at every process within the promise.
+func awaitInForce(ctx context.Context, fle *harness.Fleet, num uint64, accepted time.Time) {
+	GinkgoHelper()
+	want := len(fle.Entries()) + len(fle.Instances())
+	for ent := range fle.Entries() {
+		Eventually(func() ([]string, error) { return fle.InForce(ctx, ent, num) }).WithContext(ctx).
+			Within(time.Until(accepted.Add(inForce))).WithPolling(20*time.Millisecond).Should(HaveLen(want), "ticket %d at entry %d", num, ent)
+	}
+}
+
+var _ = Describe("invariant 10 (configuration)", func() {
+	// Guards against a number with two contents, a change that is lost or undone,
+	// and a head that goes back, when operators race, answers of the store are
+	// lost, and every process starts anew.
+	It("keeps every accepted ticket when operators race and all processes are killed", func(ctx SpecContext) {
+		const enough = 8
+		fle := startFleet(ctx, "sen-vang")
+		operators := []*operator{{fleet: fle, entry: 0, accepted: map[uint64]string{}}, {fleet: fle, entry: 1, accepted: map[uint64]string{}}}
+		underLoad(ctx, 2, pollHeads(fle), func() {
+			loseAnswers(ctx, fle, 30)
+			inParallel(len(operators), func(num int) { operators[num].race(ctx, enough) })
+			setStore(ctx, fle, tableapi.Faults{})
+			expectAccepted(ctx, fle, operators)
+			restartAll(ctx, fle)
+			expectAccepted(ctx, fle, operators)
+		})
+	}, SpecTimeout(90*time.Second))
+
+	// Guards against processes that learn of a ticket late or not at all.
+	It("brings a ticket into force at every process within 3 s", func(ctx SpecContext) {
+		fle := startFleet(ctx, "bayou-paddle")
+		for try := range 5 {
+			chg := harness.Change{Kind: "customer", Name: fmt.Sprintf("customer-%d", try), State: customerState(true, "first")}
+			num, accepted := fileNext(ctx, fle, chg)
+			awaitInForce(ctx, fle, num, accepted)
+		}
+	}, SpecTimeout(time.Minute))
+
+	// Guards against settings that a cancellation or a restart of all processes
+	// removes: the customer may return a year later.
+	It("keeps the settings of a cancelled customer", func(ctx SpecContext) {
+		fle := startFleet(ctx, "bayou-paddle")
+		num, _ := fileNext(ctx, fle, harness.Change{Kind: "customer", Name: "demo", State: customerState(true, "kept")})
+		num, accepted := fileNextAt(ctx, fle, num+1, harness.Change{Kind: "customer", Name: "demo", BaseVersion: num, State: customerState(false, "kept")})
+		awaitInForce(ctx, fle, num, accepted)
+		for range 2 {
+			for ent := range fle.Entries() {
+				expectCancelled(ctx, fle, ent, num)
+			}
+			restartAll(ctx, fle)
+		}
+	}, SpecTimeout(time.Minute))
+})
+
+// fileNextAt files a change under a number that the entry may not know to be the next yet.
+func fileNextAt(ctx context.Context, fle *harness.Fleet, num uint64, chg harness.Change) (uint64, time.Time) {
+	GinkgoHelper()
+	fld, err := fle.File(ctx, 0, num, chg)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(fld.Outcome).To(Equal("accepted"), fld.Detail)
+	return num, time.Now()
+}
+
+func expectCancelled(ctx context.Context, fle *harness.Fleet, ent int, num uint64) {
+	GinkgoHelper()
+	sta, err := fle.State(ctx, ent)
+	Expect(err).NotTo(HaveOccurred())
+	ver, state := versionOf(sta, "customer", "demo")
+	Expect(ver).To(Equal(num))
+	Expect(state).To(MatchJSON(`{"active":false,"settings":{"content":"kept"}}`))
+	env, err := fle.Request(ctx, ent, "refused", "", false, requestLimit)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(env.Outcome).To(Equal(notRun))
+}
+
+// expectAccepted checks that the accepted tickets are one sequence without gaps or
+// second contents, and that every entry has its end in force.
+func expectAccepted(ctx context.Context, fle *harness.Fleet, operators []*operator) {
+	GinkgoHelper()
+	all := map[uint64]string{}
+	for _, opr := range operators {
+		for num, content := range opr.accepted {
+			Expect(all).NotTo(HaveKey(num), "both operators were told that ticket %d is theirs", num)
+			all[num] = content
+		}
+	}
+	head := uint64(len(all))
+	for ent := range fle.Entries() {
+		Eventually(func(gom Gomega) {
+			sta, err := fle.State(ctx, ent)
+			gom.Expect(err).NotTo(HaveOccurred())
+			gom.Expect(sta.Head).To(Equal(head))
+			ver, state := versionOf(sta, "customer", racedCustomer)
+			want, _ := json.Marshal(customerState(true, all[head]))
+			gom.Expect(ver).To(Equal(head))
+			gom.Expect(state).To(MatchJSON(want))
+		}).WithContext(ctx).Within(inForce).Should(Succeed())
+		for num, content := range all {
+			Expect(contentOf(ctx, fle, ent, num)).To(Equal(content), "ticket %d at entry %d", num, ent)
+		}
+	}
+}
--- a/internal/harness/observe.go
+++ b/internal/harness/observe.go
@@ -88,17 +88,23 @@
 	return pek, nil
 }
 
-// InForce returns the instances at which a ticket is in force, as an entry explains it.
-func (fle *Fleet) InForce(ctx context.Context, ent int, num uint64) ([]string, error) {
+// Explain returns what an entry explains about a job, an instance or a ticket.
+func (fle *Fleet) Explain(ctx context.Context, ent int, kind, name string) ([]string, error) {
 	var body struct {
 		Lines []string `json:"lines"`
 	}
-	_, err := Call(ctx, "GET", fle.entries[ent].address+"/v1/explain/ticket/"+strconv.FormatUint(num, 10), nil, nil, &body)
+	_, err := Call(ctx, "GET", fle.entries[ent].address+"/v1/explain/"+kind+"/"+name, nil, nil, &body)
+	return body.Lines, err
+}
+
+// InForce returns the instances at which a ticket is in force, as an entry explains it.
+func (fle *Fleet) InForce(ctx context.Context, ent int, num uint64) ([]string, error) {
+	lines, err := fle.Explain(ctx, ent, "ticket", strconv.FormatUint(num, 10))
 	if err != nil {
 		return nil, err
 	}
 	var list []string
-	for _, lin := range body.Lines {
+	for _, lin := range lines {
 		if name, _, found := strings.Cut(lin, ": in force"); found {
 			list = append(list, name)
 		}
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -48,6 +48,7 @@
 	directory control.Snapshot[entry.Directory]
 	routing   *control.Loop[routing]
 	server    *http.Server
+	leaving   atomic.Bool
 }
 
 // routing is the control state of the entry.
@@ -68,7 +69,7 @@
 	})
 	nod.Gossip().SetObserver(func([]member.Change) { ent.routing.TryPost(control.Func[routing](ent.rebuild)) })
 	jobs := owner.NewClient(nod.Table(), nod.Pools().Jobs(), nod.Settings().Partitions())
-	ent.server = web.NewServer(web.NewHandler(web.Ports{
+	ent.server = web.NewServer(ent.closeWhenLeaving(web.NewHandler(web.Ports{
 		Requests:      admission{requests: ent.requests, config: nod},
 		Jobs:          jobClient{client: jobs, config: nod},
 		Configuration: nod,
@@ -76,10 +77,22 @@
 		Audit:         audit.NewTrail(nod.Table()),
 		Explain:       explainer{node: nod, jobs: jobs},
 		Timeout:       nod.Settings().RequestTimeout(),
-	}))
+	})))
 	return ent
 }
 
+// closeWhenLeaving lets each answer of a leaving entry ask the caller to close the
+// connection. The server's own switch for this also closes idle connections at
+// once, which breaks requests that callers are just sending on them.
+func (ent *Entry) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		if ent.leaving.Load() {
+			rw.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(rw, req)
+	})
+}
+
 // Ready implements node.Role: an entry that knows no other process cannot serve.
 func (ent *Entry) Ready() bool {
 	return ent.directory.Load() != nil && len(ent.node.Gossip().View().Usable()) > 1
@@ -116,7 +129,7 @@
 // while the balancer learns that the entry leaves; then no connection is
 // accepted and requests in flight finish.
 func (ent *Entry) Stop(ctx context.Context) {
-	ent.server.SetKeepAlivesEnabled(false)
+	ent.leaving.Store(true)
 	tmr := time.NewTimer(readinessGrace)
 	defer tmr.Stop()
 	select {
