Serve what an entry has accepted before its shutdown

Cause: the HTTP server drops requests that it reads after Shutdown has begun, so a caller that connected just before got EOF. Change: Stop closes the listener, reads requests on accepted connections for another 500 ms and only then shuts the server down.

--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -38,6 +38,10 @@
 	// readinessGrace is the time for the balancer to see that the entry leaves
 	// before it refuses new connections.
 	readinessGrace = 2 * time.Second
+	// acceptedGrace is the time for requests on connections that were accepted just
+	// before the listener closed. The server drops requests that it reads after its
+	// shutdown has begun.
+	acceptedGrace = 500 * time.Millisecond
 )
 
 // Entry is the role of an entry process.
@@ -49,6 +53,7 @@
 	routing   *control.Loop[routing]
 	server    *http.Server
 	leaving   atomic.Bool
+	listener  atomic.Pointer[net.Listener]
 }
 
 // routing is the control state of the entry.
@@ -104,8 +109,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	ent.listener.Store(&lsn)
 	grp, ctx := errgroup.WithContext(ctx)
-	grp.Go(func() error { return node.ServeHTTP(ctx, lsn, ent.server) })
+	grp.Go(func() error { return ent.serve(ctx, lsn) })
 	grp.Go(func() error { ent.rows.Run(ctx); return nil })
 	grp.Go(func() error {
 		control.Tick(ctx, ent.routing, directoryPeriod, func() control.Event[routing] { return control.Func[routing](ent.rebuild) })
@@ -125,20 +131,39 @@
 	ent.directory.Publish(sta.builder.build(ent.node.Settings().Location(), vie.Usable(), cfg))
 }
 
+// serve serves callers. After the listener was closed by Stop, the connections
+// go on until the shutdown of the server.
+func (ent *Entry) serve(ctx context.Context, lsn net.Listener) error {
+	err := node.ServeHTTP(ctx, lsn, ent.server)
+	if ent.leaving.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 // Stop implements node.Role. Answers ask callers to close their connections
 // while the balancer learns that the entry leaves; then no connection is
 // accepted and requests in flight finish.
 func (ent *Entry) Stop(ctx context.Context) {
 	ent.leaving.Store(true)
-	tmr := time.NewTimer(readinessGrace)
+	pause(ctx, readinessGrace)
+	if lsn := ent.listener.Load(); lsn != nil {
+		_ = (*lsn).Close()
+	}
+	pause(ctx, acceptedGrace)
+	if err := ent.server.Shutdown(ctx); err != nil {
+		ent.node.Logger().Warn("requests not drained", zap.Error(err))
+	}
+}
+
+// pause waits for some time or until the context ends.
+func pause(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
 	defer tmr.Stop()
 	select {
 	case <-tmr.C:
 	case <-ctx.Done():
 	}
-	if err := ent.server.Shutdown(ctx); err != nil {
-		ent.node.Logger().Warn("requests not drained", zap.Error(err))
-	}
 }
 
 // admission applies the settings of customers before a request is routed.
