Renew no lease for a worker that does not answer

Cause: an agent renewed the leases of its tasks with their owners although its worker was killed, so these tasks were never run elsewhere.

--- a/core/runner/owner.go
+++ b/core/runner/owner.go
@@ -84,7 +84,7 @@
 		return nil
 	}
 	cal, known := run.call(par)
-	if !known {
+	if !known || now.Sub(run.clock.received) > WorkerSilence {
 		par.renewAt = now.Add(RetryPeriod)
 		return nil
 	}
