Keep evicted classes away for a minute and test the guard

Cause: in a trial with real processes the owner placed an evicted noisy task on the same instance within a second. Change: the dispatcher does not place a class on an instance that evicted a task of it during the last minute and explains the wait.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -75,6 +75,7 @@
 	shares     []Share // by team
 	teams      names[fleet.Team]
 	classes    names[fleet.JobClass]
+	shunned    map[pairing]time.Time // until when a class is not placed on an instance
 	jobs       tracked[string]
 	left       tracked[fleet.InstanceID]
 }
@@ -94,7 +95,7 @@
 		seats:  make(map[fleet.InstanceID]*seat),
 		holds:  make(map[place.TaskID]*hold),
 		parts:  make(map[int]*Part[P]),
-		misses: make(map[job.Lane]int),
+		misses: make(map[job.Lane]int), shunned: make(map[pairing]time.Time),
 	}
 }
 
@@ -135,7 +136,7 @@
 	req := dsp.request(tsk)
 	off, found := place.Offer{}, false
 	if dsp.mayUse(req) {
-		off, found = dsp.sched.Choose(req, dsp.accepts(tsk.Spec().Service()), now)
+		off, found = dsp.sched.Choose(req, dsp.accepts(req.Class(), tsk.Spec().Service()), now)
 	}
 	dsp.tried(tsk.Spec(), found)
 	if !found {
@@ -146,14 +147,6 @@
 	return off.Instance(), true
 }
 
-// accepts returns the restriction to the instances of a service, nil for none.
-func (dsp *Dispatcher[P]) accepts(svc fleet.Service) func(fleet.InstanceID) bool {
-	if svc == "" {
-		return nil
-	}
-	return func(id fleet.InstanceID) bool { return dsp.seats[id].hint.Service() == svc }
-}
-
 // commit takes in an offer, or a task found running after a takeover, whose
 // size is the declared one and which its agent has accepted.
 func (dsp *Dispatcher[P]) commit(tsk job.Task, id fleet.InstanceID) bool {
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -201,6 +201,28 @@
 		Expect(wld.dsp.Holds()).To(Equal(40))
 	})
 
+	// Guards against a task that is evicted for the sake of a service and placed beside it again.
+	It("places an evicted class elsewhere for a while", func() {
+		wld := newWorld(1, 2, 1)
+		wld.submit(0, build(1, 1000, time.Hour), "job")
+		wld.pass(1)
+		ins := wld.instances[0]
+		if len(ins.runs) == 0 {
+			ins = wld.instances[1]
+		}
+		ref := ins.runs[0].task.Ref()
+		ins.runs = nil
+		wld.report(0, ref, job.NewEnd(job.EndCheckpointed, "c").WithEviction(true))
+		wld.submit(0, build(8, 1000, time.Hour), "more")
+		wld.pass(4)
+		Expect(ins.runs).To(BeEmpty())
+		Expect(wld.dsp.Holds()).To(Equal(8))
+		sta, _ := wld.parts[0].Status(wld.jobs[1])
+		explained(wld.dsp.ExplainJob(sta), "have evicted a task of class class")
+		wld.pass(120)
+		Expect(ins.runs).To(HaveLen(1))
+	})
+
 	// Guards against a job that is lost with one rack.
 	It("spreads the tasks of a job over racks and data centres", func() {
 		wld := newWorld(1, 12, 2)
--- a/core/dispatch/verdict.go
+++ b/core/dispatch/verdict.go
@@ -36,6 +36,9 @@
 		dsp.release(id, hol)
 	}
 	dsp.track(string(id))
+	if end.Evicted() {
+		dsp.shun(req.Class(), ins)
+	}
 	if end.Kind() == job.EndNotStarted {
 		dsp.sched.Rest(ins)
 	}
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -44,6 +44,7 @@
 	Drained
 	Resized
 	Ended
+	Excluded
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -186,6 +187,9 @@
 	Resized: func(rsn Reason) string {
 		return fmt.Sprintf("class %s is counted as %v instead of the declared %v after %d runs", rsn.subject, rsn.need, rsn.limit, rsn.count)
 	},
+	Excluded: func(rsn Reason) string {
+		return fmt.Sprintf("%s waits: the instances with %v free either do not serve what it asks for or have evicted a task of class %s in the last minute; it starts once another instance has room or that minute is over", rsn.subject, rsn.need, rsn.other)
+	},
 	Ended: func(rsn Reason) string {
 		return fmt.Sprintf("%s ended on %s: %s", rsn.subject, rsn.other, rsn.detail)
 	},
--- a/core/place/direct.go
+++ b/core/place/direct.go
@@ -41,6 +41,10 @@
 	if hos := sch.candidates.First(); hos != nil {
 		return sch.gateRefusal(hos, tsk, now)
 	}
+	sch.candidates.accept = nil
+	if sch.candidates.First() != nil {
+		return explain.New(explain.Excluded, now, string(tsk.id)).With(string(tsk.class)).Amounts(need, need)
+	}
 	return sch.refusal(tsk, need, now)
 }
 
--- /dev/null
+++ b/io/guard/guard_test.go
@@ -0,0 +1,144 @@
+package guard_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/admit"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/intake"
+	"jacinthpost/core/interfere"
+	"jacinthpost/core/ledger"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/runner"
+	"jacinthpost/core/token"
+	"jacinthpost/core/worker"
+	"jacinthpost/io/agentstate"
+	"jacinthpost/io/guard"
+	"jacinthpost/io/serve"
+)
+
+func TestGuard(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "guard")
+}
+
+// site allows everything.
+type site struct{}
+
+func (site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, true
+}
+func (site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.Limits{} }
+func (site) StartsAllowed(time.Time) (outcome.Outcome, bool)   { return outcome.Outcome{}, true }
+func (site) Partition(string) int                              { return 0 }
+func (site) Owner(int) (string, bool)                          { return "", false }
+
+// host records the effects that the guard wants.
+type host struct {
+	percents []int
+	stops    []runner.Stop
+}
+
+func (hst *host) Perform(_ *agentstate.State, efs []runner.Effect) {
+	for _, eff := range efs {
+		switch eff := eff.(type) {
+		case runner.Throttle:
+			hst.percents = append(hst.percents, eff.Percent())
+		case runner.Stop:
+			hst.stops = append(hst.stops, eff)
+		}
+	}
+}
+
+// instance is one agent with an endpoint and a worker, and the guard between them.
+type instance struct {
+	now   time.Time
+	state *agentstate.State
+	host  *host
+	guard *guard.Guard[*interfere.Controller]
+	ref   worker.Ref
+}
+
+func newInstance() *instance {
+	ins := &instance{now: time.Unix(1_000_000, 0), host: &host{}, ref: worker.NewRef("job", 0, token.New(1, 1))}
+	ins.state = agentstate.New(site{}, ledger.NewCapacity(25), intake.DefaultOptions())
+	ins.guard = guard.New(nil, ins.host, interfere.NewController, zap.NewNop())
+	ins.announce("service")
+	ins.report()
+	return ins
+}
+
+func (ins *instance) announce(svc fleet.Service) {
+	ins.state.Intake().Hear(admit.NewAnnouncement(svc, "address", 1).WithCapacity(8, 64, resource.Vector{}), ins.now)
+}
+
+// report lets the worker report that it runs tasks.
+func (ins *instance) report(tasks ...worker.TaskReport) {
+	rep := worker.NewReport(1, worker.Instant(ins.now.UnixNano()), resource.New(16_000, 16_000, 0)).WithTasks(tasks)
+	ins.state.Runner().Observe(rep, ins.now, ins.now)
+}
+
+// noisy is a task that uses half of the processors.
+func (ins *instance) noisy() worker.TaskReport {
+	size := resource.New(8000, 1000, 0)
+	return worker.NewTaskReport(ins.ref, worker.Running).WithClass("noisy").WithResources(size, size).
+		WithDeadline(worker.Instant(ins.now.Add(time.Hour).UnixNano()))
+}
+
+// serve lets requests of a latency, with a little spread, arrive for some periods.
+func (ins *instance) serve(periods int, latency time.Duration) {
+	for range periods {
+		for num := range 50 {
+			took := latency + latency*time.Duration(num%10)/100
+			ins.guard.Observe(serve.NewSample("service", false, time.Millisecond, took+time.Millisecond, outcome.Answered()))
+		}
+		ins.now = ins.now.Add(guard.Period)
+		ins.guard.Decide(ins.state, ins.now)
+	}
+}
+
+var _ = Describe("Guard", func() {
+	// Guards against interference control that decides and does not reach the worker.
+	It("throttles a noisy task, and evicts it with a checkpoint when that is not enough", func() {
+		ins := newInstance()
+		ins.serve(10, 5*time.Millisecond)
+		Expect(ins.host.percents).To(BeEmpty())
+		ins.report(ins.noisy())
+		ins.serve(8, 15*time.Millisecond)
+		Expect(ins.host.percents).To(ContainElement(10), "it keeps a tenth of its speed")
+		Expect(ins.host.stops).To(BeEmpty())
+		before := len(ins.host.percents)
+		ins.serve(24, 15*time.Millisecond)
+		Expect(len(ins.host.percents)).To(BeNumerically(">", before), "a lost order is repeated")
+		ins.serve(40, 15*time.Millisecond)
+		Expect(ins.host.stops).To(HaveLen(1))
+		Expect(ins.host.stops[0].Checkpoint()).To(BeTrue())
+	})
+
+	// Guards against a task that stays throttled for ever by a guard that no longer exists.
+	It("starts anew when the service changes", func() {
+		ins := newInstance()
+		ins.serve(10, 5*time.Millisecond)
+		ins.report(ins.noisy())
+		ins.serve(8, 15*time.Millisecond)
+		Expect(ins.host.percents).To(ContainElement(10))
+		ins.host.percents = nil
+		ins.announce("other")
+		ins.serve(1, 15*time.Millisecond)
+		Expect(ins.host.percents).To(HaveExactElements(BeNumerically(">=", 70)), "the speed by the first estimate")
+	})
+
+	// Guards against requests that wait for the control goroutine.
+	It("drops samples beyond its bound instead of waiting", func(SpecContext) {
+		ins := newInstance()
+		for range 10_000 {
+			ins.guard.Observe(serve.NewSample("service", false, 0, time.Millisecond, outcome.Answered()))
+		}
+	}, SpecTimeout(5*time.Second))
+})
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -71,6 +71,11 @@
 	out     outcome.Outcome
 }
 
+// NewSample returns the measurement of a request with its time in the queue and in total.
+func NewSample(svc fleet.Service, batch bool, queued, took time.Duration, out outcome.Outcome) Sample {
+	return Sample{service: svc, batch: batch, queued: queued, took: took, out: out}
+}
+
 // Service returns the service of the request.
 func (smp Sample) Service() fleet.Service { return smp.service }
 
@@ -216,7 +221,7 @@
 	took := time.Since(cal.arrived)
 	latency(cal.args.Batch).UpdateDuration(cal.arrived)
 	if svc.observe != nil {
-		svc.observe(Sample{service: cal.request.Service(), batch: cal.args.Batch, queued: queued, took: took, out: out})
+		svc.observe(NewSample(cal.request.Service(), cal.args.Batch, queued, took, out))
 	}
 	rep := reply(out)
 	rep.Status, rep.Body = status, body
