--- a/core/dispatch/verdict.go
+++ b/core/dispatch/verdict.go
@@ -35,13 +35,16 @@
 	if hol := dsp.holds[id]; hol != nil {
 		dsp.release(id, hol)
 	}
-	dsp.track(string(id))
+	if end.Evicted() {
+		dsp.shun(req.Class(), ins)
+	}
 	if end.Kind() == job.EndNotStarted {
 		dsp.sched.Rest(ins)
 	}
 	if end.Kind() != job.EndFailed {
 		return job.Verdict{}
 	}
+	dsp.track(string(id))
 	if parked {
 		return job.Park(dsp.parking(id, tsk.Ref().Job()) + "; the last failure on " + string(ins) + ": " + end.Detail())
 	}
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -43,6 +43,7 @@
 	NotTheTasks
 	Drained
 	Ended
+	Excluded
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -182,6 +183,9 @@
 	Drained: func(rsn Reason) string {
 		return fmt.Sprintf("nothing is offered to %s: %s", rsn.subject, rsn.detail)
 	},
+	Excluded: func(rsn Reason) string {
+		return fmt.Sprintf("%s waits: the instances with %v free either do not serve what it asks for or have evicted a task of class %s in the last minute; it starts once another instance has room or that minute is over", rsn.subject, rsn.need, rsn.other)
+	},
 	Ended: func(rsn Reason) string {
 		return fmt.Sprintf("%s ended on %s: %s", rsn.subject, rsn.other, rsn.detail)
 	},
