Keep renewing for 25 s while the worker's answers are lost

Cause: with 5 s the tasks of a worker whose answers were lost for 20 s ended at their lease (io/taskhost, 'survive the loss of all answers of the worker'). Change: WorkerSilence is 25 s. Result: that entry passes again; the tasks of a killed worker move after about 40 s instead of 27 s, within the 75 s that the failure test allows.

--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -46,9 +46,9 @@
 	// RenewPeriod is the time between renewals; a lease of 15 s survives two lost ones.
 	RenewPeriod = 5 * time.Second
 	// WorkerSilence is the age of the last report of the worker above which no lease
-	// is renewed: the tasks of a worker that is gone must reach another instance. A
-	// lease of 15 s still outlasts a worker that is frozen for a few seconds.
-	WorkerSilence = 5 * time.Second
+	// is renewed: the tasks of a worker that is gone must reach another instance.
+	// It outlasts a worker whose answers are lost for 20 s while its tasks run on.
+	WorkerSilence = 25 * time.Second
 	// RetryPeriod is the time between attempts of whatever failed.
 	RetryPeriod = time.Second
 	// CheckpointMargin is how long before the end of its lease a task is told to checkpoint.
