Catch more requests in each stage when a fault strikes

Cause: a trial that treats every lost reply as 'not run' passed one run of the entry 'while an agent is killed', because no request ran at the moment of the kill. Change: 16 callers and requests of 50 ms.

--- a/internal/failure/requests_test.go
+++ b/internal/failure/requests_test.go
@@ -141,12 +141,12 @@
 var _ = Describe("invariants 6 and 7 (not run is true, at most once)", func() {
 	// Guards against a booking that runs twice, or that runs although a caller was
 	// told "not run", when the parties to its attempt fail half way. The requests
-	// last 20 ms, so that the fault always finds some of them in each stage.
+	// last 50 ms, most of their way, so that the fault finds many of them running.
 	DescribeTable("keyed bookings through both entries",
 		func(ctx SpecContext, name string, mayStayUnknown bool) {
-			fle := startFleet(ctx, "bayou-paddle", "--service-time", "20ms")
+			fle := startFleet(ctx, "bayou-paddle", "--service-time", "50ms")
 			bks := &bookings{fleet: fle, answers: map[string][]harness.Envelope{}}
-			count := underLoad(ctx, 8, bks.book, around(ctx, func() { requestFaults[name](ctx, fle) }))
+			count := underLoad(ctx, 16, bks.book, around(ctx, func() { requestFaults[name](ctx, fle) }))
 			awaitComplete(ctx, fle)
 			inParallel(count, func(num int) { bks.settle(ctx, num, mayStayUnknown) })
 			Expect(len(bks.answers)).To(BeNumerically(">", count/2), "most keys are answered in the end")
