Give jobs that operators retry a new chance

Cause: a parked job stayed on record as parked, so a task that an operator queues again was set aside at its first failure. Change: a choice for a task that was set aside forgets the failures of its job. Result: covered by a test that fails without the change.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -77,6 +77,7 @@
 	classes    names[fleet.JobClass]
 	shunned    map[pairing]time.Time // until when a class is not placed on an instance
 	jobs       tracked[string]
+	parked     tracked[place.TaskID]
 	left       tracked[fleet.InstanceID]
 }
 
@@ -134,6 +135,7 @@
 	dsp.relax()
 	dsp.openCentres(starts)
 	req := dsp.request(tsk)
+	dsp.unpark(req)
 	off, found := place.Offer{}, false
 	if dsp.mayUse(req) {
 		off, found = dsp.sched.Choose(req, dsp.accepts(req.Class(), tsk.Spec().Service()), now)
@@ -251,6 +253,16 @@
 	}
 }
 
+// remove takes a name out and reports whether it was there.
+func (tra *tracked[K]) remove(name K) bool {
+	if _, found := tra.known[name]; !found {
+		return false
+	}
+	delete(tra.known, name)
+	tra.order = slices.DeleteFunc(tra.order, func(oth K) bool { return oth == name })
+	return true
+}
+
 // names bounds a set of names that callers choose.
 type names[N ~string] struct {
 	known map[N]struct{}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -122,6 +122,24 @@
 		Expect(wld.instances[4].started).To(BeNumerically(">", 4))
 	})
 
+	// Guards against a job that an operator retries and that is set aside at its first failure.
+	It("gives a job that is retried a new chance", func() {
+		wld := newWorld(1, 9, 3)
+		for num := range 20 {
+			wld.submit(0, build(2, 1000, 50*time.Second), fmt.Sprint("good-", num))
+		}
+		wld.pass(20)
+		wld.submit(0, build(1, 1000, 15*time.Second).WithPayload([]byte("poison")), "poison")
+		first := wld.last
+		wld.pass(200)
+		Expect(wld.open()).To(BeEmpty())
+		prt := wld.parts[0].Placement()
+		ins, found := prt.Choose(first, func(fleet.DataCentre) bool { return true }, wld.now)
+		Expect(found).To(BeTrue())
+		prt.Committed(first, ins)
+		Expect(prt.Ended(first, ins, job.NewEnd(job.EndFailed, ""), wld.now)).To(Equal(job.Retry(time.Second)))
+	})
+
 	// Guards against a team that gets more or less than its share while both have work.
 	It("shares the fleet by weight, lends what is idle and takes it back", func() {
 		wld := newWorld(2, 6, 2)
--- a/core/dispatch/verdict.go
+++ b/core/dispatch/verdict.go
@@ -45,11 +45,13 @@
 		return job.Verdict{}
 	}
 	dsp.track(string(id))
-	if parked {
-		return job.Park(dsp.parking(id, tsk.Ref().Job()) + "; the last failure on " + string(ins) + ": " + end.Detail())
-	}
 	failures := tsk.Counters().Failures() + 1
-	if text, exhausted := dsp.exhaustedTask(req, failures); exhausted {
+	text, exhausted := dsp.parking(id, tsk.Ref().Job()), parked
+	if !parked {
+		text, exhausted = dsp.exhaustedTask(req, failures)
+	}
+	if exhausted {
+		dsp.parked.add(id, trackedLimit, func(place.TaskID) bool { return true })
 		return job.Park(text + "; the last failure on " + string(ins) + ": " + end.Detail())
 	}
 	delay := blame.FirstRetry << min(failures-1, 10)
@@ -59,6 +61,15 @@
 	return job.Retry(min(delay, blame.LastRetry))
 }
 
+// unpark forgets the failures of a job when a task of it that was set aside is
+// queued again, which only an operator does.
+func (dsp *Dispatcher[P]) unpark(req place.Task) {
+	if dsp.parked.remove(req.ID()) {
+		dsp.sched.Knowledge().Blame().Release(req.Job())
+		dsp.sched.Knowledge().Blame().Release(string(req.ID()))
+	}
+}
+
 // describe returns what an end says to people.
 func describe(end job.End) string {
 	if end.Detail() == "" {
@@ -90,7 +101,7 @@
 		return "", false
 	}
 	text := fmt.Sprintf("%s failed %d times, its job on %d instances; neither the job nor the instances are proven at fault; "+
-		"submit it under another key when the cause is removed", req.ID(), failures, distinct)
+		"it starts again when an operator retries the job after removing the cause", req.ID(), failures, distinct)
 	dsp.sched.Record(explain.New(explain.JobUndetermined, dsp.now, req.Job()).Counts(distinct, 0).Detail(fmt.Sprintf("%d failures of task %s", failures, req.ID())))
 	return text, true
 }
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -54,6 +54,7 @@
 	gone      map[fleet.InstanceID]bool
 	out       map[fleet.DataCentre]bool
 	jobs      []job.ID
+	last      job.Task // the latest offer
 	broken    string
 	tags      job.Tag
 }
@@ -176,6 +177,7 @@
 
 func (wld *world) offered(num int, off job.Offer) {
 	ins, ref := wld.find(off.To().Instance()), off.Task().Ref()
+	wld.last = off.Task()
 	if wld.out[ins.hint.Location().DataCentre()] {
 		wld.fail("offer to %s, whose data centre is out", ins.hint.ID())
 	}
