--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -130,6 +130,9 @@
 	lowestSpeed = 0.3
 	// lowestPart is the least part of its processors that is reserved for a task.
 	lowestPart = 0.25
+	// urgentLoud is the number of tasks on an instance that don't fit beyond
+	// which even urgent ones are not added.
+	urgentLoud = 2
 	// slowPart is the part of the instances, as a divisor, that may run tasks
 	// of one class more slowly, so that a class is never stopped for good.
 	slowPart = 8
@@ -139,14 +142,14 @@
 // fits into what the guard of the instance plans for, or it is the only task
 // there that does not fit and runs throttled. The number of tasks of an
 // unproven pairing is limited, unless even the worst known cost would be
-// negligible. Urgent tasks pass all limits but the first: several loud tasks on
-// one instance would be throttled to a standstill with everything else there.
+// negligible. Urgent tasks only keep to urgentLoud: more loud tasks on one
+// instance would be throttled to a standstill with everything else there.
 func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, prr Pressure) bool {
-	if !prr.fits() && (hos.loud > 0 || !(tsk.urgent || knw.bearsSlow(hos, tsk, prr))) {
-		return false
-	}
 	if tsk.urgent {
-		return true
+		return prr.fits() || hos.loud < urgentLoud
+	}
+	if !prr.fits() && (hos.loud > 0 || !knw.bearsSlow(hos, tsk, prr)) {
+		return false
 	}
 	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
 	if share*interfere.WorstCost < interfere.Negligible {
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -298,10 +298,13 @@
 	hos := sch.candidates.First()
 	if hos != nil {
 		sch.record(sch.gateRefusal(hos, &wai.task, now))
+	} else {
+		sch.record(sch.refusal(&wai.task, need, now))
+	}
+	if hos != nil && !wai.task.urgent {
 		sch.shelve(id, wai, now)
 		return
 	}
-	sch.record(sch.refusal(&wai.task, need, now))
 	wai.retried = false
 	sch.queue.SetAside(id, wai.task.team, wai.task.urgent, wai, need, wai.since)
 }
