--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -26,9 +26,9 @@
 // measureCapacity runs fleets of several sizes with real processes and prints
 // what each role uses for control when no request arrives, without tasks and
 // with running tasks. docs/CAPACITY.md derives its slopes from these figures.
-func measureCapacity(rep *report, quick bool) error {
+func measureCapacity(rep *report, opt options) error {
 	sizes := []int{3, 12, 24, 48}
-	if quick {
+	if opt.quick {
 		sizes = sizes[:2]
 	}
 	folder, err := os.MkdirTemp("", "jacinthpost-capacity")
@@ -47,8 +47,8 @@
 		if err := os.Mkdir(own, 0o755); err != nil {
 			return errors.Wrap(err, "make folder")
 		}
-		opt := harness.Options{Deployment: "sen-vang", Repo: ".", Binaries: binaries, Folder: own, PortOffset: capacityPorts, Instances: size}
-		if err := measureFleet(ctx, rep, opt); err != nil {
+		fleet := harness.Options{Deployment: "sen-vang", Repo: ".", Binaries: binaries, Folder: own, PortOffset: capacityPorts, Instances: size}
+		if err := measureFleet(ctx, rep, fleet); err != nil {
 			return errors.Wrapf(err, "%d instances", size)
 		}
 	}
--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -26,7 +26,7 @@
 
 // measureLatency compares requests through entry and agent with direct calls to
 // the same endpoint, alternating in one run, with real processes on loopback.
-func measureLatency(rep *report, quick bool) error {
+func measureLatency(rep *report, opt options) error {
 	folder, err := os.MkdirTemp("", "jacinthpost-bench")
 	if err != nil {
 		return errors.Wrap(err, "make folder")
@@ -46,7 +46,7 @@
 	}
 	defer fle.Stop()
 	calls := 3000
-	if quick {
+	if opt.quick {
 		calls = 300
 	}
 	for _, callers := range []int{1, 8, 64} {
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,32 +10,42 @@
 	"strings"
 )
 
-// measures are the parts of the benchmark in the order in which they run.
-var measures = []struct {
+// options are the flags of the command.
+type options struct {
+	quick  bool
+	seeds  int
+	filter string
+}
+
+// parts are the parts of the benchmark in the order in which they run.
+var parts = []struct {
 	name string
-	run  func(rep *report, quick bool) error
+	run  func(rep *report, opt options) error
 	ask  bool // runs only when named by -only
 }{
 	{name: "latency", run: measureLatency},
-	{name: "decisions", run: func(rep *report, quick bool) error { measureDecisions(rep, quick); return nil }},
+	{name: "decisions", run: func(rep *report, opt options) error { measureDecisions(rep, opt.seeds, opt.filter); return nil }},
 	{name: "capacity", run: measureCapacity, ask: true},
 }
 
 func main() {
-	quick := flag.Bool("quick", false, "one seed and short runs, for trials; bounds are not judged")
-	only := flag.String("only", "", "parts to run, separated by commas; all but capacity when empty")
+	var opt options
+	flag.BoolVar(&opt.quick, "quick", false, "short runs of processes, for trials")
+	flag.IntVar(&opt.seeds, "seeds", 5, "number of seeds of each scenario")
+	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures whose name contains this")
+	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity; all but capacity when empty")
 	flag.Parse()
 	rep := newReport(os.Stdout)
-	for _, msr := range measures {
-		if *only == "" && msr.ask || *only != "" && !slices.Contains(strings.Split(*only, ","), msr.name) {
+	for _, prt := range parts {
+		if *only == "" && prt.ask || *only != "" && !slices.Contains(strings.Split(*only, ","), prt.name) {
 			continue
 		}
-		if err := msr.run(rep, *quick); err != nil {
-			fmt.Fprintf(os.Stderr, "%s: %s\n", msr.name, err.Error())
+		if err := prt.run(rep, opt); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", prt.name, err.Error())
 			os.Exit(1)
 		}
 	}
-	if missed := rep.missed(); len(missed) > 0 && !*quick {
+	if missed := rep.missed(); len(missed) > 0 {
 		fmt.Fprintf(os.Stderr, "bounds missed: %v\n", missed)
 		os.Exit(1)
 	}
