End the processes of a harness with the harness

Cause: a test binary that was killed left its fleet running. Change: the processes get SIGKILL when their parent ends.

--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -37,6 +37,8 @@
 	pro.cmd = exec.Command(pro.binary, pro.args...)
 	pro.cmd.Stdout = log
 	pro.cmd.Stderr = log
+	// A test binary that is killed or times out must leave no process behind.
+	pro.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := pro.cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", pro.name)
 	}
