Name each invariant in the specs that prove it

Cause: the focus 'invariant 3' matched no spec. Change: each invariant is named in full; 'invariant 1 ' with a space excludes 10.

--- a/internal/failure/requests_test.go
+++ b/internal/failure/requests_test.go
@@ -133,7 +133,7 @@
 	}
 }
 
-var _ = Describe("invariants 6 and 7 (not run is true, at most once)", func() {
+var _ = Describe("invariant 6 and invariant 7 (not run is true, at most once)", func() {
 	// Guards against a booking that runs twice, or that runs although a caller was
 	// told "not run", when the parties to its attempt fail half way. The requests
 	// last 50 ms, most of their way, so that the fault finds many of them running.
--- a/internal/failure/stop_test.go
+++ b/internal/failure/stop_test.go
@@ -76,7 +76,7 @@
 	},
 }
 
-var _ = Describe("invariants 8 and 9 (leaving endpoint, graceful stop)", func() {
+var _ = Describe("invariant 8 and invariant 9 (leaving endpoint, graceful stop)", func() {
 	// Guards against requests that are lost, cut or sent to an endpoint that leaves:
 	// they are not idempotent, so nobody may repeat them.
 	DescribeTable("loses no request and sends none to the endpoint 3 s later",
--- a/internal/failure/tasks_test.go
+++ b/internal/failure/tasks_test.go
@@ -199,7 +199,7 @@
 	"answers lost": func(ctx context.Context, wrk work) { loseAnswers(ctx, wrk.fleet, 30) },
 }
 
-var _ = Describe("invariants 2 and 3 (one place, exactly once)", func() {
+var _ = Describe("invariant 2 and invariant 3 (one place, exactly once)", func() {
 	// Guards against a task that runs in two places or twice to its end, or that is
 	// lost, when the process that runs, controls or records it fails.
 	DescribeTable("a build and a watch",
