Serve the profiles of the Go runtime beside the metrics

Cause: the processor time of an idle agent needed an explanation. Change: /debug/pprof on the metrics address.

--- a/io/telemetry/telemetry.go
+++ b/io/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"sync/atomic"
 
@@ -67,13 +68,15 @@
 // SetLeaving is final.
 func (hea *Health) SetLeaving() { hea.state.Store(int32(Leaving)) }
 
-// Handler serves /metrics, /healthz and /readyz. Health answers 200 while the
+// Handler serves /metrics, /healthz, /readyz and the profiles of the Go runtime. Health answers 200 while the
 // process runs at all; readiness answers 200 only when it is ready.
 func Handler(hea *Health) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(rsp http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(rsp, true)
 	})
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /healthz", func(rsp http.ResponseWriter, _ *http.Request) {
 		writeState(rsp, http.StatusOK, hea.State())
 	})
