--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -132,7 +132,7 @@
 	lowestPart = 0.25
 	// urgentLoud is the number of tasks on an instance that don't fit beyond
 	// which even urgent ones are not added.
-	urgentLoud = 2
+	urgentLoud = 1
 	// slowPart is the part of the instances, as a divisor, that may run tasks
 	// of one class more slowly, so that a class is never stopped for good.
 	slowPart = 8
