--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -103,7 +103,7 @@
 func (grd *Guard[G]) Run(ctx context.Context) {
 	tkr := time.NewTicker(Period)
 	defer tkr.Stop()
-	decide := control.Func[agentstate.State](grd.decide)
+	decide := control.Func[agentstate.State](grd.Decide)
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,8 +127,8 @@
 	})
 }
 
-// decide ends a period. It runs on the control goroutine.
-func (grd *Guard[G]) decide(sta *agentstate.State, now time.Time) {
+// Decide ends a period. Only the control goroutine may call it; Run posts it.
+func (grd *Guard[G]) Decide(sta *agentstate.State, now time.Time) {
 	grd.adapt(sta, now)
 	if !grd.state.made {
 		grd.discard()
