Ping idle connections of the request pool only

Cause: owners and agents exchange renewals each 5 s, so pings of the idle connections between them cost bytes without need. Change: pools are kept warm by choice; profile and head are looked at each 500 ms.

--- a/io/node/agentnode/agentnode.go
+++ b/io/node/agentnode/agentnode.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	profilePeriod = 200 * time.Millisecond
+	profilePeriod = 500 * time.Millisecond
 	headerTimeout = 5 * time.Second
 )
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -33,7 +33,7 @@
 
 const (
 	controlQueue  = 8192 // events
-	headPeriod    = 200 * time.Millisecond
+	headPeriod    = 500 * time.Millisecond
 	readyPeriod   = 20 * time.Millisecond
 	headerTimeout = 5 * time.Second
 )
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	self := config.NewPeer(set.Instance(), set.PeerAddress(), set.Location(), member.Role(set.Role()))
+	poo.Requests().KeepWarm()
 	for _, pool := range []*peer.Pool{poo.Requests(), poo.Jobs(), poo.Config()} {
 		pool.SetRegions(nod.reach)
 	}
--- a/io/peer/liveness.go
+++ b/io/peer/liveness.go
@@ -7,11 +7,11 @@
 	PingPeriod   = 250 * time.Millisecond // while calls are in flight
 	SilenceLimit = time.Second
 	DialTimeout  = time.Second
-	// IdlePingPeriod is the pause between pings of a connection without calls, so
-	// that a call rarely meets a connection that went silent before it.
+	// IdlePingPeriod is the pause between pings of a connection without calls in a
+	// pool that keeps warm, so that a call rarely meets a connection that went silent before it.
 	IdlePingPeriod = 2 * time.Second
 	// IdleLimit closes unused connections well before a middlebox forgets them.
-	IdleLimit = 10 * time.Second
+	IdleLimit = 15 * time.Second
 )
 
 // action is what to do with a connection.
@@ -24,8 +24,9 @@
 	actUnused // close: not needed
 )
 
-// liveness decides about one connection. The zero value is a new connection.
+// liveness decides about one connection. The zero value is a new connection that is pinged during calls only.
 type liveness struct {
+	warm    bool      // ping also between calls
 	askedAt time.Time // since when an answer is due, zero when none is
 }
 
@@ -41,7 +42,7 @@
 	if !busy && now.Sub(lastUse) > IdleLimit {
 		return actUnused
 	}
-	if !busy && lvn.askedAt.IsZero() && now.Sub(lastRead) < IdlePingPeriod {
+	if !busy && lvn.askedAt.IsZero() && (!lvn.warm || now.Sub(lastRead) < IdlePingPeriod) {
 		return actNone
 	}
 	if lvn.askedAt.IsZero() {
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -31,6 +31,7 @@
 // value works and counts its bytes under the kind "other".
 type Pool struct {
 	kind    string
+	warm    bool
 	regions func(addr string) Reach
 	mu      sync.Mutex
 	links   map[string]*link
@@ -49,6 +50,11 @@
 // NewPool returns a pool whose bytes are counted under the kind.
 func NewPool(kind string) *Pool { return &Pool{kind: kind} }
 
+// KeepWarm makes the pool ping connections between calls too, for calls that must
+// not wait until a silent connection is found. Others save the bytes: a repeated
+// call finds it. It must be called before the first call.
+func (poo *Pool) KeepWarm() { poo.warm = true }
+
 // SetRegions sets the function that tells where an address is, for the byte
 // counters. It must be called before the first call.
 func (poo *Pool) SetRegions(reg func(addr string) Reach) { poo.regions = reg }
@@ -141,7 +147,7 @@
 	tkr := time.NewTicker(PingPeriod)
 	defer tkr.Stop()
 	var pinging atomic.Bool
-	var lvn liveness
+	lvn := liveness{warm: poo.warm}
 	for {
 		select {
 		case <-lnk.closed:
