--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -28,8 +28,8 @@
 // with running tasks. docs/CAPACITY.md derives its slopes from these figures.
 func measureCapacity(rep *report, opt options) error {
 	sizes := []int{3, 12, 24, 48}
-	if opt.quick {
-		sizes = sizes[:2]
+	if len(opt.sizes) > 0 {
+		sizes = opt.sizes
 	}
 	folder, err := os.MkdirTemp("", "jacinthpost-capacity")
 	if err != nil {
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -15,6 +16,7 @@
 	quick  bool
 	seeds  int
 	filter string
+	sizes  []int
 }
 
 // parts are the parts of the benchmark in the order in which they run.
@@ -28,11 +30,24 @@
 	{name: "capacity", run: measureCapacity, ask: true},
 }
 
+// addSizes reads a list of fleet sizes.
+func (opt *options) addSizes(list string) error {
+	for txt := range strings.SplitSeq(list, ",") {
+		size, err := strconv.Atoi(txt)
+		if err != nil || size < 3 || size > 60 {
+			return fmt.Errorf("%q is no size from 3 to 60", txt)
+		}
+		opt.sizes = append(opt.sizes, size)
+	}
+	return nil
+}
+
 func main() {
 	var opt options
 	flag.BoolVar(&opt.quick, "quick", false, "short runs of processes, for trials")
 	flag.IntVar(&opt.seeds, "seeds", 5, "number of seeds of each scenario")
 	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures whose name contains this")
+	flag.Func("sizes", "fleet sizes of the capacity part, separated by commas (default 3,12,24,48)", opt.addSizes)
 	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity; all but capacity when empty")
 	flag.Parse()
 	rep := newReport(os.Stdout)
