--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -177,11 +177,11 @@
 	f.Add("DELETE", "/v1/jobs/%2F", "-1", "\x00", []byte{0xff})
 	f.Fuzz(func(t *testing.T, method, path, timeout, key string, body []byte) {
 		if !strings.HasPrefix(path, "/v1/") || strings.ContainsAny(method+path, " \r\n\t\x00") || method == "" {
-			t.Skip()
+			return // not a request that the server would pass on
 		}
 		req, err := http.NewRequest(method, "http://entry"+path, bytes.NewReader(body))
 		if err != nil {
-			t.Skip()
+			return // not a request that the server would pass on
 		}
 		req.Header["Jacinthpost-Timeout-Millis"] = []string{timeout}
 		req.Header["Idempotency-Key"] = []string{key}
