Name the moves of a keyed request

Cause: functions returned two booleans around an answer, which a reader had to decode. Change: a move type tells what follows; no change of behaviour.

--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -20,6 +20,15 @@
 	recordPause = 200 * time.Millisecond
 )
 
+// move is what follows for a keyed request.
+type move int
+
+const (
+	moveDispatch move = iota // this entry has recorded an attempt and sends it
+	moveFollow               // another call has written the row
+	moveDone                 // the answer is final
+)
+
 // keyed is one keyed request on its way through this entry.
 type keyed struct {
 	req      Request
@@ -35,24 +44,23 @@
 // its row, so of all entries only the writer of the row's present version dispatches.
 func (rqs *Requests[P]) serveKeyed(ctx context.Context, req Request) Answer {
 	kyd := &keyed{req: req, rowKey: rowKey(req), digest: digest(req)}
-	mine, ans, done := rqs.claim(ctx, kyd, attempt.Record{}, 0)
-	for !done {
-		if mine {
-			mine, ans, done = rqs.dispatch(ctx, kyd)
-			continue
+	mov, ans := rqs.claim(ctx, kyd, attempt.Record{}, 0)
+	for mov != moveDone {
+		if mov == moveDispatch {
+			mov, ans = rqs.dispatch(ctx, kyd)
+		} else {
+			mov, ans = rqs.follow(ctx, kyd)
 		}
-		mine, ans, done = rqs.follow(ctx, kyd)
 	}
 	ans.attempts = kyd.attempts
 	return ans
 }
 
-// claim writes the row for the first or the next attempt. It reports whether
-// this entry may dispatch, or the final answer.
-func (rqs *Requests[P]) claim(ctx context.Context, kyd *keyed, prev attempt.Record, ver store.Version) (bool, Answer, bool) {
+// claim writes the row for the first or the next attempt.
+func (rqs *Requests[P]) claim(ctx context.Context, kyd *keyed, prev attempt.Record, ver store.Version) (move, Answer) {
 	can, found := rqs.choose(kyd.req.service, kyd.tried)
 	if !found {
-		return false, notRun(outcome.ReasonNoEndpoint, "no further endpoint of the service is known"), true
+		return moveDone, notRun(outcome.ReasonNoEndpoint, "no further endpoint of the service is known")
 	}
 	tgt := attempt.NewTarget(can.Instance(), can.Incarnation(), can.Address())
 	requestID := rqs.ports.NextID()
@@ -64,28 +72,28 @@
 	if res.Err() != nil {
 		// Nothing was dispatched. If the row was written after all, a later
 		// caller resolves it: the agent has never seen the request ID.
-		return false, notRun(outcome.ReasonStoreUnavailable, "the request could not be recorded"), true
+		return moveDone, notRun(outcome.ReasonStoreUnavailable, "the request could not be recorded")
 	}
 	kyd.version = res.Row().Version()
 	if res.Conflict() {
 		return rqs.adoptRow(kyd, res.Row())
 	}
 	kyd.record = rec
-	return true, Answer{}, false
+	return moveDispatch, Answer{}
 }
 
-func (rqs *Requests[P]) adoptRow(kyd *keyed, row store.Row) (bool, Answer, bool) {
+func (rqs *Requests[P]) adoptRow(kyd *keyed, row store.Row) (move, Answer) {
 	rec, err := decodeRecord(row.Value())
 	if err != nil {
-		return false, Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, "the row of the key is unreadable: "+err.Error())}, true
+		return moveDone, Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, "the row of the key is unreadable: "+err.Error())}
 	}
 	kyd.record = rec
 	kyd.version = row.Version()
-	return false, Answer{}, false
+	return moveFollow, Answer{}
 }
 
 // dispatch sends the attempt that this entry has recorded.
-func (rqs *Requests[P]) dispatch(ctx context.Context, kyd *keyed) (bool, Answer, bool) {
+func (rqs *Requests[P]) dispatch(ctx context.Context, kyd *keyed) (move, Answer) {
 	can := rqs.candidate(kyd.req.service, kyd.record.Target())
 	ans := rqs.attempt(ctx, kyd.req, can, kyd.record.RequestID())
 	kyd.attempts++
@@ -102,40 +110,40 @@
 }
 
 // settle records the end of an attempt and decides whether another one follows.
-func (rqs *Requests[P]) settle(ctx context.Context, kyd *keyed, ans Answer) (bool, Answer, bool) {
+func (rqs *Requests[P]) settle(ctx context.Context, kyd *keyed, ans Answer) (move, Answer) {
 	switch ans.outcome.Kind() {
 	case outcome.KindAnswered:
 		rqs.recordAnswer(ctx, kyd, ans)
-		return false, ans, true
+		return moveDone, ans
 	case outcome.KindNotRun:
 		kyd.tried = append(kyd.tried, kyd.record.Target().Instance())
 		return rqs.retry(ctx, kyd, ans)
 	default:
-		return false, ans, true
+		return moveDone, ans
 	}
 }
 
 // retry claims the next attempt after a proved not run, or records the proof and ends.
-func (rqs *Requests[P]) retry(ctx context.Context, kyd *keyed, ans Answer) (bool, Answer, bool) {
+func (rqs *Requests[P]) retry(ctx context.Context, kyd *keyed, ans Answer) (move, Answer) {
 	proved := kyd.record.NotRun()
 	if kyd.attempts < maxAttempts && ctx.Err() == nil && rqs.mayRetry(ans.outcome) {
-		mine, end, done := rqs.claim(ctx, kyd, proved, kyd.version)
-		if !done || end.outcome.Reason() != outcome.ReasonNoEndpoint {
-			return mine, end, done
+		mov, end := rqs.claim(ctx, kyd, proved, kyd.version)
+		if mov != moveDone || end.outcome.Reason() != outcome.ReasonNoEndpoint {
+			return mov, end
 		}
 	}
 	rqs.ports.Rows.Set(ctx, kyd.rowKey, kyd.version, encodeRecord(proved))
-	return false, ans, true
+	return moveDone, ans
 }
 
 // follow decides on a row that another call has written.
-func (rqs *Requests[P]) follow(ctx context.Context, kyd *keyed) (bool, Answer, bool) {
+func (rqs *Requests[P]) follow(ctx context.Context, kyd *keyed) (move, Answer) {
 	switch attempt.Decide(kyd.record, kyd.digest) {
 	case attempt.StepConflict:
-		return false, Answer{conflict: true, outcome: outcome.NotRun(outcome.ReasonAdmission, "the idempotency key was used for another request")}, true
+		return moveDone, Answer{conflict: true, outcome: outcome.NotRun(outcome.ReasonAdmission, "the idempotency key was used for another request")}
 	case attempt.StepReply:
 		keyedReplays.Inc()
-		return false, rqs.replay(ctx, kyd), true
+		return moveDone, rqs.replay(ctx, kyd)
 	case attempt.StepRetry:
 		return rqs.claim(ctx, kyd, kyd.record, kyd.version)
 	}
