Rename terms of the placement that need explaining

Cause: 'shelf', 'loud', 'tally' and 'bank' are no terms of the field. Change: deferred tasks, interfering tasks, counts, filled scheduler.

--- a/cmd/bench/decisions.go
+++ b/cmd/bench/decisions.go
@@ -250,8 +250,8 @@
 	rep.atLeast("decisions.identical-runs", same, 1, "boolean")
 }
 
-// bank is a scheduler filled to a number of workers with 15.6 tasks each.
-type bank struct {
+// filledScheduler is a scheduler filled to a number of workers with 15.6 tasks each.
+type filledScheduler struct {
 	scheduler *place.Scheduler[place.Scored]
 	free      map[fleet.InstanceID]resource.Vector
 	running   []place.Offer
@@ -264,61 +264,61 @@
 	twoYearWorkers = 1_400
 )
 
-func newBank(workers int) *bank {
-	bnk := &bank{scheduler: place.NewScheduler(place.Scored{}, 1), free: make(map[fleet.InstanceID]resource.Vector), now: time.Unix(0, 0)}
+func newFilledScheduler(workers int) *filledScheduler {
+	fis := &filledScheduler{scheduler: place.NewScheduler(place.Scored{}, 1), free: make(map[fleet.InstanceID]resource.Vector), now: time.Unix(0, 0)}
 	room := resource.New(32_000, 125_000, 0)
 	for pos := range workers {
 		sit := pos % 7
 		loc := fleet.NewLocation(fleet.Region(fmt.Sprint("region-", sit/4)), fleet.DataCentre(fmt.Sprint("dc-", sit)), fleet.Rack(fmt.Sprint("rack-", sit, "-", pos/140)))
 		id := fleet.InstanceID(fmt.Sprint("worker-", pos))
-		bnk.free[id] = room
-		bnk.scheduler.Join(place.NewInstance(id, loc, room, room, "catalog-core"), bnk.now)
+		fis.free[id] = room
+		fis.scheduler.Join(place.NewInstance(id, loc, room, room, "catalog-core"), fis.now)
 	}
 	for pos := range 20 {
-		bnk.scheduler.Paired("catalog-core", className(pos), 0.01*float64(pos%5), 100, bnk.now)
+		fis.scheduler.Paired("catalog-core", className(pos), 0.01*float64(pos%5), 100, fis.now)
 	}
 	for range int(float64(workers) * tasksPerWorker) {
-		bnk.submit()
+		fis.submit()
 	}
-	bnk.place()
-	return bnk
+	fis.place()
+	return fis
 }
 
 func className(pos int) fleet.JobClass { return fleet.JobClass(fmt.Sprint("class-", pos%20)) }
 
-func (bnk *bank) submit() {
-	bnk.serial++
-	num := bnk.serial
+func (fis *filledScheduler) submit() {
+	fis.serial++
+	num := fis.serial
 	job := fmt.Sprint("job-", num/20)
 	tsk := place.NewTask(place.TaskID(fmt.Sprint(job, "/", num%20)), job, fleet.Team(fmt.Sprint("team-", num/20%50)),
 		className(num/20), resource.New(int64(500+num%7*200), int64(2_000+num%5*1_000), 0))
-	bnk.scheduler.Submit(tsk, bnk.now)
+	fis.scheduler.Submit(tsk, fis.now)
 }
 
 // place sends offers until nothing fits and accepts them all.
-func (bnk *bank) place() int {
+func (fis *filledScheduler) place() int {
 	count := 0
 	for {
-		off, found := bnk.scheduler.Next(bnk.now)
+		off, found := fis.scheduler.Next(fis.now)
 		if !found {
 			return count
 		}
 		count++
-		bnk.free[off.Instance()] = bnk.free[off.Instance()].Minus(off.Size())
-		bnk.scheduler.Accepted(off.Task().ID(), bnk.free[off.Instance()])
-		bnk.running = append(bnk.running, off)
+		fis.free[off.Instance()] = fis.free[off.Instance()].Minus(off.Size())
+		fis.scheduler.Accepted(off.Task().ID(), fis.free[off.Instance()])
+		fis.running = append(fis.running, off)
 	}
 }
 
 // turn ends the oldest task and places a new one.
-func (bnk *bank) turn() {
-	off := bnk.running[0]
-	bnk.running = bnk.running[1:]
-	bnk.free[off.Instance()] = bnk.free[off.Instance()].Plus(off.Size())
-	bnk.now = bnk.now.Add(time.Second / 570)
-	bnk.scheduler.Ended(off.Task().ID(), place.Finished, off.Size(), "", bnk.now)
-	bnk.submit()
-	bnk.place()
+func (fis *filledScheduler) turn() {
+	off := fis.running[0]
+	fis.running = fis.running[1:]
+	fis.free[off.Instance()] = fis.free[off.Instance()].Plus(off.Size())
+	fis.now = fis.now.Add(time.Second / 570)
+	fis.scheduler.Ended(off.Task().ID(), place.Finished, off.Size(), "", fis.now)
+	fis.submit()
+	fis.place()
 }
 
 // processorTime returns the processor time used by the process, collection of
@@ -335,13 +335,13 @@
 // turnsPerSecond measures whole cycles of submit, place, accept and end per
 // second of processor time, which is what one core does.
 func turnsPerSecond(workers int) float64 {
-	bnk := newBank(workers)
+	fis := newFilledScheduler(workers)
 	rates := make([]float64, 0, 5)
 	for range 5 {
 		const turns = 30_000
 		begin := processorTime()
 		for range turns {
-			bnk.turn()
+			fis.turn()
 		}
 		rates = append(rates, turns/(processorTime()-begin).Seconds())
 	}
@@ -376,15 +376,15 @@
 // measureMemory counts the live heap of a full scheduler with 8,300 waiting tasks.
 func measureMemory(rep *report) {
 	before := liveHeap()
-	bnk := newBank(twoYearWorkers)
+	fis := newFilledScheduler(twoYearWorkers)
 	for range 8_300 {
-		bnk.submit()
+		fis.submit()
 	}
-	bnk.free, bnk.running = nil, nil
+	fis.free, fis.running = nil, nil
 	used := liveHeap() - before
-	rep.value("decisions.memory.placed", float64(bnk.scheduler.Placed()), "tasks")
+	rep.value("decisions.memory.placed", float64(fis.scheduler.Placed()), "tasks")
 	rep.atMost("decisions.memory", float64(used)/(1<<20), memoryBound, "MB")
-	runtime.KeepAlive(bnk)
+	runtime.KeepAlive(fis)
 }
 
 func liveHeap() int64 {
--- /dev/null
+++ b/core/place/deferred.go
@@ -0,0 +1,91 @@
+package place
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"jacinthpost/core/explain"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/queue"
+)
+
+const (
+	// deferredLimit is the number of tasks deferred of one class.
+	deferredLimit = 1 << 20
+	// deferredRetries is the number of tasks of a class that start a new try in each RetryPeriod.
+	deferredRetries = 8
+)
+
+func (sch *Scheduler[P]) findDeferred(cls fleet.JobClass) (int, bool) {
+	return slices.BinarySearchFunc(sch.deferrals, cls, func(dfr *deferral, key fleet.JobClass) int {
+		return strings.Compare(string(dfr.class), string(key))
+	})
+}
+
+func (sch *Scheduler[P]) hasDeferred(cls fleet.JobClass) bool {
+	pos, found := sch.findDeferred(cls)
+	return found && sch.deferrals[pos].tasks.Len() > 0
+}
+
+// deferTask keeps a task until tasks of its class may be placed again.
+func (sch *Scheduler[P]) deferTask(id TaskID, wai waiting, now time.Time) {
+	pos, found := sch.findDeferred(wai.task.class)
+	if !found {
+		dfr := &deferral{class: wai.task.class, tasks: *queue.New[TaskID, waiting](deferredLimit)}
+		sch.deferrals = slices.Insert(sch.deferrals, pos, dfr)
+	}
+	if wai.since.IsZero() {
+		wai.since = now
+	}
+	wai.retried = false
+	sch.deferrals[pos].tasks.Push(id, 0, wai.since, wai)
+	sch.deferred++
+}
+
+// requeueDeferred queues some tasks of a class again. Each that is placed brings one
+// more, so a deferral whose limit was lifted empties as fast as tasks start.
+func (sch *Scheduler[P]) requeueDeferred(cls fleet.JobClass, limit int) {
+	pos, found := sch.findDeferred(cls)
+	if !found {
+		return
+	}
+	dfr := sch.deferrals[pos]
+	for range limit {
+		ent, found := dfr.tasks.Pop()
+		if !found {
+			return
+		}
+		wai := ent.Value()
+		wai.retried = true
+		if !sch.queue.Add(ent.Key(), wai.task.team, wai.task.urgent, wai.task.deadline, wai) {
+			dfr.tasks.Push(ent.Key(), 0, wai.since, wai)
+			return
+		}
+		sch.deferred--
+	}
+}
+
+func (sch *Scheduler[P]) cancelDeferred(id TaskID) bool {
+	for _, dfr := range sch.deferrals {
+		if ent, found := dfr.tasks.Remove(id); found {
+			sch.deferred--
+			tsk := ent.Value().task
+			sch.know.closeTask(&tsk)
+			return true
+		}
+	}
+	return false
+}
+
+// gateRefusal explains why a policy takes no instance although one has room.
+func (sch *Scheduler[P]) gateRefusal(hos *Host, tsk *Task, now time.Time) explain.Reason {
+	for _, svc := range hos.instance.services {
+		pai := sch.know.pairings.Find(svc, tsk.class)
+		limit := pai.Estimate().TrialLimit(sch.know.instances)
+		if !pai.Estimate().Known() && pai.Running() >= limit {
+			return explain.New(explain.TrialLimit, now, string(tsk.id)).With(string(tsk.class)).Counts(pai.Running(), limit)
+		}
+	}
+	return explain.New(explain.PressureLimit, now, string(tsk.id)).With(string(tsk.class))
+}
--- a/core/place/direct.go
+++ b/core/place/direct.go
@@ -97,7 +97,7 @@
 	switch end {
 	case Finished:
 		ver = sch.know.blame.Succeeded(unit, ins, now)
-		sch.know.tally(plc.task.job).finished++
+		sch.know.countsOf(plc.task.job).finished++
 		sch.know.blame.Forget(string(id))
 		sch.record(explain.New(explain.Ended, now, string(id)).With(string(ins)).Detail("finished"))
 	case Failed:
--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -18,18 +18,18 @@
 // Host is the scheduler's view of one instance. Its amounts are hints: the
 // agent on the instance decides.
 type Host struct {
-	instance Instance
-	reported resource.Vector
-	pending  resource.Vector
-	site     *site
-	leaf     int
-	rack     int32
-	tasks    int
-	classes  []classUse // sorted by class
-	loud     int        // tasks that alone exceed what the services bear
-	drained  string
-	barred   bool
-	trial    bool
+	instance    Instance
+	reported    resource.Vector
+	pending     resource.Vector
+	site        *site
+	leaf        int
+	rack        int32
+	tasks       int
+	classes     []classUse // sorted by class
+	interfering int        // tasks that alone exceed what the services bear
+	drained     string
+	barred      bool
+	trial       bool
 }
 
 // Instance returns the description of the instance.
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -14,15 +14,15 @@
 	sizes    Sizes
 	pairings interfere.Pairings
 	blame    blame.Ledger
-	jobs     map[string]*jobTally
+	jobs     map[string]*jobCounts
 	largest  resource.Vector
 	// instances is the number of instances that have joined.
 	instances int
 	services  []fleet.Service // of all instances ever seen, sorted
 }
 
-// jobTally counts the tasks of a job that are waiting, running or set aside.
-type jobTally struct {
+// jobCounts counts the tasks of a job that are waiting, running or set aside.
+type jobCounts struct {
 	open     int32
 	placed   int32
 	finished int32
@@ -130,9 +130,9 @@
 	lowestSpeed = 0.3
 	// lowestPart is the least part of its processors that is reserved for a task.
 	lowestPart = 0.25
-	// urgentLoud is the number of tasks on an instance that don't fit beyond
+	// urgentInterfering is the number of tasks on an instance that don't fit beyond
 	// which even urgent ones are not added.
-	urgentLoud = 1
+	urgentInterfering = 1
 	// slowPart is the part of the instances, as a divisor, that may run tasks
 	// of one class more slowly, so that a class is never stopped for good.
 	slowPart = 8
@@ -142,13 +142,13 @@
 // fits into what the guard of the instance plans for, or it is the only task
 // there that does not fit and runs throttled. The number of tasks of an
 // unproven pairing is limited, unless even the worst known cost would be
-// negligible. Urgent tasks only keep to urgentLoud: more loud tasks on one
+// negligible. Urgent tasks only keep to urgentInterfering: more interfering tasks on one
 // instance would be throttled to a standstill with everything else there.
 func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, prr Pressure) bool {
 	if tsk.urgent {
-		return prr.fits() || hos.loud < urgentLoud
+		return prr.fits() || hos.interfering < urgentInterfering
 	}
-	if !prr.fits() && (hos.loud > 0 || !knw.bearsSlow(hos, tsk, prr)) {
+	if !prr.fits() && (hos.interfering > 0 || !knw.bearsSlow(hos, tsk, prr)) {
 		return false
 	}
 	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
@@ -178,9 +178,9 @@
 	return true
 }
 
-// Crowding returns the fractions of the placed tasks of the job that are in
+// Concentration returns the fractions of the placed tasks of the job that are in
 // the rack and in the data centre of the instance.
-func (knw *Knowledge) Crowding(hos *Host, tsk *Task) (rack, dataCentre float64) {
+func (knw *Knowledge) Concentration(hos *Host, tsk *Task) (rack, dataCentre float64) {
 	job := knw.jobs[tsk.job]
 	if job == nil || job.placed == 0 {
 		return 0, 0
@@ -213,13 +213,13 @@
 	return tsk.job
 }
 
-func (knw *Knowledge) tally(name string) *jobTally {
+func (knw *Knowledge) countsOf(name string) *jobCounts {
 	if knw.jobs == nil {
-		knw.jobs = make(map[string]*jobTally)
+		knw.jobs = make(map[string]*jobCounts)
 	}
 	job, found := knw.jobs[name]
 	if !found {
-		job = &jobTally{racks: make(map[int32]int32), sites: make(map[int32]int32)}
+		job = &jobCounts{racks: make(map[int32]int32), sites: make(map[int32]int32)}
 		knw.jobs[name] = job
 	}
 	return job
@@ -228,7 +228,7 @@
 // closeTask counts the end of a task and forgets a job without open tasks.
 func (knw *Knowledge) closeTask(tsk *Task) {
 	knw.blame.Forget(string(tsk.id))
-	job := knw.tally(tsk.job)
+	job := knw.countsOf(tsk.job)
 	job.open--
 	if job.open <= 0 {
 		delete(knw.jobs, tsk.job)
@@ -239,7 +239,7 @@
 // spread counts a task in or out of the rack and data centre of an instance
 // and in or out of the pairings with its services.
 func (knw *Knowledge) spread(hos *Host, tsk *Task, change int32) {
-	job := knw.tally(tsk.job)
+	job := knw.countsOf(tsk.job)
 	job.placed += change
 	count(job.racks, hos.rack, change)
 	count(job.sites, hos.site.index, change)
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -164,7 +164,7 @@
 
 func (sch *Scheduler[P]) finished(plc *placement, now time.Time) blame.Verdict {
 	ver := sch.know.blame.Succeeded(sch.know.unit(&plc.task), plc.host.instance.id, now)
-	sch.know.tally(plc.task.job).finished++
+	sch.know.countsOf(plc.task.job).finished++
 	sch.know.closeTask(&plc.task)
 	sch.apply(ver, now)
 	return ver
@@ -183,7 +183,7 @@
 	ver := sch.know.blame.Failed(unit, id, now)
 	sch.record(explain.New(explain.Failed, now, string(plc.task.id)).With(string(id)).Detail(detail).For(ver.Retry()))
 	if sch.know.blame.Parked(unit) {
-		job := sch.know.tally(plc.task.job)
+		job := sch.know.countsOf(plc.task.job)
 		job.parked = append(job.parked, plc.task)
 	} else {
 		sch.delay(plc.task, now.Add(ver.Retry()))
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -77,7 +77,7 @@
 // score returns the terms other than the slowdown of the services.
 func (Scored) score(can *Candidates, hos *Host, tsk *Task, knw *Knowledge) float64 {
 	score := load(hos, can.need)
-	rck, sit := knw.Crowding(hos, tsk)
+	rck, sit := knw.Concentration(hos, tsk)
 	score += rackWeight*rck + siteWeight*sit
 	if tsk.origin.Region() != "" {
 		score += [...]float64{0, siteMoveWeight, regionWeight}[tsk.origin.TierTo(hos.instance.location)]
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -67,30 +67,30 @@
 type waiting struct {
 	task    Task
 	since   time.Time // first set aside, zero before
-	retried bool      // taken from the shelf of its class
+	retried bool      // requeued after a deferral
 }
 
-// shelf holds the tasks of a class that no instance may take for a reason
+// deferral holds the tasks of a class that no instance may take for a reason
 // other than its free amounts. They wait apart, so that they don't block the
 // other tasks of their team.
-type shelf struct {
+type deferral struct {
 	class fleet.JobClass
 	tasks queue.Queue[TaskID, waiting]
 }
 
 // placement is a task that was offered or runs.
 type placement struct {
-	task     Task
-	host     *Host
-	size     resource.Vector
-	peak     resource.Vector
-	placed   time.Time
-	sequence uint64
-	accepted bool
-	sampled  bool
-	loud     bool
-	stopping bool
-	item     *heap.Item[newest]
+	task        Task
+	host        *Host
+	size        resource.Vector
+	peak        resource.Vector
+	placed      time.Time
+	sequence    uint64
+	accepted    bool
+	sampled     bool
+	interfering bool
+	stopping    bool
+	item        *heap.Item[newest]
 }
 
 // newest orders the running tasks of a team by their start, the latest first:
@@ -127,8 +127,8 @@
 	delays     heap.Heap[delayed]
 	delayItems map[TaskID]*heap.Item[delayed]
 	resting    []*Host
-	shelves    []*shelf // sorted by class
-	shelved    int
+	deferrals  []*deferral // sorted by class
+	deferred   int
 	log        explain.Log
 	candidates Candidates
 	sequence   uint64
@@ -147,7 +147,7 @@
 func (sch *Scheduler[P]) Hosts() *Hosts { return &sch.hosts }
 
 // Waiting returns the number of tasks in the queue, without delayed and parked ones.
-func (sch *Scheduler[P]) Waiting() int { return sch.queue.Len() + sch.shelved }
+func (sch *Scheduler[P]) Waiting() int { return sch.queue.Len() + sch.deferred }
 
 // Delayed returns the number of tasks that wait for their next attempt.
 func (sch *Scheduler[P]) Delayed() int { return sch.delays.Len() }
@@ -189,7 +189,7 @@
 	}
 	if sch.know.blame.Parked(tsk.job) {
 		sch.open(&tsk)
-		sch.know.tally(tsk.job).parked = append(sch.know.tally(tsk.job).parked, tsk)
+		sch.know.countsOf(tsk.job).parked = append(sch.know.countsOf(tsk.job).parked, tsk)
 		return explain.Reason{}, true
 	}
 	if !sch.queue.Add(tsk.id, tsk.team, tsk.urgent, tsk.deadline, waiting{task: tsk}) {
@@ -199,7 +199,7 @@
 	return explain.Reason{}, true
 }
 
-func (sch *Scheduler[P]) open(tsk *Task) { sch.know.tally(tsk.job).open++ }
+func (sch *Scheduler[P]) open(tsk *Task) { sch.know.countsOf(tsk.job).open++ }
 
 // Cancel removes a task that does not run, and reports whether it did. A
 // placed task must be stopped by its agent first and then ends with Cancelled.
@@ -215,7 +215,7 @@
 		sch.know.closeTask(&tsk)
 		return true
 	}
-	return sch.cancelShelved(id) || sch.cancelParked(id, job)
+	return sch.cancelDeferred(id) || sch.cancelParked(id, job)
 }
 
 func (sch *Scheduler[P]) cancelParked(id TaskID, name string) bool {
@@ -259,15 +259,15 @@
 }
 
 // divert takes a task out of the queue that needs no attempt: its job is
-// parked, or other tasks of its class wait on the shelf.
+// parked, or other tasks of its class are deferred.
 func (sch *Scheduler[P]) divert(id TaskID, wai waiting, now time.Time) bool {
 	switch {
 	case sch.know.blame.Parked(sch.know.unit(&wai.task)):
-		job := sch.know.tally(wai.task.job)
+		job := sch.know.countsOf(wai.task.job)
 		job.parked = append(job.parked, wai.task)
 		return true
-	case !wai.retried && !wai.task.urgent && sch.shelfHas(wai.task.class):
-		sch.shelve(id, wai, now)
+	case !wai.retried && !wai.task.urgent && sch.hasDeferred(wai.task.class):
+		sch.deferTask(id, wai, now)
 		return true
 	default:
 		return false
@@ -284,12 +284,12 @@
 	}
 	sch.put(wai.task, hos, need, now)
 	if wai.retried {
-		sch.unshelve(wai.task.class, 1)
+		sch.requeueDeferred(wai.task.class, 1)
 	}
 	return Offer{task: wai.task, instance: hos.instance.id, size: need}, true
 }
 
-// postpone sets a task aside, or on the shelf of its class when an instance
+// postpone sets a task aside, or defers it with its class when an instance
 // has room but the policy takes none.
 func (sch *Scheduler[P]) postpone(id TaskID, wai waiting, need resource.Vector, now time.Time) {
 	if wai.since.IsZero() {
@@ -302,7 +302,7 @@
 		sch.record(sch.refusal(&wai.task, need, now))
 	}
 	if hos != nil && !wai.task.urgent {
-		sch.shelve(id, wai, now)
+		sch.deferTask(id, wai, now)
 		return
 	}
 	wai.retried = false
@@ -325,8 +325,8 @@
 	}
 	sch.sequence++
 	plc := &placement{task: tsk, host: hos, size: size, placed: now, sequence: sch.sequence}
-	plc.loud = !sch.know.Pressure(hos, &tsk, size).fits()
-	hos.loud += countIf(plc.loud)
+	plc.interfering = !sch.know.Pressure(hos, &tsk, size).fits()
+	hos.interfering += countIf(plc.interfering)
 	hos.pending = hos.pending.Plus(size)
 	hos.tasks++
 	hos.use(tsk.class, &sch.know.pairings, size.MilliCPU())
@@ -357,7 +357,7 @@
 	}
 	hos.tasks--
 	hos.use(plc.task.class, &sch.know.pairings, -plc.size.MilliCPU())
-	hos.loud -= countIf(plc.loud)
+	hos.interfering -= countIf(plc.interfering)
 	sch.know.spread(hos, &plc.task, -1)
 	sch.queue.Ended(plc.task.team, plc.task.urgent, plc.size.MilliCPU())
 	sch.refresh(hos)
@@ -454,8 +454,8 @@
 		sch.requeue(del.task, now)
 	}
 	sch.review(now)
-	for _, she := range sch.shelves {
-		sch.unshelve(she.class, shelfRetries)
+	for _, dfr := range sch.deferrals {
+		sch.requeueDeferred(dfr.class, deferredRetries)
 	}
 	sch.queue.WakeAll()
 }
