Use core/lease in the runner and drop an adapter that only a test used

Cause: core/runner had its own lease arithmetic beside core/lease, and agentstate.Within was superseded by the shared control thread. Change: the runner calls lease.HolderEnd and uses its drift bound; Within is gone. Result: core/runner, core/lease, io/serve, io/taskhost, io/guard and io/node/agentnode pass with -race; no check was changed.

--- a/core/runner/clock.go
+++ b/core/runner/clock.go
@@ -4,18 +4,10 @@
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/lease"
 	"jacinthpost/core/worker"
 )
 
-// driftPercent bounds how much two clocks differ in rate.
-const driftPercent = 1
-
-// holderEnd returns when a lease ends for its holder, who counts from the time at
-// which the request was sent.
-func holderEnd(sent time.Time, lease time.Duration) time.Time {
-	return sent.Add(lease * 100 / (100 + driftPercent))
-}
-
 // clock relates the agent's clock to that of the worker.
 type clock struct {
 	incarnation fleet.Incarnation
@@ -28,11 +20,11 @@
 // arrived and may run slower by the drift bound.
 func (clo clock) deadline(end time.Time) worker.Instant {
 	left := end.Sub(clo.received)
-	return clo.reading.Add(left * (100 - driftPercent) / 100)
+	return clo.reading.Add(left * (100 - lease.DriftPercent) / 100)
 }
 
 // ends returns a time that is no later than the worker's clock reaches an instant.
 func (clo clock) ends(deadline worker.Instant) time.Time {
 	left := deadline.Sub(clo.reading)
-	return clo.received.Add(left * (100 - driftPercent) / 100)
+	return clo.received.Add(left * (100 - lease.DriftPercent) / 100)
 }
--- a/core/runner/owner.go
+++ b/core/runner/owner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"jacinthpost/core/lease"
 	"jacinthpost/core/worker"
 )
 
@@ -123,7 +124,7 @@
 	if tsk == nil || tsk.phase != Running && tsk.phase != Stopping {
 		return
 	}
-	if end := holderEnd(sent, grt.lease); end.After(tsk.leaseEnd) {
+	if end := lease.HolderEnd(sent, grt.lease); end.After(tsk.leaseEnd) {
 		tsk.lease, tsk.leaseEnd, tsk.extendAt = grt.lease, end, time.Time{}
 	}
 }
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -31,6 +31,7 @@
 	"slices"
 	"time"
 
+	"jacinthpost/core/lease"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/worker"
@@ -197,7 +198,7 @@
 		run.remove(tsk)
 		return nil
 	}
-	tsk.lease, tsk.leaseEnd = ans.lease, holderEnd(ans.sent, ans.lease)
+	tsk.lease, tsk.leaseEnd = ans.lease, lease.HolderEnd(ans.sent, ans.lease)
 	if out, ok := run.site.StartsAllowed(now); !ok {
 		run.end(tsk, EndNotStarted, "starts are not allowed: "+string(out.Reason()), now)
 		return nil
--- a/io/agentstate/agentstate.go
+++ b/io/agentstate/agentstate.go
@@ -3,8 +3,7 @@
 //
 // One control loop owns a State. Packages io/serve and io/taskhost post their
 // events to it, and other parts of the agent read the View that is published
-// after every event that changes it. A process whose loop owns more than this
-// state passes the loop through Within.
+// after every event that changes it. The loop shares the control thread of the process.
 package agentstate
 
 import (
@@ -150,29 +149,6 @@
 	TryPost(evt control.Event[State]) bool
 }
 
-// part adapts a loop over a larger state.
-type part[S any] struct {
-	loop *control.Loop[S]
-	pick func(*S) *State
-}
-
-// Within returns the port to a State that is part of the state of a loop.
-func Within[S any](lop *control.Loop[S], pick func(*S) *State) Loop {
-	return part[S]{loop: lop, pick: pick}
-}
-
-func (prt part[S]) event(evt control.Event[State]) control.Event[S] {
-	return control.Func[S](func(sta *S, now time.Time) { evt.Apply(prt.pick(sta), now) })
-}
-
-// Post implements Loop.
-func (prt part[S]) Post(ctx context.Context, evt control.Event[State]) error {
-	return prt.loop.Post(ctx, prt.event(evt))
-}
-
-// TryPost implements Loop.
-func (prt part[S]) TryPost(evt control.Event[State]) bool { return prt.loop.TryPost(prt.event(evt)) }
-
 // Ask runs a function on the control goroutine and returns its result.
 func Ask[R any](ctx context.Context, lop Loop, ask func(sta *State, now time.Time) R) (R, error) {
 	res := make(chan R, 1)
--- a/io/serve/serve_test.go
+++ b/io/serve/serve_test.go
@@ -52,9 +52,6 @@
 	}
 }
 
-// process is the control state of a process that has more than one role.
-type process struct{ agent *agentstate.State }
-
 // agent is a service on a running loop whose endpoint has two slots.
 type agent struct {
 	*serve.Service
@@ -70,9 +67,9 @@
 	sta := agentstate.New(sitefake.Site{}, ledger.NewCapacity(ledger.DefaultReservePercent), intake.DefaultOptions())
 	sta.Ledger().Rebuild(resource.New(8000, 8000, 0))
 	sta.Intake().Hear(admit.NewAnnouncement("svc", "addr", 1).WithCapacity(2, 64, resource.Vector{}), time.Now().Add(time.Hour))
-	lop := control.NewLoop(&process{agent: sta}, 1024, nil)
+	lop := control.NewLoop(sta, 1024, nil)
 	go lop.Run(ctx)
-	svc := serve.New(ctx, agentstate.Within(lop, func(prc *process) *agentstate.State { return prc.agent }), end, 7, nil)
+	svc := serve.New(ctx, lop, end, 7, nil)
 	go svc.Run(ctx)
 	return &agent{Service: svc, end: end, ctx: ctx}
 }
