Use one process type and one peer type of core/fleet

attempt.Target and partition.Identity had the same three fields, and job.Holder two of them. fleet.Process and fleet.Peer replace them, so that a value moves between the packages without conversion. No change of behaviour.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -47,44 +47,23 @@
 // Object returns the key of the body in the object store, empty when it is in the row.
 func (ans Answer) Object() string { return ans.object }
 
-// Target is the agent that an attempt is sent to.
-type Target struct {
-	instance    fleet.InstanceID
-	incarnation fleet.Incarnation
-	address     string
-}
-
-// NewTarget returns a target.
-func NewTarget(ins fleet.InstanceID, inc fleet.Incarnation, addr string) Target {
-	return Target{instance: ins, incarnation: inc, address: addr}
-}
-
-// Instance returns the instance of the agent.
-func (tgt Target) Instance() fleet.InstanceID { return tgt.instance }
-
-// Incarnation returns the incarnation of the agent.
-func (tgt Target) Incarnation() fleet.Incarnation { return tgt.incarnation }
-
-// Address returns the address of the agent.
-func (tgt Target) Address() string { return tgt.address }
-
 // Record is the content of a key's row.
 type Record struct {
 	digest    string
 	number    int
 	requestID string
-	target    Target
+	target    fleet.Peer
 	state     State
 	answer    Answer
 }
 
 // Start returns the record of the first attempt for a request with the digest.
-func Start(digest, requestID string, tgt Target) Record {
+func Start(digest, requestID string, tgt fleet.Peer) Record {
 	return Record{digest: digest, number: 1, requestID: requestID, target: tgt, state: StateStarted}
 }
 
 // Restore returns a record read from the table.
-func Restore(digest string, number int, requestID string, tgt Target, sta State, ans Answer) Record {
+func Restore(digest string, number int, requestID string, tgt fleet.Peer, sta State, ans Answer) Record {
 	return Record{digest: digest, number: number, requestID: requestID, target: tgt, state: sta, answer: ans}
 }
 
@@ -98,7 +77,7 @@
 func (rec Record) RequestID() string { return rec.requestID }
 
 // Target returns the agent the attempt was sent to.
-func (rec Record) Target() Target { return rec.target }
+func (rec Record) Target() fleet.Peer { return rec.target }
 
 // State returns the state of the attempt.
 func (rec Record) State() State { return rec.state }
@@ -108,7 +87,7 @@
 
 // Next returns the record of the following attempt. Calling it before the
 // present attempt is proved not run is a broken invariant.
-func (rec Record) Next(requestID string, tgt Target) Record {
+func (rec Record) Next(requestID string, tgt fleet.Peer) Record {
 	if rec.state != StateNotRun {
 		panic("attempt: next attempt of " + rec.requestID + " while it is " + string(rec.state))
 	}
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/attempt"
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
 )
 
@@ -16,7 +17,7 @@
 }
 
 var (
-	first   = attempt.Start("d1", "e1.1.1", attempt.NewTarget("a1", 7, "127.0.0.1:1"))
+	first   = attempt.Start("d1", "e1.1.1", fleet.NewPeer("a1", 7, "127.0.0.1:1"))
 	noReply = attempt.Answer{}
 )
 
@@ -44,12 +45,12 @@
 
 var _ = Describe("Next", func() {
 	It("numbers the next attempt after a proved not run", func() {
-		rec := first.NotRun().Next("e2.1.1", attempt.NewTarget("a2", 1, ""))
+		rec := first.NotRun().Next("e2.1.1", fleet.NewPeer("a2", 1, ""))
 		Expect(rec.Number()).To(Equal(2))
 		Expect(rec.State()).To(Equal(attempt.StateStarted))
 		Expect(rec.Digest()).To(Equal("d1"))
 	})
 	It("stops the process rather than running a request twice", func() {
-		Expect(func() { first.Next("e2.1.1", attempt.Target{}) }).To(Panic())
+		Expect(func() { first.Next("e2.1.1", fleet.Peer{}) }).To(Panic())
 	})
 })
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -67,7 +67,7 @@
 	}
 	for idx := range instances {
 		loc := fleet.NewLocation("region", fleet.DataCentre(fmt.Sprintf("dc-%d", idx%centres)), fleet.Rack(fmt.Sprintf("rack-%d", idx/3)))
-		hol := job.NewHolder(fleet.InstanceID(fmt.Sprintf("agent-%04d", idx)), 1)
+		hol := fleet.NewProcess(fleet.InstanceID(fmt.Sprintf("agent-%04d", idx)), 1)
 		wld.instances = append(wld.instances, &instance{hint: job.NewInstance(hol, loc, resource.New(8000, 8000, 0), job.Alive)})
 	}
 	wld.logs = make([][]job.Record, partitions)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -30,6 +30,43 @@
 // A later process always has a higher incarnation.
 type Incarnation uint64
 
+// Process is one process of an instance. Task leases are granted to it.
+type Process struct {
+	instance    InstanceID
+	incarnation Incarnation
+}
+
+// NewProcess returns the process of an instance with an incarnation.
+func NewProcess(ins InstanceID, inc Incarnation) Process {
+	return Process{instance: ins, incarnation: inc}
+}
+
+// Instance returns the instance.
+func (pro Process) Instance() InstanceID { return pro.instance }
+
+// Incarnation returns the incarnation.
+func (pro Process) Incarnation() Incarnation { return pro.incarnation }
+
+// Peer is a process and the address of its calls.
+type Peer struct {
+	process Process
+	address string
+}
+
+// NewPeer returns the peer with an instance, an incarnation and an address.
+func NewPeer(ins InstanceID, inc Incarnation, addr string) Peer {
+	return Peer{process: NewProcess(ins, inc), address: addr}
+}
+
+// Instance returns the instance.
+func (per Peer) Instance() InstanceID { return per.process.instance }
+
+// Incarnation returns the incarnation.
+func (per Peer) Incarnation() Incarnation { return per.process.incarnation }
+
+// Address returns the address that takes calls.
+func (per Peer) Address() string { return per.address }
+
 // Location is the position of an instance in a deployment.
 type Location struct {
 	region     Region
--- a/core/job/bench_test.go
+++ b/core/job/bench_test.go
@@ -16,7 +16,7 @@
 	part    *job.Partition[*job.Simple]
 	now     time.Time
 	running []job.Ref
-	holders []job.Holder // of the running tasks
+	holders []fleet.Process // of the running tasks
 	events  int
 	key     int
 }
@@ -30,7 +30,7 @@
 	var list []job.Instance
 	for idx := range 1400 {
 		loc := fleet.NewLocation("r", fleet.DataCentre(fmt.Sprint("d", idx%7)), fleet.Rack(fmt.Sprint("k", idx/3)))
-		list = append(list, job.NewInstance(job.NewHolder(fleet.InstanceID(fmt.Sprintf("i%04d", idx)), 1), loc, resource.New(32000, 125000, 0), job.Alive))
+		list = append(list, job.NewInstance(fleet.NewProcess(fleet.InstanceID(fmt.Sprintf("i%04d", idx)), 1), loc, resource.New(32000, 125000, 0), job.Alive))
 	}
 	ben.part.Observe(ben.env(), list)
 	ben.part.TakeOver(ben.env(), 1)
--- a/core/job/effect.go
+++ b/core/job/effect.go
@@ -28,12 +28,12 @@
 // Offer asks an instance to reserve capacity for a task.
 type Offer struct {
 	durable
-	to   Holder
+	to   fleet.Process
 	task Task
 }
 
 // To returns the instance asked.
-func (off Offer) To() Holder { return off.to }
+func (off Offer) To() fleet.Process { return off.to }
 
 // Task returns the task offered.
 func (off Offer) Task() Task { return off.task }
--- a/core/job/end.go
+++ b/core/job/end.go
@@ -64,7 +64,7 @@
 	held := tsk.act != nil
 	end = tsk.normalize(end)
 	end.evicted = end.evicted || tsk.state == Stopping && !tsk.entry.cancelled
-	viw, ins := tsk.view(), tsk.holder.instance
+	viw, ins := tsk.view(), tsk.holder.Instance()
 	ref := tsk.ref(tsk.assigned)
 	par.record(out, NewRecord(TaskEnded, ref, env.now.UnixMilli()).WithEnd(end))
 	if !held {
@@ -103,19 +103,19 @@
 // Adopted takes in an instance's list of the assignments of this partition that
 // it holds. Until it is ready, that is, until its list is rebuilt from its
 // worker, the answer proves nothing.
-func (par *Partition[P]) Adopted(env Env, hol Holder, ready bool, held []Ref) *Output {
+func (par *Partition[P]) Adopted(env Env, hol fleet.Process, ready bool, held []Ref) *Output {
 	out := &Output{}
 	if !ready {
 		return out
 	}
-	stp := Stop{to: hol.instance}
+	stp := Stop{to: hol.Instance()}
 	listed := make(map[Ref]bool, len(held))
 	for _, ref := range held {
 		listed[ref] = true
 		tsk := par.find(ref)
-		if tsk != nil && tsk.current(ref, hol.instance) {
+		if tsk != nil && tsk.current(ref, hol.Instance()) {
 			tsk.act.unconfirmed = false
-			tsk.act.location = par.instances[hol.instance].location
+			tsk.act.location = par.instances[hol.Instance()].location
 			continue
 		}
 		if tsk == nil || tsk.act == nil || tsk.act.token != ref.token {
@@ -172,7 +172,7 @@
 // lease has certainly stopped by the granter's end.
 func (par *Partition[P]) expire(env Env, out *Output, tsk *task) {
 	if tsk.state == Offered {
-		par.placement.Answered(NoAnswer(tsk.ref(tsk.act.token), tsk.act.holder.instance), env.now)
+		par.placement.Answered(NoAnswer(tsk.ref(tsk.act.token), tsk.act.holder.Instance()), env.now)
 		par.withdraw(tsk)
 		return
 	}
@@ -208,7 +208,7 @@
 		if tsk.act == nil || tsk.state != Offered {
 			continue
 		}
-		if ins, found := par.instances[tsk.act.holder.instance]; !found || ins.holder != tsk.act.holder || ins.health != Alive {
+		if ins, found := par.instances[tsk.act.holder.Instance()]; !found || ins.holder != tsk.act.holder || ins.health != Alive {
 			par.withdraw(tsk)
 		}
 	}
@@ -260,6 +260,6 @@
 		}
 		quota[dce]++
 		par.setState(tsk, Stopping)
-		out.emit(Stop{durable: durable{after: tsk.entry.recorded}, to: tsk.act.holder.instance, orders: []StopOrder{tsk.stopOrder()}})
+		out.emit(Stop{durable: durable{after: tsk.entry.recorded}, to: tsk.act.holder.Instance(), orders: []StopOrder{tsk.stopOrder()}})
 	}
 }
--- a/core/job/export_test.go
+++ b/core/job/export_test.go
@@ -44,11 +44,11 @@
 		for idx := range ent.tasks {
 			tsk := &ent.tasks[idx]
 			buf = Put(buf, int64(tsk.state), Bit(tsk.open), Bit(tsk.queued), int64(tsk.assigned.Epoch()), int64(tsk.assigned.Sequence()),
-				int64(tsk.holder.incarnation))
-			buf = append(append(buf, tsk.holder.instance...), tsk.checkpoint...)
+				int64(tsk.holder.Incarnation()))
+			buf = append(append(buf, tsk.holder.Instance()...), tsk.checkpoint...)
 			if act := tsk.act; act != nil {
-				buf = Put(buf, int64(act.token.Epoch()), int64(act.token.Sequence()), int64(act.holder.incarnation), act.until.UnixNano(), Bit(act.unconfirmed))
-				buf = append(buf, act.holder.instance...)
+				buf = Put(buf, int64(act.token.Epoch()), int64(act.token.Sequence()), int64(act.holder.Incarnation()), act.until.UnixNano(), Bit(act.unconfirmed))
+				buf = append(buf, act.holder.Instance()...)
 			}
 		}
 	}
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -144,23 +144,6 @@
 // Token returns the token of the assignment.
 func (ref Ref) Token() token.Token { return ref.token }
 
-// Holder is a process that can hold task leases.
-type Holder struct {
-	instance    fleet.InstanceID
-	incarnation fleet.Incarnation
-}
-
-// NewHolder returns the holder with an instance and an incarnation.
-func NewHolder(ins fleet.InstanceID, inc fleet.Incarnation) Holder {
-	return Holder{instance: ins, incarnation: inc}
-}
-
-// Instance returns the instance of the holder.
-func (hol Holder) Instance() fleet.InstanceID { return hol.instance }
-
-// Incarnation returns the incarnation of the holder.
-func (hol Holder) Incarnation() fleet.Incarnation { return hol.incarnation }
-
 // EndKind is how an assignment ended.
 type EndKind int
 
--- a/core/job/offer.go
+++ b/core/job/offer.go
@@ -79,14 +79,14 @@
 
 // withdraw ends an offer. Its token is outdated from now on, so a late claim is refused.
 func (par *Partition[P]) withdraw(tsk *task) {
-	par.placement.Withdrawn(tsk.view(), tsk.act.holder.instance)
+	par.placement.Withdrawn(tsk.view(), tsk.act.holder.Instance())
 	par.setState(tsk, Queued)
 }
 
 // Claim takes in the claim of an offer. The assignment is recorded before the
 // grant is released. A claim of the current assignment by the same process is
 // granted again, because the first grant may have been lost.
-func (par *Partition[P]) Claim(env Env, tag Tag, ref Ref, hol Holder) *Output {
+func (par *Partition[P]) Claim(env Env, tag Tag, ref Ref, hol fleet.Process) *Output {
 	out := &Output{}
 	tsk := par.find(ref)
 	reason := par.refuseClaim(env, tsk, ref, hol)
@@ -107,7 +107,7 @@
 }
 
 // refuseClaim returns why a claim cannot be granted, empty if it can.
-func (par *Partition[P]) refuseClaim(env Env, tsk *task, ref Ref, hol Holder) string {
+func (par *Partition[P]) refuseClaim(env Env, tsk *task, ref Ref, hol fleet.Process) string {
 	switch {
 	case !env.owns():
 		return RefusedNotOwner
@@ -143,7 +143,7 @@
 // Renew renews the leases of the current assignments among those listed and
 // orders the others to stop. A cancelled task is not renewed, so that it ends
 // with its lease if the stop order does not arrive.
-func (par *Partition[P]) Renew(env Env, tag Tag, hol Holder, tasks []Progress) *Output {
+func (par *Partition[P]) Renew(env Env, tag Tag, hol fleet.Process, tasks []Progress) *Output {
 	out := &Output{}
 	rep := RenewReply{tag: tag}
 	if !env.owns() {
@@ -152,7 +152,7 @@
 	}
 	for _, prg := range tasks {
 		tsk := par.find(prg.ref)
-		if tsk == nil || !tsk.current(prg.ref, hol.instance) || !env.now.Before(tsk.act.until) {
+		if tsk == nil || !tsk.current(prg.ref, hol.Instance()) || !env.now.Before(tsk.act.until) {
 			if tsk == nil || tsk.act == nil || tsk.act.token != prg.ref.token {
 				rep.stops = append(rep.stops, StopOrder{ref: prg.ref, checkpoint: true, reason: RefusedOutdated})
 			}
@@ -175,7 +175,7 @@
 func (tsk *task) current(ref Ref, ins fleet.InstanceID) bool {
 	switch tsk.state {
 	case Assigned, Running, Stopping:
-		return tsk.assigned == ref.token && tsk.act.holder.instance == ins
+		return tsk.assigned == ref.token && tsk.act.holder.Instance() == ins
 	default:
 		return false
 	}
@@ -185,7 +185,7 @@
 	act := tsk.act
 	act.unconfirmed, act.progress = false, prg.percent
 	if act.location == (fleet.Location{}) {
-		act.location = par.instances[act.holder.instance].location
+		act.location = par.instances[act.holder.Instance()].location
 	}
 	if tsk.state == Assigned {
 		par.setState(tsk, Running)
--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -114,8 +114,8 @@
 	open       bool // the assignment of the token may still end
 	queued     bool
 	listed     bool
-	assigned   token.Token // latest assignment
-	holder     Holder      // of the latest assignment
+	assigned   token.Token   // latest assignment
+	holder     fleet.Process // of the latest assignment
 	counters   Counters
 	checkpoint string
 	detail     string
@@ -126,7 +126,7 @@
 // activity is the offer or the running assignment of a task.
 type activity struct {
 	token       token.Token
-	holder      Holder
+	holder      fleet.Process
 	location    fleet.Location
 	until       time.Time // end of the offer, or of the lease as the granter counts it
 	seen        string    // last checkpoint that the agent reported
@@ -189,8 +189,8 @@
 			}
 			tsk.act.until = lease.GranterEnd(env.now, ent.spec.Lease())
 			tsk.act.unconfirmed = true
-			tsk.act.location = par.instances[tsk.holder.instance].location
-			par.placement.Committed(tsk.view(), tsk.holder.instance)
+			tsk.act.location = par.instances[tsk.holder.Instance()].location
+			par.placement.Committed(tsk.view(), tsk.holder.Instance())
 		}
 	}
 	par.adopt(env, out)
@@ -203,7 +203,7 @@
 	var ids []fleet.InstanceID
 	for _, tsk := range par.active {
 		if tsk.act != nil && tsk.act.unconfirmed {
-			ids = append(ids, tsk.act.holder.instance)
+			ids = append(ids, tsk.act.holder.Instance())
 		}
 	}
 	slices.Sort(ids)
@@ -240,7 +240,7 @@
 	if tsk.act != nil {
 		tok = tsk.act.token
 	}
-	return Task{ref: tsk.ref(tok), spec: tsk.entry.spec, counters: tsk.counters, checkpoint: tsk.checkpoint, last: tsk.holder.instance}
+	return Task{ref: tsk.ref(tok), spec: tsk.entry.spec, counters: tsk.counters, checkpoint: tsk.checkpoint, last: tsk.holder.Instance()}
 }
 
 // setState moves a task to a state and keeps the queue and the counts in step.
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -19,7 +19,7 @@
 
 // Instance is a hint about an instance that may run tasks.
 type Instance struct {
-	holder   Holder
+	holder   fleet.Process
 	location fleet.Location
 	service  fleet.Service
 	capacity resource.Vector
@@ -27,7 +27,7 @@
 }
 
 // NewInstance returns a hint.
-func NewInstance(hol Holder, loc fleet.Location, capacity resource.Vector, hlt Health) Instance {
+func NewInstance(hol fleet.Process, loc fleet.Location, capacity resource.Vector, hlt Health) Instance {
 	return Instance{holder: hol, location: loc, capacity: capacity, health: hlt}
 }
 
@@ -38,10 +38,10 @@
 }
 
 // Holder returns the instance and its incarnation.
-func (ins Instance) Holder() Holder { return ins.holder }
+func (ins Instance) Holder() fleet.Process { return ins.holder }
 
 // ID returns the instance.
-func (ins Instance) ID() fleet.InstanceID { return ins.holder.instance }
+func (ins Instance) ID() fleet.InstanceID { return ins.holder.Instance() }
 
 // Location returns where the instance is.
 func (ins Instance) Location() fleet.Location { return ins.location }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -1,6 +1,10 @@
 package job
 
-import "jacinthpost/core/token"
+import (
+	"jacinthpost/core/token"
+
+	"jacinthpost/core/fleet"
+)
 
 // RecordKind says which durable fact a record states.
 type RecordKind int
@@ -63,7 +67,7 @@
 	ref      Ref
 	spec     Spec
 	digest   string
-	holder   Holder
+	holder   fleet.Process
 	end      End
 	state    State
 	open     bool
@@ -82,7 +86,7 @@
 }
 
 // WithHolder returns the record with the holder of the assignment.
-func (rec Record) WithHolder(hol Holder) Record {
+func (rec Record) WithHolder(hol fleet.Process) Record {
 	rec.holder = hol
 	return rec
 }
@@ -116,7 +120,7 @@
 func (rec Record) Digest() string { return rec.digest }
 
 // Holder returns the holder of the assignment.
-func (rec Record) Holder() Holder { return rec.holder }
+func (rec Record) Holder() fleet.Process { return rec.holder }
 
 // End returns the end, checkpoint or explanation.
 func (rec Record) End() End { return rec.end }
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -103,7 +103,7 @@
 func (par *Partition[P]) withdrawOffers(ent *entry) {
 	for idx := range ent.tasks {
 		if tsk := &ent.tasks[idx]; tsk.state == Offered {
-			par.placement.Withdrawn(tsk.view(), tsk.act.holder.instance)
+			par.placement.Withdrawn(tsk.view(), tsk.act.holder.Instance())
 		}
 	}
 }
@@ -117,7 +117,7 @@
 		if tsk.state != Stopping {
 			continue
 		}
-		ins := tsk.act.holder.instance
+		ins := tsk.act.holder.Instance()
 		if orders[ins] == nil {
 			ids = append(ids, ins)
 		}
@@ -173,7 +173,7 @@
 type TaskStatus struct {
 	state      State
 	token      token.Token
-	holder     Holder
+	holder     fleet.Process
 	counters   Counters
 	checkpoint string
 	progress   int
@@ -188,7 +188,7 @@
 func (sta TaskStatus) Token() token.Token { return sta.token }
 
 // Holder returns the holder of the latest assignment.
-func (sta TaskStatus) Holder() Holder { return sta.holder }
+func (sta TaskStatus) Holder() fleet.Process { return sta.holder }
 
 // Counters returns the attempts, evictions and failures.
 func (sta TaskStatus) Counters() Counters { return sta.counters }
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -110,8 +110,8 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func holder(idx int, inc fleet.Incarnation) job.Holder {
-	return job.NewHolder(fleet.InstanceID(rune('x'+idx)), inc)
+func holder(idx int, inc fleet.Incarnation) fleet.Process {
+	return fleet.NewProcess(fleet.InstanceID(rune('x'+idx)), inc)
 }
 
 func (wld *world) env(own *owner) job.Env {
--- a/core/partition/ownership.go
+++ b/core/partition/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/lease"
 	"jacinthpost/core/store"
 )
@@ -18,7 +19,7 @@
 
 // Ownership is one process's view of one partition.
 type Ownership struct {
-	self         Identity
+	self         fleet.Peer
 	phase        phase
 	seen         Sighting
 	seenAt       time.Time // when this version was first seen; zero before the first read
@@ -36,7 +37,7 @@
 }
 
 // NewOwnership returns the view of a process that has not read the row yet.
-func NewOwnership(self Identity) *Ownership { return &Ownership{self: self} }
+func NewOwnership(self fleet.Peer) *Ownership { return &Ownership{self: self} }
 
 // Seen returns the last sighting.
 func (own *Ownership) Seen() Sighting { return own.seen }
--- a/core/partition/partition.go
+++ b/core/partition/partition.go
@@ -37,42 +37,21 @@
 	RebalanceDelay = 30 * time.Second
 )
 
-// Identity names a process that can own partitions.
-type Identity struct {
-	instance    fleet.InstanceID
-	incarnation fleet.Incarnation
-	address     string
-}
-
-// NewIdentity returns the identity of a process with its peer address.
-func NewIdentity(ins fleet.InstanceID, inc fleet.Incarnation, addr string) Identity {
-	return Identity{instance: ins, incarnation: inc, address: addr}
-}
-
-// Instance returns the instance of the process.
-func (idy Identity) Instance() fleet.InstanceID { return idy.instance }
-
-// Incarnation returns the incarnation of the process.
-func (idy Identity) Incarnation() fleet.Incarnation { return idy.incarnation }
-
-// Address returns the peer address of the process.
-func (idy Identity) Address() string { return idy.address }
-
 // Row is the content of a partition row. The zero value is an absent row.
 type Row struct {
-	owner    Identity
+	owner    fleet.Peer
 	epoch    uint64
 	renewals uint64
 	released bool
 }
 
 // NewRow returns the content of a partition row.
-func NewRow(owner Identity, epoch, renewals uint64, released bool) Row {
+func NewRow(owner fleet.Peer, epoch, renewals uint64, released bool) Row {
 	return Row{owner: owner, epoch: epoch, renewals: renewals, released: released}
 }
 
 // Owner returns the process that wrote the row.
-func (row Row) Owner() Identity { return row.owner }
+func (row Row) Owner() fleet.Peer { return row.owner }
 
 // Epoch returns the number of the ownership, which grows with each takeover.
 func (row Row) Epoch() uint64 { return row.epoch }
--- a/core/partition/partition_test.go
+++ b/core/partition/partition_test.go
@@ -131,7 +131,7 @@
 			reg := &register{}
 			var prcs []*process
 			for idx := range 2 {
-				self := partition.NewIdentity(fleet.InstanceID(rune('a'+idx)), 1, "")
+				self := fleet.NewPeer(fleet.InstanceID(rune('a'+idx)), 1, "")
 				prcs = append(prcs, &process{own: partition.NewOwnership(self), offset: time.Duration(idx) * time.Hour,
 					drift: rapid.SampledFrom([]int64{-4, 0, 4}).Draw(rt, "drift")})
 			}
@@ -167,8 +167,8 @@
 	// Guards against a planned stop that leaves the partition without an owner for a lease time.
 	It("is taken over at once after a release", func() {
 		reg, now := &register{}, time.Second
-		one := &process{own: partition.NewOwnership(partition.NewIdentity("a", 1, ""))}
-		two := &process{own: partition.NewOwnership(partition.NewIdentity("b", 1, ""))}
+		one := &process{own: partition.NewOwnership(fleet.NewPeer("a", 1, ""))}
+		two := &process{own: partition.NewOwnership(fleet.NewPeer("b", 1, ""))}
 		for _, choice := range []int{0, 0, 7, 0} {
 			one.step(reg, now, choice)
 		}
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -62,7 +62,7 @@
 	if !found {
 		return moveDone, notRun(outcome.ReasonNoEndpoint, "no further endpoint of the service is known")
 	}
-	tgt := attempt.NewTarget(can.Instance(), can.Incarnation(), can.Address())
+	tgt := fleet.NewPeer(can.Instance(), can.Incarnation(), can.Address())
 	requestID := rqs.ports.NextID()
 	rec := attempt.Start(kyd.digest, requestID, tgt)
 	if ver != 0 {
@@ -101,7 +101,7 @@
 }
 
 // candidate returns the chosen agent with its measurements, or without them when it left meanwhile.
-func (rqs *Requests[P]) candidate(svc fleet.Service, tgt attempt.Target) route.Candidate {
+func (rqs *Requests[P]) candidate(svc fleet.Service, tgt fleet.Peer) route.Candidate {
 	can, found := rqs.ports.Directory().Set(svc).Find(tgt.Instance())
 	if found && can.Incarnation() == tgt.Incarnation() {
 		return can
--- a/io/entry/record.go
+++ b/io/entry/record.go
@@ -68,7 +68,7 @@
 	if err := json.Unmarshal(data, &row); err != nil {
 		return attempt.Record{}, errors.Wrap(err, "decode row of keyed request")
 	}
-	tgt := attempt.NewTarget(fleet.InstanceID(row.Instance), fleet.Incarnation(row.Incarnation), row.Address)
+	tgt := fleet.NewPeer(fleet.InstanceID(row.Instance), fleet.Incarnation(row.Incarnation), row.Address)
 	ans := attempt.NewAnswer(row.Status, row.Body)
 	if row.Object != "" {
 		ans = attempt.NewStoredAnswer(row.Status, row.Object)
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"jacinthpost/core/attempt"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/route"
@@ -172,7 +171,7 @@
 		// Another agent can run it at once; asking a silent one costs another second.
 		return Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, err.Error())}
 	}
-	return rqs.resolve(ctx, attempt.NewTarget(can.Instance(), can.Incarnation(), can.Address()), requestID)
+	return rqs.resolve(ctx, fleet.NewPeer(can.Instance(), can.Incarnation(), can.Address()), requestID)
 }
 
 // answerOf checks that a reply is the whole answer to the request.
@@ -199,7 +198,7 @@
 }
 
 // resolve asks the agent what became of a request and waits while it still runs.
-func (rqs *Requests[P]) resolve(ctx context.Context, tgt attempt.Target, requestID string) Answer {
+func (rqs *Requests[P]) resolve(ctx context.Context, tgt fleet.Peer, requestID string) Answer {
 	resolves.Inc()
 	args := message.ResolveArgs{RequestID: requestID, Incarnation: uint64(tgt.Incarnation())}
 	pause := resolveFirstPause
--- a/io/joblog/format.go
+++ b/io/joblog/format.go
@@ -136,7 +136,7 @@
 		return job.Record{}, errors.Errorf("unknown kind of record %q", enc.Kind)
 	}
 	rec := job.NewRecord(knd, job.NewRef(job.ID(enc.Job), enc.Index, token.New(enc.Epoch, enc.Sequence)), enc.AtMillis).
-		WithHolder(job.NewHolder(fleet.InstanceID(enc.Instance), fleet.Incarnation(enc.Incarnation)))
+		WithHolder(fleet.NewProcess(fleet.InstanceID(enc.Instance), fleet.Incarnation(enc.Incarnation)))
 	if enc.Spec != nil {
 		spc, err := decodeSpec(enc.Spec)
 		if err != nil {
--- a/io/joblog/joblog_test.go
+++ b/io/joblog/joblog_test.go
@@ -46,7 +46,7 @@
 func acquire(tab store.Table, ins fleet.InstanceID) (uint64, store.Version) {
 	list, err := joblog.ReadRows(context.Background(), tab, num)
 	Expect(err).NotTo(HaveOccurred())
-	own := partition.NewOwnership(partition.NewIdentity(ins, 1, "addr"))
+	own := partition.NewOwnership(fleet.NewPeer(ins, 1, "addr"))
 	now := time.Unix(0, 0)
 	own.Observe(now, list[0])
 	act := own.Decide(now.Add(time.Minute), 0, 0)
@@ -206,13 +206,13 @@
 		WithService("s").WithUrgency(true).WithPayload([]byte("p")).WithDeadline(9)
 	all := []job.Record{
 		job.NewRecord(job.JobSubmitted, job.NewRef("j1", 0, token.Token{}), 1).WithSpec(spc, "dig"),
-		job.NewRecord(job.TaskAssigned, ref, 2).WithHolder(job.NewHolder("i", 5)),
+		job.NewRecord(job.TaskAssigned, ref, 2).WithHolder(fleet.NewProcess("i", 5)),
 		job.NewRecord(job.TaskCheckpointed, ref, 3).WithEnd(end),
 		job.NewRecord(job.TaskEnded, ref, 4).WithEnd(end),
 		job.NewRecord(job.TaskParked, ref, 5).WithEnd(end),
 		job.NewRecord(job.JobCancelled, job.NewRef("j1", 0, token.Token{}), 6),
 		job.NewRecord(job.JobRemoved, job.NewRef("j1", 0, token.Token{}), 7),
-		job.NewRecord(job.TaskRestored, ref, 8).WithHolder(job.NewHolder("i", 5)).WithEnd(end).
+		job.NewRecord(job.TaskRestored, ref, 8).WithHolder(fleet.NewProcess("i", 5)).WithEnd(end).
 			WithTask(job.Parked, true, job.NewCounters(1, 2, 3)),
 	}
 	sto := &storefake.Store{}
--- a/io/joblog/row.go
+++ b/io/joblog/row.go
@@ -59,7 +59,7 @@
 	if err := json.Unmarshal(row.Value(), &dec); err != nil {
 		return partition.Row{}, errors.Wrapf(err, "decode row %s", row.Key())
 	}
-	own := partition.NewIdentity(fleet.InstanceID(dec.Owner), fleet.Incarnation(dec.Incarnation), dec.Address)
+	own := fleet.NewPeer(fleet.InstanceID(dec.Owner), fleet.Incarnation(dec.Incarnation), dec.Address)
 	return partition.NewRow(own, dec.Epoch, dec.Renewals, dec.Released), nil
 }
 
--- a/io/node/agentnode/members.go
+++ b/io/node/agentnode/members.go
@@ -62,7 +62,7 @@
 
 func translate(mem member.Member) owner.Member {
 	pro := mem.Profile()
-	hol := job.NewHolder(mem.Instance(), mem.Version().Incarnation())
+	hol := fleet.NewProcess(mem.Instance(), mem.Version().Incarnation())
 	hint := job.NewInstance(hol, pro.Location(), pro.Capacity(), healthOf[mem.State()]).WithService(pro.Service())
 	return owner.NewMember(hint, string(pro.PeerAddress()), mem.State() == member.StateAlive)
 }
--- a/io/node/agentnode/placement.go
+++ b/io/node/agentnode/placement.go
@@ -8,7 +8,6 @@
 
 	"jacinthpost/core/dispatch"
 	"jacinthpost/core/fleet"
-	"jacinthpost/core/partition"
 	"jacinthpost/core/place"
 	"jacinthpost/core/ticket"
 	"jacinthpost/io/node"
@@ -29,7 +28,7 @@
 
 func newOwner(nod *node.Node, mbs *members) *placedOwner {
 	set := nod.Settings()
-	self := partition.NewIdentity(set.Instance(), nod.Incarnation(), set.PeerAddress())
+	self := fleet.NewPeer(set.Instance(), nod.Incarnation(), set.PeerAddress())
 	cfg := owner.NewConfig(self, set.Partitions(), set.StoreRegion(), uint64(nod.Incarnation()))
 	prt := owner.NewPorts(nod.Table(), nod.Objects(), nod.Pools().Jobs(), ownerSettings{config: nod}).
 		WithView(mbs.view).WithLog(nod.Logger()).WithThread(nod.Thread())
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -15,7 +15,6 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/lease"
-	"jacinthpost/core/partition"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
@@ -80,7 +79,7 @@
 	var list []owner.Member
 	for idx := range processes {
 		id := string(rune('a' + idx))
-		hint := job.NewInstance(job.NewHolder(fleet.InstanceID(id), 1), fleet.NewLocation("r", "d", "k"), resource.New(8000, 8000, 0), job.Alive)
+		hint := job.NewInstance(fleet.NewProcess(fleet.InstanceID(id), 1), fleet.NewLocation("r", "d", "k"), resource.New(8000, 8000, 0), job.Alive)
 		list = append(list, owner.NewMember(hint, id, true))
 	}
 	view := owner.NewView(list)
@@ -100,7 +99,7 @@
 			}
 			return view
 		})
-	cfg := owner.NewConfig(partition.NewIdentity(fleet.InstanceID(id), 1, id), clu.partitions, "r", 1)
+	cfg := owner.NewConfig(fleet.NewPeer(fleet.InstanceID(id), 1, id), clu.partitions, "r", 1)
 	prc.owner = owner.New(cfg, ports, func(int) *job.Simple { return &job.Simple{} })
 	prc.service = prc.owner.Service(prc.ctx)
 	clu.processes[id] = prc
--- a/io/owner/convert.go
+++ b/io/owner/convert.go
@@ -105,8 +105,8 @@
 	return reports
 }
 
-func decodeHolder(ins string, inc uint64) job.Holder {
-	return job.NewHolder(fleet.InstanceID(ins), fleet.Incarnation(inc))
+func decodeHolder(ins string, inc uint64) fleet.Process {
+	return fleet.NewProcess(fleet.InstanceID(ins), fleet.Incarnation(inc))
 }
 
 func encodeRenewal(rep job.RenewReply) message.RenewReply {
--- a/io/owner/effects.go
+++ b/io/owner/effects.go
@@ -95,7 +95,7 @@
 		if err := own.ports.caller.Call(limited, addr, "Agent.Adopt", args, &rep); err != nil {
 			return
 		}
-		hol := job.NewHolder(ins, fleet.Incarnation(rep.Incarnation))
+		hol := fleet.NewProcess(ins, fleet.Incarnation(rep.Incarnation))
 		refs := make([]job.Ref, 0, len(rep.Tasks))
 		for _, tsk := range rep.Tasks {
 			refs = append(refs, decodeRef(tsk.Ref))
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -139,7 +139,7 @@
 
 // Config names the process and the partitions.
 type Config struct {
-	self        partition.Identity
+	self        fleet.Peer
 	partitions  int
 	storeRegion fleet.Region
 	seed        uint64
@@ -148,7 +148,7 @@
 // NewConfig returns the configuration of a process: its identity, the number of
 // partitions, the region of the store, whose instances are preferred as owners,
 // and the seed of the takeover jitter.
-func NewConfig(self partition.Identity, partitions int, reg fleet.Region, seed uint64) Config {
+func NewConfig(self fleet.Peer, partitions int, reg fleet.Region, seed uint64) Config {
 	return Config{self: self, partitions: partitions, storeRegion: reg, seed: seed}
 }
 
