Keep every request when an entry stops

Cause: closing the listener resets the connections that the kernel has accepted and the process has not, and the server drops requests that it reads after its shutdown has begun.

A socket filter against new connection attempts was tried first: not supported everywhere.

--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -30,19 +28,10 @@
 	"jacinthpost/io/web"
 )
 
-const (
-	// directoryPeriod bounds how long a change of the configuration stays without
-	// effect on routing; the agents refuse meanwhile. Changes of membership take
-	// effect at once.
-	directoryPeriod = 100 * time.Millisecond
-	// readinessGrace is the time for the balancer to see that the entry leaves
-	// before it refuses new connections.
-	readinessGrace = 2 * time.Second
-	// acceptedGrace is the time for requests on connections that were accepted just
-	// before the listener closed. The server drops requests that it reads after its
-	// shutdown has begun.
-	acceptedGrace = 500 * time.Millisecond
-)
+// directoryPeriod bounds how long a change of the configuration stays without
+// effect on routing; the agents refuse meanwhile. Changes of membership take
+// effect at once.
+const directoryPeriod = 100 * time.Millisecond
 
 // Entry is the role of an entry process.
 type Entry struct {
@@ -51,9 +40,8 @@
 	rows      *groupcommit.Committer
 	directory control.Snapshot[entry.Directory]
 	routing   *control.Loop[routing]
-	server    *http.Server
-	leaving   atomic.Bool
-	listener  atomic.Pointer[net.Listener]
+	handler   http.Handler
+	callers   atomic.Pointer[callers]
 }
 
 // routing is the control state of the entry.
@@ -74,7 +62,7 @@
 	})
 	nod.Gossip().SetObserver(func([]member.Change) { ent.routing.TryPost(control.Func[routing](ent.rebuild)) })
 	jobs := owner.NewClient(nod.Table(), nod.Pools().Jobs(), nod.Settings().Partitions())
-	ent.server = web.NewServer(ent.closeWhenLeaving(web.NewHandler(web.Ports{
+	ent.handler = web.NewHandler(web.Ports{
 		Requests:      admission{requests: ent.requests, config: nod},
 		Jobs:          jobClient{client: jobs, config: nod},
 		Configuration: nod,
@@ -82,20 +70,8 @@
 		Audit:         audit.NewTrail(nod.Table()),
 		Explain:       explainer{node: nod, jobs: jobs},
 		Timeout:       nod.Settings().RequestTimeout(),
-	})))
-	return ent
-}
-
-// closeWhenLeaving lets each answer of a leaving entry ask the caller to close the
-// connection. The server's own switch for this also closes idle connections at
-// once, which breaks requests that callers are just sending on them.
-func (ent *Entry) closeWhenLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		if ent.leaving.Load() {
-			rw.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(rw, req)
 	})
+	return ent
 }
 
 // Ready implements node.Role: an entry that knows no other process cannot serve.
@@ -105,13 +81,13 @@
 
 // Run implements node.Role.
 func (ent *Entry) Run(ctx context.Context) error {
-	lsn, err := net.Listen("tcp", ent.node.Settings().CallerAddress())
+	cls, err := newCallers(ent.node.Settings().CallerAddress(), ent.handler)
 	if err != nil {
-		return errors.Wrap(err, "listen for callers")
+		return err
 	}
-	ent.listener.Store(&lsn)
+	ent.callers.Store(cls)
 	grp, ctx := errgroup.WithContext(ctx)
-	grp.Go(func() error { return ent.serve(ctx, lsn) })
+	grp.Go(func() error { return cls.serve(ctx) })
 	grp.Go(func() error { ent.rows.Run(ctx); return nil })
 	grp.Go(func() error {
 		control.Tick(ctx, ent.routing, directoryPeriod, func() control.Event[routing] { return control.Func[routing](ent.rebuild) })
@@ -131,41 +107,17 @@
 	ent.directory.Publish(sta.builder.build(ent.node.Settings().Location(), vie.Usable(), cfg))
 }
 
-// serve serves callers. After the listener was closed by Stop, the connections
-// go on until the shutdown of the server.
-func (ent *Entry) serve(ctx context.Context, lsn net.Listener) error {
-	err := node.ServeHTTP(ctx, lsn, ent.server)
-	if ent.leaving.Load() && errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
-// Stop implements node.Role. Answers ask callers to close their connections
-// while the balancer learns that the entry leaves; then no connection is
-// accepted and requests in flight finish.
+// Stop implements node.Role.
 func (ent *Entry) Stop(ctx context.Context) {
-	ent.leaving.Store(true)
-	pause(ctx, readinessGrace)
-	if lsn := ent.listener.Load(); lsn != nil {
-		_ = (*lsn).Close()
+	cls := ent.callers.Load()
+	if cls == nil {
+		return
 	}
-	pause(ctx, acceptedGrace)
-	if err := ent.server.Shutdown(ctx); err != nil {
+	if err := cls.stop(ctx); err != nil {
 		ent.node.Logger().Warn("requests not drained", zap.Error(err))
 	}
 }
 
-// pause waits for some time or until the context ends.
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
-
 // admission applies the settings of customers before a request is routed.
 type admission struct {
 	requests web.Requests
