--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -8,14 +8,13 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"jacinthpost/cmd/internal/command"
 	"jacinthpost/internal/harness"
 )
 
@@ -23,9 +22,7 @@
 const demoLimit = 3 * time.Minute
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	cmd := &cli.Command{
+	os.Exit(command.Run(&cli.Command{
 		Name:  "demo",
 		Usage: "show a deployment at work",
 		Flags: []cli.Flag{
@@ -43,11 +40,7 @@
 			fmt.Println("every outcome was right")
 			return nil
 		},
-	}
-	if err := cmd.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "demo failed:", err.Error())
-		os.Exit(1)
-	}
+	}))
 }
 
 // show runs all steps against one deployment.
--- a/cmd/jacinthpost/job.go
+++ b/cmd/jacinthpost/job.go
@@ -105,13 +105,7 @@
 	if err != nil {
 		return err
 	}
-	if ans.OK() && cmd.Bool("wait") {
-		ans, err = awaitJob(ctx, cmd, ans)
-		if err != nil {
-			return err
-		}
-	}
-	return show(cmd, ans, func(out io.Writer) error { return printJob(out, ans) })
+	return showJob(ctx, cmd, ans)
 }
 
 func onJob(ctx context.Context, cmd *cli.Command, method string, action ...string) error {
@@ -123,7 +117,13 @@
 	if err != nil {
 		return err
 	}
+	return showJob(ctx, cmd, ans)
+}
+
+// showJob prints the answer, with --wait that at the end of the job.
+func showJob(ctx context.Context, cmd *cli.Command, ans operator.Answer) error {
 	if ans.OK() && cmd.Bool("wait") {
+		var err error
 		ans, err = awaitJob(ctx, cmd, ans)
 		if err != nil {
 			return err
--- a/cmd/standin-endpoint/main.go
+++ b/cmd/standin-endpoint/main.go
@@ -10,12 +10,11 @@
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"jacinthpost/cmd/internal/command"
 	"jacinthpost/cmd/internal/serve"
 	"jacinthpost/cmd/standin-endpoint/internal/endpoint"
 	"jacinthpost/cmd/standin-endpoint/internal/tasks"
@@ -24,18 +23,12 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	cmd := &cli.Command{
+	os.Exit(command.Run(&cli.Command{
 		Name:   "standin-endpoint",
 		Usage:  "stand in for the endpoint and the worker of one instance",
 		Flags:  flags(),
 		Action: run,
-	}
-	if err := cmd.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	}))
 }
 
 func flags() []cli.Flag {
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -4,21 +4,17 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"jacinthpost/cmd/internal/command"
 	"jacinthpost/cmd/internal/serve"
 	"jacinthpost/cmd/standin-platform/internal/platform"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	cmd := &cli.Command{
+	os.Exit(command.Run(&cli.Command{
 		Name:  "standin-platform",
 		Usage: "stand in for the table service and the object store",
 		Flags: []cli.Flag{
@@ -32,9 +28,5 @@
 			go srv.Run(loopCtx)
 			return serve.HTTP(ctx, cmd.String("listen"), srv)
 		},
-	}
-	if err := cmd.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	}))
 }
--- a/cmd/standin-relay/main.go
+++ b/cmd/standin-relay/main.go
@@ -4,22 +4,18 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthpost/cmd/internal/command"
 	"jacinthpost/cmd/internal/serve"
 	"jacinthpost/cmd/standin-relay/internal/relay"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	cmd := &cli.Command{
+	os.Exit(command.Run(&cli.Command{
 		Name:  "standin-relay",
 		Usage: "relay TCP connections and break them on demand",
 		Flags: []cli.Flag{
@@ -28,11 +24,7 @@
 			&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "address of the control endpoint"},
 		},
 		Action: run,
-	}
-	if err := cmd.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	}))
 }
 
 // run prints the address of the relay first and that of the control endpoint second.
