--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -36,83 +36,83 @@
 }
 func (*site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.NewLimits(0, 6) }
 
-// desk is an intake of two slots and a queue of three, with deliveries as values.
-type desk struct {
+// fixture is an intake of two slots and a queue of three, with deliveries as values.
+type fixture struct {
 	*intake.Intake[int, string]
 	led  *ledger.Ledger[string, reqlog.ID]
 	site *site
 	now  time.Time
 }
 
-func newDesk() *desk {
-	dsk := &desk{led: &ledger.Ledger[string, reqlog.ID]{}, site: &site{}, now: epoch}
-	dsk.led.Resize(ledger.NewCapacity(25))
+func newFixture() *fixture {
+	fix := &fixture{led: &ledger.Ledger[string, reqlog.ID]{}, site: &site{}, now: epoch}
+	fix.led.Resize(ledger.NewCapacity(25))
 	opt := intake.DefaultOptions().WithQueue(3, admit.CriticalFirst{}).
 		WithLimits(reqlog.DefaultLimits().WithSizes(5, 40, 4).WithWindows(time.Minute, 10*time.Second, time.Hour))
-	dsk.Intake = intake.New[int, string](dsk.led, dsk.site, opt)
-	dsk.led.Rebuild(resource.New(1000, 1000, 0))
-	dsk.announce(1, false)
-	return dsk
+	fix.Intake = intake.New[int, string](fix.led, fix.site, opt)
+	fix.led.Rebuild(resource.New(1000, 1000, 0))
+	fix.announce(1, false)
+	return fix
 }
 
-func (dsk *desk) announce(inc fleet.Incarnation, leaving bool) {
+func (fix *fixture) announce(inc fleet.Incarnation, leaving bool) {
 	ann := admit.NewAnnouncement("svc", "addr", inc).WithCapacity(2, 8, resource.Vector{}).WithLeaving(leaving)
-	dsk.Hear(ann, dsk.now)
+	fix.Hear(ann, fix.now)
 }
 
-func (dsk *desk) arrive(counter uint64, val int, timeout time.Duration, batch bool) []intake.Verdict[int, string] {
-	req := admit.NewRequest("svc", "cus", batch, dsk.now.Add(timeout))
-	return dsk.Arrive(reqlog.NewID("entry", 1, counter), req, val, dsk.now)
+func (fix *fixture) arrive(counter uint64, val int, timeout time.Duration, batch bool) []intake.Verdict[int, string] {
+	req := admit.NewRequest("svc", "cus", batch, fix.now.Add(timeout))
+	return fix.Arrive(reqlog.NewID("entry", 1, counter), req, val, fix.now)
 }
 
 // Guards against admission in a state in which the endpoint must not get requests.
 var _ = DescribeTable("refuses a request",
-	func(prepare func(dsk *desk), want outcome.Reason) {
-		dsk := newDesk()
-		prepare(dsk)
-		vers := dsk.arrive(1, 1, time.Second, false)
+	func(prepare func(fix *fixture), want outcome.Reason) {
+		fix := newFixture()
+		prepare(fix)
+		vers := fix.arrive(1, 1, time.Second, false)
 		Expect(vers).To(HaveLen(1))
 		Expect(vers[0].Decision().Outcome().Reason()).To(Equal(want))
-		Expect(dsk.Drained()).To(BeTrue())
-		again := dsk.arrive(1, 2, time.Second, false)
+		Expect(fix.Drained()).To(BeTrue())
+		again := fix.arrive(1, 2, time.Second, false)
 		Expect(again[0].Decision().Outcome().Reason()).To(Equal(outcome.ReasonFenced), "a refusal is final")
 	},
-	Entry("before the rebuild", func(dsk *desk) { *dsk.led = ledger.Ledger[string, reqlog.ID]{} }, outcome.ReasonNotReady),
-	Entry("while the endpoint leaves", func(dsk *desk) { dsk.announce(1, true) }, outcome.ReasonLeaving),
-	Entry("while the agent drains", func(dsk *desk) { dsk.Drain(dsk.now) }, outcome.ReasonLeaving),
-	Entry("without announcements", func(dsk *desk) { dsk.now = dsk.now.Add(admit.AnnounceLimit) }, outcome.ReasonNoEndpoint),
-	Entry("with stale configuration", func(dsk *desk) { dsk.site.refusal = outcome.ReasonStaleConfig }, outcome.ReasonStaleConfig),
-	Entry("that was fenced", func(dsk *desk) { dsk.Resolve(reqlog.NewID("entry", 1, 1), dsk.now) }, outcome.ReasonFenced),
+	Entry("before the rebuild", func(fix *fixture) { *fix.led = ledger.Ledger[string, reqlog.ID]{} }, outcome.ReasonNotReady),
+	Entry("while the endpoint leaves", func(fix *fixture) { fix.announce(1, true) }, outcome.ReasonLeaving),
+	Entry("while the agent drains", func(fix *fixture) { fix.Drain(fix.now) }, outcome.ReasonLeaving),
+	Entry("without announcements", func(fix *fixture) { fix.now = fix.now.Add(admit.AnnounceLimit) }, outcome.ReasonNoEndpoint),
+	Entry("with stale configuration", func(fix *fixture) { fix.site.refusal = outcome.ReasonStaleConfig }, outcome.ReasonStaleConfig),
+	Entry("that was fenced", func(fix *fixture) { fix.Resolve(reqlog.NewID("entry", 1, 1), fix.now) }, outcome.ReasonFenced),
 )
 
 // Guards against queued requests that start on an endpoint long after it was
 // told to leave, disappeared or became forbidden.
 var _ = DescribeTable("refuses a queued request",
-	func(change func(dsk *desk), after time.Duration, want outcome.Reason) {
-		dsk := newDesk()
+	func(change func(fix *fixture), after time.Duration, want outcome.Reason) {
+		fix := newFixture()
 		for cnt := range uint64(3) {
-			dsk.arrive(cnt+1, int(cnt), time.Minute, false)
+			fix.arrive(cnt+1, int(cnt), time.Minute, false)
 		}
-		Expect(dsk.Queued()).To(Equal(1))
-		change(dsk)
-		dsk.now = dsk.now.Add(after)
-		vers := append(dsk.Tick(dsk.now), dsk.Finish(reqlog.NewID("entry", 1, 1), outcome.Answered(), "", 0, dsk.now)...)
+		Expect(fix.Queued()).To(Equal(1))
+		change(fix)
+		fix.now = fix.now.Add(after)
+		vers := append(fix.Tick(fix.now), fix.Finish(reqlog.NewID("entry", 1, 1), outcome.Answered(), "", 0, fix.now)...)
 		Expect(vers).To(HaveLen(1))
 		Expect(vers[0].Decision().Started()).To(Equal(want == ""))
 		Expect(vers[0].Decision().Outcome().Reason()).To(Equal(want))
 	},
-	Entry("not within the grace of a leave", func(dsk *desk) { dsk.announce(1, true) }, intake.LeaveGrace-1, outcome.Reason("")),
-	Entry("after the grace of a leave", func(dsk *desk) { dsk.announce(1, true) }, intake.LeaveGrace, outcome.ReasonLeaving),
-	Entry("after the grace of a drain", func(dsk *desk) { dsk.Drain(dsk.now) }, intake.LeaveGrace, outcome.ReasonLeaving),
-	Entry("without announcements", func(*desk) {}, admit.AnnounceLimit, outcome.ReasonNoEndpoint),
-	Entry("when the configuration became stale", func(dsk *desk) { dsk.site.refusal = outcome.ReasonStaleConfig }, time.Second, outcome.ReasonStaleConfig),
+	Entry("not within the grace of a leave", func(fix *fixture) { fix.announce(1, true) }, intake.LeaveGrace-1, outcome.Reason("")),
+	Entry("after the grace of a leave", func(fix *fixture) { fix.announce(1, true) }, intake.LeaveGrace, outcome.ReasonLeaving),
+	Entry("after the grace of a drain", func(fix *fixture) { fix.Drain(fix.now) }, intake.LeaveGrace, outcome.ReasonLeaving),
+	Entry("without announcements", func(*fixture) {}, admit.AnnounceLimit, outcome.ReasonNoEndpoint),
+	Entry("when the configuration became stale", func(fix *fixture) { fix.site.refusal = outcome.ReasonStaleConfig }, time.Second, outcome.ReasonStaleConfig),
 )
 
 // Guards against two starts of one ID, a start after "not run", more requests
 // than slots, and deliveries that get no decision or two.
 var _ = It("decides once about every delivery and starts an ID at most once", func() {
 	rapid.Check(GinkgoT(), func(rt *rapid.T) {
-		dsk, deliveries := newDesk(), 0
+		fix, deliveries := newFixture(), 0
 		waiting, ids := map[int]bool{}, map[int]uint64{}
 		started, denied, running := map[uint64]bool{}, map[uint64]bool{}, map[uint64]int{}
 		take := func(vers []intake.Verdict[int, string]) {
@@ -141,7 +141,7 @@
 				cnt := counter.Draw(rt, "counter")
 				waiting[deliveries], ids[deliveries] = true, cnt
 				timeout := time.Duration(rapid.IntRange(1, 900).Draw(rt, "millis")) * time.Millisecond
-				take(dsk.arrive(cnt, deliveries, timeout, rapid.Bool().Draw(rt, "batch")))
+				take(fix.arrive(cnt, deliveries, timeout, rapid.Bool().Draw(rt, "batch")))
 			},
 			"finish": func(rt *rapid.T) {
 				cnt := counter.Draw(rt, "counter")
@@ -150,37 +150,37 @@
 				}
 				delete(running, cnt)
 				outs := []outcome.Outcome{outcome.Answered(), outcome.Unknown(outcome.ReasonTimeout, "")}
-				take(dsk.Finish(reqlog.NewID("entry", 1, cnt), rapid.SampledFrom(outs).Draw(rt, "end"), "answer", 6, dsk.now))
+				take(fix.Finish(reqlog.NewID("entry", 1, cnt), rapid.SampledFrom(outs).Draw(rt, "end"), "answer", 6, fix.now))
 			},
 			"giveUp": func(rt *rapid.T) {
 				val := rapid.IntRange(0, deliveries).Draw(rt, "delivery")
 				if waiting[val] {
-					take(dsk.GiveUp(reqlog.NewID("entry", 1, ids[val]), val, dsk.now))
+					take(fix.GiveUp(reqlog.NewID("entry", 1, ids[val]), val, fix.now))
 				}
 			},
 			"resolve": func(rt *rapid.T) {
 				cnt := counter.Draw(rt, "counter")
-				if sta := dsk.Resolve(reqlog.NewID("entry", 1, cnt), dsk.now).State(); sta == reqlog.NotRun {
+				if sta := fix.Resolve(reqlog.NewID("entry", 1, cnt), fix.now).State(); sta == reqlog.NotRun {
 					if denied[cnt] = true; started[cnt] {
 						rt.Fatalf("request %d is resolved as not run after its start", cnt)
 					}
 				}
 			},
-			"announce": func(*rapid.T) { dsk.announce(1, false) },
+			"announce": func(*rapid.T) { fix.announce(1, false) },
 			"pass": func(rt *rapid.T) {
-				dsk.now = dsk.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "millis")) * time.Millisecond)
-				take(dsk.Tick(dsk.now))
+				fix.now = fix.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "millis")) * time.Millisecond)
+				take(fix.Tick(fix.now))
 			},
 			"": func(rt *rapid.T) {
-				if len(running) > 2 || dsk.led.Requests() != len(running) || dsk.Queued() != len(waiting) {
-					rt.Fatalf("%d running, %d in the ledger, %d queued, %d waiting", len(running), dsk.led.Requests(), dsk.Queued(), len(waiting))
+				if len(running) > 2 || fix.led.Requests() != len(running) || fix.Queued() != len(waiting) {
+					rt.Fatalf("%d running, %d in the ledger, %d queued, %d waiting", len(running), fix.led.Requests(), fix.Queued(), len(waiting))
 				}
 			},
 		})
-		dsk.now = dsk.now.Add(time.Hour)
-		take(dsk.Tick(dsk.now))
-		if len(waiting) > 0 || dsk.Drained() != (len(running) == 0) {
-			rt.Fatalf("%d deliveries got no decision, drained %v with %d running", len(waiting), dsk.Drained(), len(running))
+		fix.now = fix.now.Add(time.Hour)
+		take(fix.Tick(fix.now))
+		if len(waiting) > 0 || fix.Drained() != (len(running) == 0) {
+			rt.Fatalf("%d deliveries got no decision, drained %v with %d running", len(waiting), fix.Drained(), len(running))
 		}
 	})
 })
--- a/core/reqlog/reqlog_test.go
+++ b/core/reqlog/reqlog_test.go
@@ -50,8 +50,8 @@
 	Entry("not a number", "entry-1/17/x", false),
 )
 
-// truth is what really happened to an ID.
-type truth struct {
+// history is what happened to an ID.
+type history struct {
 	starts  int
 	notRun  bool // somebody was told that it did not and will not run
 	running bool
@@ -62,18 +62,18 @@
 // somebody was told "not run", whatever the log had to forget.
 var _ = It("never contradicts itself in bounded memory", func() {
 	rapid.Check(GinkgoT(), func(rt *rapid.T) {
-		lgr, now, facts := reqlog.New[string](small()), epoch, map[reqlog.ID]*truth{}
-		draw := func(rt *rapid.T) (reqlog.ID, *truth) {
+		lgr, now, facts := reqlog.New[string](small()), epoch, map[reqlog.ID]*history{}
+		draw := func(rt *rapid.T) (reqlog.ID, *history) {
 			rid := reqlog.NewID(
 				fleet.InstanceID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "entry")),
 				fleet.Incarnation(rapid.IntRange(1, 3).Draw(rt, "incarnation")),
 				rapid.Uint64Range(1, 6).Draw(rt, "counter"))
 			if facts[rid] == nil {
-				facts[rid] = &truth{first: now}
+				facts[rid] = &history{first: now}
 			}
 			return rid, facts[rid]
 		}
-		claims := func(rt *rapid.T, rid reqlog.ID, fct *truth, sta reqlog.State) {
+		claims := func(rt *rapid.T, rid reqlog.ID, fct *history, sta reqlog.State) {
 			switch {
 			case sta == reqlog.NotRun && fct.starts > 0:
 				rt.Fatalf("%v is said not to have run after it started", rid)
