--- a/core/place/direct.go
+++ b/core/place/direct.go
@@ -115,7 +115,7 @@
 func (sch *Scheduler[P]) FailedOn(tsk Task) int {
 	count := 0
 	for _, hos := range sch.hosts.byID {
-		count += countIf(sch.know.FailedOn(hos, &tsk))
+		count += int(countIf(sch.know.FailedOn(hos, &tsk)))
 	}
 	return count
 }
--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -17,16 +17,20 @@
 
 // Host is the scheduler's view of one instance. Its amounts are hints: the
 // agent on the instance decides.
+//
+// A placement reads several random hosts, and of a large fleet few are in the
+// cache. The fields that the choice reads come first, so that they share cache lines.
 type Host struct {
-	instance    Instance
 	reported    resource.Vector
 	pending     resource.Vector
+	classes     []classUse // sorted by class
 	site        *site
-	leaf        int
+	services    *serviceSet
+	interfering int32 // tasks that alone exceed what the services bear
 	rack        int32
+	instance    Instance
+	leaf        int
 	tasks       int
-	classes     []classUse // sorted by class
-	interfering int        // tasks that alone exceed what the services bear
 	drained     string
 	barred      bool
 	trial       bool
@@ -52,30 +56,50 @@
 	return hos.Free()
 }
 
-// classUse is the processors reserved by the tasks of one class on a host, and
-// the pairings of the class with the services of the host, in their order.
+// classUse is the processors reserved by the tasks of one class on a host.
 type classUse struct {
-	class    fleet.JobClass
+	row      *classRow
 	milliCPU int64
-	pairings []*interfere.Pairing
 }
 
-func (hos *Host) use(cls fleet.JobClass, prs *interfere.Pairings, change int64) {
-	pos, found := slices.BinarySearchFunc(hos.classes, cls, func(cus classUse, key fleet.JobClass) int {
-		return strings.Compare(string(cus.class), string(key))
-	})
-	if !found {
-		cus := classUse{class: cls}
-		for _, svc := range hos.instance.services {
-			cus.pairings = append(cus.pairings, prs.Find(svc, cls))
-		}
-		hos.classes = slices.Insert(hos.classes, pos, cus)
+func (hos *Host) use(row *classRow, change int64) {
+	pos := slices.IndexFunc(hos.classes, func(cus classUse) bool { return cus.row == row })
+	if pos < 0 {
+		pos, _ = slices.BinarySearchFunc(hos.classes, row.class, func(cus classUse, key fleet.JobClass) int {
+			return strings.Compare(string(cus.row.class), string(key))
+		})
+		hos.classes = slices.Insert(hos.classes, pos, classUse{row: row})
 	}
 	if hos.classes[pos].milliCPU += change; hos.classes[pos].milliCPU <= 0 {
 		hos.classes = slices.Delete(hos.classes, pos, pos+1)
 	}
 }
 
+// serviceSet is the services that run together on instances. Hosts with the
+// same services share it, so that the pairings stay in the cache.
+type serviceSet struct {
+	names []fleet.Service
+	rows  map[fleet.JobClass]*classRow
+}
+
+// classRow is the pairings of a class with the services of a set, in their order.
+type classRow struct {
+	class    fleet.JobClass
+	pairings []*interfere.Pairing
+}
+
+func (set *serviceSet) row(cls fleet.JobClass, prs *interfere.Pairings) *classRow {
+	row, found := set.rows[cls]
+	if !found {
+		row = &classRow{class: cls}
+		for _, svc := range set.names {
+			row.pairings = append(row.pairings, prs.Find(svc, cls))
+		}
+		set.rows[cls] = row
+	}
+	return row
+}
+
 // site holds the hosts of one data centre.
 type site struct {
 	location fleet.Location
@@ -111,6 +135,7 @@
 // Hosts is the table of instances, searchable by free amounts. The zero value is empty.
 type Hosts struct {
 	sites []*site
+	sets  []*serviceSet
 	byID  map[fleet.InstanceID]*Host
 	racks map[fleet.Location]int32
 }
@@ -166,7 +191,9 @@
 		rck = int32(len(hss.racks))
 		hss.racks[ins.location] = rck
 	}
-	hos := &Host{instance: ins, reported: ins.free, site: sit, rack: rck, leaf: len(sit.hosts)}
+	set := hss.servicesOf(ins.services)
+	ins.services = set.names
+	hos := &Host{instance: ins, reported: ins.free, site: sit, services: set, rack: rck, leaf: len(sit.hosts)}
 	if last := len(sit.vacant) - 1; last >= 0 {
 		hos.leaf, sit.vacant = sit.vacant[last], sit.vacant[:last]
 		sit.hosts[hos.leaf] = hos
@@ -194,6 +221,18 @@
 	return hos
 }
 
+// servicesOf returns the set of the given services, which must not be changed.
+func (hss *Hosts) servicesOf(svcs []fleet.Service) *serviceSet {
+	for _, set := range hss.sets {
+		if slices.Equal(set.names, svcs) {
+			return set
+		}
+	}
+	set := &serviceSet{names: svcs, rows: make(map[fleet.JobClass]*classRow)}
+	hss.sets = append(hss.sets, set)
+	return set
+}
+
 // siteOf returns the site of a location. Sites stay sorted by name, so the
 // order of joining does not matter to later decisions.
 func (hss *Hosts) siteOf(loc fleet.Location) *site {
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -27,8 +27,8 @@
 	placed   int32
 	finished int32
 	parked   []Task
-	racks    map[int32]int32 // placed tasks by rack
-	sites    map[int32]int32 // placed tasks by data centre
+	racks    tally // placed tasks by rack
+	sites    tally // placed tasks by data centre
 }
 
 // Sizes returns the learned sizes.
@@ -110,7 +110,7 @@
 		prr.total, prr.unyielding = prr.own, prr.own
 		for ind := range hos.classes {
 			cus := &hos.classes[ind]
-			other := cus.pairings[pos].Cost()
+			other := cus.row.pairings[pos].Cost()
 			part := other * float64(cus.milliCPU) / cores
 			prr.total += part
 			if other <= cost {
@@ -186,7 +186,7 @@
 		return 0, 0
 	}
 	placed := float64(job.placed)
-	return float64(job.racks[hos.rack]) / placed, float64(job.sites[hos.site.index]) / placed
+	return float64(job.racks.count(hos.rack)) / placed, float64(job.sites.count(hos.site.index)) / placed
 }
 
 // meet notes the services of an instance that joined.
@@ -219,7 +219,7 @@
 	}
 	job, found := knw.jobs[name]
 	if !found {
-		job = &jobCounts{racks: make(map[int32]int32), sites: make(map[int32]int32)}
+		job = new(jobCounts)
 		knw.jobs[name] = job
 	}
 	return job
@@ -241,15 +241,9 @@
 func (knw *Knowledge) spread(hos *Host, tsk *Task, change int32) {
 	job := knw.countsOf(tsk.job)
 	job.placed += change
-	count(job.racks, hos.rack, change)
-	count(job.sites, hos.site.index, change)
+	job.racks.add(hos.rack, change)
+	job.sites.add(hos.site.index, change)
 	for _, svc := range hos.instance.services {
 		knw.pairings.Find(svc, tsk.class).Count(int(change))
 	}
 }
-
-func count(counts map[int32]int32, key, change int32) {
-	if counts[key] += change; counts[key] == 0 {
-		delete(counts, key)
-	}
-}
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -79,26 +79,33 @@
 }
 
 // placement is a task that was offered or runs.
+//
+// Its end finds it out of the cache in a large fleet, so what the end reads is
+// together: the fields before the task and the first ones of the task.
 type placement struct {
-	task        Task
 	host        *Host
+	row         *classRow
+	item        *heap.Item[newest]
 	size        resource.Vector
 	peak        resource.Vector
-	placed      time.Time
-	sequence    uint64
 	accepted    bool
 	sampled     bool
 	interfering bool
 	stopping    bool
-	item        *heap.Item[newest]
+	task        Task
+	placed      time.Time
+	sequence    uint64
 }
 
 // newest orders the running tasks of a team by their start, the latest first:
 // it has the least work to lose.
-type newest struct{ *placement }
+type newest struct {
+	*placement
+	start uint64 // the sequence, kept here so that comparing does not read the placements
+}
 
 // Before orders by start.
-func (nwt newest) Before(oth newest) bool { return nwt.sequence > oth.sequence }
+func (nwt newest) Before(oth newest) bool { return nwt.start > oth.start }
 
 // delayed is a task that waits for a time before it is queued again.
 type delayed struct {
@@ -329,7 +336,8 @@
 	hos.interfering += countIf(plc.interfering)
 	hos.pending = hos.pending.Plus(size)
 	hos.tasks++
-	hos.use(tsk.class, &sch.know.pairings, size.MilliCPU())
+	plc.row = hos.services.row(tsk.class, &sch.know.pairings)
+	hos.use(plc.row, size.MilliCPU())
 	hos.site.refresh(hos)
 	sch.placements[tsk.id] = plc
 	sch.know.spread(hos, &tsk, 1)
@@ -338,7 +346,7 @@
 	return plc
 }
 
-func countIf(condition bool) int {
+func countIf(condition bool) int32 {
 	if condition {
 		return 1
 	}
@@ -356,7 +364,7 @@
 		hos.pending = hos.pending.Minus(plc.size)
 	}
 	hos.tasks--
-	hos.use(plc.task.class, &sch.know.pairings, -plc.size.MilliCPU())
+	hos.use(plc.row, -plc.size.MilliCPU())
 	hos.interfering -= countIf(plc.interfering)
 	sch.know.spread(hos, &plc.task, -1)
 	sch.queue.Ended(plc.task.team, plc.task.urgent, plc.size.MilliCPU())
@@ -383,7 +391,7 @@
 	plc.accepted = true
 	plc.host.pending = plc.host.pending.Minus(plc.size)
 	plc.host.reported = free
-	plc.item = sch.newestOf(plc.task.team).Push(newest{plc})
+	plc.item = sch.newestOf(plc.task.team).Push(newest{placement: plc, start: plc.sequence})
 	if sch.hosts.Find(plc.host.instance.id) == plc.host {
 		plc.host.site.refresh(plc.host)
 	}
--- /dev/null
+++ b/core/place/tally.go
@@ -0,0 +1,35 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+)
+
+// tally counts by a small number, in order. Most jobs touch few racks, whose
+// counts then share a cache line or two; a map of each job has several apart.
+// The zero value is empty.
+type tally []struct{ key, count int32 }
+
+func (tal tally) find(key int32) (int, bool) {
+	return slices.BinarySearchFunc(tal, key, func(itm struct{ key, count int32 }, key int32) int {
+		return cmp.Compare(itm.key, key)
+	})
+}
+
+func (tal tally) count(key int32) int32 {
+	if pos, found := tal.find(key); found {
+		return tal[pos].count
+	}
+	return 0
+}
+
+// add changes the count of a key and drops it at zero.
+func (tal *tally) add(key, change int32) {
+	pos, found := tal.find(key)
+	if !found {
+		*tal = slices.Insert(*tal, pos, struct{ key, count int32 }{key: key})
+	}
+	if (*tal)[pos].count += change; (*tal)[pos].count == 0 {
+		*tal = slices.Delete(*tal, pos, pos+1)
+	}
+}
--- a/core/place/task.go
+++ b/core/place/task.go
@@ -19,10 +19,10 @@
 	team     fleet.Team
 	class    fleet.JobClass
 	declared resource.Vector
+	urgent   bool
 	floor    resource.Vector
 	origin   fleet.Location
 	deadline time.Time
-	urgent   bool
 }
 
 // NewTask returns a task of a job with its declared amounts.
@@ -75,11 +75,11 @@
 
 // Instance describes an instance that joins.
 type Instance struct {
+	capacity resource.Vector // first: read together with the first fields of Host
+	services []fleet.Service
 	id       fleet.InstanceID
-	location fleet.Location
-	capacity resource.Vector
 	free     resource.Vector
-	services []fleet.Service
+	location fleet.Location
 }
 
 // NewInstance returns an instance with its total and free amounts and the
--- a/core/place/tree.go
+++ b/core/place/tree.go
@@ -59,6 +59,9 @@
 
 // next returns the first fitting leaf at or after from, or -1.
 func (tre *tree) next(need resource.Vector, from int) int {
+	if from < tre.leaves && need.FitsIn(tre.nodes[tre.leaves+from]) {
+		return from // without the way down from the root, which costs a cache line a level
+	}
 	if tre.leaves == 0 || !need.FitsIn(tre.nodes[1]) {
 		return -1
 	}
