Let a process listen and call from another address than it announces

Cause: behind address translation a process is reached at an address that its host doesn't have, so it could neither listen at its announced address nor be told from other processes by the source of its connections.

Change: the optional setting hostAddress is the IP address of the host. The process listens for peers and gossip there, at the announced ports, and opens its connections to peers and to the store from there. Without it nothing changes.

--- a/io/httpcall/httpcall.go
+++ b/io/httpcall/httpcall.go
@@ -42,6 +42,7 @@
 	subsystem string
 	timeout   time.Duration
 	limit     int64
+	source    net.Addr // of the connections, the system's choice when nil
 	transport *http.Transport
 	http      http.Client
 }
@@ -55,6 +56,16 @@
 // WithBodyLimit bounds the body of an answer in bytes, DefaultBodyLimit unless set.
 func WithBodyLimit(limit int64) Option { return func(cli *Client) { cli.limit = limit } }
 
+// WithSource sets the IP address that connections are opened from; an empty one
+// leaves the choice to the system.
+func WithSource(host string) Option {
+	return func(cli *Client) {
+		if host != "" {
+			cli.source = &net.TCPAddr{IP: net.ParseIP(host)}
+		}
+	}
+}
+
 // New returns a client of the service at host:port. The subsystem names the
 // counters, as in jacinthpost_<subsystem>_calls_total.
 func New(addr, subsystem string, opts ...Option) *Client {
@@ -62,7 +73,7 @@
 	for _, set := range opts {
 		set(cli)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: cli.source}
 	cli.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			con, err := dialer.DialContext(ctx, network, addr)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -24,6 +24,7 @@
 	"jacinthpost/io/config"
 	"jacinthpost/io/control"
 	"jacinthpost/io/gossip"
+	"jacinthpost/io/httpcall"
 	"jacinthpost/io/object"
 	"jacinthpost/io/peer"
 	"jacinthpost/io/settings"
@@ -104,6 +105,7 @@
 	poo.Requests().KeepWarm()
 	for _, pool := range []*peer.Pool{poo.Requests(), poo.Jobs(), poo.Config()} {
 		pool.SetRegions(nod.reach)
+		pool.SetSource(set.HostAddress())
 	}
 	nod.config = config.NewNode(self, tab, poo.Config(), config.PeersFrom(nod.gossip.View), thr)
 	nod.config.SetFiler(config.NewFiler(tab, nod.recorder, string(set.Instance()), time.Now))
@@ -129,13 +131,17 @@
 func NewThread() *control.Thread { return control.NewThread(controlQueue) }
 
 // NewTable returns the client of the table service.
-func NewTable(set settings.Settings) store.Table { return table.New(set.TableAddress()) }
+func NewTable(set settings.Settings) store.Table {
+	return table.New(set.TableAddress(), httpcall.WithSource(set.HostAddress()))
+}
 
 // NewObjects returns the client of the object store.
-func NewObjects(set settings.Settings) store.Objects { return object.New(set.ObjectAddress()) }
+func NewObjects(set settings.Settings) store.Objects {
+	return object.New(set.ObjectAddress(), httpcall.WithSource(set.HostAddress()))
+}
 
 func (nod *Node) openGossip() error {
-	con, err := net.ListenPacket("udp", nod.settings.GossipAddress())
+	con, err := net.ListenPacket("udp", nod.settings.GossipListenAddress())
 	if err != nil {
 		return errors.Wrap(err, "listen for gossip")
 	}
@@ -276,7 +282,7 @@
 
 // start runs the common components under the group.
 func (nod *Node) start(ctx context.Context, grp *errgroup.Group) error {
-	lsn, err := net.Listen("tcp", nod.settings.PeerAddress())
+	lsn, err := net.Listen("tcp", nod.settings.PeerListenAddress())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -32,6 +32,7 @@
 type Pool struct {
 	kind    string
 	warm    bool
+	source  net.Addr // of the connections, the system's choice when nil
 	regions func(addr string) Reach
 	mu      sync.Mutex
 	links   map[string]*link
@@ -59,6 +60,14 @@
 // counters. It must be called before the first call.
 func (poo *Pool) SetRegions(reg func(addr string) Reach) { poo.regions = reg }
 
+// SetSource sets the IP address that connections are opened from; an empty one
+// leaves the choice to the system. It must be called before the first call.
+func (poo *Pool) SetSource(host string) {
+	if host != "" {
+		poo.source = &net.TCPAddr{IP: net.ParseIP(host)}
+	}
+}
+
 func (poo *Pool) reach(addr string) Reach {
 	if poo.regions == nil {
 		return ReachUnknown
@@ -119,7 +128,7 @@
 }
 
 func (poo *Pool) open(ctx context.Context, addr string) (*link, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
+	dialer := net.Dialer{Timeout: DialTimeout, LocalAddr: poo.source}
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"slices"
 	"time"
 
@@ -36,6 +37,7 @@
 	PeerAddress    string `json:"peerAddress" entry:"required,address" agent:"required,address"`
 	GossipAddress  string `json:"gossipAddress" entry:"required,address" agent:"required,address"`
 	MetricsAddress string `json:"metricsAddress" entry:"required,listen" agent:"required,listen"`
+	HostAddress    string `json:"hostAddress" entry:"omitempty,ip" agent:"omitempty,ip"`
 
 	TableAddress  string   `json:"tableAddress" entry:"required,address" agent:"required,address"`
 	ObjectAddress string   `json:"objectAddress" entry:"required,address" agent:"required,address"`
@@ -91,6 +93,26 @@
 // GossipAddress returns the UDP address of the membership protocol; it tells others this address.
 func (set Settings) GossipAddress() string { return set.doc.GossipAddress }
 
+// HostAddress returns the IP address of the host when others reach it by another
+// one, as behind address translation; it is empty otherwise. The process listens
+// for peers and gossip there, at the ports that it tells others, and opens its
+// connections to peers and to the store from there.
+func (set Settings) HostAddress() string { return set.doc.HostAddress }
+
+// PeerListenAddress returns where the process listens for calls of other processes.
+func (set Settings) PeerListenAddress() string { return set.onHost(set.doc.PeerAddress) }
+
+// GossipListenAddress returns the UDP address on which the membership protocol receives and sends.
+func (set Settings) GossipListenAddress() string { return set.onHost(set.doc.GossipAddress) }
+
+func (set Settings) onHost(announced string) string {
+	if set.doc.HostAddress == "" {
+		return announced
+	}
+	_, port, _ := net.SplitHostPort(announced) // validated
+	return net.JoinHostPort(set.doc.HostAddress, port)
+}
+
 // MetricsAddress returns where metrics and health are served.
 func (set Settings) MetricsAddress() string { return set.doc.MetricsAddress }
 
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -55,6 +55,7 @@
 	"name":     "1 to 63 letters, digits, dots, underscores or hyphens, the first a letter or digit",
 	"listen":   "an IP address and a port, as in 127.0.0.1:8080",
 	"address":  "a specified IP address and a port, as in 127.0.0.1:8080",
+	"ip":       "an IP address, as in 127.0.0.1",
 	"min":      "at least %s",
 	"max":      "at most %s",
 	"oneof":    "one of: %s",
