Put a relay between all processes of a deployment

Cause: silent connections and partitions were tested with one relayed connection, because the relay knew one target and no senders.

Change: without -target the relay stands between the processes that are posted to it. Each has a loopback address of its own; rules by sender and receiver make connections silent, cut them or drop datagrams.

--- a/cmd/standin-relay/internal/relay/relay.go
+++ b/cmd/standin-relay/internal/relay/relay.go
@@ -31,6 +31,10 @@
 	Cut       Mode = "cut"       // open connections are closed, and new ones at once
 )
 
+func (mod Mode) known() bool {
+	return slices.Contains([]Mode{Pass, Silent, SilentAll, OneWay, Cut}, mod)
+}
+
 // Setting is what the control endpoint switches.
 type Setting struct {
 	Mode        Mode `json:"mode"`
@@ -89,9 +93,7 @@
 
 // Switch changes the setting and returns the status after it.
 func (rly *Relay) Switch(ctx context.Context, set Setting) (Status, error) {
-	switch set.Mode {
-	case Pass, Silent, SilentAll, OneWay, Cut:
-	default:
+	if !set.Mode.known() {
 		return Status{}, errors.Errorf("mode is %q, expected pass, silent, silentAll, oneWay or cut", set.Mode)
 	}
 	if set.DelayMillis < 0 {
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -35,6 +35,8 @@
 	Instances int
 	// EndpointArgs are added to the arguments of every endpoint stand-in.
 	EndpointArgs []string
+	// Relayed puts a relay between all processes, which SetNetwork controls.
+	Relayed bool
 }
 
 // Deployment is the part of deployment.json that the harness uses.
@@ -44,7 +46,8 @@
 		Name        string   `json:"name"`
 		DataCentres []string `json:"dataCentres"`
 	} `json:"regions"`
-	Service struct {
+	StoreRegion string `json:"storeRegion"`
+	Service     struct {
 		Name        string `json:"name"`
 		MilliCPU    int64  `json:"milliCPU"`
 		MemoryMB    int64  `json:"memoryMB"`
@@ -57,6 +60,7 @@
 type Instance struct {
 	id         string
 	dataCentre string
+	region     string
 	agent      *Process
 	endpoint   *Process
 	address    string // of the endpoint and worker
@@ -70,6 +74,9 @@
 // DataCentre returns where the instance is.
 func (ins *Instance) DataCentre() string { return ins.dataCentre }
 
+// Region returns the region of the instance.
+func (ins *Instance) Region() string { return ins.region }
+
 // Agent returns the agent process.
 func (ins *Instance) Agent() *Process { return ins.agent }
 
@@ -79,10 +86,14 @@
 // Entry is an entry process.
 type Entry struct {
 	process *Process
+	region  string
 	address string
 	metrics string
 }
 
+// Region returns the region of the entry.
+func (ent *Entry) Region() string { return ent.region }
+
 // Process returns the process.
 func (ent *Entry) Process() *Process { return ent.process }
 
@@ -98,6 +109,8 @@
 	entries    []*Entry
 	instances  []*Instance
 	processes  []*Process
+	relay      string // address of its control endpoint
+	hosts      int    // addresses given to processes
 }
 
 // Deployment returns what the fleet was made from.
@@ -115,7 +128,10 @@
 // processSettings is the part of a settings file that the harness uses.
 type processSettings struct {
 	Instance       string `json:"instance"`
+	Region         string `json:"region"`
 	DataCentre     string `json:"dataCentre"`
+	PeerAddress    string `json:"peerAddress"`
+	GossipAddress  string `json:"gossipAddress"`
 	CallerAddress  string `json:"callerAddress"`
 	LocalAddress   string `json:"localAddress"`
 	MetricsAddress string `json:"metricsAddress"`
@@ -127,7 +143,7 @@
 // After an error everything that was started is stopped.
 func Start(ctx context.Context, opt Options) (*Fleet, error) {
 	fle := &Fleet{options: opt}
-	err := fle.launch()
+	err := fle.launch(ctx)
 	if err == nil {
 		err = fle.awaitReady(ctx)
 	}
@@ -138,7 +154,7 @@
 	return fle, nil
 }
 
-func (fle *Fleet) launch() error {
+func (fle *Fleet) launch(ctx context.Context) error {
 	raw, err := os.ReadFile(fle.deployFile("deployment.json"))
 	if err != nil {
 		return errors.Wrap(err, "read deployment")
@@ -159,12 +175,12 @@
 		return err
 	}
 	for _, name := range append(agents, copies...) {
-		if err := fle.launchInstance(name); err != nil {
+		if err := fle.launchInstance(ctx, name); err != nil {
 			return err
 		}
 	}
 	for _, name := range entries {
-		if err := fle.launchEntry(name); err != nil {
+		if err := fle.launchEntry(ctx, name); err != nil {
 			return err
 		}
 	}
@@ -178,7 +194,7 @@
 var loopbackPort = regexp.MustCompile(`127\.0\.0\.1:(\d+)`)
 
 // settingsFile copies a settings file with shifted ports and starts the platform if need be.
-func (fle *Fleet) settingsFile(name string) (processSettings, string, error) {
+func (fle *Fleet) settingsFile(ctx context.Context, name string) (processSettings, string, error) {
 	var set processSettings
 	raw, err := os.ReadFile(name)
 	if err != nil {
@@ -191,30 +207,61 @@
 	if err := json.Unmarshal(raw, &set); err != nil {
 		return set, "", errors.Wrap(err, "decode settings")
 	}
+	if err := fle.startPlatform(ctx, set.TableAddress); err != nil {
+		return set, "", err
+	}
+	host := fle.nextHost()
+	if raw, err = onOwnHost(raw, host); err != nil {
+		return set, "", err
+	}
+	announced := []string{set.PeerAddress}
+	if set.LocalAddress != "" {
+		announced = append(announced, set.LocalAddress)
+	}
+	if _, err := fle.join(ctx, set.Instance, host, set.GossipAddress, announced...); err != nil {
+		return set, "", err
+	}
 	file := filepath.Join(fle.options.Folder, "settings-"+filepath.Base(name))
 	if err := os.WriteFile(file, raw, 0o644); err != nil {
 		return set, "", errors.Wrap(err, "write settings")
 	}
+	return set, file, nil
+}
+
+// startPlatform starts the relay and the platform unless they run.
+func (fle *Fleet) startPlatform(ctx context.Context, announced string) error {
 	if fle.platform != nil {
-		return set, file, nil
+		return nil
 	}
-	fle.store = set.TableAddress
-	fle.platform, err = fle.run("platform", "standin-platform", "--listen", set.TableAddress)
-	return set, file, err
+	if err := fle.startRelay(ctx, announced); err != nil {
+		return err
+	}
+	own, err := fle.join(ctx, storeName, fle.nextHost(), "", announced)
+	if err != nil {
+		return err
+	}
+	fle.store = own[0]
+	fle.platform, err = fle.run("platform", "standin-platform", "--listen", fle.store)
+	return err
 }
 
-func (fle *Fleet) launchInstance(name string) error {
-	set, file, err := fle.settingsFile(name)
+func (fle *Fleet) launchInstance(ctx context.Context, name string) error {
+	set, file, err := fle.settingsFile(ctx, name)
+	if err != nil {
+		return err
+	}
+	ins := &Instance{id: set.Instance, dataCentre: set.DataCentre, region: set.Region, metrics: set.MetricsAddress}
+	own, err := fle.join(ctx, ins.EndpointName(), fle.nextHost(), "", set.WorkerAddress)
 	if err != nil {
 		return err
 	}
+	ins.address = own[0]
 	svc := fle.deployment.Service
 	args := []string{
-		"--listen", set.WorkerAddress, "--agent", set.LocalAddress, "--id", set.Instance, "--service", svc.Name,
+		"--listen", ins.address, "--advertise", set.WorkerAddress, "--agent", set.LocalAddress, "--id", set.Instance, "--service", svc.Name,
 		"--milli-cpu", strconv.FormatInt(svc.MilliCPU, 10), "--memory-mb", strconv.FormatInt(svc.MemoryMB, 10),
 		"--slots", strconv.Itoa(svc.Slots), "--connections", strconv.Itoa(svc.Connections),
 	}
-	ins := &Instance{id: set.Instance, dataCentre: set.DataCentre, address: set.WorkerAddress, metrics: set.MetricsAddress}
 	ins.endpoint, err = fle.run("endpoint-"+set.Instance, "standin-endpoint", append(args, fle.options.EndpointArgs...)...)
 	if err != nil {
 		return err
@@ -224,12 +271,12 @@
 	return err
 }
 
-func (fle *Fleet) launchEntry(name string) error {
-	set, file, err := fle.settingsFile(name)
+func (fle *Fleet) launchEntry(ctx context.Context, name string) error {
+	set, file, err := fle.settingsFile(ctx, name)
 	if err != nil {
 		return err
 	}
-	ent := &Entry{address: set.CallerAddress, metrics: set.MetricsAddress}
+	ent := &Entry{region: set.Region, address: set.CallerAddress, metrics: set.MetricsAddress}
 	ent.process, err = fle.run(set.Instance, "jacinthpost", "entry", "--settings", file)
 	fle.entries = append(fle.entries, ent)
 	return err
--- /dev/null
+++ b/internal/harness/network.go
@@ -0,0 +1,157 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// announcedHost is the address in the settings of the deployments.
+	announcedHost = "127.0.0.1"
+	// relayPort is the distance of the relay's control port from the platform's port.
+	relayPort = 9
+	storeName = "store"
+)
+
+// Link is a kind of connection: those that one of the senders opens to one of
+// the receivers. The names are those of processes; none stands for all.
+type Link struct {
+	From []string
+	To   []string
+}
+
+// NetworkFault is what the relay does to links.
+type NetworkFault struct {
+	mode      string
+	datagrams bool
+}
+
+// Faults of links.
+var (
+	// Silent makes the connections that are open deliver nothing more; new ones work.
+	Silent = NetworkFault{mode: "silent"}
+	// NoCalls makes all connections deliver nothing, also new ones; datagrams arrive.
+	NoCalls = NetworkFault{mode: "silentAll"}
+	// Cut delivers nothing at all.
+	Cut = NetworkFault{mode: "silentAll", datagrams: true}
+)
+
+// place is a process as the relay knows it.
+type place struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	TCP  []int  `json:"tcp"`
+	UDP  int    `json:"udp"`
+}
+
+// StoreName returns the name of the platform's stand-in in links.
+func StoreName() string { return storeName }
+
+// EndpointName returns the name of the endpoint and worker of an instance in links.
+func (ins *Instance) EndpointName() string { return "endpoint-" + ins.id }
+
+// SetNetwork gives the links a fault and ends all other faults. The fleet must be relayed.
+func (fle *Fleet) SetNetwork(ctx context.Context, flt NetworkFault, links ...Link) error {
+	type rule struct {
+		From          []string `json:"from"`
+		To            []string `json:"to"`
+		Mode          string   `json:"mode"`
+		DropDatagrams bool     `json:"dropDatagrams"`
+	}
+	rules := make([]rule, 0, len(links))
+	for _, lnk := range links {
+		rules = append(rules, rule{From: lnk.From, To: lnk.To, Mode: flt.mode, DropDatagrams: flt.datagrams})
+	}
+	return fle.tellRelay(ctx, "/v1/rules", rules)
+}
+
+// DroppedBytes returns how many bytes of connections the relay has not delivered.
+func (fle *Fleet) DroppedBytes(ctx context.Context) (int64, error) {
+	var sta struct {
+		DroppedBytes int64 `json:"droppedBytes"`
+	}
+	_, err := Call(ctx, "GET", fle.relay+"/v1/status", nil, nil, &sta)
+	return sta.DroppedBytes, err
+}
+
+func (fle *Fleet) tellRelay(ctx context.Context, path string, body any) error {
+	status, err := Call(ctx, "POST", fle.relay+path, nil, body, nil)
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("relay answers %s with status %d", path, status)
+	}
+	return err
+}
+
+// nextHost gives each process an address of its own. Only the relay is at the announced one.
+func (fle *Fleet) nextHost() string {
+	if !fle.options.Relayed {
+		return announcedHost
+	}
+	fle.hosts++
+	return fmt.Sprintf("127.0.1.%d", fle.hosts)
+}
+
+// join adds a process to the network and returns its own form of each announced TCP address.
+func (fle *Fleet) join(ctx context.Context, name, host, gossip string, announced ...string) ([]string, error) {
+	if !fle.options.Relayed {
+		return announced, nil
+	}
+	plc := place{Name: name, Host: host, UDP: portOf(gossip)}
+	var own []string
+	for _, addr := range announced {
+		plc.TCP = append(plc.TCP, portOf(addr))
+		own = append(own, net.JoinHostPort(host, strconv.Itoa(portOf(addr))))
+	}
+	return own, fle.tellRelay(ctx, "/v1/place", plc)
+}
+
+func portOf(addr string) int {
+	port, _ := strconv.Atoi(addr[strings.LastIndexByte(addr, ':')+1:])
+	return port
+}
+
+// startRelay starts the relay beside the platform and waits for it.
+func (fle *Fleet) startRelay(ctx context.Context, table string) error {
+	if !fle.options.Relayed {
+		return nil
+	}
+	fle.relay = net.JoinHostPort(announcedHost, strconv.Itoa(portOf(table)+relayPort))
+	if _, err := fle.run("relay", "standin-relay", "--host", announcedHost, "--control", fle.relay); err != nil {
+		return err
+	}
+	for {
+		if _, err := Call(ctx, "GET", fle.relay+"/v1/status", nil, nil, nil); err == nil {
+			return nil
+		}
+		if err := Pause(ctx, readyPause); err != nil {
+			return errors.Wrap(err, "wait for relay")
+		}
+	}
+}
+
+// onOwnHost moves the listeners of a process to its own address in its settings.
+func onOwnHost(raw []byte, host string) ([]byte, error) {
+	if host == announcedHost {
+		return raw, nil
+	}
+	var set map[string]any
+	if err := json.Unmarshal(raw, &set); err != nil {
+		return nil, errors.Wrap(err, "decode settings")
+	}
+	set["hostAddress"] = host
+	if local, found := set["localAddress"].(string); found {
+		set["localAddress"] = net.JoinHostPort(host, strconv.Itoa(portOf(local)))
+	}
+	out, err := json.Marshal(set)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	return out, nil
+}
