--- a/internal/failure/capacity_test.go
+++ b/internal/failure/capacity_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
 )
 
@@ -30,23 +31,23 @@
 	// worker's report before it accepts anything. One job is limited by
 	// processors, the other by memory.
 	It("commits no instance beyond its capacity while an agent restarts under overload", func(ctx SpecContext) {
-		fle := startFleet(ctx, "sen-vang", "--service-time", "20ms")
+		fle := scene.StartFleet(ctx, "sen-vang", "--service-time", "20ms")
 		jobs := []string{
-			submit(ctx, fle, jobSpec("wide", "plan", `{"workMillis":500}`, 100, 4000, 1024)),
-			submit(ctx, fle, jobSpec("large", "plan", `{"workMillis":500}`, 100, 500, 20_000)),
+			scene.Submit(ctx, fle, scene.JobSpec("wide", "plan", `{"workMillis":500}`, 100, 4000, 1024)),
+			scene.Submit(ctx, fle, scene.JobSpec("large", "plan", `{"workMillis":500}`, 100, 500, 20_000)),
 		}
 		call := func(ctx context.Context, num int) {
-			_, err := fle.Request(ctx, num%2, fmt.Sprintf("load %d", num), "", true, requestLimit)
+			_, err := fle.Request(ctx, num%2, fmt.Sprintf("load %d", num), "", true, scene.RequestLimit)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		underLoad(ctx, 64, call, func() {
-			hold(ctx, leadTime)
+		scene.UnderLoad(ctx, 64, call, func() {
+			scene.Hold(ctx, scene.LeadTime)
 			Expect(fle.Instances()[0].Agent().Restart()).To(Succeed())
 			for _, id := range jobs {
-				Eventually(jobState(ctx, fle, 0, id)).WithContext(ctx).Within(40 * time.Second).Should(Equal("finished"))
+				Eventually(scene.JobState(ctx, fle, 0, id)).WithContext(ctx).Within(40 * time.Second).Should(Equal("finished"))
 			}
 		})
 		expectWithinCapacity(ctx, fle)
-		expectNoOverlap(ctx, fle)
+		scene.ExpectNoOverlap(ctx, fle)
 	}, SpecTimeout(90*time.Second))
 })
--- a/internal/failure/config_test.go
+++ b/internal/failure/config_test.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
 	"jacinthpost/io/table/tableapi"
 )
@@ -68,22 +68,6 @@
 	return outcome == "accepted" || outcome == "same"
 }
 
-// pollHeads fails when the confirmed head of an entry ever decreases.
-func pollHeads(fle *harness.Fleet) func(ctx context.Context, num int) {
-	var mut sync.Mutex
-	highest := map[int]uint64{}
-	return func(ctx context.Context, num int) {
-		mut.Lock()
-		defer mut.Unlock()
-		sta, err := fle.State(ctx, num%2)
-		if err != nil || !sta.Confirmed {
-			return // the entry is being restarted
-		}
-		Expect(sta.Head).To(BeNumerically(">=", highest[num%2]), "head at entry %d", num%2)
-		highest[num%2] = sta.Head
-	}
-}
-
 // contentOf returns the content that an accepted ticket has at an entry.
 func contentOf(ctx context.Context, fle *harness.Fleet, ent int, num uint64) string {
 	GinkgoHelper()
@@ -116,17 +100,7 @@
 	for _, pro := range all {
 		Expect(pro.Restart()).To(Succeed())
 	}
-	awaitComplete(ctx, fle)
-}
-
-// awaitInForce checks that a ticket is in force at every process within the promise.
-func awaitInForce(ctx context.Context, fle *harness.Fleet, num uint64, accepted time.Time) {
-	GinkgoHelper()
-	want := len(fle.Entries()) + len(fle.Instances())
-	for ent := range fle.Entries() {
-		Eventually(func() ([]string, error) { return fle.InForce(ctx, ent, num) }).WithContext(ctx).
-			Within(time.Until(accepted.Add(inForce))).WithPolling(20*time.Millisecond).Should(HaveLen(want), "ticket %d at entry %d", num, ent)
-	}
+	scene.AwaitComplete(ctx, fle)
 }
 
 var _ = Describe("invariant 10 (configuration)", func() {
@@ -135,12 +109,12 @@
 	// lost, and every process starts anew.
 	It("keeps every accepted ticket when operators race and all processes are killed", func(ctx SpecContext) {
 		const enough = 8
-		fle := startFleet(ctx, "sen-vang")
+		fle := scene.StartFleet(ctx, "sen-vang")
 		operators := []*operator{{fleet: fle, entry: 0, accepted: map[uint64]string{}}, {fleet: fle, entry: 1, accepted: map[uint64]string{}}}
-		underLoad(ctx, 2, pollHeads(fle), func() {
-			loseAnswers(ctx, fle, 30)
-			inParallel(len(operators), func(num int) { operators[num].race(ctx, enough) })
-			setStore(ctx, fle, tableapi.Faults{})
+		scene.UnderLoad(ctx, 2, scene.PollHeads(fle), func() {
+			scene.LoseAnswers(ctx, fle, 30)
+			scene.InParallel(len(operators), func(num int) { operators[num].race(ctx, enough) })
+			scene.SetStore(ctx, fle, tableapi.Faults{})
 			expectAccepted(ctx, fle, operators)
 			restartAll(ctx, fle)
 			expectAccepted(ctx, fle, operators)
@@ -149,21 +123,21 @@
 
 	// Guards against processes that learn of a ticket late or not at all.
 	It("brings a ticket into force at every process within 3 s", func(ctx SpecContext) {
-		fle := startFleet(ctx, "bayou-paddle")
+		fle := scene.StartFleet(ctx, "bayou-paddle")
 		for try := range 5 {
 			chg := harness.Change{Kind: "customer", Name: fmt.Sprintf("customer-%d", try), State: customerState(true, "first")}
-			num, accepted := fileNext(ctx, fle, chg)
-			awaitInForce(ctx, fle, num, accepted)
+			num, accepted := scene.FileNext(ctx, fle, chg)
+			scene.AwaitInForce(ctx, fle, num, accepted)
 		}
 	}, SpecTimeout(time.Minute))
 
 	// Guards against settings that a cancellation or a restart of all processes
 	// removes: the customer may return a year later.
 	It("keeps the settings of a cancelled customer", func(ctx SpecContext) {
-		fle := startFleet(ctx, "bayou-paddle")
-		num, _ := fileNext(ctx, fle, harness.Change{Kind: "customer", Name: "demo", State: customerState(true, "kept")})
+		fle := scene.StartFleet(ctx, "bayou-paddle")
+		num, _ := scene.FileNext(ctx, fle, harness.Change{Kind: "customer", Name: "demo", State: customerState(true, "kept")})
 		num, accepted := fileNextAt(ctx, fle, num+1, harness.Change{Kind: "customer", Name: "demo", BaseVersion: num, State: customerState(false, "kept")})
-		awaitInForce(ctx, fle, num, accepted)
+		scene.AwaitInForce(ctx, fle, num, accepted)
 		for range 2 {
 			for ent := range fle.Entries() {
 				expectCancelled(ctx, fle, ent, num)
@@ -189,9 +163,9 @@
 	ver, state := versionOf(sta, "customer", "demo")
 	Expect(ver).To(Equal(num))
 	Expect(state).To(MatchJSON(`{"active":false,"settings":{"content":"kept"}}`))
-	env, err := fle.Request(ctx, ent, "refused", "", false, requestLimit)
+	env, err := fle.Request(ctx, ent, "refused", "", false, scene.RequestLimit)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(env.Outcome).To(Equal(notRun))
+	Expect(env.Outcome).To(Equal(scene.NotRun))
 }
 
 // expectAccepted checks that the accepted tickets are one sequence without gaps or
@@ -215,7 +189,7 @@
 			want, _ := json.Marshal(customerState(true, all[head]))
 			gom.Expect(ver).To(Equal(head))
 			gom.Expect(state).To(MatchJSON(want))
-		}).WithContext(ctx).Within(inForce).Should(Succeed())
+		}).WithContext(ctx).Within(scene.InForce).Should(Succeed())
 		for num, content := range all {
 			Expect(contentOf(ctx, fle, ent, num)).To(Equal(content), "ticket %d at entry %d", num, ent)
 		}
--- /dev/null
+++ b/internal/failure/scene/work.go
@@ -0,0 +1,188 @@
+package scene
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/harness"
+	"jacinthpost/io/message"
+	"jacinthpost/io/table/tableapi"
+)
+
+const (
+	buildTasks = 6
+	// TasksLimit covers a takeover and two task leases on a busy machine.
+	TasksLimit = 75 * time.Second
+)
+
+// JobSpec returns a job of the demo customer.
+func JobSpec(key, kind, payload string, tasks int, milliCPU, memoryMB int64) message.JobSpec {
+	return message.JobSpec{
+		Key: key, Customer: "demo", Team: "default", Class: kind + "Class", Kind: kind, Tasks: tasks,
+		Resources: message.Resources{MilliCPU: milliCPU, MemoryMB: memoryMB}, Payload: []byte(payload),
+	}
+}
+
+// Submit submits a job until it is accepted, as a caller with the same key may.
+func Submit(ctx context.Context, fle *harness.Fleet, spc message.JobSpec) string {
+	GinkgoHelper()
+	var id string
+	Eventually(func(gom Gomega) {
+		ans, err := fle.Submit(ctx, 0, spc)
+		gom.Expect(err).NotTo(HaveOccurred())
+		gom.Expect(ans.Outcome).To(Equal(Answered), "%s %s", ans.Reason, ans.Detail)
+		id = ans.Job.JobID
+	}).WithContext(ctx).Within(20 * time.Second).Should(Succeed())
+	return id
+}
+
+// JobState returns the state of a job, or why it is not known now.
+func JobState(ctx context.Context, fle *harness.Fleet, ent int, id string) func() string {
+	return func() string {
+		ans, err := fle.Job(ctx, ent, id)
+		switch {
+		case err != nil:
+			return err.Error()
+		case ans.Outcome != Answered:
+			return ans.Outcome + ": " + ans.Reason
+		}
+		return ans.Job.State
+	}
+}
+
+// CancelJob cancels a job and waits until it is cancelled.
+func CancelJob(ctx context.Context, fle *harness.Fleet, id string) {
+	GinkgoHelper()
+	Eventually(func(gom Gomega) {
+		ans, err := fle.Cancel(ctx, 1, id)
+		gom.Expect(err).NotTo(HaveOccurred())
+		gom.Expect(ans.Outcome).To(Equal(Answered))
+	}).WithContext(ctx).Within(30 * time.Second).Should(Succeed())
+	Eventually(JobState(ctx, fle, 1, id)).WithContext(ctx).Within(30 * time.Second).Should(Equal("cancelled"))
+}
+
+// RunsOf returns the runs of a job for which the condition holds.
+func RunsOf(ctx context.Context, fle *harness.Fleet, id string, holds func(harness.Run) bool) []harness.Run {
+	GinkgoHelper()
+	all, err := fle.History(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	var runs []harness.Run
+	for _, run := range all {
+		if run.Job == id && holds(run) {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
+// InProgress reports whether the run has not stopped.
+func InProgress(run harness.Run) bool { return run.Stopped == 0 }
+
+// RanToItsEnd reports whether the task finished in the run.
+func RanToItsEnd(run harness.Run) bool { return run.State == "finished" }
+
+// ExpectNoOverlap checks that no task ever ran in two places.
+func ExpectNoOverlap(ctx context.Context, fle *harness.Fleet) {
+	GinkgoHelper()
+	all, err := fle.History(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	one, two, found := harness.Overlap(all)
+	Expect(found).To(BeFalse(), "one task in two places: %+v and %+v", one, two)
+}
+
+// ExpectFinishedOnce waits for the end of a job and checks that each task ran to its end exactly once.
+func ExpectFinishedOnce(ctx context.Context, fle *harness.Fleet, id string) {
+	GinkgoHelper()
+	Eventually(JobState(ctx, fle, 1, id)).WithContext(ctx).Within(TasksLimit).Should(Equal("finished"))
+	ends := map[int]int{}
+	for _, run := range RunsOf(ctx, fle, id, RanToItsEnd) {
+		ends[run.Index]++
+	}
+	want := map[int]int{}
+	for num := range buildTasks {
+		want[num] = 1
+	}
+	Expect(ends).To(Equal(want), "finished runs by task")
+}
+
+// ExpectOneRun waits until the watch runs in one place and stays there.
+func ExpectOneRun(ctx context.Context, fle *harness.Fleet, id string) {
+	GinkgoHelper()
+	count := func() int { return len(RunsOf(ctx, fle, id, InProgress)) }
+	Eventually(count).WithContext(ctx).Within(TasksLimit).Should(Equal(1))
+	Eventually(JobState(ctx, fle, 1, id)).WithContext(ctx).Within(TasksLimit).Should(Equal("running"))
+	Consistently(count).WithContext(ctx).WithTimeout(time.Second).Should(Equal(1))
+}
+
+// Work is a build and a watch that run when the fault strikes.
+type Work struct {
+	fleet *harness.Fleet
+	build string
+	watch string
+}
+
+// StartWork submits the work and waits until every task runs.
+func StartWork(ctx context.Context, fle *harness.Fleet, payload string) Work {
+	GinkgoHelper()
+	wrk := Work{fleet: fle}
+	wrk.watch = Submit(ctx, fle, JobSpec("watch", "watch", `{"neverFinishes":true}`, 1, 1000, 1024))
+	wrk.build = Submit(ctx, fle, JobSpec("build", "build", payload, buildTasks, 8000, 1024))
+	DeferCleanup(wrk.explainFailure)
+	Eventually(func() int {
+		return len(RunsOf(ctx, fle, wrk.build, InProgress)) + len(RunsOf(ctx, fle, wrk.watch, InProgress))
+	}).WithContext(ctx).Within(20 * time.Second).Should(Equal(buildTasks + 1))
+	return wrk
+}
+
+// explainFailure reports what the owners say about the work of a failed spec.
+func (wrk Work) explainFailure(ctx SpecContext) {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	for _, id := range []string{wrk.build, wrk.watch} {
+		lines, err := wrk.fleet.Explain(ctx, 1, "job", id)
+		AddReportEntry("explain job "+id, ReportEntryVisibilityFailureOrVerbose, fmt.Sprintln(strings.Join(lines, "\n"), err))
+	}
+}
+
+// Host returns the instance that runs the watch.
+func (wrk Work) Host(ctx context.Context) *harness.Instance {
+	GinkgoHelper()
+	runs := RunsOf(ctx, wrk.fleet, wrk.watch, InProgress)
+	Expect(runs).To(HaveLen(1))
+	return wrk.fleet.Instance(runs[0].Instance)
+}
+
+// Owner returns the instance whose agent owns the partition of the watch.
+func (wrk Work) Owner(ctx context.Context) *harness.Instance {
+	GinkgoHelper()
+	ins, err := wrk.fleet.Owner(ctx, wrk.watch)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(ins).NotTo(BeNil(), "the partition of the watch has an owner")
+	return ins
+}
+
+// Fleet returns where the work runs.
+func (wrk Work) Fleet() *harness.Fleet { return wrk.fleet }
+
+// Build returns the ID of the build.
+func (wrk Work) Build() string { return wrk.build }
+
+// Watch returns the ID of the watch.
+func (wrk Work) Watch() string { return wrk.watch }
+
+// ExpectDone checks that the build finished once, that the watch runs in one
+// place, and that no task ran in two.
+func (wrk Work) ExpectDone(ctx context.Context) {
+	GinkgoHelper()
+	ExpectFinishedOnce(ctx, wrk.fleet, wrk.build)
+	ExpectOneRun(ctx, wrk.fleet, wrk.watch)
+	SetStore(ctx, wrk.fleet, tableapi.Faults{})
+	CancelJob(ctx, wrk.fleet, wrk.watch)
+	ExpectNoOverlap(ctx, wrk.fleet)
+}
--- a/internal/failure/stop_test.go
+++ b/internal/failure/stop_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
 )
 
@@ -20,9 +21,9 @@
 // retryRefused sends a non-idempotent request through the entries in turn. Only a
 // connection that the entry has refused proves that another try is harmless.
 func retryRefused(ctx context.Context, fle *harness.Fleet, num int, body string) (harness.Envelope, error) {
-	env, err := fle.Request(ctx, num%2, body, "", false, requestLimit)
+	env, err := fle.Request(ctx, num%2, body, "", false, scene.RequestLimit)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return fle.Request(ctx, (num+1)%2, body, "", false, requestLimit)
+		return fle.Request(ctx, (num+1)%2, body, "", false, scene.RequestLimit)
 	}
 	return env, err
 }
@@ -33,7 +34,7 @@
 	return func(ctx context.Context, num int) {
 		body := fmt.Sprintf("order %d", num)
 		env, err := retryRefused(ctx, fle, num, body)
-		if err == nil && env.Outcome == answered && env.Body.Body == body {
+		if err == nil && env.Outcome == scene.Answered && env.Body.Body == body {
 			return
 		}
 		// One failure tells enough; a process that is gone would give thousands.
@@ -71,7 +72,7 @@
 		return begun
 	},
 	"drain": func(ctx context.Context, fle *harness.Fleet, ins *harness.Instance) time.Time {
-		_, accepted := fileNext(ctx, fle, harness.Change{Kind: "endpoint", Name: ins.ID(), State: map[string]any{"draining": true}})
+		_, accepted := scene.FileNext(ctx, fle, harness.Change{Kind: "endpoint", Name: ins.ID(), State: map[string]any{"draining": true}})
 		return accepted
 	},
 }
@@ -81,16 +82,16 @@
 	// they are not idempotent, so nobody may repeat them.
 	DescribeTable("loses no request and sends none to the endpoint 3 s later",
 		func(ctx SpecContext, name string) {
-			fle := startFleet(ctx, "sen-vang", "--service-time", "20ms")
+			fle := scene.StartFleet(ctx, "sen-vang", "--service-time", "20ms")
 			ins := fle.Instances()[0]
 			var begun time.Time
-			underLoad(ctx, 16, mustAnswer(fle), around(ctx, func() {
+			scene.UnderLoad(ctx, 16, mustAnswer(fle), scene.Around(ctx, func() {
 				Expect(lastRequestAt(ctx, fle, ins).LastRequestUnixMillis).To(BeNumerically(">", 0), "requests reach the endpoint before")
 				begun = stops[name](ctx, fle, ins)
-				hold(ctx, time.Until(begun.Add(2*inForce)))
+				scene.Hold(ctx, time.Until(begun.Add(2*scene.InForce)))
 			}))
 			pek := lastRequestAt(ctx, fle, ins)
-			Expect(pek.LastRequestUnixMillis).To(BeNumerically("<=", begun.Add(inForce).UnixMilli()))
+			Expect(pek.LastRequestUnixMillis).To(BeNumerically("<=", begun.Add(scene.InForce).UnixMilli()))
 		},
 		Entry("when the endpoint gets SIGTERM", "endpoint", SpecTimeout(time.Minute)),
 		Entry("when the agent gets SIGTERM", "agent", SpecTimeout(time.Minute)),
@@ -100,8 +101,8 @@
 	// Guards against an entry that cuts requests in flight or that closes
 	// connections on which callers are sending.
 	It("loses no request when an entry gets SIGTERM", func(ctx SpecContext) {
-		fle := startFleet(ctx, "sen-vang", "--service-time", "20ms")
-		underLoad(ctx, 32, mustAnswer(fle), around(ctx, func() {
+		fle := scene.StartFleet(ctx, "sen-vang", "--service-time", "20ms")
+		scene.UnderLoad(ctx, 32, mustAnswer(fle), scene.Around(ctx, func() {
 			Expect(fle.Entries()[0].Process().Terminate(stopLimit)).To(BeTrue(), "the entry ends cleanly and in time")
 		}))
 	}, SpecTimeout(time.Minute))
