Prove the invariants when the network between processes fails

Cause: the freshness rule, silent connections in whole deployments, parted regions and pairs of faults were listed as not proved.

--- /dev/null
+++ b/internal/failure/links/suite_test.go
@@ -0,0 +1,21 @@
+// Package links proves the invariants when established connections go silent: a
+// relay stands between all processes of each deployment.
+package links_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/failure/scene"
+)
+
+func TestLinks(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "links")
+}
+
+// The ports of these fleets, 16400 to 18703 with the settings of sen-vang, are those
+// of no other package.
+var _ = scene.Suite("../../..", -4600, -2600)
--- /dev/null
+++ b/internal/failure/region/freshness_test.go
@@ -0,0 +1,117 @@
+package region_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/failure/scene"
+	"jacinthpost/internal/harness"
+)
+
+// deafFor is longer than the promise plus the freshness limit (2.5 s).
+const deafFor = 8 * time.Second
+
+// configSent is the counter of the bytes that a process has sent for its configuration.
+const configSent = `jacinthpost_peer_sent_bytes_total{kind="config"`
+
+// pullers returns the instances whose agents pull their configuration from others
+// and read it nowhere else: before the first ticket only they send for it.
+func pullers(ctx context.Context, fle *harness.Fleet) []*harness.Instance {
+	GinkgoHelper()
+	sent := func(ins *harness.Instance) float64 {
+		usg, err := ins.Usage(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		return usg.Sum(configSent)
+	}
+	before := map[*harness.Instance]float64{}
+	for _, ins := range fle.Instances() {
+		before[ins] = sent(ins)
+	}
+	scene.Hold(ctx, 1500*time.Millisecond) // three pulls
+	var found []*harness.Instance
+	for _, ins := range fle.Instances() {
+		if sent(ins) > before[ins] {
+			found = append(found, ins)
+		}
+	}
+	return found
+}
+
+// flood submits jobs of short tasks, so that tasks start everywhere all the time.
+func flood(fle *harness.Fleet) func(ctx context.Context, num int) {
+	return func(ctx context.Context, num int) {
+		spc := scene.JobSpec(fmt.Sprintf("flood %d", num), "plan", `{"workMillis":300}`, 12, 4000, 1024)
+		_, _ = fle.Submit(ctx, num%len(fle.Entries()), spc) // a fault may refuse or lose it
+		_ = harness.Pause(ctx, 200*time.Millisecond)
+	}
+}
+
+func expectStarts(ctx context.Context, fle *harness.Fleet, ins *harness.Instance, after time.Time) {
+	GinkgoHelper()
+	Eventually(scene.StartsAt(ctx, fle, ins, after)).WithContext(ctx).Within(30*time.Second).Should(BeNumerically(">", 4), "starts at %s", ins.ID())
+}
+
+// pair returns two agents in different data centres of the store's region, which
+// therefore own partitions, and which read the configuration nowhere themselves.
+func pair(ctx context.Context, fle *harness.Fleet) (own, ins *harness.Instance) {
+	GinkgoHelper()
+	centres := fle.Deployment().Regions[0].DataCentres
+	at := map[string]*harness.Instance{}
+	for _, pul := range pullers(ctx, fle) {
+		at[pul.DataCentre()] = pul
+	}
+	Expect(at).To(And(HaveKey(centres[0]), HaveKey(centres[1])), "one of two agents of a data centre is no configuration reader")
+	return at[centres[0]], at[centres[1]]
+}
+
+// onlyTo returns the links from a process to all but some others.
+func onlyTo(fle *harness.Fleet, ins *harness.Instance, names ...string) harness.Link {
+	return harness.Link{From: []string{ins.ID()}, To: scene.NamesOf(fle, scene.Except(append(names, ins.ID())...))}
+}
+
+var _ = Describe("invariant 4 (freshness rule)", func() {
+	const instances = 6 // two in each data centre, of which one is a configuration reader
+
+	// Guards against an agent that starts what it is offered although it can't know
+	// whether its data centre is still in service. One owner, which is up to date,
+	// reaches it and goes on offering, and the agent can claim there, so that nothing
+	// but the agent's own rule prevents a start.
+	It("starts no task on an agent that hears of no ticket, although an owner offers", func(ctx SpecContext) {
+		fle := scene.StartRelayed(ctx, "sen-vang", instances)
+		own, ins := pair(ctx, fle)
+		scene.UnderLoad(ctx, 2, flood(fle), func() {
+			expectStarts(ctx, fle, ins, time.Time{})
+			others := scene.NamesOf(fle, scene.Except(own.ID(), ins.ID()))
+			scene.SetNetwork(ctx, fle, harness.NoCalls, onlyTo(fle, ins, own.ID()), harness.Link{From: others, To: []string{ins.ID()}})
+			begun := time.Now()
+			scene.Hold(ctx, deafFor)
+			Expect(scene.StartsAt(ctx, fle, ins, begun.Add(scene.InForce))()).To(BeZero(), "starts at %s", ins.ID())
+			scene.HealNetwork(ctx, fle)
+			expectStarts(ctx, fle, ins, time.Now())
+		})
+		scene.ExpectNoOverlap(ctx, fle)
+	}, SpecTimeout(90*time.Second))
+
+	// Guards against starts in a data centre that was taken out when both the agent
+	// and an owner hear of no ticket: the owner reaches the store and the agent,
+	// calls of others reach both, but neither can ask a configuration reader.
+	It("starts no task in a data centre taken out when its agent and an owner hear of no ticket", func(ctx SpecContext) {
+		fle := scene.StartRelayed(ctx, "sen-vang", instances)
+		own, ins := pair(ctx, fle)
+		scene.UnderLoad(ctx, 2, flood(fle), func() {
+			expectStarts(ctx, fle, ins, time.Time{})
+			scene.SetNetwork(ctx, fle, harness.NoCalls, onlyTo(fle, ins, own.ID()), onlyTo(fle, own, ins.ID(), harness.StoreName()))
+			num, accepted := scene.FileNext(ctx, fle, harness.Change{Kind: "dataCentre", Name: ins.DataCentre(), State: map[string]any{"state": "out", "reason": "test"}})
+			scene.Hold(ctx, deafFor)
+			Expect(scene.StartsAt(ctx, fle, ins, accepted.Add(scene.InForce))()).To(BeZero(), "starts in %s", ins.DataCentre())
+			scene.HealNetwork(ctx, fle)
+			_, back := scene.FileNext(ctx, fle, harness.Change{Kind: "dataCentre", Name: ins.DataCentre(), BaseVersion: num, State: map[string]any{"state": "in"}})
+			expectStarts(ctx, fle, ins, back)
+		})
+		scene.ExpectNoOverlap(ctx, fle)
+	}, SpecTimeout(90*time.Second))
+})
--- /dev/null
+++ b/internal/failure/region/suite_test.go
@@ -0,0 +1,20 @@
+// Package region proves the invariants when parts of the network fail: a relay
+// stands between all processes of each deployment.
+package region_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/failure/scene"
+)
+
+func TestRegion(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "region")
+}
+
+// The ports of these fleets, 13000 to 16303, are below those of internal/failure.
+var _ = scene.Suite("../../..", -8000, -6000)
