Let the capacity benchmark build owners of many tasks

Cause: with 16 partitions on 48 instances no owner had more than about 100 tasks, and the highest of all agents mixed owners, readers and noise. Change: -partitions, -tasks-each, -observe and -profiles; the busiest owner has lines of its own; waits of threads and allocations are counted, which other load on the machine changes little.

--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -18,7 +18,7 @@
 const (
 	capacityPorts = 10500
 	settleTime    = 8 * time.Second
-	observedTime  = 15 * time.Second
+	profiledTime  = 20 * time.Second
 	tasksEach     = 14 // 19,000 batch tasks on 1,400 workers
 	capacityLimit = 10 * time.Minute
 )
@@ -47,38 +47,39 @@
 		if err := os.Mkdir(own, 0o755); err != nil {
 			return errors.Wrap(err, "make folder")
 		}
-		fleet := harness.Options{Deployment: "sen-vang", Repo: ".", Binaries: binaries, Folder: own, PortOffset: capacityPorts, Instances: size}
-		if err := measureFleet(ctx, rep, fleet); err != nil {
+		fleet := harness.Options{Deployment: "sen-vang", Repo: ".", Binaries: binaries, Folder: own, PortOffset: capacityPorts, Instances: size, Partitions: opt.partitions}
+		if err := measureFleet(ctx, rep, fleet, opt); err != nil {
 			return errors.Wrapf(err, "%d instances", size)
 		}
 	}
 	return nil
 }
 
-func measureFleet(ctx context.Context, rep *report, opt harness.Options) error {
-	fle, err := harness.Start(ctx, opt)
+func measureFleet(ctx context.Context, rep *report, fleet harness.Options, opt options) error {
+	fle, err := harness.Start(ctx, fleet)
 	if err != nil {
 		return err
 	}
 	defer fle.Stop()
-	name := fmt.Sprintf("capacity.%d-instances", opt.Instances)
-	if err := observe(ctx, rep, fle, name+".idle"); err != nil {
+	name := fmt.Sprintf("capacity.%d-instances", fleet.Instances)
+	if err := observe(ctx, rep, fle, name+".idle", opt); err != nil {
 		return err
 	}
-	if err := startTasks(ctx, fle, opt.Instances*tasksEach); err != nil {
+	if err := startTasks(ctx, fle, fleet.Instances*opt.each, opt.each); err != nil {
 		return err
 	}
-	return observe(ctx, rep, fle, name+fmt.Sprintf(".%d-tasks", opt.Instances*tasksEach))
+	return observe(ctx, rep, fle, name+fmt.Sprintf(".%d-tasks", fleet.Instances*opt.each), opt)
 }
 
 // startTasks submits watches of 100 tasks and waits until all run.
-func startTasks(ctx context.Context, fle *harness.Fleet, count int) error {
+func startTasks(ctx context.Context, fle *harness.Fleet, count, each int) error {
+	milli := int64(500 * tasksEach / max(each, tasksEach)) // what one instance has room for
 	for num := 0; count > 0; num++ {
 		part := min(count, 100)
 		count -= part
 		ans, err := fle.Submit(ctx, 0, message.JobSpec{
 			Key: fmt.Sprint("capacity-", num), Customer: "bench", Team: "default", Class: "bench", Kind: "watch", Tasks: part,
-			Resources: message.Resources{MilliCPU: 500, MemoryMB: 256}, Payload: []byte(`{"neverFinishes":true}`),
+			Resources: message.Resources{MilliCPU: milli, MemoryMB: 256}, Payload: []byte(`{"neverFinishes":true}`),
 		})
 		if err != nil || ans.Outcome != "answered" {
 			return errors.Errorf("submit: %v %s %s", err, ans.Outcome, ans.Detail)
@@ -134,7 +135,7 @@
 }
 
 // observe prints the rates over an interval after the fleet has settled.
-func observe(ctx context.Context, rep *report, fle *harness.Fleet, name string) error {
+func observe(ctx context.Context, rep *report, fle *harness.Fleet, name string, opt options) error {
 	if err := harness.Pause(ctx, settleTime); err != nil {
 		return err
 	}
@@ -142,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	if err := harness.Pause(ctx, observedTime); err != nil {
+	if err := harness.Pause(ctx, opt.observe); err != nil {
 		return err
 	}
 	two, err := takeSample(ctx, fle)
@@ -153,8 +154,44 @@
 	rep.value(name+".store.reads", float64(two.store.Reads-one.store.Reads)/span, "/s")
 	rep.value(name+".store.writes", float64(two.store.Writes-one.store.Writes)/span, "/s")
 	reportRole(rep, name+".agent", one.agents, two.agents, span)
+	own := busiestOwner(one.agents, two.agents)
+	reportRole(rep, name+".owner", one.agents[own:own+1], two.agents[own:own+1], span)
 	reportRole(rep, name+".entry", one.entries, two.entries, span)
-	return nil
+	if opt.profiles == "" {
+		return nil
+	}
+	return profile(ctx, fle, one.agents, two.agents, filepath.Join(opt.profiles, name))
+}
+
+// busiestOwner returns the agent that has renewed most leases, or with none
+// renewed the one that owns most partitions.
+func busiestOwner(one, two []harness.Usage) int {
+	const renewed, owned = "jacinthpost_owner_leases_renewed_total", "jacinthpost_owner_partitions"
+	weight := func(num int) float64 {
+		return two[num].Sum(renewed) - one[num].Sum(renewed) + two[num].Sum(owned)
+	}
+	most := 0
+	for num := range one {
+		if weight(num) > weight(most) {
+			most = num
+		}
+	}
+	return most
+}
+
+// profile writes processor profiles of the busiest owner and of the agent that used least.
+func profile(ctx context.Context, fle *harness.Fleet, one, two []harness.Usage, prefix string) error {
+	used := func(num int) time.Duration { return two[num].Processor() - one[num].Processor() }
+	idlest := 0
+	for num := range one {
+		if used(num) < used(idlest) {
+			idlest = num
+		}
+	}
+	if err := fle.Instances()[busiestOwner(one, two)].Profile(ctx, profiledTime, prefix+".owner.pprof"); err != nil {
+		return err
+	}
+	return fle.Instances()[idlest].Profile(ctx, profiledTime, prefix+".idlest.pprof")
 }
 
 // traffic lists the byte counters by what they carry.
@@ -168,6 +205,16 @@
 	{"all-peers-received", "jacinthpost_peer_received_bytes_total"},
 }
 
+// counts lists counters that the load of the machine changes little.
+var counts = []struct {
+	name string
+	read func(usg harness.Usage) float64
+}{
+	{"waits", func(usg harness.Usage) float64 { return float64(usg.Switches()) }},
+	{"allocations", func(usg harness.Usage) float64 { return usg.Sum("go_memstats_mallocs_total") }},
+	{"renewed", func(usg harness.Usage) float64 { return usg.Sum("jacinthpost_owner_leases_renewed_total") }},
+}
+
 // reportRole prints the mean and the highest use of the processes of a role.
 func reportRole(rep *report, name string, one, two []harness.Usage, span float64) {
 	var cpu, mem []float64
@@ -177,6 +224,14 @@
 	}
 	rep.value(name+".processor.mean", mean(cpu), "% of a core")
 	rep.value(name+".processor.highest", slices.Max(cpu), "% of a core")
+	for _, cnt := range counts {
+		var rate []float64
+		for num := range one {
+			rate = append(rate, (cnt.read(two[num])-cnt.read(one[num]))/span)
+		}
+		rep.value(name+"."+cnt.name+".mean", mean(rate), "/s")
+		rep.value(name+"."+cnt.name+".highest", slices.Max(rate), "/s")
+	}
 	rep.value(name+".memory.mean", mean(mem), "MB")
 	rep.value(name+".memory.highest", slices.Max(mem), "MB")
 	for _, trf := range traffic {
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // options are the flags of the command.
@@ -17,6 +18,11 @@
 	seeds  int
 	filter string
 	sizes  []int
+	// The rest changes the capacity part.
+	each       int
+	partitions int
+	profiles   string
+	observe    time.Duration
 }
 
 // parts are the parts of the benchmark in the order in which they run.
@@ -48,6 +54,10 @@
 	flag.IntVar(&opt.seeds, "seeds", 5, "number of seeds of each scenario")
 	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures whose name contains this")
 	flag.Func("sizes", "fleet sizes of the capacity part, separated by commas (default 3,12,24,48)", opt.addSizes)
+	flag.IntVar(&opt.each, "tasks-each", tasksEach, "tasks of each instance in the capacity part")
+	flag.IntVar(&opt.partitions, "partitions", 0, "job partitions in the capacity part, those of the deployment when 0; few make owners of many tasks")
+	flag.StringVar(&opt.profiles, "profiles", "", "folder for processor profiles of the busiest owner and the least busy agent of the capacity part")
+	flag.DurationVar(&opt.observe, "observe", 15*time.Second, "time over which the capacity part observes a fleet; a tick of processor time is 10 ms")
 	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity; all but capacity when empty")
 	flag.Parse()
 	rep := newReport(os.Stdout)
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -33,6 +33,8 @@
 	// Instances is the number of instances, those of the deployment when smaller.
 	// Further ones are copies with ports of their own, spread over the data centres.
 	Instances int
+	// Partitions replaces the number of job partitions of the deployment when positive.
+	Partitions int
 	// EndpointArgs are added to the arguments of every endpoint stand-in.
 	EndpointArgs []string
 }
@@ -175,7 +177,10 @@
 	return filepath.Join(fle.options.Repo, "deploy", fle.options.Deployment, name)
 }
 
-var loopbackPort = regexp.MustCompile(`127\.0\.0\.1:(\d+)`)
+var (
+	loopbackPort = regexp.MustCompile(`127\.0\.0\.1:(\d+)`)
+	partitionKey = regexp.MustCompile(`("partitions":\s*)\d+`)
+)
 
 // settingsFile copies a settings file with shifted ports and starts the platform if need be.
 func (fle *Fleet) settingsFile(name string) (processSettings, string, error) {
@@ -188,6 +193,9 @@
 		port, _ := strconv.Atoi(string(match[len("127.0.0.1:"):]))
 		return fmt.Appendf(nil, "127.0.0.1:%d", port+fle.options.PortOffset)
 	})
+	if fle.options.Partitions > 0 {
+		raw = partitionKey.ReplaceAll(raw, fmt.Appendf(nil, "${1}%d", fle.options.Partitions))
+	}
 	if err := json.Unmarshal(raw, &set); err != nil {
 		return set, "", errors.Wrap(err, "decode settings")
 	}
--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +21,7 @@
 type Usage struct {
 	processor time.Duration
 	memory    int64
+	switches  int64
 	metrics   map[string]float64
 }
 
@@ -29,6 +31,10 @@
 // Memory returns the resident memory in bytes.
 func (usg Usage) Memory() int64 { return usg.memory }
 
+// Switches returns how often the threads of the process have waited. Each wake-up
+// adds one, and the load of the machine changes it little.
+func (usg Usage) Switches() int64 { return usg.switches }
+
 // Sum returns the sum of the counters of the process whose name starts with the prefix.
 func (usg Usage) Sum(prefix string) float64 {
 	total := 0.0
@@ -40,6 +46,15 @@
 	return total
 }
 
+// Profile writes a processor profile of the agent to a file.
+func (ins *Instance) Profile(ctx context.Context, dur time.Duration, file string) error {
+	raw, err := get(ctx, ins.metrics, fmt.Sprintf("/debug/pprof/profile?seconds=%d", int(dur.Seconds())))
+	if err != nil {
+		return errors.Wrap(err, "profile "+ins.id)
+	}
+	return os.WriteFile(file, raw, 0o644)
+}
+
 // Usage returns what the agent of an instance has used.
 func (ins *Instance) Usage(ctx context.Context) (Usage, error) {
 	return usageOf(ctx, ins.agent, ins.metrics)
@@ -63,21 +78,55 @@
 	pages, _ := strconv.ParseInt(fields[21], 10, 64)
 	usg.processor = time.Duration(user+system) * clockTick
 	usg.memory = pages * int64(os.Getpagesize())
+	usg.switches, err = waits(pro.cmd.Process.Pid)
+	if err != nil {
+		return usg, err
+	}
 	usg.metrics, err = readMetrics(ctx, metrics)
 	return usg, err
 }
 
-func readMetrics(ctx context.Context, addr string) (map[string]float64, error) {
-	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+"/metrics", nil)
+// waits sums the voluntary context switches of the threads of a process.
+func waits(pid int) (int64, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "list threads")
+	}
+	total := int64(0)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		for line := range strings.Lines(string(raw)) {
+			if txt, found := strings.CutPrefix(line, "voluntary_ctxt_switches:"); found {
+				num, _ := strconv.ParseInt(strings.TrimSpace(txt), 10, 64)
+				total += num
+			}
+		}
+	}
+	return total, nil
+}
+
+func get(ctx context.Context, addr, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+path, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build call")
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "read metrics")
+		return nil, errors.Wrap(err, "call")
 	}
 	defer func() { _ = res.Body.Close() }()
 	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	return raw, nil
+}
+
+func readMetrics(ctx context.Context, addr string) (map[string]float64, error) {
+	raw, err := get(ctx, addr, "/metrics")
 	if err != nil {
 		return nil, errors.Wrap(err, "read metrics")
 	}
