Renew the leases of an instance as one set

Cause: a renewal lists each task and the reply lists each grant, so the bytes and the decoding of an owner grow with the tasks although almost nothing changes between two renewals. Change: the agent describes the tasks that the owner has granted one by one by their number and an order-independent digest (lease.Set). When the owner believes the same, one record is extended; otherwise it asks for the list and the per-task path decides. A task that is being stopped, cancelled, ended or not yet listed in this epoch is never in the set. The status of a task in the set is sent only when it has changed noticeably.

--- a/core/job/agent_test.go
+++ b/core/job/agent_test.go
@@ -108,8 +108,10 @@
 		if !rnn.ended {
 			list = append(list, action{"finish", func(wld *world) { wld.end(idx, pos, job.NewEnd(job.EndFinished, "").WithResult([]byte("r"), "")) }},
 				action{"renew 0", func(wld *world) { wld.renew(0, idx, pos) }})
+			list = append(list, action{"renew all 0", func(wld *world) { wld.renewAll(0, idx) }})
 			if wld.owners[1].part != nil {
-				list = append(list, action{"renew 1", func(wld *world) { wld.renew(1, idx, pos) }})
+				list = append(list, action{"renew 1", func(wld *world) { wld.renew(1, idx, pos) }},
+					action{"renew all 1", func(wld *world) { wld.renewAll(1, idx) }})
 			}
 			list = wld.limited(list, "evict", "evict", func(wld *world) {
 				wld.end(idx, pos, job.NewEnd(job.EndCheckpointed, fmt.Sprintf("c%v", rnn.ref.Token())))
@@ -163,6 +165,27 @@
 		ref: wld.agents[idx].runs[pos].ref, inc: wld.agents[idx].inc})
 }
 
+// renewAll asks an owner to renew everything that the agent runs in one step. It
+// does so even when the owner has not listed the tasks yet: the owner decides.
+func (wld *world) renewAll(own, idx int) {
+	msg := message{kind: "renewAll", owner: own, agent: idx, sentAt: wld.now, inc: wld.agents[idx].inc}
+	for _, rnn := range wld.agents[idx].runs {
+		if !rnn.ended {
+			msg.held = append(msg.held, rnn.ref)
+		}
+	}
+	wld.post(msg)
+}
+
+// describe returns the description of a set of assignments.
+func describe(refs []job.Ref) lease.Set {
+	var set lease.Set
+	for _, ref := range refs {
+		set = set.With(string(ref.Job()), ref.Index(), ref.Token())
+	}
+	return set
+}
+
 // claim sends the claims of accepted offers.
 func (wld *world) claim(idx int) {
 	agt := &wld.agents[idx]
@@ -185,7 +208,7 @@
 		wld.net = slices.Delete(slices.Clone(wld.net), pos, pos+1)
 	}
 	switch msg.kind {
-	case "claim", "renew", "report", "adopted":
+	case "claim", "renew", "renewAll", "report", "adopted":
 		wld.deliverOwner(msg)
 	default:
 		wld.deliverAgent(msg)
@@ -204,6 +227,8 @@
 		out = own.part.Claim(env, 0, msg.ref, hol)
 	case "renew":
 		out = own.part.Renew(env, 0, hol, []job.Progress{job.NewProgress(msg.ref, 1, "")})
+	case "renewAll":
+		out = own.part.RenewHeld(env, 0, hol, describe(msg.held), nil)
 	case "report":
 		out = own.part.Report(env, 0, []job.Report{job.NewReport(msg.ref, msg.end)})
 	default:
@@ -292,7 +317,7 @@
 func (agt *agent) extend(msg message, now time.Time) {
 	for pos := range agt.runs {
 		rnn := &agt.runs[pos]
-		if until := lease.HolderEnd(msg.sentAt, taskLease); msg.grant && rnn.ref == msg.ref && !rnn.ended && now.Before(rnn.until) && until.After(rnn.until) {
+		if until := lease.HolderEnd(msg.sentAt, taskLease); msg.grant && (rnn.ref == msg.ref || slices.Contains(msg.held, rnn.ref)) && !rnn.ended && now.Before(rnn.until) && until.After(rnn.until) {
 			rnn.until = until
 		}
 	}
--- a/core/job/bench_test.go
+++ b/core/job/bench_test.go
@@ -19,24 +19,33 @@
 	holders []fleet.Process // of the running tasks
 	events  int
 	key     int
+	lost    bool // the partition lease has ended
 }
 
 func (ben *bench) env() job.Env {
-	return job.NewEnv(ben.now, ben.now.Add(time.Minute), func(fleet.DataCentre) bool { return true })
+	end := ben.now.Add(time.Minute)
+	if ben.lost {
+		end = ben.now
+	}
+	return job.NewEnv(ben.now, end, func(fleet.DataCentre) bool { return true })
 }
 
 func newBench() *bench {
 	ben := &bench{part: job.New(&job.Simple{}, job.NewLimits(20_000, 1<<20, 1<<20, time.Second)), now: start}
 	var list []job.Instance
 	for idx := range 1400 {
-		loc := fleet.NewLocation("r", fleet.DataCentre(fmt.Sprint("d", idx%7)), fleet.Rack(fmt.Sprint("k", idx/3)))
-		list = append(list, job.NewInstance(fleet.NewProcess(fleet.InstanceID(fmt.Sprintf("i%04d", idx)), 1), loc, resource.New(32000, 125000, 0), job.Alive))
+		list = append(list, ben.instance(idx))
 	}
 	ben.part.Observe(ben.env(), list)
 	ben.part.TakeOver(ben.env(), 1)
 	return ben
 }
 
+func (*bench) instance(idx int) job.Instance {
+	loc := fleet.NewLocation("r", fleet.DataCentre(fmt.Sprint("d", idx%7)), fleet.Rack(fmt.Sprint("k", idx/3)))
+	return job.NewInstance(fleet.NewProcess(fleet.InstanceID(fmt.Sprintf("i%04d", idx)), 1), loc, resource.New(32000, 125000, 0), job.Alive)
+}
+
 // submit submits a job and claims every offer that follows.
 func (ben *bench) submit(tasks int) {
 	ben.key++
--- a/core/job/effect.go
+++ b/core/job/effect.go
@@ -121,15 +121,33 @@
 // stop, so that it keeps its lease while it takes a checkpoint.
 type RenewReply struct {
 	durable
-	tag    Tag
-	grants []Grant
-	stops  []StopOrder
+	tag       Tag
+	agreed    bool
+	disagreed bool
+	count     int
+	grants    []Grant
+	stops     []StopOrder
 }
 
 // Tag returns which renewal is answered.
 func (rep RenewReply) Tag() Tag { return rep.tag }
 
-// Grants returns the renewed leases.
+// Agreed reports whether every lease of the set that the agent described is renewed.
+func (rep RenewReply) Agreed() bool { return rep.agreed }
+
+// Disagreed reports whether the owner believes the instance to hold another set,
+// so that the agent has to list its assignments.
+func (rep RenewReply) Disagreed() bool { return rep.disagreed }
+
+// Renewed returns the number of leases renewed.
+func (rep RenewReply) Renewed() int {
+	if rep.agreed {
+		return rep.count + len(rep.grants)
+	}
+	return len(rep.grants)
+}
+
+// Grants returns the leases renewed one by one. Those renewed with the set are left out.
 func (rep RenewReply) Grants() []Grant { return rep.grants }
 
 // Stops returns the assignments to end.
--- a/core/job/end.go
+++ b/core/job/end.go
@@ -144,7 +144,7 @@
 	}
 	kept := par.active[:0]
 	for _, tsk := range par.active {
-		if tsk.act != nil && !env.now.Before(tsk.act.until) {
+		if tsk.act != nil && par.over(tsk, env.now) {
 			par.expire(env, out, tsk)
 		}
 		if tsk.act != nil {
--- a/core/job/export_test.go
+++ b/core/job/export_test.go
@@ -12,7 +12,7 @@
 	sim := *par.placement
 	sim.seats, sim.byID = slices.Clone(sim.seats), maps.Clone(sim.byID)
 	cpy.placement, cpy.jobs, cpy.order = &sim, make(map[ID]*entry), nil
-	cpy.instances, cpy.out = maps.Clone(par.instances), maps.Clone(par.out)
+	cpy.instances, cpy.out, cpy.groups = maps.Clone(par.instances), maps.Clone(par.out), maps.Clone(par.groups)
 	cpy.queue, cpy.active, cpy.delayed = newLanes(compareTasks), nil, nil
 	for _, ent := range par.order {
 		dup := *ent
@@ -52,6 +52,10 @@
 			}
 		}
 	}
+	for _, ins := range slices.Sorted(maps.Keys(par.groups)) {
+		grp := par.groups[ins]
+		buf = Put(append(buf, ins...), int64(grp.set.Count()), int64(grp.set.Digest()), int64(grp.after), grp.renewedAt.UnixNano(), grp.checkAt.UnixNano())
+	}
 	for _, sea := range par.placement.seats {
 		buf = Put(buf, sea.free.MilliCPU(), sea.committed.MilliCPU(), sea.freeAt.UnixNano(), sea.pausedTo.UnixNano())
 	}
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -202,6 +202,17 @@
 	// The agent keeps asking the former owner, whose partition lease has ended.
 	misled  = slices.Concat(running, takeover, renewal)
 	relying = slices.Concat(misled, later, renewal, later[:1], offered)
+	// The owner has renewed everything that the instance holds in one step; the answer is on its way.
+	grouped = slices.Concat(running, renewal, later[:1], []string{"renew all 0", "deliver renewAll y"})
+	// The lease that the task had before that renewal has ended, the renewed one has
+	// not. The first offer arrives late, and a further one if the owner gave the task up.
+	outlived = slices.Concat(grouped, []string{"deliver renewReply y"}, later,
+		[]string{"?flush", "deliver offer x 1", "?deliver offer x 1", "?deliver claim x", "?deliver claim x", "?deliver claim x", "?flush"})
+	// The task leaves the group after its renewal and its lease counts on.
+	withdrawn = slices.Concat(grouped, []string{"cancel", "flush"}, later)
+	// The whole set is renewed by a former owner only, and the new owner offers the task again.
+	entrusted = slices.Concat(grouped, []string{"deliver renewReply y"}, takeover,
+		[]string{"renew all 0", "deliver renewAll y", "?deliver renewReply y"}, later, later[:1], offered)
 	// The agent repeats its claim at the former owner.
 	reclaimed = slices.Concat(claimed, takeover, reclaim, later, reclaim, later[:1], offered, []string{"flush"})
 	reclaim   = []string{"claim again", "deliver claim y"}
@@ -237,6 +248,10 @@
 		Entry("after the agent has asked the former owner only", relying),
 		Entry("after the agent has repeated its claim at the former owner", reclaimed),
 		Entry("after an eviction", resumed),
+		Entry("after a renewal of the whole set", grouped),
+		Entry("when only the renewal of the set keeps the lease", outlived),
+		Entry("after a cancellation between the renewal of the set and its answer", withdrawn),
+		Entry("after a takeover, with renewals of the set by the former owner only", entrusted),
 		Entry("after the agent crashed with a start in flight", crashed),
 	)
 
--- a/core/job/offer.go
+++ b/core/job/offer.go
@@ -117,7 +117,7 @@
 		return RefusedCancelled
 	case tsk.act.holder != hol:
 		return RefusedOtherAgent
-	case !env.now.Before(tsk.act.until):
+	case par.over(tsk, env.now):
 		return RefusedOutdated
 	case tsk.state == Offered && !env.starts(tsk.act.location.DataCentre()):
 		return RefusedNoStarts
@@ -144,26 +144,40 @@
 // orders the others to stop. A cancelled task is not renewed, so that it ends
 // with its lease if the stop order does not arrive.
 func (par *Partition[P]) Renew(env Env, tag Tag, hol fleet.Process, tasks []Progress) *Output {
+	return par.RenewHeld(env, tag, hol, lease.Set{}, tasks)
+}
+
+// RenewHeld renews leases of an instance that describes the set it holds. If the
+// owner believes it to hold exactly that set, all of them are renewed in one
+// step; assignments that are being stopped are never among them. Otherwise the
+// reply asks for the whole list. The tasks listed are treated as by Renew.
+func (par *Partition[P]) RenewHeld(env Env, tag Tag, hol fleet.Process, held lease.Set, tasks []Progress) *Output {
 	out := &Output{}
 	rep := RenewReply{tag: tag}
 	if !env.owns() {
 		out.emit(rep)
 		return out
 	}
+	if held.Count() > 0 {
+		rep.after, rep.agreed = par.renewGroup(env, hol.Instance(), held)
+		rep.disagreed = !rep.agreed
+		rep.count = held.Count()
+	}
 	for _, prg := range tasks {
 		tsk := par.find(prg.ref)
-		if tsk == nil || !tsk.current(prg.ref, hol.Instance()) || !env.now.Before(tsk.act.until) {
+		if tsk == nil || !tsk.current(prg.ref, hol.Instance()) || par.over(tsk, env.now) {
 			if tsk == nil || tsk.act == nil || tsk.act.token != prg.ref.token {
 				rep.stops = append(rep.stops, StopOrder{ref: prg.ref, checkpoint: true, reason: RefusedOutdated})
 			}
 			continue
 		}
+		member := rep.agreed && tsk.state == Running
 		par.renewTask(env, out, tsk, prg)
 		rep.after = max(rep.after, tsk.entry.recorded)
 		if tsk.state == Stopping {
 			rep.stops = append(rep.stops, tsk.stopOrder())
 		}
-		if !tsk.entry.cancelled {
+		if !tsk.entry.cancelled && !member {
 			rep.grants = append(rep.grants, Grant{ref: prg.ref, lease: tsk.entry.spec.Lease()})
 		}
 	}
--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -86,6 +86,7 @@
 	epoch     uint64
 	sequence  uint64
 	instances map[fleet.InstanceID]Instance
+	groups    map[fleet.InstanceID]group
 	out       map[fleet.DataCentre]int // tasks found there when the data centre was taken out
 	drainAt   time.Time
 	adoptAt   time.Time
@@ -128,7 +129,7 @@
 	token       token.Token
 	holder      fleet.Process
 	location    fleet.Location
-	until       time.Time // end of the offer, or of the lease as the granter counts it
+	until       time.Time // end of the offer, or of the lease as the granter counts it; a group renewal may have moved it
 	seen        string    // last checkpoint that the agent reported
 	seenAt      time.Time
 	progress    int
@@ -148,6 +149,7 @@
 		jobs:      make(map[ID]*entry),
 		queue:     newLanes(compareTasks),
 		instances: make(map[fleet.InstanceID]Instance),
+		groups:    make(map[fleet.InstanceID]group),
 		out:       make(map[fleet.DataCentre]int),
 	}
 }
@@ -250,8 +252,12 @@
 		par.queue.remove(par.placement.Lane(ent.spec), tsk)
 		tsk.queued = false
 	}
-	if tsk.state == Offered {
+	switch tsk.state {
+	case Offered:
 		par.offers--
+	case Running:
+		par.leave(tsk)
+	default:
 	}
 	ent.counts[tsk.state]--
 	tsk.state = sta
@@ -262,7 +268,9 @@
 		tsk.queued, tsk.act = true, nil
 	case Offered:
 		par.offers++
-	case Assigned, Running, Stopping:
+	case Running:
+		par.join(tsk)
+	case Assigned, Stopping:
 	default:
 		tsk.act = nil
 	}
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -46,13 +46,14 @@
 	ref    job.Ref
 	grant  bool
 	refs   []job.Ref
+	held   []job.Ref // renewed in one step
 	end    job.End
 	key    string // all of the above, for the fingerprint
 }
 
 func (wld *world) post(msg message) {
-	msg.key = fmt.Sprintf("%s %d %d %d %d %v %v %t %v %v", msg.kind, msg.owner, msg.agent, msg.sentAt.Unix(), msg.inc,
-		msg.ref, msg.task.Ref(), msg.grant, msg.refs, msg.end)
+	msg.key = fmt.Sprintf("%s %d %d %d %d %v %v %t %v %v %v", msg.kind, msg.owner, msg.agent, msg.sentAt.Unix(), msg.inc,
+		msg.ref, msg.task.Ref(), msg.grant, msg.refs, msg.held, msg.end)
 	wld.net = append(wld.net, msg)
 }
 
@@ -219,14 +220,14 @@
 }
 
 func (wld *world) send(idx int, hld held) {
-	msg := message{owner: idx, agent: hld.req.agent, sentAt: hld.req.sentAt, inc: hld.req.inc, ref: hld.req.ref}
+	msg := message{owner: idx, agent: hld.req.agent, sentAt: hld.req.sentAt, inc: hld.req.inc, ref: hld.req.ref, held: hld.req.held}
 	switch eff := hld.eff.(type) {
 	case job.Offer:
 		msg.kind, msg.agent, msg.task = "offer", agentIndex(eff.To().Instance()), eff.Task()
 	case job.ClaimReply:
 		msg.kind, msg.grant = "claimReply", eff.Granted()
 	case job.RenewReply:
-		msg.kind, msg.grant, msg.refs = "renewReply", len(eff.Grants()) > 0, stopRefs(eff.Stops())
+		msg.kind, msg.grant, msg.refs = "renewReply", len(eff.Grants()) > 0 || eff.Agreed(), stopRefs(eff.Stops())
 	case job.ReportReply:
 		msg.kind, msg.refs = "reportReply", eff.Recorded()
 	case job.Stop:
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"jacinthpost/core/lease"
+	"jacinthpost/core/token"
 )
 
 func TestLease(t *testing.T) {
@@ -32,3 +33,36 @@
 		}
 	})
 })
+
+// Guards against two different sets that compare as equal, and against a set that
+// depends on the order in which it was built.
+var _ = It("describes a set by its members and not by their order", func() {
+	type member struct {
+		job string
+		idx int
+		seq uint64
+	}
+	build := func(list []member) (set lease.Set) {
+		for _, mem := range list {
+			set = set.With(mem.job, mem.idx, token.New(1, mem.seq))
+		}
+		return set
+	}
+	rapid.Check(GinkgoT(), func(rt *rapid.T) {
+		one := rapid.Custom(func(rt *rapid.T) member {
+			return member{rapid.SampledFrom([]string{"j1", "j2"}).Draw(rt, "job"), rapid.IntRange(0, 3).Draw(rt, "index"), rapid.Uint64Range(1, 4).Draw(rt, "sequence")}
+		})
+		list := rapid.SliceOfNDistinct(one, 2, 12, func(mem member) member { return mem }).Draw(rt, "members")
+		set, last := build(list), list[len(list)-1]
+		if build(rapid.Permutation(list).Draw(rt, "order")) != set || set.Count() != len(list) {
+			rt.Fatalf("%v depends on the order", list)
+		}
+		without := set.Without(last.job, last.idx, token.New(1, last.seq))
+		if without != build(list[:len(list)-1]) {
+			rt.Fatalf("%v without its last member differs", list)
+		}
+		if oth := without.With(last.job, last.idx, token.New(1, last.seq+4)); oth == set {
+			rt.Fatalf("%v equals a set with another token", list)
+		}
+	})
+})
--- a/core/runner/effect.go
+++ b/core/runner/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthpost/core/lease"
 	"jacinthpost/core/worker"
 )
 
@@ -52,13 +53,19 @@
 // Renew asks the owner of a partition to renew leases.
 type Renew struct {
 	call  Call
+	held  lease.Set
 	tasks []Status
 }
 
 // Call returns the identity of the exchange with the owner.
 func (ren Renew) Call() Call { return ren.call }
 
-// Tasks returns the assignments to renew.
+// Held describes the assignments that agent and owner agree upon, which are
+// renewed in one step, or none.
+func (ren Renew) Held() lease.Set { return ren.held }
+
+// Tasks returns the assignments to renew one by one, and those of the set about
+// which there is something new to tell.
 func (ren Renew) Tasks() []Status { return ren.tasks }
 
 // Report tells the owner of a partition about ends.
@@ -168,13 +175,27 @@
 
 // RenewAnswer is the answer to a renewal. The zero value is a renewal that failed.
 type RenewAnswer struct {
-	answered bool
-	sent     time.Time
-	grants   []Grant
-	stops    []Order
+	answered  bool
+	agreed    bool
+	disagreed bool
+	sent      time.Time
+	grants    []Grant
+	stops     []Order
 }
 
 // RenewAnswered returns the answer of the owner to a renewal that was sent at a time.
 func RenewAnswered(sent time.Time, grants []Grant, stops []Order) RenewAnswer {
 	return RenewAnswer{answered: true, sent: sent, grants: grants, stops: stops}
 }
+
+// WithHeld returns the answer with the decision about the set: agreed renews all
+// of it, disagreed asks for the whole list.
+func (ans RenewAnswer) WithHeld(agreed, disagreed bool) RenewAnswer {
+	ans.agreed, ans.disagreed = agreed, disagreed
+	return ans
+}
+
+// empty reports whether the answer says nothing about any assignment.
+func (ans RenewAnswer) empty() bool {
+	return len(ans.grants)+len(ans.stops) == 0 && !ans.agreed && !ans.disagreed
+}
--- a/core/runner/owner.go
+++ b/core/runner/owner.go
@@ -19,12 +19,17 @@
 	reportAt  time.Time
 	renewing  uint64 // sequence of the renewal that is not answered, or zero
 	reporting uint64 // sequence of the report that is not answered, or zero
+	// round changes whenever the owner may believe something else than the agent.
+	// The tasks that were granted one by one in the present round make up the set
+	// that is renewed in one step.
+	round uint64
+	held  []worker.Ref // set of the renewal that is not answered
 }
 
 func (run *Runner) partition(num int) *partition {
 	pos, found := slices.BinarySearchFunc(run.partitions, num, func(par *partition, oth int) int { return par.number - oth })
 	if !found {
-		run.partitions = slices.Insert(run.partitions, pos, &partition{number: num})
+		run.partitions = slices.Insert(run.partitions, pos, &partition{number: num, round: 1})
 	}
 	return run.partitions[pos]
 }
@@ -35,6 +40,7 @@
 	if epoch > par.epoch {
 		par.epoch = epoch
 		par.renewing, par.reporting = 0, 0
+		par.round++
 	}
 	par.address, par.doubtful = addr, false
 }
@@ -74,13 +80,8 @@
 }
 
 func (run *Runner) renew(par *partition, now time.Time) []Effect {
-	var tasks []Status
-	for _, tsk := range run.tasks {
-		if tsk.partition == par.number && (tsk.phase == Running || tsk.phase == Stopping && !tsk.confirmed.IsZero()) {
-			tasks = append(tasks, tsk.status())
-		}
-	}
-	if len(tasks) == 0 {
+	set, held, tasks := run.renewable(par)
+	if set.Count()+len(tasks) == 0 {
 		par.renewAt = time.Time{}
 		return nil
 	}
@@ -89,8 +90,29 @@
 		par.renewAt = now.Add(RetryPeriod)
 		return nil
 	}
-	par.renewing = cal.sequence
-	return []Effect{Renew{call: cal, tasks: tasks}}
+	par.renewing, par.held = cal.sequence, held
+	return []Effect{Renew{call: cal, held: set, tasks: tasks}}
+}
+
+// renewable returns the set of assignments that the owner has granted one by one
+// in the present round, and the status of the others and of those in the set that
+// have something new to tell. A task that is being stopped is never in the set.
+func (run *Runner) renewable(par *partition) (set lease.Set, held []worker.Ref, tasks []Status) {
+	for _, tsk := range run.tasks {
+		if tsk.partition != par.number || tsk.phase != Running && (tsk.phase != Stopping || tsk.confirmed.IsZero()) {
+			continue
+		}
+		member := tsk.phase == Running && tsk.round == par.round && tsk.lease > 0
+		if member {
+			set = set.With(tsk.ref.Job(), tsk.ref.Index(), tsk.ref.Token())
+			held = append(held, tsk.ref)
+		}
+		if sta := tsk.status(); !member || sta.news(tsk.told) {
+			tsk.told = sta
+			tasks = append(tasks, sta)
+		}
+	}
+	return set, held, tasks
 }
 
 // Renewed takes the answer to a renewal.
@@ -102,16 +124,27 @@
 	par.renewing = 0
 	if !ans.answered {
 		par.doubtful, par.renewAt = true, now.Add(RetryPeriod)
+		par.round++ // the owner may not have heard what was told
 		return nil
 	}
 	par.renewAt = ans.sent.Add(RenewPeriod)
-	if len(ans.grants)+len(ans.stops) == 0 {
-		// A process that does not own the partition has nothing to say about its tasks.
+	if ans.empty() {
+		// A process that does not own the partition has nothing to say about its tasks,
+		// and one that knows no sets answers lists only.
 		par.doubtful, par.renewAt = true, now.Add(RetryPeriod)
+		par.round++
+	}
+	if ans.agreed {
+		run.prolongHeld(par.held, ans.sent)
+	}
+	if ans.disagreed {
+		par.round++
+		par.renewAt = now
 	}
 	for _, grt := range ans.grants {
-		run.prolong(grt, ans.sent)
+		run.prolong(grt, par.round, ans.sent)
 	}
+	par.held = nil
 	efs := run.extend(now)
 	for _, ord := range ans.stops {
 		efs = append(efs, run.Stop(cal.partition, ord, now)...)
@@ -119,11 +152,22 @@
 	return efs
 }
 
-func (run *Runner) prolong(grt Grant, sent time.Time) {
+// prolongHeld renews the assignments that a renewal described as a set. A lease's
+// length is fixed at submission, so it is the one of the last single grant.
+func (run *Runner) prolongHeld(held []worker.Ref, sent time.Time) {
+	for _, ref := range held {
+		if tsk := run.find(ref); tsk != nil {
+			run.prolong(Grant{ref: ref, lease: tsk.lease}, tsk.round, sent)
+		}
+	}
+}
+
+func (run *Runner) prolong(grt Grant, round uint64, sent time.Time) {
 	tsk := run.find(grt.ref)
 	if tsk == nil || tsk.phase != Running && tsk.phase != Stopping {
 		return
 	}
+	tsk.round = round
 	if end := lease.HolderEnd(sent, grt.lease); end.After(tsk.leaseEnd) {
 		tsk.lease, tsk.leaseEnd, tsk.extendAt = grt.lease, end, time.Time{}
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -230,6 +230,84 @@
 	}),
 )
 
+// Guards against a task that the agent keeps although the renewal of the set did
+// not cover it, and against renewals that list every task for ever.
+var _ = Describe("a renewal of the whole set", func() {
+	var wld *world
+	var ref worker.Ref
+	nextRenewal := func() runner.Renew {
+		for range 100 {
+			wld.pass(100 * time.Millisecond)
+			wld.poll()
+			for _, eff := range wld.run.Tick(wld.now) {
+				if ren, is := eff.(runner.Renew); is {
+					return ren
+				}
+			}
+		}
+		Fail("no renewal")
+		return runner.Renew{}
+	}
+	answer := func(ren runner.Renew, ans runner.RenewAnswer) []runner.Effect {
+		return wld.run.Renewed(ren.Call(), ans, wld.now)
+	}
+	BeforeEach(func() {
+		wld, ref = running()
+		ren := nextRenewal()
+		Expect(ren.Held().Count()).To(BeZero())
+		answer(ren, wld.renew(ren, wld.now))
+	})
+	It("follows a grant of each task and prolongs it", func() {
+		wld.smooth(GinkgoT(), 400)
+		Expect(wld.agreed).To(BeNumerically(">=", 5))
+		refs, _ := wld.wkr.Running()
+		Expect(refs).To(Equal([]worker.Ref{ref}))
+	})
+	It("lists a task only when there is something new to tell", func() {
+		ren := nextRenewal()
+		Expect(ren.Held().Count()).To(Equal(1))
+		Expect(ren.Tasks()).To(BeEmpty())
+	})
+	It("leaves out a task that is being stopped", func() {
+		wld.run.Evict(ref, "noisy", wld.now)
+		ren := nextRenewal()
+		Expect(ren.Held().Count()).To(BeZero())
+		Expect(ren.Tasks()).To(HaveLen(1))
+	})
+	It("lists every task at once when the owner disagrees", func() {
+		ren := nextRenewal()
+		answer(ren, runner.RenewAnswered(wld.now, nil, nil).WithHeld(false, true))
+		before := wld.now
+		again := nextRenewal()
+		Expect(again.Tasks()).To(HaveLen(1))
+		Expect(again.Held().Count()).To(BeZero())
+		Expect(wld.now.Sub(before)).To(BeNumerically("<=", 200*time.Millisecond))
+	})
+	It("lists every task to a new owner", func() {
+		wld.takeOver()
+		Expect(nextRenewal().Held().Count()).To(BeZero())
+	})
+	DescribeTable("prolongs nothing beyond what was granted when the answer", func(delay time.Duration, muted func(now time.Time) runner.RenewAnswer) {
+		ren := nextRenewal()
+		ans := wld.renew(ren, wld.now)
+		wld.muted = muted
+		wld.pass(delay)
+		wld.do(answer(ren, ans))
+		for range 200 {
+			wld.smooth(GinkgoT(), 1)
+			wld.check(GinkgoT())
+		}
+		refs, _ := wld.wkr.Running()
+		Expect(refs).To(BeEmpty())
+	},
+		Entry("is late", 4*time.Second, func(time.Time) runner.RenewAnswer { return runner.RenewAnswer{} }),
+		Entry("is lost", time.Duration(0), func(time.Time) runner.RenewAnswer { return runner.RenewAnswer{} }),
+		Entry("disagrees", time.Duration(0), func(now time.Time) runner.RenewAnswer {
+			return runner.RenewAnswered(now, nil, nil).WithHeld(false, true)
+		}),
+	)
+})
+
 // Guards against a start on resources that were given away while the claim was
 // under way, and against an owner that waits in vain for the end of the lease.
 var _ = It("does not start on an expired reservation and says so", func() {
--- a/core/runner/task.go
+++ b/core/runner/task.go
@@ -98,6 +98,8 @@
 	detail           string
 
 	last    worker.TaskReport
+	told    Status // last status sent with a renewal
+	round   uint64 // round of the partition in which the owner granted it by itself
 	end     End
 	endedAt time.Time
 }
@@ -178,6 +180,31 @@
 // Running returns since when the worker is known to run the task, zero when it is not.
 func (sta Status) Running() time.Time { return sta.running }
 
+// Changes that a renewal tells the owner. Smaller ones wait, because each costs a
+// hundred bytes, and what the owner learns from usage does not need them.
+const (
+	newsProgress = 5 // percent of the work
+	newsUsage    = 8 // parts of the resources committed to the task
+)
+
+// news reports whether the owner has to learn of a status after an earlier one.
+func (sta Status) news(told Status) bool {
+	step := sta.resources
+	return sta.checkpoint != told.checkpoint || distance(sta.progress, told.progress) >= newsProgress ||
+		sta.progress == 100 && told.progress != 100 ||
+		moved(sta.usage.MilliCPU(), told.usage.MilliCPU(), step.MilliCPU()) ||
+		moved(sta.usage.MemoryMB(), told.usage.MemoryMB(), step.MemoryMB()) ||
+		moved(sta.usage.Accelerators(), told.usage.Accelerators(), step.Accelerators())
+}
+
+// moved reports whether an amount has changed by a noticeable part of the whole.
+func moved(val, told, whole int64) bool {
+	dif := distance(val, told)
+	return dif > 0 && dif*newsUsage >= whole
+}
+
+func distance[N int | int64](one, two N) N { return max(one-two, two-one) }
+
 func (tsk *task) status() Status {
 	cpt := tsk.last.Checkpoint()
 	if cpt == "" {
--- a/core/runner/world_test.go
+++ b/core/runner/world_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"jacinthpost/core/lease"
 	"jacinthpost/core/ledger"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/resource"
@@ -23,6 +24,7 @@
 type assignment struct {
 	ref     worker.Ref
 	granted bool
+	listed  bool // renewed one by one in the present epoch
 	ended   bool
 	until   time.Time // by the owner's clock
 	end     runner.EndKind
@@ -46,12 +48,14 @@
 	sequence uint64
 	known    map[worker.Ref]*assignment
 	current  map[string]*assignment
-	effects  []runner.Effect     // frames to the worker and the owner
-	ghosts   []runner.Effect     // frames whose sender has given up
-	answers  []func()            // answers on their way to the agent
-	finished map[worker.Ref]bool // at the worker
-	adoption func()              // an answer to Adopt on its way to the owner
-	report   func()              // a report of the worker on its way to the agent
+	effects  []runner.Effect                        // frames to the worker and the owner
+	ghosts   []runner.Effect                        // frames whose sender has given up
+	answers  []func()                               // answers on their way to the agent
+	finished map[worker.Ref]bool                    // at the worker
+	muted    func(now time.Time) runner.RenewAnswer // answers renewals in place of the owner
+	agreed   int                                    // renewals of a whole set
+	adoption func()                                 // an answer to Adopt on its way to the owner
+	report   func()                                 // a report of the worker on its way to the agent
 }
 
 func newWorld(rate int) *world {
@@ -154,6 +158,7 @@
 func (wld *world) takeOver() {
 	wld.epoch++
 	for _, asg := range wld.current {
+		asg.listed = false
 		if asg.granted && !asg.ended {
 			asg.until = wld.now.Add(leaseTime * 101 / 100)
 		} else if !asg.ended {
@@ -240,21 +245,44 @@
 }
 
 func (wld *world) renew(ren runner.Renew, sent time.Time) runner.RenewAnswer {
+	if wld.muted != nil {
+		return wld.muted(sent)
+	}
 	if !wld.owns(ren.Call().Address()) {
 		return runner.RenewAnswer{}
 	}
+	agreed := ren.Held().Count() > 0 && wld.renewHeld(ren.Held(), sent)
 	var grants []runner.Grant
 	var stops []runner.Order
 	for _, sta := range ren.Tasks() {
 		asg := wld.known[sta.Ref()]
 		if !asg.ended && wld.current[asg.ref.Job()] == asg {
-			asg.granted, asg.until = true, sent.Add(leaseTime*101/100)
+			asg.granted, asg.listed, asg.until = true, true, sent.Add(leaseTime*101/100)
 			grants = append(grants, runner.NewGrant(asg.ref, leaseTime))
 		} else {
 			stops = append(stops, runner.NewOrder(asg.ref, true, "outdated"))
 		}
 	}
-	return runner.RenewAnswered(sent, grants, stops)
+	return runner.RenewAnswered(sent, grants, stops).WithHeld(agreed, ren.Held().Count() > 0 && !agreed)
+}
+
+// renewHeld renews everything that the owner has renewed one by one if that is the set described.
+func (wld *world) renewHeld(held lease.Set, sent time.Time) bool {
+	var set lease.Set
+	var list []*assignment
+	for _, asg := range wld.current {
+		if asg.listed && !asg.ended {
+			set, list = set.With(asg.ref.Job(), asg.ref.Index(), asg.ref.Token()), append(list, asg)
+		}
+	}
+	if set != held {
+		return false
+	}
+	for _, asg := range list {
+		asg.until = sent.Add(leaseTime * 101 / 100)
+	}
+	wld.agreed++
+	return true
 }
 
 func (wld *world) record(rpt runner.Report) ([]worker.Ref, bool) {
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -80,11 +80,15 @@
 	Usage           Resources
 }
 
-// RenewArgs asks an owner to renew the leases of all tasks of one partition on an agent.
+// RenewArgs asks an owner to renew the leases of the tasks of one partition on an
+// agent. HeldCount and HeldDigest describe the tasks that both sides agree upon
+// (lease.Set); Tasks lists the others, and those of the set with something new.
 type RenewArgs struct {
 	Partition   int
 	Instance    string
 	Incarnation uint64
+	HeldCount   int
+	HeldDigest  uint64
 	Tasks       []TaskStatus
 }
 
@@ -96,10 +100,13 @@
 }
 
 // RenewReply lists the renewed leases, counted from the time the agent sent the
-// request, and the tasks to stop. A task in neither list is not renewed.
+// request, and the tasks to stop. Agreed renews every task of the set described;
+// Disagreed asks the agent to list them. Any other task in neither list is not renewed.
 type RenewReply struct {
 	NotOwner     bool   // this process does not own the partition
 	OwnerAddress string // the owner, if known
+	Agreed       bool
+	Disagreed    bool
 	Granted      []TaskRef
 	LeaseMillis  []int64
 	Stop         []StopOrder
--- a/io/owner/convert.go
+++ b/io/owner/convert.go
@@ -110,7 +110,7 @@
 }
 
 func encodeRenewal(rep job.RenewReply) message.RenewReply {
-	enc := message.RenewReply{Stop: encodeStops(rep.Stops())}
+	enc := message.RenewReply{Stop: encodeStops(rep.Stops()), Agreed: rep.Agreed(), Disagreed: rep.Disagreed()}
 	for _, grt := range rep.Grants() {
 		enc.Granted = append(enc.Granted, encodeRef(grt.Ref()))
 		enc.LeaseMillis = append(enc.LeaseMillis, grt.Lease().Milliseconds())
--- a/io/owner/metrics.go
+++ b/io/owner/metrics.go
@@ -24,6 +24,7 @@
 	claimsGranted = metrics.NewCounter("jacinthpost_owner_claims_granted_total")
 	claimsRefused = metrics.NewCounter("jacinthpost_owner_claims_refused_total")
 	leasesRenewed = metrics.NewCounter("jacinthpost_owner_leases_renewed_total")
+	setsRefused   = metrics.NewCounter("jacinthpost_owner_sets_disagreed_total")
 	endsRecorded  = metrics.NewCounter("jacinthpost_owner_ends_acknowledged_total")
 	notOwner      = metrics.NewCounter("jacinthpost_owner_not_owner_total")
 )
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -9,6 +9,7 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
+	"jacinthpost/core/lease"
 	"jacinthpost/core/outcome"
 	"jacinthpost/io/control"
 	"jacinthpost/io/message"
@@ -278,12 +279,16 @@
 				done(message.RenewReply{NotOwner: true})
 				return
 			}
-			leasesRenewed.Add(len(rep.Grants()))
+			leasesRenewed.Add(rep.Renewed())
+			if rep.Disagreed() {
+				setsRefused.Inc()
+			}
 			done(encodeRenewal(rep))
 		})
 		hol := decodeHolder(args.Instance, args.Incarnation)
 		observeUsage(trn.part().Placement(), args.Tasks, trn.now)
-		trn.collect(trn.part().Renew(trn.env(), tag, hol, decodeProgress(args.Tasks)))
+		held := lease.NewSet(args.HeldCount, args.HeldDigest)
+		trn.collect(trn.part().RenewHeld(trn.env(), tag, hol, held, decodeProgress(args.Tasks)))
 	})
 }
 
--- a/io/taskhost/perform.go
+++ b/io/taskhost/perform.go
@@ -107,6 +107,7 @@
 	defer cancel()
 	args := message.RenewArgs{
 		Partition: ren.Call().Partition(), Tasks: statusMessages(ren.Tasks()),
+		HeldCount: ren.Held().Count(), HeldDigest: ren.Held().Digest(),
 		Instance: string(hst.identity.instance), Incarnation: uint64(hst.identity.incarnation),
 	}
 	var rep message.RenewReply
@@ -115,7 +116,7 @@
 	if err := hst.owners.Call(ctx, ren.Call().Address(), "Owner.Renew", &args, &rep); err != nil {
 		failed("ownerRenew").Inc()
 	} else {
-		ans = runner.RenewAnswered(sent, grants(rep), orders(rep.Stop))
+		ans = runner.RenewAnswered(sent, grants(rep), orders(rep.Stop)).WithHeld(rep.Agreed, rep.Disagreed)
 	}
 	hst.post(func(run *runner.Runner, now time.Time) []runner.Effect { return run.Renewed(ren.Call(), ans, now) })
 }
--- a/io/taskhost/taskhost_test.go
+++ b/io/taskhost/taskhost_test.go
@@ -13,10 +13,12 @@
 
 	"jacinthpost/core/admit"
 	"jacinthpost/core/intake"
+	corelease "jacinthpost/core/lease"
 	"jacinthpost/core/ledger"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/runner/workerfake"
+	"jacinthpost/core/token"
 	"jacinthpost/core/worker"
 	"jacinthpost/io/agentstate"
 	"jacinthpost/io/agentstate/sitefake"
@@ -56,6 +58,16 @@
 	claims int
 	renews int
 	ends   map[string]message.TaskEnd
+	listed map[message.TaskRef]bool // granted one by one and not ended
+}
+
+// holds reports whether an agent describes exactly the tasks listed.
+func (own *owner) holds(args *message.RenewArgs) bool {
+	var set corelease.Set
+	for ref := range own.listed {
+		set = set.With(ref.Job, ref.Index, token.New(ref.Token.Epoch, ref.Token.Sequence))
+	}
+	return set == corelease.NewSet(args.HeldCount, args.HeldDigest)
 }
 
 // Call implements taskhost.Caller.
@@ -72,7 +84,12 @@
 	case "Owner.Renew":
 		own.renews++
 		rep := reply.(*message.RenewReply)
+		if args := args.(*message.RenewArgs); args.HeldCount > 0 {
+			rep.Agreed = own.holds(args)
+			rep.Disagreed = !rep.Agreed
+		}
 		for _, sta := range args.(*message.RenewArgs).Tasks {
+			own.listed[sta.Ref] = true
 			rep.Granted = append(rep.Granted, sta.Ref)
 			rep.LeaseMillis = append(rep.LeaseMillis, lease.Milliseconds())
 		}
@@ -80,6 +97,7 @@
 		rep := reply.(*message.ReportReply)
 		for _, end := range args.(*message.ReportArgs).Ends {
 			own.ends[end.Ref.Job] = end
+			delete(own.listed, end.Ref)
 			rep.Recorded = append(rep.Recorded, end.Ref)
 		}
 	}
@@ -126,7 +144,7 @@
 func world(ctx context.Context) (*workerfake.Worker, *owner, *host) {
 	begin := time.Now()
 	wkr := workerfake.New(resource.New(10000, 10000, 0), func() worker.Instant { return worker.Instant(time.Since(begin)) })
-	own := &owner{ends: make(map[string]message.TaskEnd)}
+	own := &owner{ends: make(map[string]message.TaskEnd), listed: make(map[message.TaskRef]bool)}
 	hst := newHost(ctx, wkr, own)
 	pass(3500 * time.Millisecond)
 	return wkr, own, hst
