--- a/io/owner/bench_test.go
+++ b/io/owner/bench_test.go
@@ -110,9 +110,10 @@
 }
 
 // BenchmarkRenew lets 340 agents renew one lease each over connections of their
-// own: by list, as all renewals were made before, and by set. The figures include
-// the agents' side. The paced variants make the 68 calls a second that such an
-// owner gets with renewals each 5 s, so that they include waking up.
+// own: by list, as all renewals were made before, and by set. Without bursts the
+// calls follow each other at once; otherwise they come in bursts of 1 or 68 at the
+// rate of 68 a second that such an owner gets with renewals each 5 s, so that the
+// figures include waking up. They include the agents' side.
 func BenchmarkRenew(b *testing.B) {
 	const tasks, rate = 340, 68
 	sit, addr := newSite(b, tasks)
@@ -126,7 +127,7 @@
 		}
 		var rep message.RenewReply
 		if err := clients[num].Call("Owner.Renew", &args, &rep); err != nil {
-			b.Fatal(err)
+			b.Error(err)
 		}
 		return rep
 	}
@@ -139,20 +140,27 @@
 		call(num, false) // sends the descriptions of the types, and lets the sets agree
 	}
 	for _, set := range []bool{false, true} {
-		for _, paced := range []bool{false, true} {
-			b.Run(fmt.Sprintf("set=%t/paced=%t", set, paced), func(b *testing.B) {
-				tkr := time.NewTicker(time.Second / rate)
+		for _, burst := range []int{0, 1, rate} {
+			b.Run(fmt.Sprintf("set=%t/burst=%d", set, burst), func(b *testing.B) {
+				tkr := time.NewTicker(time.Second * time.Duration(max(burst, 1)) / rate)
 				defer tkr.Stop()
 				b.ReportAllocs()
 				up, down, used, num := sent.Load(), received.Load(), processor(), 0
 				for b.Loop() {
-					if paced {
+					if burst > 0 {
 						<-tkr.C
 					}
-					if rep := call(num%tasks, set); len(rep.Granted) == 0 && !rep.Agreed {
-						b.Fatal("not renewed")
+					var calls sync.WaitGroup
+					for range max(burst, 1) {
+						pos := num % tasks
+						calls.Go(func() {
+							if rep := call(pos, set); len(rep.Granted) == 0 && !rep.Agreed {
+								b.Error("not renewed")
+							}
+						})
+						num++
 					}
-					num++
+					calls.Wait()
 				}
 				b.ReportMetric(float64(sent.Load()-up)/float64(num), "B-received/call")
 				b.ReportMetric(float64(received.Load()-down)/float64(num), "B-sent/call")
