--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -9,7 +9,9 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
+	"jacinthpost/core/lease"
 	"jacinthpost/core/outcome"
+	"jacinthpost/core/runner"
 	"jacinthpost/io/control"
 	"jacinthpost/io/message"
 )
@@ -278,12 +280,16 @@
 				done(message.RenewReply{NotOwner: true})
 				return
 			}
-			leasesRenewed.Add(len(rep.Grants()))
-			done(encodeRenewal(rep))
+			leasesRenewed.Add(rep.Renewed())
+			if rep.Disagreed() {
+				setsRefused.Inc()
+			}
+			done(encodeRenewal(rep, lease.NextRenewal(trn.now, trn.state.origin, runner.RenewPeriod, runner.RenewWindow)))
 		})
 		hol := decodeHolder(args.Instance, args.Incarnation)
 		observeUsage(trn.part().Placement(), args.Tasks, trn.now)
-		trn.collect(trn.part().Renew(trn.env(), tag, hol, decodeProgress(args.Tasks)))
+		held := lease.NewSet(args.HeldCount, args.HeldDigest)
+		trn.collect(trn.part().RenewHeld(trn.env(), tag, hol, held, decodeProgress(args.Tasks)))
 	})
 }
 
