Stop batch tasks to make room for urgent work and for teams below their share

Urgent work on a full fleet waited until batch work ended, because owner processes had no counterpart of the reclaim of the scenario runner. The choice of the tasks to stop moves to core/place (Evict) and serves both: on one instance, the set with the least work since the latest checkpoint, plus a cost for each stop, former stops and deadlines near. The room is kept for the waiting task for 5 s, so that other tasks don't take it. The stop goes through the Stopping state of core/job like a drain.

Shares count the dominant resource of a team instead of processors only.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,8 +23,12 @@
 // that. A class that is known to use clearly more memory than declared is
 // counted with what it uses, so that instances are not filled beyond their memory.
 //
-// Limits: quota and spread count the commitments of this process only; other
-// owners are seen through refusals. What is learned is lost with the process.
+// Eviction: a task that finds no instance for a while may take room from running
+// tasks of this process; core/place chooses them. They are stopped with a
+// checkpoint and the room is kept for the waiting task for a short time.
+//
+// Limits: spread counts the commitments of this process only; other owners are
+// seen through refusals, and their tasks are not stopped. What is learned is lost with the process.
 // Memory is bounded by the number of instances, the commitments, and the
 // constants below. A Dispatcher must be used from one goroutine at a time: the
 // control goroutine of the owner role.
@@ -72,6 +76,8 @@
 	row        int             // urgent tasks chosen since an ordinary one was tried
 	misses     map[job.Lane]int
 	missAt     time.Time
+	demands    map[string]*demand // of tasks that find no instance
+	reclaimed  time.Time
 	shares     []Share // by team
 	teams      names[fleet.Team]
 	classes    names[fleet.JobClass]
@@ -85,7 +91,10 @@
 type hold struct {
 	seat     *seat
 	size     resource.Vector
+	part     int
+	ref      job.Ref
 	accepted bool
+	evicted  bool // this process stops the task for another one
 }
 
 // New returns a dispatcher with a policy and the seed of its random choices.
@@ -96,7 +105,7 @@
 		seats:  make(map[fleet.InstanceID]*seat),
 		holds:  make(map[place.TaskID]*hold),
 		parts:  make(map[int]*Part[P]),
-		misses: make(map[job.Lane]int), shunned: make(map[pairing]time.Time),
+		misses: make(map[job.Lane]int), demands: make(map[string]*demand), shunned: make(map[pairing]time.Time),
 	}
 }
 
@@ -126,7 +135,10 @@
 	if spc.Urgent() {
 		req = req.Urgent()
 	}
-	return req
+	if spc.Deadline() != 0 {
+		req = req.Due(time.UnixMilli(spc.Deadline()))
+	}
+	return req.Evicted(tsk.Counters().Evictions())
 }
 
 // choose returns the instance for a task.
@@ -139,6 +151,9 @@
 	off, found := place.Offer{}, false
 	if dsp.mayUse(req) {
 		off, found = dsp.sched.Choose(req, dsp.accepts(req.Class(), tsk.Spec().Service()), now)
+		if !found {
+			dsp.want(req, tsk.Spec())
+		}
 	}
 	dsp.tried(tsk.Spec(), found)
 	if !found {
@@ -151,7 +166,7 @@
 
 // commit takes in an offer, or a task found running after a takeover, whose
 // size is the declared one and which its agent has accepted.
-func (dsp *Dispatcher[P]) commit(tsk job.Task, id fleet.InstanceID) bool {
+func (dsp *Dispatcher[P]) commit(tsk job.Task, id fleet.InstanceID, part int) bool {
 	sea := dsp.seats[id]
 	req := dsp.request(tsk)
 	off, offered := dsp.chosen, dsp.chosen.Task().ID() == req.ID() && dsp.chosen.Instance() == id
@@ -162,7 +177,8 @@
 	if sea == nil || !dsp.sched.Commit(off, dsp.now) {
 		return false
 	}
-	hol := &hold{seat: sea, size: off.Size()}
+	hol := &hold{seat: sea, size: off.Size(), part: part, ref: tsk.Ref()}
+	dsp.met(req, tsk.Spec())
 	dsp.holds[req.ID()] = hol
 	sea.pending = sea.pending.Plus(hol.size)
 	sea.centre.used += hol.size.MilliCPU()
--- a/core/dispatch/explain.go
+++ b/core/dispatch/explain.go
@@ -7,6 +7,7 @@
 	"jacinthpost/core/explain"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
+	"jacinthpost/core/quota"
 )
 
 // lineLimit bounds the lines about one job.
@@ -36,8 +37,8 @@
 func (dsp *Dispatcher[P]) ExplainTeam(name fleet.Team) []string {
 	acc := dsp.teams.bound(name, teamLimit)
 	sha, listed := dsp.share(name)
-	line := fmt.Sprintf("team %q uses %d mCPU through this owner; its part of %d mCPU is %d while all teams have work",
-		name, dsp.sched.UsedBy(acc), dsp.sched.FleetCapacity(), dsp.sched.ShareOf(acc))
+	line := fmt.Sprintf("team %q uses %d thousandths of the fleet (%v, of which %v through this owner); its share is %d while all teams have work",
+		name, thousandths(dsp.sched.UsedBy(acc)), dsp.sched.AmountsOf(acc), dsp.sched.AmountsHere(acc), thousandths(dsp.sched.ShareOf(acc)))
 	switch {
 	case !listed:
 		line += "; no ticket sets its share, so it has the smallest weight and may borrow"
@@ -47,6 +48,8 @@
 	return append([]string{line}, format(dsp.sched.Explain(string(name)))...)
 }
 
+func thousandths(units int64) int64 { return units * 1000 / quota.Unit }
+
 // ExplainInstance returns what was decided about an instance.
 func (dsp *Dispatcher[P]) ExplainInstance(id fleet.InstanceID) []string {
 	sea := dsp.seats[id]
--- a/core/dispatch/lanes.go
+++ b/core/dispatch/lanes.go
@@ -10,6 +10,7 @@
 	"jacinthpost/core/job"
 	"jacinthpost/core/place"
 	"jacinthpost/core/quota"
+	"jacinthpost/core/resource"
 )
 
 // The first letter of a lane tells whether its tasks are urgent; the rest is the team.
@@ -134,15 +135,11 @@
 // A team with nothing placed may always place one task.
 func (dsp *Dispatcher[P]) mayUse(req place.Task) bool {
 	sha, found := dsp.share(req.Team())
-	capacity, used := dsp.sched.FleetCapacity(), dsp.sched.UsedBy(req.Team())
-	if !found || sha.mayBorrow || capacity <= 0 || used == 0 {
-		return true
-	}
-	bound := int64(sha.part * float64(capacity))
-	if used+req.Declared().MilliCPU() <= bound {
+	used := dsp.sched.AmountsOf(req.Team())
+	if !found || sha.mayBorrow || used == (resource.Vector{}) || used.Plus(req.Declared()).Dominant(dsp.sched.FleetCapacity(), quota.Unit) <= int64(sha.part*quota.Unit) {
 		return true
 	}
 	dsp.sched.Record(explain.New(explain.TeamOverShare, dsp.now, string(req.ID())).With(string(req.Team())).
-		Counts(int(used*weightUnit/capacity), int(sha.part*weightUnit)))
+		Counts(int(dsp.sched.UsedBy(req.Team())*weightUnit/quota.Unit), int(sha.part*weightUnit)))
 	return false
 }
--- a/core/dispatch/part.go
+++ b/core/dispatch/part.go
@@ -15,6 +15,7 @@
 	dispatcher *Dispatcher[P]
 	number     int
 	holds      map[place.TaskID]struct{}
+	evictions  []job.Eviction // not yet handed to the partition
 	closed     bool
 }
 
@@ -69,7 +70,7 @@
 
 // Committed implements job.Placement.
 func (prt *Part[P]) Committed(tsk job.Task, ins fleet.InstanceID) {
-	if !prt.closed && prt.dispatcher.commit(tsk, ins) {
+	if !prt.closed && prt.dispatcher.commit(tsk, ins, prt.number) {
 		prt.holds[taskID(tsk.Ref())] = struct{}{}
 	}
 }
--- a/core/dispatch/verdict.go
+++ b/core/dispatch/verdict.go
@@ -32,10 +32,11 @@
 	dsp.now = now
 	id, req := taskID(tsk.Ref()), dsp.request(tsk)
 	ver, parked := dsp.sched.Conclude(id, endKinds[end.Kind()], describe(end), now)
-	if hol := dsp.holds[id]; hol != nil {
+	hol := dsp.holds[id]
+	if hol != nil {
 		dsp.release(id, hol)
 	}
-	if end.Evicted() {
+	if end.Evicted() && (hol == nil || !hol.evicted) {
 		dsp.shun(req.Class(), ins)
 	}
 	if end.Kind() == job.EndNotStarted {
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -30,9 +30,10 @@
 }
 
 type run struct {
-	task job.Task
-	part int
-	end  time.Time
+	task   job.Task
+	part   int
+	end    time.Time
+	stopAt time.Time // when the checkpoint of a stop is taken, zero without a stop
 }
 
 func (ins *instance) free() resource.Vector {
@@ -57,13 +58,18 @@
 	last      job.Task // the latest offer
 	broken    string
 	tags      job.Tag
+	// checkpoint is how long a stop takes.
+	checkpoint time.Duration
+	step       time.Duration
+	stops      int
+	startedAt  map[job.ID]time.Time
 }
 
 // newWorld returns a world with instances of 8 processors in racks of three, over data centres in turn.
 func newWorld(partitions, instances, centres int) *world {
 	wld := &world{
 		now: start, dsp: dispatch.New(place.Scored{}, 7, 1),
-		gone: map[fleet.InstanceID]bool{}, out: map[fleet.DataCentre]bool{},
+		gone: map[fleet.InstanceID]bool{}, out: map[fleet.DataCentre]bool{}, step: step, startedAt: map[job.ID]time.Time{},
 	}
 	for idx := range instances {
 		loc := fleet.NewLocation("region", fleet.DataCentre(fmt.Sprintf("dc-%d", idx%centres)), fleet.Rack(fmt.Sprintf("rack-%d", idx/3)))
@@ -182,6 +188,9 @@
 	fits := off.Task().Spec().Resources().FitsIn(ins.free())
 	if fits {
 		ins.started++
+		if _, again := wld.startedAt[ref.Job()]; !again {
+			wld.startedAt[ref.Job()] = wld.now
+		}
 		ins.runs = append(ins.runs, run{task: off.Task(), part: num, end: wld.now.Add(off.Task().Spec().Lease() / 10)})
 	}
 	free := ins.free()
@@ -200,7 +209,12 @@
 	ins := wld.find(stp.To())
 	for _, ord := range stp.Orders() {
 		pos := slices.IndexFunc(ins.runs, func(rnn run) bool { return rnn.task.Ref() == ord.Ref() })
-		if pos >= 0 && !wld.gone[stp.To()] {
+		if pos < 0 || wld.gone[stp.To()] {
+			continue
+		}
+		wld.stops++
+		ins.runs[pos].stopAt = wld.now.Add(wld.checkpoint)
+		if wld.checkpoint == 0 {
 			ins.runs = slices.Delete(ins.runs, pos, pos+1)
 			wld.report(num, ord.Ref(), job.NewEnd(job.EndCheckpointed, "c"))
 		}
@@ -215,7 +229,7 @@
 // pass lets time pass: tasks renew and end.
 func (wld *world) pass(steps int) {
 	for range steps {
-		wld.now = wld.now.Add(step)
+		wld.now = wld.now.Add(wld.step)
 		for _, ins := range wld.instances {
 			if !wld.gone[ins.hint.ID()] {
 				wld.work(ins)
@@ -229,6 +243,11 @@
 
 func (wld *world) work(ins *instance) {
 	for _, rnn := range slices.Clone(ins.runs) {
+		if stp := rnn.stopAt; !stp.IsZero() && !wld.now.Before(stp) {
+			ins.runs = slices.DeleteFunc(ins.runs, func(oth run) bool { return oth.task.Ref() == rnn.task.Ref() })
+			wld.report(rnn.part, rnn.task.Ref(), job.NewEnd(job.EndCheckpointed, "c"))
+			continue
+		}
 		poison := strings.HasPrefix(string(rnn.task.Spec().Payload()), "poison")
 		if failing := poison || ins.bad; !failing && wld.now.Before(rnn.end) {
 			wld.tags++
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -44,6 +44,8 @@
 	Drained
 	Ended
 	Excluded
+	Preempted
+	Late
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -142,11 +144,17 @@
 		return fmt.Sprintf("%s was refused by %s (%s), which has %v free; another instance is tried", rsn.subject, rsn.other, rsn.detail, rsn.limit)
 	},
 	TeamOverShare: func(rsn Reason) string {
-		return fmt.Sprintf("%s waits: team %s uses %d thousandths of the fleet and its share is %d; it starts when teams below their share have nothing waiting", rsn.subject, rsn.other, rsn.count, rsn.bound)
+		return fmt.Sprintf("%s waits for the share of team %s: it uses %d thousandths of the fleet and its share is %d; it starts when tasks of the team end or, if the team may borrow, when teams below their share have nothing waiting", rsn.subject, rsn.other, rsn.count, rsn.bound)
 	},
 	Reclaimed: func(rsn Reason) string {
 		return fmt.Sprintf("%s is checkpointed and stopped: it runs on a share that team %s now needs after waiting %v", rsn.subject, rsn.other, rsn.period)
 	},
+	Preempted: func(rsn Reason) string {
+		return fmt.Sprintf("%s is checkpointed and evicted to make room for urgent work of team %s, which found none for %v; it resumes from the checkpoint", rsn.subject, rsn.other, rsn.period)
+	},
+	Late: func(rsn Reason) string {
+		return fmt.Sprintf("%s is behind its deadline by %v: %s; it runs to its end all the same", rsn.subject, rsn.period, rsn.detail)
+	},
 	Failed: func(rsn Reason) string {
 		return fmt.Sprintf("%s failed on %s (%s); it is tried again in %v", rsn.subject, rsn.other, rsn.detail, rsn.period)
 	},
--- a/core/job/offer.go
+++ b/core/job/offer.go
@@ -211,6 +211,7 @@
 		return
 	}
 	act.seen = prg.checkpoint
+	par.placement.Checkpointed(prg.ref, env.now)
 	if act.seen != tsk.checkpoint && env.now.Sub(act.seenAt) >= CheckpointPeriod {
 		act.seenAt = env.now
 		par.record(out, NewRecord(TaskCheckpointed, prg.ref, env.now.UnixMilli()).WithEnd(NewEnd(EndCheckpointed, act.seen)))
--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -133,7 +133,8 @@
 	seen        string    // last checkpoint that the agent reported
 	seenAt      time.Time
 	progress    int
-	unconfirmed bool // taken over and not heard of since
+	stopping    string // why the task is evicted, empty for a drain
+	unconfirmed bool   // taken over and not heard of since
 }
 
 type delay struct {
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -116,10 +116,31 @@
 	Withdrawn(tsk Task, ins fleet.InstanceID)
 	// Answered learns the answer to an offer.
 	Answered(ans Answer, now time.Time)
+	// Checkpointed learns that a running task has a new checkpoint.
+	Checkpointed(ref Ref, now time.Time)
+	// Evictions returns the tasks of the partition to stop so that others can
+	// start; each is returned once.
+	Evictions(now time.Time) []Eviction
 	// Ended learns how an assignment ended and decides about a failed one.
 	Ended(tsk Task, ins fleet.InstanceID, end End, now time.Time) Verdict
 }
 
+// Eviction names a running task to be checkpointed and stopped to make room for
+// another one.
+type Eviction struct {
+	ref    Ref
+	reason string
+}
+
+// NewEviction returns the eviction of an assignment for a reason that is told to people.
+func NewEviction(ref Ref, reason string) Eviction { return Eviction{ref: ref, reason: reason} }
+
+// Ref returns the assignment.
+func (evi Eviction) Ref() Ref { return evi.ref }
+
+// Reason returns why it is stopped.
+func (evi Eviction) Reason() string { return evi.reason }
+
 // Answer is an instance's answer to an offer.
 type Answer struct {
 	ref      Ref
--- a/core/job/simple.go
+++ b/core/job/simple.go
@@ -186,6 +186,12 @@
 	}
 }
 
+// Checkpointed implements Placement.
+func (*Simple) Checkpointed(Ref, time.Time) {}
+
+// Evictions implements Placement: nothing is stopped for others.
+func (*Simple) Evictions(time.Time) []Eviction { return nil }
+
 // Ended implements Placement.
 func (sim *Simple) Ended(tsk Task, ins fleet.InstanceID, end End, _ time.Time) Verdict {
 	sim.Withdrawn(tsk, ins)
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -133,7 +134,7 @@
 func (tsk *task) stopOrder() StopOrder {
 	ord := StopOrder{ref: tsk.ref(tsk.assigned), reason: "cancelled"}
 	if !tsk.entry.cancelled {
-		ord.checkpoint, ord.reason = true, "drain"
+		ord.checkpoint, ord.reason = true, cmp.Or(tsk.act.stopping, "drain")
 	}
 	return ord
 }
--- a/core/place/direct.go
+++ b/core/place/direct.go
@@ -24,7 +24,7 @@
 		sch.review(now)
 	}
 	need := sch.policy.Reserve(&tsk, &sch.know)
-	sch.candidates.reset(&sch.hosts, need, now, sch.random())
+	sch.candidates.reset(&sch.hosts, tsk.id, need, now, sch.random())
 	sch.candidates.accept = accept
 	hos := sch.policy.Choose(&sch.candidates, &tsk, &sch.know)
 	if hos == nil {
@@ -161,11 +161,32 @@
 	return sch.queue.Relative(name, urgent)
 }
 
-// UsedBy returns the thousandths of a core that the tasks of a team have committed.
+// UsedBy returns the part of the fleet that a team uses, in units of quota.Unit.
 func (sch *Scheduler[P]) UsedBy(name fleet.Team) int64 { return sch.queue.Used(name) }
 
-// ShareOf returns the thousandths of a core to which a team is entitled while all teams have work.
+// ShareOf returns the part of the fleet to which a team is entitled while all
+// teams have work, in units of quota.Unit.
 func (sch *Scheduler[P]) ShareOf(name fleet.Team) int64 { return sch.queue.Share(name) }
 
-// FleetCapacity returns the thousandths of a core that tasks may use on all instances.
-func (sch *Scheduler[P]) FleetCapacity() int64 { return sch.queue.Capacity() }
+// AmountsOf returns what the tasks of a team hold in the whole fleet.
+func (sch *Scheduler[P]) AmountsOf(name fleet.Team) resource.Vector { return sch.queue.Amounts(name) }
+
+// AmountsHere returns what the tasks of a team hold through this scheduler.
+func (sch *Scheduler[P]) AmountsHere(name fleet.Team) resource.Vector {
+	return sch.queue.AmountsHere(name)
+}
+
+// SetElsewhere sets what the tasks of a team hold through other schedulers.
+func (sch *Scheduler[P]) SetElsewhere(name fleet.Team, use resource.Vector) {
+	sch.queue.SetElsewhere(name, use)
+}
+
+// FleetCapacity returns what tasks may use on all instances.
+func (sch *Scheduler[P]) FleetCapacity() resource.Vector { return sch.queue.Capacity() }
+
+// Checkpointed records that a running task has a new checkpoint.
+func (sch *Scheduler[P]) Checkpointed(id TaskID, now time.Time) {
+	if plc, found := sch.placements[id]; found {
+		plc.saved = now
+	}
+}
--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -31,6 +31,9 @@
 	instance    Instance
 	leaf        int
 	tasks       int
+	placed      []*placement // accepted, in no order
+	claim       claim
+	visit       uint64 // of the latest search for tasks to stop
 	drained     string
 	barred      bool
 	trial       bool
@@ -108,7 +111,7 @@
 	hosts    []*Host
 	vacant   []int
 	count    int
-	milliCPU int64 // of all instances
+	capacity resource.Vector // of all instances
 	out      bool
 	returned time.Time
 }
@@ -168,12 +171,12 @@
 	return largest.Max(resource.Vector{})
 }
 
-// total returns the processors of the open sites, which the shares divide.
-func (hss *Hosts) total() int64 {
-	sum := int64(0)
+// total returns the amounts of the open sites, which the shares divide.
+func (hss *Hosts) total() resource.Vector {
+	sum := resource.Vector{}
 	for _, sit := range hss.sites {
 		if !sit.out {
-			sum += sit.milliCPU
+			sum = sum.Plus(sit.capacity)
 		}
 	}
 	return sum
@@ -201,7 +204,7 @@
 		sit.hosts = append(sit.hosts, hos)
 	}
 	sit.count++
-	sit.milliCPU += ins.capacity.MilliCPU()
+	sit.capacity = sit.capacity.Plus(ins.capacity)
 	hss.byID[ins.id] = hos
 	sit.refresh(hos)
 	return hos
@@ -217,7 +220,7 @@
 	hos.site.hosts[hos.leaf] = nil
 	hos.site.vacant = append(hos.site.vacant, hos.leaf)
 	hos.site.count--
-	hos.site.milliCPU -= hos.instance.capacity.MilliCPU()
+	hos.site.capacity = hos.site.capacity.Minus(hos.instance.capacity)
 	return hos
 }
 
@@ -262,12 +265,14 @@
 	open  []*site
 	rnd   *rand.Rand
 	sum   int
+	task  TaskID
+	now   time.Time
 	// accept limits the instances further, nil accepts all that fit.
 	accept func(id fleet.InstanceID) bool
 }
 
-func (can *Candidates) reset(hss *Hosts, need resource.Vector, now time.Time, rnd *rand.Rand) {
-	can.hosts, can.need, can.rnd, can.sum = hss, need, rnd, 0
+func (can *Candidates) reset(hss *Hosts, id TaskID, need resource.Vector, now time.Time, rnd *rand.Rand) {
+	can.hosts, can.need, can.rnd, can.sum, can.task, can.now = hss, need, rnd, 0, id, now
 	can.open = can.open[:0]
 	for _, sit := range hss.sites {
 		if sit.open(now, rnd) && need.FitsIn(sit.free.largest()) {
@@ -298,7 +303,7 @@
 		if leaf < 0 {
 			return nil
 		}
-		if hos := sit.hosts[leaf]; can.accept == nil || can.accept(hos.instance.id) {
+		if hos := sit.hosts[leaf]; hos.claim.admits(can.task, can.now) && (can.accept == nil || can.accept(hos.instance.id)) {
 			return hos
 		}
 		leaf = sit.free.cyclic(can.need, leaf+1)
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -7,7 +7,6 @@
 	"jacinthpost/core/blame"
 	"jacinthpost/core/explain"
 	"jacinthpost/core/fleet"
-	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
 )
 
@@ -274,85 +273,6 @@
 	return len(tsks)
 }
 
-// Victim is a running task to be checkpointed and stopped for another team.
-type Victim struct {
-	task     TaskID
-	instance fleet.InstanceID
-	claimant fleet.Team
-}
-
-// Task returns the task to stop.
-func (vic Victim) Task() TaskID { return vic.task }
-
-// Instance returns where it runs.
-func (vic Victim) Instance() fleet.InstanceID { return vic.instance }
-
-// Claimant returns the team that takes its share back.
-func (vic Victim) Claimant() fleet.Team { return vic.claimant }
-
-// victimCandidates is the number of running tasks of a team that are examined for one claim.
-const victimCandidates = 16
-
-// Reclaim returns the tasks to be stopped so that teams below their share get
-// it back: at most one for each waiting team, the newest of the team that
-// exceeds its share most, and only if the waiting task then fits.
-func (sch *Scheduler[P]) Reclaim(now time.Time) []Victim {
-	var vics []Victim
-	for _, clm := range sch.queue.Claims(now) {
-		plc := sch.victim(clm)
-		if plc == nil {
-			continue
-		}
-		plc.stopping = true
-		vics = append(vics, Victim{task: plc.task.id, instance: plc.host.instance.id, claimant: clm.Team()})
-		sch.record(explain.New(explain.Reclaimed, now, string(plc.task.id)).With(string(clm.Team())).For(clm.Waited()))
-	}
-	return vics
-}
-
-func (sch *Scheduler[P]) victim(clm quota.Claim[TaskID, waiting]) *placement {
-	for _, name := range sch.queue.OverShare() {
-		hea, found := sch.newest[name]
-		if !found || name == clm.Team() {
-			continue
-		}
-		var seen []newest
-		var chosen *placement
-		for range victimCandidates {
-			nwt, any := hea.Pop()
-			if !any {
-				break
-			}
-			seen = append(seen, nwt)
-			if sch.frees(nwt.placement, clm.Need()) && sch.spares(nwt.placement) {
-				chosen = nwt.placement
-				break
-			}
-		}
-		for _, nwt := range seen {
-			nwt.item = hea.Push(nwt)
-		}
-		if chosen != nil {
-			return chosen
-		}
-	}
-	return nil
-}
-
-// frees reports whether stopping a task makes room for the need.
-func (sch *Scheduler[P]) frees(plc *placement, need resource.Vector) bool {
-	hos := plc.host
-	usable := !plc.stopping && !plc.task.urgent && !hos.site.out && hos.available() != closed
-	return usable && need.FitsIn(hos.Free().Plus(plc.size))
-}
-
-// spares reports whether the team of a task keeps its share without it, so
-// that it does not claim the capacity back at once.
-func (sch *Scheduler[P]) spares(plc *placement) bool {
-	name := plc.task.team
-	return sch.queue.Used(name)-plc.size.MilliCPU() >= sch.queue.Share(name)
-}
-
 func join(ids []fleet.InstanceID) string {
 	names := make([]string, 0, len(ids))
 	for _, id := range ids {
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -85,7 +85,6 @@
 type placement struct {
 	host        *Host
 	row         *classRow
-	item        *heap.Item[newest]
 	size        resource.Vector
 	peak        resource.Vector
 	accepted    bool
@@ -94,19 +93,11 @@
 	stopping    bool
 	task        Task
 	placed      time.Time
+	saved       time.Time // of the newest checkpoint, zero for none
 	sequence    uint64
+	position    int // among the accepted ones
 }
 
-// newest orders the running tasks of a team by their start, the latest first:
-// it has the least work to lose.
-type newest struct {
-	*placement
-	start uint64 // the sequence, kept here so that comparing does not read the placements
-}
-
-// Before orders by start.
-func (nwt newest) Before(oth newest) bool { return nwt.start > oth.start }
-
 // delayed is a task that waits for a time before it is queued again.
 type delayed struct {
 	at       time.Time
@@ -130,7 +121,10 @@
 	know       Knowledge
 	queue      quota.Arbiter[TaskID, waiting]
 	placements map[TaskID]*placement
-	newest     map[fleet.Team]*heap.Heap[newest]
+	accepted   []*placement // in no order
+	claims     map[TaskID]*Host
+	budget     evictionBudget
+	visit      uint64
 	delays     heap.Heap[delayed]
 	delayItems map[TaskID]*heap.Item[delayed]
 	resting    []*Host
@@ -170,9 +164,8 @@
 func (sch *Scheduler[P]) ExplainWaiting(id TaskID, name fleet.Team, now time.Time) []explain.Reason {
 	rsn := explain.New(explain.Queued, now, string(id)).With(string(name)).Counts(max(0, sch.queue.Waiting(name)-1), 0)
 	if used, share := sch.queue.Used(name), sch.queue.Share(name); used > share {
-		total := max(1, sch.queue.Capacity())
 		rsn = explain.New(explain.TeamOverShare, now, string(id)).With(string(name)).
-			Counts(int(used*1000/total), int(share*1000/total))
+			Counts(int(used*1000/quota.Unit), int(share*1000/quota.Unit))
 	}
 	return append(sch.Explain(string(id)), rsn)
 }
@@ -283,7 +276,7 @@
 
 func (sch *Scheduler[P]) try(id TaskID, wai waiting, now time.Time) (Offer, bool) {
 	need := sch.policy.Reserve(&wai.task, &sch.know)
-	sch.candidates.reset(&sch.hosts, need, now, sch.random())
+	sch.candidates.reset(&sch.hosts, wai.task.id, need, now, sch.random())
 	hos := sch.policy.Choose(&sch.candidates, &wai.task, &sch.know)
 	if hos == nil {
 		sch.postpone(id, wai, need, now)
@@ -328,7 +321,6 @@
 func (sch *Scheduler[P]) put(tsk Task, hos *Host, size resource.Vector, now time.Time) *placement {
 	if sch.placements == nil {
 		sch.placements = make(map[TaskID]*placement)
-		sch.newest = make(map[fleet.Team]*heap.Heap[newest])
 	}
 	sch.sequence++
 	plc := &placement{task: tsk, host: hos, size: size, placed: now, sequence: sch.sequence}
@@ -341,7 +333,8 @@
 	hos.site.refresh(hos)
 	sch.placements[tsk.id] = plc
 	sch.know.spread(hos, &tsk, 1)
-	sch.queue.Started(tsk.team, tsk.urgent, size.MilliCPU())
+	sch.queue.Started(tsk.team, tsk.urgent, size)
+	sch.settleClaim(tsk.id)
 	sch.record(explain.New(explain.Placed, now, string(tsk.id)).With(string(hos.instance.id)).Amounts(size, resource.Vector{}))
 	return plc
 }
@@ -359,7 +352,7 @@
 	delete(sch.placements, plc.task.id)
 	if plc.accepted {
 		hos.reported = hos.reported.Plus(plc.size)
-		sch.newest[plc.task.team].Remove(plc.item)
+		sch.unlist(plc)
 	} else {
 		hos.pending = hos.pending.Minus(plc.size)
 	}
@@ -367,7 +360,7 @@
 	hos.use(plc.row, -plc.size.MilliCPU())
 	hos.interfering -= countIf(plc.interfering)
 	sch.know.spread(hos, &plc.task, -1)
-	sch.queue.Ended(plc.task.team, plc.task.urgent, plc.size.MilliCPU())
+	sch.queue.Ended(plc.task.team, plc.task.urgent, plc.size)
 	sch.refresh(hos)
 }
 
@@ -391,21 +384,12 @@
 	plc.accepted = true
 	plc.host.pending = plc.host.pending.Minus(plc.size)
 	plc.host.reported = free
-	plc.item = sch.newestOf(plc.task.team).Push(newest{placement: plc, start: plc.sequence})
+	sch.list(plc)
 	if sch.hosts.Find(plc.host.instance.id) == plc.host {
 		plc.host.site.refresh(plc.host)
 	}
 }
 
-func (sch *Scheduler[P]) newestOf(name fleet.Team) *heap.Heap[newest] {
-	hea, found := sch.newest[name]
-	if !found {
-		hea = new(heap.Heap[newest])
-		sch.newest[name] = hea
-	}
-	return hea
-}
-
 // Refused records that the agent refused the offer, with its free amounts. The
 // task is queued again at once. When the amounts would have sufficed, the
 // instance has another reason and rests for CoolPeriod.
--- a/core/place/task.go
+++ b/core/place/task.go
@@ -23,6 +23,7 @@
 	floor    resource.Vector
 	origin   fleet.Location
 	deadline time.Time
+	evicted  int
 }
 
 // NewTask returns a task of a job with its declared amounts.
@@ -36,12 +37,19 @@
 	return tsk
 }
 
-// Due returns the task with a deadline, which orders the tasks of a team.
+// Due returns the task with the time by which it has to run, which orders the
+// tasks of a team and spares tasks that have no time left.
 func (tsk Task) Due(deadline time.Time) Task {
 	tsk.deadline = deadline
 	return tsk
 }
 
+// Evicted returns the task with the number of times that it was stopped for others.
+func (tsk Task) Evicted(count int) Task {
+	tsk.evicted = count
+	return tsk
+}
+
 // Near returns the task with the location of its payload. Links between
 // regions are billed by volume, so the task stays in that region if it can.
 func (tsk Task) Near(origin fleet.Location) Task {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -11,8 +11,11 @@
 // BackfillPeriod, so that a large task is not overtaken for ever. A team that
 // waits below its share for longer than a bound may reclaim from teams above theirs.
 //
-// Costs are whole numbers in any unit, such as thousandths of a core. Each
-// operation takes O(log n) of the waiting tasks; a wave of cancellations costs
+// The use of a team is its dominant share: the largest part of the processors,
+// the memory or the accelerators of the fleet that its tasks hold. What its
+// tasks hold through other processes is added by SetElsewhere.
+//
+// Each operation takes O(log n) of the waiting tasks; a wave of cancellations costs
 // in proportion to what is cancelled. An Arbiter must be used from one
 // goroutine at a time; the zero value works.
 package quota
@@ -40,13 +43,15 @@
 	QueueLimit = 20_000
 	// wakeLimit bounds the tasks tried for one amount of freed capacity.
 	wakeLimit = 4
-	// ReclaimAfter and UrgentReclaimAfter are the waits of a team below its
-	// share before capacity is taken back. The urgent one leaves most of the
-	// 1.1 s in which urgent work must start for the checkpoint and the start.
+	// ReclaimAfter is the wait of a team below its share, UrgentReclaimAfter that
+	// of an urgent task, before
+	// capacity is taken back. The urgent one leaves most of the 1.1 s in which urgent work must start for the checkpoint and the start.
 	ReclaimAfter       = 30 * time.Second
 	UrgentReclaimAfter = 200 * time.Millisecond
-	// claimSpacing leaves time for a checkpoint before the same lane claims again.
-	claimSpacing = 5 * time.Second
+	// Unit is the whole fleet in the results of Used and Share.
+	Unit = 1_000_000
+	// ClaimSpacing leaves time for a checkpoint before the same lane or task claims again.
+	ClaimSpacing = 5 * time.Second
 )
 
 // Classes of entries in a lane. Tasks that were set aside come back first.
@@ -70,6 +75,8 @@
 	asides  []aside[K, T]
 	item    *heap.Item[rank[K, T]]
 	claimed time.Time // newest claim
+	// reached is when the newest task that has claimed was set aside.
+	reached time.Time
 }
 
 // rank orders lanes by the use of their team relative to its weight.
@@ -87,20 +94,26 @@
 }
 
 type team[K comparable, T any] struct {
-	name   fleet.Team
-	weight int64
-	used   int64
-	urgent int64
-	lanes  [2]*lane[K, T] // ordinary, urgent
+	name      fleet.Team
+	weight    int64
+	used      resource.Vector // here
+	urgent    resource.Vector // part of used
+	elsewhere resource.Vector // through other processes
+	lanes     [2]*lane[K, T]  // ordinary, urgent
 }
 
 // relative returns the use that orders a lane. Urgent lanes compare urgent use
 // only, so that a team busy with ordinary work is not late with urgent work.
-func (lan *lane[K, T]) relative() float64 {
+func (arb *Arbiter[K, T]) relative(lan *lane[K, T]) float64 {
+	use := lan.team.used.Plus(lan.team.elsewhere)
 	if lan.urgent {
-		return float64(lan.team.urgent) / float64(lan.team.weight)
+		use = lan.team.urgent
 	}
-	return float64(lan.team.used) / float64(lan.team.weight)
+	return float64(arb.dominant(use)) / float64(lan.team.weight)
+}
+
+func (arb *Arbiter[K, T]) dominant(vec resource.Vector) int64 {
+	return vec.Dominant(arb.capacity, Unit)
 }
 
 // Arbiter holds the waiting tasks, identified by K, of all teams.
@@ -111,14 +124,26 @@
 	ready    [2]heap.Heap[rank[K, T]] // ordinary, urgent
 	row      int
 	weights  int64
-	capacity int64
+	capacity resource.Vector
+}
+
+// SetCapacity sets the total amounts that the fleet can run, from which shares are computed.
+func (arb *Arbiter[K, T]) SetCapacity(total resource.Vector) {
+	arb.capacity = total
+	for _, tem := range arb.teams {
+		arb.reorder(tem)
+	}
 }
 
-// SetCapacity sets the total cost that the fleet can run, from which shares are computed.
-func (arb *Arbiter[K, T]) SetCapacity(total int64) { arb.capacity = total }
+// Capacity returns the total amounts that the fleet can run.
+func (arb *Arbiter[K, T]) Capacity() resource.Vector { return arb.capacity }
 
-// Capacity returns the total cost that the fleet can run.
-func (arb *Arbiter[K, T]) Capacity() int64 { return arb.capacity }
+// SetElsewhere sets what the tasks of a team hold through other processes.
+func (arb *Arbiter[K, T]) SetElsewhere(name fleet.Team, use resource.Vector) {
+	tem := arb.team(name)
+	tem.elsewhere = use
+	arb.reorder(tem)
+}
 
 // SetTeam sets the weight of a team, at least one. Unknown teams get weight one.
 func (arb *Arbiter[K, T]) SetTeam(name fleet.Team, weight int64) {
@@ -150,19 +175,36 @@
 	return tem
 }
 
-// Share returns the cost to which a team is entitled when all teams have work.
+// Share returns the part of the fleet to which a team is entitled when all
+// teams have work, in Units.
 func (arb *Arbiter[K, T]) Share(name fleet.Team) int64 {
+	return Unit * arb.team(name).weight / max(1, arb.weights)
+}
+
+// Used returns the part of the fleet that a team uses, in Units.
+func (arb *Arbiter[K, T]) Used(name fleet.Team) int64 {
+	return arb.UsedWith(name, resource.Vector{})
+}
+
+// UsedWith returns the part of the fleet that a team would use with further
+// amounts, which may be negative.
+func (arb *Arbiter[K, T]) UsedWith(name fleet.Team, more resource.Vector) int64 {
+	return arb.dominant(arb.Amounts(name).Plus(more))
+}
+
+// Amounts returns what the tasks of a team hold in the whole fleet.
+func (arb *Arbiter[K, T]) Amounts(name fleet.Team) resource.Vector {
 	tem := arb.team(name)
-	return arb.capacity * tem.weight / max(1, arb.weights)
+	return tem.used.Plus(tem.elsewhere)
 }
 
-// Used returns the cost of the running tasks of a team.
-func (arb *Arbiter[K, T]) Used(name fleet.Team) int64 { return arb.team(name).used }
+// AmountsHere returns what the tasks of a team hold through this process.
+func (arb *Arbiter[K, T]) AmountsHere(name fleet.Team) resource.Vector { return arb.team(name).used }
 
 // Relative returns the use of a team for its weight, which orders its lanes:
 // the lane with the lower value is served first.
 func (arb *Arbiter[K, T]) Relative(name fleet.Team, urgent bool) float64 {
-	return arb.team(name).lanes[side(urgent)].relative()
+	return arb.relative(arb.team(name).lanes[side(urgent)])
 }
 
 // Waiting returns the number of waiting tasks of a team.
@@ -204,7 +246,7 @@
 		hea.Remove(lan.item)
 		return
 	}
-	rnk := rank[K, T]{use: lan.relative(), lane: lan}
+	rnk := rank[K, T]{use: arb.relative(lan), lane: lan}
 	if hea.Contains(lan.item) {
 		hea.Update(lan.item, rnk)
 		return
@@ -261,9 +303,9 @@
 	return [2]bool{true, false}
 }
 
-// Started adds the cost of a task to the use of its team.
-func (arb *Arbiter[K, T]) Started(name fleet.Team, urgent bool, cost int64) {
-	arb.account(name, urgent, cost)
+// Started adds the amounts of a task to the use of its team.
+func (arb *Arbiter[K, T]) Started(name fleet.Team, urgent bool, size resource.Vector) {
+	arb.account(name, urgent, size)
 }
 
 // countRow counts the urgent tasks served in a row.
@@ -275,16 +317,16 @@
 	arb.row++
 }
 
-// Ended takes the cost of a task off the use of its team.
-func (arb *Arbiter[K, T]) Ended(name fleet.Team, urgent bool, cost int64) {
-	arb.account(name, urgent, -cost)
+// Ended takes the amounts of a task off the use of its team.
+func (arb *Arbiter[K, T]) Ended(name fleet.Team, urgent bool, size resource.Vector) {
+	arb.account(name, urgent, resource.Vector{}.Minus(size))
 }
 
-func (arb *Arbiter[K, T]) account(name fleet.Team, urgent bool, cost int64) {
+func (arb *Arbiter[K, T]) account(name fleet.Team, urgent bool, change resource.Vector) {
 	tem := arb.team(name)
-	tem.used += cost
+	tem.used = tem.used.Plus(change)
 	if urgent {
-		tem.urgent += cost
+		tem.urgent = tem.urgent.Plus(change)
 	}
 	arb.reorder(tem)
 }
@@ -340,7 +382,7 @@
 	for _, tem := range arb.teams {
 		for _, lan := range tem.lanes {
 			pos := slices.IndexFunc(lan.asides, func(asd aside[K, T]) bool { return asd.need.FitsIn(free) })
-			if pos >= 0 && (best == nil || lan.ahead(best)) {
+			if pos >= 0 && (best == nil || arb.ahead(lan, best)) {
 				best, at = lan, pos
 			}
 		}
@@ -348,11 +390,11 @@
 	return best, at
 }
 
-func (lan *lane[K, T]) ahead(oth *lane[K, T]) bool {
+func (arb *Arbiter[K, T]) ahead(lan, oth *lane[K, T]) bool {
 	if lan.urgent != oth.urgent {
 		return lan.urgent
 	}
-	return lan.relative() < oth.relative()
+	return arb.relative(lan) < arb.relative(oth)
 }
 
 func (arb *Arbiter[K, T]) wakeAt(lan *lane[K, T], pos int) bool {
@@ -383,93 +425,3 @@
 	arb.enlist(lan)
 	return val, true
 }
-
-// Claim is a team that waits below its share and may take capacity back.
-type Claim[K comparable, T any] struct {
-	key    K
-	value  T
-	team   fleet.Team
-	urgent bool
-	need   resource.Vector
-	waited time.Duration
-}
-
-// Key returns the waiting task.
-func (clm Claim[K, T]) Key() K { return clm.key }
-
-// Value returns the value of the waiting task.
-func (clm Claim[K, T]) Value() T { return clm.value }
-
-// Team returns the team that is below its share.
-func (clm Claim[K, T]) Team() fleet.Team { return clm.team }
-
-// Urgent reports whether the waiting task is urgent.
-func (clm Claim[K, T]) Urgent() bool { return clm.urgent }
-
-// Need returns the amounts that the task needs.
-func (clm Claim[K, T]) Need() resource.Vector { return clm.need }
-
-// Waited returns how long the task has been set aside.
-func (clm Claim[K, T]) Waited() time.Duration { return clm.waited }
-
-// Claims returns the oldest task set aside of each lane whose team stays
-// within its share with it and has waited for longer than the bound. A lane claims once in that period.
-func (arb *Arbiter[K, T]) Claims(now time.Time) []Claim[K, T] {
-	var claims []Claim[K, T]
-	for _, tem := range arb.teams {
-		for pos := len(tem.lanes) - 1; pos >= 0; pos-- {
-			lan := tem.lanes[pos]
-			if len(lan.asides) == 0 {
-				continue
-			}
-			asd := lan.asides[0]
-			if tem.used+asd.need.MilliCPU() > arb.Share(tem.name) {
-				continue
-			}
-			waited := now.Sub(asd.since)
-			after := reclaimAfter(lan.urgent)
-			if waited >= after && now.Sub(lan.claimed) >= max(claimSpacing, after) {
-				lan.claimed = now
-				claims = append(claims, Claim[K, T]{
-					key: asd.key, value: asd.value, team: tem.name,
-					urgent: lan.urgent, need: asd.need, waited: waited,
-				})
-			}
-		}
-	}
-	return claims
-}
-
-func reclaimAfter(urgent bool) time.Duration {
-	if urgent {
-		return UrgentReclaimAfter
-	}
-	return ReclaimAfter
-}
-
-// OverShare returns the teams that use more than their share, the one that
-// exceeds it most first.
-func (arb *Arbiter[K, T]) OverShare() []fleet.Team {
-	var over []*team[K, T]
-	for _, tem := range arb.teams {
-		if tem.used > arb.Share(tem.name) {
-			over = append(over, tem)
-		}
-	}
-	slices.SortStableFunc(over, func(one, two *team[K, T]) int {
-		left, right := float64(one.used)/float64(one.weight), float64(two.used)/float64(two.weight)
-		switch {
-		case left > right:
-			return -1
-		case left < right:
-			return 1
-		default:
-			return 0
-		}
-	})
-	names := make([]fleet.Team, 0, len(over))
-	for _, tem := range over {
-		names = append(names, tem.name)
-	}
-	return names
-}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -42,7 +42,7 @@
 		if !found {
 			break
 		}
-		arb.Started(itm.team, itm.urgent, 1)
+		arb.Started(itm.team, itm.urgent, resource.New(1, 0, 0))
 		served = append(served, itm)
 	}
 	return served
@@ -115,10 +115,10 @@
 var _ = DescribeTable("lets a team that waits reclaim up to its share",
 	func(used int64, urgent bool, waited time.Duration, want int) {
 		var arb arbiter
-		arb.SetCapacity(100)
+		arb.SetCapacity(resource.New(100, 100, 0))
 		arb.SetTeam("a", 1)
 		arb.SetTeam("b", 1)
-		arb.Started("a", false, used)
+		arb.Started("a", false, resource.New(used, 0, 0))
 		arb.SetAside("x", "a", urgent, item{team: "a", urgent: urgent}, resource.New(10, 0, 0), start)
 		Expect(arb.Claims(start.Add(waited))).To(HaveLen(want))
 		Expect(arb.Claims(start.Add(waited))).To(BeEmpty(), "a claim is not repeated at once")
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -57,3 +57,10 @@
 func (vec Vector) String() string {
 	return fmt.Sprintf("%d mCPU, %d MB, %d accelerators", vec.milliCPU, vec.memoryMB, vec.accelerators)
 }
+
+// Dominant returns the largest amount in units of the total of its resource:
+// unit stands for all of it. A resource without a total counts as one.
+func (vec Vector) Dominant(total Vector, unit int64) int64 {
+	return max(vec.milliCPU*unit/max(1, total.milliCPU), vec.memoryMB*unit/max(1, total.memoryMB),
+		vec.accelerators*unit/max(1, total.accelerators))
+}
--- a/core/scenario/worker.go
+++ b/core/scenario/worker.go
@@ -76,11 +76,13 @@
 	}
 	if run.now/checkpointPeriod != (run.now-run.shape.step)/checkpointPeriod {
 		tsk.saved = tsk.done
+		run.scheduler.Checkpointed(exe.id, run.time())
 	}
 }
 
 func (run *Runner[P, G]) checkpointed(wrk *worker[G], exe *execution) {
 	exe.truth.saved, exe.checkAt = exe.truth.done, 0
+	run.scheduler.Checkpointed(exe.id, run.time())
 	wrk.guard.Checkpointed(string(exe.id), run.time())
 	if exe.leaving {
 		run.end(wrk, exe, place.Interrupted)
