Make room only where the policy then places the task

Evict now asks the policy whether it takes the instance without the tasks to be stopped, and a task that did not use its room claims again after 30 s at the earliest.

--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -20,6 +20,14 @@
 	return pad.policy.Choose(can, tsk, knw)
 }
 
+// Accepts tells of which instances with room P takes none.
+func (pad padded[P]) Accepts(hos *place.Host, tsk *place.Task, need resource.Vector, knw *place.Knowledge) bool {
+	acc, limited := any(pad.policy).(interface {
+		Accepts(hos *place.Host, tsk *place.Task, need resource.Vector, knw *place.Knowledge) bool
+	})
+	return !limited || acc.Accepts(hos, tsk, need, knw)
+}
+
 // Reserve implements place.Policy.
 func (padded[P]) Reserve(tsk *place.Task, knw *place.Knowledge) resource.Vector {
 	declared := tsk.Declared()
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -19,6 +19,9 @@
 	// claimPeriod is how long the room made on an instance is kept for its task:
 	// the time of a checkpoint and a start.
 	claimPeriod = 5 * time.Second
+	// claimAgain is the time after which a task may claim room again when it did
+	// not use what was made for it.
+	claimAgain = 30 * time.Second
 	// leastRun is how long a task runs before it may be stopped, so that a flood of
 	// urgent work leaves the ordinary tasks that get their turn some progress.
 	leastRun = 5 * time.Second
@@ -69,6 +72,12 @@
 	return clm.task == "" || clm.task == id || !now.Before(clm.until)
 }
 
+// claimed is where a task has claimed room, and when it may do so again.
+type claimed struct {
+	host  *Host
+	again time.Time
+}
+
 // evictionBudget bounds the rate of evictions. The zero value holds a burst.
 type evictionBudget struct {
 	spent time.Time // the time at which the budget is full again
@@ -124,7 +133,7 @@
 func (sch *Scheduler[P]) Evict(tsk Task, accept func(id fleet.InstanceID) bool, waited time.Duration, now time.Time) []Victim {
 	need := sch.policy.Reserve(&tsk, &sch.know)
 	within := sch.queue.UsedWith(tsk.team, need) <= sch.queue.Share(tsk.team)
-	if sch.claims[tsk.id] != nil && !sch.claims[tsk.id].claim.admits("", now) || !within && !tsk.urgent || sch.hasRoom(&tsk, need, accept, now) {
+	if now.Before(sch.claims[tsk.id].again) || !within && !tsk.urgent || sch.hasRoom(&tsk, need, accept, now) {
 		return nil
 	}
 	srh := search[P]{scheduler: sch, task: &tsk, need: need, within: within, now: now}
@@ -136,7 +145,8 @@
 			continue
 		}
 		hos.visit = sch.visit
-		if pln := srh.plan(hos); len(pln.tasks) > 0 && (len(best.tasks) == 0 || pln.cost < best.cost) {
+		pln := srh.plan(hos)
+		if len(pln.tasks) > 0 && (len(best.tasks) == 0 || pln.cost < best.cost) && srh.accepted(hos, pln) {
 			best = pln
 		}
 	}
@@ -159,24 +169,26 @@
 // keep reserves an instance for a task.
 func (sch *Scheduler[P]) keep(hos *Host, id TaskID, now time.Time) {
 	if sch.claims == nil {
-		sch.claims = make(map[TaskID]*Host)
+		sch.claims = make(map[TaskID]claimed)
 	}
-	for old, oth := range sch.claims {
-		if oth.claim.admits("", now) {
+	for old, clm := range sch.claims {
+		if !now.Before(clm.again) {
 			delete(sch.claims, old)
 		}
 	}
 	hos.claim = claim{task: id, until: now.Add(claimPeriod)}
-	sch.claims[id] = hos
+	sch.claims[id] = claimed{host: hos, again: now.Add(claimAgain)}
 }
 
 // settleClaim ends the claim of a task that has found an instance.
 func (sch *Scheduler[P]) settleClaim(id TaskID) {
-	if hos, found := sch.claims[id]; found {
-		delete(sch.claims, id)
-		if hos.claim.task == id {
-			hos.claim = claim{}
-		}
+	clm, found := sch.claims[id]
+	if !found {
+		return
+	}
+	delete(sch.claims, id)
+	if clm.host.claim.task == id {
+		clm.host.claim = claim{}
 	}
 }
 
@@ -210,6 +222,34 @@
 	now       time.Time
 }
 
+// accepter is a policy that does not take every instance with room.
+type accepter interface {
+	// Accepts reports whether a task may be placed on an instance that has room.
+	Accepts(hos *Host, tsk *Task, need resource.Vector, knw *Knowledge) bool
+}
+
+// Accepts reports whether the services on an instance bear one more task.
+func (Scored) Accepts(hos *Host, tsk *Task, need resource.Vector, knw *Knowledge) bool {
+	return knw.Bearable(hos, tsk, need, knw.Pressure(hos, tsk, need))
+}
+
+// accepted reports whether the policy would take the instance without the tasks of a plan.
+func (srh *search[P]) accepted(hos *Host, pln plan) bool {
+	sch := srh.scheduler
+	acc, limited := any(sch.policy).(accepter)
+	if !limited || len(pln.tasks) == 0 {
+		return true
+	}
+	for _, plc := range pln.tasks {
+		hos.use(plc.task.class, &sch.know.pairings, -plc.size.MilliCPU())
+	}
+	taken := acc.Accepts(hos, srh.task, srh.need, &sch.know)
+	for _, plc := range pln.tasks {
+		hos.use(plc.task.class, &sch.know.pairings, plc.size.MilliCPU())
+	}
+	return taken
+}
+
 // plan returns the tasks to stop on an instance: the cheapest single one that
 // makes enough room or else several, cheapest first, without those that turn
 // out not to be needed.
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -122,7 +122,7 @@
 	queue      quota.Arbiter[TaskID, waiting]
 	placements map[TaskID]*placement
 	accepted   []*placement // in no order
-	claims     map[TaskID]*Host
+	claims     map[TaskID]claimed
 	budget     evictionBudget
 	visit      uint64
 	delays     heap.Heap[delayed]
