Count the quotas of teams over all owner processes

Each process counted its own commitments only, so a team that may not borrow got its share once through each owner: with four owners and a share of a quarter of 96 processors it used all 96, with work at two of them 51 (trials with the limit switched off).

Every process that owns partitions reports each 2 s what its teams hold, only what has changed, to the owner of partition 0. That process adds the reports up (quota.Census) and answers with what others hold and, for teams that may not borrow, a limit. Granted limits count as used, so all limits together stay within the bound whatever the order of the reports. The sums live in memory: after a loss the next owner of partition 0 listens for 6 s, and the processes keep to their last limits meanwhile. Bounds are kept for processors, memory and accelerators.

Measured in core/dispatch with four owners: the team never exceeds its 24 processors and reaches them, with the work at one, two or all owners, also while the census is lost, rebuilt and its answers are lost. With even parts only, grants not counted, no listening period, no rounding up for the waiting task, no use of others in the order of teams, or lost answers not noted the specs fail (trials).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/place"
+	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
 )
 
@@ -78,7 +79,9 @@
 	missAt     time.Time
 	demands    map[string]*demand // of tasks that find no instance
 	reclaimed  time.Time
-	shares     []Share // by team
+	reporter   quota.Reporter
+	wants      map[fleet.Team]want // what the shares keep waiting
+	shares     []Share             // by team
 	teams      names[fleet.Team]
 	classes    names[fleet.JobClass]
 	shunned    map[pairing]time.Time // until when a class is not placed on an instance
@@ -105,7 +108,7 @@
 		seats:  make(map[fleet.InstanceID]*seat),
 		holds:  make(map[place.TaskID]*hold),
 		parts:  make(map[int]*Part[P]),
-		misses: make(map[job.Lane]int), demands: make(map[string]*demand), shunned: make(map[pairing]time.Time),
+		misses: make(map[job.Lane]int), demands: make(map[string]*demand), wants: make(map[fleet.Team]want), shunned: make(map[pairing]time.Time),
 	}
 }
 
@@ -158,6 +161,7 @@
 	dsp.tried(tsk.Spec(), found)
 	if !found {
 		dsp.missed = true
+		dsp.waits(req.Team(), req.Declared())
 		return "", false
 	}
 	dsp.chosen = off
@@ -179,6 +183,7 @@
 	}
 	hol := &hold{seat: sea, size: off.Size(), part: part, ref: tsk.Ref()}
 	dsp.met(req, tsk.Spec())
+	delete(dsp.wants, req.Team())
 	dsp.holds[req.ID()] = hol
 	sea.pending = sea.pending.Plus(hol.size)
 	sea.centre.used += hol.size.MilliCPU()
--- a/core/dispatch/lanes.go
+++ b/core/dispatch/lanes.go
@@ -5,10 +5,8 @@
 	"slices"
 	"strings"
 
-	"jacinthpost/core/explain"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
-	"jacinthpost/core/place"
 	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
 )
@@ -25,14 +23,34 @@
 // Share is the part of the fleet to which a team is entitled.
 type Share struct {
 	team      fleet.Team
-	part      float64
+	part      float64 // of the processors
+	memory    float64
+	devices   float64 // accelerators
 	mayBorrow bool
 }
 
 // NewShare returns the share of a team, between 0 and 1. A team that may not
 // borrow gets no more than its share even when nobody else has work.
 func NewShare(tea fleet.Team, part float64, mayBorrow bool) Share {
-	return Share{team: tea, part: part, mayBorrow: mayBorrow}
+	return Share{team: tea, part: part, memory: part, devices: part, mayBorrow: mayBorrow}
+}
+
+// WithOthers returns the share with other parts of the memory and of the
+// accelerators. Zero leaves the part that was given for the processors.
+func (sha Share) WithOthers(memory, accelerators float64) Share {
+	if memory > 0 {
+		sha.memory = memory
+	}
+	if accelerators > 0 {
+		sha.devices = accelerators
+	}
+	return sha
+}
+
+// of returns the amounts of the share in a fleet.
+func (sha Share) of(capacity resource.Vector) resource.Vector {
+	return resource.New(int64(sha.part*float64(capacity.MilliCPU())), int64(sha.memory*float64(capacity.MemoryMB())),
+		int64(sha.devices*float64(capacity.Accelerators())))
 }
 
 // Team returns the team.
@@ -130,16 +148,3 @@
 	}
 	dsp.misses[laneOf(spc)]++
 }
-
-// mayUse reports whether the team of a task may use more, and records why not.
-// A team with nothing placed may always place one task.
-func (dsp *Dispatcher[P]) mayUse(req place.Task) bool {
-	sha, found := dsp.share(req.Team())
-	used := dsp.sched.AmountsOf(req.Team())
-	if !found || sha.mayBorrow || used == (resource.Vector{}) || used.Plus(req.Declared()).Dominant(dsp.sched.FleetCapacity(), quota.Unit) <= int64(sha.part*quota.Unit) {
-		return true
-	}
-	dsp.sched.Record(explain.New(explain.TeamOverShare, dsp.now, string(req.ID())).With(string(req.Team())).
-		Counts(int(dsp.sched.UsedBy(req.Team())*weightUnit/quota.Unit), int(sha.part*weightUnit)))
-	return false
-}
--- a/core/dispatch/part.go
+++ b/core/dispatch/part.go
@@ -49,6 +49,9 @@
 	if prt.dispatcher.parts[prt.number] == prt {
 		delete(prt.dispatcher.parts, prt.number)
 	}
+	if !prt.dispatcher.Owns() {
+		prt.dispatcher.reporter.Leave()
+	}
 }
 
 // Observe implements job.Placement.
--- a/core/place/direct.go
+++ b/core/place/direct.go
@@ -176,6 +176,9 @@
 	return sch.queue.AmountsHere(name)
 }
 
+// Teams returns the teams that are known, sorted.
+func (sch *Scheduler[P]) Teams() []fleet.Team { return sch.queue.Teams() }
+
 // SetElsewhere sets what the tasks of a team hold through other schedulers.
 func (sch *Scheduler[P]) SetElsewhere(name fleet.Team, use resource.Vector) {
 	sch.queue.SetElsewhere(name, use)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -207,6 +207,9 @@
 	return arb.relative(arb.team(name).lanes[side(urgent)])
 }
 
+// Teams returns the teams that are known, sorted.
+func (arb *Arbiter[K, T]) Teams() []fleet.Team { return sortedTeams(arb.byName) }
+
 // Waiting returns the number of waiting tasks of a team.
 func (arb *Arbiter[K, T]) Waiting(name fleet.Team) int {
 	tem, found := arb.byName[name]
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -64,3 +64,19 @@
 	return max(vec.milliCPU*unit/max(1, total.milliCPU), vec.memoryMB*unit/max(1, total.memoryMB),
 		vec.accelerators*unit/max(1, total.accelerators))
 }
+
+// Min returns the smaller amount of each resource.
+func (vec Vector) Min(oth Vector) Vector {
+	return New(min(vec.milliCPU, oth.milliCPU), min(vec.memoryMB, oth.memoryMB), min(vec.accelerators, oth.accelerators))
+}
+
+// Times returns the amounts multiplied by a number.
+func (vec Vector) Times(num int64) Vector {
+	return New(vec.milliCPU*num, vec.memoryMB*num, vec.accelerators*num)
+}
+
+// Over returns the amounts divided by a number, rounded towards zero; a number below one counts as one.
+func (vec Vector) Over(num int64) Vector {
+	num = max(1, num)
+	return New(vec.milliCPU/num, vec.memoryMB/num, vec.accelerators/num)
+}
--- /dev/null
+++ b/io/message/census.go
@@ -0,0 +1,38 @@
+package message
+
+// TeamUse is what a team holds through one owner process.
+type TeamUse struct {
+	Team    string
+	Amounts Resources
+	Bound   Resources // in the fleet, zero for a team that may borrow
+	Limit   Resources // that the process keeps to
+	Want    Resources // of the first waiting task
+}
+
+// ReportUseArgs reports to the owner of partition 0 what teams hold: what has
+// changed, or everything when Complete.
+type ReportUseArgs struct {
+	Partition   int
+	Instance    string
+	Incarnation uint64
+	Complete    bool
+	Grain       Resources // changes below it need not be told
+	Uses        []TeamUse
+}
+
+// TeamAllotment tells an owner process about a team.
+type TeamAllotment struct {
+	Team      string
+	Elsewhere Resources // held through other processes
+	Limit     Resources // of a team that may not borrow, through this process
+}
+
+// ReportUseReply answers with what has changed. The next report must be complete
+// unless the reports so far are known.
+type ReportUseReply struct {
+	NotOwner     bool   // this process does not own the partition
+	OwnerAddress string // the owner, if known
+	Known        bool
+	Settled      bool
+	Allotments   []TeamAllotment
+}
--- /dev/null
+++ b/io/node/agentnode/census.go
@@ -0,0 +1,53 @@
+package agentnode
+
+import (
+	"context"
+	"time"
+
+	"jacinthpost/core/quota"
+	"jacinthpost/core/resource"
+)
+
+// reportLimit ends a report before the next one is due.
+const reportLimit = quota.ReportPeriod * 3 / 4
+
+// report tells the census what the teams hold through this process, for as long
+// as it owns partitions.
+func (pow *placedOwner) report(ctx context.Context) {
+	tkr := time.NewTicker(quota.ReportPeriod)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+			pow.reportOnce(ctx)
+		}
+	}
+}
+
+func (pow *placedOwner) reportOnce(ctx context.Context) {
+	var (
+		complete, owns bool
+		uses           []quota.Use
+		grain          resource.Vector
+	)
+	err := pow.partitions.Inspect(ctx, func(now time.Time) {
+		if owns = pow.dispatcher.Owns(); owns {
+			complete, uses, grain = pow.dispatcher.Report(now)
+		}
+	})
+	if err != nil || !owns {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	ans, err := pow.client.ReportUse(limited, pow.self, complete, uses, grain)
+	_ = pow.partitions.Inspect(ctx, func(time.Time) { // fails only when the process ends
+		if err != nil {
+			pow.dispatcher.ReportLost()
+			return
+		}
+		pow.dispatcher.Reported(uses, ans)
+	})
+}
--- a/io/node/agentnode/placement.go
+++ b/io/node/agentnode/placement.go
@@ -25,6 +25,8 @@
 	partitions *owner.Owner[*dispatch.Part[place.Scored]]
 	dispatcher *dispatch.Dispatcher[place.Scored]
 	config     Configuration
+	client     *owner.Client // of the census
+	self       fleet.Process
 }
 
 func newOwner(nod *node.Node, mbs *members) *placedOwner {
@@ -34,14 +36,19 @@
 	prt := owner.NewPorts(nod.Table(), nod.Objects(), nod.Pools().Jobs(), ownerSettings{config: nod}).
 		WithView(mbs.view).WithLog(nod.Logger()).WithThread(nod.Thread())
 	dsp := dispatch.New(place.Scored{}, uint64(nod.Incarnation()), set.Partitions())
-	return &placedOwner{partitions: owner.New(cfg, prt, dsp.Part), dispatcher: dsp, config: nod}
+	return &placedOwner{
+		partitions: owner.New(cfg, prt, dsp.Part), dispatcher: dsp, config: nod,
+		client: owner.NewClient(nod.Table(), nod.Pools().Jobs(), set.Partitions()),
+		self:   fleet.NewProcess(set.Instance(), nod.Incarnation()),
+	}
 }
 
 func (pow *placedOwner) run(ctx context.Context) {
 	var grp errgroup.Group
 	grp.Go(func() error { pow.partitions.Run(ctx); return nil })
 	grp.Go(func() error { pow.follow(ctx); return nil })
-	_ = grp.Wait() // neither part returns an error
+	grp.Go(func() error { pow.report(ctx); return nil })
+	_ = grp.Wait() // no part returns an error
 }
 
 // follow passes tickets about teams and data centres to the dispatcher.
@@ -61,13 +68,13 @@
 	})
 }
 
-// shares returns the quotas of all teams. The shares of the three resources
-// are given by tickets; processors decide, because they are what runs out first.
+// shares returns the quotas of all teams.
 func shares(sta ticket.State) []dispatch.Share {
 	var list []dispatch.Share
 	for _, rec := range sta.Records("", sta.Len()) {
 		if tea, ok := rec.Object().(ticket.Team); ok {
-			list = append(list, dispatch.NewShare(fleet.Team(rec.Key().Name()), tea.CPUShare(), tea.MayBorrow()))
+			list = append(list, dispatch.NewShare(fleet.Team(rec.Key().Name()), tea.CPUShare(), tea.MayBorrow()).
+				WithOthers(tea.MemoryShare(), tea.AcceleratorShare()))
 		}
 	}
 	return list
--- a/io/owner/metrics.go
+++ b/io/owner/metrics.go
@@ -26,6 +26,7 @@
 	leasesRenewed = metrics.NewCounter("jacinthpost_owner_leases_renewed_total")
 	setsRefused   = metrics.NewCounter("jacinthpost_owner_sets_disagreed_total")
 	endsRecorded  = metrics.NewCounter("jacinthpost_owner_ends_acknowledged_total")
+	useReports    = metrics.NewCounter("jacinthpost_owner_use_reports_total")
 	notOwner      = metrics.NewCounter("jacinthpost_owner_not_owner_total")
 )
 
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"jacinthpost/core/job"
+	"jacinthpost/core/quota"
 	"jacinthpost/core/store"
 	"jacinthpost/io/joblog"
 )
@@ -30,6 +31,7 @@
 	saving    bool
 	saveAfter time.Time
 	releasing bool
+	census    quota.Census // of partition CensusPartition only
 }
 
 // held is an action that waits for a record to become durable.
