Order waiting tasks by the latest start for their deadline and tell late jobs

A job that passes its deadline unfinished is not cancelled: explain tells by how much and why, and jacinthpost_owner_jobs_late_total counts it once in each tenure. Evictions spare tasks whose latest start has come near.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -80,8 +80,9 @@
 	demands    map[string]*demand // of tasks that find no instance
 	reclaimed  time.Time
 	reporter   quota.Reporter
-	wants      map[fleet.Team]want // what the shares keep waiting
-	shares     []Share             // by team
+	wants      map[fleet.Team]want // of teams with waiting tasks
+	runTimes   map[fleet.JobClass]time.Duration
+	shares     []Share // by team
 	teams      names[fleet.Team]
 	classes    names[fleet.JobClass]
 	shunned    map[pairing]time.Time // until when a class is not placed on an instance
@@ -96,6 +97,8 @@
 	size     resource.Vector
 	part     int
 	ref      job.Ref
+	since    time.Time
+	whole    bool // the task runs from its beginning
 	accepted bool
 	evicted  bool // this process stops the task for another one
 }
@@ -108,7 +111,7 @@
 		seats:  make(map[fleet.InstanceID]*seat),
 		holds:  make(map[place.TaskID]*hold),
 		parts:  make(map[int]*Part[P]),
-		misses: make(map[job.Lane]int), demands: make(map[string]*demand), wants: make(map[fleet.Team]want), shunned: make(map[pairing]time.Time),
+		misses: make(map[job.Lane]int), demands: make(map[string]*demand), wants: make(map[fleet.Team]want), runTimes: make(map[fleet.JobClass]time.Duration), shunned: make(map[pairing]time.Time),
 	}
 }
 
@@ -139,7 +142,7 @@
 		req = req.Urgent()
 	}
 	if spc.Deadline() != 0 {
-		req = req.Due(time.UnixMilli(spc.Deadline()))
+		req = req.Due(time.UnixMilli(spc.Deadline()).Add(-dsp.runTime(spc.Class())))
 	}
 	return req.Evicted(tsk.Counters().Evictions())
 }
@@ -181,7 +184,7 @@
 	if sea == nil || !dsp.sched.Commit(off, dsp.now) {
 		return false
 	}
-	hol := &hold{seat: sea, size: off.Size(), part: part, ref: tsk.Ref()}
+	hol := &hold{seat: sea, size: off.Size(), part: part, ref: tsk.Ref(), since: dsp.now, whole: offered && tsk.Checkpoint() == ""}
 	dsp.met(req, tsk.Spec())
 	delete(dsp.wants, req.Team())
 	dsp.holds[req.ID()] = hol
--- a/core/dispatch/explain.go
+++ b/core/dispatch/explain.go
@@ -26,6 +26,9 @@
 	if len(rsns) > lineLimit {
 		rsns = rsns[len(rsns)-lineLimit:]
 	}
+	if behind := sta.Behind(dsp.now); behind > 0 {
+		rsns = append(rsns, explain.New(explain.Late, dsp.now, string(sta.ID())).For(behind).Detail(lateness(sta)))
+	}
 	lines := format(rsns)
 	if len(lines) == 0 {
 		lines = append(lines, "this process has made no decision about the job since it took over the partition")
@@ -33,6 +36,18 @@
 	return append(lines, dsp.ExplainTeam(sta.Spec().Team())...)
 }
 
+// lateness returns why a job is behind its deadline.
+func lateness(sta job.Status) string {
+	switch {
+	case sta.State() == job.Finished:
+		return "it has ended"
+	case sta.Waiting() != "":
+		return "it waits: " + sta.Waiting()
+	default:
+		return "it is " + sta.State().String()
+	}
+}
+
 // ExplainTeam returns the use and the share of a team.
 func (dsp *Dispatcher[P]) ExplainTeam(name fleet.Team) []string {
 	acc := dsp.teams.bound(name, teamLimit)
--- a/core/dispatch/part.go
+++ b/core/dispatch/part.go
@@ -63,6 +63,9 @@
 // Lane implements job.Placement.
 func (*Part[P]) Lane(spc job.Spec) job.Lane { return laneOf(spc) }
 
+// RunTime implements job.Placement.
+func (prt *Part[P]) RunTime(spc job.Spec) time.Duration { return prt.dispatcher.runTime(spc.Class()) }
+
 // CompareLanes implements job.Placement.
 func (prt *Part[P]) CompareLanes(one, two job.Lane) int { return prt.dispatcher.compareLanes(one, two) }
 
--- a/core/dispatch/reclaim.go
+++ b/core/dispatch/reclaim.go
@@ -117,6 +117,7 @@
 	if prt.closed {
 		return nil
 	}
+	prt.dispatcher.now = now
 	prt.dispatcher.reclaim(now)
 	list := prt.evictions
 	prt.evictions = nil
--- a/core/dispatch/verdict.go
+++ b/core/dispatch/verdict.go
@@ -35,6 +35,9 @@
 	hol := dsp.holds[id]
 	if hol != nil {
 		dsp.release(id, hol)
+		if end.Kind() == job.EndFinished && hol.whole {
+			dsp.ran(req.Class(), now.Sub(hol.since))
+		}
 	}
 	if end.Evicted() && (hol == nil || !hol.evicted) {
 		dsp.shun(req.Class(), ins)
--- a/core/job/apply.go
+++ b/core/job/apply.go
@@ -26,7 +26,8 @@
 
 func (par *Partition[P]) applySubmitted(rec Record) *entry {
 	par.submitted++
-	ent := &entry{id: rec.ref.job, spec: rec.spec, digest: rec.digest, order: par.submitted}
+	ent := &entry{id: rec.ref.job, spec: rec.spec, digest: rec.digest, order: par.submitted, submittedAt: rec.at}
+	ent.rank = rankOf(ent.spec, ent.submittedAt, 0)
 	ent.tasks = make([]task, rec.spec.tasks)
 	ent.counts[Queued] = len(ent.tasks)
 	par.jobs[ent.id] = ent
@@ -151,7 +152,7 @@
 func (par *Partition[P]) Snapshot() []Record {
 	recs := make([]Record, 0, len(par.order)*2)
 	for _, ent := range par.order {
-		recs = append(recs, NewRecord(JobSubmitted, jobRef(ent.id), 0).WithSpec(ent.spec, ent.digest))
+		recs = append(recs, NewRecord(JobSubmitted, jobRef(ent.id), ent.submittedAt).WithSpec(ent.spec, ent.digest))
 		for idx := range ent.tasks {
 			if rec, changed := ent.tasks[idx].snapshot(ent.endedAt); changed {
 				recs = append(recs, rec)
--- a/core/job/end.go
+++ b/core/job/end.go
@@ -164,6 +164,7 @@
 	if env.now.Sub(par.removeAt) >= removePeriod {
 		par.removeEnded(env, out)
 	}
+	par.findLate(env)
 	par.evict(env, out)
 	par.dispatch(env, out)
 	return out
--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -91,6 +91,8 @@
 	drainAt   time.Time
 	adoptAt   time.Time
 	removeAt  time.Time
+	lateAt    time.Time
+	late      int
 }
 
 // entry is one job.
@@ -103,8 +105,12 @@
 	cancelled bool
 	waiting   string // why a task of the job has no instance yet
 	endedAt   int64
+	late      bool  // the deadline has passed while this process owned the job
+	rank      int64 // orders the tasks within their lane, see rankOf
 	tasks     []task
-	counts    [stateCount]int
+	// submittedAt is in Unix milliseconds.
+	submittedAt int64
+	counts      [stateCount]int
 }
 
 // task is one task of a job. Only volatile knowledge is in act.
@@ -156,7 +162,7 @@
 }
 
 func compareTasks(one, two *task) int {
-	return cmp.Or(cmp.Compare(one.entry.order, two.entry.order), cmp.Compare(one.index, two.index))
+	return cmp.Or(cmp.Compare(one.entry.rank, two.entry.rank), cmp.Compare(one.entry.order, two.entry.order), cmp.Compare(one.index, two.index))
 }
 
 // Recorded returns the number of the last record.
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -79,7 +79,8 @@
 // Last returns the instance of the latest assignment, empty for none.
 func (tsk Task) Last() fleet.InstanceID { return tsk.last }
 
-// Lane is a part of the queue. Tasks in a lane are in the order of submission.
+// Lane is a part of the queue. Tasks in a lane are in the order of the latest
+// start that meets their deadline; see Patience for those without one.
 type Lane string
 
 // Verdict is what a placement decides about a failed task.
@@ -106,6 +107,8 @@
 	Admits(spc Spec) (fits bool, largest resource.Vector)
 	// Lane returns the part of the queue for a task. It must not change over time.
 	Lane(spc Spec) Lane
+	// RunTime returns how long a task of a job is expected to run, zero if that is not known.
+	RunTime(spc Spec) time.Duration
 	// CompareLanes orders lanes: the lane to serve next comes first.
 	CompareLanes(one, two Lane) int
 	// Choose returns the instance to offer a task to; starts tells whether tasks may start in a data centre.
--- a/core/job/queue.go
+++ b/core/job/queue.go
@@ -6,8 +6,8 @@
 )
 
 // lanes is the queue of waiting tasks: one sorted list for each lane. The order
-// within a lane is that of submission, so a task that returns to the queue goes
-// before later jobs.
+// of an item must not change while it is queued, so a task that returns to the
+// queue has its former place.
 type lanes[T any] struct {
 	list    []*lane[T]
 	byName  map[Lane]*lane[T]
--- a/core/job/simple.go
+++ b/core/job/simple.go
@@ -87,6 +87,9 @@
 	return laneNormal
 }
 
+// RunTime implements Placement: nothing is known.
+func (*Simple) RunTime(Spec) time.Duration { return 0 }
+
 // CompareLanes implements Placement.
 func (*Simple) CompareLanes(one, two Lane) int { return strings.Compare(string(one), string(two)) }
 
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -29,6 +29,7 @@
 		return out
 	}
 	par.record(out, NewRecord(JobSubmitted, jobRef(id), env.now.UnixMilli()).WithSpec(spc, spc.Digest()))
+	par.rerank(par.jobs[id])
 	rep.after = par.recorded
 	out.emit(rep)
 	par.dispatch(env, out)
@@ -148,6 +149,7 @@
 	tasks     []TaskStatus
 	recorded  uint64
 	waiting   string
+	endedAt   int64
 }
 
 // ID returns the job.
@@ -243,7 +245,7 @@
 }
 
 func (ent *entry) summary() Status {
-	sta := Status{id: ent.id, spec: ent.spec, cancelled: ent.cancelled, state: ent.state(), recorded: ent.recorded}
+	sta := Status{id: ent.id, spec: ent.spec, cancelled: ent.cancelled, state: ent.state(), recorded: ent.recorded, endedAt: ent.endedAt}
 	if ent.counts[Queued]+ent.counts[Offered] > 0 {
 		sta.waiting = ent.waiting
 	}
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -31,13 +31,14 @@
 	planLimit   = 8
 )
 
-// Costs of stopping a task beyond the work since its latest checkpoint, as work
-// lost. They only have to differ clearly.
+// Costs of stopping a task beyond the time since its latest checkpoint. They
+// only have to differ clearly. The first ones count once and again for each
+// processor of the task: a large one loses more and waits longer for room.
 const (
 	stopCost     = 30 * time.Second // each checkpoint, stop and start
 	againCost    = 2 * time.Minute  // each time it was stopped before
-	shareCost    = 10 * time.Minute // its team is then below its share
-	deadlineCost = time.Hour        // it would miss its deadline
+	shareCost    = time.Hour        // its team is then below its share
+	deadlineCost = 10 * time.Hour   // it would miss its deadline
 	// spareTime is the time before the latest start for a deadline from which a
 	// task is spared: a restart may take as long on a full fleet.
 	spareTime = 5 * time.Minute
@@ -300,6 +301,7 @@
 		return 0, false
 	}
 	cost := srh.loss(plc) + stopCost + time.Duration(plc.task.evicted)*againCost
+	cost += cost * time.Duration(plc.size.MilliCPU()) / 1000
 	if due := plc.task.deadline; !due.IsZero() && srh.now.Add(spareTime).After(due) {
 		if !srh.task.urgent {
 			return 0, false
--- a/io/owner/metrics.go
+++ b/io/owner/metrics.go
@@ -27,6 +27,7 @@
 	setsRefused   = metrics.NewCounter("jacinthpost_owner_sets_disagreed_total")
 	endsRecorded  = metrics.NewCounter("jacinthpost_owner_ends_acknowledged_total")
 	useReports    = metrics.NewCounter("jacinthpost_owner_use_reports_total")
+	jobsLate      = metrics.NewCounter("jacinthpost_owner_jobs_late_total")
 	notOwner      = metrics.NewCounter("jacinthpost_owner_not_owner_total")
 )
 
@@ -52,6 +53,9 @@
 			continue
 		}
 		owned++
+		late := slt.tenure.part.Late()
+		jobsLate.Add(late - slt.tenure.late)
+		slt.tenure.late = late
 		for pos, num := range slt.tenure.part.Counts() {
 			sum[pos] += int64(num)
 		}
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -31,6 +31,7 @@
 	saving    bool
 	saveAfter time.Time
 	releasing bool
+	late      int          // jobs that the counter of late jobs has
 	census    quota.Census // of partition CensusPartition only
 }
 
