Ask other processes to make room for urgent work

A process could stop only tasks that it owns, so urgent work waited when the batch work on the fleet belonged to others; in a small fleet one job can hold all of it. One that finds tasks to stop under the same rules keeps the instance for the task and names it; the asker offers there each 100 ms until its agent accepts. Whether the team of the task is within its share is decided by the asker.

A claim and a demand now end when an agent accepts the task, not when it is offered, because a refused offer would lose them.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -27,8 +27,10 @@
 // tasks of this process; core/place chooses them. They are stopped with a
 // checkpoint and the room is kept for the waiting task for a short time.
 //
+// When this process has none to stop for an urgent task, other processes are asked.
+//
 // Limits: spread counts the commitments of this process only; other owners are
-// seen through refusals, and their tasks are not stopped. What is learned is lost with the process.
+// seen through refusals. What is learned is lost with the process.
 // Memory is bounded by the number of instances, the commitments, and the
 // constants below. A Dispatcher must be used from one goroutine at a time: the
 // control goroutine of the owner role.
@@ -79,6 +81,7 @@
 	missAt     time.Time
 	demands    map[string]*demand // of tasks that find no instance
 	reclaimed  time.Time
+	asks       []Room // to be sent to other processes
 	reporter   quota.Reporter
 	wants      map[fleet.Team]want // of teams with waiting tasks
 	runTimes   map[fleet.JobClass]time.Duration
@@ -97,6 +100,8 @@
 	size     resource.Vector
 	part     int
 	ref      job.Ref
+	demand   string // name of its demand while it waited
+	team     fleet.Team
 	since    time.Time
 	whole    bool // the task runs from its beginning
 	accepted bool
@@ -155,6 +160,7 @@
 	req := dsp.request(tsk)
 	dsp.unpark(req)
 	off, found := place.Offer{}, false
+	dsp.tryRoom(req)
 	if dsp.mayUse(req) {
 		off, found = dsp.sched.Choose(req, dsp.accepts(req.Class(), tsk.Spec().Service()), now)
 		if !found {
@@ -184,9 +190,8 @@
 	if sea == nil || !dsp.sched.Commit(off, dsp.now) {
 		return false
 	}
-	hol := &hold{seat: sea, size: off.Size(), part: part, ref: tsk.Ref(), since: dsp.now, whole: offered && tsk.Checkpoint() == ""}
-	dsp.met(req, tsk.Spec())
-	delete(dsp.wants, req.Team())
+	hol := &hold{seat: sea, size: off.Size(), part: part, ref: tsk.Ref(), since: dsp.now,
+		whole: offered && tsk.Checkpoint() == "", demand: demandKey(req, laneOf(tsk.Spec())), team: req.Team()}
 	dsp.holds[req.ID()] = hol
 	sea.pending = sea.pending.Plus(hol.size)
 	sea.centre.used += hol.size.MilliCPU()
@@ -201,6 +206,8 @@
 func (dsp *Dispatcher[P]) accept(id place.TaskID, hol *hold, free resource.Vector) {
 	sea := hol.seat
 	hol.accepted = true
+	dsp.met(hol.demand)
+	delete(dsp.wants, hol.team)
 	sea.pending, sea.accepted = sea.pending.Minus(hol.size), sea.accepted.Plus(hol.size)
 	dsp.sched.Accepted(id, sea.clamp(free))
 }
--- a/core/dispatch/reclaim.go
+++ b/core/dispatch/reclaim.go
@@ -30,6 +30,11 @@
 	since   time.Time
 	seen    time.Time
 	claimed time.Time
+	asked   time.Time // other processes
+	// room is where another process makes room, until roomEnd.
+	room      fleet.InstanceID
+	roomEnd   time.Time
+	roomTried time.Time
 }
 
 // ripe reports whether a demand may take room now. A lane that has waited for
@@ -41,11 +46,10 @@
 	return now.Sub(dem.since) >= quota.ReclaimAfter && now.Sub(dem.claimed) >= quota.ClaimSpacing
 }
 
-// met notes that a task has found an instance. A lane that has become ripe stays so
+// met notes that an instance has accepted a task. A lane that has become ripe stays so
 // while it has further tasks that find none.
-func (dsp *Dispatcher[P]) met(req place.Task, spc job.Spec) {
-	key := demandKey(req, laneOf(spc))
-	if dem := dsp.demands[key]; dem != nil && (req.IsUrgent() || !dem.ripe(dsp.now) && dem.claimed.IsZero()) {
+func (dsp *Dispatcher[P]) met(key string) {
+	if dem := dsp.demands[key]; dem != nil && (dem.task.IsUrgent() || !dem.ripe(dsp.now) && dem.claimed.IsZero()) {
 		delete(dsp.demands, key)
 	}
 }
@@ -90,10 +94,14 @@
 		if !dem.ripe(now) {
 			continue
 		}
-		for _, vic := range dsp.sched.Evict(dem.task, dsp.accepts(dem.task.Class(), dem.service), now.Sub(dem.since), now) {
+		vics := dsp.sched.Evict(dem.task, dsp.accepts(dem.task.Class(), dem.service), now.Sub(dem.since), now)
+		for _, vic := range vics {
 			dem.claimed = now
 			dsp.evict(vic)
 		}
+		if len(vics) == 0 && dem.task.IsUrgent() {
+			dsp.ask(dem, now.Sub(dem.since))
+		}
 	}
 }
 
--- a/core/dispatch/reclaim_test.go
+++ b/core/dispatch/reclaim_test.go
@@ -11,6 +11,7 @@
 	"jacinthpost/core/dispatch"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
+	"jacinthpost/core/place"
 	"jacinthpost/core/quota"
 )
 
@@ -146,4 +147,39 @@
 		Expect(sta.Tasks()[0].Checkpoint()).To(Equal("c"))
 		explained(wld.dsp.ExplainJob(sta), "evicted to make room for urgent work of team batch")
 	})
+
+	// Guards against urgent work of a process that has no batch task to stop.
+	DescribeTable("takes room from the tasks of another process", func(within bool, starts bool) {
+		wld := fullWorld(60, build(1, 1000, endless).WithTeam("batch"))
+		here := wld.dsp
+		wld.dsp = dispatch.New(place.Scored{}, 8, 2)
+		wld.takeOver(1, 2)
+		if !within {
+			wld.dsp.SetShares([]dispatch.Share{dispatch.NewShare("batch", 0.99, true)})
+			here.SetShares([]dispatch.Share{dispatch.NewShare("batch", 1, true)})
+		}
+		at := wld.now
+		id := wld.submit(1, build(1, 1000, endless).WithTeam("other").WithUrgency(true), "urgent")
+		calls := 0
+		for range 11 {
+			wld.pass(1)
+			for _, roo := range wld.parts[1].Placement().WantedRoom() {
+				calls++
+				if ins, made := wld.parts[0].Placement().MakeRoom(roo, wld.now); made {
+					wld.parts[1].Placement().RoomMade(roo, ins, wld.now)
+				}
+			}
+		}
+		waited, started := wld.wait(id, at)
+		Expect(started).To(Equal(starts))
+		if starts {
+			Expect(waited).To(BeNumerically("<", time.Second), "before hints are relaxed, which finds the room by chance")
+			Expect(calls).To(Equal(1))
+		}
+		wld.pass(60)
+		Expect(slices.Compact(wld.runningTasks())).To(HaveLen(480))
+	},
+		Entry("of a team above its share", true, true),
+		Entry("but not from a team within its share for a team beyond its own", false, false),
+	)
 })
--- /dev/null
+++ b/core/dispatch/room.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/place"
+	"jacinthpost/core/resource"
+)
+
+const (
+	// askPeriod is the time between two requests of one task to other processes.
+	askPeriod = 300 * time.Millisecond
+	// askLimit bounds the requests of one search.
+	askLimit = 4
+	// roomLife is how long room made by another process is tried, and
+	// roomTryPeriod the time between two offers there. Its agent refuses until the
+	// tasks have stopped.
+	roomLife      = 5 * time.Second
+	roomTryPeriod = 100 * time.Millisecond
+)
+
+// Room asks another process to make room for an urgent task, because no task of
+// this one can be stopped for it.
+type Room struct {
+	task    string
+	team    fleet.Team
+	class   fleet.JobClass
+	service fleet.Service
+	need    resource.Vector
+	within  bool
+	waited  time.Duration
+}
+
+// NewRoom returns a request for a task; within tells that its team stays within
+// its share with it.
+func NewRoom(task string, tea fleet.Team, need resource.Vector, within bool, waited time.Duration) Room {
+	return Room{task: task, team: tea, need: need, within: within, waited: waited}
+}
+
+// For returns the request with the class of the task and the service that it needs beside it.
+func (roo Room) For(cls fleet.JobClass, svc fleet.Service) Room {
+	roo.class, roo.service = cls, svc
+	return roo
+}
+
+// Task returns the name of the task.
+func (roo Room) Task() string { return roo.task }
+
+// Team returns the team of the task.
+func (roo Room) Team() fleet.Team { return roo.team }
+
+// Class returns the class of the task.
+func (roo Room) Class() fleet.JobClass { return roo.class }
+
+// Service returns the service that the task needs beside it, empty for any.
+func (roo Room) Service() fleet.Service { return roo.service }
+
+// Need returns the amounts to be made free.
+func (roo Room) Need() resource.Vector { return roo.need }
+
+// Within reports whether the team of the task stays within its share.
+func (roo Room) Within() bool { return roo.within }
+
+// Waited returns how long the task has found no instance.
+func (roo Room) Waited() time.Duration { return roo.waited }
+
+// ask notes that other processes have to be asked for room.
+func (dsp *Dispatcher[P]) ask(dem *demand, waited time.Duration) {
+	if dsp.now.Sub(dem.asked) < askPeriod || dsp.now.Before(dem.roomEnd) || len(dsp.asks) >= askLimit || !dsp.sched.Short(dem.task, dsp.now) {
+		return
+	}
+	dem.asked = dsp.now
+	within := dsp.sched.WithinShare(dem.task)
+	dsp.asks = append(dsp.asks, NewRoom(string(dem.task.ID()), dem.task.Team(), dem.task.Declared(), within, waited).
+		For(dem.task.Class(), dem.service))
+}
+
+// WantedRoom returns the requests to send to other processes, each once.
+func (prt *Part[P]) WantedRoom() []Room {
+	list := prt.dispatcher.asks
+	prt.dispatcher.asks = nil
+	return list
+}
+
+// MakeRoom stops tasks of this process for a request of another one and returns
+// the instance, if any.
+func (prt *Part[P]) MakeRoom(roo Room, now time.Time) (fleet.InstanceID, bool) {
+	dsp := prt.dispatcher
+	dsp.now = now
+	tsk := place.NewTask(place.TaskID(roo.task), roo.task, roo.team, dsp.classes.bound(roo.class, classLimit), roo.need).Urgent()
+	vics := dsp.sched.EvictFor(tsk, roo.within, dsp.accepts(tsk.Class(), roo.service), roo.waited, now)
+	for _, vic := range vics {
+		dsp.evict(vic)
+	}
+	if len(vics) == 0 {
+		return "", false
+	}
+	return vics[0].Instance(), true
+}
+
+// RoomMade learns that another process makes room on an instance.
+func (prt *Part[P]) RoomMade(roo Room, id fleet.InstanceID, now time.Time) {
+	if dem := prt.dispatcher.demands[roo.task]; dem != nil {
+		dem.room, dem.roomEnd = id, now.Add(roomLife)
+	}
+}
+
+// tryRoom makes the room that another process has made for a task visible for one choice.
+func (dsp *Dispatcher[P]) tryRoom(req place.Task) {
+	dem := dsp.demands[string(req.ID())]
+	if dem == nil || !dsp.now.Before(dem.roomEnd) || dsp.now.Sub(dem.roomTried) < roomTryPeriod {
+		return
+	}
+	if sea := dsp.seats[dem.room]; sea != nil {
+		dem.roomTried = dsp.now
+		dsp.sched.Hint(dem.room, sea.clamp(dsp.reported(sea).Max(req.Declared().Plus(sea.pending))))
+	}
+}
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -25,6 +25,9 @@
 	// leastRun is how long a task runs before it may be stopped, so that a flood of
 	// urgent work leaves the ordinary tasks that get their turn some progress.
 	leastRun = 5 * time.Second
+	// ordinaryRun is the same for room that is not for urgent work. With less, the
+	// scenario sen-vang lost batch work during the outage of a data centre.
+	ordinaryRun = time.Minute
 	// sampleLimit bounds the running tasks whose instances are compared, and
 	// planLimit the tasks stopped on one instance.
 	sampleLimit = 128
@@ -126,14 +129,31 @@
 // while some instance has room, when no stop helps, and when too many tasks
 // were stopped just now.
 //
-// Urgent tasks are never stopped, and others not before leastRun. An ordinary task takes room only from other
+// Urgent tasks are never stopped, and others not before leastRun or ordinaryRun. An ordinary task takes room only from other
 // teams that keep their share, and only while its own team stays within its
 // share. An urgent task also takes the room of ordinary tasks of its team and,
 // while its team stays within its share, if need be that of any ordinary task.
 // Among the instances, the one whose tasks lose least work is chosen.
 func (sch *Scheduler[P]) Evict(tsk Task, accept func(id fleet.InstanceID) bool, waited time.Duration, now time.Time) []Victim {
+	return sch.EvictFor(tsk, sch.WithinShare(tsk), accept, waited, now)
+}
+
+// WithinShare reports whether the team of a task stays within its share with it.
+func (sch *Scheduler[P]) WithinShare(tsk Task) bool {
+	need := sch.policy.Reserve(&tsk, &sch.know)
+	return sch.queue.UsedWith(tsk.team, need) <= sch.queue.Share(tsk.team)
+}
+
+// Short reports whether a task has claimed no room and no instance seems to have any.
+func (sch *Scheduler[P]) Short(tsk Task, now time.Time) bool {
+	need := sch.policy.Reserve(&tsk, &sch.know)
+	return !now.Before(sch.claims[tsk.id].again) && !sch.hasRoom(&tsk, need, nil, now)
+}
+
+// EvictFor is Evict for a task that another scheduler may have, which knows
+// whether its team stays within its share.
+func (sch *Scheduler[P]) EvictFor(tsk Task, within bool, accept func(id fleet.InstanceID) bool, waited time.Duration, now time.Time) []Victim {
 	need := sch.policy.Reserve(&tsk, &sch.know)
-	within := sch.queue.UsedWith(tsk.team, need) <= sch.queue.Share(tsk.team)
 	if now.Before(sch.claims[tsk.id].again) || !within && !tsk.urgent || sch.hasRoom(&tsk, need, accept, now) {
 		return nil
 	}
@@ -252,8 +272,8 @@
 }
 
 // plan returns the tasks to stop on an instance: the cheapest single one that
-// makes enough room or else several, cheapest first, without those that turn
-// out not to be needed.
+// makes enough room or else, for urgent work, several, cheapest first, without
+// those that turn out not to be needed.
 func (srh *search[P]) plan(hos *Host) plan {
 	if hos.site.out || hos.available() == closed || !hos.claim.admits(srh.task.id, srh.now) {
 		return plan{}
@@ -273,7 +293,7 @@
 			several.tasks, several.cost, free = append(several.tasks, plc), several.cost+cost, free.Plus(plc.size)
 		}
 	}
-	if len(best.tasks) > 0 || !srh.need.FitsIn(free) {
+	if len(best.tasks) > 0 || !srh.task.urgent || !srh.need.FitsIn(free) {
 		return best
 	}
 	for pos := len(several.tasks) - 1; pos >= 0; pos-- {
@@ -297,7 +317,11 @@
 // cost returns what it costs to stop a task besides others of the same plan,
 // and false if it may not be stopped.
 func (srh *search[P]) cost(plc *placement, others []*placement) (time.Duration, bool) {
-	if plc.stopping || plc.task.urgent || srh.now.Sub(plc.placed) < leastRun {
+	least := ordinaryRun
+	if srh.task.urgent {
+		least = leastRun
+	}
+	if plc.stopping || plc.task.urgent || srh.now.Sub(plc.placed) < least {
 		return 0, false
 	}
 	cost := srh.loss(plc) + stopCost + time.Duration(plc.task.evicted)*againCost
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -334,7 +334,6 @@
 	sch.placements[tsk.id] = plc
 	sch.know.spread(hos, &tsk, 1)
 	sch.queue.Started(tsk.team, tsk.urgent, size)
-	sch.settleClaim(tsk.id)
 	sch.record(explain.New(explain.Placed, now, string(tsk.id)).With(string(hos.instance.id)).Amounts(size, resource.Vector{}))
 	return plc
 }
@@ -382,6 +381,7 @@
 		return
 	}
 	plc.accepted = true
+	sch.settleClaim(id)
 	plc.host.pending = plc.host.pending.Minus(plc.size)
 	plc.host.reported = free
 	sch.list(plc)
--- a/io/message/census.go
+++ b/io/message/quota.go
@@ -36,3 +36,23 @@
 	Settled      bool
 	Allotments   []TeamAllotment
 }
+
+// RoomArgs asks the owner of a partition to stop batch tasks for an urgent task
+// of another owner.
+type RoomArgs struct {
+	Partition    int
+	Task         string
+	Team         string
+	Class        string
+	Service      string
+	Need         Resources
+	Within       bool // the team stays within its share
+	WaitedMillis int64
+}
+
+// RoomReply names the instance on which room is made, empty for none.
+type RoomReply struct {
+	NotOwner     bool   // this process does not own the partition
+	OwnerAddress string // the owner, if known
+	Instance     string
+}
--- a/io/owner/metrics.go
+++ b/io/owner/metrics.go
@@ -27,6 +27,8 @@
 	setsRefused   = metrics.NewCounter("jacinthpost_owner_sets_disagreed_total")
 	endsRecorded  = metrics.NewCounter("jacinthpost_owner_ends_acknowledged_total")
 	useReports    = metrics.NewCounter("jacinthpost_owner_use_reports_total")
+	roomsAsked    = metrics.NewCounter("jacinthpost_owner_room_requests_total")
+	roomsMade     = metrics.NewCounter("jacinthpost_owner_room_made_total")
 	jobsLate      = metrics.NewCounter("jacinthpost_owner_jobs_late_total")
 	notOwner      = metrics.NewCounter("jacinthpost_owner_not_owner_total")
 )
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -157,14 +157,16 @@
 	ports Ports
 	loop  *control.Loop[state[P]]
 	calls chan func(ctx context.Context)
-	ctx   context.Context // of Run, nil before it; used on the control goroutine only
-	group sync.WaitGroup
-	alarm *control.Alarm[state[P]] // for the next tick
+	// client finds the owners of other partitions.
+	client *Client
+	ctx    context.Context // of Run, nil before it; used on the control goroutine only
+	group  sync.WaitGroup
+	alarm  *control.Alarm[state[P]] // for the next tick
 }
 
 // New returns a component. The function place makes the placement of a partition.
 func New[P job.Placement](cfg Config, prt Ports, place func(num int) P) *Owner[P] {
-	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity)}
+	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity), client: NewClient(prt.table, prt.caller, cfg.partitions)}
 	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
 		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
 	for num := range cfg.partitions {
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -66,6 +66,7 @@
 		sta.decide(slt, now)
 		if slt.serves(now) {
 			sta.collect(slt, slt.tenure.part.Tick(sta.env(slt, now)), now)
+			sta.seekRoom(slt, now)
 		}
 	}
 }
