--- a/core/place/hosts.go
+++ b/core/place/hosts.go
@@ -141,6 +141,9 @@
 	sets  []*serviceSet
 	byID  map[fleet.InstanceID]*Host
 	racks map[fleet.Location]int32
+	// claimed tells that some instance may be kept for a task, so that the common
+	// search does not read the claims.
+	claimed bool
 }
 
 // Len returns the number of instances.
@@ -303,7 +306,7 @@
 		if leaf < 0 {
 			return nil
 		}
-		if hos := sit.hosts[leaf]; hos.claim.admits(can.task, can.now) && (can.accept == nil || can.accept(hos.instance.id)) {
+		if hos := sit.hosts[leaf]; (!can.hosts.claimed || hos.claim.admits(can.task, can.now)) && (can.accept == nil || can.accept(hos.instance.id)) {
 			return hos
 		}
 		leaf = sit.free.cyclic(can.need, leaf+1)
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -129,10 +129,11 @@
 // while some instance has room, when no stop helps, and when too many tasks
 // were stopped just now.
 //
-// Urgent tasks are never stopped, and others not before leastRun or ordinaryRun. An ordinary task takes room only from other
-// teams that keep their share, and only while its own team stays within its
-// share. An urgent task also takes the room of ordinary tasks of its team and,
-// while its team stays within its share, if need be that of any ordinary task.
+// Urgent tasks are never stopped, and others not before leastRun or ordinaryRun.
+// An ordinary task takes room only from other teams that keep their share, and
+// only while its own team stays within its share. An urgent task also takes the
+// room of ordinary tasks of its team and, while its team stays within its share,
+// if need be that of any ordinary task.
 // Among the instances, the one whose tasks lose least work is chosen.
 func (sch *Scheduler[P]) Evict(tsk Task, accept func(id fleet.InstanceID) bool, waited time.Duration, now time.Time) []Victim {
 	return sch.EvictFor(tsk, sch.WithinShare(tsk), accept, waited, now)
@@ -199,6 +200,7 @@
 	}
 	hos.claim = claim{task: id, until: now.Add(claimPeriod)}
 	sch.claims[id] = claimed{host: hos, again: now.Add(claimAgain)}
+	sch.hosts.claimed = true
 }
 
 // settleClaim ends the claim of a task that has found an instance.
@@ -208,6 +210,7 @@
 		return
 	}
 	delete(sch.claims, id)
+	sch.hosts.claimed = len(sch.claims) > 0
 	if clm.host.claim.task == id {
 		clm.host.claim = claim{}
 	}
@@ -262,11 +265,11 @@
 		return true
 	}
 	for _, plc := range pln.tasks {
-		hos.use(plc.task.class, &sch.know.pairings, -plc.size.MilliCPU())
+		hos.use(plc.row, -plc.size.MilliCPU())
 	}
 	taken := acc.Accepts(hos, srh.task, srh.need, &sch.know)
 	for _, plc := range pln.tasks {
-		hos.use(plc.task.class, &sch.know.pairings, plc.size.MilliCPU())
+		hos.use(plc.row, plc.size.MilliCPU())
 	}
 	return taken
 }
