--- a/core/job/partition.go
+++ b/core/job/partition.go
@@ -93,6 +93,7 @@
 	removeAt  time.Time
 	lateAt    time.Time
 	late      int
+	evicted   int
 }
 
 // entry is one job.
--- a/io/owner/metrics.go
+++ b/io/owner/metrics.go
@@ -29,6 +29,7 @@
 	useReports    = metrics.NewCounter("jacinthpost_owner_use_reports_total")
 	roomsAsked    = metrics.NewCounter("jacinthpost_owner_room_requests_total")
 	roomsMade     = metrics.NewCounter("jacinthpost_owner_room_made_total")
+	evictions     = metrics.NewCounter("jacinthpost_owner_evictions_total")
 	jobsLate      = metrics.NewCounter("jacinthpost_owner_jobs_late_total")
 	notOwner      = metrics.NewCounter("jacinthpost_owner_not_owner_total")
 )
@@ -55,9 +56,10 @@
 			continue
 		}
 		owned++
-		late := slt.tenure.part.Late()
+		late, evicted := slt.tenure.part.Late(), slt.tenure.part.Evicted()
 		jobsLate.Add(late - slt.tenure.late)
-		slt.tenure.late = late
+		evictions.Add(evicted - slt.tenure.evicted)
+		slt.tenure.late, slt.tenure.evicted = late, evicted
 		for pos, num := range slt.tenure.part.Counts() {
 			sum[pos] += int64(num)
 		}
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -32,6 +32,7 @@
 	saveAfter time.Time
 	releasing bool
 	late      int          // jobs that the counter of late jobs has
+	evicted   int          // tasks that the counter of evictions has
 	census    quota.Census // of partition CensusPartition only
 }
 
