--- a/internal/failure/urgent_test.go
+++ b/internal/failure/urgent_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/job"
+	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
 )
 
@@ -41,26 +42,26 @@
 	// Guards against urgent work that waits for batch work to end, and against an
 	// evicted task that is lost or runs twice.
 	It("starts in time, and the evicted task resumes once", func(ctx SpecContext) {
-		fle := startFleet(ctx, "sen-vang")
+		fle := scene.StartFleet(ctx, "sen-vang")
 		full := 3 * len(fle.Instances())
-		batch := submit(ctx, fle, jobSpec("batch", "build", `{"workMillis":14000}`, full, 8000, 1024))
-		Eventually(func() int { return len(runsOf(ctx, fle, batch, inProgress)) }).WithContext(ctx).Within(20 * time.Second).Should(Equal(full))
-		hold(ctx, settledRun)
+		batch := scene.Submit(ctx, fle, scene.JobSpec("batch", "build", `{"workMillis":14000}`, full, 8000, 1024))
+		Eventually(func() int { return len(scene.RunsOf(ctx, fle, batch, scene.InProgress)) }).WithContext(ctx).Within(20 * time.Second).Should(Equal(full))
+		scene.Hold(ctx, settledRun)
 
-		spc := jobSpec(ownedBeside(ctx, fle, batch), "plan", `{"workMillis":500}`, 1, 8000, 1024)
+		spc := scene.JobSpec(ownedBeside(ctx, fle, batch), "plan", `{"workMillis":500}`, 1, 8000, 1024)
 		spc.Urgent = true
 		submitted := time.Now()
-		urgent := submit(ctx, fle, spc)
-		Eventually(jobState(ctx, fle, 1, urgent)).WithContext(ctx).Within(20 * time.Second).Should(Equal("finished"))
-		runs := runsOf(ctx, fle, urgent, ranToItsEnd)
+		urgent := scene.Submit(ctx, fle, spc)
+		Eventually(scene.JobState(ctx, fle, 1, urgent)).WithContext(ctx).Within(20 * time.Second).Should(Equal("finished"))
+		runs := scene.RunsOf(ctx, fle, urgent, scene.RanToItsEnd)
 		Expect(runs).To(HaveLen(1))
 		waited := time.UnixMilli(runs[0].Started).Sub(submitted)
 		AddReportEntry("urgent work waited", ReportEntryVisibilityAlways, waited.String())
 		Expect(waited).To(BeNumerically("<=", urgentTarget))
 
-		Eventually(jobState(ctx, fle, 1, batch)).WithContext(ctx).Within(tasksLimit).Should(Equal("finished"))
+		Eventually(scene.JobState(ctx, fle, 1, batch)).WithContext(ctx).Within(scene.TasksLimit).Should(Equal("finished"))
 		expectEvicted(ctx, fle, batch, full)
-		expectNoOverlap(ctx, fle)
+		scene.ExpectNoOverlap(ctx, fle)
 	}, SpecTimeout(2*time.Minute))
 })
 
@@ -68,7 +69,7 @@
 // and that each ran to its end once.
 func expectEvicted(ctx context.Context, fle *harness.Fleet, id string, tasks int) {
 	GinkgoHelper()
-	Expect(runsOf(ctx, fle, id, ranToItsEnd)).To(HaveLen(tasks))
+	Expect(scene.RunsOf(ctx, fle, id, scene.RanToItsEnd)).To(HaveLen(tasks))
 	ans, err := fle.Job(ctx, 1, id)
 	Expect(err).NotTo(HaveOccurred())
 	evictions := 0
--- a/io/owner/room.go
+++ b/io/owner/room.go
@@ -91,6 +91,7 @@
 				time.Duration(args.WaitedMillis)*time.Millisecond).For(fleet.JobClass(args.Class), fleet.Service(args.Service))
 			if id, made := skr.MakeRoom(roo, trn.now); made {
 				rep.Instance = string(id)
+				trn.state.owner.alarm.Arm(trn.now, trn.now) // the next tick stops the tasks
 				roomsMade.Inc()
 			}
 		}
