--- /dev/null
+++ b/io/worker/workerapi/fuzz_test.go
@@ -0,0 +1,49 @@
+package workerapi_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"jacinthpost/io/worker/workerapi"
+)
+
+// message is a message with a form in the core.
+type message[C any] interface{ Core() C }
+
+// expectKept fails when a message changes on its way through the core.
+func expectKept[M message[C], C any](t *testing.T, raw []byte, wrap func(val C) M) {
+	t.Helper()
+	var msg M
+	if err := json.Unmarshal(raw, &msg); err != nil {
+		return
+	}
+	once, err := json.Marshal(wrap(msg.Core()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var again M
+	if err := json.Unmarshal(once, &again); err != nil {
+		t.Fatal(err)
+	}
+	twice, err := json.Marshal(wrap(again.Core()))
+	if err != nil || string(twice) != string(once) {
+		t.Fatalf("changed from %s to %s: %v", once, twice, err)
+	}
+}
+
+// FuzzMessages guards against panics on messages of a worker and against
+// assignments, deadlines and amounts that change in translation.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"incarnation":1,"clockMillis":5,"capacity":{"milliCPU":4000,"memoryMB":9000},"tasks":[{"job":"job","index":1,"token":{"epoch":1,"sequence":2},"state":"running","deadlineMillis":90,"progressPercent":40,"result":"eA=="}]}`))
+	f.Add([]byte(`{"job":"job","index":1,"token":{"epoch":1,"sequence":2},"incarnation":3,"deadlineMillis":100,"kind":"build","resources":{"milliCPU":1},"payload":"eA==","checkpoint":"c"}`))
+	f.Add([]byte(`{"leases":[{"job":"job","index":1,"token":{"epoch":1,"sequence":2},"deadlineMillis":100}]}`))
+	f.Add([]byte(`{"renewed":[{"job":"job","index":1,"token":{"epoch":1,"sequence":2}}]}`))
+	f.Add([]byte(`{"clockMillis":9223372036854775807,"deadlineMillis":-9223372036854775808}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		expectKept(t, raw, workerapi.NewStateReply)
+		expectKept(t, raw, workerapi.NewTaskReport)
+		expectKept(t, raw, workerapi.NewStartRequest)
+		expectKept(t, raw, workerapi.NewRenewRequest)
+		expectKept(t, raw, workerapi.NewRenewReply)
+	})
+}
