--- a/cmd/bench/decisions.go
+++ b/cmd/bench/decisions.go
@@ -98,18 +98,18 @@
 }
 
 // runAll runs every variant with every seed, a bounded number at once.
-func runAll(shp scenario.Shape, vars []variant, seeds int) []runs {
+func runAll(shp scenario.Shape, vars []variant, seeds seedRange) []runs {
 	all := make([]runs, len(vars))
 	gate := make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/2))
 	var wtg sync.WaitGroup
 	for pos, vnt := range vars {
-		all[pos] = runs{name: vnt.name, results: make([]*scenario.Result, seeds)}
-		for seed := range seeds {
+		all[pos] = runs{name: vnt.name, results: make([]*scenario.Result, seeds.count)}
+		for seed := range seeds.count {
 			wtg.Add(1)
 			go func() {
 				defer wtg.Done()
 				gate <- struct{}{}
-				all[pos].results[seed] = vnt.run(shp, uint64(seed+1))
+				all[pos].results[seed] = vnt.run(shp, seeds.at(seed))
 				<-gate
 			}()
 		}
@@ -144,19 +144,19 @@
 // measures are the parts of the measurement of the scheduling decisions.
 var measures = []struct {
 	name string
-	run  func(rep *report, seeds int)
+	run  func(rep *report, seeds seedRange)
 }{
 	{"bayou-paddle", measureTail},
 	{"sen-vang", measureThroughput},
 	{"two-year", measureUrgent},
-	{"identical-runs", func(rep *report, _ int) { measureRepeat(rep) }},
-	{"placement", func(rep *report, _ int) { measurePlacement(rep) }},
-	{"cancellation", func(rep *report, _ int) { measureCancellation(rep) }},
-	{"memory", func(rep *report, _ int) { measureMemory(rep) }},
+	{"identical-runs", func(rep *report, _ seedRange) { measureRepeat(rep) }},
+	{"placement", func(rep *report, _ seedRange) { measurePlacement(rep) }},
+	{"cancellation", func(rep *report, _ seedRange) { measureCancellation(rep) }},
+	{"memory", func(rep *report, _ seedRange) { measureMemory(rep) }},
 }
 
 // measureDecisions runs the parts whose name contains the filter.
-func measureDecisions(rep *report, seeds int, filter string) {
+func measureDecisions(rep *report, seeds seedRange, filter string) {
 	for _, mea := range measures {
 		if strings.Contains(mea.name, filter) {
 			mea.run(rep, seeds)
@@ -165,7 +165,7 @@
 }
 
 // measureTail compares the tail latency in waves of noisy tasks and the evictions it costs.
-func measureTail(rep *report, seeds int) {
+func measureTail(rep *report, seeds seedRange) {
 	shp := scenario.BayouPaddle()
 	alone := runAll(shp.WithoutBatch(), []variant{product()}, seeds)[0]
 	all := runAll(shp, append([]variant{product()}, append(baselines(), alternatives()...)...), seeds)
@@ -180,18 +180,18 @@
 
 // measureThroughput compares the useful work at the allowed tail latency, and
 // the work done while a data centre leaves and returns.
-func measureThroughput(rep *report, seeds int) {
+func measureThroughput(rep *report, seeds seedRange) {
 	shp := scenario.SenVang()
 	alone := runAll(shp.WithoutBatch(), []variant{product()}, seeds)[0]
 	all := runAll(shp, append([]variant{product()}, append(baselines(), alternatives()...)...), seeds)
-	best := make([]float64, seeds)
-	names := make([]string, seeds)
+	best := make([]float64, seeds.count)
+	names := make([]string, seeds.count)
 	for pos, rns := range all {
 		ratios, wrk := p99Ratios(rns, alone), works(rns)
 		rep.spread("decisions.sen-vang.p99-ratio."+rns.name, ratios, "ratio")
 		rep.spread("decisions.sen-vang.work."+rns.name, wrk, "core-hours")
 		rep.spread("decisions.sen-vang.evictions."+rns.name, evictions(rns), "evictions")
-		for seed := range seeds {
+		for seed := range seeds.count {
 			if pos > 0 && pos <= len(baselines()) && ratios[seed] <= p99Bound && wrk[seed] > best[seed] {
 				best[seed], names[seed] = wrk[seed], rns.name
 			}
@@ -209,7 +209,7 @@
 // measureOutage compares the work from the loss of a data centre until the end
 // of the ramp after its return with the part that the remaining workers have
 // in the average rate of a run of the same seed without the loss.
-func measureOutage(rep *report, shp scenario.Shape, lost runs, seeds int) {
+func measureOutage(rep *report, shp scenario.Shape, lost runs, seeds seedRange) {
 	whole := runAll(shp.WithoutOutage(), []variant{product()}, seeds)[0]
 	parts := lost.each(func(seed int, res *scenario.Result) float64 {
 		rate := whole.results[seed].SteadyWork() / (shp.Length() - shp.Settled()).Seconds()
@@ -220,7 +220,7 @@
 }
 
 // measureUrgent runs the two-year size at its peak of starts.
-func measureUrgent(rep *report, seeds int) {
+func measureUrgent(rep *report, seeds seedRange) {
 	shp := scenario.TwoYears()
 	all := runAll(shp, []variant{product(), combine("least-loaded+unguarded", place.LeastLoaded{}, unguarded, 1)}, seeds)
 	for _, rns := range all {
@@ -242,7 +242,7 @@
 func measureRepeat(rep *report) {
 	same := 1.0
 	for _, shp := range []scenario.Shape{scenario.SenVang(), scenario.BayouPaddle(), scenario.TwoYears()} {
-		all := runAll(shp, []variant{product(), product()}, 1)
+		all := runAll(shp, []variant{product(), product()}, seedRange{first: 1, count: 1})
 		if all[0].results[0].Hash() != all[1].results[0].Hash() {
 			same = 0
 		}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,7 +15,7 @@
 // options are the flags of the command.
 type options struct {
 	quick  bool
-	seeds  int
+	seeds  seedRange
 	filter string
 	sizes  []int
 	// The rest changes the capacity part.
@@ -51,7 +51,8 @@
 func main() {
 	var opt options
 	flag.BoolVar(&opt.quick, "quick", false, "short runs of processes, for trials")
-	flag.IntVar(&opt.seeds, "seeds", 5, "number of seeds of each scenario")
+	opt.seeds = seedRange{first: 1, count: 5}
+	flag.Func("seeds", "number of seeds of each scenario from 1 on, or a range such as 101-110 (default 5)", opt.seeds.set)
 	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures whose name contains this")
 	flag.Func("sizes", "fleet sizes of the capacity part, separated by commas (default 3,12,24,48)", opt.addSizes)
 	flag.IntVar(&opt.each, "tasks-each", tasksEach, "tasks of each instance in the capacity part")
