Throttle disturbing classes first and explain evictions by their cause

Cause: the controller threw every shortage of its budget on the next class in order, so a quiet class lost up to 90% of its speed beside a noisy one at the throttle limit, and the bound of 2.0 on a local cost left a rest that was charged to the quiet class. An eviction for memory or for a reservation that is hardly used was explained as missed latency.

Change: the least harmful classes that fit into the budget together keep their speed until throttling the others has not helped; a local cost may rise to 16 and counts up to 2.0 where evictions and shifts are decided; evictions and checkpoints carry a cause with a reason of its own.

--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -44,6 +44,10 @@
 	Drained
 	Ended
 	Excluded
+	MemoryCheckpointed
+	MemoryEvicted
+	StarvedCheckpointed
+	StarvedEvicted
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -177,6 +181,18 @@
 	Evicted: func(rsn Reason) string {
 		return fmt.Sprintf("%s is evicted after its checkpoint: requests of %s have missed their target for %v and throttling did not help", rsn.subject, rsn.other, rsn.period)
 	},
+	MemoryCheckpointed: func(rsn Reason) string {
+		return fmt.Sprintf("%s takes a checkpoint: the tasks use %d of %d MB of memory and it uses %v of the %v reserved for it", rsn.subject, rsn.count, rsn.bound, rsn.need, rsn.limit)
+	},
+	MemoryEvicted: func(rsn Reason) string {
+		return fmt.Sprintf("%s is evicted after its checkpoint: the tasks use %d of %d MB of memory and it uses %v of the %v reserved for it; it starts again with a larger reservation", rsn.subject, rsn.count, rsn.bound, rsn.need, rsn.limit)
+	},
+	StarvedCheckpointed: func(rsn Reason) string {
+		return fmt.Sprintf("%s takes a checkpoint: it has been throttled for the sake of %s for %v and hardly uses the %v reserved for it", rsn.subject, rsn.other, rsn.period, rsn.need)
+	},
+	StarvedEvicted: func(rsn Reason) string {
+		return fmt.Sprintf("%s is evicted after its checkpoint: it has been throttled for the sake of %s for %v and hardly uses the %v reserved for it; it starts again beside another service or when this one has room", rsn.subject, rsn.other, rsn.period, rsn.need)
+	},
 	NotTheTasks: func(rsn Reason) string {
 		return fmt.Sprintf("tasks next to %s are not stopped: its latency stays high with all of them throttled, so they are not the cause; its present latency becomes the target", rsn.subject)
 	},
--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -9,10 +9,12 @@
 // changes of the shares, including the changes that throttling makes. The
 // controller then gives the processors to the tasks that hurt least until the
 // expected slowdown reaches the slack of the service: with a fixed budget of
-// slowdown that order runs the most work.
+// slowdown that order runs the most work. A class that is measured or learned
+// to disturb little keeps its speed while a more harmful one can still be
+// throttled; it is throttled only when that has not helped.
 //
 // The order of measures is throttle, checkpoint, evict. An eviction needs all
-// tasks throttled to the limit, a slowdown that the tasks still explain, and a
+// disturbing tasks throttled to the limit, a slowdown that the tasks still explain, and a
 // confirmed checkpoint, and there is at most one in EvictionSpacing. A task
 // that has been near the throttle limit for StarvedPeriod is evicted in the
 // same way, because it holds a reservation that others could use. When the
@@ -57,7 +59,7 @@
 	throttleStep = 10
 	// releaseHold is the time without an increase before a throttle is lowered.
 	releaseHold = 5 * time.Second
-	// settleTime is how long all tasks must be at the limit before more is done.
+	// settleTime is how long tasks must be at the limit before more is done.
 	settleTime = 15 * time.Second
 	// shiftTime is the same where the learned costs still blame the tasks.
 	shiftTime = time.Minute
@@ -96,12 +98,13 @@
 
 // monitor holds what is known of one service.
 type monitor struct {
-	service  Service
-	signal   signal
-	costs    filter
-	aim      float64 // part of the slack that is planned for, zero for pressureShare
-	shifting bool    // a shift of the load is being followed
-	before   float64 // peak slowdown when all tasks reached the throttle limit
+	service   Service
+	signal    signal
+	costs     filter
+	aim       float64 // part of the slack that is planned for, zero for pressureShare
+	shifting  bool    // a shift of the load is being followed
+	before    float64 // peak slowdown when all tasks reached the throttle limit
+	disturbed float64 // highest slowdown when the disturbing tasks reached it
 }
 
 // budget returns the slowdown that the tasks may cause.
@@ -117,11 +120,12 @@
 	return slack * pressureShare
 }
 
-// expected returns the slowdown that the tasks should cause now.
+// expected returns the slowdown that the tasks should cause now. A cost above
+// that of any known class is more likely a shift of the load, so it doesn't count.
 func (mon *monitor) expected() float64 {
 	sum := 0.0
 	for _, cco := range mon.costs.classes {
-		sum += cco.cost * cco.exposure
+		sum += min(WorstCost, cco.cost) * cco.exposure
 	}
 	return sum
 }
@@ -156,6 +160,8 @@
 	gain      float64
 	alarm     time.Time
 	saturated time.Time // since when all tasks are at the limit, zero when they are not
+	cornered  time.Time // since when all disturbing tasks are at the limit, zero when they are not
+	held      time.Time // when all disturbing tasks were at the limit for the last time
 	evicted   time.Time
 	probes    probes
 	log       explain.Log
@@ -301,6 +307,12 @@
 	return mean <= mon.before*easedPart
 }
 
+// relieved reports the same about the disturbing tasks.
+func (mon *monitor) relieved() bool {
+	mean, _ := mon.signal.slowdown()
+	return mean <= mon.disturbed*easedPart
+}
+
 // shifted reports whether the slowdown persists although all tasks are
 // throttled, so that they are not its cause.
 func (con *Controller) shifted(mon *monitor, now time.Time) bool {
@@ -321,7 +333,7 @@
 	if con.gain == 0 {
 		con.gain = 1
 	}
-	alarmed := slices.ContainsFunc(con.monitors, (*monitor).alarmed)
+	alarmed := con.alarmed()
 	if alarmed && now.Sub(con.alarm) >= alarmPeriod {
 		con.gain, con.alarm = max(0.1, con.gain*0.8), now
 	}
@@ -348,69 +360,6 @@
 	return worst
 }
 
-// demand is a task with the harm of its class.
-type demand struct {
-	run  *running
-	harm float64
-}
-
-// demands returns the tasks in the order in which they are throttled: the most
-// harmful class first and, within a class, the latest start first.
-func (con *Controller) demands() []demand {
-	dems := make([]demand, 0, len(con.tasks))
-	for pos := len(con.tasks) - 1; pos >= 0; pos-- {
-		dems = append(dems, demand{con.tasks[pos], con.harm(con.tasks[pos])})
-	}
-	slices.SortStableFunc(dems, func(one, two demand) int { return cmp.Compare(two.harm, one.harm) })
-	return dems
-}
-
-// plan sets the throttle of each task so that the expected slowdown stays
-// within the budget.
-func (con *Controller) plan(now time.Time) []Action {
-	dems := con.demands()
-	excess := -con.gain
-	for _, dem := range dems {
-		excess += dem.harm * dem.run.share(0, con.capacity)
-	}
-	con.probe(dems, now)
-	var acts []Action
-	limited := len(dems) > 0
-	for _, dem := range dems {
-		full := dem.harm * dem.run.share(0, con.capacity)
-		percent := 0
-		if excess > 0 && full > negligibleHarm {
-			percent = min(throttleLimit, int(math.Ceil(excess/full*100/throttleStep))*throttleStep)
-			excess -= full * float64(percent) / 100
-		}
-		if con.probes.active(dem.run.task.class) {
-			percent = max(0, min(percent, dem.run.percent)-probeRelief)
-			if dem.run.probed {
-				percent = dem.run.percent
-			}
-		}
-		dem.run.probed = con.probes.active(dem.run.task.class)
-		if act, changed := con.throttle(dem.run, percent, now); changed {
-			acts = append(acts, act)
-		}
-		limited = limited && dem.run.percent >= throttleLimit
-	}
-	con.noteSaturation(limited, now)
-	return acts
-}
-
-func (con *Controller) noteSaturation(limited bool, now time.Time) {
-	switch {
-	case !limited:
-		con.saturated = time.Time{}
-	case con.saturated.IsZero():
-		con.saturated = now
-		for _, mon := range con.monitors {
-			mon.before = mon.signal.peak
-		}
-	}
-}
-
 // throttle moves a task towards its planned throttle: up at once, down one
 // step at a time after releaseHold.
 func (con *Controller) throttle(run *running, percent int, now time.Time) (Action, bool) {
--- a/core/interfere/cost.go
+++ b/core/interfere/cost.go
@@ -13,6 +13,9 @@
 	// priorVariance is the uncertainty of a class that was never seen: its
 	// cost per instance lies within about one whole slowdown.
 	priorVariance = 1.0
+	// highestCost bounds the estimate of one instance. With WorstCost as the bound
+	// the rest of a larger slowdown was charged to the quiet classes beside it.
+	highestCost = 16.0
 	// drift is the growth of the variance per second, which makes the filter
 	// forget with a time constant of some tens of minutes.
 	drift = 2e-5
@@ -92,7 +95,7 @@
 		own := cco.cost
 		cco.variance = min(priorVariance, cco.variance*inflate)
 		gain := cco.variance * cco.exposure / variance
-		cco.cost = min(WorstCost, max(0, cco.cost+gain*miss))
+		cco.cost = min(highestCost, max(0, cco.cost+gain*miss))
 		cco.variance *= 1 - min(0.9, gain*cco.exposure)
 		// The report carries what this window measured, without the prior
 		// and the lower bound of the estimate, which would bias an average.
--- a/core/interfere/interfere_test.go
+++ b/core/interfere/interfere_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/core/explain"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
@@ -30,6 +31,7 @@
 	percent map[string]int
 	factor  float64 // latency that no task explains
 	kinds   map[interfere.Kind]int
+	evicted explain.Reason // of the latest eviction
 }
 
 func newLoad() *load {
@@ -70,6 +72,7 @@
 			case interfere.Checkpoint:
 				lod.con.Checkpointed(act.Task(), lod.now)
 			case interfere.Evict:
+				lod.evicted = act.Reason()
 				delete(lod.noise, act.Task())
 				lod.con.Ended(act.Task())
 			}
--- a/core/interfere/task.go
+++ b/core/interfere/task.go
@@ -92,6 +92,7 @@
 	asked      time.Time // when a checkpoint before eviction was asked for, zero when none
 	checkpoint bool      // the checkpoint asked for is confirmed
 	probed     bool      // released for a measurement
+	quiet      bool      // its class keeps its speed while others can be throttled
 }
 
 func newRunning(tsk Task, now time.Time) *running {
