Carry what agents learn to the owners and its effect to the agents

Cause: Guard.Report had no transport, so owners placed tasks as if no class disturbed any service, and offers named declared sizes.

Change: Owner.Learn takes in pairings and corrected sizes. Offers carry the size of the placement and what the owner knows of the class, which primes the control of the instance. Answers to offers tell whether the service is idle, answers to Adopt what is committed to each task, and renewals the highest use at full speed in place of the present one. The stand-in's payload may name the processors that a task uses.

The process spec 'learned sizes' fails with declared sizes reserved (trial): not more than 9 tasks run at once.

--- a/cmd/standin-endpoint/internal/tasks/task.go
+++ b/cmd/standin-endpoint/internal/tasks/task.go
@@ -27,8 +27,9 @@
 	WorkMillis     int64 `json:"workMillis"`     // at full speed
 	FailPercent    int   `json:"failPercent"`    // chance that an assignment fails halfway; 100 always fails
 	NeverFinishes  bool  `json:"neverFinishes"`  // runs until it is stopped
-	MemoryMB       int64 `json:"memoryMB"`       // memory in use, the declared amount when 0
-	Noisy          bool  `json:"noisy"`          // disturbs the endpoint and uses half as much processor again as declared
+	MemoryMB       int64 `json:"memoryMB"`       // memory in use, the ordered amount when 0
+	MilliCPU       int64 `json:"milliCPU"`       // processors in use at full speed, the ordered amount when 0
+	Noisy          bool  `json:"noisy"`          // disturbs the endpoint and uses half as much processor again
 	CheckpointFree bool  `json:"checkpointFree"` // cannot take checkpoints
 }
 
@@ -119,16 +120,20 @@
 	if tsk.state.Ended() {
 		return resource.Vector{}
 	}
-	declared := tsk.order.Resources()
-	processor := declared.MilliCPU() * int64(tsk.throttle) / 100
+	ordered := tsk.order.Resources()
+	processor := ordered.MilliCPU()
+	if tsk.payload.MilliCPU > 0 {
+		processor = tsk.payload.MilliCPU
+	}
+	processor = processor * int64(tsk.throttle) / 100
 	if tsk.payload.Noisy {
 		processor += processor / 2
 	}
-	memory := declared.MemoryMB()
+	memory := ordered.MemoryMB()
 	if tsk.payload.MemoryMB > 0 {
 		memory = tsk.payload.MemoryMB
 	}
-	return resource.New(processor, memory, declared.Accelerators())
+	return resource.New(processor, memory, ordered.Accelerators())
 }
 
 // samples remembers usage over time, because a worker reports it with a delay.
--- /dev/null
+++ b/internal/failure/learn_test.go
@@ -0,0 +1,68 @@
+package failure_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/internal/harness"
+)
+
+const (
+	// wasteful uses a tenth of the 8000 mCPU and 20,000 MB that its jobs declare.
+	wasteful = `{"workMillis":%d,"milliCPU":800,"memoryMB":2000}`
+	// declaredFit is the number of such tasks that fit by their declared size on
+	// three instances, of which tasks may use 24 cores each.
+	declaredFit = 9
+	partitions  = 16
+)
+
+// sameOwner returns keys of jobs that belong to one partition, because each owner learns by itself.
+func sameOwner(count int) []string {
+	var keys []string
+	for num := 0; len(keys) < count; num++ {
+		key := fmt.Sprint("wasteful-", num)
+		if job.PartitionOf(job.NewID(fleet.Customer("demo"), key), partitions) == 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// atOnce returns how many tasks of a job run at present.
+func atOnce(ctx context.Context, fle *harness.Fleet, id string) func() int {
+	return func() int {
+		ans, err := fle.Job(ctx, 0, id)
+		if err != nil {
+			return 0
+		}
+		count := 0
+		for _, tsk := range ans.Job.Tasks {
+			if tsk.State == "running" {
+				count++
+			}
+		}
+		return count
+	}
+}
+
+var _ = Describe("learned sizes", func() {
+	// Guards against a class that declares ten times what it uses and keeps the
+	// fleet empty: after the runs of one job the next one is placed densely.
+	It("places a class by what its tasks use", func(ctx SpecContext) {
+		fle := startFleet(ctx, "sen-vang", "--service-time", "20ms")
+		keys := sameOwner(2)
+		first := submit(ctx, fle, jobSpec(keys[0], "build", fmt.Sprintf(wasteful, 8000), 9, 8000, 20_000))
+		Eventually(jobState(ctx, fle, 0, first)).WithContext(ctx).Within(50 * time.Second).Should(Equal("finished"))
+		second := submit(ctx, fle, jobSpec(keys[1], "build", fmt.Sprintf(wasteful, 12_000), 45, 8000, 20_000))
+		Eventually(atOnce(ctx, fle, second)).WithContext(ctx).Within(11 * time.Second).Should(BeNumerically(">=", 4*declaredFit))
+		Eventually(jobState(ctx, fle, 0, second)).WithContext(ctx).Within(40 * time.Second).Should(Equal("finished"))
+		expectWithinCapacity(ctx, fle)
+		expectNoOverlap(ctx, fle)
+	}, SpecTimeout(2*time.Minute))
+})
--- a/io/agentstate/agentstate.go
+++ b/io/agentstate/agentstate.go
@@ -63,6 +63,7 @@
 	ledger *Ledger
 	intake *Intake
 	runner *runner.Runner
+	demand demand
 	view   control.Snapshot[View]
 }
 
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -9,6 +9,11 @@
 // guard asks for counts as confirmed, and the eviction follows in the next period
 // if its cause persists.
 //
+// What the guard learns goes to the owners of the tasks on the instance, at
+// most one message to each in half a minute and none when nothing is new. It
+// also tells them what the ledger has committed to a task, if that has changed.
+// What owners know of a class comes with their offers.
+//
 // The guard is made anew when the service or the capacity of the instance
 // changes; what it has learned is then lost, and so it is with the process.
 // Throttle orders can be lost on the way to the worker, so they are repeated.
@@ -67,6 +72,7 @@
 	maker   Maker[G]
 	logger  *zap.Logger
 	samples chan serve.Sample
+	owners  owners
 	state   state[G] // owned by the control goroutine
 }
 
@@ -80,6 +86,8 @@
 	classes  map[fleet.JobClass]struct{}
 	log      explain.Log
 	limiting bool // some task is throttled
+	outbox   interfere.Outbox
+	reported time.Time // when the guard was last asked what it has learned
 }
 
 // New returns a guard that acts through the host on the state of the loop.
@@ -121,12 +129,14 @@
 // Decide ends a period. Only the control goroutine may call it; Run posts it.
 func (grd *Guard[G]) Decide(sta *agentstate.State, now time.Time) {
 	grd.adapt(sta, now)
+	sta.Served(len(grd.samples), now)
 	if !grd.state.made {
 		grd.discard()
 		return
 	}
 	grd.followTasks(sta, now)
 	grd.takeSamples()
+	defer grd.tell(sta, now)
 	for _, act := range grd.state.guard.Decide(now) {
 		grd.act(sta, act, now)
 	}
@@ -145,6 +155,7 @@
 	sti.service, sti.capacity = svc, capacity
 	for _, tsk := range sti.tasks {
 		tsk.percent, tsk.ordered = 0, time.Time{}
+		sti.prime(tsk)
 		sti.guard.Started(tsk.known(), now)
 	}
 }
--- a/io/guard/tasks.go
+++ b/io/guard/tasks.go
@@ -21,8 +21,11 @@
 	size       resource.Vector
 	usage      resource.Vector
 	checkpoint string
-	percent    int       // of its speed that it has to lose
-	ordered    time.Time // when the worker was last told
+	prior      interfere.Estimate
+	told       resource.Vector // committed, as the owner knows
+	idles      int             // messages that said that the service beside it is idle
+	percent    int             // of its speed that it has to lose
+	ordered    time.Time       // when the worker was last told
 }
 
 func (tsk *task) known() interfere.Task { return interfere.NewTask(tsk.id, tsk.class, tsk.size) }
@@ -56,6 +59,9 @@
 			next = append(next, sti.started(cur, now))
 		}
 		sti.update(next[len(next)-1], cur, now)
+		if addr := sta.Runner().OwnerOf(cur.Ref()); addr != "" {
+			sti.outbox.Mention(addr, now)
+		}
 	}
 	for _, tsk := range sti.tasks {
 		if !slices.Contains(next, tsk) {
@@ -66,13 +72,26 @@
 }
 
 func (sti *state[G]) started(cur runner.Status, now time.Time) *task {
-	tsk := &task{ref: cur.Ref(), id: taskName(cur.Ref()), class: sti.class(cur.Class()), size: cur.Resources()}
+	tsk := &task{ref: cur.Ref(), id: taskName(cur.Ref()), class: sti.class(cur.Class()), size: cur.Resources(), told: cur.Resources()}
+	tsk.prior = interfere.NewEstimate(cur.Prior())
+	sti.prime(tsk)
 	sti.guard.Started(tsk.known(), now)
 	return tsk
 }
 
+// prime tells the guard what the owner of a task knows of its class.
+func (sti *state[G]) prime(tsk *task) {
+	if tsk.prior.Weight() > 0 {
+		sti.guard.Prime(sti.service, tsk.class, tsk.prior)
+	}
+}
+
 // update passes new reports of the worker on. Usage is zero before the first one.
 func (sti *state[G]) update(tsk *task, cur runner.Status, now time.Time) {
+	if size := cur.Resources(); size != tsk.size {
+		tsk.size = size
+		sti.guard.Resized(tsk.id, size)
+	}
 	if use := cur.Usage(); use != tsk.usage && use != (resource.Vector{}) {
 		tsk.usage = use
 		sti.guard.Usage(tsk.id, use, now)
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -36,6 +36,8 @@
 	Payload     []byte
 	Checkpoint  string // object or worker reference to resume from, empty for a fresh start
 	LeaseMillis int64
+	Cost        float64 // slowdown that the owner expects of the class beside the service of the instance
+	CostWeight  float64 // evidence for it, zero for none
 }
 
 // OfferArgs asks an agent to reserve capacity for a task.
@@ -53,6 +55,7 @@
 	Free     Resources
 	Capacity Resources
 	Tasks    int
+	Idle     bool // the service of the instance gets next to no requests, so no task disturbs it
 }
 
 // ClaimArgs asks the owner for the lease of an accepted offer.
@@ -77,7 +80,8 @@
 	Ref             TaskRef
 	ProgressPercent int
 	Checkpoint      string
-	Usage           Resources
+	Usage           Resources // the highest seen, as it would be at full speed
+	Committed       Resources // by the agent's ledger; set in answers to Adopt only
 }
 
 // RenewArgs asks an owner to renew the leases of the tasks of one partition on an
--- a/io/owner/effects.go
+++ b/io/owner/effects.go
@@ -43,6 +43,7 @@
 
 func (sta *state[P]) sendOffer(slt *slot[P], ten *tenure[P], off job.Offer) {
 	args := message.OfferArgs{Partition: slt.num, OwnerAddress: sta.config.self.Address(), Task: encodeTask(off.Task())}
+	applyTerms(ten.part.Placement(), off.Task(), &args.Task)
 	own, addr, ref, ins := sta.owner, sta.addresses[off.To().Instance()], off.Task().Ref(), off.To().Instance()
 	offersSent.Inc()
 	own.call(func(ctx context.Context) {
@@ -51,7 +52,7 @@
 		var rep message.OfferReply
 		ans := job.NoAnswer(ref, ins)
 		if err := own.ports.caller.Call(limited, addr, "Agent.Offer", args, &rep); err == nil {
-			ans = job.NewAnswer(ref, ins, rep.Accepted, rep.Reason, decodeVector(rep.Free))
+			ans = job.NewAnswer(ref, ins, rep.Accepted, rep.Reason, decodeVector(rep.Free)).WithIdle(rep.Idle)
 		}
 		count(ans)
 		own.post(ctx, func(sta *state[P], now time.Time) {
@@ -103,6 +104,9 @@
 		own.post(ctx, func(sta *state[P], now time.Time) {
 			if slt.tenure == ten && slt.serves(now) {
 				sta.collect(slt, ten.part.Adopted(sta.env(slt, now), hol, rep.Ready, refs), now)
+				for _, tsk := range rep.Tasks {
+					resize(ten.part.Placement(), tsk.Ref, tsk.Committed, now)
+				}
 			}
 		})
 	})
--- /dev/null
+++ b/io/owner/learn.go
@@ -0,0 +1,95 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
+	"jacinthpost/core/resource"
+	"jacinthpost/io/control"
+	"jacinthpost/io/message"
+)
+
+// maxWeight bounds the evidence of one message, so that one agent alone does not decide.
+const maxWeight = 8.0
+
+// Learner is an optional part of a placement: it takes in what agents learn
+// about co-location. What one partition of a process learns holds for all, so
+// each message goes to one of them.
+type Learner interface {
+	Learned(svc fleet.Service, cls fleet.JobClass, cost, weight float64, now time.Time)
+	// Idle notes that a class runs beside a service that gets next to no requests.
+	Idle(svc fleet.Service, cls fleet.JobClass, now time.Time)
+}
+
+// Resizer is an optional part of a placement: it takes in what an agent has committed to a task.
+type Resizer interface {
+	Resized(ref job.Ref, committed resource.Vector, now time.Time)
+}
+
+// Sizer is an optional part of a placement: it decides about the amounts that
+// are offered for a task and knows what its class does to the service beside it.
+type Sizer interface {
+	Terms(tsk job.Task) (size resource.Vector, cost, weight float64)
+}
+
+// Learn takes in what an agent has learned. It needs no partition and has no
+// answer. Messages for partitions that have moved are dropped: the new owner
+// hears from the agent itself.
+func (svc *Service[P]) Learn(args message.LearnArgs, _ *message.LearnReply) error {
+	ctx, cancel := context.WithTimeout(svc.ctx, answerLimit)
+	defer cancel()
+	err := svc.owner.loop.Post(ctx, control.Func[state[P]](func(sta *state[P], now time.Time) { sta.learn(args, now) }))
+	if err != nil {
+		return errors.Wrap(err, "owner is busy")
+	}
+	return nil
+}
+
+func (sta *state[P]) learn(args message.LearnArgs, now time.Time) {
+	learned := false
+	for _, slt := range sta.slots {
+		if learned || !slt.serves(now) {
+			continue
+		}
+		if lrn, ok := any(slt.tenure.part.Placement()).(Learner); ok {
+			learned = true
+			teach(lrn, args, now)
+		}
+	}
+	for _, siz := range args.Sizes[:min(len(args.Sizes), message.MaxSizes)] {
+		num := job.PartitionOf(job.ID(siz.Ref.Job), len(sta.slots))
+		if slt := sta.slots[num]; slt.serves(now) {
+			resize(slt.tenure.part.Placement(), siz.Ref, siz.Committed, now)
+		}
+	}
+}
+
+func teach(lrn Learner, args message.LearnArgs, now time.Time) {
+	for _, pai := range args.Pairings[:min(len(args.Pairings), message.MaxPairings)] {
+		if pai.Weight > 0 {
+			pairingsLearned.Inc()
+			lrn.Learned(fleet.Service(args.Service), fleet.JobClass(pai.Class), pai.Cost, min(maxWeight, pai.Weight), now)
+		}
+	}
+	for _, cls := range args.Idle[:min(len(args.Idle), message.MaxPairings)] {
+		lrn.Idle(fleet.Service(args.Service), fleet.JobClass(cls), now)
+	}
+}
+
+func resize(plc job.Placement, ref message.TaskRef, committed message.Resources, now time.Time) {
+	if res, ok := plc.(Resizer); ok && committed != (message.Resources{}) {
+		res.Resized(decodeRef(ref), decodeVector(committed), now)
+	}
+}
+
+// applyTerms sets what the placement decided about an offer.
+func applyTerms(plc job.Placement, tsk job.Task, spc *message.TaskSpec) {
+	if siz, ok := plc.(Sizer); ok {
+		size, cost, weight := siz.Terms(tsk)
+		spc.Resources, spc.Cost, spc.CostWeight = encodeVector(size), cost, weight
+	}
+}
--- a/io/taskhost/methods.go
+++ b/io/taskhost/methods.go
@@ -23,6 +23,7 @@
 			Free:     resourcesMessage(led.Free()),
 			Capacity: resourcesMessage(led.Capacity().Tasks()),
 			Tasks:    led.Tasks(),
+			Idle:     sta.Idle(now),
 		}
 	})
 	if err != nil {
@@ -69,6 +70,6 @@
 	if !res.accepted {
 		return ErrOutdatedOwner
 	}
-	rep.Ready, rep.Tasks = res.ready, statusMessages(res.held)
+	rep.Ready, rep.Tasks = res.ready, heldMessages(res.held)
 	return nil
 }
--- a/io/taskhost/translate.go
+++ b/io/taskhost/translate.go
@@ -35,7 +35,17 @@
 	return runner.NewSpec(refFrom(tsk.Ref), args.Partition, args.OwnerAddress).
 		WithClass(tsk.Kind, fleet.JobClass(tsk.Class), tsk.Urgent).
 		WithResources(resourcesFrom(tsk.Resources)).
-		WithPayload(tsk.Payload, tsk.Checkpoint)
+		WithPayload(tsk.Payload, tsk.Checkpoint).
+		WithPrior(tsk.Cost, tsk.CostWeight)
+}
+
+// heldMessages are the statuses for a new owner, which does not know what was committed.
+func heldMessages(stas []runner.Status) []message.TaskStatus {
+	res := statusMessages(stas)
+	for pos, sta := range stas {
+		res[pos].Committed = resourcesMessage(sta.Resources())
+	}
+	return res
 }
 
 func statusMessages(stas []runner.Status) []message.TaskStatus {
@@ -43,7 +53,7 @@
 	for _, sta := range stas {
 		res = append(res, message.TaskStatus{
 			Ref: refMessage(sta.Ref()), ProgressPercent: sta.Progress(),
-			Checkpoint: sta.Checkpoint(), Usage: resourcesMessage(sta.Usage()),
+			Checkpoint: sta.Checkpoint(), Usage: resourcesMessage(sta.Peak()),
 		})
 	}
 	return res
