Tell owners the use that sizes are learned from with renewals by set

Renewals by set list a task only when its use moved by an eighth of what is committed, so a class that uses a tenth of it was never learned, and a task with an unchanged use was not sampled. The peak is now told when it grew by an eighth (processors) or a 32nd (memory) of the one told, and once more after 20 s. Pairings without weight are reset in place, because rows keep their records.

--- a/core/interfere/pairing.go
+++ b/core/interfere/pairing.go
@@ -23,7 +23,7 @@
 	surprisable = 2
 	// forgetPeriod is the time between two passes of Forget.
 	forgetPeriod = time.Minute
-	// negligibleWeight is the evidence below which a pairing is dropped.
+	// negligibleWeight is the evidence below which a pairing is as good as unknown.
 	negligibleWeight = 0.05
 	// heaviest bounds the weight of a pairing, so that new evidence always counts.
 	heaviest = 1000
@@ -80,7 +80,7 @@
 }
 
 // Pairing is what is known of one service and one job class. Its address does
-// not change while tasks of it run, so that frequent readers keep it.
+// not change, so that frequent readers keep it.
 type Pairing struct {
 	mean    float64
 	weight  float64
@@ -126,17 +126,17 @@
 }
 
 // Forget lowers the weight of old evidence, so that a pairing that nobody
-// measures any more becomes unknown, and drops what has no weight left and no
-// running task. It does so once a minute and may be called more often.
+// measures any more becomes unknown. It does so once a minute and may be called
+// more often. The records stay, because readers keep them.
 func (prs *Pairings) Forget(now time.Time) {
 	if now.Sub(prs.forgot) < forgetPeriod {
 		return
 	}
 	prs.forgot = now
-	for key, pai := range prs.pairs {
+	for _, pai := range prs.pairs {
 		pai.decay(now)
-		if pai.weight < negligibleWeight && pai.running <= 0 {
-			delete(prs.pairs, key)
+		if pai.weight < negligibleWeight {
+			pai.mean, pai.weight = unknownCost, 0
 		}
 	}
 }
--- a/core/place/resize.go
+++ b/core/place/resize.go
@@ -23,7 +23,7 @@
 	} else {
 		hos.pending = hos.pending.Plus(change)
 	}
-	hos.use(plc.task.class, &sch.know.pairings, change.MilliCPU())
+	hos.use(plc.row, change.MilliCPU())
 	sch.queue.Ended(plc.task.team, plc.task.urgent, old.MilliCPU())
 	sch.queue.Started(plc.task.team, plc.task.urgent, size.MilliCPU())
 	plc.size = size
--- a/core/runner/owner.go
+++ b/core/runner/owner.go
@@ -107,7 +107,9 @@
 			set = set.With(tsk.ref.Job(), tsk.ref.Index(), tsk.ref.Token())
 			held = append(held, tsk.ref)
 		}
-		if sta := tsk.status(); !member || sta.news(tsk.told) {
+		sta := tsk.status()
+		sta.settled = run.clock.received.Sub(tsk.confirmed) >= newsSettled
+		if !member || sta.news(tsk.told) {
 			tsk.told = sta
 			tasks = append(tasks, sta)
 		}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -267,6 +267,24 @@
 		Expect(ren.Held().Count()).To(Equal(1))
 		Expect(ren.Tasks()).To(BeEmpty())
 	})
+	DescribeTable("tells a use that the owner has to know for the size of the class", func(milliCPU, memoryMB int64, listed int) {
+		wld.wkr.Use(ref, resource.New(milliCPU, memoryMB, 0))
+		Expect(nextRenewal().Tasks()).To(HaveLen(listed))
+	},
+		Entry("a little more memory", int64(1000), int64(1040), 1),
+		Entry("clearly more processors", int64(1200), int64(1000), 1),
+		Entry("not less", int64(500), int64(500), 0),
+		Entry("not hardly more", int64(1050), int64(1010), 0),
+	)
+	It("tells a use that stays the same once more after a while", func() {
+		listed := 0
+		for range 10 {
+			ren := nextRenewal()
+			listed += len(ren.Tasks())
+			answer(ren, wld.renew(ren, wld.now))
+		}
+		Expect(listed).To(Equal(1))
+	})
 	It("leaves out a task that is being stopped", func() {
 		wld.run.Evict(ref, "noisy", wld.now)
 		ren := nextRenewal()
--- a/core/runner/task.go
+++ b/core/runner/task.go
@@ -162,6 +162,7 @@
 	resources  resource.Vector
 	usage      resource.Vector
 	peak       resource.Vector
+	settled    bool // it has run for newsSettled
 	progress   int
 	checkpoint string
 	running    time.Time
@@ -207,24 +208,24 @@
 // hundred bytes, and what the owner learns from usage does not need them.
 const (
 	newsProgress = 5 // percent of the work
-	newsUsage    = 8 // parts of the resources committed to the task
+	newsCPU      = 8 // parts of the highest use told before
+	newsMemory   = 32
+	// newsSettled is the run time after which the use is told once more, so that
+	// the owner learns from tasks that run for long and use the same all the time.
+	newsSettled = 20 * time.Second
 )
 
 // news reports whether the owner has to learn of a status after an earlier one.
 func (sta Status) news(told Status) bool {
-	step := sta.resources
 	return sta.checkpoint != told.checkpoint || distance(sta.progress, told.progress) >= newsProgress ||
 		sta.progress == 100 && told.progress != 100 ||
-		moved(sta.usage.MilliCPU(), told.usage.MilliCPU(), step.MilliCPU()) ||
-		moved(sta.usage.MemoryMB(), told.usage.MemoryMB(), step.MemoryMB()) ||
-		moved(sta.usage.Accelerators(), told.usage.Accelerators(), step.Accelerators())
+		grown(sta.peak.MilliCPU(), told.peak.MilliCPU(), newsCPU) ||
+		grown(sta.peak.MemoryMB(), told.peak.MemoryMB(), newsMemory) ||
+		sta.peak.Accelerators() > told.peak.Accelerators() || sta.settled && !told.settled
 }
 
-// moved reports whether an amount has changed by a noticeable part of the whole.
-func moved(val, told, whole int64) bool {
-	dif := distance(val, told)
-	return dif > 0 && dif*newsUsage >= whole
-}
+// grown reports whether a peak has risen by a noticeable part of the one told.
+func grown(val, told, parts int64) bool { return val > told && (val-told)*parts >= told }
 
 func distance[N int | int64](one, two N) N { return max(one-two, two-one) }
 
