--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -91,12 +91,8 @@
 				wld.do(wld.run.Stop(3, runner.NewOrder(ref, rapid.Bool().Draw(rt, "checkpoint"), "cancelled"), wld.now))
 			}
 		},
-		"evict": func(rt *rapid.T) {
-			if refs, _ := wld.wkr.Running(); len(refs) > 0 {
-				efs, _ := wld.run.Evict(rapid.SampledFrom(refs).Draw(rt, "task"), "noisy", wld.now)
-				wld.do(efs)
-			}
-		},
+		"evict":    wld.evict,
+		"use":      wld.use,
 		"allow":    func(*rapid.T) { wld.allowed, wld.refused = !wld.allowed, wld.now },
 		"takeOver": func(*rapid.T) { wld.takeOver() },
 		"adopted": func(*rapid.T) {
@@ -271,6 +267,24 @@
 		Expect(ren.Held().Count()).To(Equal(1))
 		Expect(ren.Tasks()).To(BeEmpty())
 	})
+	DescribeTable("tells a use that the owner has to know for the size of the class", func(milliCPU, memoryMB int64, listed int) {
+		wld.wkr.Use(ref, resource.New(milliCPU, memoryMB, 0))
+		Expect(nextRenewal().Tasks()).To(HaveLen(listed))
+	},
+		Entry("a little more memory", int64(1000), int64(1040), 1),
+		Entry("clearly more processors", int64(1200), int64(1000), 1),
+		Entry("not less", int64(500), int64(500), 0),
+		Entry("not hardly more", int64(1050), int64(1010), 0),
+	)
+	It("tells a use that stays the same once more after a while", func() {
+		listed := 0
+		for range 10 {
+			ren := nextRenewal()
+			listed += len(ren.Tasks())
+			answer(ren, wld.renew(ren, wld.now))
+		}
+		Expect(listed).To(Equal(1))
+	})
 	It("leaves out a task that is being stopped", func() {
 		wld.run.Evict(ref, "noisy", wld.now)
 		ren := nextRenewal()
--- a/core/runner/task.go
+++ b/core/runner/task.go
@@ -46,6 +46,8 @@
 	resources  resource.Vector
 	payload    []byte
 	checkpoint string
+	cost       float64
+	weight     float64
 }
 
 // NewSpec returns a task of a partition that the owner at an address offers.
@@ -71,6 +73,13 @@
 	return spc
 }
 
+// WithPrior returns the task with the slowdown that the owner expects of its
+// class beside the service of the instance, and the weight of its evidence.
+func (spc Spec) WithPrior(cost, weight float64) Spec {
+	spc.cost, spc.weight = cost, weight
+	return spc
+}
+
 // task is one assignment.
 type task struct {
 	spec       Spec
@@ -97,6 +106,10 @@
 	confirmed        time.Time // when the worker was known to run it
 	detail           string
 
+	grown   resource.Vector // committed after a correction, zero before
+	peak    resource.Vector // highest use at full speed
+	speed   int             // percentage ordered by Throttle, zero for full speed
+	slowed  time.Time       // latest change of the speed
 	last    worker.TaskReport
 	told    Status // last status sent with a renewal
 	round   uint64 // round of the partition in which the owner granted it by itself
@@ -148,9 +161,13 @@
 	urgent     bool
 	resources  resource.Vector
 	usage      resource.Vector
+	peak       resource.Vector
+	settled    bool // it has run for newsSettled
 	progress   int
 	checkpoint string
 	running    time.Time
+	cost       float64
+	weight     float64
 }
 
 // Ref returns the assignment.
@@ -171,6 +188,13 @@
 // Usage returns the resources in use, as measured some time ago.
 func (sta Status) Usage() resource.Vector { return sta.usage }
 
+// Peak returns the highest use seen by this agent process, as it would be at full speed.
+func (sta Status) Peak() resource.Vector { return sta.peak }
+
+// Prior returns the slowdown of the services beside it that the owner expects of
+// the class, and the weight of its evidence.
+func (sta Status) Prior() (cost, weight float64) { return sta.cost, sta.weight }
+
 // Progress returns the progress in percent.
 func (sta Status) Progress() int { return sta.progress }
 
@@ -184,24 +208,24 @@
 // hundred bytes, and what the owner learns from usage does not need them.
 const (
 	newsProgress = 5 // percent of the work
-	newsUsage    = 8 // parts of the resources committed to the task
+	newsCPU      = 8 // parts of the highest use told before
+	newsMemory   = 32
+	// newsSettled is the run time after which the use is told once more, so that
+	// the owner learns from tasks that run for long and use the same all the time.
+	newsSettled = 20 * time.Second
 )
 
 // news reports whether the owner has to learn of a status after an earlier one.
 func (sta Status) news(told Status) bool {
-	step := sta.resources
 	return sta.checkpoint != told.checkpoint || distance(sta.progress, told.progress) >= newsProgress ||
 		sta.progress == 100 && told.progress != 100 ||
-		moved(sta.usage.MilliCPU(), told.usage.MilliCPU(), step.MilliCPU()) ||
-		moved(sta.usage.MemoryMB(), told.usage.MemoryMB(), step.MemoryMB()) ||
-		moved(sta.usage.Accelerators(), told.usage.Accelerators(), step.Accelerators())
+		grown(sta.peak.MilliCPU(), told.peak.MilliCPU(), newsCPU) ||
+		grown(sta.peak.MemoryMB(), told.peak.MemoryMB(), newsMemory) ||
+		sta.peak.Accelerators() > told.peak.Accelerators() || sta.settled && !told.settled
 }
 
-// moved reports whether an amount has changed by a noticeable part of the whole.
-func moved(val, told, whole int64) bool {
-	dif := distance(val, told)
-	return dif > 0 && dif*newsUsage >= whole
-}
+// grown reports whether a peak has risen by a noticeable part of the one told.
+func grown(val, told, parts int64) bool { return val > told && (val-told)*parts >= told }
 
 func distance[N int | int64](one, two N) N { return max(one-two, two-one) }
 
@@ -212,7 +236,8 @@
 	}
 	return Status{
 		ref: tsk.ref, phase: tsk.phase, class: tsk.spec.class, urgent: tsk.spec.urgent,
-		resources: tsk.spec.resources, usage: tsk.last.Usage(),
+		resources: tsk.committed(tsk.spec.resources), usage: tsk.last.Usage(), peak: tsk.peak,
+		cost: tsk.spec.cost, weight: tsk.spec.weight,
 		progress: tsk.last.Progress(), checkpoint: cpt, running: tsk.confirmed,
 	}
 }
