--- a/io/node/entrynode/callers.go
+++ b/io/node/entrynode/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/urfave/negroni/v3"
 
 	"jacinthpost/io/backlog"
 	"jacinthpost/io/node"
@@ -51,14 +52,18 @@
 }
 
 // closeWhenLeaving lets each answer of a leaving entry ask the caller to close the
-// connection. The server's own switch for this also closes idle connections at
-// once, which breaks requests that callers are just sending on them.
+// connection, also when its request came before. The server's own switch for this
+// also closes idle connections at once, which breaks requests that callers are
+// just sending on them.
 func (cls *callers) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		if cls.leaving.Load() {
-			rw.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(rw, req)
+		wrt := negroni.NewResponseWriter(rw)
+		wrt.Before(func(wrt negroni.ResponseWriter) {
+			if cls.leaving.Load() {
+				wrt.Header().Set("Connection", "close")
+			}
+		})
+		next.ServeHTTP(wrt, req)
 	})
 }
 
