Run the specs of each package in a fixed order

Change: specs.Run fixes the seed unless JACINTHPOST_SEEDS asks for more of them, and registers the fail handler, which stood in every suite.

--- a/cmd/standin-endpoint/internal/endpoint/endpoint_test.go
+++ b/cmd/standin-endpoint/internal/endpoint/endpoint_test.go
@@ -21,6 +21,7 @@
 	"jacinthpost/core/resource"
 	"jacinthpost/core/token"
 	core "jacinthpost/core/worker"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/backend"
 	"jacinthpost/io/httpcall"
 	"jacinthpost/io/worker"
@@ -28,8 +29,7 @@
 )
 
 func TestEndpoint(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "endpoint")
+	specs.Run(t, "endpoint")
 }
 
 // instance is a running stand-in and its address.
--- a/cmd/standin-endpoint/internal/tasks/tasks_test.go
+++ b/cmd/standin-endpoint/internal/tasks/tasks_test.go
@@ -16,11 +16,11 @@
 	"jacinthpost/core/resource"
 	"jacinthpost/core/token"
 	"jacinthpost/core/worker"
+	"jacinthpost/internal/specs"
 )
 
 func TestTasks(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "tasks")
+	specs.Run(t, "tasks")
 }
 
 const incarnation = 5
--- a/cmd/standin-platform/internal/platform/platform_test.go
+++ b/cmd/standin-platform/internal/platform/platform_test.go
@@ -17,6 +17,7 @@
 	"jacinthpost/cmd/standin-platform/internal/platform"
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/httpcall"
 	"jacinthpost/io/object"
 	"jacinthpost/io/table"
@@ -24,8 +25,7 @@
 )
 
 func TestPlatform(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "platform")
+	specs.Run(t, "platform")
 }
 
 // fault is a fault that both implementations of the store can show.
--- a/cmd/standin-relay/internal/relay/relay_test.go
+++ b/cmd/standin-relay/internal/relay/relay_test.go
@@ -16,14 +16,14 @@
 
 	"jacinthpost/cmd/standin-relay/internal/relay"
 	"jacinthpost/core/store"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/httpcall"
 	"jacinthpost/io/peer"
 	"jacinthpost/io/table"
 )
 
 func TestRelay(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "relay")
+	specs.Run(t, "relay")
 }
 
 // echo answers calls and counts them.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -12,14 +12,14 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestAdmit(t *testing.T) {
-	RegisterFailHandler(Fail)
 	if err := proptest.Setup(500, 60); err != nil {
 		t.Fatal(err)
 	}
-	RunSpecs(t, "admit")
+	specs.Run(t, "admit")
 }
 
 var (
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -9,11 +9,11 @@
 	"jacinthpost/core/attempt"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
+	"jacinthpost/internal/specs"
 )
 
 func TestAttempt(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "attempt")
+	specs.Run(t, "attempt")
 }
 
 var (
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -13,12 +13,12 @@
 
 	"jacinthpost/core/blame"
 	"jacinthpost/core/fleet"
+	"jacinthpost/internal/specs"
 )
 
 func TestBlame(t *testing.T) {
-	RegisterFailHandler(Fail)
 	fixSeeds()
-	RunSpecs(t, "blame")
+	specs.Run(t, "blame")
 }
 
 // fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -16,12 +16,12 @@
 	"jacinthpost/core/job"
 	"jacinthpost/core/resource"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestDispatch(t *testing.T) {
 	NewWithT(t).Expect(proptest.Setup(100, 40)).To(Succeed())
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "dispatch")
+	specs.Run(t, "dispatch")
 }
 
 // build returns a job whose tasks take one processor for each thousand and run for a tenth of the lease.
--- a/core/explain/explain_test.go
+++ b/core/explain/explain_test.go
@@ -10,11 +10,11 @@
 
 	"jacinthpost/core/explain"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/specs"
 )
 
 func TestExplain(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "explain")
+	specs.Run(t, "explain")
 }
 
 // Guards against a code without a sentence.
--- a/core/heap/heap_test.go
+++ b/core/heap/heap_test.go
@@ -11,12 +11,12 @@
 	"pgregory.net/rapid"
 
 	"jacinthpost/core/heap"
+	"jacinthpost/internal/specs"
 )
 
 func TestHeap(t *testing.T) {
-	RegisterFailHandler(Fail)
 	fixSeeds()
-	RunSpecs(t, "heap")
+	specs.Run(t, "heap")
 }
 
 // fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -16,14 +16,14 @@
 	"jacinthpost/core/reqlog"
 	"jacinthpost/core/resource"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestIntake(t *testing.T) {
-	RegisterFailHandler(Fail)
 	if err := proptest.Setup(1000, 80); err != nil {
 		t.Fatal(err)
 	}
-	RunSpecs(t, "intake")
+	specs.Run(t, "intake")
 }
 
 var epoch = time.Unix(1e9, 0)
--- a/core/interfere/interfere_test.go
+++ b/core/interfere/interfere_test.go
@@ -13,11 +13,11 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/interfere"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/specs"
 )
 
 func TestInterfere(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "interfere")
+	specs.Run(t, "interfere")
 }
 
 var capacity = resource.New(16_000, 64_000, 0)
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -19,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"jacinthpost/core/job"
+	"jacinthpost/internal/specs"
 )
 
 func TestJob(t *testing.T) {
@@ -26,8 +27,7 @@
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	seeds, _ := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS"))
 	Expect(flag.Set("rapid.checks", strconv.Itoa(40*max(seeds, 1)))).To(Succeed())
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "job")
+	specs.Run(t, "job")
 }
 
 // settle lets every fault stop and drives the world until the job has ended.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -11,12 +11,12 @@
 
 	"jacinthpost/core/lease"
 	"jacinthpost/core/token"
+	"jacinthpost/internal/specs"
 )
 
 func TestLease(t *testing.T) {
 	NewWithT(t).Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "lease")
+	specs.Run(t, "lease")
 }
 
 // Guards against a granter that reuses a lease while a drifting holder still uses it.
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -13,14 +13,14 @@
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/resource"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestLedger(t *testing.T) {
-	RegisterFailHandler(Fail)
 	if err := proptest.Setup(500, 80); err != nil {
 		t.Fatal(err)
 	}
-	RunSpecs(t, "ledger")
+	specs.Run(t, "ledger")
 }
 
 type account = ledger.Ledger[string, int]
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -12,11 +12,11 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/member"
+	"jacinthpost/internal/specs"
 )
 
 func TestMember(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "member")
+	specs.Run(t, "member")
 }
 
 var anybody = func(fleet.InstanceID) bool { return true }
--- a/core/outcome/outcome_test.go
+++ b/core/outcome/outcome_test.go
@@ -7,11 +7,11 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/outcome"
+	"jacinthpost/internal/specs"
 )
 
 func TestOutcome(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "outcome")
+	specs.Run(t, "outcome")
 }
 
 // Guards against a retry of a booking that may already have run.
--- a/core/partition/partition_test.go
+++ b/core/partition/partition_test.go
@@ -14,6 +14,7 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/partition"
+	"jacinthpost/internal/specs"
 )
 
 func TestPartition(t *testing.T) {
@@ -21,8 +22,7 @@
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	seeds, _ := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS"))
 	Expect(flag.Set("rapid.checks", strconv.Itoa(2000*max(seeds, 1)))).To(Succeed())
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "partition")
+	specs.Run(t, "partition")
 }
 
 // register is the row in the store: versions and compare-and-set.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -16,12 +16,12 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/place"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/specs"
 )
 
 func TestPlace(t *testing.T) {
-	RegisterFailHandler(Fail)
 	fixSeeds()
-	RunSpecs(t, "place")
+	specs.Run(t, "place")
 }
 
 // fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/queue"
+	"jacinthpost/internal/specs"
 )
 
 func TestQueue(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "queue")
+	specs.Run(t, "queue")
 }
 
 var start = time.Unix(100, 0)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -11,11 +11,11 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/specs"
 )
 
 func TestQuota(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "quota")
+	specs.Run(t, "quota")
 }
 
 var start = time.Unix(0, 0)
--- a/core/rate/rate_test.go
+++ b/core/rate/rate_test.go
@@ -10,12 +10,12 @@
 
 	"jacinthpost/core/rate"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestRate(t *testing.T) {
 	NewWithT(t).Expect(proptest.Setup(200, 40)).To(Succeed())
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "rate")
+	specs.Run(t, "rate")
 }
 
 var start = time.Unix(1_000_000, 0)
--- a/core/reqlog/reqlog_test.go
+++ b/core/reqlog/reqlog_test.go
@@ -12,14 +12,14 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/reqlog"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestReqlog(t *testing.T) {
-	RegisterFailHandler(Fail)
 	if err := proptest.Setup(2000, 80); err != nil {
 		t.Fatal(err)
 	}
-	RunSpecs(t, "reqlog")
+	specs.Run(t, "reqlog")
 }
 
 var epoch = time.Unix(1e9, 0)
--- a/core/ring/ring_test.go
+++ b/core/ring/ring_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/ring"
+	"jacinthpost/internal/specs"
 )
 
 func TestRing(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "ring")
+	specs.Run(t, "ring")
 }
 
 // Guards against a ring that grows, or yields values in another order than they came.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -12,11 +12,11 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/route"
+	"jacinthpost/internal/specs"
 )
 
 func TestRoute(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "route")
+	specs.Run(t, "route")
 }
 
 var epoch = time.Unix(1_000_000, 0)
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -15,14 +15,14 @@
 	"jacinthpost/core/token"
 	"jacinthpost/core/worker"
 	"jacinthpost/internal/proptest"
+	"jacinthpost/internal/specs"
 )
 
 func TestRunner(t *testing.T) {
-	RegisterFailHandler(Fail)
 	if err := proptest.Setup(1000, 120); err != nil {
 		t.Fatal(err)
 	}
-	RunSpecs(t, "runner")
+	specs.Run(t, "runner")
 }
 
 // Guards against overcommitment, two copies of a task, starts after a data centre
--- a/core/scenario/scenario_test.go
+++ b/core/scenario/scenario_test.go
@@ -11,11 +11,11 @@
 	"jacinthpost/core/place"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/scenario"
+	"jacinthpost/internal/specs"
 )
 
 func TestScenario(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "scenario")
+	specs.Run(t, "scenario")
 }
 
 func controller(room resource.Vector, svc interfere.Service) *interfere.Controller {
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -16,15 +16,15 @@
 
 	"jacinthpost/core/resource"
 	"jacinthpost/core/ticket"
+	"jacinthpost/internal/specs"
 )
 
 func TestTicket(t *testing.T) {
-	RegisterFailHandler(Fail)
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	if seeds, err := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS")); err == nil {
 		Expect(flag.Set("rapid.checks", strconv.Itoa(100*seeds))).To(Succeed())
 	}
-	RunSpecs(t, "ticket")
+	specs.Run(t, "ticket")
 }
 
 var (
--- a/internal/failure/links/suite_test.go
+++ b/internal/failure/links/suite_test.go
@@ -5,15 +5,12 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
 	"jacinthpost/internal/failure/scene"
+	"jacinthpost/internal/specs"
 )
 
 func TestLinks(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "links")
+	specs.Run(t, "links")
 }
 
 // The ports of these fleets, 16400 to 18703 with the settings of sen-vang, are those
--- a/internal/failure/pairs/suite_test.go
+++ b/internal/failure/pairs/suite_test.go
@@ -5,15 +5,12 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
 	"jacinthpost/internal/failure/scene"
+	"jacinthpost/internal/specs"
 )
 
 func TestPairs(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "pairs")
+	specs.Run(t, "pairs")
 }
 
 // The ports of these fleets, 18800 to 20303 with the settings of sen-vang, are those
--- a/internal/failure/region/suite_test.go
+++ b/internal/failure/region/suite_test.go
@@ -5,15 +5,12 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
 	"jacinthpost/internal/failure/scene"
+	"jacinthpost/internal/specs"
 )
 
 func TestRegion(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "region")
+	specs.Run(t, "region")
 }
 
 // The ports of these fleets, 13000 to 16303, are below those of internal/failure.
--- a/internal/failure/suite_test.go
+++ b/internal/failure/suite_test.go
@@ -6,15 +6,12 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
 	"jacinthpost/internal/failure/scene"
+	"jacinthpost/internal/specs"
 )
 
 func TestFailure(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "failure")
+	specs.Run(t, "failure")
 }
 
 // The offsets keep clear of the demo and stay below the ephemeral ports, which
--- a/io/audit/audit_test.go
+++ b/io/audit/audit_test.go
@@ -12,6 +12,7 @@
 
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/audit"
 )
 
@@ -19,8 +20,7 @@
 
 func TestAudit(t *testing.T) {
 	suite = t
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "audit")
+	specs.Run(t, "audit")
 }
 
 var start = time.Unix(1_700_000_000, 0).UTC()
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -15,12 +15,12 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/outcome"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/backend"
 )
 
 func TestBackend(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "backend")
+	specs.Run(t, "backend")
 }
 
 // endpoint answers every connection with raw bytes, or never when they are empty.
--- a/io/backlog/backlog_test.go
+++ b/io/backlog/backlog_test.go
@@ -9,12 +9,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/backlog"
 )
 
 func TestBacklog(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "backlog")
+	specs.Run(t, "backlog")
 }
 
 func listen() *backlog.Listener {
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/specs"
 )
 
 var suite *testing.T
@@ -32,8 +34,7 @@
 
 func TestConfig(t *testing.T) {
 	suite = t
-	RegisterFailHandler(Fail)
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	Expect(flag.Set("rapid.checks", strconv.Itoa(30*seeds()))).To(Succeed())
-	RunSpecs(t, "config")
+	specs.Run(t, "config")
 }
--- a/io/control/alarm_test.go
+++ b/io/control/alarm_test.go
@@ -9,15 +9,15 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/control"
 )
 
 var suite *testing.T
 
 func TestControl(t *testing.T) {
-	RegisterFailHandler(Fail)
 	suite = t
-	RunSpecs(t, "control")
+	specs.Run(t, "control")
 }
 
 // journal is the time of each event since the beginning.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/route"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/entry"
 	"jacinthpost/io/groupcommit"
 	"jacinthpost/io/message"
@@ -26,8 +27,7 @@
 )
 
 func TestEntry(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "entry")
+	specs.Run(t, "entry")
 }
 
 // behaviour is what happens to one Serve call.
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -22,14 +22,14 @@
 	"jacinthpost/core/resource"
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/control"
 	"jacinthpost/io/gossip"
 )
 
 func TestGossip(t *testing.T) {
-	RegisterFailHandler(Fail)
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	RunSpecs(t, "gossip")
+	specs.Run(t, "gossip")
 }
 
 func profileFor(adr string) member.Profile {
--- a/io/groupcommit/groupcommit_test.go
+++ b/io/groupcommit/groupcommit_test.go
@@ -11,12 +11,12 @@
 
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/groupcommit"
 )
 
 func TestGroupcommit(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "groupcommit")
+	specs.Run(t, "groupcommit")
 }
 
 // start returns a running committer over an empty store.
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -18,6 +18,7 @@
 	"jacinthpost/core/runner"
 	"jacinthpost/core/token"
 	"jacinthpost/core/worker"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/agentstate"
 	"jacinthpost/io/guard"
 	"jacinthpost/io/serve"
@@ -27,8 +28,7 @@
 
 func TestGuard(t *testing.T) {
 	suite = t
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "guard")
+	specs.Run(t, "guard")
 }
 
 // site allows everything.
--- a/io/joblog/joblog_test.go
+++ b/io/joblog/joblog_test.go
@@ -17,12 +17,12 @@
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
 	"jacinthpost/core/token"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/joblog"
 )
 
 func TestJoblog(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "joblog")
+	specs.Run(t, "joblog")
 }
 
 const num = 3
--- a/io/node/agentnode/site_test.go
+++ b/io/node/agentnode/site_test.go
@@ -9,11 +9,11 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/ticket"
+	"jacinthpost/internal/specs"
 )
 
 func TestAgentNode(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "agentnode")
+	specs.Run(t, "agentnode")
 }
 
 // configuration is a configuration that never changes.
--- a/io/node/entrynode/callers_test.go
+++ b/io/node/entrynode/callers_test.go
@@ -12,11 +12,12 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/specs"
 )
 
 func TestEntryNode(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "entrynode")
+	specs.Run(t, "entrynode")
 }
 
 // served starts a server that answers every request with "answer" once release is closed.
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -13,6 +13,7 @@
 
 	"jacinthpost/core/job"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/message"
 )
 
@@ -20,8 +21,7 @@
 
 func TestOwner(t *testing.T) {
 	outer = t
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "owner")
+	specs.Run(t, "owner")
 }
 
 // simulate runs a cluster on the clock of a bubble until all partitions are owned, then the script.
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -8,11 +8,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"jacinthpost/internal/specs"
 )
 
 func TestPeer(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "peer")
+	specs.Run(t, "peer")
 }
 
 // connection is a simulated connection whose clock advances by PingPeriod.
--- a/io/serve/serve_test.go
+++ b/io/serve/serve_test.go
@@ -20,6 +20,7 @@
 	"jacinthpost/core/ledger"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/agentstate"
 	"jacinthpost/io/agentstate/sitefake"
 	"jacinthpost/io/control"
@@ -29,8 +30,7 @@
 )
 
 func TestServe(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "serve")
+	specs.Run(t, "serve")
 }
 
 // endpoint answers with the body of the request once its gate is open.
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -10,12 +10,12 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/settings"
 )
 
 func TestSettings(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "settings")
+	specs.Run(t, "settings")
 }
 
 // document returns settings of a role with changes; a nil value removes the key.
@@ -121,7 +121,6 @@
 // FuzzParse guards against input that crashes the parser, and against settings
 // that are accepted although a rule is broken.
 func FuzzParse(f *testing.F) {
-	RegisterFailHandler(Fail)
 	for _, rol := range []settings.Role{settings.Entry, settings.Agent} {
 		f.Add(document(rol, nil), rol == settings.Agent)
 		f.Add(document(rol, map[string]any{"seeds": []string{"127.0.0.1:7"}, "partitions": 64}), rol == settings.Agent)
--- a/io/taskhost/taskhost_test.go
+++ b/io/taskhost/taskhost_test.go
@@ -20,6 +20,7 @@
 	"jacinthpost/core/runner/workerfake"
 	"jacinthpost/core/token"
 	"jacinthpost/core/worker"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/agentstate"
 	"jacinthpost/io/agentstate/sitefake"
 	"jacinthpost/io/control"
@@ -30,9 +31,8 @@
 var suite *testing.T
 
 func TestTaskhost(t *testing.T) {
-	RegisterFailHandler(Fail)
 	suite = t
-	RunSpecs(t, "taskhost")
+	specs.Run(t, "taskhost")
 }
 
 const lease = 15 * time.Second
--- a/io/telemetry/telemetry_test.go
+++ b/io/telemetry/telemetry_test.go
@@ -8,12 +8,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/telemetry"
 )
 
 func TestTelemetry(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "telemetry")
+	specs.Run(t, "telemetry")
 }
 
 // Guards against a load balancer that sends requests to a process that cannot
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -16,6 +16,7 @@
 	"jacinthpost/core/member"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/ticket"
+	"jacinthpost/internal/specs"
 	"jacinthpost/io/audit"
 	"jacinthpost/io/entry"
 	"jacinthpost/io/message"
@@ -23,8 +24,7 @@
 )
 
 func TestWeb(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "web")
+	specs.Run(t, "web")
 }
 
 // backend records which port was called and answers with what the test sets.
