--- a/cmd/standin-endpoint/internal/endpoint/endpoint_test.go
+++ b/cmd/standin-endpoint/internal/endpoint/endpoint_test.go
@@ -22,7 +22,7 @@
 	"jacinthpost/core/token"
 	core "jacinthpost/core/worker"
 	"jacinthpost/internal/specs"
-	"jacinthpost/io/backend"
+	client "jacinthpost/io/endpoint"
 	"jacinthpost/io/httpcall"
 	"jacinthpost/io/worker"
 	"jacinthpost/io/worker/workerapi"
@@ -206,9 +206,9 @@
 	// Guards against a double that cannot tell a repeated execution.
 	It("are echoed and counted by request ID", func(ctx SpecContext) {
 		ins := startInstance(1)
-		cli := backend.New(ins.addr)
+		cli := client.New(ins.addr)
 		for _, reqID := range []string{"a", "b", "a"} {
-			ans, out := cli.Serve(ctx, backend.NewRequest(reqID, []byte("text of "+reqID)))
+			ans, out := cli.Serve(ctx, client.NewRequest(reqID, []byte("text of "+reqID)))
 			Expect(out).To(Equal(outcome.Answered()))
 			var echo endpoint.Echo
 			Expect(json.Unmarshal(ans.Body(), &echo)).To(Succeed())
@@ -221,7 +221,7 @@
 	// Guards against a noisy task that leaves the service time as it is.
 	It("slow down beside a noisy task and beyond the slots", func(ctx SpecContext) {
 		ins := startInstance(1)
-		cli := backend.New(ins.addr)
+		cli := client.New(ins.addr)
 		quiet := duration(ctx, cli)
 		_, err := ins.client.Start(ctx, order(ctx, ins, ref(1), 2*time.Second, `{"neverFinishes":true,"noisy":true}`).
 			WithResources(resource.New(16_000, 0, 0)))
@@ -236,21 +236,21 @@
 // peakOf sends a number of requests at once and returns the largest number that the
 // endpoint has ever served at the same time. Beside other load the requests of one
 // call may not overlap, so that the caller repeats it; the number is never exceeded.
-func peakOf(ctx context.Context, ins instance, cli *backend.Client, count int) int {
+func peakOf(ctx context.Context, ins instance, cli *client.Client, count int) int {
 	var grp sync.WaitGroup
 	for range count {
-		grp.Go(func() { cli.Serve(ctx, backend.NewRequest("many", nil)) })
+		grp.Go(func() { cli.Serve(ctx, client.NewRequest("many", nil)) })
 	}
 	grp.Wait()
 	return get[endpoint.Peak](ins.addr, "/peak").ConcurrentRequests
 }
 
 // duration returns the shortest of three calls, which is the least disturbed by other load.
-func duration(ctx context.Context, cli *backend.Client) time.Duration {
+func duration(ctx context.Context, cli *client.Client) time.Duration {
 	shortest := time.Hour
 	for range 3 {
 		begin := time.Now()
-		_, out := cli.Serve(ctx, backend.NewRequest("timed", nil))
+		_, out := cli.Serve(ctx, client.NewRequest("timed", nil))
 		Expect(out).To(Equal(outcome.Answered()))
 		shortest = min(shortest, time.Since(begin))
 	}
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -14,7 +14,7 @@
 	profile   *Profile // nil until it arrives
 	profileAt uint32
 	head      uint64
-	zone      *zone // nil until the profile arrives
+	centre    *centre // nil until the profile arrives
 	bucket    int
 	hash      uint32
 	doubted   bool      // in its suspicion period
@@ -38,7 +38,7 @@
 	self      Update // full
 	head      uint64
 	roster    Indexed[fleet.InstanceID, *entry]
-	zones     Indexed[fleet.Location, *zone]
+	centres   Indexed[fleet.Location, *centre]
 	gossip    allowance
 	repair    allowance
 	confirm   allowance
@@ -157,7 +157,7 @@
 	if mac.due(&mac.nextDead, now, DeadRetry) {
 		mac.retryDead(now)
 	}
-	if mac.due(&mac.nextTry, now, zoneTryPeriod) {
+	if mac.due(&mac.nextTry, now, centreTryPeriod) {
 		mac.trySilent()
 	}
 	if mac.due(&mac.nextFetch, now, FetchPeriod) {
@@ -227,12 +227,12 @@
 	}
 	mac.stale = false
 	mac.near.members, mac.far.members = mac.near.members[:0], mac.far.members[:0]
-	for _, zon := range mac.zones.All() {
-		zon.members = 0
+	for _, cen := range mac.centres.All() {
+		cen.members = 0
 	}
 	for id, ent := range mac.roster.All() {
-		if ent.zone != nil && ent.update.state != StateDead {
-			ent.zone.members++
+		if ent.centre != nil && ent.update.state != StateDead {
+			ent.centre.members++
 		}
 		switch {
 		case ent.state() == StateDead || ent.profile == nil:
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -186,7 +186,7 @@
 		return
 	}
 	ent.profile, ent.profileAt = upd.profile, upd.profileAt
-	ent.zone = mac.zoneOf(upd.profile.location)
+	ent.centre = mac.centreOf(upd.profile.location)
 	ent.update.profileAt = max(ent.update.profileAt, upd.profileAt)
 	mac.stale = true
 	if src == sourceGossip {
@@ -225,7 +225,7 @@
 // state meanwhile: it has no need to refute, any datagram from it will do.
 func (mac *Machine) suspect(now time.Time, ent *entry, accused bool) {
 	if ent.accused = accused; !accused {
-		mac.check(now, ent.zone)
+		mac.check(now, ent.centre)
 	}
 	ent.expiresAt = now.Add(SuspicionPeriod)
 	ent.confirmAt = now
@@ -280,7 +280,7 @@
 	var expired []fleet.InstanceID
 	for id, ent := range mac.roster.All() {
 		switch {
-		case ent.unreachable() && now.Sub(ent.zone.silentAt) > DeadRetention:
+		case ent.unreachable() && now.Sub(ent.centre.silentAt) > DeadRetention:
 			expired = append(expired, id)
 		case ent.update.state != StateDead:
 		case now.Sub(ent.diedAt) > DeadRetention:
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -162,9 +162,9 @@
 	mac.refresh()
 	from := mac.near.members
 	var chosen []*entry
-	if tgt != nil && tgt.zone != nil && tgt.zone.members >= zoneMinimum {
-		// Its answer tells a silent member from a silent zone.
-		if ent := mac.witness(tgt.zone, []*entry{tgt}); ent != nil {
+	if tgt != nil && tgt.centre != nil && tgt.centre.members >= centreMinimum {
+		// Its answer tells a silent member from a silent data centre.
+		if ent := mac.witness(tgt.centre, []*entry{tgt}); ent != nil {
 			chosen = append(chosen, ent)
 		}
 	}
--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -145,7 +145,7 @@
 	if err := json.Unmarshal(raw, &set); err != nil {
 		return nil, errors.Wrap(err, "decode settings")
 	}
-	set["hostAddress"] = host
+	set["instanceAddress"] = host
 	if local, found := set["localAddress"].(string); found {
 		set["localAddress"] = net.JoinHostPort(host, strconv.Itoa(portOf(local)))
 	}
--- a/io/backend/backend.go
+++ b/io/endpoint/endpoint.go
@@ -1,11 +1,11 @@
-// Package backend calls the co-located endpoint for one service request.
+// Package endpoint calls the co-located endpoint for one service request.
 //
 // Only a connection that was never obtained proves that the endpoint did not
 // run the request. Every later failure leaves it open, including an answer that
 // begins and is not complete: such an answer is never passed on. Nothing is
 // retried here. A Client is safe for use from any goroutine; the context bounds
 // each call in time and BodyLimit bounds its answer.
-package backend
+package endpoint
 
 import (
 	"context"
@@ -70,7 +70,7 @@
 
 // New returns a client of the endpoint at host:port.
 func New(addr string) *Client {
-	return &Client{call: httpcall.New(addr, "backend", httpcall.WithTimeout(DefaultTimeout), httpcall.WithBodyLimit(BodyLimit))}
+	return &Client{call: httpcall.New(addr, "endpoint", httpcall.WithTimeout(DefaultTimeout), httpcall.WithBodyLimit(BodyLimit))}
 }
 
 // Serve sends the request once and waits for the whole answer. The answer is
--- a/io/backend/backend_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -1,4 +1,4 @@
-package backend_test
+package endpoint_test
 
 import (
 	"context"
@@ -16,15 +16,15 @@
 
 	"jacinthpost/core/outcome"
 	"jacinthpost/internal/specs"
-	"jacinthpost/io/backend"
+	"jacinthpost/io/endpoint"
 )
 
-func TestBackend(t *testing.T) {
-	specs.Run(t, "backend")
+func TestEndpoint(t *testing.T) {
+	specs.Run(t, "endpoint")
 }
 
-// endpoint answers every connection with raw bytes, or never when they are empty.
-func endpoint(answer string) string {
+// answering returns the address of a server that answers every connection with raw bytes, or never when they are empty.
+func answering(answer string) string {
 	lsn, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(lsn.Close)
@@ -65,7 +65,7 @@
 		}
 		limited, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		ans, out := backend.New(address()).Serve(limited, backend.NewRequest("id", []byte("body")))
+		ans, out := endpoint.New(address()).Serve(limited, endpoint.NewRequest("id", []byte("body")))
 		Expect(out.Kind().String()).To(Equal(kind.String()), out.Detail())
 		Expect(out.Reason()).To(Equal(rsn), out.Detail())
 		Expect(string(ans.Body())).To(Equal(body))
@@ -79,12 +79,12 @@
 	Entry("closed without an answer", at("x"), outcome.KindUnknown, outcome.ReasonBrokenBody, ""),
 	Entry("answer to another request", at("HTTP/1.1 200 OK\r\nJacinthpost-Request-ID: other\r\nContent-Length: 2\r\n\r\nno"),
 		outcome.KindUnknown, outcome.ReasonBrokenBody, ""),
-	Entry("body without end", at("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"+strings.Repeat("x", backend.BodyLimit+1)),
+	Entry("body without end", at("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"+strings.Repeat("x", endpoint.BodyLimit+1)),
 		outcome.KindUnknown, outcome.ReasonBrokenBody, ""),
 	Entry("no answer in time", at(""), outcome.KindUnknown, outcome.ReasonTimeout, ""),
 )
 
-func at(answer string) func() string { return func() string { return endpoint(answer) } }
+func at(answer string) func() string { return func() string { return answering(answer) } }
 
 // Guards against the repetition that net/http makes by itself when a kept-alive
 // connection breaks: a request of any method is sent at most once.
@@ -101,8 +101,8 @@
 			}
 		}))
 		DeferCleanup(web.Close)
-		cli := backend.New(strings.TrimPrefix(web.URL, "http://"))
-		req := backend.NewRequest("id", body).WithTarget(method, "/serve")
+		cli := endpoint.New(strings.TrimPrefix(web.URL, "http://"))
+		req := endpoint.NewRequest("id", body).WithTarget(method, "/serve")
 		_, out := cli.Serve(ctx, req)
 		Expect(out).To(Equal(outcome.Answered()))
 		_, out = cli.Serve(ctx, req)
--- a/io/node/agentnode/agentnode.go
+++ b/io/node/agentnode/agentnode.go
@@ -70,7 +70,7 @@
 	agt.tasks = taskhost.New(agt.life, loop, agt.worker, nod.Pools().Jobs(), taskhost.NewIdentity(set.Instance(), nod.Incarnation()))
 	agt.guard = guard.New(loop, agt.tasks, interfere.NewController, nod.Logger())
 	agt.guard.Tell(agt.life, nod.Pools().Jobs(), set.Instance(), uint64(nod.Incarnation()))
-	agt.serve = serve.New(agt.life, loop, &serve.Backend{}, nod.Incarnation(), agt.guard.Observe)
+	agt.serve = serve.New(agt.life, loop, &serve.HTTPEndpoint{}, nod.Incarnation(), agt.guard.Observe)
 	agt.owner = newOwner(nod, mbs)
 	nod.Server().Register("Agent", calls{Service: agt.serve, Host: agt.tasks, explainer: &explainer{agent: agt}})
 	nod.Server().Register("Owner", agt.owner.partitions.Service(agt.life))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -105,7 +105,7 @@
 	poo.Requests().KeepWarm()
 	for _, pool := range []*peer.Pool{poo.Requests(), poo.Jobs(), poo.Config()} {
 		pool.SetRegions(nod.reach)
-		pool.SetSource(set.HostAddress())
+		pool.SetSource(set.InstanceAddress())
 	}
 	nod.config = config.NewNode(self, tab, poo.Config(), config.PeersFrom(nod.gossip.View), thr)
 	nod.config.SetFiler(config.NewFiler(tab, nod.recorder, string(set.Instance()), time.Now))
@@ -132,12 +132,12 @@
 
 // NewTable returns the client of the table service.
 func NewTable(set settings.Settings) store.Table {
-	return table.New(set.TableAddress(), httpcall.WithSource(set.HostAddress()))
+	return table.New(set.TableAddress(), httpcall.WithSource(set.InstanceAddress()))
 }
 
 // NewObjects returns the client of the object store.
 func NewObjects(set settings.Settings) store.Objects {
-	return object.New(set.ObjectAddress(), httpcall.WithSource(set.HostAddress()))
+	return object.New(set.ObjectAddress(), httpcall.WithSource(set.InstanceAddress()))
 }
 
 func (nod *Node) openGossip() error {
--- /dev/null
+++ b/io/serve/endpoint.go
@@ -0,0 +1,53 @@
+package serve
+
+import (
+	"context"
+	"sync"
+
+	"jacinthpost/core/outcome"
+	"jacinthpost/io/endpoint"
+)
+
+// HTTPEndpoint is the Endpoint that is called over HTTP. It follows the address that
+// the endpoint announces. The zero value works, and any goroutine may use it.
+type HTTPEndpoint struct {
+	mu      sync.Mutex
+	address string
+	client  *endpoint.Client
+}
+
+// Call implements Endpoint.
+func (hep *HTTPEndpoint) Call(ctx context.Context, req Request) (int, []byte, outcome.Outcome) {
+	cli := hep.at(req.address)
+	ans, out := cli.Serve(ctx, endpoint.NewRequest(req.id, req.body).WithTarget(req.method, req.path))
+	if out.Reason() == outcome.ReasonTimeout {
+		// Connections go silent together, so the idle ones are not trusted either.
+		cli.Close()
+	}
+	return ans.Status(), ans.Body(), out
+}
+
+// at returns the client of an address. An endpoint that moved leaves idle
+// connections behind, which are closed; calls under way keep theirs.
+func (hep *HTTPEndpoint) at(addr string) *endpoint.Client {
+	hep.mu.Lock()
+	defer hep.mu.Unlock()
+	if hep.client == nil || hep.address != addr {
+		hep.close()
+		hep.address, hep.client = addr, endpoint.New(addr)
+	}
+	return hep.client
+}
+
+// Close closes the idle connections.
+func (hep *HTTPEndpoint) Close() {
+	hep.mu.Lock()
+	defer hep.mu.Unlock()
+	hep.close()
+}
+
+func (hep *HTTPEndpoint) close() {
+	if hep.client != nil {
+		hep.client.Close()
+	}
+}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -32,12 +32,12 @@
 	DataCentre string `json:"dataCentre" entry:"required,name" agent:"required,name"`
 	Rack       string `json:"rack" entry:"required,name" agent:"required,name"`
 
-	CallerAddress  string `json:"callerAddress" entry:"required,listen"`
-	LocalAddress   string `json:"localAddress" agent:"required,listen"`
-	PeerAddress    string `json:"peerAddress" entry:"required,address" agent:"required,address"`
-	GossipAddress  string `json:"gossipAddress" entry:"required,address" agent:"required,address"`
-	MetricsAddress string `json:"metricsAddress" entry:"required,listen" agent:"required,listen"`
-	HostAddress    string `json:"hostAddress" entry:"omitempty,ip" agent:"omitempty,ip"`
+	CallerAddress   string `json:"callerAddress" entry:"required,listen"`
+	LocalAddress    string `json:"localAddress" agent:"required,listen"`
+	PeerAddress     string `json:"peerAddress" entry:"required,address" agent:"required,address"`
+	GossipAddress   string `json:"gossipAddress" entry:"required,address" agent:"required,address"`
+	MetricsAddress  string `json:"metricsAddress" entry:"required,listen" agent:"required,listen"`
+	InstanceAddress string `json:"instanceAddress" entry:"omitempty,ip" agent:"omitempty,ip"`
 
 	TableAddress  string   `json:"tableAddress" entry:"required,address" agent:"required,address"`
 	ObjectAddress string   `json:"objectAddress" entry:"required,address" agent:"required,address"`
@@ -93,11 +93,11 @@
 // GossipAddress returns the UDP address of the membership protocol; it tells others this address.
 func (set Settings) GossipAddress() string { return set.doc.GossipAddress }
 
-// HostAddress returns the IP address of the host when others reach it by another
+// InstanceAddress returns the IP address of the instance when others reach it by another
 // one, as behind address translation; it is empty otherwise. The process listens
 // for peers and gossip there, at the ports that it tells others, and opens its
 // connections to peers and to the store from there.
-func (set Settings) HostAddress() string { return set.doc.HostAddress }
+func (set Settings) InstanceAddress() string { return set.doc.InstanceAddress }
 
 // PeerListenAddress returns where the process listens for calls of other processes.
 func (set Settings) PeerListenAddress() string { return set.onHost(set.doc.PeerAddress) }
@@ -106,11 +106,11 @@
 func (set Settings) GossipListenAddress() string { return set.onHost(set.doc.GossipAddress) }
 
 func (set Settings) onHost(announced string) string {
-	if set.doc.HostAddress == "" {
+	if set.doc.InstanceAddress == "" {
 		return announced
 	}
 	_, port, _ := net.SplitHostPort(announced) // validated
-	return net.JoinHostPort(set.doc.HostAddress, port)
+	return net.JoinHostPort(set.doc.InstanceAddress, port)
 }
 
 // MetricsAddress returns where metrics and health are served.
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -87,8 +87,8 @@
 		`$.seeds[1]: is 5, expected a string`, `$.seeds[2]: is "host:7", expected a specified IP address and a port, as in 127.0.0.1:8080`),
 	Entry("shared listener", settings.Entry, document(settings.Entry, map[string]any{"callerAddress": "127.0.0.1:1"}),
 		`$.peerAddress: is "127.0.0.1:1", expected an address other than that of callerAddress`),
-	Entry("a name for an IP address", settings.Agent, document(settings.Agent, map[string]any{"hostAddress": "host"}),
-		`$.hostAddress: is "host", expected an IP address, as in 127.0.0.1`),
+	Entry("a name for an IP address", settings.Agent, document(settings.Agent, map[string]any{"instanceAddress": "host"}),
+		`$.instanceAddress: is "host", expected an IP address, as in 127.0.0.1`),
 	Entry("not an object", settings.Entry, `[]`, `$: missing, expected one JSON object: it begins with another value`),
 	Entry("data after the object", settings.Entry, document(settings.Entry, nil)+`{}`, `$: missing, expected one JSON object: data follows the object`),
 	Entry("unknown role", settings.Role("x"), `{}`, `$: is x, expected role entry or agent`),
@@ -109,7 +109,7 @@
 // Guards against a process behind address translation that listens at the
 // address of the translator, or tells others an address that they can't reach.
 var _ = It("listens at the host's address and announces the other one", func() {
-	set, faults := settings.Parse([]byte(document(settings.Entry, map[string]any{"hostAddress": "127.0.1.2", "gossipAddress": "127.0.0.1:8"})), settings.Entry)
+	set, faults := settings.Parse([]byte(document(settings.Entry, map[string]any{"instanceAddress": "127.0.1.2", "gossipAddress": "127.0.0.1:8"})), settings.Entry)
 	Expect(faults).To(BeEmpty())
 	Expect([]string{set.PeerAddress(), set.PeerListenAddress(), set.GossipAddress(), set.GossipListenAddress()}).
 		To(Equal([]string{"127.0.0.1:1", "127.0.1.2:1", "127.0.0.1:8", "127.0.1.2:8"}))
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -27,54 +27,54 @@
 	specs.Run(t, "web")
 }
 
-// backend records which port was called and answers with what the test sets.
-type backend struct {
+// fixture records which port was called and answers with what the test sets.
+type fixture struct {
 	calls  int
 	answer entry.Answer
 	job    message.JobReply
 	filed  ticket.Outcome
 }
 
-func (bck *backend) Serve(context.Context, entry.Request) entry.Answer {
-	bck.calls++
-	return bck.answer
+func (fix *fixture) Serve(context.Context, entry.Request) entry.Answer {
+	fix.calls++
+	return fix.answer
 }
 
-func (bck *backend) Submit(context.Context, message.JobSpec) message.JobReply {
-	bck.calls++
-	return bck.job
+func (fix *fixture) Submit(context.Context, message.JobSpec) message.JobReply {
+	fix.calls++
+	return fix.job
 }
-func (bck *backend) Cancel(context.Context, string) message.JobReply { bck.calls++; return bck.job }
-func (bck *backend) Retry(context.Context, string) message.JobReply  { bck.calls++; return bck.job }
-func (bck *backend) Status(context.Context, string) message.JobReply { return bck.job }
+func (fix *fixture) Cancel(context.Context, string) message.JobReply { fix.calls++; return fix.job }
+func (fix *fixture) Retry(context.Context, string) message.JobReply  { fix.calls++; return fix.job }
+func (fix *fixture) Status(context.Context, string) message.JobReply { return fix.job }
 
-func (bck *backend) File(context.Context, ticket.Ticket) ticket.Outcome {
-	bck.calls++
-	return bck.filed
+func (fix *fixture) File(context.Context, ticket.Ticket) ticket.Outcome {
+	fix.calls++
+	return fix.filed
 }
-func (bck *backend) State() ticket.State         { return ticket.State{} }
-func (bck *backend) Freshness() ticket.Freshness { return ticket.Freshness{} }
-func (bck *backend) View() member.View           { return member.View{} }
+func (fix *fixture) State() ticket.State         { return ticket.State{} }
+func (fix *fixture) Freshness() ticket.Freshness { return ticket.Freshness{} }
+func (fix *fixture) View() member.View           { return member.View{} }
 
-func (bck *backend) List(context.Context, string, int) ([]audit.Entry, error) { return nil, nil }
+func (fix *fixture) List(context.Context, string, int) ([]audit.Entry, error) { return nil, nil }
 
-func (bck *backend) Job(context.Context, string) ([]string, bool)      { return nil, false }
-func (bck *backend) Instance(context.Context, string) ([]string, bool) { return nil, false }
-func (bck *backend) Ticket(context.Context, string) ([]string, bool)   { return nil, false }
+func (fix *fixture) Job(context.Context, string) ([]string, bool)      { return nil, false }
+func (fix *fixture) Instance(context.Context, string) ([]string, bool) { return nil, false }
+func (fix *fixture) Ticket(context.Context, string) ([]string, bool)   { return nil, false }
 
-func (bck *backend) handler() http.Handler {
-	return web.NewHandler(web.Ports{Requests: bck, Jobs: bck, Configuration: bck, Fleet: bck, Audit: bck, Explain: bck, Timeout: time.Second})
+func (fix *fixture) handler() http.Handler {
+	return web.NewHandler(web.Ports{Requests: fix, Jobs: fix, Configuration: fix, Fleet: fix, Audit: fix, Explain: fix, Timeout: time.Second})
 }
 
 // send returns the status and the decoded answer, which must be JSON whatever was sent.
-func send(bck *backend, method, path, body string, headers http.Header) (int, map[string]any) {
+func send(fix *fixture, method, path, body string, headers http.Header) (int, map[string]any) {
 	GinkgoHelper()
 	req := httptest.NewRequest(method, path, strings.NewReader(body))
 	for name, vals := range headers {
 		req.Header[name] = vals
 	}
 	rec := httptest.NewRecorder()
-	bck.handler().ServeHTTP(rec, req)
+	fix.handler().ServeHTTP(rec, req)
 	var answer map[string]any
 	Expect(json.Unmarshal(rec.Body.Bytes(), &answer)).To(Succeed(), rec.Body.String())
 	return rec.Code, answer
@@ -97,10 +97,10 @@
 // Guards against bad input that runs or changes something, or gets no explanation.
 var _ = DescribeTable("bad input is refused and touches nothing",
 	func(method, path, body string, headers http.Header, status int, detail string) {
-		bck := new(backend)
-		code, answer := send(bck, method, path, body, headers)
+		fix := new(fixture)
+		code, answer := send(fix, method, path, body, headers)
 		Expect(code).To(Equal(status))
-		Expect(bck.calls).To(BeZero())
+		Expect(fix.calls).To(BeZero())
 		if faults, listed := answer["faults"].([]any); listed {
 			Expect(faults).NotTo(BeEmpty())
 			return
@@ -134,7 +134,7 @@
 // Guards against an outcome that a caller reads as another one.
 var _ = DescribeTable("outcomes of requests",
 	func(ans entry.Answer, status int, name string) {
-		code, answer := send(&backend{answer: ans}, "POST", requests, "{}", nil)
+		code, answer := send(&fixture{answer: ans}, "POST", requests, "{}", nil)
 		Expect(code).To(Equal(status))
 		Expect(answer["outcome"]).To(Equal(name))
 	},
@@ -145,7 +145,7 @@
 
 var _ = DescribeTable("outcomes of jobs",
 	func(rep message.JobReply, status int) {
-		code, _ := send(&backend{job: rep}, "POST", jobs, "{}", nil)
+		code, _ := send(&fixture{job: rep}, "POST", jobs, "{}", nil)
 		Expect(code).To(Equal(status))
 	},
 	Entry("accepted", message.JobReply{Outcome: "answered"}, 200),
@@ -161,7 +161,7 @@
 var _ = DescribeTable("outcomes of tickets",
 	func(out ticket.Outcome, status int) {
 		body := `{"author":"a","reason":"r","changes":[{"kind":"endpoint","name":"x","baseVersion":0,"state":{"draining":true}}]}`
-		code, answer := send(&backend{filed: out}, "PUT", tickets, body, nil)
+		code, answer := send(&fixture{filed: out}, "PUT", tickets, body, nil)
 		Expect(code).To(Equal(status), "%v", answer)
 		Expect(answer["outcome"]).To(Equal(out.Kind().String()))
 	},
@@ -186,7 +186,7 @@
 		req.Header["Jacinthpost-Timeout-Millis"] = []string{timeout}
 		req.Header["Idempotency-Key"] = []string{key}
 		rec := httptest.NewRecorder()
-		new(backend).handler().ServeHTTP(rec, req)
+		new(fixture).handler().ServeHTTP(rec, req)
 		if rec.Header().Get("Content-Type") == "application/json" && !json.Valid(rec.Body.Bytes()) {
 			t.Fatalf("status %d with a broken body %q", rec.Code, rec.Body.String())
 		}
