--- a/core/dispatch/census.go
+++ b/core/dispatch/census.go
@@ -19,15 +19,15 @@
 	at   time.Time
 }
 
-// grain returns the amounts below which changes are not reported to the census.
+// granularity returns the amounts below which changes are not reported to the census.
 // The parts of all processes together stay below one part in 400 of the fleet.
-func (dsp *Dispatcher[P]) grain() resource.Vector {
-	return dsp.sched.FleetCapacity().Over(quota.GrainParts * dsp.owners())
+func (dsp *Dispatcher[P]) granularity() resource.Vector {
+	return dsp.sched.FleetCapacity().Over(quota.GranularityParts * dsp.owners())
 }
 
 // Report returns what the teams hold through this process for the census, what
-// has changed since the last report unless it is complete, and the grain of changes.
-func (dsp *Dispatcher[P]) Report(now time.Time) (complete bool, uses []quota.Use, grain resource.Vector) {
+// has changed since the last report unless it is complete, and the granularity of changes.
+func (dsp *Dispatcher[P]) Report(now time.Time) (complete bool, uses []quota.Use, granularity resource.Vector) {
 	var all []quota.Use
 	for _, name := range dsp.sched.Teams() {
 		if now.Sub(dsp.wants[name].at) > wantLife {
@@ -41,8 +41,8 @@
 			all = append(all, use)
 		}
 	}
-	complete, uses = dsp.reporter.Report(all, dsp.grain())
-	return complete, uses, dsp.sched.FleetCapacity().Over(quota.GrainParts)
+	complete, uses = dsp.reporter.Report(all, dsp.granularity())
+	return complete, uses, dsp.sched.FleetCapacity().Over(quota.GranularityParts)
 }
 
 // Owns reports whether the process has partitions, so that it takes part in the census.
--- a/core/dispatch/census_test.go
+++ b/core/dispatch/census_test.go
@@ -48,12 +48,12 @@
 }
 
 func (own *owners) report(num int, wld *world) {
-	complete, uses, grain := wld.dsp.Report(wld.now)
+	complete, uses, granularity := wld.dsp.Report(wld.now)
 	if own.census == nil {
 		wld.dsp.ReportLost()
 		return
 	}
-	ans := own.census.Report(fleet.NewProcess(fleet.InstanceID(fmt.Sprint("owner-", num)), 1), complete, uses, grain, wld.now)
+	ans := own.census.Report(fleet.NewProcess(fleet.InstanceID(fmt.Sprint("owner-", num)), 1), complete, uses, granularity, wld.now)
 	own.told += len(uses) + len(ans.Allotments())
 	if own.lost > 0 {
 		own.lost--
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -73,7 +73,7 @@
 	now        time.Time // of the latest event
 	partitions int
 	list       []job.Instance
-	seats      map[fleet.InstanceID]*seat
+	instances  map[fleet.InstanceID]*instanceView
 	centres    []*centre // by name
 	cursor     int       // where the next relaxation of hints begins
 	relaxed    time.Time
@@ -97,7 +97,7 @@
 	shares     []Share // by team
 	teams      names[fleet.Team]
 	classes    names[fleet.JobClass]
-	shunned    map[pairing]time.Time // until when a class is not placed on an instance
+	excluded   map[pairing]time.Time // until when a class is not placed on an instance
 	jobs       tracked[string]
 	parked     tracked[place.TaskID]
 	left       tracked[fleet.InstanceID]
@@ -106,7 +106,7 @@
 
 // hold is the commitment of one task to an instance.
 type hold struct {
-	seat     *seat
+	view     *instanceView
 	class    fleet.JobClass
 	size     resource.Vector
 	part     int
@@ -124,17 +124,17 @@
 func New[P place.Policy](pol P, seed uint64, partitions int) *Dispatcher[P] {
 	return &Dispatcher[P]{
 		sched: place.NewScheduler(pol, seed), partitions: partitions,
-		seats:  make(map[fleet.InstanceID]*seat),
-		holds:  make(map[place.TaskID]*hold),
-		parts:  make(map[int]*Part[P]),
-		misses: make(map[job.Lane]int), demands: make(map[string]*demand), wants: make(map[fleet.Team]want), runTimes: make(map[fleet.JobClass]time.Duration), shunned: make(map[pairing]time.Time),
+		instances: make(map[fleet.InstanceID]*instanceView),
+		holds:     make(map[place.TaskID]*hold),
+		parts:     make(map[int]*Part[P]),
+		misses:    make(map[job.Lane]int), demands: make(map[string]*demand), wants: make(map[fleet.Team]want), runTimes: make(map[fleet.JobClass]time.Duration), excluded: make(map[pairing]time.Time),
 	}
 }
 
 // Committed returns what the tasks committed by this process reserve on an instance.
 func (dsp *Dispatcher[P]) Committed(id fleet.InstanceID) resource.Vector {
-	if sea := dsp.seats[id]; sea != nil {
-		return sea.pending.Plus(sea.accepted)
+	if viw := dsp.instances[id]; viw != nil {
+		return viw.pending.Plus(viw.accepted)
 	}
 	return resource.Vector{}
 }
@@ -191,58 +191,58 @@
 // commit takes in an offer, or a task found running after a takeover, which its
 // agent has accepted and whose size is the declared one until Resized tells.
 func (dsp *Dispatcher[P]) commit(tsk job.Task, id fleet.InstanceID, part int) bool {
-	sea := dsp.seats[id]
+	viw := dsp.instances[id]
 	req := dsp.request(tsk)
 	off, offered := dsp.chosen, dsp.chosen.Task().ID() == req.ID() && dsp.chosen.Instance() == id
 	if !offered {
 		off = place.NewOffer(req, id, tsk.Spec().Resources())
 	}
 	dsp.chosen = place.Offer{}
-	if sea == nil || !dsp.sched.Commit(off, dsp.now) {
+	if viw == nil || !dsp.sched.Commit(off, dsp.now) {
 		return false
 	}
-	hol := &hold{seat: sea, class: req.Class(), size: off.Size(), part: part, ref: tsk.Ref(), since: dsp.now,
+	hol := &hold{view: viw, class: req.Class(), size: off.Size(), part: part, ref: tsk.Ref(), since: dsp.now,
 		whole: offered && tsk.Checkpoint() == "", demand: demandKey(req, laneOf(tsk.Spec())), team: req.Team()}
 	dsp.holds[req.ID()] = hol
-	sea.pending = sea.pending.Plus(hol.size)
-	sea.centre.used += hol.size.MilliCPU()
+	viw.pending = viw.pending.Plus(hol.size)
+	viw.centre.used += hol.size.MilliCPU()
 	dsp.track(string(tsk.Ref().Job()))
 	if !offered {
-		dsp.accept(req.ID(), hol, dsp.reported(sea).Minus(hol.size))
+		dsp.accept(req.ID(), hol, dsp.reported(viw).Minus(hol.size))
 	}
 	return true
 }
 
 // accept notes that the agent has reserved the amounts; free is what it has left.
 func (dsp *Dispatcher[P]) accept(id place.TaskID, hol *hold, free resource.Vector) {
-	sea := hol.seat
+	viw := hol.view
 	hol.accepted = true
 	dsp.met(hol.demand)
 	delete(dsp.wants, hol.team)
-	sea.pending, sea.accepted = sea.pending.Minus(hol.size), sea.accepted.Plus(hol.size)
-	dsp.sched.Accepted(id, sea.clamp(free))
+	viw.pending, viw.accepted = viw.pending.Minus(hol.size), viw.accepted.Plus(hol.size)
+	dsp.sched.Accepted(id, viw.clamp(free))
 }
 
 // release ends the bookkeeping of a commitment that the scheduler has taken off.
 func (dsp *Dispatcher[P]) release(id place.TaskID, hol *hold) {
 	delete(dsp.holds, id)
-	sea := hol.seat
+	viw := hol.view
 	if hol.accepted {
-		sea.accepted = sea.accepted.Minus(hol.size)
+		viw.accepted = viw.accepted.Minus(hol.size)
 	} else {
-		sea.pending = sea.pending.Minus(hol.size)
+		viw.pending = viw.pending.Minus(hol.size)
 	}
-	sea.centre.used -= hol.size.MilliCPU()
-	if !sea.present && sea.idle() {
-		delete(dsp.seats, sea.hint.ID())
+	viw.centre.used -= hol.size.MilliCPU()
+	if !viw.present && viw.idle() {
+		delete(dsp.instances, viw.hint.ID())
 	}
-	dsp.check(sea)
+	dsp.check(viw)
 }
 
-func (dsp *Dispatcher[P]) check(sea *seat) {
-	if !sea.pending.Valid() || !sea.accepted.Valid() || sea.centre.used < 0 {
+func (dsp *Dispatcher[P]) check(viw *instanceView) {
+	if !viw.pending.Valid() || !viw.accepted.Valid() || viw.centre.used < 0 {
 		panic(fmt.Sprintf("dispatch: instance %s has %v pending, %v accepted, centre %s uses %d",
-			sea.hint.ID(), sea.pending, sea.accepted, sea.centre.name, sea.centre.used))
+			viw.hint.ID(), viw.pending, viw.accepted, viw.centre.name, viw.centre.used))
 	}
 }
 
--- a/core/dispatch/explain.go
+++ b/core/dispatch/explain.go
@@ -67,13 +67,13 @@
 
 // ExplainInstance returns what was decided about an instance.
 func (dsp *Dispatcher[P]) ExplainInstance(id fleet.InstanceID) []string {
-	sea := dsp.seats[id]
-	if sea == nil {
+	viw := dsp.instances[id]
+	if viw == nil {
 		return []string{fmt.Sprintf("instance %s is not known to this owner", id)}
 	}
 	line := fmt.Sprintf("owner's view of %s: capacity %v; committed by this owner %v, of which %v is not answered; believed free %v",
-		id, sea.hint.Capacity(), dsp.Committed(id), sea.pending, dsp.reported(sea).Minus(sea.pending))
-	if cen := sea.centre; cen.closed {
+		id, viw.hint.Capacity(), dsp.Committed(id), viw.pending, dsp.reported(viw).Minus(viw.pending))
+	if cen := viw.centre; cen.closed {
 		line += fmt.Sprintf("; data centre %s takes no task now", cen.name)
 		if !cen.ramp.IsZero() {
 			line += fmt.Sprintf(", it returned at %s and takes up to its whole capacity over %v", cen.ramp.UTC().Format(timeFormat), RampPeriod)
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -25,8 +25,8 @@
 	relaxLimit  = 16
 )
 
-// seat is what the dispatcher keeps of an instance.
-type seat struct {
+// instanceView is what the dispatcher keeps of an instance.
+type instanceView struct {
 	hint     job.Instance
 	centre   *centre
 	pending  resource.Vector // offered and not answered
@@ -36,17 +36,17 @@
 	drained  string
 }
 
-func (sea *seat) idle() bool {
-	return sea.pending == resource.Vector{} && sea.accepted == resource.Vector{}
+func (viw *instanceView) idle() bool {
+	return viw.pending == resource.Vector{} && viw.accepted == resource.Vector{}
 }
 
 // room returns the capacity less what this process has placed there.
-func (sea *seat) room() resource.Vector { return sea.hint.Capacity().Minus(sea.accepted) }
+func (viw *instanceView) room() resource.Vector { return viw.hint.Capacity().Minus(viw.accepted) }
 
 // clamp bounds free amounts that an agent reported. They can be newer than the
 // end of a task that this process still counts.
-func (sea *seat) clamp(free resource.Vector) resource.Vector {
-	room := sea.room()
+func (viw *instanceView) clamp(free resource.Vector) resource.Vector {
+	room := viw.room()
 	return resource.New(min(free.MilliCPU(), room.MilliCPU()), min(free.MemoryMB(), room.MemoryMB()), min(free.Accelerators(), room.Accelerators()))
 }
 
@@ -93,7 +93,7 @@
 		cen.capacity = 0
 	}
 	for _, ins := range list {
-		dsp.seats[ins.ID()].centre.capacity += ins.Capacity().MilliCPU()
+		dsp.instances[ins.ID()].centre.capacity += ins.Capacity().MilliCPU()
 	}
 	dsp.centres = slices.DeleteFunc(dsp.centres, func(cen *centre) bool { return cen.capacity == 0 && cen.used == 0 && !cen.out && !cen.closed })
 	dsp.cursor = 0
@@ -103,22 +103,22 @@
 
 // join takes in an instance that is new or may have changed.
 func (dsp *Dispatcher[P]) join(ins job.Instance) {
-	sea := dsp.seats[ins.ID()]
-	if sea == nil {
-		sea = &seat{}
-		dsp.seats[ins.ID()] = sea
+	viw := dsp.instances[ins.ID()]
+	if viw == nil {
+		viw = &instanceView{}
+		dsp.instances[ins.ID()] = viw
 	}
-	changed := !sea.present || sea.hint.Capacity() != ins.Capacity() || sea.hint.Location() != ins.Location() ||
-		sea.hint.Service() != ins.Service()
-	sea.hint, sea.present = ins, true
+	changed := !viw.present || viw.hint.Capacity() != ins.Capacity() || viw.hint.Location() != ins.Location() ||
+		viw.hint.Service() != ins.Service()
+	viw.hint, viw.present = ins, true
 	if changed {
-		dsp.move(sea, dsp.centre(ins.Location().DataCentre()))
+		dsp.move(viw, dsp.centre(ins.Location().DataCentre()))
 		dsp.sched.Change(place.NewInstance(ins.ID(), ins.Location(), ins.Capacity(), ins.Capacity(), services(ins)...), dsp.now)
-		sea.drained, sea.hintedAt = "", dsp.now
+		viw.drained, viw.hintedAt = "", dsp.now
 	}
 	drained := drainReasons[ins.Health()]
-	if drained != sea.drained {
-		sea.drained = drained
+	if drained != viw.drained {
+		viw.drained = drained
 		dsp.sched.Drain(ins.ID(), drained, dsp.now)
 	}
 }
@@ -137,24 +137,24 @@
 }
 
 // move counts the commitments on an instance in another data centre.
-func (dsp *Dispatcher[P]) move(sea *seat, cen *centre) {
-	used := sea.pending.Plus(sea.accepted).MilliCPU()
-	if sea.centre != nil {
-		sea.centre.used -= used
+func (dsp *Dispatcher[P]) move(viw *instanceView, cen *centre) {
+	used := viw.pending.Plus(viw.accepted).MilliCPU()
+	if viw.centre != nil {
+		viw.centre.used -= used
 	}
 	cen.used += used
-	sea.centre = cen
+	viw.centre = cen
 }
 
 func (dsp *Dispatcher[P]) leave(id fleet.InstanceID) {
-	sea := dsp.seats[id]
-	sea.present = false
+	viw := dsp.instances[id]
+	viw.present = false
 	dsp.sched.Leave(id)
-	if sea.idle() {
-		delete(dsp.seats, id)
+	if viw.idle() {
+		delete(dsp.instances, id)
 	}
 	dsp.left.add(id, trackedLimit, func(old fleet.InstanceID) bool {
-		if dsp.seats[old] == nil {
+		if dsp.instances[old] == nil {
 			dsp.sched.Knowledge().Blame().Leave(old)
 		}
 		return true
@@ -231,20 +231,20 @@
 // answered takes in the answer to an offer. An offer that was refused has been withdrawn before.
 func (dsp *Dispatcher[P]) answered(ans job.Answer, now time.Time) {
 	dsp.now = now
-	id, sea := taskID(ans.Ref()), dsp.seats[ans.From()]
-	if sea == nil {
+	id, viw := taskID(ans.Ref()), dsp.instances[ans.From()]
+	if viw == nil {
 		return
 	}
-	sea.hintedAt = now
-	if hol := dsp.holds[id]; ans.Accepted() && hol != nil && hol.seat == sea && !hol.accepted {
+	viw.hintedAt = now
+	if hol := dsp.holds[id]; ans.Accepted() && hol != nil && hol.view == viw && !hol.accepted {
 		dsp.accept(id, hol, ans.Free())
 		if ans.Idle() {
-			dsp.Idle(sea.hint.Service(), hol.class, now)
+			dsp.Idle(viw.hint.Service(), hol.class, now)
 		}
 		return
 	}
 	if !ans.Failed() {
-		dsp.sched.Hint(ans.From(), sea.clamp(ans.Free()))
+		dsp.sched.Hint(ans.From(), viw.clamp(ans.Free()))
 	}
 	if !ans.Accepted() {
 		dsp.refused(ans, id, now)
@@ -264,11 +264,11 @@
 }
 
 // reported returns the free amounts before the offers in flight are taken off.
-func (dsp *Dispatcher[P]) reported(sea *seat) resource.Vector {
-	if hos := dsp.sched.Hosts().Find(sea.hint.ID()); hos != nil {
-		return hos.Free().Plus(sea.pending)
+func (dsp *Dispatcher[P]) reported(viw *instanceView) resource.Vector {
+	if hos := dsp.sched.Hosts().Find(viw.hint.ID()); hos != nil {
+		return hos.Free().Plus(viw.pending)
 	}
-	return sea.room()
+	return viw.room()
 }
 
 // relax raises old hints to what this process knows to be free.
@@ -280,12 +280,12 @@
 	raised := 0
 	for range dsp.list {
 		dsp.cursor = (dsp.cursor + 1) % len(dsp.list)
-		sea := dsp.seats[dsp.list[dsp.cursor].ID()]
-		if dsp.now.Sub(sea.hintedAt) < relaxPeriod || dsp.reported(sea) == sea.room() {
+		viw := dsp.instances[dsp.list[dsp.cursor].ID()]
+		if dsp.now.Sub(viw.hintedAt) < relaxPeriod || dsp.reported(viw) == viw.room() {
 			continue
 		}
-		sea.hintedAt = dsp.now
-		dsp.sched.Hint(sea.hint.ID(), sea.room())
+		viw.hintedAt = dsp.now
+		dsp.sched.Hint(viw.hint.ID(), viw.room())
 		if raised++; raised >= relaxLimit {
 			return
 		}
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -46,7 +46,7 @@
 	if hol == nil {
 		return tsk.Spec().Resources(), 0, 0
 	}
-	if svc := hol.seat.hint.Service(); svc != "" {
+	if svc := hol.view.hint.Service(); svc != "" {
 		est := dsp.sched.Knowledge().Pairings().Find(svc, hol.class).Estimate()
 		cost, weight = est.Cost(), est.Weight()
 	}
@@ -56,18 +56,18 @@
 // resized takes in what the agent has committed to a task.
 func (dsp *Dispatcher[P]) resized(id place.TaskID, size resource.Vector, now time.Time) {
 	hol := dsp.holds[id]
-	if hol == nil || !hol.accepted || !size.Valid() || hol.size == size || !size.FitsIn(hol.seat.hint.Capacity()) {
+	if hol == nil || !hol.accepted || !size.Valid() || hol.size == size || !size.FitsIn(hol.view.hint.Capacity()) {
 		return
 	}
 	dsp.now = now
 	if _, placed := dsp.sched.Resize(id, size); !placed {
 		return
 	}
-	sea := hol.seat
-	sea.accepted = sea.accepted.Minus(hol.size).Plus(size)
-	sea.centre.used += size.MilliCPU() - hol.size.MilliCPU()
+	viw := hol.view
+	viw.accepted = viw.accepted.Minus(hol.size).Plus(size)
+	viw.centre.used += size.MilliCPU() - hol.size.MilliCPU()
 	hol.size = size
-	dsp.check(sea)
+	dsp.check(viw)
 }
 
 // floors remembers the memory that tasks have used which have to run again.
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -113,8 +113,8 @@
 	if dem == nil || !dsp.now.Before(dem.roomEnd) || dsp.now.Sub(dem.roomTried) < roomTryPeriod {
 		return
 	}
-	if sea := dsp.seats[dem.room]; sea != nil {
+	if viw := dsp.instances[dem.room]; viw != nil {
 		dem.roomTried = dsp.now
-		dsp.sched.Hint(dem.room, sea.clamp(dsp.reported(sea).Max(req.Declared().Plus(sea.pending))))
+		dsp.sched.Hint(dem.room, viw.clamp(dsp.reported(viw).Max(req.Declared().Plus(viw.pending))))
 	}
 }
--- a/core/dispatch/verdict.go
+++ b/core/dispatch/verdict.go
@@ -45,7 +45,7 @@
 		}
 	}
 	if end.Evicted() && (hol == nil || !hol.evicted) {
-		dsp.shun(req.Class(), ins)
+		dsp.exclude(req.Class(), ins)
 	}
 	if end.Kind() == job.EndNotStarted {
 		dsp.sched.Rest(ins)
--- a/core/job/export_test.go
+++ b/core/job/export_test.go
@@ -10,7 +10,7 @@
 func Clone(par *Partition[*Simple]) *Partition[*Simple] {
 	cpy := *par
 	sim := *par.placement
-	sim.seats, sim.byID = slices.Clone(sim.seats), maps.Clone(sim.byID)
+	sim.instances, sim.byID = slices.Clone(sim.instances), maps.Clone(sim.byID)
 	cpy.placement, cpy.jobs, cpy.order = &sim, make(map[ID]*entry), nil
 	cpy.instances, cpy.out, cpy.groups = maps.Clone(par.instances), maps.Clone(par.out), maps.Clone(par.groups)
 	cpy.queue, cpy.active, cpy.delayed = newLanes(compareTasks), nil, nil
@@ -56,8 +56,8 @@
 		grp := par.groups[ins]
 		buf = Put(append(buf, ins...), int64(grp.set.Count()), int64(grp.set.Digest()), int64(grp.after), grp.renewedAt.UnixNano(), grp.checkAt.UnixNano())
 	}
-	for _, sea := range par.placement.seats {
-		buf = Put(buf, sea.free.MilliCPU(), sea.committed.MilliCPU(), sea.freeAt.UnixNano(), sea.pausedTo.UnixNano())
+	for _, viw := range par.placement.instances {
+		buf = Put(buf, viw.free.MilliCPU(), viw.committed.MilliCPU(), viw.freeAt.UnixNano(), viw.pausedTo.UnixNano())
 	}
 	return buf
 }
--- a/core/job/simple.go
+++ b/core/job/simple.go
@@ -35,15 +35,15 @@
 // submission; the least committed instance that fits and has not refused just
 // now; a task is set aside after maxFailures failures. The zero value works.
 type Simple struct {
-	seats   []seat
-	byID    map[fleet.InstanceID]int
-	largest resource.Vector
+	instances []instanceView
+	byID      map[fleet.InstanceID]int
+	largest   resource.Vector
 }
 
 var _ Placement = (*Simple)(nil)
 
-// seat is what the placement knows about an instance.
-type seat struct {
+// instanceView is what the placement knows about an instance.
+type instanceView struct {
 	hint      Instance
 	committed resource.Vector // offers and assignments of this owner
 	free      resource.Vector // as last reported, less what was committed since
@@ -54,28 +54,28 @@
 
 // Observe implements Placement.
 func (sim *Simple) Observe(list []Instance, _ time.Time) {
-	seats := make([]seat, 0, len(list))
+	instances := make([]instanceView, 0, len(list))
 	byID := make(map[fleet.InstanceID]int, len(list))
 	sim.largest = resource.Vector{}
 	for _, ins := range list {
-		sea := seat{hint: ins}
+		viw := instanceView{hint: ins}
 		if pos, known := sim.byID[ins.ID()]; known {
-			sea = sim.seats[pos]
-			sea.hint = ins
+			viw = sim.instances[pos]
+			viw.hint = ins
 		}
-		byID[ins.ID()] = len(seats)
-		seats = append(seats, sea)
+		byID[ins.ID()] = len(instances)
+		instances = append(instances, viw)
 		sim.largest = sim.largest.Max(ins.capacity)
 	}
-	sim.seats, sim.byID = seats, byID
+	sim.instances, sim.byID = instances, byID
 }
 
 // Admits implements Placement. While no instance is known, every size is admitted.
 func (sim *Simple) Admits(spc Spec) (bool, resource.Vector) {
-	if len(sim.seats) == 0 {
+	if len(sim.instances) == 0 {
 		return true, resource.Vector{}
 	}
-	fits := slices.ContainsFunc(sim.seats, func(sea seat) bool { return spc.resources.FitsIn(sea.hint.capacity) })
+	fits := slices.ContainsFunc(sim.instances, func(viw instanceView) bool { return spc.resources.FitsIn(viw.hint.capacity) })
 	return fits, sim.largest
 }
 
@@ -97,18 +97,18 @@
 func (sim *Simple) Choose(tsk Task, starts func(fleet.DataCentre) bool, now time.Time) (fleet.InstanceID, bool) {
 	best, bestLoad := -1, int64(0)
 	first := sim.first(tsk)
-	for step := range sim.seats {
-		pos := (first + step) % len(sim.seats)
-		sea := &sim.seats[pos]
-		free := sea.estimate(now)
-		if !tsk.spec.resources.FitsIn(free) || !sea.takes(tsk, now) {
+	for step := range sim.instances {
+		pos := (first + step) % len(sim.instances)
+		viw := &sim.instances[pos]
+		free := viw.estimate(now)
+		if !tsk.spec.resources.FitsIn(free) || !viw.takes(tsk, now) {
 			continue
 		}
-		load := sea.load(free)
-		if tsk.last == sea.hint.ID() && tsk.counters.failures > 0 {
+		load := viw.load(free)
+		if tsk.last == viw.hint.ID() && tsk.counters.failures > 0 {
 			load += 1000 // tries another instance after a failure
 		}
-		if best >= 0 && load >= bestLoad || !starts(sea.hint.location.DataCentre()) {
+		if best >= 0 && load >= bestLoad || !starts(viw.hint.location.DataCentre()) {
 			continue
 		}
 		best, bestLoad = pos, load
@@ -116,76 +116,76 @@
 	if best < 0 {
 		return "", false
 	}
-	return sim.seats[best].hint.ID(), true
+	return sim.instances[best].hint.ID(), true
 }
 
-// first returns the seat that wins among equals. It differs between tasks, so
+// first returns the instance that wins among equals. It differs between tasks, so
 // that the owners of many partitions do not all choose the same instance.
 func (sim *Simple) first(tsk Task) int {
-	if len(sim.seats) == 0 {
+	if len(sim.instances) == 0 {
 		return 0
 	}
-	return int((xxhash.Sum64String(string(tsk.ref.job)) + uint64(tsk.ref.index)) % uint64(len(sim.seats)))
+	return int((xxhash.Sum64String(string(tsk.ref.job)) + uint64(tsk.ref.index)) % uint64(len(sim.instances)))
 }
 
 // takes reports whether an offer of the task has a chance.
-func (sea *seat) takes(tsk Task, now time.Time) bool {
-	return sea.hint.health == Alive && !now.Before(sea.pausedTo) &&
-		(tsk.spec.service == "" || tsk.spec.service == sea.hint.service)
+func (viw *instanceView) takes(tsk Task, now time.Time) bool {
+	return viw.hint.health == Alive && !now.Before(viw.pausedTo) &&
+		(tsk.spec.service == "" || tsk.spec.service == viw.hint.service)
 }
 
 // load returns the committed share of the processors in thousandths.
-func (sea *seat) load(free resource.Vector) int64 {
-	total := max(sea.hint.capacity.MilliCPU(), 1)
+func (viw *instanceView) load(free resource.Vector) int64 {
+	total := max(viw.hint.capacity.MilliCPU(), 1)
 	return (total - free.MilliCPU()) * 1000 / total
 }
 
 // estimate returns the free resources by the last report or, when that is too
 // old, by what this owner has committed.
-func (sea *seat) estimate(now time.Time) resource.Vector {
-	if now.Sub(sea.freeAt) < hintLifetime {
-		return sea.free
+func (viw *instanceView) estimate(now time.Time) resource.Vector {
+	if now.Sub(viw.freeAt) < hintLifetime {
+		return viw.free
 	}
-	return sea.hint.capacity.Minus(sea.committed)
+	return viw.hint.capacity.Minus(viw.committed)
 }
 
-func (sim *Simple) seat(ins fleet.InstanceID) *seat {
+func (sim *Simple) view(ins fleet.InstanceID) *instanceView {
 	pos, known := sim.byID[ins]
 	if !known {
 		return nil
 	}
-	return &sim.seats[pos]
+	return &sim.instances[pos]
 }
 
 // Committed implements Placement.
 func (sim *Simple) Committed(tsk Task, ins fleet.InstanceID) {
-	if sea := sim.seat(ins); sea != nil {
-		sea.tasks++
-		sea.committed = sea.committed.Plus(tsk.spec.resources)
-		sea.free = sea.free.Minus(tsk.spec.resources)
+	if viw := sim.view(ins); viw != nil {
+		viw.tasks++
+		viw.committed = viw.committed.Plus(tsk.spec.resources)
+		viw.free = viw.free.Minus(tsk.spec.resources)
 	}
 }
 
 // Withdrawn implements Placement.
 func (sim *Simple) Withdrawn(tsk Task, ins fleet.InstanceID) {
-	if sea := sim.seat(ins); sea != nil && sea.tasks > 0 {
-		sea.tasks--
-		sea.committed = sea.committed.Minus(tsk.spec.resources)
-		sea.free = sea.free.Plus(tsk.spec.resources)
+	if viw := sim.view(ins); viw != nil && viw.tasks > 0 {
+		viw.tasks--
+		viw.committed = viw.committed.Minus(tsk.spec.resources)
+		viw.free = viw.free.Plus(tsk.spec.resources)
 	}
 }
 
 // Answered implements Placement.
 func (sim *Simple) Answered(ans Answer, now time.Time) {
-	sea := sim.seat(ans.from)
-	if sea == nil {
+	viw := sim.view(ans.from)
+	if viw == nil {
 		return
 	}
 	if !ans.failed {
-		sea.free, sea.freeAt = ans.free, now
+		viw.free, viw.freeAt = ans.free, now
 	}
 	if !ans.accepted {
-		sea.pausedTo = now.Add(refusalPause)
+		viw.pausedTo = now.Add(refusalPause)
 	}
 }
 
--- a/core/quota/census.go
+++ b/core/quota/census.go
@@ -20,9 +20,9 @@
 	// SettlePeriod is how long a new census only listens. All processes have
 	// reported by then, unless their tasks have passed to others.
 	SettlePeriod = 3 * ReportPeriod
-	// GrainParts is the part of the fleet below which changes are not told, which
+	// GranularityParts is the part of the fleet below which changes are not told, which
 	// keeps the messages small.
-	GrainParts = 400
+	GranularityParts = 400
 )
 
 // Use is what a team holds through one process.
@@ -152,8 +152,8 @@
 }
 
 // Report takes in the uses of a process that have changed, or all of them when
-// complete, and answers with what concerns its teams. Changes below the grain are not told.
-func (cen *Census) Report(from fleet.Process, complete bool, uses []Use, grain resource.Vector, now time.Time) Answer {
+// complete, and answers with what concerns its teams. Changes below the granularity are not told.
+func (cen *Census) Report(from fleet.Process, complete bool, uses []Use, granularity resource.Vector, now time.Time) Answer {
 	if cen.reports == nil {
 		cen.since, cen.reports, cen.totals = now, make(map[fleet.InstanceID]*report), make(map[fleet.Team]*total)
 	}
@@ -177,7 +177,7 @@
 	if now.Sub(cen.since) < SettlePeriod {
 		return Answer{known: true}
 	}
-	return Answer{known: true, settled: true, allotments: cen.allot(rep, grain)}
+	return Answer{known: true, settled: true, allotments: cen.allot(rep, granularity)}
 }
 
 func (cen *Census) expire(now time.Time) {
@@ -217,7 +217,7 @@
 }
 
 // allot returns what a process has to be told.
-func (cen *Census) allot(rep *report, grain resource.Vector) []Allotment {
+func (cen *Census) allot(rep *report, granularity resource.Vector) []Allotment {
 	var list []Allotment
 	for _, name := range sortedTeams(rep.uses) {
 		use := rep.uses[name]
@@ -229,7 +229,7 @@
 			cen.set(rep, use)
 		}
 		old, told := rep.told[name]
-		if told && limit == alm.limit && near(old.elsewhere, alm.elsewhere, grain) {
+		if told && limit == alm.limit && near(old.elsewhere, alm.elsewhere, granularity) {
 			continue
 		}
 		rep.told[name] = alm
@@ -265,15 +265,15 @@
 }
 
 // similar reports whether a use need not be reported again.
-func (use Use) similar(oth Use, grain resource.Vector) bool {
+func (use Use) similar(oth Use, granularity resource.Vector) bool {
 	waits := (use.want == resource.Vector{}) == (oth.want == resource.Vector{})
 	if use.bound != (resource.Vector{}) {
 		waits = use.want == oth.want
 	}
-	return waits && use.bound == oth.bound && use.limit == oth.limit && near(use.amounts, oth.amounts, grain)
+	return waits && use.bound == oth.bound && use.limit == oth.limit && near(use.amounts, oth.amounts, granularity)
 }
 
-// near reports whether two amounts differ by at most the grain.
-func near(one, two, grain resource.Vector) bool {
-	return one.Minus(two).FitsIn(grain) && two.Minus(one).FitsIn(grain)
+// near reports whether two amounts differ by at most the granularity.
+func near(one, two, granularity resource.Vector) bool {
+	return one.Minus(two).FitsIn(granularity) && two.Minus(one).FitsIn(granularity)
 }
--- a/core/quota/reporter.go
+++ b/core/quota/reporter.go
@@ -27,8 +27,8 @@
 }
 
 // Report returns what has to be sent, given all uses of this process, and
-// whether it is complete. Changes below the grain are left out.
-func (rpr *Reporter) Report(uses []Use, grain resource.Vector) (complete bool, changed []Use) {
+// whether it is complete. Changes below the granularity are left out.
+func (rpr *Reporter) Report(uses []Use, granularity resource.Vector) (complete bool, changed []Use) {
 	complete = !rpr.known
 	if complete {
 		rpr.sent = make(map[fleet.Team]Use)
@@ -37,7 +37,7 @@
 	for _, use := range uses {
 		present[use.team] = true
 		old, sent := rpr.sent[use.team]
-		if !sent || !old.similar(use, grain) {
+		if !sent || !old.similar(use, granularity) {
 			changed = append(changed, use)
 		}
 	}
--- a/io/guard/tell.go
+++ b/io/guard/tell.go
@@ -25,8 +25,8 @@
 )
 
 var (
-	lessonsSent   = metrics.NewCounter("jacinthpost_interference_messages_total")
-	lessonsFailed = metrics.NewCounter("jacinthpost_interference_failed_messages_total")
+	reportsSent   = metrics.NewCounter("jacinthpost_interference_messages_total")
+	reportsFailed = metrics.NewCounter("jacinthpost_interference_failed_messages_total")
 )
 
 // Caller is the port to the net/rpc methods of the owners.
@@ -126,10 +126,10 @@
 		ctx, cancel := context.WithTimeout(grd.owners.base, tellLimit)
 		defer cancel()
 		if err := grd.owners.caller.Call(ctx, nws.to, "Owner.Learn", &args, &message.LearnReply{}); err != nil {
-			lessonsFailed.Inc()
+			reportsFailed.Inc()
 			return
 		}
-		lessonsSent.Inc()
+		reportsSent.Inc()
 		// An error means that the process stops.
 		_ = grd.loop.Post(grd.owners.base, control.Func[agentstate.State](func(*agentstate.State, time.Time) {
 			grd.state.outbox.Received(nws.to, nws.obss)
