Set up all property tests through internal/proptest

They set seed and number of cases by hand. Change: proptest.Setup in all of them, with the same numbers of cases and the seed of the others.

--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -1,9 +1,7 @@
 package blame_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,20 +11,15 @@
 
 	"jacinthpost/core/blame"
 	"jacinthpost/core/fleet"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestBlame(t *testing.T) {
-	fixSeeds()
-	specs.Run(t, "blame")
-}
-
-// fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
-func fixSeeds() {
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	if count := os.Getenv("JACINTHPOST_SEEDS"); count != "" {
-		Expect(flag.Set("rapid.checks", count)).To(Succeed())
+	if err := proptest.Setup(100, 30); err != nil {
+		t.Fatal(err)
 	}
+	specs.Run(t, "blame")
 }
 
 var start = time.Unix(1_000, 0)
--- a/core/heap/heap_test.go
+++ b/core/heap/heap_test.go
@@ -1,8 +1,6 @@
 package heap_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 
@@ -11,20 +9,15 @@
 	"pgregory.net/rapid"
 
 	"jacinthpost/core/heap"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestHeap(t *testing.T) {
-	fixSeeds()
-	specs.Run(t, "heap")
-}
-
-// fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
-func fixSeeds() {
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	if count := os.Getenv("JACINTHPOST_SEEDS"); count != "" {
-		Expect(flag.Set("rapid.checks", count)).To(Succeed())
+	if err := proptest.Setup(100, 30); err != nil {
+		t.Fatal(err)
 	}
+	specs.Run(t, "heap")
 }
 
 type number int
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"os"
 	"reflect"
@@ -19,14 +18,14 @@
 	"pgregory.net/rapid"
 
 	"jacinthpost/core/job"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestJob(t *testing.T) {
-	Expect := NewWithT(t).Expect
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	seeds, _ := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS"))
-	Expect(flag.Set("rapid.checks", strconv.Itoa(40*max(seeds, 1)))).To(Succeed())
+	if err := proptest.Setup(40, 30); err != nil {
+		t.Fatal(err)
+	}
 	specs.Run(t, "job")
 }
 
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -1,21 +1,22 @@
 package lease_test
 
 import (
-	"flag"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"jacinthpost/core/lease"
 	"jacinthpost/core/token"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestLease(t *testing.T) {
-	NewWithT(t).Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	if err := proptest.Setup(100, 30); err != nil {
+		t.Fatal(err)
+	}
 	specs.Run(t, "lease")
 }
 
--- a/core/partition/partition_test.go
+++ b/core/partition/partition_test.go
@@ -1,10 +1,7 @@
 package partition_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -14,14 +11,14 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/partition"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestPartition(t *testing.T) {
-	Expect := NewWithT(t).Expect
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	seeds, _ := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS"))
-	Expect(flag.Set("rapid.checks", strconv.Itoa(2000*max(seeds, 1)))).To(Succeed())
+	if err := proptest.Setup(2000, 30); err != nil {
+		t.Fatal(err)
+	}
 	specs.Run(t, "partition")
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -1,9 +1,7 @@
 package place_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,20 +14,15 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/place"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestPlace(t *testing.T) {
-	fixSeeds()
-	specs.Run(t, "place")
-}
-
-// fixSeeds makes rapid repeat the same cases; JACINTHPOST_SEEDS asks for more of them.
-func fixSeeds() {
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	if count := os.Getenv("JACINTHPOST_SEEDS"); count != "" {
-		Expect(flag.Set("rapid.checks", count)).To(Succeed())
+	if err := proptest.Setup(100, 30); err != nil {
+		t.Fatal(err)
 	}
+	specs.Run(t, "place")
 }
 
 var (
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -1,11 +1,8 @@
 package ticket_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,13 +13,13 @@
 
 	"jacinthpost/core/resource"
 	"jacinthpost/core/ticket"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestTicket(t *testing.T) {
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	if seeds, err := strconv.Atoi(os.Getenv("JACINTHPOST_SEEDS")); err == nil {
-		Expect(flag.Set("rapid.checks", strconv.Itoa(100*seeds))).To(Succeed())
+	if err := proptest.Setup(100, 30); err != nil {
+		t.Fatal(err)
 	}
 	specs.Run(t, "ticket")
 }
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -1,14 +1,13 @@
 package config_test
 
 import (
-	"flag"
 	"os"
 	"strconv"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
@@ -34,7 +33,8 @@
 
 func TestConfig(t *testing.T) {
 	suite = t
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	Expect(flag.Set("rapid.checks", strconv.Itoa(30*seeds()))).To(Succeed())
+	if err := proptest.Setup(30, 30); err != nil {
+		t.Fatal(err)
+	}
 	specs.Run(t, "config")
 }
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -22,13 +21,16 @@
 	"jacinthpost/core/resource"
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 	"jacinthpost/io/control"
 	"jacinthpost/io/gossip"
 )
 
 func TestGossip(t *testing.T) {
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	if err := proptest.Setup(100, 30); err != nil {
+		t.Fatal(err)
+	}
 	specs.Run(t, "gossip")
 }
 
