Drop the answer to a quota report that comes after the process left the census

Cause: an agent that was paused lost its partitions, left the census, and then got the answer to a report from before; writing it down hit a nil map and ended the agent. Change: such an answer is dropped, and the next report is complete.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -146,3 +146,17 @@
 	arb.WakeAll()
 	Expect(serve(&arb, 1)).To(BeEmpty())
 })
+
+// Guards against a process that stops on, or trusts, an answer that arrives after
+// it has lost its last partition, as after a pause.
+var _ = It("drops the answer to a report from before it left the census", func() {
+	rpr, uses := quota.Reporter{}, []quota.Use{quota.NewUse("blue", resource.New(1000, 1, 0))}
+	_, sent := rpr.Report(uses, resource.Vector{})
+	var cen quota.Census
+	ans := cen.Report(fleet.NewProcess("owner", 1), true, sent, resource.Vector{}, time.Unix(1_000, 0))
+	rpr.Leave()
+	rpr.Answered(sent, ans)
+	complete, changed := rpr.Report(uses, resource.Vector{})
+	Expect(complete).To(BeTrue())
+	Expect(changed).To(HaveLen(1))
+})
--- a/core/quota/reporter.go
+++ b/core/quota/reporter.go
@@ -56,8 +56,12 @@
 // may hold anything before the census has answered.
 func (rpr *Reporter) Leave() { *rpr = Reporter{settled: rpr.settled} }
 
-// Answered takes in the answer to a report.
+// Answered takes in the answer to a report. One that comes after Leave says
+// nothing about what the process holds since.
 func (rpr *Reporter) Answered(sent []Use, ans Answer) {
+	if rpr.sent == nil {
+		return
+	}
 	rpr.known = ans.known
 	if !ans.known {
 		return
