Judge anew which tasks interfere before making room beside them

Cause: a task keeps the mark that it interferes from when it was placed, and the search for tasks to stop left the marks of those to be stopped in the count. A class that was unknown when its first tasks were placed, and found harmless moments later, so kept every instance closed to an urgent task of a class that is not known: no room was made, and it waited until batch work ended (8 s). Ruled out: the share of the team, the time that a task is spared, the rate limit. Change: the marks of an instance's tasks are judged anew before a plan is accepted, and those of the plan are left out. The new spec of core/dispatch fails without the change.

--- a/core/dispatch/reclaim_test.go
+++ b/core/dispatch/reclaim_test.go
@@ -86,6 +86,26 @@
 		Entry("ten tasks on 40 instances", 40, 10, fleet.Team("other")),
 	)
 
+	// Guards against room that is never made, because a class was not known to be
+	// harmless when its running tasks were placed.
+	It("starts urgent work beside tasks of a class that was not known at first", func() {
+		wld := newWorld(1, 3, 2)
+		wld.serving("svc", 0)
+		for _, ins := range wld.instances {
+			ins.busy = false
+		}
+		wld.step, wld.checkpoint = job.TickPeriod, 300*time.Millisecond
+		wld.submit(0, noisy(6), "batch")
+		wld.pass(60)
+		Expect(wld.runs("noisy", 0, 3)).To(Equal(6), "the fleet is full")
+		at, id := wld.now, wld.submit(0, build(1, 4000, time.Minute).WithTeam("other").WithUrgency(true), "urgent")
+		wld.pass(15)
+		waited, started := wld.wait(id, at)
+		Expect(started).To(BeTrue())
+		Expect(waited).To(BeNumerically("<=", urgentTarget))
+		Expect(wld.broken).To(BeEmpty())
+	})
+
 	// Guards against a wave of urgent work that stops the whole fleet, and against stopping urgent work.
 	It("bounds the evictions of a wave of urgent work", func() {
 		wld := fullWorld(20, build(1, 1000, endless).WithTeam("batch"))
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -264,16 +264,31 @@
 	if !limited || len(pln.tasks) == 0 {
 		return true
 	}
+	sch.reassess(hos)
 	for _, plc := range pln.tasks {
 		hos.use(plc.row, -plc.size.MilliCPU())
+		hos.interfering -= countIf(plc.interfering)
 	}
 	taken := acc.Accepts(hos, srh.task, srh.need, &sch.know)
 	for _, plc := range pln.tasks {
 		hos.use(plc.row, plc.size.MilliCPU())
+		hos.interfering += countIf(plc.interfering)
 	}
 	return taken
 }
 
+// reassess marks anew which running tasks of an instance interfere. What is known
+// of their classes may have changed since they were placed.
+func (sch *Scheduler[P]) reassess(hos *Host) {
+	for _, plc := range hos.placed {
+		hos.interfering -= countIf(plc.interfering)
+		hos.use(plc.row, -plc.size.MilliCPU())
+		plc.interfering = !sch.know.Pressure(hos, &plc.task, plc.size).fits()
+		hos.use(plc.row, plc.size.MilliCPU())
+		hos.interfering += countIf(plc.interfering)
+	}
+}
+
 // plan returns the tasks to stop on an instance: the cheapest single one that
 // makes enough room or else, for urgent work, several, cheapest first, without
 // those that turn out not to be needed.
