Share the timed wait and the periodic call

A wait that ends with its context stood in io/entry, io/owner (twice), io/joblog, io/node/entrynode and internal/harness, in three shapes; control.Pause replaces them. The quota report used a ticker of its own in place of control.Every, and called the granularity by another name. No change of behaviour, except that the reports of a process now fall on the wake-ups of its other periodic work.

--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 	"jacinthpost/io/message"
 	"jacinthpost/io/table/tableapi"
 )
@@ -97,7 +98,7 @@
 		if err == nil && len(ans.Job.Tasks) > 0 && !slices.ContainsFunc(ans.Job.Tasks, func(tsk message.JobTaskStatus) bool { return tsk.State != "running" }) {
 			return nil
 		}
-		if err := harness.Pause(ctx, 200*time.Millisecond); err != nil {
+		if err := control.Pause(ctx, 200*time.Millisecond); err != nil {
 			return errors.Wrapf(err, "tasks of %s do not all run", id)
 		}
 	}
@@ -136,14 +137,14 @@
 
 // observe prints the rates over an interval after the fleet has settled.
 func observe(ctx context.Context, rep *report, fle *harness.Fleet, name string, opt options) error {
-	if err := harness.Pause(ctx, settleTime); err != nil {
+	if err := control.Pause(ctx, settleTime); err != nil {
 		return err
 	}
 	one, err := takeSample(ctx, fle)
 	if err != nil {
 		return err
 	}
-	if err := harness.Pause(ctx, opt.observe); err != nil {
+	if err := control.Pause(ctx, opt.observe); err != nil {
 		return err
 	}
 	two, err := takeSample(ctx, fle)
--- a/cmd/demo/jobs.go
+++ b/cmd/demo/jobs.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 	"jacinthpost/io/message"
 )
 
@@ -43,7 +44,7 @@
 		if err == nil && ans.Outcome == "answered" && holds(ans.Job) {
 			return ans.Job, nil
 		}
-		if err := harness.Pause(ctx, pollPause); err != nil {
+		if err := control.Pause(ctx, pollPause); err != nil {
 			return ans.Job, errors.Wrapf(err, "job %s is %s", id, ans.Job.State)
 		}
 	}
@@ -167,7 +168,7 @@
 			if err == nil && sta.Head >= dem.head {
 				break
 			}
-			if err := harness.Pause(ctx, 10*time.Millisecond); err != nil {
+			if err := control.Pause(ctx, 10*time.Millisecond); err != nil {
 				return errors.Wrapf(err, "ticket %d is not in force at entry %d within %s", dem.head, num, inForce)
 			}
 		}
@@ -195,7 +196,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := harness.Pause(ctx, time.Until(out)); err != nil {
+	if err := control.Pause(ctx, time.Until(out)); err != nil {
 		return "", err
 	}
 	id, err := dem.submit(ctx, 0, spec("demo-while-out", "plan", `{"workMillis":200}`, 8))
@@ -289,7 +290,7 @@
 		if err == nil && ans.Outcome == "answered" {
 			return nil
 		}
-		if err := harness.Pause(ctx, pollPause); err != nil {
+		if err := control.Pause(ctx, pollPause); err != nil {
 			return errors.Wrapf(err, "cancel: %s %s %s", ans.Outcome, ans.Reason, ans.Detail)
 		}
 	}
--- a/cmd/demo/requests.go
+++ b/cmd/demo/requests.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 )
 
 const (
@@ -77,7 +78,7 @@
 		if err == nil && env.Outcome == "answered" {
 			return env, nil
 		}
-		if err := harness.Pause(ctx, 100*time.Millisecond); err != nil {
+		if err := control.Pause(ctx, 100*time.Millisecond); err != nil {
 			return env, err
 		}
 	}
@@ -139,7 +140,7 @@
 		return "", err
 	}
 	for !dem.fleet.Complete(ctx, 0) {
-		if err := harness.Pause(ctx, 50*time.Millisecond); err != nil {
+		if err := control.Pause(ctx, 50*time.Millisecond); err != nil {
 			return "", errors.Wrap(err, "the entry did not return")
 		}
 	}
--- a/internal/failure/config_test.go
+++ b/internal/failure/config_test.go
@@ -12,6 +12,7 @@
 
 	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 	"jacinthpost/io/table/tableapi"
 )
 
@@ -52,7 +53,7 @@
 		if opr.fileUntilKnown(ctx, sta.Head+1, chg) {
 			opr.accepted[sta.Head+1] = content
 		}
-		_ = harness.Pause(ctx, 20*time.Millisecond)
+		_ = control.Pause(ctx, 20*time.Millisecond)
 	}
 }
 
--- a/internal/failure/datacentre_test.go
+++ b/internal/failure/datacentre_test.go
@@ -10,6 +10,7 @@
 
 	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 	"jacinthpost/io/table/tableapi"
 )
 
@@ -72,7 +73,7 @@
 				spc := scene.JobSpec(fmt.Sprintf("flood %d", num), "plan", `{"workMillis":300}`, 12, 4000, 1024)
 				// A store that is down and a paused entry refuse or lose the submission.
 				_, _ = fle.Submit(ctx, num%2, spc)
-				_ = harness.Pause(ctx, 200*time.Millisecond)
+				_ = control.Pause(ctx, 200*time.Millisecond)
 			}
 			scene.UnderLoad(ctx, 2, flood, func() {
 				Eventually(scene.StartsAt(ctx, fle, ins, time.Time{})).WithContext(ctx).Within(20 * time.Second).Should(BeNumerically(">", 4))
--- a/internal/failure/region/freshness_test.go
+++ b/internal/failure/region/freshness_test.go
@@ -10,6 +10,7 @@
 
 	"jacinthpost/internal/failure/scene"
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 )
 
 // deafFor is longer than the promise plus the freshness limit (2.5 s).
@@ -46,7 +47,7 @@
 	return func(ctx context.Context, num int) {
 		spc := scene.JobSpec(fmt.Sprintf("flood %d", num), "plan", `{"workMillis":300}`, 12, 4000, 1024)
 		_, _ = fle.Submit(ctx, num%len(fle.Entries()), spc) // a fault may refuse or lose it
-		_ = harness.Pause(ctx, 200*time.Millisecond)
+		_ = control.Pause(ctx, 200*time.Millisecond)
 	}
 }
 
--- a/internal/failure/scene/scene.go
+++ b/internal/failure/scene/scene.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
 	"jacinthpost/io/table/tableapi"
 )
 
@@ -134,7 +135,7 @@
 // Hold keeps a fault up for some time.
 func Hold(ctx context.Context, dur time.Duration) {
 	GinkgoHelper()
-	Expect(harness.Pause(ctx, dur)).To(Succeed())
+	Expect(control.Pause(ctx, dur)).To(Succeed())
 }
 
 // SetStore switches the faults of the store.
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"jacinthpost/io/control"
 )
 
 const (
@@ -310,7 +312,7 @@
 	defer cancel()
 	for num := range fle.entries {
 		for !fle.Complete(ctx, num) {
-			if err := Pause(ctx, readyPause); err != nil {
+			if err := control.Pause(ctx, readyPause); err != nil {
 				return errors.Wrapf(err, "fleet is not complete; see the logs in %s", fle.options.Folder)
 			}
 		}
@@ -318,18 +320,6 @@
 	return nil
 }
 
-// Pause waits or returns the error of the context.
-func Pause(ctx context.Context, dur time.Duration) error {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Stop ends every process that the fleet has started, in reverse order.
 func (fle *Fleet) Stop() {
 	for num := len(fle.processes) - 1; num >= 0; num-- {
--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"jacinthpost/io/control"
 )
 
 const (
@@ -130,7 +132,7 @@
 		if _, err := Call(ctx, "GET", fle.relay+"/v1/status", nil, nil, nil); err == nil {
 			return nil
 		}
-		if err := Pause(ctx, readyPause); err != nil {
+		if err := control.Pause(ctx, readyPause); err != nil {
 			return errors.Wrap(err, "wait for relay")
 		}
 	}
--- a/io/control/every.go
+++ b/io/control/every.go
@@ -34,3 +34,15 @@
 		}
 	}
 }
+
+// Pause waits for some time or returns the error of the context that ended first.
+func Pause(ctx context.Context, dur time.Duration) error {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -9,6 +9,7 @@
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/route"
 	"jacinthpost/core/store"
+	"jacinthpost/io/control"
 )
 
 // Limits of keyed requests.
@@ -183,7 +184,7 @@
 	go func() {
 		defer cancel()
 		for !rqs.tryRecord(ctx, kyd, ans) {
-			if !wait(ctx, recordPause) {
+			if control.Pause(ctx, recordPause) != nil {
 				return
 			}
 		}
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -10,6 +10,7 @@
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/route"
 	"jacinthpost/core/store"
+	"jacinthpost/io/control"
 	"jacinthpost/io/groupcommit"
 	"jacinthpost/io/message"
 	"jacinthpost/io/peer"
@@ -215,21 +216,9 @@
 		case reply.State != message.ResolvedRunning:
 			return Answer{outcome: outcome.Unknown(outcome.ReasonPeerLost, "the agent no longer knows the request")}
 		}
-		if !wait(ctx, pause) {
+		if control.Pause(ctx, pause) != nil {
 			return Answer{outcome: outcome.Unknown(outcome.ReasonTimeout, "the request is still running")}
 		}
 		pause = min(2*pause, resolveLongestPause)
 	}
 }
-
-// wait pauses and reports false when the context ended first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	tmr := time.NewTimer(pause)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/joblog/joblog.go
+++ b/io/joblog/joblog.go
@@ -29,6 +29,7 @@
 
 	"jacinthpost/core/job"
 	"jacinthpost/core/store"
+	"jacinthpost/io/control"
 )
 
 // Bounds of the log.
@@ -208,7 +209,7 @@
 		if done, err := log.readBack(ctx, batchID); done {
 			return err
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := control.Pause(ctx, wait); err != nil {
 			return errors.Wrap(ErrUnresolved, err.Error())
 		}
 	}
@@ -240,17 +241,6 @@
 	return false, nil
 }
 
-func pause(ctx context.Context, dur time.Duration) error {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Save stores a snapshot that covers all batches before next and trims the log.
 // A failed save is harmless: the log stays longer until the next one.
 func (log *Log) Save(ctx context.Context, recs []job.Record, next uint64) error {
--- a/io/message/quota.go
+++ b/io/message/quota.go
@@ -16,7 +16,7 @@
 	Instance    string
 	Incarnation uint64
 	Complete    bool
-	Grain       Resources // changes below it need not be told
+	Granularity Resources // changes below it need not be told
 	Uses        []TeamUse
 }
 
--- a/io/node/agentnode/census.go
+++ b/io/node/agentnode/census.go
@@ -6,6 +6,7 @@
 
 	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
+	"jacinthpost/io/control"
 )
 
 // reportLimit ends a report before the next one is due.
@@ -14,27 +15,18 @@
 // report tells the census what the teams hold through this process, for as long
 // as it owns partitions.
 func (pow *placedOwner) report(ctx context.Context) {
-	tkr := time.NewTicker(quota.ReportPeriod)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tkr.C:
-			pow.reportOnce(ctx)
-		}
-	}
+	control.Every(ctx, quota.ReportPeriod, func() { pow.reportOnce(ctx) })
 }
 
 func (pow *placedOwner) reportOnce(ctx context.Context) {
 	var (
 		complete, owns bool
 		uses           []quota.Use
-		grain          resource.Vector
+		granularity    resource.Vector
 	)
 	err := pow.partitions.Inspect(ctx, func(now time.Time) {
 		if owns = pow.dispatcher.Owns(); owns {
-			complete, uses, grain = pow.dispatcher.Report(now)
+			complete, uses, granularity = pow.dispatcher.Report(now)
 		}
 	})
 	if err != nil || !owns {
@@ -42,7 +34,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
-	ans, err := pow.client.ReportUse(limited, pow.self, complete, uses, grain)
+	ans, err := pow.client.ReportUse(limited, pow.self, complete, uses, granularity)
 	_ = pow.partitions.Inspect(ctx, func(time.Time) { // fails only when the process ends
 		if err != nil {
 			pow.dispatcher.ReportLost()
--- a/io/node/entrynode/callers.go
+++ b/io/node/entrynode/callers.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"jacinthpost/io/backlog"
+	"jacinthpost/io/control"
 	"jacinthpost/io/node"
 	"jacinthpost/io/web"
 )
@@ -82,7 +83,7 @@
 // entry leaves; then no connection is accepted and requests in flight finish.
 func (cls *callers) stop(ctx context.Context) error {
 	cls.leaving.Store(true)
-	pause(ctx, readinessGrace)
+	_ = control.Pause(ctx, readinessGrace) // when the context ends, what is left is closed at once
 	if err := cls.listener.Close(); err != nil {
 		return errors.Wrap(err, "close listener")
 	}
@@ -96,13 +97,6 @@
 	return nil
 }
 
-// pause waits for some time or until the context ends.
-func pause(ctx context.Context, dur time.Duration) {
-	lim, cancel := context.WithTimeout(ctx, dur)
-	defer cancel()
-	<-lim.Done()
-}
-
 // await waits until the channel is closed or the context ends.
 func await(ctx context.Context, done <-chan struct{}) {
 	select {
--- a/io/owner/census.go
+++ b/io/owner/census.go
@@ -23,15 +23,15 @@
 		}
 		useReports.Inc()
 		ans := trn.slot.tenure.census.Report(decodeHolder(args.Instance, args.Incarnation), args.Complete,
-			decodeUses(args.Uses), decodeVector(args.Grain), trn.now)
+			decodeUses(args.Uses), decodeVector(args.Granularity), trn.now)
 		done(encodeAnswer(ans))
 	})
 }
 
 // ReportUse reports what teams hold through a process to the owner of the census.
-func (cli *Client) ReportUse(ctx context.Context, self fleet.Process, complete bool, uses []quota.Use, grain resource.Vector) (quota.Answer, error) {
+func (cli *Client) ReportUse(ctx context.Context, self fleet.Process, complete bool, uses []quota.Use, granularity resource.Vector) (quota.Answer, error) {
 	args := message.ReportUseArgs{Partition: CensusPartition, Instance: string(self.Instance()), Incarnation: uint64(self.Incarnation()),
-		Complete: complete, Grain: encodeVector(grain), Uses: encodeUses(uses)}
+		Complete: complete, Granularity: encodeVector(granularity), Uses: encodeUses(uses)}
 	rep, _, err := route(ctx, cli, CensusPartition, "Owner.ReportUse", args, func(rep *message.ReportUseReply) (bool, string) {
 		return rep.NotOwner, rep.OwnerAddress
 	})
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -11,6 +11,7 @@
 	"jacinthpost/core/job"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/store"
+	"jacinthpost/io/control"
 	"jacinthpost/io/joblog"
 	"jacinthpost/io/message"
 	"jacinthpost/io/peer"
@@ -102,7 +103,7 @@
 	var zero R
 	sent := false
 	last := errors.New("the partition has no owner")
-	for try := 0; try == 0 || wait(ctx, clientPause); try++ {
+	for try := 0; try == 0 || control.Pause(ctx, clientPause) == nil; try++ {
 		addr, err := cli.owner(ctx, num)
 		if err != nil || addr == "" {
 			last = cmpErr(err, last)
@@ -137,17 +138,6 @@
 	return other
 }
 
-func wait(ctx context.Context, dur time.Duration) bool {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // owner returns the address of the owner from the cache or from the row.
 func (cli *Client) owner(ctx context.Context, num int) (string, error) {
 	cli.mu.Lock()
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -247,12 +247,8 @@
 // after posts an event after a delay.
 func (own *Owner[P]) after(dur time.Duration, fun func(sta *state[P], now time.Time)) {
 	own.store(func(ctx context.Context) {
-		tmr := time.NewTimer(dur)
-		defer tmr.Stop()
-		select {
-		case <-tmr.C:
+		if control.Pause(ctx, dur) == nil {
 			own.post(ctx, fun)
-		case <-ctx.Done():
 		}
 	})
 }
