Close idle connections after a timeout in one place

io/serve closed the idle connections of the endpoint's client after a timeout, and io/httpcall does so for each of its clients. The former is gone.

--- a/io/httpcall/httpcall.go
+++ b/io/httpcall/httpcall.go
@@ -150,6 +150,7 @@
 	}
 	timedOut := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 	if timedOut {
+		// Connections go silent together, so the idle ones are not trusted either.
 		cli.transport.CloseIdleConnections()
 	}
 	cli.count(stg.String())
--- a/io/serve/endpoint.go
+++ b/io/serve/endpoint.go
@@ -18,12 +18,7 @@
 
 // Call implements Endpoint.
 func (hep *HTTPEndpoint) Call(ctx context.Context, req Request) (int, []byte, outcome.Outcome) {
-	cli := hep.at(req.address)
-	ans, out := cli.Serve(ctx, endpoint.NewRequest(req.id, req.body).WithTarget(req.method, req.path))
-	if out.Reason() == outcome.ReasonTimeout {
-		// Connections go silent together, so the idle ones are not trusted either.
-		cli.Close()
-	}
+	ans, out := hep.at(req.address).Serve(ctx, endpoint.NewRequest(req.id, req.body).WithTarget(req.method, req.path))
 	return ans.Status(), ans.Body(), out
 }
 
