--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -1,5 +1,5 @@
 // Package dispatch makes the scheduling decisions of one process: it implements
-// job.Placement from the hosts, learned sizes and policies of core/place, the
+// job.Placement from the instances, learned sizes and policies of core/place, the
 // shares of core/quota, the judgement of failures of core/blame and the reasons
 // of core/explain.
 //
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -254,8 +254,8 @@
 // refused lets an instance rest that refused although the task fits its free
 // amounts: it has another reason, and would be offered the task again at once.
 func (dsp *Dispatcher[P]) refused(ans job.Answer, id place.TaskID, now time.Time) {
-	hos := dsp.sched.Hosts().Find(ans.From())
-	fits := hos != nil && dsp.undone == id && dsp.freed.FitsIn(hos.Free())
+	inv := dsp.sched.Instances().Find(ans.From())
+	fits := inv != nil && dsp.undone == id && dsp.freed.FitsIn(inv.Free())
 	if fits || ans.Failed() || ans.Reason() != string(outcome.ReasonCapacity) {
 		dsp.sched.Rest(ans.From())
 	}
@@ -265,8 +265,8 @@
 
 // reported returns the free amounts before the offers in flight are taken off.
 func (dsp *Dispatcher[P]) reported(viw *instanceView) resource.Vector {
-	if hos := dsp.sched.Hosts().Find(viw.hint.ID()); hos != nil {
-		return hos.Free().Plus(viw.pending)
+	if inv := dsp.sched.Instances().Find(viw.hint.ID()); inv != nil {
+		return inv.Free().Plus(viw.pending)
 	}
 	return viw.room()
 }
--- a/core/place/deferred.go
+++ b/core/place/deferred.go
@@ -79,8 +79,8 @@
 }
 
 // gateRefusal explains why a policy takes no instance although one has room.
-func (sch *Scheduler[P]) gateRefusal(hos *Host, tsk *Task, now time.Time) explain.Reason {
-	for _, svc := range hos.instance.services {
+func (sch *Scheduler[P]) gateRefusal(viw *InstanceView, tsk *Task, now time.Time) explain.Reason {
+	for _, svc := range viw.instance.services {
 		pai := sch.know.pairings.Find(svc, tsk.class)
 		limit := pai.Estimate().TrialLimit(sch.know.instances)
 		if !pai.Estimate().Known() && pai.Running() >= limit {
--- a/core/place/direct.go
+++ b/core/place/direct.go
@@ -24,22 +24,22 @@
 		sch.review(now)
 	}
 	need := sch.policy.Reserve(&tsk, &sch.know)
-	sch.candidates.reset(&sch.hosts, tsk.id, need, now, sch.random())
+	sch.candidates.reset(&sch.instances, tsk.id, need, now, sch.random())
 	sch.candidates.accept = accept
-	hos := sch.policy.Choose(&sch.candidates, &tsk, &sch.know)
-	if hos == nil {
+	viw := sch.policy.Choose(&sch.candidates, &tsk, &sch.know)
+	if viw == nil {
 		sch.log.Update(sch.unchosen(&tsk, need, now))
 	}
 	sch.candidates.accept = nil
-	if hos == nil {
+	if viw == nil {
 		return Offer{}, false
 	}
-	return Offer{task: tsk, instance: hos.instance.id, size: need}, true
+	return Offer{task: tsk, instance: viw.instance.id, size: need}, true
 }
 
 func (sch *Scheduler[P]) unchosen(tsk *Task, need resource.Vector, now time.Time) explain.Reason {
-	if hos := sch.candidates.First(); hos != nil {
-		return sch.gateRefusal(hos, tsk, now)
+	if viw := sch.candidates.First(); viw != nil {
+		return sch.gateRefusal(viw, tsk, now)
 	}
 	sch.candidates.accept = nil
 	if sch.candidates.First() != nil {
@@ -57,11 +57,11 @@
 // Commit reserves the amounts of an offer. It reports false when the instance
 // is unknown or the task is already committed.
 func (sch *Scheduler[P]) Commit(off Offer, now time.Time) bool {
-	hos := sch.hosts.Find(off.instance)
-	if hos == nil || sch.placements[off.task.id] != nil {
+	viw := sch.instances.Find(off.instance)
+	if viw == nil || sch.placements[off.task.id] != nil {
 		return false
 	}
-	sch.put(off.task, hos, off.size, now)
+	sch.put(off.task, viw, off.size, now)
 	return true
 }
 
@@ -74,12 +74,12 @@
 
 // Rest gives an instance no task until the next review, because it refused or did not answer.
 func (sch *Scheduler[P]) Rest(id fleet.InstanceID) {
-	hos := sch.hosts.Find(id)
-	if hos == nil || hos.barred {
+	viw := sch.instances.Find(id)
+	if viw == nil || viw.barred {
 		return
 	}
-	sch.rest(hos)
-	hos.site.refresh(hos)
+	sch.rest(viw)
+	viw.site.refresh(viw)
 }
 
 // Conclude records the end of a committed task and returns what follows for
@@ -92,7 +92,7 @@
 	if plc.peak != (resource.Vector{}) && (end == Finished || end == Failed) {
 		sch.know.sizes.Observe(plc.task.class, plc.task.declared, plc.peak)
 	}
-	ins, unit := plc.host.instance.id, sch.know.unit(&plc.task)
+	ins, unit := plc.view.instance.id, sch.know.unit(&plc.task)
 	sch.take(plc)
 	switch end {
 	case Finished:
@@ -114,8 +114,8 @@
 // FailedOn returns on how many of the present instances the job of a task failed.
 func (sch *Scheduler[P]) FailedOn(tsk Task) int {
 	count := 0
-	for _, hos := range sch.hosts.byID {
-		count += int(countIf(sch.know.FailedOn(hos, &tsk)))
+	for _, viw := range sch.instances.byID {
+		count += int(countIf(sch.know.FailedOn(viw, &tsk)))
 	}
 	return count
 }
@@ -134,7 +134,7 @@
 func (sch *Scheduler[P]) Change(ins Instance, now time.Time) {
 	var plcs []*placement
 	for _, plc := range sch.placements {
-		if plc.host.instance.id == ins.id {
+		if plc.view.instance.id == ins.id {
 			plcs = append(plcs, plc)
 		}
 	}
@@ -143,12 +143,12 @@
 		sch.take(plc)
 	}
 	sch.Join(ins, now)
-	hos := sch.hosts.Find(ins.id)
+	viw := sch.instances.Find(ins.id)
 	for _, old := range plcs {
-		plc := sch.put(old.task, hos, old.size, old.placed)
+		plc := sch.put(old.task, viw, old.size, old.placed)
 		plc.peak, plc.sampled = old.peak, old.sampled
 		if old.accepted {
-			sch.Accepted(old.task.id, hos.reported.Minus(old.size))
+			sch.Accepted(old.task.id, viw.reported.Minus(old.size))
 		}
 	}
 }
--- a/core/place/hosts.go
+++ b/core/place/instances.go
@@ -15,12 +15,12 @@
 // offers to its full part. Its workers start cold and would otherwise get every waiting task at once.
 const RampPeriod = 30 * time.Second
 
-// Host is the scheduler's view of one instance. Its amounts are hints: the
+// InstanceView is the scheduler's view of one instance. Its amounts are hints: the
 // agent on the instance decides.
 //
-// A placement reads several random hosts, and of a large fleet few are in the
+// A placement reads several random instances, and of a large fleet few are in the
 // cache. The fields that the choice reads come first, so that they share cache lines.
-type Host struct {
+type InstanceView struct {
 	reported    resource.Vector
 	pending     resource.Vector
 	classes     []classUse // sorted by class
@@ -40,45 +40,45 @@
 }
 
 // Instance returns the description of the instance.
-func (hos *Host) Instance() Instance { return hos.instance }
+func (viw *InstanceView) Instance() Instance { return viw.instance }
 
 // Free returns the free amounts after the offers in flight.
-func (hos *Host) Free() resource.Vector { return hos.reported.Minus(hos.pending) }
+func (viw *InstanceView) Free() resource.Vector { return viw.reported.Minus(viw.pending) }
 
 // Tasks returns the number of tasks offered to or running on the instance.
-func (hos *Host) Tasks() int { return hos.tasks }
+func (viw *InstanceView) Tasks() int { return viw.tasks }
 
 // Trial reports whether the instance is on probation.
-func (hos *Host) Trial() bool { return hos.trial }
+func (viw *InstanceView) Trial() bool { return viw.trial }
 
 // available returns the amounts that may be offered now.
-func (hos *Host) available() resource.Vector {
-	if hos.drained != "" || hos.barred || (hos.trial && hos.tasks > 0) {
+func (viw *InstanceView) available() resource.Vector {
+	if viw.drained != "" || viw.barred || (viw.trial && viw.tasks > 0) {
 		return closed
 	}
-	return hos.Free()
+	return viw.Free()
 }
 
-// classUse is the processors reserved by the tasks of one class on a host.
+// classUse is the processors reserved by the tasks of one class on an instance.
 type classUse struct {
 	row      *classRow
 	milliCPU int64
 }
 
-func (hos *Host) use(row *classRow, change int64) {
-	pos := slices.IndexFunc(hos.classes, func(cus classUse) bool { return cus.row == row })
+func (viw *InstanceView) use(row *classRow, change int64) {
+	pos := slices.IndexFunc(viw.classes, func(cus classUse) bool { return cus.row == row })
 	if pos < 0 {
-		pos, _ = slices.BinarySearchFunc(hos.classes, row.class, func(cus classUse, key fleet.JobClass) int {
+		pos, _ = slices.BinarySearchFunc(viw.classes, row.class, func(cus classUse, key fleet.JobClass) int {
 			return strings.Compare(string(cus.row.class), string(key))
 		})
-		hos.classes = slices.Insert(hos.classes, pos, classUse{row: row})
+		viw.classes = slices.Insert(viw.classes, pos, classUse{row: row})
 	}
-	if hos.classes[pos].milliCPU += change; hos.classes[pos].milliCPU <= 0 {
-		hos.classes = slices.Delete(hos.classes, pos, pos+1)
+	if viw.classes[pos].milliCPU += change; viw.classes[pos].milliCPU <= 0 {
+		viw.classes = slices.Delete(viw.classes, pos, pos+1)
 	}
 }
 
-// serviceSet is the services that run together on instances. Hosts with the
+// serviceSet is the services that run together on instances. Instances with the
 // same services share it, so that the pairings stay in the cache.
 type serviceSet struct {
 	names []fleet.Service
@@ -103,12 +103,12 @@
 	return row
 }
 
-// site holds the hosts of one data centre.
+// site holds the instances of one data centre.
 type site struct {
 	location fleet.Location
 	index    int32
 	free     tree
-	hosts    []*Host
+	views    []*InstanceView
 	vacant   []int
 	count    int
 	capacity resource.Vector // of all instances
@@ -133,13 +133,13 @@
 	return rnd.Int64N(int64(RampPeriod)) < int64(elapsed)
 }
 
-func (sit *site) refresh(hos *Host) { sit.free.set(hos.leaf, hos.available()) }
+func (sit *site) refresh(viw *InstanceView) { sit.free.set(viw.leaf, viw.available()) }
 
-// Hosts is the table of instances, searchable by free amounts. The zero value is empty.
-type Hosts struct {
+// Instances is the table of instances, searchable by free amounts. The zero value is empty.
+type Instances struct {
 	sites []*site
 	sets  []*serviceSet
-	byID  map[fleet.InstanceID]*Host
+	byID  map[fleet.InstanceID]*InstanceView
 	racks map[fleet.Location]int32
 	// claimed tells that some instance may be kept for a task, so that the common
 	// search does not read the claims.
@@ -147,15 +147,15 @@
 }
 
 // Len returns the number of instances.
-func (hss *Hosts) Len() int { return len(hss.byID) }
+func (all *Instances) Len() int { return len(all.byID) }
 
-// Find returns the host of an instance, nil when it is unknown.
-func (hss *Hosts) Find(id fleet.InstanceID) *Host { return hss.byID[id] }
+// Find returns the view of an instance, nil when it is unknown.
+func (all *Instances) Find(id fleet.InstanceID) *InstanceView { return all.byID[id] }
 
 // Open returns the number of instances outside data centres that are out.
-func (hss *Hosts) Open() int {
+func (all *Instances) Open() int {
 	count := 0
-	for _, sit := range hss.sites {
+	for _, sit := range all.sites {
 		if !sit.out {
 			count += sit.count
 		}
@@ -164,9 +164,9 @@
 }
 
 // Largest returns the largest free amount of each resource over all open sites.
-func (hss *Hosts) Largest() resource.Vector {
+func (all *Instances) Largest() resource.Vector {
 	largest := closed
-	for _, sit := range hss.sites {
+	for _, sit := range all.sites {
 		if !sit.out {
 			largest = largest.Max(sit.free.largest())
 		}
@@ -175,9 +175,9 @@
 }
 
 // total returns the amounts of the open sites, which the shares divide.
-func (hss *Hosts) total() resource.Vector {
+func (all *Instances) total() resource.Vector {
 	sum := resource.Vector{}
-	for _, sit := range hss.sites {
+	for _, sit := range all.sites {
 		if !sit.out {
 			sum = sum.Plus(sit.capacity)
 		}
@@ -185,76 +185,76 @@
 	return sum
 }
 
-func (hss *Hosts) join(ins Instance) *Host {
-	if hss.byID == nil {
-		hss.byID = make(map[fleet.InstanceID]*Host)
-		hss.racks = make(map[fleet.Location]int32)
+func (all *Instances) join(ins Instance) *InstanceView {
+	if all.byID == nil {
+		all.byID = make(map[fleet.InstanceID]*InstanceView)
+		all.racks = make(map[fleet.Location]int32)
 	}
-	hss.leave(ins.id)
-	sit := hss.siteOf(ins.location)
-	rck, found := hss.racks[ins.location]
+	all.leave(ins.id)
+	sit := all.siteOf(ins.location)
+	rck, found := all.racks[ins.location]
 	if !found {
-		rck = int32(len(hss.racks))
-		hss.racks[ins.location] = rck
+		rck = int32(len(all.racks))
+		all.racks[ins.location] = rck
 	}
-	set := hss.servicesOf(ins.services)
+	set := all.servicesOf(ins.services)
 	ins.services = set.names
-	hos := &Host{instance: ins, reported: ins.free, site: sit, services: set, rack: rck, leaf: len(sit.hosts)}
+	viw := &InstanceView{instance: ins, reported: ins.free, site: sit, services: set, rack: rck, leaf: len(sit.views)}
 	if last := len(sit.vacant) - 1; last >= 0 {
-		hos.leaf, sit.vacant = sit.vacant[last], sit.vacant[:last]
-		sit.hosts[hos.leaf] = hos
+		viw.leaf, sit.vacant = sit.vacant[last], sit.vacant[:last]
+		sit.views[viw.leaf] = viw
 	} else {
-		sit.hosts = append(sit.hosts, hos)
+		sit.views = append(sit.views, viw)
 	}
 	sit.count++
 	sit.capacity = sit.capacity.Plus(ins.capacity)
-	hss.byID[ins.id] = hos
-	sit.refresh(hos)
-	return hos
+	all.byID[ins.id] = viw
+	sit.refresh(viw)
+	return viw
 }
 
-func (hss *Hosts) leave(id fleet.InstanceID) *Host {
-	hos, found := hss.byID[id]
+func (all *Instances) leave(id fleet.InstanceID) *InstanceView {
+	viw, found := all.byID[id]
 	if !found {
 		return nil
 	}
-	delete(hss.byID, id)
-	hos.site.free.set(hos.leaf, closed)
-	hos.site.hosts[hos.leaf] = nil
-	hos.site.vacant = append(hos.site.vacant, hos.leaf)
-	hos.site.count--
-	hos.site.capacity = hos.site.capacity.Minus(hos.instance.capacity)
-	return hos
+	delete(all.byID, id)
+	viw.site.free.set(viw.leaf, closed)
+	viw.site.views[viw.leaf] = nil
+	viw.site.vacant = append(viw.site.vacant, viw.leaf)
+	viw.site.count--
+	viw.site.capacity = viw.site.capacity.Minus(viw.instance.capacity)
+	return viw
 }
 
 // servicesOf returns the set of the given services, which must not be changed.
-func (hss *Hosts) servicesOf(svcs []fleet.Service) *serviceSet {
-	for _, set := range hss.sets {
+func (all *Instances) servicesOf(svcs []fleet.Service) *serviceSet {
+	for _, set := range all.sets {
 		if slices.Equal(set.names, svcs) {
 			return set
 		}
 	}
 	set := &serviceSet{names: svcs, rows: make(map[fleet.JobClass]*classRow)}
-	hss.sets = append(hss.sets, set)
+	all.sets = append(all.sets, set)
 	return set
 }
 
 // siteOf returns the site of a location. Sites stay sorted by name, so the
 // order of joining does not matter to later decisions.
-func (hss *Hosts) siteOf(loc fleet.Location) *site {
-	pos, found := slices.BinarySearchFunc(hss.sites, loc.DataCentre(), func(sit *site, name fleet.DataCentre) int {
+func (all *Instances) siteOf(loc fleet.Location) *site {
+	pos, found := slices.BinarySearchFunc(all.sites, loc.DataCentre(), func(sit *site, name fleet.DataCentre) int {
 		return strings.Compare(string(sit.location.DataCentre()), string(name))
 	})
 	if found {
-		return hss.sites[pos]
+		return all.sites[pos]
 	}
-	sit := &site{location: loc, index: int32(len(hss.sites))}
-	hss.sites = slices.Insert(hss.sites, pos, sit)
+	sit := &site{location: loc, index: int32(len(all.sites))}
+	all.sites = slices.Insert(all.sites, pos, sit)
 	return sit
 }
 
-func (hss *Hosts) setOut(name fleet.DataCentre, out bool, now time.Time) {
-	sit := hss.siteOf(fleet.NewLocation("", name, ""))
+func (all *Instances) setOut(name fleet.DataCentre, out bool, now time.Time) {
+	sit := all.siteOf(fleet.NewLocation("", name, ""))
 	if sit.out && !out {
 		sit.returned = now
 	}
@@ -263,21 +263,21 @@
 
 // Candidates offers the fitting instances of one placement to a policy.
 type Candidates struct {
-	hosts *Hosts
-	need  resource.Vector
-	open  []*site
-	rnd   *rand.Rand
-	sum   int
-	task  TaskID
-	now   time.Time
+	instances *Instances
+	need      resource.Vector
+	open      []*site
+	rnd       *rand.Rand
+	sum       int
+	task      TaskID
+	now       time.Time
 	// accept limits the instances further, nil accepts all that fit.
 	accept func(id fleet.InstanceID) bool
 }
 
-func (can *Candidates) reset(hss *Hosts, id TaskID, need resource.Vector, now time.Time, rnd *rand.Rand) {
-	can.hosts, can.need, can.rnd, can.sum, can.task, can.now = hss, need, rnd, 0, id, now
+func (can *Candidates) reset(all *Instances, id TaskID, need resource.Vector, now time.Time, rnd *rand.Rand) {
+	can.instances, can.need, can.rnd, can.sum, can.task, can.now = all, need, rnd, 0, id, now
 	can.open = can.open[:0]
-	for _, sit := range hss.sites {
+	for _, sit := range all.sites {
 		if sit.open(now, rnd) && need.FitsIn(sit.free.largest()) {
 			can.open = append(can.open, sit)
 			can.sum += sit.count
@@ -289,10 +289,10 @@
 func (can *Candidates) Need() resource.Vector { return can.need }
 
 // First returns the first fitting instance in the order of data centre and arrival.
-func (can *Candidates) First() *Host {
+func (can *Candidates) First() *InstanceView {
 	for _, sit := range can.open {
-		if hos := can.cyclic(sit, 0); hos != nil {
-			return hos
+		if viw := can.cyclic(sit, 0); viw != nil {
+			return viw
 		}
 	}
 	return nil
@@ -300,14 +300,14 @@
 
 // cyclic returns the first fitting and accepted instance of a site at or after
 // a leaf, continuing at the first leaf. It looks at each fitting instance once.
-func (can *Candidates) cyclic(sit *site, start int) *Host {
+func (can *Candidates) cyclic(sit *site, start int) *InstanceView {
 	leaf := sit.free.cyclic(can.need, start)
 	for range sit.count {
 		if leaf < 0 {
 			return nil
 		}
-		if hos := sit.hosts[leaf]; (!can.hosts.claimed || hos.claim.admits(can.task, can.now)) && (can.accept == nil || can.accept(hos.instance.id)) {
-			return hos
+		if viw := sit.views[leaf]; (!can.instances.claimed || viw.claim.admits(can.task, can.now)) && (can.accept == nil || can.accept(viw.instance.id)) {
+			return viw
 		}
 		leaf = sit.free.cyclic(can.need, leaf+1)
 	}
@@ -316,11 +316,11 @@
 
 // Sample returns a random fitting instance, nil when there is none. Instances
 // after a run of full ones are slightly more likely than others.
-func (can *Candidates) Sample() *Host { return can.sampleFrom(can.pick(can.sum, "")) }
+func (can *Candidates) Sample() *InstanceView { return can.sampleFrom(can.pick(can.sum, "")) }
 
 // SampleIn returns a random fitting instance of a region if it has an open
 // site, and of any region otherwise.
-func (can *Candidates) SampleIn(reg fleet.Region) *Host {
+func (can *Candidates) SampleIn(reg fleet.Region) *InstanceView {
 	sum := 0
 	for _, sit := range can.open {
 		if sit.location.Region() == reg {
@@ -350,11 +350,11 @@
 	return 0
 }
 
-func (can *Candidates) sampleFrom(start int) *Host {
+func (can *Candidates) sampleFrom(start int) *InstanceView {
 	for step := range can.open {
 		sit := can.open[(start+step)%len(can.open)]
-		if hos := can.cyclic(sit, can.rnd.IntN(len(sit.hosts))); hos != nil {
-			return hos
+		if viw := can.cyclic(sit, can.rnd.IntN(len(sit.views))); viw != nil {
+			return viw
 		}
 	}
 	return nil
--- a/core/place/knowledge.go
+++ b/core/place/knowledge.go
@@ -104,15 +104,15 @@
 }
 
 // Pressure returns the expected slowdown by the tasks of an instance and one more.
-func (knw *Knowledge) Pressure(hos *Host, tsk *Task, need resource.Vector) Pressure {
-	cores := float64(max(1, hos.instance.capacity.MilliCPU()))
+func (knw *Knowledge) Pressure(viw *InstanceView, tsk *Task, need resource.Vector) Pressure {
+	cores := float64(max(1, viw.instance.capacity.MilliCPU()))
 	var worst Pressure
-	for pos, svc := range hos.instance.services {
+	for pos, svc := range viw.instance.services {
 		cost := knw.pairings.Find(svc, tsk.class).Estimate().Upper()
 		prr := Pressure{own: cost * float64(need.MilliCPU()) / cores}
 		prr.total, prr.unyielding = prr.own, prr.own
-		for ind := range hos.classes {
-			cus := &hos.classes[ind]
+		for ind := range viw.classes {
+			cus := &viw.classes[ind]
 			other := cus.row.pairings[pos].Cost()
 			part := other * float64(cus.milliCPU) / cores
 			prr.total += part
@@ -147,18 +147,18 @@
 // unproven pairing is limited, unless even the worst known cost would be
 // negligible. Urgent tasks only keep to urgentInterfering: more interfering tasks on one
 // instance would be throttled to a standstill with everything else there.
-func (knw *Knowledge) Bearable(hos *Host, tsk *Task, need resource.Vector, prr Pressure) bool {
+func (knw *Knowledge) Bearable(viw *InstanceView, tsk *Task, need resource.Vector, prr Pressure) bool {
 	if tsk.urgent {
-		return prr.fits() || hos.interfering < urgentInterfering
+		return prr.fits() || viw.interfering < urgentInterfering
 	}
-	if !prr.fits() && (hos.interfering > 0 || !knw.bearsSlow(hos, tsk, prr)) {
+	if !prr.fits() && (viw.interfering > 0 || !knw.bearsSlow(viw, tsk, prr)) {
 		return false
 	}
-	share := float64(need.MilliCPU()) / float64(max(1, hos.instance.capacity.MilliCPU()))
+	share := float64(need.MilliCPU()) / float64(max(1, viw.instance.capacity.MilliCPU()))
 	if share*interfere.WorstCost < interfere.Negligible {
 		return true
 	}
-	for _, svc := range hos.instance.services {
+	for _, svc := range viw.instance.services {
 		pai := knw.pairings.Find(svc, tsk.class)
 		est := pai.Estimate()
 		if !est.Known() && pai.Running() >= est.TrialLimit(knw.instances) {
@@ -169,11 +169,11 @@
 }
 
 // bearsSlow reports whether a task may start although it will be throttled.
-func (knw *Knowledge) bearsSlow(hos *Host, tsk *Task, prr Pressure) bool {
+func (knw *Knowledge) bearsSlow(viw *InstanceView, tsk *Task, prr Pressure) bool {
 	if prr.speed() >= lowestSpeed {
 		return true
 	}
-	for _, svc := range hos.instance.services {
+	for _, svc := range viw.instance.services {
 		if knw.pairings.Find(svc, tsk.class).Running() >= max(1, knw.instances/slowPart) {
 			return false
 		}
@@ -183,13 +183,13 @@
 
 // Concentration returns the fractions of the placed tasks of the job that are in
 // the rack and in the data centre of the instance.
-func (knw *Knowledge) Concentration(hos *Host, tsk *Task) (rack, dataCentre float64) {
+func (knw *Knowledge) Concentration(viw *InstanceView, tsk *Task) (rack, dataCentre float64) {
 	job := knw.jobs[tsk.job]
 	if job == nil || job.placed == 0 {
 		return 0, 0
 	}
 	placed := float64(job.placed)
-	return float64(job.racks.count(hos.rack)) / placed, float64(job.sites.count(hos.site.index)) / placed
+	return float64(job.racks.count(viw.rack)) / placed, float64(job.sites.count(viw.site.index)) / placed
 }
 
 // meet notes the services of an instance that joined.
@@ -208,8 +208,8 @@
 }
 
 // FailedOn reports whether the job of the task has failed on the instance.
-func (knw *Knowledge) FailedOn(hos *Host, tsk *Task) bool {
-	return knw.blame.FailedOn(knw.unit(tsk), hos.instance.id)
+func (knw *Knowledge) FailedOn(viw *InstanceView, tsk *Task) bool {
+	return knw.blame.FailedOn(knw.unit(tsk), viw.instance.id)
 }
 
 // unit returns the name under which failures are judged: the whole job until
@@ -247,12 +247,12 @@
 
 // spread counts a task in or out of the rack and data centre of an instance
 // and in or out of the pairings with its services.
-func (knw *Knowledge) spread(hos *Host, tsk *Task, change int32) {
+func (knw *Knowledge) spread(viw *InstanceView, tsk *Task, change int32) {
 	job := knw.countsOf(tsk.job)
 	job.placed += change
-	job.racks.add(hos.rack, change)
-	job.sites.add(hos.site.index, change)
-	for _, svc := range hos.instance.services {
+	job.racks.add(viw.rack, change)
+	job.sites.add(viw.site.index, change)
+	for _, svc := range viw.instance.services {
 		knw.pairings.Find(svc, tsk.class).Count(int(change))
 	}
 }
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -14,32 +14,32 @@
 // tasks of the former process itself when it knows their fate.
 func (sch *Scheduler[P]) Join(ins Instance, now time.Time) {
 	sch.Leave(ins.id)
-	hos := sch.hosts.join(ins)
-	sch.know.instances = sch.hosts.Len()
+	viw := sch.instances.join(ins)
+	sch.know.instances = sch.instances.Len()
 	sch.know.meet(ins.services)
 	sch.know.largest = sch.know.largest.Max(ins.capacity)
-	sch.queue.SetCapacity(sch.hosts.total())
+	sch.queue.SetCapacity(sch.instances.total())
 	switch sch.know.blame.State(ins.id, now) {
 	case blame.Suspended:
-		sch.rest(hos)
+		sch.rest(viw)
 	case blame.Probation:
-		hos.trial = true
+		viw.trial = true
 	}
-	sch.refresh(hos)
+	sch.refresh(viw)
 }
 
 // Leave removes an instance. Its tasks stay placed until their end is
 // reported, because only then, or after the end of their lease, may they start elsewhere.
 func (sch *Scheduler[P]) Leave(id fleet.InstanceID) {
-	hos := sch.hosts.leave(id)
-	if hos == nil {
+	viw := sch.instances.leave(id)
+	if viw == nil {
 		return
 	}
-	sch.know.instances = sch.hosts.Len()
-	sch.queue.SetCapacity(sch.hosts.total())
+	sch.know.instances = sch.instances.Len()
+	sch.queue.SetCapacity(sch.instances.total())
 	sch.know.largest = resource.Vector{}
-	for _, sit := range sch.hosts.sites {
-		for _, oth := range sit.hosts {
+	for _, sit := range sch.instances.sites {
+		for _, oth := range sit.views {
 			if oth != nil {
 				sch.know.largest = sch.know.largest.Max(oth.instance.capacity)
 			}
@@ -49,30 +49,30 @@
 
 // Hint corrects the free amounts of an instance from a report of its agent.
 func (sch *Scheduler[P]) Hint(id fleet.InstanceID, free resource.Vector) {
-	if hos := sch.hosts.Find(id); hos != nil {
-		hos.reported = free
-		sch.refresh(hos)
+	if viw := sch.instances.Find(id); viw != nil {
+		viw.reported = free
+		sch.refresh(viw)
 	}
 }
 
 // Drain stops offers to an instance for the given reason; an empty reason ends the drain.
 func (sch *Scheduler[P]) Drain(id fleet.InstanceID, reason string, now time.Time) {
-	hos := sch.hosts.Find(id)
-	if hos == nil {
+	viw := sch.instances.Find(id)
+	if viw == nil {
 		return
 	}
-	hos.drained = reason
+	viw.drained = reason
 	if reason != "" {
 		sch.record(explain.New(explain.Drained, now, string(id)).Detail(reason))
 	}
-	sch.refresh(hos)
+	sch.refresh(viw)
 }
 
 // SetDataCentre takes a data centre out or brings it back. After its return
 // offers grow over RampPeriod.
 func (sch *Scheduler[P]) SetDataCentre(name fleet.DataCentre, out bool, now time.Time) {
-	sch.hosts.setOut(name, out, now)
-	sch.queue.SetCapacity(sch.hosts.total())
+	sch.instances.setOut(name, out, now)
+	sch.queue.SetCapacity(sch.instances.total())
 	if !out {
 		sch.queue.WakeAll()
 	}
@@ -82,7 +82,7 @@
 func (sch *Scheduler[P]) PlacedIn(name fleet.DataCentre) []TaskID {
 	var found []*placement
 	for _, plc := range sch.placements {
-		if plc.host.instance.location.DataCentre() == name {
+		if plc.view.instance.location.DataCentre() == name {
 			found = append(found, plc)
 		}
 	}
@@ -96,14 +96,14 @@
 
 // Restore records a task that already runs, after a change of owner.
 func (sch *Scheduler[P]) Restore(tsk Task, id fleet.InstanceID, size resource.Vector, now time.Time) bool {
-	hos := sch.hosts.Find(id)
-	if hos == nil || sch.placements[tsk.id] != nil {
+	viw := sch.instances.Find(id)
+	if viw == nil || sch.placements[tsk.id] != nil {
 		return false
 	}
 	sch.open(&tsk)
-	sch.put(tsk, hos, size, now)
+	sch.put(tsk, viw, size, now)
 	// The free amounts reported by the agent already count the task.
-	sch.Accepted(tsk.id, hos.reported)
+	sch.Accepted(tsk.id, viw.reported)
 	return true
 }
 
@@ -162,7 +162,7 @@
 }
 
 func (sch *Scheduler[P]) finished(plc *placement, now time.Time) blame.Verdict {
-	ver := sch.know.blame.Succeeded(sch.know.unit(&plc.task), plc.host.instance.id, now)
+	ver := sch.know.blame.Succeeded(sch.know.unit(&plc.task), plc.view.instance.id, now)
 	sch.know.countsOf(plc.task.job).finished++
 	sch.know.closeTask(&plc.task)
 	sch.apply(ver, now)
@@ -170,7 +170,7 @@
 }
 
 func (sch *Scheduler[P]) failed(plc *placement, detail string, now time.Time) blame.Verdict {
-	id := plc.host.instance.id
+	id := plc.view.instance.id
 	unit := sch.know.unit(&plc.task)
 	if plc.peak.MemoryMB() >= plc.size.MemoryMB() {
 		// The task outgrew its reservation: that is a wrong size and nobody's fault.
@@ -204,17 +204,17 @@
 	for _, sus := range ver.Suspended() {
 		sch.record(explain.New(explain.WorkerSuspended, now, string(sus.Instance())).
 			For(sus.Period()).Counts(len(sus.Jobs()), 0).Detail(strings.Join(sus.Jobs(), ", ")))
-		if hos := sch.hosts.Find(sus.Instance()); hos != nil {
-			hos.trial = false
-			sch.rest(hos)
-			hos.site.refresh(hos)
+		if viw := sch.instances.Find(sus.Instance()); viw != nil {
+			viw.trial = false
+			sch.rest(viw)
+			viw.site.refresh(viw)
 		}
 	}
 	for _, id := range ver.Restored() {
 		sch.record(explain.New(explain.WorkerRestored, now, string(id)).Counts(blame.ProbationRuns, 0))
-		if hos := sch.hosts.Find(id); hos != nil {
-			hos.trial = false
-			sch.refresh(hos)
+		if viw := sch.instances.Find(id); viw != nil {
+			viw.trial = false
+			sch.refresh(viw)
 		}
 	}
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -242,7 +242,7 @@
 	wld.settle()
 	racks := make(map[fleet.Rack]int)
 	for _, off := range wld.running {
-		loc := wld.sch.Hosts().Find(off.Instance()).Instance().Location()
+		loc := wld.sch.Instances().Find(off.Instance()).Instance().Location()
 		racks[loc.Rack()]++
 		Expect(loc.Region()).To(Equal(location(0).Region()))
 	}
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -6,7 +6,7 @@
 // task waiting.
 type Policy interface {
 	// Choose returns an instance that fits, or nil.
-	Choose(can *Candidates, tsk *Task, knw *Knowledge) *Host
+	Choose(can *Candidates, tsk *Task, knw *Knowledge) *InstanceView
 	// Reserve returns the amounts to reserve for a task.
 	Reserve(tsk *Task, knw *Knowledge) resource.Vector
 }
@@ -46,28 +46,28 @@
 func (sco Scored) Reserve(tsk *Task, knw *Knowledge) resource.Vector { return knw.Learned(tsk) }
 
 // Choose implements Policy.
-func (sco Scored) Choose(can *Candidates, tsk *Task, knw *Knowledge) *Host {
-	var best *Host
+func (sco Scored) Choose(can *Candidates, tsk *Task, knw *Knowledge) *InstanceView {
+	var best *InstanceView
 	var lowest float64
 	for pos := range sco.Candidates() {
-		hos := sco.sample(can, tsk, pos)
-		if hos == nil {
+		viw := sco.sample(can, tsk, pos)
+		if viw == nil {
 			return nil
 		}
-		prr := knw.Pressure(hos, tsk, can.need)
-		if !knw.Bearable(hos, tsk, can.need, prr) {
+		prr := knw.Pressure(viw, tsk, can.need)
+		if !knw.Bearable(viw, tsk, can.need, prr) {
 			continue
 		}
-		score := pressureWeight*prr.total*prr.total + sco.score(can, hos, tsk, knw)
+		score := pressureWeight*prr.total*prr.total + sco.score(can, viw, tsk, knw)
 		if best == nil || score < lowest {
-			best, lowest = hos, score
+			best, lowest = viw, score
 		}
 	}
 	return best
 }
 
 // sample takes half of the candidates from the region of the payload.
-func (sco Scored) sample(can *Candidates, tsk *Task, pos int) *Host {
+func (sco Scored) sample(can *Candidates, tsk *Task, pos int) *InstanceView {
 	if reg := tsk.origin.Region(); reg != "" && pos%2 == 0 {
 		return can.SampleIn(reg)
 	}
@@ -75,23 +75,23 @@
 }
 
 // score returns the terms other than the slowdown of the services.
-func (Scored) score(can *Candidates, hos *Host, tsk *Task, knw *Knowledge) float64 {
-	score := load(hos, can.need)
-	rck, sit := knw.Concentration(hos, tsk)
+func (Scored) score(can *Candidates, viw *InstanceView, tsk *Task, knw *Knowledge) float64 {
+	score := load(viw, can.need)
+	rck, sit := knw.Concentration(viw, tsk)
 	score += rackWeight*rck + siteWeight*sit
 	if tsk.origin.Region() != "" {
-		score += [...]float64{0, siteMoveWeight, regionWeight}[tsk.origin.TierTo(hos.instance.location)]
+		score += [...]float64{0, siteMoveWeight, regionWeight}[tsk.origin.TierTo(viw.instance.location)]
 	}
-	if knw.FailedOn(hos, tsk) {
+	if knw.FailedOn(viw, tsk) {
 		score += failedWeight
 	}
 	return score
 }
 
 // load returns the larger fraction of processors and memory in use after the placement.
-func load(hos *Host, need resource.Vector) float64 {
-	left := hos.Free().Minus(need)
-	total := hos.instance.capacity
+func load(viw *InstanceView, need resource.Vector) float64 {
+	left := viw.Free().Minus(need)
+	total := viw.instance.capacity
 	processors := 1 - float64(left.MilliCPU())/float64(max(1, total.MilliCPU()))
 	memory := 1 - float64(left.MemoryMB())/float64(max(1, total.MemoryMB()))
 	return max(processors, memory)
@@ -101,7 +101,7 @@
 type Uniform struct{}
 
 // Choose implements Policy.
-func (Uniform) Choose(can *Candidates, _ *Task, _ *Knowledge) *Host { return can.Sample() }
+func (Uniform) Choose(can *Candidates, _ *Task, _ *Knowledge) *InstanceView { return can.Sample() }
 
 // Reserve returns the declared size.
 func (Uniform) Reserve(tsk *Task, _ *Knowledge) resource.Vector { return tsk.declared }
@@ -110,7 +110,7 @@
 type FirstFit struct{}
 
 // Choose implements Policy.
-func (FirstFit) Choose(can *Candidates, _ *Task, _ *Knowledge) *Host { return can.First() }
+func (FirstFit) Choose(can *Candidates, _ *Task, _ *Knowledge) *InstanceView { return can.First() }
 
 // Reserve returns the declared size.
 func (FirstFit) Reserve(tsk *Task, _ *Knowledge) resource.Vector { return tsk.declared }
@@ -120,15 +120,15 @@
 type LeastLoaded struct{}
 
 // Choose implements Policy.
-func (LeastLoaded) Choose(can *Candidates, _ *Task, _ *Knowledge) *Host {
-	var best *Host
+func (LeastLoaded) Choose(can *Candidates, _ *Task, _ *Knowledge) *InstanceView {
+	var best *InstanceView
 	for range DefaultCandidates {
-		hos := can.Sample()
-		if hos == nil {
+		viw := can.Sample()
+		if viw == nil {
 			return nil
 		}
-		if best == nil || load(hos, can.need) < load(best, can.need) {
-			best = hos
+		if best == nil || load(viw, can.need) < load(best, can.need) {
+			best = viw
 		}
 	}
 	return best
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -78,7 +78,7 @@
 
 // claimed is where a task has claimed room, and when it may do so again.
 type claimed struct {
-	host  *Host
+	view  *InstanceView
 	again time.Time
 }
 
@@ -103,7 +103,7 @@
 func (sch *Scheduler[P]) list(plc *placement) {
 	plc.position = len(sch.accepted)
 	sch.accepted = append(sch.accepted, plc)
-	plc.host.placed = append(plc.host.placed, plc)
+	plc.view.placed = append(plc.view.placed, plc)
 }
 
 func (sch *Scheduler[P]) unlist(plc *placement) {
@@ -112,7 +112,7 @@
 	sch.accepted[plc.position].position = plc.position
 	sch.accepted[last] = nil
 	sch.accepted = sch.accepted[:last]
-	plc.host.placed = slices.DeleteFunc(plc.host.placed, func(oth *placement) bool { return oth == plc })
+	plc.view.placed = slices.DeleteFunc(plc.view.placed, func(oth *placement) bool { return oth == plc })
 }
 
 // Reclaim returns the tasks to be stopped for the waiting tasks of the queue.
@@ -162,26 +162,26 @@
 	sch.visit++
 	best := plan{}
 	for step := range min(sampleLimit, len(sch.accepted)) {
-		hos := sch.accepted[(int(sch.visit)*sampleLimit+step)%len(sch.accepted)].host
-		if hos.visit == sch.visit || accept != nil && !accept(hos.instance.id) {
+		viw := sch.accepted[(int(sch.visit)*sampleLimit+step)%len(sch.accepted)].view
+		if viw.visit == sch.visit || accept != nil && !accept(viw.instance.id) {
 			continue
 		}
-		hos.visit = sch.visit
-		pln := srh.plan(hos)
-		if len(pln.tasks) > 0 && (len(best.tasks) == 0 || pln.cost < best.cost) && srh.accepted(hos, pln) {
+		viw.visit = sch.visit
+		pln := srh.plan(viw)
+		if len(pln.tasks) > 0 && (len(best.tasks) == 0 || pln.cost < best.cost) && srh.accepted(viw, pln) {
 			best = pln
 		}
 	}
 	if len(best.tasks) == 0 || !sch.budget.take(len(best.tasks), now) {
 		return nil
 	}
-	sch.keep(best.tasks[0].host, tsk.id, now)
+	sch.keep(best.tasks[0].view, tsk.id, now)
 	return sch.stop(best.tasks, tsk, waited, now)
 }
 
 // hasRoom reports whether some instance has room for a task now. Then it waits for another reason.
 func (sch *Scheduler[P]) hasRoom(tsk *Task, need resource.Vector, accept func(id fleet.InstanceID) bool, now time.Time) bool {
-	sch.candidates.reset(&sch.hosts, tsk.id, need, now, sch.random())
+	sch.candidates.reset(&sch.instances, tsk.id, need, now, sch.random())
 	sch.candidates.accept = accept
 	found := sch.candidates.First() != nil
 	sch.candidates.accept = nil
@@ -189,7 +189,7 @@
 }
 
 // keep reserves an instance for a task.
-func (sch *Scheduler[P]) keep(hos *Host, id TaskID, now time.Time) {
+func (sch *Scheduler[P]) keep(viw *InstanceView, id TaskID, now time.Time) {
 	if sch.claims == nil {
 		sch.claims = make(map[TaskID]claimed)
 	}
@@ -198,9 +198,9 @@
 			delete(sch.claims, old)
 		}
 	}
-	hos.claim = claim{task: id, until: now.Add(claimPeriod)}
-	sch.claims[id] = claimed{host: hos, again: now.Add(claimAgain)}
-	sch.hosts.claimed = true
+	viw.claim = claim{task: id, until: now.Add(claimPeriod)}
+	sch.claims[id] = claimed{view: viw, again: now.Add(claimAgain)}
+	sch.instances.claimed = true
 }
 
 // settleClaim ends the claim of a task that has found an instance.
@@ -210,9 +210,9 @@
 		return
 	}
 	delete(sch.claims, id)
-	sch.hosts.claimed = len(sch.claims) > 0
-	if clm.host.claim.task == id {
-		clm.host.claim = claim{}
+	sch.instances.claimed = len(sch.claims) > 0
+	if clm.view.claim.task == id {
+		clm.view.claim = claim{}
 	}
 }
 
@@ -226,7 +226,7 @@
 			cod = explain.Preempted
 		}
 		sch.record(explain.New(cod, now, string(plc.task.id)).With(string(tsk.team)).For(waited))
-		vics = append(vics, Victim{task: plc.task.id, instance: plc.host.instance.id, claimant: tsk})
+		vics = append(vics, Victim{task: plc.task.id, instance: plc.view.instance.id, claimant: tsk})
 	}
 	return vics
 }
@@ -249,61 +249,61 @@
 // accepter is a policy that does not take every instance with room.
 type accepter interface {
 	// Accepts reports whether a task may be placed on an instance that has room.
-	Accepts(hos *Host, tsk *Task, need resource.Vector, knw *Knowledge) bool
+	Accepts(viw *InstanceView, tsk *Task, need resource.Vector, knw *Knowledge) bool
 }
 
 // Accepts reports whether the services on an instance bear one more task.
-func (Scored) Accepts(hos *Host, tsk *Task, need resource.Vector, knw *Knowledge) bool {
-	return knw.Bearable(hos, tsk, need, knw.Pressure(hos, tsk, need))
+func (Scored) Accepts(viw *InstanceView, tsk *Task, need resource.Vector, knw *Knowledge) bool {
+	return knw.Bearable(viw, tsk, need, knw.Pressure(viw, tsk, need))
 }
 
 // accepted reports whether the policy would take the instance without the tasks of a plan.
-func (srh *search[P]) accepted(hos *Host, pln plan) bool {
+func (srh *search[P]) accepted(viw *InstanceView, pln plan) bool {
 	sch := srh.scheduler
 	acc, limited := any(sch.policy).(accepter)
 	if !limited || len(pln.tasks) == 0 {
 		return true
 	}
-	sch.reassess(hos)
+	sch.reassess(viw)
 	for _, plc := range pln.tasks {
-		hos.use(plc.row, -plc.size.MilliCPU())
-		hos.interfering -= countIf(plc.interfering)
+		viw.use(plc.row, -plc.size.MilliCPU())
+		viw.interfering -= countIf(plc.interfering)
 	}
-	taken := acc.Accepts(hos, srh.task, srh.need, &sch.know)
+	taken := acc.Accepts(viw, srh.task, srh.need, &sch.know)
 	for _, plc := range pln.tasks {
-		hos.use(plc.row, plc.size.MilliCPU())
-		hos.interfering += countIf(plc.interfering)
+		viw.use(plc.row, plc.size.MilliCPU())
+		viw.interfering += countIf(plc.interfering)
 	}
 	return taken
 }
 
 // reassess marks anew which running tasks of an instance interfere. What is known
 // of their classes may have changed since they were placed.
-func (sch *Scheduler[P]) reassess(hos *Host) {
-	for _, plc := range hos.placed {
-		hos.interfering -= countIf(plc.interfering)
-		hos.use(plc.row, -plc.size.MilliCPU())
-		plc.interfering = !sch.know.Pressure(hos, &plc.task, plc.size).fits()
-		hos.use(plc.row, plc.size.MilliCPU())
-		hos.interfering += countIf(plc.interfering)
+func (sch *Scheduler[P]) reassess(viw *InstanceView) {
+	for _, plc := range viw.placed {
+		viw.interfering -= countIf(plc.interfering)
+		viw.use(plc.row, -plc.size.MilliCPU())
+		plc.interfering = !sch.know.Pressure(viw, &plc.task, plc.size).fits()
+		viw.use(plc.row, plc.size.MilliCPU())
+		viw.interfering += countIf(plc.interfering)
 	}
 }
 
 // plan returns the tasks to stop on an instance: the cheapest single one that
 // makes enough room or else, for urgent work, several, cheapest first, without
 // those that turn out not to be needed.
-func (srh *search[P]) plan(hos *Host) plan {
-	if hos.site.out || hos.available() == closed || !hos.claim.admits(srh.task.id, srh.now) {
+func (srh *search[P]) plan(viw *InstanceView) plan {
+	if viw.site.out || viw.available() == closed || !viw.claim.admits(srh.task.id, srh.now) {
 		return plan{}
 	}
-	list := slices.Clone(hos.placed)
+	list := slices.Clone(viw.placed)
 	slices.SortFunc(list, func(one, two *placement) int {
 		return cmp.Or(cmp.Compare(srh.loss(one), srh.loss(two)), cmp.Compare(two.sequence, one.sequence))
 	})
-	best, several, free := plan{}, plan{}, hos.Free()
+	best, several, free := plan{}, plan{}, viw.Free()
 	for _, plc := range list {
 		cost, allowed := srh.cost(plc, nil)
-		if allowed && srh.need.FitsIn(hos.Free().Plus(plc.size)) && (len(best.tasks) == 0 || cost < best.cost) {
+		if allowed && srh.need.FitsIn(viw.Free().Plus(plc.size)) && (len(best.tasks) == 0 || cost < best.cost) {
 			best = plan{tasks: []*placement{plc}, cost: cost}
 		}
 		cost, allowed = srh.cost(plc, several.tasks)
--- a/core/place/resize.go
+++ b/core/place/resize.go
@@ -16,18 +16,18 @@
 	if !found || !size.Valid() {
 		return resource.Vector{}, false
 	}
-	old, hos := plc.size, plc.host
+	old, viw := plc.size, plc.view
 	change := size.Minus(old)
 	if plc.accepted {
-		hos.reported = hos.reported.Minus(change)
+		viw.reported = viw.reported.Minus(change)
 	} else {
-		hos.pending = hos.pending.Plus(change)
+		viw.pending = viw.pending.Plus(change)
 	}
-	hos.use(plc.row, change.MilliCPU())
+	viw.use(plc.row, change.MilliCPU())
 	sch.queue.Ended(plc.task.team, plc.task.urgent, old)
 	sch.queue.Started(plc.task.team, plc.task.urgent, size)
 	plc.size = size
-	sch.refresh(hos)
+	sch.refresh(viw)
 	return old, true
 }
 
--- a/core/place/scheduler.go
+++ b/core/place/scheduler.go
@@ -83,7 +83,7 @@
 // Its end finds it out of the cache in a large fleet, so what the end reads is
 // together: the fields before the task and the first ones of the task.
 type placement struct {
-	host        *Host
+	view        *InstanceView
 	row         *classRow
 	size        resource.Vector
 	peak        resource.Vector
@@ -117,7 +117,7 @@
 type Scheduler[P Policy] struct {
 	policy     P
 	rnd        *rand.Rand
-	hosts      Hosts
+	instances  Instances
 	know       Knowledge
 	queue      quota.Arbiter[TaskID, waiting]
 	placements map[TaskID]*placement
@@ -127,7 +127,7 @@
 	visit      uint64
 	delays     heap.Heap[delayed]
 	delayItems map[TaskID]*heap.Item[delayed]
-	resting    []*Host
+	resting    []*InstanceView
 	deferrals  []*deferral // sorted by class
 	deferred   int
 	log        explain.Log
@@ -144,8 +144,8 @@
 // Knowledge returns what has been learned.
 func (sch *Scheduler[P]) Knowledge() *Knowledge { return &sch.know }
 
-// Hosts returns the table of instances.
-func (sch *Scheduler[P]) Hosts() *Hosts { return &sch.hosts }
+// Instances returns the table of instances.
+func (sch *Scheduler[P]) Instances() *Instances { return &sch.instances }
 
 // Waiting returns the number of tasks in the queue, without delayed and parked ones.
 func (sch *Scheduler[P]) Waiting() int { return sch.queue.Len() + sch.deferred }
@@ -184,7 +184,7 @@
 // too large for every instance, or the queue of its team is full.
 func (sch *Scheduler[P]) Submit(tsk Task, now time.Time) (explain.Reason, bool) {
 	need := sch.policy.Reserve(&tsk, &sch.know)
-	if sch.hosts.Len() > 0 && !need.FitsIn(sch.know.largest) {
+	if sch.instances.Len() > 0 && !need.FitsIn(sch.know.largest) {
 		return sch.record(explain.New(explain.TooLarge, now, string(tsk.id)).Amounts(need, sch.know.largest)), false
 	}
 	if sch.know.blame.Parked(tsk.job) {
@@ -276,17 +276,17 @@
 
 func (sch *Scheduler[P]) try(id TaskID, wai waiting, now time.Time) (Offer, bool) {
 	need := sch.policy.Reserve(&wai.task, &sch.know)
-	sch.candidates.reset(&sch.hosts, wai.task.id, need, now, sch.random())
-	hos := sch.policy.Choose(&sch.candidates, &wai.task, &sch.know)
-	if hos == nil {
+	sch.candidates.reset(&sch.instances, wai.task.id, need, now, sch.random())
+	viw := sch.policy.Choose(&sch.candidates, &wai.task, &sch.know)
+	if viw == nil {
 		sch.postpone(id, wai, need, now)
 		return Offer{}, false
 	}
-	sch.put(wai.task, hos, need, now)
+	sch.put(wai.task, viw, need, now)
 	if wai.retried {
 		sch.requeueDeferred(wai.task.class, 1)
 	}
-	return Offer{task: wai.task, instance: hos.instance.id, size: need}, true
+	return Offer{task: wai.task, instance: viw.instance.id, size: need}, true
 }
 
 // postpone sets a task aside, or defers it with its class when an instance
@@ -295,13 +295,13 @@
 	if wai.since.IsZero() {
 		wai.since = now
 	}
-	hos := sch.candidates.First()
-	if hos != nil {
-		sch.record(sch.gateRefusal(hos, &wai.task, now))
+	viw := sch.candidates.First()
+	if viw != nil {
+		sch.record(sch.gateRefusal(viw, &wai.task, now))
 	} else {
 		sch.record(sch.refusal(&wai.task, need, now))
 	}
-	if hos != nil && !wai.task.urgent {
+	if viw != nil && !wai.task.urgent {
 		sch.deferTask(id, wai, now)
 		return
 	}
@@ -311,30 +311,30 @@
 
 // refusal explains why nothing fits.
 func (sch *Scheduler[P]) refusal(tsk *Task, need resource.Vector, now time.Time) explain.Reason {
-	if sch.hosts.Open() == 0 {
-		return explain.New(explain.NoInstances, now, string(tsk.id)).Counts(sch.hosts.Len(), 0)
+	if sch.instances.Open() == 0 {
+		return explain.New(explain.NoInstances, now, string(tsk.id)).Counts(sch.instances.Len(), 0)
 	}
-	return explain.New(explain.NoFit, now, string(tsk.id)).Amounts(need, sch.hosts.Largest())
+	return explain.New(explain.NoFit, now, string(tsk.id)).Amounts(need, sch.instances.Largest())
 }
 
-// put reserves the amounts of a task on a host until the reply arrives.
-func (sch *Scheduler[P]) put(tsk Task, hos *Host, size resource.Vector, now time.Time) *placement {
+// put reserves the amounts of a task on an instance until the reply arrives.
+func (sch *Scheduler[P]) put(tsk Task, viw *InstanceView, size resource.Vector, now time.Time) *placement {
 	if sch.placements == nil {
 		sch.placements = make(map[TaskID]*placement)
 	}
 	sch.sequence++
-	plc := &placement{task: tsk, host: hos, size: size, placed: now, sequence: sch.sequence}
-	plc.interfering = !sch.know.Pressure(hos, &tsk, size).fits()
-	hos.interfering += countIf(plc.interfering)
-	hos.pending = hos.pending.Plus(size)
-	hos.tasks++
-	plc.row = hos.services.row(tsk.class, &sch.know.pairings)
-	hos.use(plc.row, size.MilliCPU())
-	hos.site.refresh(hos)
+	plc := &placement{task: tsk, view: viw, size: size, placed: now, sequence: sch.sequence}
+	plc.interfering = !sch.know.Pressure(viw, &tsk, size).fits()
+	viw.interfering += countIf(plc.interfering)
+	viw.pending = viw.pending.Plus(size)
+	viw.tasks++
+	plc.row = viw.services.row(tsk.class, &sch.know.pairings)
+	viw.use(plc.row, size.MilliCPU())
+	viw.site.refresh(viw)
 	sch.placements[tsk.id] = plc
-	sch.know.spread(hos, &tsk, 1)
+	sch.know.spread(viw, &tsk, 1)
 	sch.queue.Started(tsk.team, tsk.urgent, size)
-	sch.record(explain.New(explain.Placed, now, string(tsk.id)).With(string(hos.instance.id)).Amounts(size, resource.Vector{}))
+	sch.record(explain.New(explain.Placed, now, string(tsk.id)).With(string(viw.instance.id)).Amounts(size, resource.Vector{}))
 	return plc
 }
 
@@ -347,29 +347,29 @@
 
 // take undoes put after a refusal or the end of a task.
 func (sch *Scheduler[P]) take(plc *placement) {
-	hos := plc.host
+	viw := plc.view
 	delete(sch.placements, plc.task.id)
 	if plc.accepted {
-		hos.reported = hos.reported.Plus(plc.size)
+		viw.reported = viw.reported.Plus(plc.size)
 		sch.unlist(plc)
 	} else {
-		hos.pending = hos.pending.Minus(plc.size)
+		viw.pending = viw.pending.Minus(plc.size)
 	}
-	hos.tasks--
-	hos.use(plc.row, -plc.size.MilliCPU())
-	hos.interfering -= countIf(plc.interfering)
-	sch.know.spread(hos, &plc.task, -1)
+	viw.tasks--
+	viw.use(plc.row, -plc.size.MilliCPU())
+	viw.interfering -= countIf(plc.interfering)
+	sch.know.spread(viw, &plc.task, -1)
 	sch.queue.Ended(plc.task.team, plc.task.urgent, plc.size)
-	sch.refresh(hos)
+	sch.refresh(viw)
 }
 
-// refresh makes the amounts of a host visible, unless it has left, and wakes what may fit.
-func (sch *Scheduler[P]) refresh(hos *Host) {
-	if sch.hosts.Find(hos.instance.id) != hos {
+// refresh makes the amounts of an instance visible, unless it has left, and wakes what may fit.
+func (sch *Scheduler[P]) refresh(viw *InstanceView) {
+	if sch.instances.Find(viw.instance.id) != viw {
 		return
 	}
-	hos.site.refresh(hos)
-	if free := hos.available(); !hos.site.out && free.Valid() {
+	viw.site.refresh(viw)
+	if free := viw.available(); !viw.site.out && free.Valid() {
 		sch.queue.Wake(free)
 	}
 }
@@ -382,11 +382,11 @@
 	}
 	plc.accepted = true
 	sch.settleClaim(id)
-	plc.host.pending = plc.host.pending.Minus(plc.size)
-	plc.host.reported = free
+	plc.view.pending = plc.view.pending.Minus(plc.size)
+	plc.view.reported = free
 	sch.list(plc)
-	if sch.hosts.Find(plc.host.instance.id) == plc.host {
-		plc.host.site.refresh(plc.host)
+	if sch.instances.Find(plc.view.instance.id) == plc.view {
+		plc.view.site.refresh(plc.view)
 	}
 }
 
@@ -398,19 +398,19 @@
 	if !found || plc.accepted {
 		return
 	}
-	hos := plc.host
-	hos.reported = free
+	viw := plc.view
+	viw.reported = free
 	if plc.size.FitsIn(free) {
-		sch.rest(hos)
+		sch.rest(viw)
 	}
 	sch.take(plc)
-	sch.record(explain.New(explain.Refused, now, string(id)).With(string(hos.instance.id)).Amounts(plc.size, free).Detail(detail))
+	sch.record(explain.New(explain.Refused, now, string(id)).With(string(viw.instance.id)).Amounts(plc.size, free).Detail(detail))
 	sch.requeue(plc.task, now)
 }
 
-func (sch *Scheduler[P]) rest(hos *Host) {
-	hos.barred = true
-	sch.resting = append(sch.resting, hos)
+func (sch *Scheduler[P]) rest(viw *InstanceView) {
+	viw.barred = true
+	sch.resting = append(sch.resting, viw)
 }
 
 // requeue puts a task back. A full queue delays it: an accepted task is never dropped.
@@ -452,24 +452,24 @@
 	sch.queue.WakeAll()
 }
 
-// review lets resting hosts return as far as their record allows.
+// review lets resting instances return as far as their record allows.
 func (sch *Scheduler[P]) review(now time.Time) {
 	sch.know.pairings.Forget(now)
 	resting := sch.resting
 	sch.resting = nil
-	for _, hos := range resting {
-		if sch.hosts.Find(hos.instance.id) != hos {
+	for _, viw := range resting {
+		if sch.instances.Find(viw.instance.id) != viw {
 			continue
 		}
-		state := sch.know.blame.State(hos.instance.id, now)
-		hos.barred = state == blame.Suspended
-		if hos.barred {
-			sch.resting = append(sch.resting, hos)
+		state := sch.know.blame.State(viw.instance.id, now)
+		viw.barred = state == blame.Suspended
+		if viw.barred {
+			sch.resting = append(sch.resting, viw)
 		}
-		if state == blame.Probation && !hos.trial {
-			hos.trial = true
-			sch.record(explain.New(explain.WorkerProbation, now, string(hos.instance.id)).Counts(0, blame.ProbationRuns))
+		if state == blame.Probation && !viw.trial {
+			viw.trial = true
+			sch.record(explain.New(explain.WorkerProbation, now, string(viw.instance.id)).Counts(0, blame.ProbationRuns))
 		}
-		hos.site.refresh(hos)
+		viw.site.refresh(viw)
 	}
 }
--- a/core/place/task.go
+++ b/core/place/task.go
@@ -83,7 +83,7 @@
 
 // Instance describes an instance that joins.
 type Instance struct {
-	capacity resource.Vector // first: read together with the first fields of Host
+	capacity resource.Vector // first: read together with the first fields of InstanceView
 	services []fleet.Service
 	id       fleet.InstanceID
 	free     resource.Vector
--- a/core/place/tree.go
+++ b/core/place/tree.go
@@ -10,7 +10,7 @@
 // closed marks a leaf that takes nothing.
 var closed = resource.New(-1, -1, -1)
 
-// tree is a complete binary tree over the free amounts of the hosts of a site.
+// tree is a complete binary tree over the free amounts of the instances of a site.
 // Each inner node holds the largest amount of each resource below it.
 type tree struct {
 	leaves int
