--- a/core/ledger/capacity.go
+++ b/core/ledger/capacity.go
@@ -42,7 +42,8 @@
 // Total returns the resources of the instance.
 func (cpy Capacity) Total() resource.Vector { return cpy.total }
 
-// Reserve returns the resources set aside for requests.
+// Reserve returns the resources set aside for requests. Accelerators are not
+// among them: a slot's part of a few whole ones is none, so a reserve would lie idle.
 func (cpy Capacity) Reserve() resource.Vector {
 	return scale(cpy.total, int64(cpy.reservePercent), 100)
 }
@@ -68,6 +69,7 @@
 	return scale(cpy.Reserve(), 1, int64(cpy.slots))
 }
 
+// scale returns a fraction of the processors and the memory, without accelerators.
 func scale(vec resource.Vector, mul, div int64) resource.Vector {
-	return resource.New(vec.MilliCPU()*mul/div, vec.MemoryMB()*mul/div, vec.Accelerators()*mul/div)
+	return resource.New(vec.MilliCPU()*mul/div, vec.MemoryMB()*mul/div, 0)
 }
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -52,6 +52,16 @@
 	Entry("negative amounts", ready(), cores(-1), outcome.ReasonTooLarge),
 )
 
+// Guards against accelerators that no request uses and no task may have.
+var _ = It("leaves all accelerators to tasks", func() {
+	led := &account{}
+	led.Resize(ledger.NewCapacity(25).WithEndpoint(8, 64))
+	led.Rebuild(resource.New(10000, 8000, 4))
+	_, ok := led.Reserve("task", resource.New(1000, 1000, 4), epoch, epoch.Add(time.Second))
+	Expect(ok).To(BeTrue())
+	Expect(led.Free().Accelerators()).To(BeZero())
+})
+
 // Guards against batch requests that take the slots of latency-critical ones, and
 // against admission beyond slots, connections or a ledger that is not rebuilt.
 var _ = DescribeTable("Admit",
--- a/internal/failure/capacity_test.go
+++ b/internal/failure/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,9 @@
 	"jacinthpost/internal/harness"
 )
 
+// accelerators is the number at each instance of the spec; the deployments have none.
+const accelerators = 4
+
 // expectWithinCapacity checks the highest commitment that each endpoint has ever seen.
 func expectWithinCapacity(ctx context.Context, fle *harness.Fleet) {
 	GinkgoHelper()
@@ -21,6 +25,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(pek.MilliCPU).To(BeNumerically("<=", svc.MilliCPU), "processors of %s", ins.ID())
 		Expect(pek.MemoryMB).To(BeNumerically("<=", svc.MemoryMB), "memory of %s", ins.ID())
+		Expect(pek.Accelerators).To(BeNumerically("<=", accelerators), "accelerators of %s", ins.ID())
 		Expect(pek.ConcurrentRequests).To(BeNumerically("<=", svc.Slots), "requests at once at %s", ins.ID())
 	}
 }
@@ -29,12 +34,15 @@
 	// Guards against a commitment beyond the instance when far more is asked for
 	// than fits and an agent forgets its ledger: it must rebuild it from the
 	// worker's report before it accepts anything. One job is limited by
-	// processors, the other by memory.
+	// processors, one by memory and one by accelerators.
 	It("commits no instance beyond its capacity while an agent restarts under overload", func(ctx SpecContext) {
-		fle := scene.StartFleet(ctx, "sen-vang", "--service-time", "20ms")
+		fle := scene.StartFleet(ctx, "sen-vang", "--service-time", "20ms", "--accelerators", strconv.Itoa(accelerators))
+		models := scene.JobSpec("models", "plan", `{"workMillis":500}`, 30, 500, 512)
+		models.Resources.Accelerators = 1
 		jobs := []string{
 			scene.Submit(ctx, fle, scene.JobSpec("wide", "plan", `{"workMillis":500}`, 100, 4000, 1024)),
 			scene.Submit(ctx, fle, scene.JobSpec("large", "plan", `{"workMillis":500}`, 100, 500, 20_000)),
+			scene.Submit(ctx, fle, models),
 		}
 		call := func(ctx context.Context, num int) {
 			_, err := fle.Request(ctx, num%2, fmt.Sprintf("load %d", num), "", true, scene.RequestLimit)
--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -255,6 +255,7 @@
 type Peak struct {
 	MilliCPU               int64 `json:"milliCPU"`
 	MemoryMB               int64 `json:"memoryMB"`
+	Accelerators           int64 `json:"accelerators"`
 	ConcurrentRequests     int   `json:"concurrentRequests"`
 	LastRequestUnixMillis  int64 `json:"lastRequestUnixMillis"`
 	LeavingSinceUnixMillis int64 `json:"leavingSinceUnixMillis"`
