Refuse settings with another number of partitions than the deployment has

Cause: every process took the number from its own settings. Two numbers at once put one job into two partitions, so a build submitted twice under one key could run twice, and nothing noticed. Change: the first process writes the number into a row of the table, and no process reads or writes ownership before the row has confirmed its settings. A process with another number ends at its start with both numbers in the error.

--- a/io/joblog/joblog_test.go
+++ b/io/joblog/joblog_test.go
@@ -25,7 +25,10 @@
 	specs.Run(t, "joblog")
 }
 
-const num = 3
+const (
+	num        = 3
+	partitions = 16
+)
 
 // hooked runs a function after each commit has reached the store.
 type hooked struct {
@@ -44,14 +47,14 @@
 
 // acquire takes the partition over for a process and returns the version of the epoch row.
 func acquire(tab store.Table, ins fleet.InstanceID) (uint64, store.Version) {
-	list, err := joblog.ReadRows(context.Background(), tab, num)
+	list, err := joblog.NewRows(tab, partitions).Read(context.Background(), num)
 	Expect(err).NotTo(HaveOccurred())
 	own := partition.NewOwnership(fleet.NewPeer(ins, 1, "addr"))
 	now := time.Unix(0, 0)
 	own.Observe(now, list[0])
 	act := own.Decide(now.Add(time.Minute), 0, 0)
 	Expect(act.Kind()).To(Equal(partition.Acquire))
-	res, err := joblog.WriteRow(context.Background(), tab, num, act)
+	res, err := joblog.NewRows(tab, partitions).Write(context.Background(), num, act)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(res.Committed()).To(BeTrue())
 	return act.Row().Epoch(), res.Version()
@@ -148,7 +151,7 @@
 		sto := &storefake.Store{}
 		epoch, ver := acquire(sto, "a")
 		log, _ := open(sto, sto, epoch, ver)
-		list, err := joblog.ReadRows(context.Background(), sto, num)
+		list, err := joblog.NewRows(sto, partitions).Read(context.Background(), num)
 		Expect(err).NotTo(HaveOccurred())
 		txn := &store.Transaction{}
 		txn.Require(joblog.RowKey(num), list[0].Version())
--- a/io/joblog/row.go
+++ b/io/joblog/row.go
@@ -63,13 +63,16 @@
 	return partition.NewRow(own, dec.Epoch, dec.Renewals, dec.Released), nil
 }
 
-// ReadRows reads the ownership of partitions with one call to the store.
-func ReadRows(ctx context.Context, tab store.Table, nums ...int) ([]partition.Sighting, error) {
+// Read reads the ownership of partitions with one call to the store.
+func (rws *Rows) Read(ctx context.Context, nums ...int) ([]partition.Sighting, error) {
+	if err := rws.Agree(ctx); err != nil {
+		return nil, err
+	}
 	keys := make([]string, 0, 2*len(nums))
 	for _, num := range nums {
 		keys = append(keys, RowKey(num), EpochKey(num))
 	}
-	rows, err := tab.Read(ctx, keys...)
+	rows, err := rws.table.Read(ctx, keys...)
 	if err != nil {
 		return nil, errors.Wrap(err, "read partition rows")
 	}
@@ -84,10 +87,13 @@
 	return list, nil
 }
 
-// WriteRow makes the write of an ownership action. An acquisition also writes
+// Write makes the write of an ownership action. An acquisition also writes
 // the epoch row, so that the log of the former owner is fenced by the same
 // transaction. A result that is not committed means that the row has changed.
-func WriteRow(ctx context.Context, tab store.Table, num int, act partition.Action) (store.Result, error) {
+func (rws *Rows) Write(ctx context.Context, num int, act partition.Action) (store.Result, error) {
+	if err := rws.Agree(ctx); err != nil {
+		return store.Result{}, err
+	}
 	value, err := encodeRow(act.Row())
 	if err != nil {
 		return store.Result{}, errors.Wrap(err, "encode partition row")
@@ -102,7 +108,7 @@
 		}
 		txn.Put(EpochKey(num), epoch)
 	}
-	res, err := tab.Commit(ctx, txn)
+	res, err := rws.table.Commit(ctx, txn)
 	if err != nil {
 		return store.Result{}, errors.Wrap(err, "write partition row")
 	}
--- a/io/node/agentnode/agentnode.go
+++ b/io/node/agentnode/agentnode.go
@@ -58,7 +58,7 @@
 	set := nod.Settings()
 	agt := &Agent{node: nod, worker: worker.New(set.WorkerAddress())}
 	agt.life, agt.end = context.WithCancel(context.Background())
-	directory := newOwnerDirectory(nod.Table(), set.Partitions())
+	directory := newOwnerDirectory(nod.Rows())
 	mbs := newMembers(nod.Gossip().View)
 	sit := &site{
 		instance: set.Instance(), location: set.Location(), partitions: set.Partitions(),
--- a/io/node/agentnode/owners.go
+++ b/io/node/agentnode/owners.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"jacinthpost/core/store"
 	"jacinthpost/io/joblog"
 )
 
@@ -18,7 +17,7 @@
 // finds at its worker. Owners also announce themselves by Adopt; this serves the
 // case that the owner has not noticed the restart. Lookups run in the background.
 type ownerDirectory struct {
-	table   store.Table
+	rows    *joblog.Rows
 	mu      sync.Mutex
 	entries []ownerEntry
 }
@@ -28,8 +27,8 @@
 	asked   time.Time
 }
 
-func newOwnerDirectory(tab store.Table, partitions int) *ownerDirectory {
-	return &ownerDirectory{table: tab, entries: make([]ownerEntry, partitions)}
+func newOwnerDirectory(rws *joblog.Rows) *ownerDirectory {
+	return &ownerDirectory{rows: rws, entries: make([]ownerEntry, rws.Count())}
 }
 
 // Address implements Owners. It answers at once with what is known and reads
@@ -51,7 +50,7 @@
 func (dir *ownerDirectory) lookUp(num int) {
 	ctx, cancel := context.WithTimeout(context.Background(), ownerLookupTimeout)
 	defer cancel()
-	list, err := joblog.ReadRows(ctx, dir.table, num)
+	list, err := dir.rows.Read(ctx, num)
 	if err != nil {
 		return
 	}
--- a/io/node/agentnode/placement.go
+++ b/io/node/agentnode/placement.go
@@ -38,7 +38,7 @@
 	dsp := dispatch.New(place.Scored{}, uint64(nod.Incarnation()), set.Partitions())
 	return &placedOwner{
 		partitions: owner.New(cfg, prt, dsp.Part), dispatcher: dsp, config: nod,
-		client: owner.NewClient(nod.Table(), nod.Pools().Jobs(), set.Partitions()),
+		client: owner.NewClient(nod.Rows(), nod.Pools().Jobs()),
 		self:   fleet.NewProcess(set.Instance(), nod.Incarnation()),
 	}
 }
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -61,7 +61,7 @@
 		Caller: nod.Pools().Requests(), Rows: ent.rows, Objects: nod.Objects(), Directory: ent.directory.Load, NextID: ids.next,
 	})
 	nod.Gossip().SetObserver(func([]member.Change) { ent.routing.TryPost(control.Func[routing](ent.rebuild)) })
-	jobs := owner.NewClient(nod.Table(), nod.Pools().Jobs(), nod.Settings().Partitions())
+	jobs := owner.NewClient(nod.Rows(), nod.Pools().Jobs())
 	ent.handler = web.NewHandler(web.Ports{
 		Requests:      admission{requests: ent.requests, config: nod},
 		Jobs:          jobClient{client: jobs, config: nod},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,6 +25,7 @@
 	"jacinthpost/io/control"
 	"jacinthpost/io/gossip"
 	"jacinthpost/io/httpcall"
+	"jacinthpost/io/joblog"
 	"jacinthpost/io/object"
 	"jacinthpost/io/peer"
 	"jacinthpost/io/settings"
@@ -36,6 +37,7 @@
 	controlQueue  = 8192 // events
 	headPeriod    = 500 * time.Millisecond
 	readyPeriod   = 20 * time.Millisecond
+	agreeLimit    = time.Second // one question for the number of partitions
 	headerTimeout = 5 * time.Second
 )
 
@@ -81,6 +83,7 @@
 	server      *peer.Server
 	table       store.Table
 	objects     store.Objects
+	rows        *joblog.Rows
 	gossip      *gossip.Gossip
 	config      *config.Node
 	recorder    *audit.Recorder
@@ -95,6 +98,7 @@
 	}
 	nod := &Node{
 		settings: set, incarnation: inc, thread: thr, pools: poo, server: peer.NewServer(), table: tab, objects: obj,
+		rows:     joblog.NewRows(tab, set.Partitions()),
 		logger:   log.With(zap.String("instance", string(set.Instance())), zap.String("role", string(set.Role()))),
 		recorder: audit.NewRecorder(tab, string(set.Instance()), uint64(inc)),
 	}
@@ -188,6 +192,9 @@
 // Objects returns the object store.
 func (nod *Node) Objects() store.Objects { return nod.objects }
 
+// Rows returns the ownership of the job partitions.
+func (nod *Node) Rows() *joblog.Rows { return nod.rows }
+
 // Gossip returns the membership.
 func (nod *Node) Gossip() *gossip.Gossip { return nod.gossip }
 
@@ -227,6 +234,9 @@
 
 // Run runs the process until the context ends, then stops it gracefully.
 func (nod *Node) Run(ctx context.Context, rol Role) error {
+	if err := nod.agree(ctx); err != nil {
+		return err
+	}
 	// The control thread outlives the components, which hand their last events to it.
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopControl()
@@ -239,6 +249,7 @@
 	}
 	grp.Go(func() error { return rol.Run(life) })
 	grp.Go(func() error { nod.awaitReady(life, rol); return nil })
+	grp.Go(func() error { return nod.awaitAgreement(life) })
 	select {
 	case <-ctx.Done():
 		nod.stop(life, rol)
@@ -249,6 +260,29 @@
 	return grp.Wait()
 }
 
+// agree returns an error if the deployment is known to have another number of
+// partitions than the settings. A store that does not answer is no error.
+func (nod *Node) agree(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, agreeLimit)
+	defer cancel()
+	var cer *joblog.CountError
+	if err := nod.rows.Agree(limited); errors.As(err, &cer) {
+		return errors.Wrap(cer, "settings do not fit the deployment")
+	}
+	return nil
+}
+
+// awaitAgreement repeats the question while the store does not answer. Until it
+// has answered, requests are served and no call about jobs is made or answered.
+func (nod *Node) awaitAgreement(ctx context.Context) error {
+	for !nod.rows.Agreed() && control.Pause(ctx, agreeLimit) == nil {
+		if err := nod.agree(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitReady reports the process ready once the configuration is known and the role can work.
 func (nod *Node) awaitReady(ctx context.Context, rol Role) {
 	tkr := time.NewTicker(readyPeriod)
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -10,7 +10,6 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/outcome"
-	"jacinthpost/core/store"
 	"jacinthpost/io/control"
 	"jacinthpost/io/joblog"
 	"jacinthpost/io/message"
@@ -28,43 +27,42 @@
 // cancellations are idempotent, so it repeats a call that failed. It is safe for
 // use from any goroutine.
 type Client struct {
-	table      store.Table
-	caller     Caller
-	partitions int
-	mu         sync.Mutex
-	owners     map[int]string
+	rows   *joblog.Rows
+	caller Caller
+	mu     sync.Mutex
+	owners map[int]string
 }
 
-// NewClient returns a client for a number of partitions.
-func NewClient(tab store.Table, cal Caller, partitions int) *Client {
-	return &Client{table: tab, caller: cal, partitions: partitions, owners: make(map[int]string)}
+// NewClient returns a client that finds owners through the rows of a deployment.
+func NewClient(rws *joblog.Rows, cal Caller) *Client {
+	return &Client{rows: rws, caller: cal, owners: make(map[int]string)}
 }
 
 // Partitions returns the number of partitions.
-func (cli *Client) Partitions() int { return cli.partitions }
+func (cli *Client) Partitions() int { return cli.rows.Count() }
 
 // Submit submits a job to the owner of its partition.
 func (cli *Client) Submit(ctx context.Context, spc message.JobSpec) message.JobReply {
 	id := job.NewID(fleet.Customer(spc.Customer), spc.Key)
-	num := job.PartitionOf(id, cli.partitions)
+	num := job.PartitionOf(id, cli.rows.Count())
 	return cli.call(ctx, num, "Owner.Submit", message.SubmitArgs{Partition: num, JobID: string(id), Spec: spc})
 }
 
 // Cancel cancels a job.
 func (cli *Client) Cancel(ctx context.Context, id job.ID) message.JobReply {
-	num := job.PartitionOf(id, cli.partitions)
+	num := job.PartitionOf(id, cli.rows.Count())
 	return cli.call(ctx, num, "Owner.Cancel", message.JobRefArgs{Partition: num, JobID: string(id)})
 }
 
 // Retry returns the parked tasks of a job to the queue.
 func (cli *Client) Retry(ctx context.Context, id job.ID) message.JobReply {
-	num := job.PartitionOf(id, cli.partitions)
+	num := job.PartitionOf(id, cli.rows.Count())
 	return cli.call(ctx, num, "Owner.Retry", message.JobRefArgs{Partition: num, JobID: string(id)})
 }
 
 // Status describes a job.
 func (cli *Client) Status(ctx context.Context, id job.ID) message.JobReply {
-	num := job.PartitionOf(id, cli.partitions)
+	num := job.PartitionOf(id, cli.rows.Count())
 	return cli.call(ctx, num, "Owner.Status", message.JobRefArgs{Partition: num, JobID: string(id)})
 }
 
@@ -146,7 +144,7 @@
 	if addr != "" {
 		return addr, nil
 	}
-	list, err := joblog.ReadRows(ctx, cli.table, num)
+	list, err := cli.rows.Read(ctx, num)
 	if err != nil {
 		return "", err
 	}
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -75,7 +75,7 @@
 	clu := &cluster{Gomega: NewWithT(t), partitions: partitions, processes: map[string]*process{},
 		running: map[string]int{}, finished: map[string]int{},
 		table: &recordingTable{Store: &storefake.Store{}, writes: map[string][]time.Time{}}}
-	clu.client = owner.NewClient(clu.table, clu, partitions)
+	clu.client = owner.NewClient(joblog.NewRows(clu.table, partitions), clu)
 	var list []owner.Member
 	for idx := range processes {
 		id := string(rune('a' + idx))
@@ -269,7 +269,7 @@
 
 // rowOwner returns the address in the row, as an agent learns it by Adopt.
 func (clu *cluster) rowOwner(num int) string {
-	list, err := joblog.ReadRows(context.Background(), clu.table, num)
+	list, err := joblog.NewRows(clu.table, clu.partitions).Read(context.Background(), num)
 	if err != nil {
 		return ""
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -30,6 +30,7 @@
 	"jacinthpost/core/partition"
 	"jacinthpost/core/store"
 	"jacinthpost/io/control"
+	"jacinthpost/io/joblog"
 )
 
 // Bounds and timing of the component.
@@ -157,6 +158,7 @@
 	ports Ports
 	loop  *control.Loop[state[P]]
 	calls chan func(ctx context.Context)
+	rows  *joblog.Rows
 	// client finds the owners of other partitions.
 	client *Client
 	ctx    context.Context // of Run, nil before it; used on the control goroutine only
@@ -166,7 +168,8 @@
 
 // New returns a component. The function place makes the placement of a partition.
 func New[P job.Placement](cfg Config, prt Ports, place func(num int) P) *Owner[P] {
-	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity), client: NewClient(prt.table, prt.caller, cfg.partitions)}
+	rws := joblog.NewRows(prt.table, cfg.partitions)
+	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity), rows: rws, client: NewClient(rws, prt.caller)}
 	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
 		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
 	for num := range cfg.partitions {
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -162,7 +162,7 @@
 	sta.owner.store(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, storeLimit)
 		defer cancel()
-		list, err := joblog.ReadRows(limited, sta.owner.ports.table, nums...)
+		list, err := sta.owner.rows.Read(limited, nums...)
 		sta.owner.post(ctx, func(sta *state[P], now time.Time) {
 			sta.watching = false
 			if err != nil {
@@ -256,14 +256,14 @@
 func (sta *state[P]) write(slt *slot[P], act partition.Action) {
 	own, num := sta.owner, slt.num
 	own.store(func(ctx context.Context) {
-		res := writeRow(ctx, own.ports.table, num, act)
+		res := writeRow(ctx, own.rows, num, act)
 		own.post(ctx, func(sta *state[P], now time.Time) { sta.rowWritten(slt, res, now) })
 	})
 }
 
-func writeRow(ctx context.Context, tab store.Table, num int, act partition.Action) rowResult {
+func writeRow(ctx context.Context, rws *joblog.Rows, num int, act partition.Action) rowResult {
 	limited, cancel := context.WithTimeout(ctx, storeLimit)
-	res, err := joblog.WriteRow(limited, tab, num, act)
+	res, err := rws.Write(limited, num, act)
 	cancel()
 	rowWrites.Inc()
 	if err == nil && res.Committed() {
@@ -273,18 +273,18 @@
 		storeErrors.Inc()
 		return rowResult{}
 	}
-	return rowResult{lost: err != nil, sighting: readRow(ctx, tab, num)}
+	return rowResult{lost: err != nil, sighting: readRow(ctx, rws, num)}
 }
 
 // readRow reads a row, with retries, because a lost answer to a renewal costs
 // the partition unless it is read back in time.
-func readRow(ctx context.Context, tab store.Table, num int) *partition.Sighting {
+func readRow(ctx context.Context, rws *joblog.Rows, num int) *partition.Sighting {
 	limited, cancel := context.WithTimeout(ctx, resolveLimit)
 	defer cancel()
 	tkr := time.NewTicker(WritePeriod)
 	defer tkr.Stop()
 	for {
-		list, err := joblog.ReadRows(limited, tab, num)
+		list, err := rws.Read(limited, num)
 		if err == nil {
 			return &list[0]
 		}
