Give requests the default timeout of their service

Cause: defaultTimeoutMillis of a service's ticket was accepted, kept and shown, and entries used requestTimeoutMillis of their own settings for every service. Change: the entry takes the timeout of the service in force, and that of its settings for a service without a ticket. Result: the new spec of io/web passes; all packages of io pass with -race.

--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -69,11 +69,21 @@
 		Fleet:         nod,
 		Audit:         audit.NewTrail(nod.Table()),
 		Explain:       explainer{node: nod, jobs: jobs},
-		Timeout:       nod.Settings().RequestTimeout(),
+		Timeout:       ent.timeout,
 	})
 	return ent
 }
 
+// timeout returns the time limit of a request whose caller names none: that of
+// the service, or that of the settings for a service without a ticket.
+func (ent *Entry) timeout(name fleet.Service) time.Duration {
+	svc, known := ent.node.State().Service(name)
+	if !known || svc.Timeout() <= 0 {
+		return ent.node.Settings().RequestTimeout()
+	}
+	return svc.Timeout()
+}
+
 // Ready implements node.Role: an entry that knows no other process cannot serve.
 func (ent *Entry) Ready() bool {
 	return ent.directory.Load() != nil && len(ent.node.Gossip().View().Usable()) > 1
--- a/io/web/requests.go
+++ b/io/web/requests.go
@@ -17,13 +17,13 @@
 	Serve(ctx context.Context, req entry.Request) entry.Answer
 }
 
-func registerRequests(mux *http.ServeMux, rqs Requests, timeout time.Duration) {
+func registerRequests(mux *http.ServeMux, rqs Requests, fallback func(svc fleet.Service) time.Duration) {
 	mux.HandleFunc("POST /v1/services/{service}/requests", func(rw http.ResponseWriter, req *http.Request) {
 		body, ok := readBody(rw, req, RequestBodyLimit)
 		if !ok {
 			return
 		}
-		svcReq, err := serviceRequest(req, body, timeout)
+		svcReq, err := serviceRequest(req, body, fallback)
 		if err != nil {
 			refuse(rw, http.StatusBadRequest, err.Error())
 			return
@@ -33,13 +33,13 @@
 }
 
 // serviceRequest translates an HTTP request or explains what is wrong with it.
-func serviceRequest(req *http.Request, body []byte, fallback time.Duration) (entry.Request, error) {
+func serviceRequest(req *http.Request, body []byte, fallback func(svc fleet.Service) time.Duration) (entry.Request, error) {
 	none := entry.Request{}
 	service := req.PathValue("service")
 	if !validName(service) {
 		return none, fmt.Errorf("service name of 1 to %d printable characters expected", NameLimit)
 	}
-	timeout, err := timeoutOf(req, fallback)
+	timeout, err := timeoutOf(req, fallback(fleet.Service(service)))
 	if err != nil {
 		return none, err
 	}
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -7,13 +7,13 @@
 package web
 
 import (
-	"cmp"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/urfave/negroni/v3"
 
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
 )
 
@@ -45,14 +45,23 @@
 	Audit Audit
 	// Explain explains decisions.
 	Explain Explain
-	// Timeout is the time of a request whose caller names none.
-	Timeout time.Duration
+	// Timeout returns the time of a request to a service whose caller names none;
+	// DefaultTimeout applies without it.
+	Timeout func(svc fleet.Service) time.Duration
+}
+
+// timeout returns the time of a request to a service whose caller names none.
+func (prt Ports) timeout(svc fleet.Service) time.Duration {
+	if prt.Timeout == nil {
+		return DefaultTimeout
+	}
+	return prt.Timeout(svc)
 }
 
 // NewHandler returns the handler of the whole interface.
 func NewHandler(prt Ports) http.Handler {
 	mux := http.NewServeMux()
-	registerRequests(mux, prt.Requests, cmp.Or(prt.Timeout, DefaultTimeout))
+	registerRequests(mux, prt.Requests, prt.timeout)
 	registerJobs(mux, prt.Jobs)
 	registerConfiguration(mux, prt.Configuration)
 	registerFleet(mux, prt.Fleet)
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/member"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/ticket"
@@ -30,6 +31,7 @@
 // fixture records which port was called and answers with what the test sets.
 type fixture struct {
 	calls  int
+	asked  fleet.Service // whose timeout was asked for
 	answer entry.Answer
 	job    message.JobReply
 	filed  ticket.Outcome
@@ -63,9 +65,21 @@
 func (fix *fixture) Ticket(context.Context, string) ([]string, bool)   { return nil, false }
 
 func (fix *fixture) handler() http.Handler {
-	return web.NewHandler(web.Ports{Requests: fix, Jobs: fix, Configuration: fix, Fleet: fix, Audit: fix, Explain: fix, Timeout: time.Second})
+	return web.NewHandler(web.Ports{Requests: fix, Jobs: fix, Configuration: fix, Fleet: fix, Audit: fix, Explain: fix, Timeout: fix.timeout})
 }
 
+func (fix *fixture) timeout(svc fleet.Service) time.Duration {
+	fix.asked = svc
+	return time.Second
+}
+
+// Guards against a time limit that does not belong to the service of the request.
+var _ = It("asks for the timeout of the service when the caller names none", func() {
+	fix := &fixture{answer: entry.Refused(outcome.NotRun(outcome.ReasonNoEndpoint, ""))}
+	send(fix, "POST", requests, "{}", nil)
+	Expect(string(fix.asked)).To(Equal("svc"))
+})
+
 // send returns the status and the decoded answer, which must be JSON whatever was sent.
 func send(fix *fixture, method, path, body string, headers http.Header) (int, map[string]any) {
 	GinkgoHelper()
