Declare the error classifiers of the platform clients in one place

The clients of the table, the object store and the worker each built the same pair of classifiers. httpcall.Classifiers returns it. No change of behaviour; the packages' tests pass with -race.

--- a/io/httpcall/failure.go
+++ b/io/httpcall/failure.go
@@ -41,17 +41,17 @@
 // Unwrap returns the cause.
 func (fai *Failure) Unwrap() error { return fai.err }
 
-// Classifier maps failures to the errors of one port. For reads, which have no
-// effect, both errors are the same.
+// Classifier maps failures to the errors of one port.
 type Classifier struct {
 	unavailable error
 	uncertain   error
 }
 
-// NewClassifier returns a classifier that reports a call without an effect as
-// unavailable, and one that may have had an effect as uncertain.
-func NewClassifier(unavailable, uncertain error) Classifier {
-	return Classifier{unavailable: unavailable, uncertain: uncertain}
+// Classifiers returns the classifiers of a port. They report a call that had no
+// effect as unavailable and a write that may have had one as uncertain; a read
+// has none.
+func Classifiers(unavailable, uncertain error) (writes, reads Classifier) {
+	return Classifier{unavailable: unavailable, uncertain: uncertain}, Classifier{unavailable: unavailable, uncertain: unavailable}
 }
 
 // Failed classifies a call without a complete answer.
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -17,10 +17,7 @@
 	"jacinthpost/io/table/tableapi"
 )
 
-var (
-	writes = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUncertain)
-	reads  = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUnavailable)
-)
+var writes, reads = httpcall.Classifiers(store.ErrUnavailable, store.ErrUncertain)
 
 // Client implements store.Objects.
 type Client struct {
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -25,10 +25,7 @@
 	"jacinthpost/io/table/tableapi"
 )
 
-var (
-	writes = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUncertain)
-	reads  = httpcall.NewClassifier(store.ErrUnavailable, store.ErrUnavailable)
-)
+var writes, reads = httpcall.Classifiers(store.ErrUnavailable, store.ErrUncertain)
 
 // Client implements store.Table.
 type Client struct {
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -18,10 +18,7 @@
 	"jacinthpost/io/worker/workerapi"
 )
 
-var (
-	writes = httpcall.NewClassifier(worker.ErrUnavailable, worker.ErrUncertain)
-	reads  = httpcall.NewClassifier(worker.ErrUnavailable, worker.ErrUnavailable)
-)
+var writes, reads = httpcall.Classifiers(worker.ErrUnavailable, worker.ErrUncertain)
 
 // Client implements worker.Worker of the core.
 type Client struct {
