Explore late completions of tasks given up for lost

Cause: a report 'finished' for an assignment that was given up for lost has to complete the task while no newer assignment is recorded. The state machine does so already: a lost assignment stays open (applyEnded) and its end withdraws an offer under way. No test required it, so losing the rule would only have shown as work that runs twice.

Change: the model fails when a completion with the latest assigned token leaves its task unfinished, unless it is cancelled; three starting points with such a report in flight: after the lease, during a new claim, and after a takeover.

--- a/core/job/agent_test.go
+++ b/core/job/agent_test.go
@@ -230,7 +230,11 @@
 	case "renewAll":
 		out = own.part.RenewHeld(env, 0, hol, describe(msg.held), nil)
 	case "report":
+		accepted := own.accepts(msg)
 		out = own.part.Report(env, 0, []job.Report{job.NewReport(msg.ref, msg.end)})
+		if accepted && own.task(msg.ref).State() != job.Finished {
+			wld.fail("the completion of the latest assignment %v is ignored", msg.ref)
+		}
 	default:
 		out = own.part.Adopted(env, hol, true, msg.refs)
 	}
@@ -242,6 +246,19 @@
 	wld.collect(msg.owner, out, msg)
 }
 
+// accepts reports whether a report has to complete its task: it says finished
+// and names the latest assignment of a task that is not cancelled, even if that
+// assignment was given up for lost.
+func (own *owner) accepts(msg message) bool {
+	sta := own.task(msg.ref)
+	return msg.end.Kind() == job.EndFinished && sta.Token() == msg.ref.Token() && sta.State() != job.Cancelled
+}
+
+func (own *owner) task(ref job.Ref) job.TaskStatus {
+	sta, _ := own.part.Status(ref.Job())
+	return sta.Tasks()[ref.Index()]
+}
+
 func (wld *world) deliverAgent(msg message) {
 	agt := &wld.agents[msg.agent]
 	switch msg.kind {
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -209,6 +209,12 @@
 		[]string{"?flush", "deliver offer x 1", "?deliver offer x 1", "?deliver claim x", "?deliver claim x", "?deliver claim x", "?flush"})
 	// The task leaves the group after its renewal and its lease counts on.
 	withdrawn = slices.Concat(grouped, []string{"cancel", "flush"}, later)
+	// The end of the task is on its way to the owner, which gives the task up for lost and offers it again.
+	late = slices.Concat(running, []string{"finish"}, later, later[:1], []string{"flush"})
+	// The new offer is accepted and its claim is on its way too.
+	overdue = slices.Concat(late, []string{"deliver offer x 1", "?deliver offer x 1"})
+	// The new owner gives the task up after a takeover.
+	inherit = slices.Concat(running, []string{"finish"}, takeover, later, later[:1], []string{"flush"})
 	// The whole set is renewed by a former owner only, and the new owner offers the task again.
 	entrusted = slices.Concat(grouped, []string{"deliver renewReply y"}, takeover,
 		[]string{"renew all 0", "deliver renewAll y", "?deliver renewReply y"}, later, later[:1], offered)
@@ -250,6 +256,9 @@
 		Entry("after a renewal of the whole set", grouped),
 		Entry("when only the renewal of the set keeps the lease", outlived),
 		Entry("after a cancellation between the renewal of the set and its answer", withdrawn),
+		Entry("when the end arrives after the lease", late),
+		Entry("when the end arrives during a new claim", overdue),
+		Entry("when the end arrives after a takeover and the lease", inherit),
 		Entry("after a takeover, with renewals of the set by the former owner only", entrusted),
 		Entry("after the agent crashed with a start in flight", crashed),
 	)
