Park a lost task of a job that must not run again

Cause: a task whose instance is lost starts again once its lease has ended. If the first run had already finished, the work runs to its end twice; a build with effects outside of its recorded result has them twice.

Change: a job carries what happens when it is not known whether a task has run (Rerun: fromCheckpoint, which is the default, or never). With never, the record that ends an assignment as lost parks the task, so that no crash can separate both facts, with the reason MayHaveRun. The assignment stays open: a reported completion completes the task, and a report that the run did not start, stopped or failed returns it to the queue. A result that is too large parks it too, because the task has run to its end. The setting is part of the job's record; records without it mean the default. It is not part of the digest, like the lease.

A failure is a known end, in which the task has told that it did not do its work, so failed tasks are tried again as before.

--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -50,6 +50,7 @@
 	MemoryEvicted
 	StarvedCheckpointed
 	StarvedEvicted
+	MayHaveRun
 )
 
 // Reason is one decision with the facts that led to it. Which facts are set
@@ -201,6 +202,9 @@
 	StarvedEvicted: func(rsn Reason) string {
 		return fmt.Sprintf("%s is evicted after its checkpoint: it has been throttled for the sake of %s for %v and hardly uses the %v reserved for it; it starts again beside another service or when this one has room", rsn.subject, rsn.other, rsn.period, rsn.need)
 	},
+	MayHaveRun: func(rsn Reason) string {
+		return fmt.Sprintf("task %d of %s may have run on %s: %s; its class must not run again then, so it is parked until the instance reports its end or an operator retries the job", rsn.count, rsn.subject, rsn.other, rsn.detail)
+	},
 	NotTheTasks: func(rsn Reason) string {
 		return fmt.Sprintf("tasks next to %s are not stopped: its latency stays high with all of them throttled, so they are not the cause; its present latency becomes the target", rsn.subject)
 	},
--- a/core/job/agent_test.go
+++ b/core/job/agent_test.go
@@ -61,6 +61,9 @@
 			})
 		}
 	}
+	if own.part != nil && !own.dead && own.epoch == wld.epoch && own.parked() {
+		list = wld.limited(list, "retry", "retry", func(wld *world) { wld.retry(idx) })
+	}
 	if own.epoch == 0 && !wld.now.Before(wld.renewed.Add(lease.Stretch(partition.LeaseTime))) {
 		list = append(list, action{"takeover", func(wld *world) { wld.takeOver(idx) }})
 	}
@@ -142,7 +145,11 @@
 }
 
 func (wld *world) end(idx, pos int, end job.End) {
-	wld.agents[idx].runs[pos].stop(end)
+	rnn := &wld.agents[idx].runs[pos]
+	if end.Kind() == job.EndFinished && !rnn.ended {
+		wld.finished[rnn.ref.Index()]++
+	}
+	rnn.stop(end)
 	wld.report(idx, pos)
 }
 
@@ -254,6 +261,18 @@
 	return msg.end.Kind() == job.EndFinished && sta.Token() == msg.ref.Token() && sta.State() != job.Cancelled
 }
 
+func (own *owner) parked() bool {
+	sta, known := own.part.Status(job.NewID("c", "k"))
+	return known && slices.ContainsFunc(sta.Tasks(), func(tsk job.TaskStatus) bool { return tsk.State() == job.Parked })
+}
+
+// retry lets an operator run the parked tasks again.
+func (wld *world) retry(idx int) {
+	own := &wld.owners[idx]
+	wld.retried++
+	wld.collect(idx, own.part.Retry(wld.env(own), 0, job.NewID("c", "k")), message{})
+}
+
 func (own *owner) task(ref job.Ref) job.TaskStatus {
 	sta, _ := own.part.Status(ref.Job())
 	return sta.Tasks()[ref.Index()]
--- a/core/job/apply.go
+++ b/core/job/apply.go
@@ -102,9 +102,11 @@
 
 // applyEnded ends the open assignment of a task. A lost assignment stays open:
 // until the next one is recorded, its agent may still report a result or a
-// checkpoint, which nothing else can have produced.
+// checkpoint, which nothing else can have produced. The same record parks a lost
+// task that must not run again, so that no crash can separate both facts.
 func (par *Partition[P]) applyEnded(tsk *task, end End) {
 	tsk.open = end.kind == EndLost && !tsk.entry.cancelled
+	held := tsk.state == Assigned || tsk.state == Running || tsk.state == Stopping
 	if end.checkpoint != "" {
 		tsk.checkpoint = end.checkpoint
 	}
@@ -123,6 +125,8 @@
 		par.setState(tsk, Finished)
 	case tsk.entry.cancelled:
 		par.setState(tsk, Cancelled)
+	case held && tsk.parksLost(end):
+		par.setState(tsk, Parked)
 	default:
 		par.setState(tsk, Queued)
 	}
--- a/core/job/end.go
+++ b/core/job/end.go
@@ -48,9 +48,12 @@
 		par.withdraw(tsk)
 		return
 	}
-	if !tsk.open || tsk.assigned != ref.token || tsk.state.Final() {
+	if !tsk.open || tsk.assigned != ref.token || tsk.state == Finished || tsk.state == Cancelled {
 		return
 	}
+	if tsk.state == Parked && tsk.normalize(end).kind == EndLost {
+		return // it is parked for this reason
+	}
 	if tsk.state == Offered {
 		// The offer was made after the assignment had been given up for lost. It
 		// would resume from an older checkpoint.
@@ -64,6 +67,9 @@
 	held := tsk.act != nil
 	end = tsk.normalize(end)
 	end.evicted = end.evicted || tsk.state == Stopping && !tsk.entry.cancelled
+	if held && tsk.parksLost(end) {
+		end.detail = tsk.mayHaveRun(end, env.now)
+	}
 	viw, ins := tsk.view(), tsk.holder.Instance()
 	ref := tsk.ref(tsk.assigned)
 	par.record(out, NewRecord(TaskEnded, ref, env.now.UnixMilli()).WithEnd(end))
@@ -93,6 +99,9 @@
 	}
 	if len(end.result) > MaxResultBytes {
 		end.kind, end.detail = EndFailed, fmt.Sprintf("result of %d bytes: at most %d", len(end.result), MaxResultBytes)
+		if tsk.entry.spec.rerun == RerunNever {
+			end.kind = EndLost // it has run to its end, so another try would be a second run
+		}
 	}
 	if end.kind != EndFinished {
 		end.result = nil
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -20,6 +20,11 @@
 // claimed and whose end is not acknowledged, and that it drops a grant of an
 // assignment that it has not listed.
 //
+// A task of a class that must not run again (RerunNever) is parked when its
+// assignment is lost. That assignment stays open as well: the report of a
+// completion completes the task, and a report that the run did not start or
+// stopped before its end returns it to the queue.
+//
 // Limits: the state lives in memory, at most Limits.queued tasks wait, and
 // ended jobs are removed after Limits.retention. A Partition is not safe for
 // concurrent use: only the control goroutine of the owner may call it.
@@ -77,7 +82,8 @@
 type State uint8
 
 // States. Finished, Cancelled and Parked are final, except that a parked task
-// can still be cancelled.
+// can still be cancelled or retried, and that one parked because it may have run
+// still takes the end that its instance reports.
 const (
 	Queued State = iota
 	Offered
@@ -86,7 +92,7 @@
 	Stopping // a stop is ordered, for a cancellation or to move the task
 	Finished
 	Cancelled
-	Parked // set aside with an explanation after failures
+	Parked // set aside with an explanation after failures, or because it may have run
 	stateCount
 )
 
@@ -102,7 +108,7 @@
 // String returns the name of the state as used in formats.
 func (sta State) String() string { return stateNames[sta] }
 
-// Final reports whether the task runs no more.
+// Final reports whether the task runs no more and is not tried again by itself.
 func (sta State) Final() bool { return sta >= Finished }
 
 // ParseKind returns the kind with a name.
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -50,6 +50,9 @@
 		if wld.ended() {
 			return wld.broken == ""
 		}
+		if own := &wld.owners[idx]; !own.dead && own.parked() {
+			wld.retry(idx)
+		}
 		wld.nextStep()
 	}
 	return false
@@ -233,17 +236,21 @@
 	return 4
 }
 
+// expectSafe explores what can happen after some steps.
+func expectSafe(rul rules, prefix []string) {
+	GinkgoHelper()
+	began := time.Now()
+	exp := explore(prepare(rul, prefix...), depth())
+	fmt.Printf("depth %d after %d steps: %d states, %d run to the end, %v\n",
+		depth(), len(prefix), exp.states, exp.settled, time.Since(began).Round(time.Millisecond))
+	Expect(exp.fault).To(BeEmpty(), "after %v", exp.trace)
+}
+
 var _ = Describe("every interleaving", func() {
 	// Guards against two live runs, a second completion, a lost or repeated
 	// resumption and a job that never ends, under message faults, crashes and takeover.
 	DescribeTable("keeps the invariants",
-		func(prefix []string) {
-			began := time.Now()
-			exp := explore(prepare(rules{}, prefix...), depth())
-			fmt.Printf("depth %d after %d steps: %d states, %d run to the end, %v\n",
-				depth(), len(prefix), exp.states, exp.settled, time.Since(began).Round(time.Millisecond))
-			Expect(exp.fault).To(BeEmpty(), "after %v", exp.trace)
-		},
+		func(prefix []string) { expectSafe(rules{}, prefix) },
 		Entry("from a submitted job", fresh),
 		Entry("from a recorded claim", claimed),
 		Entry("from a running task", running),
@@ -263,6 +270,21 @@
 		Entry("after the agent crashed with a start in flight", crashed),
 	)
 
+	// Guards against a second run to the end of a task that must not run again, and
+	// against one that stays parked although its end was reported.
+	DescribeTable("runs nothing again that may have run",
+		func(prefix []string) { expectSafe(rules{rerun: job.RerunNever}, prefix) },
+		Entry("from a running task", running),
+		Entry("after a takeover with the grant in flight", orphaned),
+		Entry("while the agent asks the former owner", misled),
+		Entry("after an eviction", resumed),
+		Entry("when the end arrives after the lease", late),
+		Entry("when the end arrives after the retry", slices.Concat(late, []string{"retry", "flush"})),
+		Entry("when the end arrives during the claim after the retry", slices.Concat(late, []string{"retry", "flush", "deliver offer x 1", "?deliver offer x 1"})),
+		Entry("when the end arrives after a takeover and the lease", inherit),
+		Entry("after the agent crashed with a start in flight", crashed),
+	)
+
 	// Guards against a checker that finds nothing: each variant breaks one rule
 	// around the core, and the exploration has to find the fault.
 	DescribeTable("finds the fault when a rule is broken",
@@ -287,7 +309,8 @@
 // expiry and resumption, cancellation late in a run and a replay at any point.
 var _ = It("keeps the invariants in long random histories", func() {
 	rapid.Check(GinkgoT(), func(rt *rapid.T) {
-		wld := newWorld(rules{}, rapid.IntRange(1, 3).Draw(rt, "tasks"))
+		rer := rapid.SampledFrom([]job.Rerun{job.RerunFromCheckpoint, job.RerunNever}).Draw(rt, "rerun")
+		wld := newWorld(rules{rerun: rer}, rapid.IntRange(1, 3).Draw(rt, "tasks"))
 		wld.budget["duplicate"], wld.budget["evict"], wld.budget["agentCrash"], wld.budget["instanceCrash"] = 10, 10, 3, 3
 		var trace []string
 		for range rapid.IntRange(1, 150).Draw(rt, "steps") {
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -69,3 +69,34 @@
 		Expect(len(only[job.Stop](ben.part.Tick(ben.env())))).To(BeNumerically("~", 10, 3))
 	}
 })
+
+// Guards against work that is parked although its run is known to have stopped
+// before its end, and against work that may have run and starts again.
+var _ = DescribeTable("a task that must not run again and whose instance is lost", func(end job.End, state, afterRetry job.State) {
+	ben := newBench()
+	ben.claim(ben.part.Submit(ben.env(), 0, job.NewSpec(job.KindBuild, 1, size).WithKey("c", "k").WithRerun(job.RerunNever)))
+	ref, id := ben.running[0], job.NewID("c", "k")
+	ben.now = ben.now.Add(20 * time.Second)
+	Expect(only[job.Offer](ben.part.Tick(ben.env()))).To(BeEmpty())
+	expectState := func(want job.State) {
+		GinkgoHelper()
+		sta, _ := ben.part.Status(id)
+		Expect(sta.Tasks()[0].State()).To(Equal(want))
+	}
+	expectState(job.Parked)
+	sta, _ := ben.part.Status(id)
+	Expect(sta.Tasks()[0].Detail()).To(And(ContainSubstring("may have run on"), ContainSubstring("retries the job")))
+	ben.part.Report(ben.env(), 0, []job.Report{job.NewReport(ref, end)})
+	expectState(state)
+	ben.part.Retry(ben.env(), 0, id)
+	expectState(afterRetry)
+},
+	Entry("finished", job.NewEnd(job.EndFinished, ""), job.Finished, job.Finished),
+	Entry("failed", job.NewEnd(job.EndFailed, ""), job.Offered, job.Offered),
+	Entry("checkpointed", job.NewEnd(job.EndCheckpointed, "c"), job.Offered, job.Offered),
+	Entry("stopped", job.NewEnd(job.EndStopped, ""), job.Offered, job.Offered),
+	Entry("not started", job.NewEnd(job.EndNotStarted, ""), job.Offered, job.Offered),
+	Entry("no record", job.NewEnd(job.EndLost, ""), job.Parked, job.Offered),
+	Entry("finished with a result that is too large", job.NewEnd(job.EndFinished, "").
+		WithResult(make([]byte, job.MaxResultBytes+1), ""), job.Parked, job.Offered),
+)
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -24,6 +24,7 @@
 	payload   []byte
 	deadline  int64
 	lease     time.Duration
+	rerun     Rerun
 }
 
 // NewSpec returns a job of a kind with a number of tasks of equal size.
@@ -49,6 +50,12 @@
 	return spc
 }
 
+// WithRerun returns the job with what happens when it is not known whether a task has run.
+func (spc Spec) WithRerun(rer Rerun) Spec {
+	spc.rerun = rer
+	return spc
+}
+
 // WithService returns the job with the service whose endpoints run it.
 func (spc Spec) WithService(srv fleet.Service) Spec {
 	spc.service = srv
@@ -115,9 +122,12 @@
 	return spc.lease
 }
 
+// Rerun returns what happens when it is not known whether a task has run.
+func (spc Spec) Rerun() Rerun { return spc.rerun }
+
 // Digest identifies the content, so that a repeated submission can be compared
-// after the payload has been dropped. The lease is left out: it belongs to the
-// class, which operators may change between two submissions.
+// after the payload has been dropped. The settings of the class are left out,
+// because operators may change them between two submissions.
 func (spc Spec) Digest() string {
 	sum := sha256.New()
 	fmt.Fprintf(sum, "%q %q %q %q %q %d %t %d %v %d %d ", spc.key, spc.customer, spc.team, spc.class, spc.service,
@@ -141,6 +151,8 @@
 		return fmt.Sprintf("task lease %v: at most %v", spc.lease, MaxLease)
 	case spc.kind > KindWatch:
 		return "unknown kind"
+	case spc.rerun >= rerunCount:
+		return "unknown setting of rerun"
 	}
 	return ""
 }
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -33,6 +33,8 @@
 	forgetClaims         bool // an agent leaves unanswered claims out of its adoption answer
 	sharedTokens         bool // a new owner reuses the epoch of the former one
 	unfencedLog          bool // a former owner can still append
+
+	rerun job.Rerun // setting of the job's class, which breaks nothing
 }
 
 // message is one message in the network. Messages stay until they are delivered.
@@ -107,6 +109,9 @@
 	net     []message
 	budget  map[string]int
 	broken  string
+	// finished counts the runs to the end of each task, retried what operators have repeated.
+	finished [3]int
+	retried  int
 }
 
 var start = time.Unix(1_000_000, 0)
@@ -133,12 +138,12 @@
 
 // newWorld returns a world in which owner 0 has a job with the given number of tasks.
 func newWorld(rul rules, tasks int) *world {
-	wld := &world{rules: rul, now: start, budget: map[string]int{"duplicate": 1, "agentCrash": 1, "instanceCrash": 1, "evict": 2, "cancel": 1, "reclaim": 2}}
+	wld := &world{rules: rul, now: start, budget: map[string]int{"duplicate": 1, "agentCrash": 1, "instanceCrash": 1, "evict": 2, "cancel": 1, "reclaim": 2, "retry": 1}}
 	for idx := range wld.agents {
 		wld.agents[idx] = agent{inc: 1, claims: map[job.Ref]claim{}}
 	}
 	wld.takeOver(0)
-	spc := job.NewSpec(job.KindBuild, tasks, resource.New(600, 600, 0)).WithKey("c", "k").WithClass("", taskLease)
+	spc := job.NewSpec(job.KindBuild, tasks, resource.New(600, 600, 0)).WithKey("c", "k").WithClass("", taskLease).WithRerun(rul.rerun)
 	own := &wld.owners[0]
 	wld.collect(0, own.part.Submit(wld.env(own), 0, spc), message{})
 	wld.flush(0)
@@ -270,8 +275,11 @@
 // that grow, one completion, and no further assignment after it.
 func (wld *world) checkRecord(rec job.Record) {
 	var last token.Token
-	open, finished, lost := false, false, false
+	open, finished, lost, repeat := false, false, false, true
 	for _, old := range wld.log {
+		if old.Kind() == job.JobRetried {
+			repeat = true
+		}
 		if old.Kind() == job.JobSubmitted || old.Kind() == job.JobCancelled || old.Ref().Index() != rec.Ref().Index() {
 			continue
 		}
@@ -280,6 +288,7 @@
 			last, open = old.Ref().Token(), true
 		case job.TaskEnded:
 			open, lost = false, old.End().Kind() == job.EndLost
+			repeat = !lost || wld.rules.rerun != job.RerunNever
 			finished = finished || old.End().Kind() == job.EndFinished
 		default:
 		}
@@ -287,6 +296,8 @@
 	switch {
 	case rec.Kind() == job.TaskAssigned && open:
 		wld.fail("assigned while an assignment is open: %v", rec.Ref())
+	case rec.Kind() == job.TaskAssigned && !repeat:
+		wld.fail("assigned again although it may have run: %v", rec.Ref())
 	case rec.Kind() == job.TaskAssigned && rec.Ref().Token().Compare(last) <= 0:
 		wld.fail("token does not grow: %v", rec.Ref())
 	case rec.Kind() == job.TaskEnded && rec.Ref().Token() != last:
@@ -339,10 +350,15 @@
 			wld.fail("task %d runs %d times", task, num)
 		}
 	}
+	for task, num := range wld.finished {
+		if wld.rules.rerun == job.RerunNever && num > 1+wld.retried {
+			wld.fail("task %d ran to its end %d times", task, num)
+		}
+	}
 }
 
 func (wld *world) fingerprint() []byte {
-	buf := job.Put(nil, wld.now.Unix(), wld.renewed.Unix(), int64(wld.epoch), int64(len(wld.log)))
+	buf := job.Put(nil, wld.now.Unix(), wld.renewed.Unix(), int64(wld.epoch), int64(len(wld.log)), int64(wld.finished[0]), int64(wld.retried))
 	for _, kind := range budgets {
 		buf = job.Put(buf, int64(wld.budget[kind]))
 	}
@@ -373,7 +389,7 @@
 	return append(buf, strings.Join(msgs, ";")...)
 }
 
-var budgets = []string{"duplicate", "agentCrash", "instanceCrash", "evict", "cancel", "reclaim"}
+var budgets = []string{"duplicate", "agentCrash", "instanceCrash", "evict", "cancel", "reclaim", "retry"}
 
 func putRef(buf []byte, ref job.Ref, values ...int64) []byte {
 	return job.Put(job.Put(buf, int64(ref.Index()), int64(ref.Token().Epoch()), int64(ref.Token().Sequence())), values...)
--- a/io/joblog/format.go
+++ b/io/joblog/format.go
@@ -65,6 +65,7 @@
 	Payload      []byte `json:"payload,omitempty"`
 	Deadline     int64  `json:"deadlineUnixMillis,omitempty"`
 	LeaseMillis  int64  `json:"leaseMillis"`
+	Rerun        string `json:"rerun,omitempty"` // missing in records of earlier versions
 }
 
 type endJSON struct {
@@ -110,6 +111,7 @@
 		Service: string(spc.Service()), Kind: spc.Kind().String(), Urgent: spc.Urgent(), Tasks: spc.Tasks(),
 		MilliCPU: vec.MilliCPU(), MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators(),
 		Payload: spc.Payload(), Deadline: spc.Deadline(), LeaseMillis: spc.Lease().Milliseconds(),
+		Rerun: spc.Rerun().String(),
 	}
 }
 
@@ -166,10 +168,15 @@
 	if !known {
 		return job.Spec{}, errors.Errorf("unknown kind of job %q", enc.Kind)
 	}
+	rer, known := job.ParseRerun(enc.Rerun)
+	if !known {
+		return job.Spec{}, errors.Errorf("unknown setting of rerun %q", enc.Rerun)
+	}
 	return job.NewSpec(knd, enc.Tasks, resource.New(enc.MilliCPU, enc.MemoryMB, enc.Accelerators)).
 		WithKey(fleet.Customer(enc.Customer), enc.Key).
 		WithTeam(fleet.Team(enc.Team)).
 		WithClass(fleet.JobClass(enc.Class), time.Duration(enc.LeaseMillis)*time.Millisecond).
+		WithRerun(rer).
 		WithService(fleet.Service(enc.Service)).
 		WithUrgency(enc.Urgent).
 		WithPayload(enc.Payload).
