Let operators say that the tasks of a class must not run again

Cause: jobs carry what happens to a task that may have run, but no setting reached them.

Change: the job class has rerun with the values fromCheckpoint (default, left out in its encoding, because nodes of earlier versions refuse tickets with unknown fields) and never. Another value is refused with both names. The owner reads the settings of the class in one place at submission, as it did with the lease: Settings.ApplyClass replaces TaskLease.

--- a/core/ticket/object.go
+++ b/core/ticket/object.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
 	"jacinthpost/core/resource"
 )
 
@@ -66,6 +67,7 @@
 	lease          time.Duration
 	outage         time.Duration
 	checkpointable bool
+	rerun          job.Rerun
 }
 
 // NewJobClass returns a class with the declared resources of a task, its lease,
@@ -74,6 +76,12 @@
 	return JobClass{resources: vec, lease: lease, outage: outage, checkpointable: checkpointable}
 }
 
+// WithRerun returns the class with what happens when it is not known whether a task has run.
+func (cls JobClass) WithRerun(rer job.Rerun) JobClass {
+	cls.rerun = rer
+	return cls
+}
+
 // Kind returns KindJobClass.
 func (JobClass) Kind() Kind { return KindJobClass }
 
@@ -89,6 +97,9 @@
 // Checkpointable reports whether a task can resume from a checkpoint.
 func (cls JobClass) Checkpointable() bool { return cls.checkpointable }
 
+// Rerun returns what happens when it is not known whether a task has run.
+func (cls JobClass) Rerun() job.Rerun { return cls.rerun }
+
 func (cls JobClass) digest(dgr *digester) {
 	dgr.number(uint64(cls.resources.MilliCPU()))
 	dgr.number(uint64(cls.resources.MemoryMB()))
@@ -96,6 +107,7 @@
 	dgr.number(uint64(cls.lease))
 	dgr.number(uint64(cls.outage))
 	dgr.flag(cls.checkpointable)
+	dgr.number(uint64(cls.rerun))
 }
 
 // DataCentre tells whether a data centre is in service.
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"jacinthpost/core/job"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/ticket"
 	"jacinthpost/internal/proptest"
@@ -114,6 +115,7 @@
 		ticket.NewService(1, 2, time.Second, "/a", "/b"), ticket.NewAdmission(1, 2, 0), ticket.NewAdmission(1, 0, 0.5),
 		ticket.NewTeam(1, 0, 0, false), ticket.NewTeam(0, 1, 0, false), ticket.NewTeam(0, 0, 1, false), ticket.NewTeam(1, 0, 0, true),
 		ticket.NewJobClass(resource.New(1, 1, 0), time.Minute, 0, true), ticket.NewJobClass(resource.New(1, 1, 0), time.Minute, time.Hour, true),
+		ticket.NewJobClass(resource.New(1, 1, 0), time.Minute, 0, true).WithRerun(job.RerunNever),
 	}
 	seen := make(map[ticket.Digest]string)
 	for idx, obj := range objects {
--- a/io/config/codec.go
+++ b/io/config/codec.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/ticket"
 	"jacinthpost/io/message"
@@ -49,6 +50,7 @@
 		LeaseMillis    int64             `json:"leaseMillis"`
 		OutageSeconds  int64             `json:"outageSeconds,omitempty"`
 		Checkpointable bool              `json:"checkpointable"`
+		Rerun          string            `json:"rerun,omitempty"`
 	}
 	dataCentreBody struct {
 		State  string `json:"state"`
@@ -91,7 +93,11 @@
 	}),
 	ticket.KindJobClass: decoder(func(bod jobClassBody) (ticket.Object, error) {
 		vec := resource.New(bod.Resources.MilliCPU, bod.Resources.MemoryMB, bod.Resources.Accelerators)
-		return ticket.NewJobClass(vec, span(bod.LeaseMillis, time.Millisecond), span(bod.OutageSeconds, time.Second), bod.Checkpointable), nil
+		rer, known := job.ParseRerun(bod.Rerun)
+		if !known {
+			return nil, errors.Errorf("rerun %q is neither %v nor %v", bod.Rerun, job.RerunFromCheckpoint, job.RerunNever)
+		}
+		return ticket.NewJobClass(vec, span(bod.LeaseMillis, time.Millisecond), span(bod.OutageSeconds, time.Second), bod.Checkpointable).WithRerun(rer), nil
 	}),
 	ticket.KindDataCentre: decoder(func(bod dataCentreBody) (ticket.Object, error) {
 		if bod.State != stateIn && bod.State != stateOut {
@@ -227,7 +233,7 @@
 	case ticket.JobClass:
 		vec := obj.Resources()
 		return jobClassBody{LeaseMillis: obj.Lease().Milliseconds(), OutageSeconds: int64(obj.Outage() / time.Second),
-			Checkpointable: obj.Checkpointable(), Resources: message.Resources{MilliCPU: vec.MilliCPU(),
+			Checkpointable: obj.Checkpointable(), Rerun: rerunName(obj.Rerun()), Resources: message.Resources{MilliCPU: vec.MilliCPU(),
 				MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators()}}
 	case ticket.DataCentre:
 		bod := dataCentreBody{State: stateIn, Reason: obj.Reason()}
@@ -249,6 +255,15 @@
 	}
 }
 
+// rerunName leaves the default out, because nodes of earlier versions refuse
+// tickets with fields that they don't know.
+func rerunName(rer job.Rerun) string {
+	if rer == job.RerunFromCheckpoint {
+		return ""
+	}
+	return rer.String()
+}
+
 // decodeTicketRow decodes an accepted ticket.
 func decodeTicketRow(num ticket.Number, raw []byte) (ticket.Ticket, error) {
 	tic, faults := DecodeTicket(num, raw)
--- a/io/config/codec_test.go
+++ b/io/config/codec_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/core/job"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/ticket"
 	"jacinthpost/io/config"
@@ -18,7 +19,7 @@
 	return ticket.New(9, "operator", "all kinds",
 		ticket.NewChange("catalog-core", 3, ticket.NewService(8, 64, 1500*time.Millisecond, "/read", "/list")),
 		ticket.NewChange("catalog-core", 0, ticket.NewAdmission(100, 2.5, 0.25)),
-		ticket.NewChange("build", 0, ticket.NewJobClass(resource.New(2000, 4096, 1), 15*time.Second, time.Hour, true)),
+		ticket.NewChange("build", 0, ticket.NewJobClass(resource.New(2000, 4096, 1), 15*time.Second, time.Hour, true).WithRerun(job.RerunNever)),
 		ticket.NewChange("bac-hanoi", 0, ticket.NewDataCentre(true, "power work")),
 		ticket.NewChange("uni-1", 0, ticket.NewCustomer(true, "team-a", map[string]string{"plan": "gold", "tier": ""})),
 		ticket.NewChange("agent-1", 0, ticket.NewEndpoint(true)),
@@ -52,6 +53,7 @@
 	Entry("missing state", `{"author":"a","reason":"r","changes":[{"kind":"endpoint","name":"a"}]}`, "changes[0].state"),
 	Entry("unknown field of a state", `{"author":"a","reason":"r","changes":[{"kind":"endpoint","name":"a","state":{"drain":true}}]}`, "changes[0].state"),
 	Entry("data centre neither in nor out", `{"author":"a","reason":"r","changes":[{"kind":"dataCentre","name":"a","state":{"state":"off"}}]}`, "changes[0].state"),
+	Entry("unknown setting of rerun", `{"author":"a","reason":"r","changes":[{"kind":"jobClass","name":"a","state":{"resources":{"milliCPU":1},"leaseMillis":15000,"rerun":"always"}}]}`, "changes[0].state"),
 	Entry("timeout that overflows", `{"author":"a","reason":"r","changes":[{"kind":"service","name":"a","state":{"slots":1,"connections":1,"defaultTimeoutMillis":9223372036854775807}}]}`, "changes[0].state.defaultTimeoutMillis"),
 	Entry("negative version", `{"author":"a","reason":"r","changes":[{"kind":"endpoint","name":"a","baseVersion":-1,"state":{"draining":true}}]}`, ""),
 )
--- a/io/node/agentnode/members.go
+++ b/io/node/agentnode/members.go
@@ -90,12 +90,12 @@
 	return out
 }
 
-// TaskLease implements owner.Settings. A class that survives outages of the
+// ApplyClass implements owner.Settings. A class that survives outages of the
 // store has a lease longer by that time.
-func (ose ownerSettings) TaskLease(name fleet.JobClass) time.Duration {
-	cls, found := ose.config.State().JobClass(name)
+func (ose ownerSettings) ApplyClass(spc job.Spec) job.Spec {
+	cls, found := ose.config.State().JobClass(spc.Class())
 	if !found {
-		return 0
+		return spc
 	}
-	return max(cls.Lease(), cls.Outage())
+	return spc.WithClass(spc.Class(), max(cls.Lease(), cls.Outage())).WithRerun(cls.Rerun())
 }
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -128,9 +128,9 @@
 
 type settings struct{}
 
-func (settings) StartsAllowed(fleet.DataCentre) bool    { return true }
-func (settings) TakenOut() []fleet.DataCentre           { return nil }
-func (settings) TaskLease(fleet.JobClass) time.Duration { return 0 }
+func (settings) StartsAllowed(fleet.DataCentre) bool { return true }
+func (settings) TakenOut() []fleet.DataCentre        { return nil }
+func (settings) ApplyClass(spc job.Spec) job.Spec    { return spc }
 
 // pause stops the control goroutine of a process until resume, as a paused process would.
 func (prc *process) pause() (resume func()) {
--- a/io/owner/convert.go
+++ b/io/owner/convert.go
@@ -55,18 +55,18 @@
 	}
 }
 
-// decodeSpec reports false for an unknown kind of job.
+// decodeSpec reports false for an unknown kind of job. The settings of the class
+// are those at submission.
 func decodeSpec(spc message.JobSpec, settings Settings) (job.Spec, bool) {
 	knd, known := job.ParseKind(spc.Kind)
-	cls := fleet.JobClass(spc.Class)
-	return job.NewSpec(knd, spc.Tasks, decodeVector(spc.Resources)).
+	return settings.ApplyClass(job.NewSpec(knd, spc.Tasks, decodeVector(spc.Resources)).
 		WithKey(fleet.Customer(spc.Customer), spc.Key).
 		WithTeam(fleet.Team(spc.Team)).
-		WithClass(cls, settings.TaskLease(cls)).
+		WithClass(fleet.JobClass(spc.Class), 0).
 		WithService(fleet.Service(spc.Service)).
 		WithUrgency(spc.Urgent).
 		WithPayload(spc.Payload).
-		WithDeadline(spc.DeadlineAt), known
+		WithDeadline(spc.DeadlineAt)), known
 }
 
 func encodeStatus(sta job.Status, existing bool) message.JobStatus {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -65,8 +65,8 @@
 	StartsAllowed(dce fleet.DataCentre) bool
 	// TakenOut returns the data centres taken out of service, sorted.
 	TakenOut() []fleet.DataCentre
-	// TaskLease returns the task lease of a job class, zero for the default.
-	TaskLease(cls fleet.JobClass) time.Duration
+	// ApplyClass returns the job with the settings of its class, or unchanged if there are none.
+	ApplyClass(spc job.Spec) job.Spec
 }
 
 // Member is an instance known from membership.
