--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -205,6 +205,13 @@
 	return ans, err
 }
 
+// Retry returns the parked tasks of a job to the queue.
+func (fle *Fleet) Retry(ctx context.Context, ent int, id string) (JobAnswer, error) {
+	var ans JobAnswer
+	_, err := Call(ctx, "POST", fle.entries[ent].address+"/v1/jobs/"+id+"/retry", nil, nil, &ans)
+	return ans, err
+}
+
 // Run is one start of a task at a worker. Stopped is zero while it runs.
 type Run struct {
 	Job      string        `json:"job"`
