Let tasks that can't resume from a checkpoint be stopped last and without one

Cause: the setting checkpointable of job classes was accepted, stored and shown, and no decision read it.

Change: it is fixed at submission and part of the job's record. The owner and the agent ask such tasks for no checkpoint, record none that is reported for them, and so count their whole run time as lost when they choose what to evict. A drain of a data centre moves them after all others, at the same rate. A ticket that does not say anything means true, like a class without a ticket: tasks of all classes took checkpoints until now.

Limit: an agent that was restarted does not know the setting of the tasks that it finds at its worker, so its own stop orders ask them for a checkpoint; the owner ignores it.

The spec also finds that every task of the data centre is ordered to stop within 25 s (5% a second).

--- a/core/job/end.go
+++ b/core/job/end.go
@@ -92,8 +92,11 @@
 	}
 }
 
-// normalize replaces ends that the kind of job does not allow.
+// normalize replaces ends that the job does not allow.
 func (tsk *task) normalize(end End) End {
+	if !tsk.entry.spec.Checkpointable() {
+		end.checkpoint = ""
+	}
 	if end.kind == EndFinished && tsk.entry.spec.kind == KindWatch {
 		end.kind, end.result, end.detail = EndFailed, nil, "a watch ended by itself"
 	}
@@ -128,7 +131,7 @@
 			continue
 		}
 		if tsk == nil || tsk.act == nil || tsk.act.token != ref.token {
-			stp.orders = append(stp.orders, StopOrder{ref: ref, checkpoint: true, reason: RefusedOutdated})
+			stp.orders = append(stp.orders, tsk.outdated(ref))
 		}
 	}
 	if len(stp.orders) > 0 {
@@ -253,15 +256,21 @@
 }
 
 // drain orders a share of the tasks in data centres taken out to checkpoint and
-// stop, so that they resume elsewhere without a burst of evictions.
+// stop, so that they resume elsewhere without a burst of evictions. Those that
+// start from the beginning go last, because some of them end until then.
 func (par *Partition[P]) drain(env Env, out *Output) {
 	par.drainAt = env.now
 	if len(par.out) == 0 {
 		return
 	}
 	quota := make(map[fleet.DataCentre]int, len(par.out))
+	par.drainTasks(out, quota, true)
+	par.drainTasks(out, quota, false)
+}
+
+func (par *Partition[P]) drainTasks(out *Output, quota map[fleet.DataCentre]int, checkpointable bool) {
 	for _, tsk := range par.active {
-		if tsk.act == nil || tsk.state != Running && tsk.state != Assigned {
+		if tsk.act == nil || tsk.state != Running && tsk.state != Assigned || tsk.entry.spec.Checkpointable() != checkpointable {
 			continue
 		}
 		dce := tsk.act.location.DataCentre()
--- a/core/job/offer.go
+++ b/core/job/offer.go
@@ -167,7 +167,7 @@
 		tsk := par.find(prg.ref)
 		if tsk == nil || !tsk.current(prg.ref, hol.Instance()) || par.over(tsk, env.now) {
 			if tsk == nil || tsk.act == nil || tsk.act.token != prg.ref.token {
-				rep.stops = append(rep.stops, StopOrder{ref: prg.ref, checkpoint: true, reason: RefusedOutdated})
+				rep.stops = append(rep.stops, tsk.outdated(prg.ref))
 			}
 			continue
 		}
@@ -207,7 +207,7 @@
 	if !tsk.entry.cancelled {
 		act.until = lease.GranterEnd(env.now, tsk.entry.spec.Lease())
 	}
-	if prg.checkpoint == "" || prg.checkpoint == act.seen {
+	if prg.checkpoint == "" || prg.checkpoint == act.seen || !tsk.entry.spec.Checkpointable() {
 		return
 	}
 	act.seen = prg.checkpoint
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -100,3 +101,44 @@
 	Entry("finished with a result that is too large", job.NewEnd(job.EndFinished, "").
 		WithResult(make([]byte, job.MaxResultBytes+1), ""), job.Parked, job.Offered),
 )
+
+// Guards against work lost although it could be saved, against a checkpoint asked
+// of tasks that can't resume from one, and against a data centre that is not emptied.
+var _ = It("moves the tasks that start from the beginning last and asks them for no checkpoint", func() {
+	ben := newBench()
+	for _, checkpointable := range []bool{false, true} {
+		spc := job.NewSpec(job.KindBuild, 700, size).WithKey("c", fmt.Sprint(checkpointable)).WithCheckpoints(checkpointable)
+		out := ben.part.Submit(ben.env(), 0, spc)
+		for ben.claim(out); len(ben.running)%700 > 0; ben.claim(out) {
+			out = ben.part.Tick(ben.env())
+		}
+	}
+	last := job.NewID("c", "false")
+	ben.part.Renew(ben.env(), 0, ben.holders[0], []job.Progress{job.NewProgress(ben.running[0], 50, "checkpoint")})
+	ben.part.TakeOut(ben.env(), []fleet.DataCentre{"d0"})
+	var orders []job.StopOrder
+	for range 25 {
+		ben.now = ben.now.Add(time.Second)
+		for pos, ref := range ben.running {
+			ben.part.Renew(ben.env(), 0, ben.holders[pos], []job.Progress{job.NewProgress(ref, 50, "")})
+		}
+		for _, stp := range only[job.Stop](ben.part.Tick(ben.env())) {
+			orders = append(orders, stp.Orders()...)
+		}
+	}
+	there := 0
+	for _, hol := range ben.holders {
+		var num int
+		fmt.Sscanf(string(hol.Instance()), "i%d", &num)
+		there += int(job.Bit(num%7 == 0))
+	}
+	Expect(orders).To(HaveLen(there), "the data centre is emptied")
+	for pos, ord := range orders {
+		restarts := ord.Ref().Job() == last
+		Expect(ord.Checkpoint()).To(Equal(!restarts))
+		Expect(restarts || pos == 0 || orders[pos-1].Ref().Job() != last).To(BeTrue(), "order %d", pos)
+	}
+	sta, _ := ben.part.Status(last)
+	Expect(sta.Tasks()[ben.running[0].Index()].Checkpoint()).To(BeEmpty())
+	Expect(orders[len(orders)-1].Ref().Job()).To(Equal(last))
+})
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -25,6 +25,7 @@
 	deadline  int64
 	lease     time.Duration
 	rerun     Rerun
+	restarts  bool // the tasks start from the beginning after each stop
 }
 
 // NewSpec returns a job of a kind with a number of tasks of equal size.
@@ -56,6 +57,12 @@
 	return spc
 }
 
+// WithCheckpoints returns the job with whether its tasks can resume from a checkpoint.
+func (spc Spec) WithCheckpoints(checkpointable bool) Spec {
+	spc.restarts = !checkpointable
+	return spc
+}
+
 // WithService returns the job with the service whose endpoints run it.
 func (spc Spec) WithService(srv fleet.Service) Spec {
 	spc.service = srv
@@ -125,6 +132,10 @@
 // Rerun returns what happens when it is not known whether a task has run.
 func (spc Spec) Rerun() Rerun { return spc.rerun }
 
+// Checkpointable reports whether the tasks can resume from a checkpoint. They
+// can unless their class says otherwise.
+func (spc Spec) Checkpointable() bool { return !spc.restarts }
+
 // Digest identifies the content, so that a repeated submission can be compared
 // after the payload has been dropped. The settings of the class are left out,
 // because operators may change them between two submissions.
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -135,11 +135,17 @@
 func (tsk *task) stopOrder() StopOrder {
 	ord := StopOrder{ref: tsk.ref(tsk.assigned), reason: "cancelled"}
 	if !tsk.entry.cancelled {
-		ord.checkpoint, ord.reason = true, cmp.Or(tsk.act.stopping, "drain")
+		ord.checkpoint, ord.reason = tsk.entry.spec.Checkpointable(), cmp.Or(tsk.act.stopping, "drain")
 	}
 	return ord
 }
 
+// outdated returns the order to stop an assignment that is not the current one
+// of the task, which may be nil.
+func (tsk *task) outdated(ref Ref) StopOrder {
+	return StopOrder{ref: ref, checkpoint: tsk == nil || tsk.entry.spec.Checkpointable(), reason: RefusedOutdated}
+}
+
 // Status describes a job.
 type Status struct {
 	id        ID
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -383,3 +383,22 @@
 		wld.do(wld.run.Stop(3, runner.NewOrder(refs[0], false, ""), wld.now))
 	}, int64(0)),
 )
+
+// Guards against the time of a checkpoint for a task that can't resume from one,
+// and against a checkpoint that the owner then counts on.
+var _ = DescribeTable("an evicted task is asked for a checkpoint", func(restarts bool) {
+	wld := newWorld(100)
+	wld.restarts = restarts
+	wld.smooth(GinkgoT(), 30) // a new agent refuses offers at first
+	wld.offer("build-a", 1000)
+	wld.smooth(GinkgoT(), 10)
+	refs, _ := wld.wkr.Running()
+	Expect(refs).To(HaveLen(1))
+	efs, evicted := wld.run.Evict(refs[0], "noisy", wld.now)
+	Expect(evicted).To(BeTrue())
+	Expect(efs).To(HaveLen(1))
+	Expect(efs[0].(runner.Stop).Checkpoint()).To(Equal(!restarts))
+},
+	Entry("if it can resume from one", false),
+	Entry("but not if it starts from the beginning", true),
+)
--- a/core/runner/stop.go
+++ b/core/runner/stop.go
@@ -76,7 +76,7 @@
 	case tsk.phase == Stopping && tsk.stopping:
 		return nil
 	}
-	tsk.phase, tsk.checkpoint = Stopping, checkpoint
+	tsk.phase, tsk.checkpoint = Stopping, checkpoint && !tsk.spec.restarts
 	run.account.Stop(tsk.ref)
 	return run.sendStop(tsk)
 }
--- a/core/runner/task.go
+++ b/core/runner/task.go
@@ -46,6 +46,7 @@
 	resources  resource.Vector
 	payload    []byte
 	checkpoint string
+	restarts   bool // it starts from the beginning after each stop
 	cost       float64
 	weight     float64
 }
@@ -73,6 +74,12 @@
 	return spc
 }
 
+// WithCheckpoints returns the task with whether it can resume from a checkpoint.
+func (spc Spec) WithCheckpoints(checkpointable bool) Spec {
+	spc.restarts = !checkpointable
+	return spc
+}
+
 // WithPrior returns the task with the slowdown that the owner expects of its
 // class beside the service of the instance, and the weight of its evidence.
 func (spc Spec) WithPrior(cost, weight float64) Spec {
@@ -229,11 +236,16 @@
 
 func distance[N int | int64](one, two N) N { return max(one-two, two-one) }
 
-func (tsk *task) status() Status {
-	cpt := tsk.last.Checkpoint()
-	if cpt == "" {
-		cpt = tsk.spec.checkpoint
+// resumesFrom returns the last checkpoint, empty if the task starts from the beginning.
+func (tsk *task) resumesFrom() string {
+	if cpt := tsk.last.Checkpoint(); cpt != "" && !tsk.spec.restarts {
+		return cpt
 	}
+	return tsk.spec.checkpoint
+}
+
+func (tsk *task) status() Status {
+	cpt := tsk.resumesFrom()
 	return Status{
 		ref: tsk.ref, phase: tsk.phase, class: tsk.spec.class, urgent: tsk.spec.urgent,
 		resources: tsk.committed(tsk.spec.resources), usage: tsk.last.Usage(), peak: tsk.peak,
@@ -289,10 +301,7 @@
 	if tsk.detail != "" {
 		detail = tsk.detail + ": " + detail
 	}
-	cpt := tsk.last.Checkpoint()
-	if cpt == "" {
-		cpt = tsk.spec.checkpoint
-	}
+	cpt := tsk.resumesFrom()
 	tsk.phase, tsk.endedAt = Ended, now
 	tsk.end = End{ref: tsk.ref, kind: knd, checkpoint: cpt, result: tsk.last.Result(), detail: detail, evicted: tsk.evicted}
 	run.account.Release(tsk.ref)
--- a/core/runner/world_test.go
+++ b/core/runner/world_test.go
@@ -56,6 +56,7 @@
 	agreed   int                                    // renewals of a whole set
 	adoption func()                                 // an answer to Adopt on its way to the owner
 	report   func()                                 // a report of the worker on its way to the agent
+	restarts bool                                   // the tasks start from the beginning after each stop
 }
 
 func newWorld(rate int) *world {
@@ -147,7 +148,7 @@
 	ref := worker.NewRef(job, 0, token.New(wld.epoch, wld.sequence))
 	asg := &assignment{ref: ref, until: wld.now.Add(20 * time.Second), agent: wld.agent}
 	wld.known[ref], wld.current[job] = asg, asg
-	spc := runner.NewSpec(ref, 3, fmt.Sprint(wld.epoch)).WithResources(resource.New(size, size, 0))
+	spc := runner.NewSpec(ref, 3, fmt.Sprint(wld.epoch)).WithResources(resource.New(size, size, 0)).WithCheckpoints(!wld.restarts)
 	_, accepted, efs := wld.run.Offer(spc, wld.now)
 	wld.do(efs)
 	asg.ended = !accepted
--- a/io/config/codec.go
+++ b/io/config/codec.go
@@ -49,7 +49,7 @@
 		Resources      message.Resources `json:"resources"`
 		LeaseMillis    int64             `json:"leaseMillis"`
 		OutageSeconds  int64             `json:"outageSeconds,omitempty"`
-		Checkpointable bool              `json:"checkpointable"`
+		Checkpointable *bool             `json:"checkpointable"` // true if it is missing
 		Rerun          string            `json:"rerun,omitempty"`
 	}
 	dataCentreBody struct {
@@ -97,7 +97,8 @@
 		if !known {
 			return nil, errors.Errorf("rerun %q is neither %v nor %v", bod.Rerun, job.RerunFromCheckpoint, job.RerunNever)
 		}
-		return ticket.NewJobClass(vec, span(bod.LeaseMillis, time.Millisecond), span(bod.OutageSeconds, time.Second), bod.Checkpointable).WithRerun(rer), nil
+		cpt := bod.Checkpointable == nil || *bod.Checkpointable
+		return ticket.NewJobClass(vec, span(bod.LeaseMillis, time.Millisecond), span(bod.OutageSeconds, time.Second), cpt).WithRerun(rer), nil
 	}),
 	ticket.KindDataCentre: decoder(func(bod dataCentreBody) (ticket.Object, error) {
 		if bod.State != stateIn && bod.State != stateOut {
@@ -231,9 +232,9 @@
 		return serviceBody{Slots: obj.Slots(), Connections: obj.Connections(),
 			DefaultTimeoutMillis: obj.Timeout().Milliseconds(), IdempotentPaths: obj.IdempotentPaths()}
 	case ticket.JobClass:
-		vec := obj.Resources()
+		vec, cpt := obj.Resources(), obj.Checkpointable()
 		return jobClassBody{LeaseMillis: obj.Lease().Milliseconds(), OutageSeconds: int64(obj.Outage() / time.Second),
-			Checkpointable: obj.Checkpointable(), Rerun: rerunName(obj.Rerun()), Resources: message.Resources{MilliCPU: vec.MilliCPU(),
+			Checkpointable: &cpt, Rerun: rerunName(obj.Rerun()), Resources: message.Resources{MilliCPU: vec.MilliCPU(),
 				MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators()}}
 	case ticket.DataCentre:
 		bod := dataCentreBody{State: stateIn, Reason: obj.Reason()}
--- a/io/config/codec_test.go
+++ b/io/config/codec_test.go
@@ -58,6 +58,18 @@
 	Entry("negative version", `{"author":"a","reason":"r","changes":[{"kind":"endpoint","name":"a","baseVersion":-1,"state":{"draining":true}}]}`, ""),
 )
 
+// Guards against tasks that lose their work because a ticket does not say that
+// they can resume, as classes without a ticket do.
+var _ = DescribeTable("a class is checkpointable", func(setting string, want bool) {
+	tic, faults := config.DecodeTicket(1, []byte(`{"author":"a","reason":"r","changes":[{"kind":"jobClass","name":"a","state":{"resources":{"milliCPU":1},"leaseMillis":15000`+setting+`}}]}`))
+	Expect(faults).To(BeEmpty())
+	Expect(tic.Changes()[0].Object().(ticket.JobClass).Checkpointable()).To(Equal(want))
+},
+	Entry("if nothing is said", ``, true),
+	Entry("if it is set", `,"checkpointable":true`, true),
+	Entry("but not if it is switched off", `,"checkpointable":false`, false),
+)
+
 // FuzzDecodeTicket guards against panics and against accepted tickets that change when stored.
 func FuzzDecodeTicket(f *testing.F) {
 	raw, err := config.EncodeTicket(everyKind())
--- a/io/joblog/format.go
+++ b/io/joblog/format.go
@@ -66,6 +66,7 @@
 	Deadline     int64  `json:"deadlineUnixMillis,omitempty"`
 	LeaseMillis  int64  `json:"leaseMillis"`
 	Rerun        string `json:"rerun,omitempty"` // missing in records of earlier versions
+	Restarts     bool   `json:"restarts,omitempty"`
 }
 
 type endJSON struct {
@@ -111,7 +112,7 @@
 		Service: string(spc.Service()), Kind: spc.Kind().String(), Urgent: spc.Urgent(), Tasks: spc.Tasks(),
 		MilliCPU: vec.MilliCPU(), MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators(),
 		Payload: spc.Payload(), Deadline: spc.Deadline(), LeaseMillis: spc.Lease().Milliseconds(),
-		Rerun: spc.Rerun().String(),
+		Rerun: spc.Rerun().String(), Restarts: !spc.Checkpointable(),
 	}
 }
 
@@ -177,6 +178,7 @@
 		WithTeam(fleet.Team(enc.Team)).
 		WithClass(fleet.JobClass(enc.Class), time.Duration(enc.LeaseMillis)*time.Millisecond).
 		WithRerun(rer).
+		WithCheckpoints(!enc.Restarts).
 		WithService(fleet.Service(enc.Service)).
 		WithUrgency(enc.Urgent).
 		WithPayload(enc.Payload).
--- a/io/joblog/joblog_test.go
+++ b/io/joblog/joblog_test.go
@@ -202,7 +202,7 @@
 var _ = It("keeps every field of every kind of record", func() {
 	ref := job.NewRef("j1", 2, token.New(3, 4))
 	end := job.NewEnd(job.EndCheckpointed, "cp").WithResult([]byte("r"), "why").WithEviction(true)
-	spc := job.NewSpec(job.KindWatch, 7, resource.New(1, 2, 3)).WithKey("c", "k").WithTeam("t").WithClass("l", time.Minute).WithRerun(job.RerunNever).
+	spc := job.NewSpec(job.KindWatch, 7, resource.New(1, 2, 3)).WithKey("c", "k").WithTeam("t").WithClass("l", time.Minute).WithRerun(job.RerunNever).WithCheckpoints(false).
 		WithService("s").WithUrgency(true).WithPayload([]byte("p")).WithDeadline(9)
 	all := []job.Record{
 		job.NewRecord(job.JobSubmitted, job.NewRef("j1", 0, token.Token{}), 1).WithSpec(spc, "dig"),
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -36,6 +36,7 @@
 	Payload     []byte
 	Checkpoint  string // object or worker reference to resume from, empty for a fresh start
 	LeaseMillis int64
+	Restarts    bool    // the task can't resume from a checkpoint
 	Cost        float64 // slowdown that the owner expects of the class beside the service of the instance
 	CostWeight  float64 // evidence for it, zero for none
 }
--- a/io/node/agentnode/members.go
+++ b/io/node/agentnode/members.go
@@ -97,5 +97,5 @@
 	if !found {
 		return spc
 	}
-	return spc.WithClass(spc.Class(), max(cls.Lease(), cls.Outage())).WithRerun(cls.Rerun())
+	return spc.WithClass(spc.Class(), max(cls.Lease(), cls.Outage())).WithRerun(cls.Rerun()).WithCheckpoints(cls.Checkpointable())
 }
--- a/io/owner/convert.go
+++ b/io/owner/convert.go
@@ -36,6 +36,7 @@
 		Ref: encodeRef(tsk.Ref()), Kind: spc.Kind().String(), Class: string(spc.Class()), Team: string(spc.Team()),
 		Customer: string(spc.Customer()), Urgent: spc.Urgent(), Resources: encodeVector(spc.Resources()),
 		Payload: spc.Payload(), Checkpoint: tsk.Checkpoint(), LeaseMillis: spc.Lease().Milliseconds(),
+		Restarts: !spc.Checkpointable(),
 	}
 }
 
--- a/io/taskhost/translate.go
+++ b/io/taskhost/translate.go
@@ -36,6 +36,7 @@
 		WithClass(tsk.Kind, fleet.JobClass(tsk.Class), tsk.Urgent).
 		WithResources(resourcesFrom(tsk.Resources)).
 		WithPayload(tsk.Payload, tsk.Checkpoint).
+		WithCheckpoints(!tsk.Restarts).
 		WithPrior(tsk.Cost, tsk.CostWeight)
 }
 
