Choose tasks that start from the beginning last for evictions

Cause: the cost of an eviction counts the work since the latest checkpoint. That is the whole run of a task that can't resume, but a fresh one of these was still cheaper than an old task that loses less.

Change: place.Task has the field restarts, which adds a cost above that of any plan without such a task. The order within a plan puts them last too. It is zero for all other tasks, so their choices don't change.

In a scratch copy (trial) without the cost and the order the new spec of core/dispatch fails: a task that resumes is spared for one that does not.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -160,7 +160,7 @@
 	if spc.Deadline() != 0 {
 		req = req.Due(time.UnixMilli(spc.Deadline()).Add(-dsp.runTime(spc.Class())))
 	}
-	return req.Evicted(tsk.Counters().Evictions()).AtLeast(dsp.floors.of(req.ID()))
+	return req.Evicted(tsk.Counters().Evictions()).Restarts(!spc.Checkpointable()).AtLeast(dsp.floors.of(req.ID()))
 }
 
 // choose returns the instance for a task.
--- a/core/dispatch/reclaim_test.go
+++ b/core/dispatch/reclaim_test.go
@@ -56,6 +56,20 @@
 	return names
 }
 
+// evictions returns how often tasks of a job were stopped for others.
+func (wld *world) evictions(id job.ID) int {
+	sum := 0
+	for _, sta := range wld.statuses() {
+		if sta.ID() != id {
+			continue
+		}
+		for _, tsk := range sta.Tasks() {
+			sum += tsk.Counters().Evictions()
+		}
+	}
+	return sum
+}
+
 var _ = Describe("reclaim", func() {
 	// Guards against urgent work that waits until batch work ends, against room that
 	// another task takes, and against more evictions than there is urgent work.
@@ -86,6 +100,24 @@
 		Entry("ten tasks on 40 instances", 40, 10, fleet.Team("other")),
 	)
 
+	// Guards against work lost although stopping another task would have lost less.
+	It("stops tasks that start from the beginning last", func() {
+		wld := newWorld(1, 2, 2)
+		wld.step, wld.checkpoint = job.TickPeriod, 300*time.Millisecond
+		resumes := wld.submit(0, build(8, 1000, endless).WithTeam("batch"), "resumes")
+		wld.pass(60)
+		restarts := wld.submit(0, build(8, 1000, endless).WithTeam("batch").WithCheckpoints(false), "restarts")
+		wld.pass(60)
+		Expect(wld.running("batch")).To(BeEquivalentTo(16_000), "the fleet is full")
+		for num := range 10 {
+			wld.submit(0, build(1, 1000, endless).WithTeam("batch").WithUrgency(true), fmt.Sprint("urgent-", num))
+			wld.pass(15)
+			Expect(wld.evictions(resumes)).To(Equal(min(num+1, 8)))
+			Expect(wld.evictions(restarts)).To(Equal(max(num-7, 0)))
+		}
+		Expect(wld.broken).To(BeEmpty())
+	})
+
 	// Guards against room that is never made, because a class was not known to be
 	// harmless when its running tasks were placed.
 	It("starts urgent work beside tasks of a class that was not known at first", func() {
--- a/core/place/reclaim.go
+++ b/core/place/reclaim.go
@@ -42,6 +42,8 @@
 	againCost    = 2 * time.Minute  // each time it was stopped before
 	shareCost    = time.Hour        // its team is then below its share
 	deadlineCost = 10 * time.Hour   // it would miss its deadline
+	// restartCost is more than any plan costs without such a task.
+	restartCost = 10_000 * time.Hour // it would start from the beginning
 	// spareTime is the time before the latest start for a deadline from which a
 	// task is spared: a restart may take as long on a full fleet.
 	spareTime = 5 * time.Minute
@@ -298,7 +300,7 @@
 	}
 	list := slices.Clone(viw.placed)
 	slices.SortFunc(list, func(one, two *placement) int {
-		return cmp.Or(cmp.Compare(srh.loss(one), srh.loss(two)), cmp.Compare(two.sequence, one.sequence))
+		return cmp.Or(cmp.Compare(countIf(one.task.restarts), countIf(two.task.restarts)), cmp.Compare(srh.loss(one), srh.loss(two)), cmp.Compare(two.sequence, one.sequence))
 	})
 	best, several, free := plan{}, plan{}, viw.Free()
 	for _, plc := range list {
@@ -350,6 +352,9 @@
 		}
 		cost += deadlineCost
 	}
+	if plc.task.restarts {
+		cost += restartCost
+	}
 	switch {
 	case plc.task.team == srh.task.team:
 		return cost, srh.task.urgent
--- a/core/place/task.go
+++ b/core/place/task.go
@@ -24,6 +24,7 @@
 	origin   fleet.Location
 	deadline time.Time
 	evicted  int
+	restarts bool
 }
 
 // NewTask returns a task of a job with its declared amounts.
@@ -50,6 +51,12 @@
 	return tsk
 }
 
+// Restarts returns the task with whether it starts from the beginning after each stop.
+func (tsk Task) Restarts(restarts bool) Task {
+	tsk.restarts = restarts
+	return tsk
+}
+
 // Near returns the task with the location of its payload. Links between
 // regions are billed by volume, so the task stays in that region if it can.
 func (tsk Task) Near(origin fleet.Location) Task {
