--- a/core/job/agent_test.go
+++ b/core/job/agent_test.go
@@ -61,6 +61,9 @@
 			})
 		}
 	}
+	if own.part != nil && !own.dead && own.epoch == wld.epoch && own.parked() {
+		list = wld.limited(list, "retry", "retry", func(wld *world) { wld.retry(idx) })
+	}
 	if own.epoch == 0 && !wld.now.Before(wld.renewed.Add(lease.Stretch(partition.LeaseTime))) {
 		list = append(list, action{"takeover", func(wld *world) { wld.takeOver(idx) }})
 	}
@@ -142,7 +145,11 @@
 }
 
 func (wld *world) end(idx, pos int, end job.End) {
-	wld.agents[idx].runs[pos].stop(end)
+	rnn := &wld.agents[idx].runs[pos]
+	if end.Kind() == job.EndFinished && !rnn.ended {
+		wld.finished[rnn.ref.Index()]++
+	}
+	rnn.stop(end)
 	wld.report(idx, pos)
 }
 
@@ -230,7 +237,11 @@
 	case "renewAll":
 		out = own.part.RenewHeld(env, 0, hol, describe(msg.held), nil)
 	case "report":
+		accepted := own.accepts(msg)
 		out = own.part.Report(env, 0, []job.Report{job.NewReport(msg.ref, msg.end)})
+		if accepted && own.task(msg.ref).State() != job.Finished {
+			wld.fail("the completion of the latest assignment %v is ignored", msg.ref)
+		}
 	default:
 		out = own.part.Adopted(env, hol, true, msg.refs)
 	}
@@ -242,6 +253,31 @@
 	wld.collect(msg.owner, out, msg)
 }
 
+// accepts reports whether a report has to complete its task: it says finished
+// and names the latest assignment of a task that is not cancelled, even if that
+// assignment was given up for lost.
+func (own *owner) accepts(msg message) bool {
+	sta := own.task(msg.ref)
+	return msg.end.Kind() == job.EndFinished && sta.Token() == msg.ref.Token() && sta.State() != job.Cancelled
+}
+
+func (own *owner) parked() bool {
+	sta, known := own.part.Status(job.NewID("c", "k"))
+	return known && slices.ContainsFunc(sta.Tasks(), func(tsk job.TaskStatus) bool { return tsk.State() == job.Parked })
+}
+
+// retry lets an operator run the parked tasks again.
+func (wld *world) retry(idx int) {
+	own := &wld.owners[idx]
+	wld.retried++
+	wld.collect(idx, own.part.Retry(wld.env(own), 0, job.NewID("c", "k")), message{})
+}
+
+func (own *owner) task(ref job.Ref) job.TaskStatus {
+	sta, _ := own.part.Status(ref.Job())
+	return sta.Tasks()[ref.Index()]
+}
+
 func (wld *world) deliverAgent(msg message) {
 	agt := &wld.agents[msg.agent]
 	switch msg.kind {
--- a/core/job/end.go
+++ b/core/job/end.go
@@ -48,9 +48,12 @@
 		par.withdraw(tsk)
 		return
 	}
-	if !tsk.open || tsk.assigned != ref.token || tsk.state.Final() {
+	if !tsk.open || tsk.assigned != ref.token || tsk.state == Finished || tsk.state == Cancelled {
 		return
 	}
+	if tsk.state == Parked && tsk.normalize(end).kind == EndLost {
+		return // it is parked for this reason
+	}
 	if tsk.state == Offered {
 		// The offer was made after the assignment had been given up for lost. It
 		// would resume from an older checkpoint.
@@ -64,6 +67,9 @@
 	held := tsk.act != nil
 	end = tsk.normalize(end)
 	end.evicted = end.evicted || tsk.state == Stopping && !tsk.entry.cancelled
+	if held && tsk.parksLost(end) {
+		end.detail = tsk.mayHaveRun(end, env.now)
+	}
 	viw, ins := tsk.view(), tsk.holder.Instance()
 	ref := tsk.ref(tsk.assigned)
 	par.record(out, NewRecord(TaskEnded, ref, env.now.UnixMilli()).WithEnd(end))
@@ -86,13 +92,19 @@
 	}
 }
 
-// normalize replaces ends that the kind of job does not allow.
+// normalize replaces ends that the job does not allow.
 func (tsk *task) normalize(end End) End {
+	if !tsk.entry.spec.Checkpointable() {
+		end.checkpoint = ""
+	}
 	if end.kind == EndFinished && tsk.entry.spec.kind == KindWatch {
 		end.kind, end.result, end.detail = EndFailed, nil, "a watch ended by itself"
 	}
 	if len(end.result) > MaxResultBytes {
 		end.kind, end.detail = EndFailed, fmt.Sprintf("result of %d bytes: at most %d", len(end.result), MaxResultBytes)
+		if tsk.entry.spec.rerun == RerunNever {
+			end.kind = EndLost // it has run to its end, so another try would be a second run
+		}
 	}
 	if end.kind != EndFinished {
 		end.result = nil
@@ -119,7 +131,7 @@
 			continue
 		}
 		if tsk == nil || tsk.act == nil || tsk.act.token != ref.token {
-			stp.orders = append(stp.orders, StopOrder{ref: ref, checkpoint: true, reason: RefusedOutdated})
+			stp.orders = append(stp.orders, tsk.outdated(ref))
 		}
 	}
 	if len(stp.orders) > 0 {
@@ -244,15 +256,21 @@
 }
 
 // drain orders a share of the tasks in data centres taken out to checkpoint and
-// stop, so that they resume elsewhere without a burst of evictions.
+// stop, so that they resume elsewhere without a burst of evictions. Those that
+// start from the beginning go last, because some of them end until then.
 func (par *Partition[P]) drain(env Env, out *Output) {
 	par.drainAt = env.now
 	if len(par.out) == 0 {
 		return
 	}
 	quota := make(map[fleet.DataCentre]int, len(par.out))
+	par.drainTasks(out, quota, true)
+	par.drainTasks(out, quota, false)
+}
+
+func (par *Partition[P]) drainTasks(out *Output, quota map[fleet.DataCentre]int, checkpointable bool) {
 	for _, tsk := range par.active {
-		if tsk.act == nil || tsk.state != Running && tsk.state != Assigned {
+		if tsk.act == nil || tsk.state != Running && tsk.state != Assigned || tsk.entry.spec.Checkpointable() != checkpointable {
 			continue
 		}
 		dce := tsk.act.location.DataCentre()
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -50,6 +50,9 @@
 		if wld.ended() {
 			return wld.broken == ""
 		}
+		if own := &wld.owners[idx]; !own.dead && own.parked() {
+			wld.retry(idx)
+		}
 		wld.nextStep()
 	}
 	return false
@@ -209,6 +212,12 @@
 		[]string{"?flush", "deliver offer x 1", "?deliver offer x 1", "?deliver claim x", "?deliver claim x", "?deliver claim x", "?flush"})
 	// The task leaves the group after its renewal and its lease counts on.
 	withdrawn = slices.Concat(grouped, []string{"cancel", "flush"}, later)
+	// The end of the task is on its way to the owner, which gives the task up for lost and offers it again.
+	late = slices.Concat(running, []string{"finish"}, later, later[:1], []string{"flush"})
+	// The new offer is accepted and its claim is on its way too.
+	overdue = slices.Concat(late, []string{"deliver offer x 1", "?deliver offer x 1"})
+	// The new owner gives the task up after a takeover.
+	inherit = slices.Concat(running, []string{"finish"}, takeover, later, later[:1], []string{"flush"})
 	// The whole set is renewed by a former owner only, and the new owner offers the task again.
 	entrusted = slices.Concat(grouped, []string{"deliver renewReply y"}, takeover,
 		[]string{"renew all 0", "deliver renewAll y", "?deliver renewReply y"}, later, later[:1], offered)
@@ -227,17 +236,21 @@
 	return 4
 }
 
+// expectSafe explores what can happen after some steps.
+func expectSafe(rul rules, prefix []string) {
+	GinkgoHelper()
+	began := time.Now()
+	exp := explore(prepare(rul, prefix...), depth())
+	fmt.Printf("depth %d after %d steps: %d states, %d run to the end, %v\n",
+		depth(), len(prefix), exp.states, exp.settled, time.Since(began).Round(time.Millisecond))
+	Expect(exp.fault).To(BeEmpty(), "after %v", exp.trace)
+}
+
 var _ = Describe("every interleaving", func() {
 	// Guards against two live runs, a second completion, a lost or repeated
 	// resumption and a job that never ends, under message faults, crashes and takeover.
 	DescribeTable("keeps the invariants",
-		func(prefix []string) {
-			began := time.Now()
-			exp := explore(prepare(rules{}, prefix...), depth())
-			fmt.Printf("depth %d after %d steps: %d states, %d run to the end, %v\n",
-				depth(), len(prefix), exp.states, exp.settled, time.Since(began).Round(time.Millisecond))
-			Expect(exp.fault).To(BeEmpty(), "after %v", exp.trace)
-		},
+		func(prefix []string) { expectSafe(rules{}, prefix) },
 		Entry("from a submitted job", fresh),
 		Entry("from a recorded claim", claimed),
 		Entry("from a running task", running),
@@ -250,10 +263,28 @@
 		Entry("after a renewal of the whole set", grouped),
 		Entry("when only the renewal of the set keeps the lease", outlived),
 		Entry("after a cancellation between the renewal of the set and its answer", withdrawn),
+		Entry("when the end arrives after the lease", late),
+		Entry("when the end arrives during a new claim", overdue),
+		Entry("when the end arrives after a takeover and the lease", inherit),
 		Entry("after a takeover, with renewals of the set by the former owner only", entrusted),
 		Entry("after the agent crashed with a start in flight", crashed),
 	)
 
+	// Guards against a second run to the end of a task that must not run again, and
+	// against one that stays parked although its end was reported.
+	DescribeTable("runs nothing again that may have run",
+		func(prefix []string) { expectSafe(rules{rerun: job.RerunNever}, prefix) },
+		Entry("from a running task", running),
+		Entry("after a takeover with the grant in flight", orphaned),
+		Entry("while the agent asks the former owner", misled),
+		Entry("after an eviction", resumed),
+		Entry("when the end arrives after the lease", late),
+		Entry("when the end arrives after the retry", slices.Concat(late, []string{"retry", "flush"})),
+		Entry("when the end arrives during the claim after the retry", slices.Concat(late, []string{"retry", "flush", "deliver offer x 1", "?deliver offer x 1"})),
+		Entry("when the end arrives after a takeover and the lease", inherit),
+		Entry("after the agent crashed with a start in flight", crashed),
+	)
+
 	// Guards against a checker that finds nothing: each variant breaks one rule
 	// around the core, and the exploration has to find the fault.
 	DescribeTable("finds the fault when a rule is broken",
@@ -278,7 +309,8 @@
 // expiry and resumption, cancellation late in a run and a replay at any point.
 var _ = It("keeps the invariants in long random histories", func() {
 	rapid.Check(GinkgoT(), func(rt *rapid.T) {
-		wld := newWorld(rules{}, rapid.IntRange(1, 3).Draw(rt, "tasks"))
+		rer := rapid.SampledFrom([]job.Rerun{job.RerunFromCheckpoint, job.RerunNever}).Draw(rt, "rerun")
+		wld := newWorld(rules{rerun: rer}, rapid.IntRange(1, 3).Draw(rt, "tasks"))
 		wld.budget["duplicate"], wld.budget["evict"], wld.budget["agentCrash"], wld.budget["instanceCrash"] = 10, 10, 3, 3
 		var trace []string
 		for range rapid.IntRange(1, 150).Draw(rt, "steps") {
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -24,6 +24,8 @@
 	payload   []byte
 	deadline  int64
 	lease     time.Duration
+	rerun     Rerun
+	restarts  bool // the tasks start from the beginning after each stop
 }
 
 // NewSpec returns a job of a kind with a number of tasks of equal size.
@@ -49,6 +51,18 @@
 	return spc
 }
 
+// WithRerun returns the job with what happens when it is not known whether a task has run.
+func (spc Spec) WithRerun(rer Rerun) Spec {
+	spc.rerun = rer
+	return spc
+}
+
+// WithCheckpoints returns the job with whether its tasks can resume from a checkpoint.
+func (spc Spec) WithCheckpoints(checkpointable bool) Spec {
+	spc.restarts = !checkpointable
+	return spc
+}
+
 // WithService returns the job with the service whose endpoints run it.
 func (spc Spec) WithService(srv fleet.Service) Spec {
 	spc.service = srv
@@ -115,9 +129,16 @@
 	return spc.lease
 }
 
+// Rerun returns what happens when it is not known whether a task has run.
+func (spc Spec) Rerun() Rerun { return spc.rerun }
+
+// Checkpointable reports whether the tasks can resume from a checkpoint. They
+// can unless their class says otherwise.
+func (spc Spec) Checkpointable() bool { return !spc.restarts }
+
 // Digest identifies the content, so that a repeated submission can be compared
-// after the payload has been dropped. The lease is left out: it belongs to the
-// class, which operators may change between two submissions.
+// after the payload has been dropped. The settings of the class are left out,
+// because operators may change them between two submissions.
 func (spc Spec) Digest() string {
 	sum := sha256.New()
 	fmt.Fprintf(sum, "%q %q %q %q %q %d %t %d %v %d %d ", spc.key, spc.customer, spc.team, spc.class, spc.service,
@@ -141,6 +162,8 @@
 		return fmt.Sprintf("task lease %v: at most %v", spc.lease, MaxLease)
 	case spc.kind > KindWatch:
 		return "unknown kind"
+	case spc.rerun >= rerunCount:
+		return "unknown setting of rerun"
 	}
 	return ""
 }
--- a/io/config/codec.go
+++ b/io/config/codec.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/job"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/ticket"
 	"jacinthpost/io/message"
@@ -48,7 +49,8 @@
 		Resources      message.Resources `json:"resources"`
 		LeaseMillis    int64             `json:"leaseMillis"`
 		OutageSeconds  int64             `json:"outageSeconds,omitempty"`
-		Checkpointable bool              `json:"checkpointable"`
+		Checkpointable *bool             `json:"checkpointable"` // true if it is missing
+		Rerun          string            `json:"rerun,omitempty"`
 	}
 	dataCentreBody struct {
 		State  string `json:"state"`
@@ -91,7 +93,12 @@
 	}),
 	ticket.KindJobClass: decoder(func(bod jobClassBody) (ticket.Object, error) {
 		vec := resource.New(bod.Resources.MilliCPU, bod.Resources.MemoryMB, bod.Resources.Accelerators)
-		return ticket.NewJobClass(vec, span(bod.LeaseMillis, time.Millisecond), span(bod.OutageSeconds, time.Second), bod.Checkpointable), nil
+		rer, known := job.ParseRerun(bod.Rerun)
+		if !known {
+			return nil, errors.Errorf("rerun %q is neither %v nor %v", bod.Rerun, job.RerunFromCheckpoint, job.RerunNever)
+		}
+		cpt := bod.Checkpointable == nil || *bod.Checkpointable
+		return ticket.NewJobClass(vec, span(bod.LeaseMillis, time.Millisecond), span(bod.OutageSeconds, time.Second), cpt).WithRerun(rer), nil
 	}),
 	ticket.KindDataCentre: decoder(func(bod dataCentreBody) (ticket.Object, error) {
 		if bod.State != stateIn && bod.State != stateOut {
@@ -225,9 +232,9 @@
 		return serviceBody{Slots: obj.Slots(), Connections: obj.Connections(),
 			DefaultTimeoutMillis: obj.Timeout().Milliseconds(), IdempotentPaths: obj.IdempotentPaths()}
 	case ticket.JobClass:
-		vec := obj.Resources()
+		vec, cpt := obj.Resources(), obj.Checkpointable()
 		return jobClassBody{LeaseMillis: obj.Lease().Milliseconds(), OutageSeconds: int64(obj.Outage() / time.Second),
-			Checkpointable: obj.Checkpointable(), Resources: message.Resources{MilliCPU: vec.MilliCPU(),
+			Checkpointable: &cpt, Rerun: rerunName(obj.Rerun()), Resources: message.Resources{MilliCPU: vec.MilliCPU(),
 				MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators()}}
 	case ticket.DataCentre:
 		bod := dataCentreBody{State: stateIn, Reason: obj.Reason()}
@@ -249,6 +256,15 @@
 	}
 }
 
+// rerunName leaves the default out, because nodes of earlier versions refuse
+// tickets with fields that they don't know.
+func rerunName(rer job.Rerun) string {
+	if rer == job.RerunFromCheckpoint {
+		return ""
+	}
+	return rer.String()
+}
+
 // decodeTicketRow decodes an accepted ticket.
 func decodeTicketRow(num ticket.Number, raw []byte) (ticket.Ticket, error) {
 	tic, faults := DecodeTicket(num, raw)
