Complete jobs with the size of their class and the team of their customer

Cause: the resources of a job class and the team of a customer were accepted, kept and shown, and no decision read them. A caller could charge a job to any team. Change: a submission without a size gets that of its class, one without a team that of its customer, and one that names another team than the customer's is refused. Both are fixed at submission and left out of the digest, so a repeated submission stays the same job when tickets change them.

--- a/core/job/simple.go
+++ b/core/job/simple.go
@@ -75,7 +75,7 @@
 	if len(sim.instances) == 0 {
 		return true, resource.Vector{}
 	}
-	fits := slices.ContainsFunc(sim.instances, func(viw instanceView) bool { return spc.resources.FitsIn(viw.hint.capacity) })
+	fits := slices.ContainsFunc(sim.instances, func(viw instanceView) bool { return spc.Resources().FitsIn(viw.hint.capacity) })
 	return fits, sim.largest
 }
 
@@ -101,7 +101,7 @@
 		pos := (first + step) % len(sim.instances)
 		viw := &sim.instances[pos]
 		free := viw.estimate(now)
-		if !tsk.spec.resources.FitsIn(free) || !viw.takes(tsk, now) {
+		if !tsk.spec.Resources().FitsIn(free) || !viw.takes(tsk, now) {
 			continue
 		}
 		load := viw.load(free)
@@ -161,8 +161,8 @@
 func (sim *Simple) Committed(tsk Task, ins fleet.InstanceID) {
 	if viw := sim.view(ins); viw != nil {
 		viw.tasks++
-		viw.committed = viw.committed.Plus(tsk.spec.resources)
-		viw.free = viw.free.Minus(tsk.spec.resources)
+		viw.committed = viw.committed.Plus(tsk.spec.Resources())
+		viw.free = viw.free.Minus(tsk.spec.Resources())
 	}
 }
 
@@ -170,8 +170,8 @@
 func (sim *Simple) Withdrawn(tsk Task, ins fleet.InstanceID) {
 	if viw := sim.view(ins); viw != nil && viw.tasks > 0 {
 		viw.tasks--
-		viw.committed = viw.committed.Minus(tsk.spec.resources)
-		viw.free = viw.free.Plus(tsk.spec.resources)
+		viw.committed = viw.committed.Minus(tsk.spec.Resources())
+		viw.free = viw.free.Plus(tsk.spec.Resources())
 	}
 }
 
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"time"
@@ -25,7 +26,9 @@
 	deadline  int64
 	lease     time.Duration
 	rerun     Rerun
-	restarts  bool // the tasks start from the beginning after each stop
+	restarts  bool            // the tasks start from the beginning after each stop
+	charged   fleet.Team      // team of the customer, empty for none
+	classSize resource.Vector // size of a task in the settings of the class, zero for none
 }
 
 // NewSpec returns a job of a kind with a number of tasks of equal size.
@@ -63,6 +66,21 @@
 	return spc
 }
 
+// WithClassSize returns the job with the size that operators have set for the
+// tasks of its class. It counts for a submission that names no size.
+func (spc Spec) WithClassSize(vec resource.Vector) Spec {
+	spc.classSize = vec
+	return spc
+}
+
+// WithCustomerTeam returns the job with the team that operators have set for its
+// customer. It counts for a submission without a team, and one that names
+// another team is refused: it would use a share that is not the customer's.
+func (spc Spec) WithCustomerTeam(tea fleet.Team) Spec {
+	spc.charged = tea
+	return spc
+}
+
 // WithService returns the job with the service whose endpoints run it.
 func (spc Spec) WithService(srv fleet.Service) Spec {
 	spc.service = srv
@@ -94,7 +112,7 @@
 func (spc Spec) Customer() fleet.Customer { return spc.customer }
 
 // Team returns the team that pays for the job.
-func (spc Spec) Team() fleet.Team { return spc.team }
+func (spc Spec) Team() fleet.Team { return cmp.Or(spc.team, spc.charged) }
 
 // Class returns the job class.
 func (spc Spec) Class() fleet.JobClass { return spc.class }
@@ -112,7 +130,7 @@
 func (spc Spec) Tasks() int { return spc.tasks }
 
 // Resources returns the size of one task.
-func (spc Spec) Resources() resource.Vector { return spc.resources }
+func (spc Spec) Resources() resource.Vector { return cmp.Or(spc.resources, spc.classSize) }
 
 // Payload returns the input of the tasks, which the caller must not change. It
 // is dropped when the job has ended.
@@ -137,8 +155,8 @@
 func (spc Spec) Checkpointable() bool { return !spc.restarts }
 
 // Digest identifies the content, so that a repeated submission can be compared
-// after the payload has been dropped. The settings of the class are left out,
-// because operators may change them between two submissions.
+// after the payload has been dropped. The settings of the class and the customer
+// are left out, because operators may change them between two submissions.
 func (spc Spec) Digest() string {
 	sum := sha256.New()
 	fmt.Fprintf(sum, "%q %q %q %q %q %d %t %d %v %d %d ", spc.key, spc.customer, spc.team, spc.class, spc.service,
@@ -156,7 +174,11 @@
 		return fmt.Sprintf("%d tasks: must be 1 to %d", spc.tasks, MaxTasks)
 	case len(spc.payload) > MaxPayloadBytes:
 		return fmt.Sprintf("payload of %d bytes: at most %d", len(spc.payload), MaxPayloadBytes)
-	case !spc.resources.Valid() || spc.resources == resource.Vector{}:
+	case spc.team != "" && spc.charged != "" && spc.team != spc.charged:
+		return fmt.Sprintf("customer %s belongs to team %s, not to %s", spc.customer, spc.charged, spc.team)
+	case spc.Resources() == resource.Vector{}:
+		return fmt.Sprintf("resources must be set: no size is set for class %q", spc.class)
+	case !spc.Resources().Valid():
 		return "resources must be positive"
 	case spc.lease < 0 || spc.lease > MaxLease:
 		return fmt.Sprintf("task lease %v: at most %v", spc.lease, MaxLease)
--- a/core/job/summary.go
+++ b/core/job/summary.go
@@ -88,7 +88,7 @@
 func (ent *entry) summarize() Summary {
 	spc := &ent.spec
 	sum := Summary{
-		id: ent.id, customer: spc.customer, team: spc.team, class: spc.class, kind: spc.kind, urgent: spc.urgent,
+		id: ent.id, customer: spc.customer, team: spc.Team(), class: spc.class, kind: spc.kind, urgent: spc.urgent,
 		state: ent.state(), tasks: ent.counts, recorded: ent.recorded,
 		submitted: time.UnixMilli(ent.submittedAt), ended: unixMillis(ent.endedAt), deadline: unixMillis(spc.deadline),
 	}
--- a/io/node/agentnode/members.go
+++ b/io/node/agentnode/members.go
@@ -90,12 +90,16 @@
 	return out
 }
 
-// ApplyClass implements owner.Settings. A class that survives outages of the
-// store has a lease longer by that time.
-func (ose ownerSettings) ApplyClass(spc job.Spec) job.Spec {
-	cls, found := ose.config.State().JobClass(spc.Class())
-	if !found {
-		return spc
+// Complete implements owner.Settings. A class that survives outages of the store
+// has a lease longer by that time.
+func (ose ownerSettings) Complete(spc job.Spec) job.Spec {
+	sta := ose.config.State()
+	if cus, found := sta.Customer(spc.Customer()); found {
+		spc = spc.WithCustomerTeam(cus.Team())
+	}
+	if cls, found := sta.JobClass(spc.Class()); found {
+		spc = spc.WithClass(spc.Class(), max(cls.Lease(), cls.Outage())).WithRerun(cls.Rerun()).
+			WithCheckpoints(cls.Checkpointable()).WithClassSize(cls.Resources())
 	}
-	return spc.WithClass(spc.Class(), max(cls.Lease(), cls.Outage())).WithRerun(cls.Rerun()).WithCheckpoints(cls.Checkpointable())
+	return spc
 }
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -130,7 +130,7 @@
 
 func (settings) StartsAllowed(fleet.DataCentre) bool { return true }
 func (settings) TakenOut() []fleet.DataCentre        { return nil }
-func (settings) ApplyClass(spc job.Spec) job.Spec    { return spc }
+func (settings) Complete(spc job.Spec) job.Spec      { return spc }
 
 // pause stops the control goroutine of a process until resume, as a paused process would.
 func (prc *process) pause() (resume func()) {
--- a/io/owner/convert.go
+++ b/io/owner/convert.go
@@ -57,10 +57,10 @@
 }
 
 // decodeSpec reports false for an unknown kind of job. The settings of the class
-// are those at submission.
+// and the customer are those at submission.
 func decodeSpec(spc message.JobSpec, settings Settings) (job.Spec, bool) {
 	knd, known := job.ParseKind(spc.Kind)
-	return settings.ApplyClass(job.NewSpec(knd, spc.Tasks, decodeVector(spc.Resources)).
+	return settings.Complete(job.NewSpec(knd, spc.Tasks, decodeVector(spc.Resources)).
 		WithKey(fleet.Customer(spc.Customer), spc.Key).
 		WithTeam(fleet.Team(spc.Team)).
 		WithClass(fleet.JobClass(spc.Class), 0).
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -66,8 +66,8 @@
 	StartsAllowed(dce fleet.DataCentre) bool
 	// TakenOut returns the data centres taken out of service, sorted.
 	TakenOut() []fleet.DataCentre
-	// ApplyClass returns the job with the settings of its class, or unchanged if there are none.
-	ApplyClass(spc job.Spec) job.Spec
+	// Complete returns the job with the settings of its class and its customer.
+	Complete(spc job.Spec) job.Spec
 }
 
 // Member is an instance known from membership.
