Prove that work which ends in a region that is cut off runs once

Cause: the spec of parted regions avoids work that ends while nobody hears of it. Change: a spec with a class that must not run again: six tasks end during the cut, those of the cut region stay parked, and the job is finished after the healing without a further run.

--- a/internal/failure/region/partition_test.go
+++ b/internal/failure/region/partition_test.go
@@ -146,6 +146,40 @@
 	}, SpecTimeout(3*time.Minute))
 })
 
+// publishing is a class whose tasks must not run again when it is not known how they ended.
+var publishing = harness.Change{Kind: "jobClass", Name: "publishing", State: map[string]any{
+	"resources": map[string]any{"milliCPU": 8000, "memoryMB": 1024}, "leaseMillis": taskLease.Milliseconds(), "rerun": "never",
+}}
+
+const (
+	// publishMillis lets the work end during the cut and before the leases do.
+	publishMillis = 8_000
+	publishTasks  = 6
+)
+
+var _ = Describe("invariants 2, 3 and 7 (regions parted while work ends)", func() {
+	// Guards against work that runs to its end in the region that is cut off and
+	// then again in the other one, and against an end that is never heard of.
+	It("runs nothing twice that must not run again, and hears of its end after the healing", func(ctx SpecContext) {
+		fle := scene.StartRelayed(ctx, "sen-vang", 0)
+		near, far := parts(fle)
+		num, accepted := scene.FileNext(ctx, fle, publishing)
+		scene.AwaitInForce(ctx, fle, num, accepted)
+		spc := scene.JobSpec("edition", "build", fmt.Sprintf(`{"workMillis":%d}`, publishMillis), publishTasks, 8000, 1024)
+		spc.Class = publishing.Name
+		id := scene.Submit(ctx, fle, spc)
+		Eventually(func() []harness.Run { return scene.RunsOf(ctx, fle, id, scene.InProgress) }).WithContext(ctx).
+			Within(20 * time.Second).Should(HaveLen(publishTasks))
+		scene.SetNetwork(ctx, fle, harness.Cut, harness.Link{From: near, To: far}, harness.Link{From: far, To: near})
+		cut := time.Now()
+		Eventually(scene.JobState(ctx, fle, 0, id)).WithContext(ctx).Within(scene.TasksLimit).Should(Equal("parked"))
+		Expect(scene.RunsOf(ctx, fle, id, scene.RanToItsEnd)).To(HaveLen(publishTasks), "ends %v after the cut", time.Since(cut))
+		scene.HealNetwork(ctx, fle)
+		Eventually(scene.JobState(ctx, fle, 0, id)).WithContext(ctx).Within(scene.TasksLimit).Should(Equal("finished"))
+		Expect(scene.RunsOf(ctx, fle, id, func(harness.Run) bool { return true })).To(HaveLen(publishTasks), "runs of the build")
+	}, SpecTimeout(3*time.Minute))
+})
+
 // runningIn returns the runs in progress on some instances.
 func runningIn(ctx context.Context, wrk scene.Work, names []string) []harness.Run {
 	GinkgoHelper()
