Learn no size from an amount that the agent does not know

Cause: an agent reports no processors for a task that was throttled in the last 15 s, and the placement learned that as a use of zero. Change: an amount of zero is not learned; until the use is known, the declared size is offered. Result: the new spec fails without the change; core/place, core/dispatch and core/scenario pass with -race.

--- a/core/place/size.go
+++ b/core/place/size.go
@@ -122,6 +122,13 @@
 	strange []sample // the latest runs, if all of them are strange
 }
 
+// observe adds a run whose use is known.
+func (amo *amount) observe(smp sample) {
+	if smp.used > 0 {
+		amo.add(smp)
+	}
+}
+
 func (amo *amount) add(smp sample) {
 	strange := amo.used.strange(smp.used) && amo.ratio.strange(smp.ratio())
 	if strange {
@@ -189,7 +196,9 @@
 	memory     amount
 }
 
-// Observe records the peak usage of one run.
+// Observe records the peak usage of one run. An amount of zero is one that the
+// agent does not know, such as the processors of a task that was throttled all the
+// time: learned as a use, it packs an instance with tasks of the class.
 func (siz *Sizes) Observe(cls fleet.JobClass, declared, used resource.Vector) {
 	if siz.classes == nil {
 		siz.classes = make(map[fleet.JobClass]*classSize)
@@ -199,8 +208,8 @@
 		csz = new(classSize)
 		siz.classes[cls] = csz
 	}
-	csz.processors.add(sample{used: used.MilliCPU(), declared: declared.MilliCPU()})
-	csz.memory.add(sample{used: used.MemoryMB(), declared: declared.MemoryMB()})
+	csz.processors.observe(sample{used: used.MilliCPU(), declared: declared.MilliCPU()})
+	csz.memory.observe(sample{used: used.MemoryMB(), declared: declared.MemoryMB()})
 }
 
 // Samples returns the number of runs that the estimate of a class rests on.
--- a/core/place/size_test.go
+++ b/core/place/size_test.go
@@ -40,3 +40,19 @@
 	Entry("less after it has shrunk", []run{{60, 10_000, 8000}, {4, 10_000, 1000}}, int64(10_000), int64(1000), int64(1400)),
 	Entry("more after it has grown", []run{{60, 10_000, 1000}, {4, 10_000, 8000}}, int64(10_000), int64(8000), int64(10_000)),
 )
+
+// Guards against tasks that are offered with no processors, and packed on one
+// instance, because their agents could not measure what they use.
+var _ = It("learns nothing from an amount that is not known", func() {
+	var siz place.Sizes
+	declared := resource.New(1000, 1000, 0)
+	for range 20 {
+		siz.Observe("c", declared, resource.New(0, 500, 0))
+	}
+	Expect(siz.Estimate("c", declared).MilliCPU()).To(Equal(int64(1000)))
+	Expect(siz.Estimate("c", declared).MemoryMB()).To(BeNumerically("<", 700))
+	for range 4 {
+		siz.Observe("c", declared, resource.New(250, 500, 0))
+	}
+	Expect(siz.Estimate("c", declared).MilliCPU()).To(BeNumerically("~", 250, 50))
+})
