Let a fleet that starts at once join without loading its seeds

Cause: each process that knew nobody pinged all its seeds each second with its whole profile, and a seed answered each ping at once with four profiles and news. With one seed for all, the seed had 142 KB/s with 64 and 549 KB/s with 256 processes. The join itself was limited by the 3 KB/s for profiles, of which 94 KB reach each of 256 members in 50 s, and by fetches that got no answer (75 KB each): everyone asked the few members that all knew.

Change: a process pings one seed after the other, briefly and less often with each round. The seed keeps who waits and answers within 6 KB/s, naming another member. While more than a quarter of the profiles are missing, a process spares the member that answered it, probes each second, sends 1.1 KB/s of news, and compares and asks less often. Profiles go out with 5 KB/s and are fetched with 5 KB/s while any is missing. A ping from a member without a known profile is answered by a fetch of it. Weighed and not taken: full state over TCP, which has to move the same 420 KB to each of 1,400 processes within the same 21 KB/s; a higher allowance alone, which multiplies the load of the seed.

Datagrams keep their form. Processes of the former version answer the brief ping at once, and their full pings are answered within the allowance; a mixed fleet joins, but old processes that start with one seed still ping it each second.

Measured (go test ./core/member -run xxx -bench 'Join/(64|256)' -benchtime 1x), time until all know all, busiest second of any member, both directions, upper bounds. One seed for all: 64 members 22 s, 37.4 KB/s at the seed (before, in trials: 18 s, 142 KB/s); 256 members 72 s, 80.7 KB/s at the seed (59 s, 549 KB/s). 16 seeds each: 64 members 16 s, 22.2 KB/s (13 s, 58.7 KB/s); 256 members 54 s, 28.6 KB/s (52 s, 66.0 KB/s). So the join takes longer, and the limit of 21 KB/s is still passed, at the seed mostly by the first pings of all processes within one second. go test -race -count=1 ./core/member ./io/gossip: passes, 41.9 s and 5.4 s beside other load.

--- a/core/member/allowance.go
+++ b/core/member/allowance.go
@@ -8,10 +8,18 @@
 // its own part, so that none starves another: comparisons would otherwise hold
 // up refutations.
 const (
-	newsRate    = 2_200 // bytes a second of piggybacked news
-	repairRate  = 3_000 // of comparisons and profiles
-	confirmRate = 1_400 // of pings to suspects and to the dead
-	burstBytes  = 1_000
+	newsRate     = 2_200 // bytes a second of piggybacked news
+	joinNewsRate = 1_100 // while joining
+	repairRate   = 3_000 // of comparisons and profiles
+	confirmRate  = 1_400 // of pings to suspects and to the dead
+	// joinRate replaces repairRate while profiles are missing, and limits the fetches
+	// together with their answers. A fleet that starts at once has to move 300 bytes about
+	// each member to each other one, so this rate decides how long it joins.
+	joinRate = 5_000
+	// introductionRate is of answers to processes that know nobody, about 520 bytes
+	// each while many wait: 1,400 of them are answered within 2 minutes.
+	introductionRate = 6_000
+	burstBytes       = 1_000
 )
 
 // allowance limits the bytes sent for one purpose. What it does not permit waits
--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -30,3 +30,34 @@
 		})
 	}
 }
+
+// BenchmarkJoin reports the start of a whole fleet, in upper bounds of encoded bytes: until all know all, and the
+// busiest second of any member and of the seed. With one seed for all, that is agent-0000; otherwise each has 16.
+func BenchmarkJoin(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	for _, size := range []int{64, 256, 1400} {
+		for _, many := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/manySeeds=%v", size, many), func(b *testing.B) {
+				for range b.N {
+					reportJoin(b, size, many)
+				}
+			})
+		}
+	}
+}
+
+func reportJoin(b *testing.B, size int, many bool) {
+	net := newNetwork(size, 2, 7)
+	if many {
+		net.manySeeds()
+	}
+	begin, highest, seed := net.now, 0.0, 0
+	for net.complete() < size && net.now.Sub(begin) < 10*time.Minute {
+		highest = max(highest, net.observe(time.Second, net.whole).highest)
+		seed = max(seed, net.nodes[0].traffic)
+	}
+	b.ReportMetric(net.now.Sub(begin).Seconds(), "seconds")
+	b.ReportMetric(highest, "bytes/s-highest")
+	b.ReportMetric(float64(seed), "bytes/s-seed")
+	b.ReportMetric(float64(net.bytes)/float64(size), "bytes-sent/node")
+}
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -35,46 +35,54 @@
 
 // Machine is the membership protocol of one process. Construct it with New.
 type Machine struct {
-	self      Update // full
-	head      uint64
-	roster    Indexed[fleet.InstanceID, *entry]
-	centres   Indexed[fleet.Location, *centre]
-	gossip    allowance
-	repair    allowance
-	confirm   allowance
-	digests   [SyncBuckets]uint32
-	news      broadcasts
-	health    health
-	random    *rand.Rand
-	sequence  uint32
-	seeds     []Address
-	near      rotation
-	far       rotation
-	stale     bool // near and far don't reflect the roster
-	probe     probe
-	probes    int // started, counted from a random number
-	relays    []relay
-	suspects  []*entry
-	lacking   bool // a profile may be missing
-	claims    []Update
-	replaced  bool
-	lastTick  time.Time
-	nextProbe time.Time
-	nextSync  time.Time
-	nextDead  time.Time
-	nextTry   time.Time
-	nextFetch time.Time
-	nextSeed  time.Time
-	nextClaim time.Time
-	outgoing  []Envelope
-	changes   []Change
+	self       Update // full
+	head       uint64
+	roster     Indexed[fleet.InstanceID, *entry]
+	centres    Indexed[fleet.Location, *centre]
+	gossip     allowance
+	repair     allowance
+	confirm    allowance
+	fetching   allowance
+	introduce  allowance
+	joiners    []joiner
+	introducer fleet.InstanceID // answered while this process knew nobody
+	digests    [SyncBuckets]uint32
+	news       broadcasts
+	health     health
+	random     *rand.Rand
+	sequence   uint32
+	seeds      []Address
+	seedTries  int // while no live member was known
+	seedNext   int // position of the seed tried last, counted from a random number
+	near       rotation
+	far        rotation
+	stale      bool // near and far don't reflect the roster
+	probe      probe
+	probes     int // started, counted from a random number
+	relays     []relay
+	suspects   []*entry
+	lacking    bool // a profile may be missing
+	unprofiled int  // members not dead without a profile, when the lists were last rebuilt
+	fetchTries int  // without an answer
+	claims     []Update
+	replaced   bool
+	lastTick   time.Time
+	nextProbe  time.Time
+	nextSync   time.Time
+	nextDead   time.Time
+	nextTry    time.Time
+	nextFetch  time.Time
+	nextSeed   time.Time
+	nextClaim  time.Time
+	outgoing   []Envelope
+	changes    []Change
 }
 
 // New returns the machine of a process. The generator must be seeded
 // differently in each process and belongs to the machine.
 func New(id fleet.InstanceID, inc fleet.Incarnation, pro Profile, random *rand.Rand) *Machine {
 	self := NewUpdate(id, NewVersion(inc, 0), StateAlive, 0).WithProfile(pro)
-	mac := &Machine{self: self, random: random, stale: true, probes: random.IntN(CrossRegion)}
+	mac := &Machine{self: self, random: random, stale: true, probes: random.IntN(CrossRegion), seedNext: random.IntN(seedSpread)}
 	mac.digests[bucketOf(id)] ^= self.hash()
 	mac.news.add(id, true)
 	return mac
@@ -142,13 +150,16 @@
 		mac.resume(now, now.Sub(mac.lastTick))
 	}
 	mac.lastTick = now
-	mac.gossip.refill(now, newsRate)
-	mac.repair.refill(now, repairRate)
+	mac.gossip.refill(now, mac.newsRate())
+	mac.repair.refill(now, mac.repairRate())
+	mac.fetching.refill(now, joinRate)
+	mac.introduce.refill(now, introductionRate)
 	mac.confirm.refill(now, confirmRate)
 	mac.expireRelays(now)
+	mac.introduceNext()
 	mac.continueProbe(now)
 	mac.tickSuspects(now)
-	if mac.due(&mac.nextProbe, now, mac.health.scale(ProbePeriod)) {
+	if mac.due(&mac.nextProbe, now, mac.probePeriod()) {
 		mac.startProbe(now)
 	}
 	if mac.due(&mac.nextSync, now, SyncPeriod) {
@@ -161,7 +172,7 @@
 		mac.trySilent()
 	}
 	if mac.due(&mac.nextFetch, now, FetchPeriod) {
-		mac.fetch()
+		mac.fetch(now)
 	}
 	if mac.due(&mac.nextClaim, now, claimPeriod) {
 		mac.checkClaim(now)
@@ -196,24 +207,6 @@
 	}
 }
 
-// trySeeds pings the seeds while no live member is known, and later one now and
-// then, because fleets that started apart may not know of each other.
-func (mac *Machine) trySeeds(now time.Time) {
-	seeds := mac.seeds
-	if mac.liveCount() > 1 && len(seeds) > 0 {
-		pos := mac.random.IntN(len(seeds))
-		seeds = seeds[pos : pos+1]
-		// Spread out, because fleets start together and may have few seeds.
-		mac.nextSeed = now.Add(SeedRetry/2 + time.Duration(mac.random.Int64N(int64(SeedRetry))))
-	}
-	for _, adr := range seeds {
-		if adr != mac.self.profile.gossipAddress {
-			msg := mac.compose(KindPing, mac.nextSequence(), "")
-			mac.send(adr, "", mac.fill(msg, []Update{mac.self}))
-		}
-	}
-}
-
 // liveCount returns the number of members that are not dead, this process included.
 func (mac *Machine) liveCount() int {
 	mac.refresh()
@@ -230,7 +223,11 @@
 	for _, cen := range mac.centres.All() {
 		cen.members = 0
 	}
+	mac.unprofiled = 0
 	for id, ent := range mac.roster.All() {
+		if ent.profile == nil && ent.update.state != StateDead {
+			mac.unprofiled++
+		}
 		if ent.centre != nil && ent.update.state != StateDead {
 			ent.centre.members++
 		}
@@ -242,6 +239,9 @@
 			mac.far.members = append(mac.far.members, id)
 		}
 	}
+	if mac.liveCount() > 2 && mac.joining() {
+		mac.spareIntroducer()
+	}
 }
 
 func (mac *Machine) region() fleet.Region { return mac.self.profile.location.Region() }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -28,19 +28,21 @@
 
 // Timing of the protocol.
 const (
-	TickPeriod      = 50 * time.Millisecond // the caller calls Tick this often
-	ProbePeriod     = 500 * time.Millisecond
-	ProbeTimeout    = 150 * time.Millisecond
-	SuspicionPeriod = 2 * time.Second
-	SyncPeriod      = 10 * time.Second
-	SyncRepeat      = time.Second // after a comparison that brought news
-	DeadRetry       = 5 * time.Second
-	deadSpacing     = 200 * time.Millisecond // between the pings of all members to one dead member
-	deadRetryLimit  = 30 * time.Second
-	DeadRetention   = 4 * time.Hour // longer than partitions between regions last
-	FetchPeriod     = 200 * time.Millisecond
-	SeedPeriod      = time.Second
-	SeedRetry       = 30 * time.Second // while other members are known
+	TickPeriod       = 50 * time.Millisecond // the caller calls Tick this often
+	ProbePeriod      = 500 * time.Millisecond
+	ProbeTimeout     = 150 * time.Millisecond
+	SuspicionPeriod  = 2 * time.Second
+	SyncPeriod       = 10 * time.Second
+	joinProbePeriod  = time.Second     // while joining: the few members that all know are probed by all
+	syncWhileJoining = 4 * time.Second // in place of SyncRepeat, for the same reason
+	SyncRepeat       = time.Second     // after a comparison that brought news
+	DeadRetry        = 5 * time.Second
+	deadSpacing      = 200 * time.Millisecond // between the pings of all members to one dead member
+	deadRetryLimit   = 30 * time.Second
+	DeadRetention    = 4 * time.Hour // longer than partitions between regions last
+	FetchPeriod      = 200 * time.Millisecond
+	SeedPeriod       = time.Second
+	SeedRetry        = 30 * time.Second // while other members are known, and at most
 	// PauseLimit is the gap between ticks that counts as a pause of this process:
 	// answers that arrived meanwhile are not processed yet, so nobody may be blamed.
 	PauseLimit = 500 * time.Millisecond
@@ -62,10 +64,12 @@
 	SyncBuckets     = 64
 	syncBucketLimit = 16 // buckets sent in answer to one comparison
 	fetchLimit      = 12 // profiles asked for at a time: with 270 bytes each, 16 KB/s
+	fetchBackoff    = 3  // doublings of FetchPeriod while fetches are not answered
 	confirmLimit    = 4  // confirming pings a tick
 	claimLimit      = 256
-	leaveSends      = 6 // at 10% loss all of them are lost once in a million
-	transmitFactor  = 3 // each update is sent this many times log2 of the members
+	seedSpread      = 16 // processes with the same seeds begin at this many different ones
+	leaveSends      = 6  // at 10% loss all of them are lost once in a million
+	transmitFactor  = 3  // each update is sent this many times log2 of the members
 )
 
 // Address is where a member receives datagrams or calls, as host:port.
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -27,6 +27,9 @@
 	if msg.sender.state == StateSuspect || msg.sender.state == StateDead {
 		return // nobody says so about itself
 	}
+	if msg.kind == KindAck && mac.liveCount() == 1 {
+		mac.introducer = msg.sender.instance
+	}
 	mac.merge(now, msg.sender, sourceGossip)
 	from := sourceGossip
 	if msg.kind == KindEntries || msg.kind == KindProfiles {
@@ -38,6 +41,9 @@
 	if ent, found := mac.roster.Get(msg.sender.instance); found {
 		ent.head = msg.head
 		mac.heard(now, ent)
+		if ent.profile == nil && msg.kind == KindPing && msg.to != "" {
+			mac.fetchFrom(src, ent)
+		}
 		ent.doubted = ent.doubted && ent.update.state != StateLeaving
 	}
 	mac.dispatch(now, src, msg)
@@ -57,6 +63,9 @@
 		mac.receiveSync(src, msg)
 	case KindFetch:
 		mac.receiveFetch(src, msg)
+	case KindProfiles:
+		mac.fetching.spend(msg.Size())
+		mac.fetchTries = 0
 	}
 }
 
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -204,23 +204,12 @@
 // receivePing answers a ping to the address it came from.
 func (mac *Machine) receivePing(src Address, msg Message) {
 	from := msg.sender.instance
-	first := mac.claimsAbout(from)
-	if msg.to == "" { // a joining member that may know nobody and should not ask only this process
-		first = append(append(first, mac.self), mac.introductions(from)...)
+	if msg.to == "" {
+		mac.welcome(src, msg)
+		return
 	}
 	reply := mac.compose(KindAck, msg.sequence, from)
-	mac.send(src, mac.regionOf(from), mac.fill(reply, first))
-}
-
-// introductions returns some members with their profiles for a joining member.
-func (mac *Machine) introductions(to fleet.InstanceID) []Update {
-	var updates []Update
-	for _, ent := range mac.sample(Helpers, nil) {
-		if ent.update.instance != to {
-			updates = append(updates, ent.full())
-		}
-	}
-	return updates
+	mac.send(src, mac.regionOf(from), mac.fill(reply, mac.claimsAbout(from)))
 }
 
 func (mac *Machine) regionOf(id fleet.InstanceID) fleet.Region {
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -20,7 +20,11 @@
 
 // learned makes the next comparison come soon, because there may be more to learn.
 func (mac *Machine) learned(now time.Time) {
-	if soon := now.Add(SyncRepeat); soon.Before(mac.nextSync) {
+	soon := now.Add(SyncRepeat)
+	if mac.joining() {
+		soon = now.Add(syncWhileJoining) // most of what a comparison would bring comes with news
+	}
+	if soon.Before(mac.nextSync) {
 		mac.nextSync = soon
 	}
 }
@@ -91,9 +95,10 @@
 	}
 }
 
-// fetch asks a random member for profiles that this process lacks.
-func (mac *Machine) fetch() {
-	if !mac.lacking {
+// fetch asks a random member for profiles that this process lacks, less often
+// while nobody answers: in a fleet that joins, others are asked by too many.
+func (mac *Machine) fetch(now time.Time) {
+	if !mac.lacking || !mac.fetching.left() {
 		return
 	}
 	wanted := mac.profilesLacked()
@@ -103,8 +108,25 @@
 	}
 	if ent := mac.partner(); ent != nil {
 		msg := mac.compose(KindFetch, mac.nextSequence(), ent.update.instance)
-		mac.sendTo(ent, msg.WithWanted(fitting(wanted, MaxDatagram-msg.Size())))
+		msg = msg.WithWanted(fitting(wanted, MaxDatagram-msg.Size()))
+		mac.fetching.spend(msg.Size())
+		if mac.joining() {
+			mac.fetchTries++
+			mac.nextFetch = now.Add(FetchPeriod << min(mac.fetchTries, fetchBackoff))
+		}
+		mac.sendTo(ent, msg)
+	}
+}
+
+// fetchFrom asks a member for its own profile at the address it sent from. While a
+// fleet joins, nobody else may have it.
+func (mac *Machine) fetchFrom(src Address, ent *entry) {
+	if !mac.fetching.left() {
+		return
 	}
+	msg := mac.compose(KindFetch, mac.nextSequence(), ent.update.instance).WithWanted([]fleet.InstanceID{ent.update.instance})
+	mac.fetching.spend(msg.Size())
+	mac.send(src, "", msg)
 }
 
 // profilesLacked returns some members whose profile is not known. It starts at a
@@ -142,14 +164,16 @@
 			updates = append(updates, ent.full())
 		}
 	}
-	if len(msg.wanted) >= fetchLimit {
+	asker, known := mac.roster.Get(msg.sender.instance)
+	if len(msg.wanted) >= fetchLimit || !known || asker.profile == nil {
 		updates = append(updates, mac.anyProfiles(fetchLimit-len(updates))...)
 	}
 	mac.sendAll(KindProfiles, src, msg.sender.instance, updates)
 }
 
 // anyProfiles returns some known profiles from a random one on. A member that
-// joins together with many others lacks most of them, and few know those it asked for.
+// joins together with many others lacks most of them, and few know those it asked
+// for; one that is new here may know nobody but the seed to ask for.
 func (mac *Machine) anyProfiles(num int) []Update {
 	var updates []Update
 	size := mac.roster.Len()
