--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -27,6 +27,9 @@
 	if msg.sender.state == StateSuspect || msg.sender.state == StateDead {
 		return // nobody says so about itself
 	}
+	if msg.kind == KindAck && mac.liveCount() == 1 {
+		mac.introducer = msg.sender.instance
+	}
 	mac.merge(now, msg.sender, sourceGossip)
 	from := sourceGossip
 	if msg.kind == KindEntries || msg.kind == KindProfiles {
@@ -38,6 +41,9 @@
 	if ent, found := mac.roster.Get(msg.sender.instance); found {
 		ent.head = msg.head
 		mac.heard(now, ent)
+		if ent.profile == nil && msg.kind == KindPing && msg.to != "" {
+			mac.fetchFrom(src, ent)
+		}
 		ent.doubted = ent.doubted && ent.update.state != StateLeaving
 	}
 	mac.dispatch(now, src, msg)
@@ -57,6 +63,9 @@
 		mac.receiveSync(src, msg)
 	case KindFetch:
 		mac.receiveFetch(src, msg)
+	case KindProfiles:
+		mac.fetching.spend(msg.Size())
+		mac.fetchTries = 0
 	}
 }
 
@@ -75,6 +84,9 @@
 	if !upd.supersedes(ent.update.version, ent.update.state) {
 		return
 	}
+	if upd.state == StateDead && ent.unreachable() {
+		return // whoever says so may not have noticed yet that the whole data centre is silent
+	}
 	if upd.state == StateDead && (ent.update.state == StateAlive || (ent.update.state == StateSuspect && src == sourceRepair)) {
 		mac.doubtDeath(now, ent, upd, src)
 		return
@@ -253,7 +265,7 @@
 			kept = append(kept, ent)
 			continue
 		}
-		if !now.Before(ent.expiresAt) && !ent.undecided() {
+		if !now.Before(ent.expiresAt) && !ent.undecided(now) {
 			mac.setState(now, ent, StateDead)
 			continue
 		}
@@ -282,7 +294,7 @@
 		switch {
 		case ent.unreachable() && now.Sub(ent.centre.silentAt) > DeadRetention:
 			expired = append(expired, id)
-		case ent.update.state != StateDead:
+		case ent.update.state != StateDead || ent.unreachable(): // silent data centres are tried by themselves
 		case now.Sub(ent.diedAt) > DeadRetention:
 			expired = append(expired, id)
 		case ent.profile != nil:
