Remove measures that nothing reads from the scenario runner

Five results and the explanations of the runner had no reader, and the second value of contention was never used. No change of behaviour.

--- a/core/scenario/model.go
+++ b/core/scenario/model.go
@@ -167,12 +167,9 @@
 	shp := SenVang()
 	shp.name, shp.step = "two-year", 100*time.Millisecond
 	shp.warmUp, shp.settled, shp.length = 30*time.Second, 60*time.Second, 120*time.Second
-	shp.sites = nil
-	for _, sit := range []Site{
+	shp.sites = []Site{
 		{"north", "north-a", 200}, {"north", "north-b", 200}, {"north", "north-c", 200}, {"north", "north-d", 200},
 		{"south", "south-a", 200}, {"south", "south-b", 200}, {"south", "south-c", 200},
-	} {
-		shp.sites = append(shp.sites, sit)
 	}
 	shp.perRack, shp.teams, shp.outSite, shp.badWorkers = 20, 50, "", 5
 	shp.classes = []Class{
--- a/core/scenario/scenario.go
+++ b/core/scenario/scenario.go
@@ -21,7 +21,6 @@
 	"math/rand/v2"
 	"time"
 
-	"jacinthpost/core/explain"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/interfere"
 	"jacinthpost/core/place"
@@ -72,15 +71,11 @@
 	outWork    float64
 	lost       float64
 	evictions  int
-	reclaims   int
-	finished   int
 	starts     int
-	outOfMem   int
 	steadyWork float64
 	steady     int // starts
 	fillWait   time.Duration
 	urgentWait time.Duration
-	urgents    int
 	hash       uint64
 }
 
@@ -93,24 +88,12 @@
 // OutWork returns the processor seconds done from the loss of the data centre until the end of the ramp after its return.
 func (res *Result) OutWork() float64 { return res.outWork }
 
-// Lost returns the processor seconds repeated after evictions and failures.
-func (res *Result) Lost() float64 { return res.lost }
-
 // Evictions returns the number of tasks evicted by guards or stopped for another team.
-func (res *Result) Evictions() int { return res.evictions + res.reclaims }
-
-// Reclaims returns the number of tasks stopped for another team.
-func (res *Result) Reclaims() int { return res.reclaims }
-
-// Finished returns the number of tasks that completed.
-func (res *Result) Finished() int { return res.finished }
+func (res *Result) Evictions() int { return res.evictions }
 
 // Starts returns the number of task starts.
 func (res *Result) Starts() int { return res.starts }
 
-// OutOfMemory returns the number of tasks killed for lack of memory.
-func (res *Result) OutOfMemory() int { return res.outOfMem }
-
 // SteadyWork returns the processor seconds of work done after the shape's Settled time.
 func (res *Result) SteadyWork() float64 { return res.steadyWork }
 
@@ -118,7 +101,6 @@
 func (res *Result) SteadyStarts() int { return res.steady }
 
 func (res *Result) noteUrgent(wait time.Duration, steady bool) {
-	res.urgents++
 	if steady {
 		res.urgentWait = max(res.urgentWait, wait)
 		return
@@ -133,9 +115,6 @@
 // UrgentWait returns the same for those that came after it.
 func (res *Result) UrgentWait() time.Duration { return res.urgentWait }
 
-// Urgents returns the number of urgent tasks that started.
-func (res *Result) Urgents() int { return res.urgents }
-
 // Hash returns a digest of all decisions in order.
 func (res *Result) Hash() uint64 { return res.hash }
 
@@ -304,7 +283,7 @@
 func (run *Runner[P, G]) stop(wrk *worker[G], id place.TaskID) {
 	for _, exe := range wrk.tasks {
 		if exe.id == id {
-			run.result.reclaims++
+			run.result.evictions++
 			exe.checkAt, exe.leaving = run.now+checkpointTime, true
 		}
 	}
@@ -370,8 +349,3 @@
 	}
 	run.result.hash = run.result.hash*1099511628211 ^ sum.Sum64()
 }
-
-// Explain returns the reasons that the scheduler keeps about a subject.
-func (run *Runner[P, G]) Explain(subject string) []explain.Reason {
-	return run.scheduler.Explain(subject)
-}
--- a/core/scenario/worker.go
+++ b/core/scenario/worker.go
@@ -9,8 +9,8 @@
 	"jacinthpost/core/resource"
 )
 
-// contention returns the present disturbance of a worker and the processors that its tasks demand.
-func (run *Runner[P, G]) contention(wrk *worker[G]) (contention, float64) {
+// contention returns the present disturbance of a worker.
+func (run *Runner[P, G]) contention(wrk *worker[G]) contention {
 	cores := float64(run.shape.capacity.MilliCPU()) / 1000
 	ctn := contention{load: run.rate() * run.shape.latency.Seconds() / 8}
 	demand := 0.0
@@ -20,7 +20,7 @@
 		ctn.noise += exe.truth.class.noise * use / cores
 	}
 	ctn.busy = demand/cores + ctn.load*8/cores
-	return ctn, demand
+	return ctn
 }
 
 // rate returns the requests per second of one open worker. The requests of a
@@ -37,8 +37,7 @@
 
 // advance runs the tasks of a worker for one step.
 func (run *Runner[P, G]) advance(wrk *worker[G]) {
-	ctn, _ := run.contention(wrk)
-	speed := 1 / max(1, ctn.busy)
+	speed := 1 / max(1, run.contention(wrk).busy)
 	memory := int64(0)
 	for _, exe := range slices.Clone(wrk.tasks) {
 		run.progress(exe, speed)
@@ -47,7 +46,6 @@
 		case (exe.truth.poison || wrk.bad) && run.now-exe.since >= failAfter:
 			run.end(wrk, exe, place.Failed)
 		case exe.truth.left() == 0:
-			run.result.finished++
 			run.end(wrk, exe, place.Finished)
 		case exe.checkAt != 0 && run.now >= exe.checkAt:
 			run.checkpointed(wrk, exe)
@@ -98,7 +96,6 @@
 		over := func(exe *execution) int64 { return exe.truth.used.MemoryMB() - exe.size.MemoryMB() }
 		return int(over(one) - over(two))
 	})
-	run.result.outOfMem++
 	run.end(wrk, worst, place.Failed)
 }
 
@@ -147,7 +144,7 @@
 		if wrk.out {
 			continue
 		}
-		ctn, _ := run.contention(wrk)
+		ctn := run.contention(wrk)
 		wrk.debt += rate * run.shape.step.Seconds()
 		count := int(wrk.debt)
 		wrk.debt -= float64(count)
