Report the use of teams less often and with a bound on its bytes

Cause: the owner of partition 0 got a report from each of 64 processes each 2 s. With five changed teams each that is 27.1 KB/s with its other traffic, 33.9 KB/s if the teams may not borrow; the limit is 21 KB/s a node. Two faults showed on the way: the census gave a lowered limit to others before the process had heard of it, and a report that the client repeated counted as two, so the second answer left out what only the lost one had told. Either let the limits exceed the bound. Change: a process reports each 6 s. It reports at the next 2 s while a team that may not borrow waits, or to confirm a lowered limit, five times and then once more in 16 s. Reports that are not complete have at most 3 teams, and so have their answers. A lowered limit counts as held until the next report, reports are numbered, and what is unchanged or zero is left out of the message. A new census listens for 10 s instead of 6, and a report counts for 15 s instead of 10, which keeps the same number of repetitions. 'keeps the limits of all processes together within the bound' fails without either of the two corrections (limits of 15 and 14 of 12).

--- a/core/dispatch/census.go
+++ b/core/dispatch/census.go
@@ -25,9 +25,20 @@
 	return dsp.sched.FleetCapacity().Over(quota.GranularityParts * dsp.owners())
 }
 
+// ReportDue reports whether the process should report to the census now.
+func (dsp *Dispatcher[P]) ReportDue(now time.Time) bool {
+	return dsp.reporter.Due(dsp.uses(now), now)
+}
+
 // Report returns what the teams hold through this process for the census, what
 // has changed since the last report unless it is complete, and the granularity of changes.
 func (dsp *Dispatcher[P]) Report(now time.Time) (complete bool, uses []quota.Use, granularity resource.Vector) {
+	complete, uses = dsp.reporter.Report(dsp.uses(now), dsp.granularity(), now)
+	return complete, uses, dsp.sched.FleetCapacity().Over(quota.GranularityParts)
+}
+
+// uses returns what each team holds through this process.
+func (dsp *Dispatcher[P]) uses(now time.Time) []quota.Use {
 	var all []quota.Use
 	for _, name := range dsp.sched.Teams() {
 		if now.Sub(dsp.wants[name].at) > wantLife {
@@ -41,8 +52,7 @@
 			all = append(all, use)
 		}
 	}
-	complete, uses = dsp.reporter.Report(all, dsp.granularity())
-	return complete, uses, dsp.sched.FleetCapacity().Over(quota.GranularityParts)
+	return all
 }
 
 // Owns reports whether the process has partitions, so that it takes part in the census.
--- a/core/dispatch/census_test.go
+++ b/core/dispatch/census_test.go
@@ -48,6 +48,9 @@
 }
 
 func (own *owners) report(num int, wld *world) {
+	if !wld.dsp.ReportDue(wld.now) {
+		return
+	}
 	complete, uses, granularity := wld.dsp.Report(wld.now)
 	if own.census == nil {
 		wld.dsp.ReportLost()
--- a/core/quota/census.go
+++ b/core/quota/census.go
@@ -11,15 +11,30 @@
 
 // Timing of the census.
 const (
-	// ReportPeriod is how often each process reports.
+	// ReportPeriod is how often each process may report: when a team that may not
+	// borrow waits, when a limit was lowered, and after a report without an answer.
 	ReportPeriod = 2 * time.Second
+	// QuietPeriod is how often a process reports otherwise. With reports each
+	// 2 s, 64 processes used a third of the traffic that a node may have.
+	QuietPeriod = 6 * time.Second
+	// UrgentBurst is the number of reports that a process may make before their
+	// quiet time, one of which comes back each UrgentSpacing. It bounds the traffic
+	// when all processes wait all the time.
+	UrgentBurst   = 5
+	UrgentSpacing = 16 * time.Second
+	// ChangeLimit is the number of teams in a report that is not complete, and in
+	// its answer. The others wait for the next one. With five teams that wait for
+	// their share in every report of every process, the owner of the census would
+	// exceed the traffic of a node (docs/CAPACITY.md).
+	ChangeLimit = 3
 	// ReportLife is how long a report counts without a further one. A process
 	// that is silent for longer has lost its partitions to others, which report
-	// their tasks instead.
-	ReportLife = 10 * time.Second
+	// their tasks instead. It leaves time for a quiet report and four repetitions.
+	ReportLife = 15 * time.Second
 	// SettlePeriod is how long a new census only listens. All processes have
-	// reported by then, unless their tasks have passed to others.
-	SettlePeriod = 3 * ReportPeriod
+	// reported by then, unless their tasks have passed to others: the first report
+	// of each is not known, and the next one is complete.
+	SettlePeriod = QuietPeriod + 2*ReportPeriod
 	// GranularityParts is the part of the fleet below which changes are not told, which
 	// keeps the messages small.
 	GranularityParts = 400
@@ -32,6 +47,11 @@
 	bound   resource.Vector
 	limit   resource.Vector
 	want    resource.Vector
+	// held is a higher limit that the process may still keep to, because it has
+	// not confirmed the present one. Known to the census only.
+	held resource.Vector
+	kept bool      // bound and limit are those that the census knows
+	at   time.Time // of the report; known to the reporter only
 }
 
 // NewUse returns the amounts that a team holds through a process.
@@ -65,12 +85,31 @@
 // Want returns what the first waiting task needs.
 func (use Use) Want() resource.Vector { return use.want }
 
+// Kept reports whether bound and limit are those that the census has from this
+// process, so that they need not be sent.
+func (use Use) Kept() bool { return use.kept }
+
+// Keeping returns the use of a team whose bound and limit the census knows.
+func (use Use) Keeping() Use {
+	use.kept = true
+	return use
+}
+
+// bounded reports whether the team may not borrow.
+func (use Use) bounded() bool { return use.bound != resource.Vector{} }
+
+// waits reports whether a task of the team waits.
+func (use Use) waits() bool { return use.want != resource.Vector{} }
+
+// urgent reports whether a task waits for what the census grants.
+func (use Use) urgent() bool { return use.bounded() && use.waits() }
+
 // reserved returns what counts against the bound of the team.
-func (use Use) reserved() resource.Vector { return use.amounts.Max(use.limit) }
+func (use Use) reserved() resource.Vector { return use.amounts.Max(use.limit).Max(use.held) }
 
 // Empty reports whether the use needs no record.
 func (use Use) Empty() bool {
-	return use.reserved() == resource.Vector{} && use.want == resource.Vector{}
+	return use.reserved() == resource.Vector{} && !use.waits()
 }
 
 // Allotment tells a process about a team: what other processes hold and, for a
@@ -79,6 +118,7 @@
 	team      fleet.Team
 	elsewhere resource.Vector
 	limit     resource.Vector
+	at        time.Time // when it was told; known to the census only
 }
 
 // NewAllotment returns the allotment of a team.
@@ -119,10 +159,11 @@
 
 // report is the last known state of one process.
 type report struct {
-	process fleet.Process
-	at      time.Time
-	uses    map[fleet.Team]Use
-	told    map[fleet.Team]Allotment
+	process     fleet.Process
+	at          time.Time
+	uses        map[fleet.Team]Use
+	told        map[fleet.Team]Allotment
+	granularity resource.Vector // of the changes to tell
 }
 
 // total is the sum over all processes for one team.
@@ -135,7 +176,7 @@
 func (tot *total) add(use Use, sign int64) {
 	tot.amounts = tot.amounts.Plus(use.amounts.Times(sign))
 	tot.reserved = tot.reserved.Plus(use.reserved().Times(sign))
-	if use.want != (resource.Vector{}) {
+	if use.waits() {
 		tot.claimants += sign
 	}
 }
@@ -143,8 +184,10 @@
 // Census adds up what the processes of the fleet report and divides the bound
 // of each team that may not borrow among them. One process keeps it, in memory
 // only: the sums are rebuilt from the next reports. What was granted counts as
-// used, so the limits of all processes together stay within the bound, whatever
-// the order of the reports. The zero value works.
+// used, and a limit that was lowered counts until the next report shows that the
+// process has heard of it, so the limits of all processes together stay within the
+// bound, whatever the order of the reports and whichever answers are lost. The
+// zero value works.
 type Census struct {
 	since   time.Time // of the first report
 	reports map[fleet.InstanceID]*report
@@ -152,7 +195,9 @@
 }
 
 // Report takes in the uses of a process that have changed, or all of them when
-// complete, and answers with what concerns its teams. Changes below the granularity are not told.
+// complete, and answers with what concerns its teams. Changes below the granularity
+// of its last complete report are not told. A report that is not complete confirms
+// the answer to the one before it.
 func (cen *Census) Report(from fleet.Process, complete bool, uses []Use, granularity resource.Vector, now time.Time) Answer {
 	if cen.reports == nil {
 		cen.since, cen.reports, cen.totals = now, make(map[fleet.InstanceID]*report), make(map[fleet.Team]*total)
@@ -171,13 +216,32 @@
 		cen.reports[from.Instance()] = rep
 	}
 	rep.at = now
+	if complete {
+		rep.granularity = granularity
+	} else {
+		cen.confirm(rep)
+	}
 	for _, use := range uses {
+		if old := rep.uses[use.team]; use.kept {
+			use = use.Bounded(old.bound, old.limit)
+		}
+		use.kept = false
 		cen.set(rep, use)
 	}
 	if now.Sub(cen.since) < SettlePeriod {
 		return Answer{known: true}
 	}
-	return Answer{known: true, settled: true, allotments: cen.allot(rep, granularity)}
+	return Answer{known: true, settled: true, allotments: cen.allot(rep, complete)}
+}
+
+// confirm drops the limits that the process no longer keeps to.
+func (cen *Census) confirm(rep *report) {
+	for _, use := range rep.uses {
+		if use.held != (resource.Vector{}) {
+			use.held = resource.Vector{}
+			cen.set(rep, use)
+		}
+	}
 }
 
 func (cen *Census) expire(now time.Time) {
@@ -216,28 +280,59 @@
 	}
 }
 
-// allot returns what a process has to be told.
-func (cen *Census) allot(rep *report, granularity resource.Vector) []Allotment {
+// allot returns what a process has to be told: at most ChangeLimit teams unless
+// its report is complete or nothing was told before. Teams that wait for their share go first, then those
+// that were told longest ago.
+func (cen *Census) allot(rep *report, complete bool) []Allotment {
 	var list []Allotment
-	for _, name := range sortedTeams(rep.uses) {
+	all := complete || len(rep.told) == 0
+	for _, name := range cen.order(rep) {
+		if !all && len(list) == ChangeLimit {
+			break
+		}
 		use := rep.uses[name]
 		tot := cen.totals[name]
 		alm, limit := Allotment{team: name, elsewhere: tot.amounts.Minus(use.amounts)}, use.limit
-		if use.bound != (resource.Vector{}) {
+		if use.bounded() {
 			alm.limit = cen.limit(use, tot)
-			use.limit = alm.limit
-			cen.set(rep, use)
 		}
 		old, told := rep.told[name]
-		if told && limit == alm.limit && near(old.elsewhere, alm.elsewhere, granularity) {
+		if told && limit == alm.limit && near(old.elsewhere, alm.elsewhere, rep.granularity) {
 			continue
 		}
+		if use.bounded() {
+			use.limit, use.held = alm.limit, use.held.Max(limit)
+			cen.set(rep, use)
+		}
+		alm.at = rep.at
 		rep.told[name] = alm
 		list = append(list, alm)
 	}
 	return list
 }
 
+// order returns the teams of a process in the order in which they are told.
+func (cen *Census) order(rep *report) []fleet.Team {
+	names := sortedTeams(rep.uses)
+	slices.SortStableFunc(names, func(one, two fleet.Team) int {
+		return byUrgency(rep.uses[one].urgent(), rep.uses[two].urgent(), rep.told[one].at, rep.told[two].at)
+	})
+	return names
+}
+
+// byUrgency orders urgent teams before others, and those of a kind by the time
+// at which they were told.
+func byUrgency(one, two bool, oneAt, twoAt time.Time) int {
+	switch {
+	case one && !two:
+		return -1
+	case two && !one:
+		return 1
+	default:
+		return oneAt.Compare(twoAt)
+	}
+}
+
 // limit returns what a team may hold through a process: what it holds and an
 // equal part of what is left among the processes with waiting tasks, or among
 // all if none waits. A part too small for the waiting task is rounded up to it
@@ -245,7 +340,7 @@
 func (cen *Census) limit(use Use, tot *total) resource.Vector {
 	others := tot.reserved.Minus(use.reserved())
 	left := use.bound.Minus(others).Minus(use.amounts)
-	waits := use.want != (resource.Vector{})
+	waits := use.waits()
 	switch {
 	case !left.Valid():
 		return use.amounts.Plus(left.Min(resource.Vector{}).Over(int64(len(cen.reports)))).Max(resource.Vector{})
@@ -266,8 +361,8 @@
 
 // similar reports whether a use need not be reported again.
 func (use Use) similar(oth Use, granularity resource.Vector) bool {
-	waits := (use.want == resource.Vector{}) == (oth.want == resource.Vector{})
-	if use.bound != (resource.Vector{}) {
+	waits := use.waits() == oth.waits()
+	if use.bounded() {
 		waits = use.want == oth.want
 	}
 	return waits && use.bound == oth.bound && use.limit == oth.limit && near(use.amounts, oth.amounts, granularity)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -11,10 +11,14 @@
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/quota"
 	"jacinthpost/core/resource"
+	"jacinthpost/internal/proptest"
 	"jacinthpost/internal/specs"
 )
 
 func TestQuota(t *testing.T) {
+	if err := proptest.Setup(200, 30); err != nil {
+		t.Fatal(err)
+	}
 	specs.Run(t, "quota")
 }
 
@@ -151,12 +155,12 @@
 // it has lost its last partition, as after a pause.
 var _ = It("drops the answer to a report from before it left the census", func() {
 	rpr, uses := quota.Reporter{}, []quota.Use{quota.NewUse("blue", resource.New(1000, 1, 0))}
-	_, sent := rpr.Report(uses, resource.Vector{})
+	_, sent := rpr.Report(uses, resource.Vector{}, time.Unix(1_000, 0))
 	var cen quota.Census
 	ans := cen.Report(fleet.NewProcess("owner", 1), true, sent, resource.Vector{}, time.Unix(1_000, 0))
 	rpr.Leave()
 	rpr.Answered(sent, ans)
-	complete, changed := rpr.Report(uses, resource.Vector{})
+	complete, changed := rpr.Report(uses, resource.Vector{}, time.Unix(1_000, 0))
 	Expect(complete).To(BeTrue())
 	Expect(changed).To(HaveLen(1))
 })
--- a/io/message/quota.go
+++ b/io/message/quota.go
@@ -1,12 +1,14 @@
 package message
 
-// TeamUse is what a team holds through one owner process.
+// TeamUse is what a team holds through one owner process. Amounts that are zero
+// are left out, because an empty structure takes bytes too.
 type TeamUse struct {
 	Team    string
 	Amounts Resources
-	Bound   Resources // in the fleet, zero for a team that may borrow
-	Limit   Resources // that the process keeps to
-	Want    Resources // of the first waiting task
+	Kept    bool       // Bound and Limit are as in the last report and its answer, and left out
+	Bound   *Resources // in the fleet, none for a team that may borrow
+	Limit   *Resources // that the process keeps to
+	Want    *Resources // of the first waiting task
 }
 
 // ReportUseArgs reports to the owner of partition 0 what teams hold: what has
@@ -15,16 +17,17 @@
 	Partition   int
 	Instance    string
 	Incarnation uint64
+	Sequence    uint64 // of the reports of the process, from one
 	Complete    bool
-	Granularity Resources // changes below it need not be told
+	Granularity *Resources // changes below it need not be told; in complete reports
 	Uses        []TeamUse
 }
 
 // TeamAllotment tells an owner process about a team.
 type TeamAllotment struct {
 	Team      string
-	Elsewhere Resources // held through other processes
-	Limit     Resources // of a team that may not borrow, through this process
+	Elsewhere Resources  // held through other processes
+	Limit     *Resources // of a team that may not borrow, through this process
 }
 
 // ReportUseReply answers with what has changed. The next report must be complete
--- a/io/node/agentnode/census.go
+++ b/io/node/agentnode/census.go
@@ -13,23 +13,23 @@
 const reportLimit = quota.ReportPeriod * 3 / 4
 
 // report tells the census what the teams hold through this process, for as long
-// as it owns partitions.
+// as it owns partitions and whenever the dispatcher has a reason to.
 func (pow *placedOwner) report(ctx context.Context) {
 	control.Every(ctx, quota.ReportPeriod, func() { pow.reportOnce(ctx) })
 }
 
 func (pow *placedOwner) reportOnce(ctx context.Context) {
 	var (
-		complete, owns bool
-		uses           []quota.Use
-		granularity    resource.Vector
+		complete, due bool
+		uses          []quota.Use
+		granularity   resource.Vector
 	)
 	err := pow.partitions.Inspect(ctx, func(now time.Time) {
-		if owns = pow.dispatcher.Owns(); owns {
+		if due = pow.dispatcher.Owns() && pow.dispatcher.ReportDue(now); due {
 			complete, uses, granularity = pow.dispatcher.Report(now)
 		}
 	})
-	if err != nil || !owns {
+	if err != nil || !due {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, reportLimit)
--- a/io/owner/bench_test.go
+++ b/io/owner/bench_test.go
@@ -26,6 +26,7 @@
 // nearly all do at the two-year size: 340 tasks of a partition on 1,400 instances.
 type site struct {
 	service *owner.Service[*job.Simple]
+	table   *storefake.Store
 	mu      sync.Mutex
 	refs    []message.TaskRef
 	holders []string
@@ -60,7 +61,8 @@
 		hint := job.NewInstance(fleet.NewProcess(fleet.InstanceID(id), 1), fleet.NewLocation("r", "d", "k"), resource.New(1000, 1000, 0), job.Alive)
 		list = append(list, owner.NewMember(hint, id, false))
 	}
-	view, sit, tab := owner.NewView(list), &site{}, &storefake.Store{}
+	view, tab := owner.NewView(list), &storefake.Store{}
+	sit := &site{table: tab}
 	ports := owner.NewPorts(tab, &storefake.ObjectStore{Store: tab}, sit, settings{}).WithView(func() *owner.View { return view })
 	own := owner.New(owner.NewConfig(fleet.NewPeer("owner", 1, "owner"), 1, "r", 1), ports, func(int) *job.Simple { return &job.Simple{} })
 	sit.service = own.Service(b.Context())
--- a/io/owner/census.go
+++ b/io/owner/census.go
@@ -22,8 +22,12 @@
 			return
 		}
 		useReports.Inc()
-		ans := trn.slot.tenure.census.Report(decodeHolder(args.Instance, args.Incarnation), args.Complete,
-			decodeUses(args.Uses), decodeVector(args.Granularity), trn.now)
+		from := decodeHolder(args.Instance, args.Incarnation)
+		if !trn.slot.tenure.reports.Accept(from, args.Sequence, args.Complete) {
+			done(message.ReportUseReply{})
+			return
+		}
+		ans := trn.slot.tenure.census.Report(from, args.Complete, decodeUses(args.Uses), decodeOptional(args.Granularity), trn.now)
 		done(encodeAnswer(ans))
 	})
 }
@@ -31,7 +35,10 @@
 // ReportUse reports what teams hold through a process to the owner of the census.
 func (cli *Client) ReportUse(ctx context.Context, self fleet.Process, complete bool, uses []quota.Use, granularity resource.Vector) (quota.Answer, error) {
 	args := message.ReportUseArgs{Partition: CensusPartition, Instance: string(self.Instance()), Incarnation: uint64(self.Incarnation()),
-		Complete: complete, Granularity: encodeVector(granularity), Uses: encodeUses(uses)}
+		Sequence: cli.reports.Add(1), Complete: complete, Uses: encodeUses(uses)}
+	if complete {
+		args.Granularity = encodeOptional(granularity)
+	}
 	rep, _, err := route(ctx, cli, CensusPartition, "Owner.ReportUse", args, func(rep *message.ReportUseReply) (bool, string) {
 		return rep.NotOwner, rep.OwnerAddress
 	})
@@ -40,7 +47,7 @@
 	}
 	list := make([]quota.Allotment, 0, len(rep.Allotments))
 	for _, alm := range rep.Allotments {
-		list = append(list, quota.NewAllotment(fleet.Team(alm.Team), decodeVector(alm.Elsewhere), decodeVector(alm.Limit)))
+		list = append(list, quota.NewAllotment(fleet.Team(alm.Team), decodeVector(alm.Elsewhere), decodeOptional(alm.Limit)))
 	}
 	return quota.NewAnswer(rep.Known, rep.Settled, list), nil
 }
@@ -48,26 +55,49 @@
 func encodeUses(uses []quota.Use) []message.TeamUse {
 	list := make([]message.TeamUse, 0, len(uses))
 	for _, use := range uses {
-		list = append(list, message.TeamUse{Team: string(use.Team()), Amounts: encodeVector(use.Amounts()),
-			Bound: encodeVector(use.Bound()), Limit: encodeVector(use.Limit()), Want: encodeVector(use.Want())})
+		enc := message.TeamUse{Team: string(use.Team()), Amounts: encodeVector(use.Amounts()), Kept: use.Kept(), Want: encodeOptional(use.Want())}
+		if !use.Kept() {
+			enc.Bound, enc.Limit = encodeOptional(use.Bound()), encodeOptional(use.Limit())
+		}
+		list = append(list, enc)
 	}
 	return list
 }
 
 func decodeUses(list []message.TeamUse) []quota.Use {
 	uses := make([]quota.Use, 0, len(list))
-	for _, use := range list {
-		uses = append(uses, quota.NewUse(fleet.Team(use.Team), decodeVector(use.Amounts)).
-			Bounded(decodeVector(use.Bound), decodeVector(use.Limit)).Waiting(decodeVector(use.Want)))
+	for _, enc := range list {
+		use := quota.NewUse(fleet.Team(enc.Team), decodeVector(enc.Amounts)).
+			Bounded(decodeOptional(enc.Bound), decodeOptional(enc.Limit)).Waiting(decodeOptional(enc.Want))
+		if enc.Kept {
+			use = use.Keeping()
+		}
+		uses = append(uses, use)
 	}
 	return uses
 }
 
+// encodeOptional leaves out a vector of zeros.
+func encodeOptional(vec resource.Vector) *message.Resources {
+	if vec == (resource.Vector{}) {
+		return nil
+	}
+	res := encodeVector(vec)
+	return &res
+}
+
+func decodeOptional(res *message.Resources) resource.Vector {
+	if res == nil {
+		return resource.Vector{}
+	}
+	return decodeVector(*res)
+}
+
 func encodeAnswer(ans quota.Answer) message.ReportUseReply {
 	rep := message.ReportUseReply{Known: ans.Known(), Settled: ans.Settled()}
 	for _, alm := range ans.Allotments() {
 		rep.Allotments = append(rep.Allotments, message.TeamAllotment{Team: string(alm.Team()),
-			Elsewhere: encodeVector(alm.Elsewhere()), Limit: encodeVector(alm.Limit())})
+			Elsewhere: encodeVector(alm.Elsewhere()), Limit: encodeOptional(alm.Limit())})
 	}
 	return rep
 }
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,6 +34,7 @@
 	partitions int
 	mu         sync.Mutex
 	owners     map[int]string
+	reports    atomic.Uint64 // of use that were begun
 }
 
 // NewClient returns a client for a number of partitions.
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -34,6 +34,7 @@
 	late      int          // jobs that the counter of late jobs has
 	evicted   int          // tasks that the counter of evictions has
 	census    quota.Census // of partition CensusPartition only
+	reports   quota.Inbox  // of the census
 }
 
 // held is an action that waits for a record to become durable.
