Measure an owner of 340 agents and an agent of 13 owners

Cause: both figures of docs/CAPACITY.md were extrapolated from 48 agents and one owner. Change: 'cmd/bench -only owner' runs the smallest fleet with one partition and, in its own process, 40, 120 and 340 light agents that join the membership, accept an offer, claim the task and renew it by set; then 1, 4 and 13 light owners whose 14 tasks are on one agent.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -34,6 +34,7 @@
 	{name: "latency", run: measureLatency},
 	{name: "decisions", run: func(rep *report, opt options) error { measureDecisions(rep, opt.seeds, opt.filter); return nil }},
 	{name: "capacity", run: measureCapacity, ask: true},
+	{name: "owner", run: measureOwner, ask: true},
 }
 
 // addSizes reads a list of fleet sizes.
