--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,10 +28,11 @@
 // cancellations are idempotent, so it repeats a call that failed. It is safe for
 // use from any goroutine.
 type Client struct {
-	rows   *joblog.Rows
-	caller Caller
-	mu     sync.Mutex
-	owners map[int]string
+	rows    *joblog.Rows
+	caller  Caller
+	mu      sync.Mutex
+	owners  map[int]string
+	reports atomic.Uint64 // of use that were begun
 }
 
 // NewClient returns a client that finds owners through the rows of a deployment.
