Measure deployments as real processes under load

The new part fleet of cmd/bench starts both deployments with 11 instances as processes: requests in a wave of batch work with and without throttling, work while a data centre is out by a ticket, and the loss of a data centre by SIGKILL. The stand-in worker can ignore throttle orders, which is the baseline without interference control; evictions stay on.

--- /dev/null
+++ b/cmd/bench/fleet.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
+	"jacinthpost/io/message"
+)
+
+const (
+	fleetLimit     = 6 * time.Minute
+	fleetInstances = 11 // as in both deployments
+	fleetService   = "40ms"
+	fleetPoll      = 200 * time.Millisecond
+	fleetMemoryMB  = 512
+)
+
+// fleetSteps are the fleets of the part. Their ports, 10500 to 12660, are those
+// of no other measurement, test or demo.
+var fleetSteps = []struct {
+	name, deployment string
+	offset           int
+	run              func(ctx context.Context, rep *report, fle *harness.Fleet) error
+}{
+	{name: "noise", deployment: "bayou-paddle", offset: -11_000, run: measureNoise},
+	{name: "outage", deployment: "sen-vang", offset: -10_500, run: measureTakenOut},
+	{name: "loss", deployment: "sen-vang", offset: -9_400, run: measureLoss},
+}
+
+// measureFleets runs deployments as real processes under requests and batch
+// work. The stand-ins model the time of a request and the work of a task, so the
+// load of the machine adds to latencies; see the load average that is printed.
+func measureFleets(rep *report, opt options) error {
+	folder, err := os.MkdirTemp("", "jacinthpost-fleet")
+	if err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	defer func() {
+		if opt.logs {
+			fmt.Fprintln(os.Stderr, "logs in", folder)
+			return
+		}
+		_ = os.RemoveAll(folder)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), fleetLimit)
+	defer cancel()
+	binaries := filepath.Join(folder, "bin")
+	if err := harness.BuildBinaries(ctx, ".", binaries); err != nil {
+		return err
+	}
+	for _, stp := range fleetSteps {
+		name := stp.deployment + "." + stp.name
+		if !strings.Contains(name, opt.filter) {
+			continue
+		}
+		own := filepath.Join(folder, name)
+		if err := os.Mkdir(own, 0o755); err != nil {
+			return errors.Wrap(err, "make folder")
+		}
+		fle, err := harness.Start(ctx, harness.Options{
+			Deployment: stp.deployment, Repo: ".", Binaries: binaries, Folder: own, PortOffset: stp.offset,
+			Instances: fleetInstances, EndpointArgs: []string{"--service-time", fleetService},
+		})
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		reportLoad(rep, name+".before")
+		err = stp.run(ctx, rep, fle)
+		reportLoad(rep, name+".after")
+		fle.Stop()
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	return nil
+}
+
+// reportLoad prints the load average of the last minute, because latencies are
+// worth little on a machine that is busy with other work.
+func reportLoad(rep *report, name string) {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return
+	}
+	var last float64
+	if _, err := fmt.Sscan(string(raw), &last); err == nil {
+		rep.value(name+".load-average", last, "processes")
+	}
+}
+
+// batch is a number of like jobs.
+type batch struct {
+	key, class, kind string
+	jobs, tasks      int
+	milliCPU         int64
+	payload          string
+}
+
+// submit submits the jobs and returns their IDs. An entry that refuses "not run"
+// is asked again, as an operator would; the key makes this one job.
+func (bat batch) submit(ctx context.Context, fle *harness.Fleet) ([]string, error) {
+	ids := make([]string, 0, bat.jobs)
+	for num := range bat.jobs {
+		spc := message.JobSpec{
+			Key: fmt.Sprintf("%s-%d", bat.key, num), Customer: "bench", Team: "default", Class: bat.class, Kind: bat.kind, Tasks: bat.tasks,
+			Resources: message.Resources{MilliCPU: bat.milliCPU, MemoryMB: fleetMemoryMB}, Payload: []byte(bat.payload),
+		}
+		for {
+			ans, err := fle.Submit(ctx, num%2, spc)
+			if err == nil && ans.Outcome == "answered" {
+				ids = append(ids, ans.Job.JobID)
+				break
+			}
+			if err := control.Pause(ctx, fleetPoll); err != nil {
+				return nil, errors.Wrapf(err, "submit %s: %s %s", spc.Key, ans.Outcome, ans.Detail)
+			}
+		}
+	}
+	return ids, nil
+}
+
+// cancelAll cancels jobs and waits until none of their tasks runs.
+func cancelAll(ctx context.Context, fle *harness.Fleet, ids []string) error {
+	for _, id := range ids {
+		for {
+			ans, err := fle.Cancel(ctx, 0, id)
+			if err == nil && ans.Outcome == "answered" {
+				break
+			}
+			if err := control.Pause(ctx, fleetPoll); err != nil {
+				return errors.Wrapf(err, "cancel %s: %s %s", id, ans.Outcome, ans.Detail)
+			}
+		}
+	}
+	for {
+		runs, err := fle.History(ctx)
+		if err == nil && len(inProgress(runs)) == 0 {
+			return nil
+		}
+		if err := control.Pause(ctx, fleetPoll); err != nil {
+			return errors.Wrap(err, "tasks run on after their jobs were cancelled")
+		}
+	}
+}
+
+func inProgress(runs []harness.Run) []harness.Run {
+	var left []harness.Run
+	for _, run := range runs {
+		if run.Stopped == 0 {
+			left = append(left, run)
+		}
+	}
+	return left
+}
+
+// window is a time over which work is counted.
+type window struct{ from, until time.Time }
+
+func (win window) seconds() float64 { return win.until.Sub(win.from).Seconds() }
+
+// finishedIn counts the tasks of some jobs that finished in the window.
+func (win window) finishedIn(runs []harness.Run, ids []string) int {
+	known := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		known[id] = true
+	}
+	count := 0
+	for _, run := range runs {
+		if known[run.Job] && run.State == "finished" && run.Stopped >= win.from.UnixMilli() && run.Stopped < win.until.UnixMilli() {
+			count++
+		}
+	}
+	return count
+}
+
+// repeatedRuns returns the runs beyond the first one of each task.
+func repeatedRuns(runs []harness.Run) int {
+	type key struct {
+		job   string
+		index int
+	}
+	seen := make(map[key]bool, len(runs))
+	for _, run := range runs {
+		seen[key{run.Job, run.Index}] = true
+	}
+	return len(runs) - len(seen)
+}
+
+// judgeOverlap checks that no task ran in two places.
+func judgeOverlap(rep *report, name string, runs []harness.Run) {
+	count := 0.0
+	if one, two, found := harness.Overlap(runs); found {
+		count = 1
+		rep.note(name+".overlap", fmt.Sprintf("%+v and %+v", one, two))
+	}
+	rep.atMost(name+".tasks-in-two-places", count, 0, "tasks")
+}
--- /dev/null
+++ b/cmd/bench/fleetnoise.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/internal/harness"
+	"jacinthpost/io/control"
+)
+
+const (
+	noiseBound   = 1.10 // p99 during a wave to p99 without batch work
+	noiseCallers = 24
+	quietTime    = 12 * time.Second
+	waveTime     = 30 * time.Second
+	waveSlice    = 5 * time.Second
+	waveMillis   = 3000 // work of a task
+	waveJobs     = 4    // of each class
+)
+
+// waveClasses are the batch work of a wave. Tasks that are not noisy disturb
+// requests a tenth as much.
+var waveClasses = []struct{ name, payload string }{
+	{name: "rotation", payload: `{"workMillis":3000}`},
+	{name: "maintenance", payload: `{"workMillis":3000,"noisy":true}`},
+}
+
+// measureNoise measures requests without batch work, in a wave of batch work
+// under the interference control, and in a wave whose workers carry out no
+// throttle orders. Each wave has classes of its own, so that neither profits from
+// what was learned in the other.
+func measureNoise(ctx context.Context, rep *report, fle *harness.Fleet) error {
+	const name = "fleet.bayou-paddle"
+	lod := startLoad(ctx, fle, noiseCallers, true)
+	defer lod.stop()
+	// The first requests open connections.
+	if err := control.Pause(ctx, 3*time.Second); err != nil {
+		return err
+	}
+	before, err := quietPhase(ctx, lod)
+	if err != nil {
+		return err
+	}
+	guarded, err := runWave(ctx, rep, fle, lod, name+".wave")
+	if err != nil {
+		return err
+	}
+	if err := fle.SetWorkerFaults(ctx, harness.WorkerFaults{IgnoreThrottle: true}); err != nil {
+		return err
+	}
+	baseline, err := runWave(ctx, rep, fle, lod, name+".wave-unthrottled")
+	if err != nil {
+		return err
+	}
+	after, err := quietPhase(ctx, lod)
+	if err != nil {
+		return err
+	}
+	reportCalls(rep, name+".quiet-before", before)
+	reportCalls(rep, name+".quiet-after", after)
+	quiet := reportCalls(rep, name+".quiet", append(before, after...))
+	if quiet == 0 {
+		return errors.New("no request was answered without batch work")
+	}
+	rep.value(name+".wave-unthrottled.p99-ratio", baseline/quiet, "times")
+	rep.atMost(name+".wave.p99-ratio", guarded/quiet, noiseBound, "times")
+	return nil
+}
+
+func quietPhase(ctx context.Context, lod *requestLoad) ([]call, error) {
+	win := window{from: time.Now()}
+	if err := control.Pause(ctx, quietTime); err != nil {
+		return nil, err
+	}
+	win.until = time.Now()
+	return lod.during(win), nil
+}
+
+// runWave submits more batch work than the fleet can do in the time, prints what
+// it did to the requests and what was done, cancels the rest and returns the p99.
+func runWave(ctx context.Context, rep *report, fle *harness.Fleet, lod *requestLoad, name string) (float64, error) {
+	acted, err := guardCounts(ctx, fle)
+	if err != nil {
+		return 0, err
+	}
+	win := window{from: time.Now()}
+	ids := map[string][]string{}
+	var all []string
+	for _, cls := range waveClasses {
+		bat := batch{key: name + cls.name, class: name + cls.name, kind: "plan", jobs: waveJobs, tasks: 180, milliCPU: 1000, payload: cls.payload}
+		if ids[cls.name], err = bat.submit(ctx, fle); err != nil {
+			return 0, err
+		}
+		all = append(all, ids[cls.name]...)
+	}
+	if err := control.Pause(ctx, time.Until(win.from.Add(waveTime))); err != nil {
+		return 0, err
+	}
+	win.until = time.Now()
+	now, err := guardCounts(ctx, fle)
+	if err != nil {
+		return 0, err
+	}
+	runs, err := fle.History(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if err := cancelAll(ctx, fle, all); err != nil {
+		return 0, err
+	}
+	for _, cls := range waveClasses {
+		rep.value(name+"."+cls.name+".work", float64(waveMillis*win.finishedIn(runs, ids[cls.name]))/win.seconds(), "task-ms/s")
+	}
+	for pos, cnt := range guardCounters {
+		rep.value(name+"."+cnt.name, now[pos]-acted[pos], "in the wave")
+	}
+	for slice := (window{win.from, win.from.Add(waveSlice)}); slice.until.Before(win.until.Add(time.Second)); slice = (window{slice.until, slice.until.Add(waveSlice)}) {
+		if times := latencies(lod.during(slice)); len(times) > 0 {
+			rep.value(name+".p99-to-"+slice.until.Sub(win.from).String(), millisOf(times, 99), "ms")
+		}
+	}
+	judgeOverlap(rep, name, runs)
+	return reportCalls(rep, name, lod.during(win)), nil
+}
+
+// guardCounters are what the agents did to tasks.
+var guardCounters = []struct{ name, prefix string }{
+	{"throttles", "jacinthpost_interference_throttles_total"},
+	{"evictions", "jacinthpost_interference_evictions_total"},
+	{"evictions-for-room", "jacinthpost_owner_evictions_total"},
+}
+
+// guardCounts returns the sums over all agents in the order of guardCounters.
+func guardCounts(ctx context.Context, fle *harness.Fleet) ([]float64, error) {
+	sums := make([]float64, len(guardCounters))
+	for _, ins := range fle.Instances() {
+		usg, err := ins.Usage(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for pos, cnt := range guardCounters {
+			sums[pos] += usg.Sum(cnt.prefix)
+		}
+	}
+	return sums, nil
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -23,6 +23,7 @@
 	partitions int
 	profiles   string
 	observe    time.Duration
+	logs       bool // of the fleet part
 }
 
 // parts are the parts of the benchmark in the order in which they run.
@@ -34,6 +35,7 @@
 	{name: "latency", run: measureLatency},
 	{name: "decisions", run: func(rep *report, opt options) error { measureDecisions(rep, opt.seeds, opt.filter); return nil }},
 	{name: "capacity", run: measureCapacity, ask: true},
+	{name: "fleet", run: measureFleets, ask: true},
 }
 
 // addSizes reads a list of fleet sizes.
@@ -53,13 +55,14 @@
 	flag.BoolVar(&opt.quick, "quick", false, "short runs of processes, for trials")
 	opt.seeds = seedRange{first: 1, count: 5}
 	flag.Func("seeds", "number of seeds of each scenario from 1 on, or a range such as 101-110 (default 5)", opt.seeds.set)
-	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures whose name contains this")
+	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures or the steps of the fleet part whose name contains this")
 	flag.Func("sizes", "fleet sizes of the capacity part, separated by commas (default 3,12,24,48)", opt.addSizes)
 	flag.IntVar(&opt.each, "tasks-each", tasksEach, "tasks of each instance in the capacity part")
 	flag.IntVar(&opt.partitions, "partitions", 0, "job partitions in the capacity part, those of the deployment when 0; few make owners of many tasks")
 	flag.StringVar(&opt.profiles, "profiles", "", "folder for processor profiles of the busiest owner and the least busy agent of the capacity part")
 	flag.DurationVar(&opt.observe, "observe", 15*time.Second, "time over which the capacity part observes a fleet; a tick of processor time is 10 ms")
-	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity; all but capacity when empty")
+	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity, fleet; the first two when empty")
+	flag.BoolVar(&opt.logs, "keep-logs", false, "keep the settings and logs of the fleet part")
 	flag.Parse()
 	rep := newReport(os.Stdout)
 	for _, prt := range parts {
--- a/cmd/standin-endpoint/internal/tasks/advance.go
+++ b/cmd/standin-endpoint/internal/tasks/advance.go
@@ -14,6 +14,7 @@
 	FreezeMillis      int  `json:"freezeMillis"`      // nothing progresses and nothing is answered
 	SlowPercent       int  `json:"slowPercent"`       // how much slower everything is, 0 to 99
 	LoseAnswerPercent int  `json:"loseAnswerPercent"` // worker calls that take effect without an answer
+	IgnoreThrottle    bool `json:"ignoreThrottle"`    // throttle orders have no effect
 }
 
 func (flt Faults) freeze() time.Duration { return time.Duration(flt.FreezeMillis) * time.Millisecond }
--- a/cmd/standin-endpoint/internal/tasks/machine.go
+++ b/cmd/standin-endpoint/internal/tasks/machine.go
@@ -132,7 +132,7 @@
 // Throttle limits a running assignment to a percentage of its full speed.
 func (mac *Machine) Throttle(now worker.Instant, ref worker.Ref, percent int) {
 	mac.advance(now)
-	if tsk := mac.find(ref); tsk != nil {
+	if tsk := mac.find(ref); tsk != nil && !mac.faults.IgnoreThrottle {
 		tsk.throttle = min(max(percent, 0), 100)
 		mac.sampleUsage()
 	}
--- a/cmd/standin-endpoint/internal/tasks/tasks_test.go
+++ b/cmd/standin-endpoint/internal/tasks/tasks_test.go
@@ -164,6 +164,15 @@
 		Expect(stateAt(mac, 4, ref(1)).Progress()).To(Equal(30))
 	})
 
+	// Guards against a baseline without throttling that is throttled all the same.
+	It("runs tasks at full speed when it ignores throttle orders", func() {
+		mac := tasks.New(config)
+		mac.SetFaults(at(0), tasks.Faults{IgnoreThrottle: true})
+		mac.Start(at(0), order(ref(1), 60, `{"workMillis":10000,"noisy":true}`))
+		mac.Throttle(at(0), ref(1), 10)
+		Expect(stateAt(mac, 4, ref(1)).Progress()).To(Equal(40))
+	})
+
 	// Guards against a double that hides an over-commitment.
 	It("records the peak and slows down when it does not fit", func() {
 		mac := tasks.New(config)
--- a/internal/harness/observe.go
+++ b/internal/harness/observe.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"jacinthpost/core/job"
 	"jacinthpost/io/joblog"
 	"jacinthpost/io/table/tableapi"
+	"jacinthpost/io/worker/workerapi"
 )
 
 // partitions is the number in the settings of both deployments.
@@ -35,19 +37,55 @@
 // Owner returns the instance whose agent owns the partition of a job, as the
 // table has it. It is nil while nobody owns the partition.
 func (fle *Fleet) Owner(ctx context.Context, jobID string) (*Instance, error) {
+	list, err := fle.owners(ctx, job.PartitionOf(job.ID(jobID), partitions))
+	if err != nil {
+		return nil, err
+	}
+	return list[0], nil
+}
+
+// Owners returns the instances whose agents own the partitions, as the table has
+// it, nil for a partition that nobody owns.
+func (fle *Fleet) Owners(ctx context.Context) ([]*Instance, error) {
+	all := make([]int, partitions)
+	for num := range all {
+		all[num] = num
+	}
+	return fle.owners(ctx, all...)
+}
+
+func (fle *Fleet) owners(ctx context.Context, nums ...int) ([]*Instance, error) {
 	var rep tableapi.RowsReply
-	req := tableapi.ReadRequest{Keys: []string{joblog.RowKey(job.PartitionOf(job.ID(jobID), partitions))}}
+	var req tableapi.ReadRequest
+	for _, num := range nums {
+		req.Keys = append(req.Keys, joblog.RowKey(num))
+	}
 	if _, err := Call(ctx, "POST", fle.store+tableapi.ReadPath, nil, req, &rep); err != nil {
 		return nil, err
 	}
-	if len(rep.Rows) != 1 || rep.Rows[0].Version == 0 {
+	if len(rep.Rows) != len(nums) {
+		return make([]*Instance, len(nums)), nil
+	}
+	list := make([]*Instance, 0, len(nums))
+	for _, row := range rep.Rows {
+		own, err := fle.ownerOf(row)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, own)
+	}
+	return list, nil
+}
+
+func (fle *Fleet) ownerOf(rec tableapi.Row) (*Instance, error) {
+	if rec.Version == 0 {
 		return nil, nil
 	}
 	var row struct {
 		Owner    string `json:"owner"`
 		Released bool   `json:"released"`
 	}
-	if err := json.Unmarshal(rep.Rows[0].Value, &row); err != nil {
+	if err := json.Unmarshal(rec.Value, &row); err != nil {
 		return nil, errors.Wrap(err, "decode partition row")
 	}
 	if row.Released {
@@ -56,6 +94,31 @@
 	return fle.Instance(row.Owner), nil
 }
 
+// Worker returns the state of the worker of the instance.
+func (ins *Instance) Worker(ctx context.Context) (workerapi.StateReply, error) {
+	var sta workerapi.StateReply
+	if _, err := Call(ctx, "GET", ins.address+workerapi.StatePath, nil, nil, &sta); err != nil {
+		return sta, errors.Wrap(err, "state of "+ins.id)
+	}
+	return sta, nil
+}
+
+// WorkerFaults are the faults of the workers that the harness switches.
+type WorkerFaults struct {
+	IgnoreThrottle bool `json:"ignoreThrottle"`
+}
+
+// SetWorkerFaults switches the faults of all workers.
+func (fle *Fleet) SetWorkerFaults(ctx context.Context, flt WorkerFaults) error {
+	for _, ins := range fle.instances {
+		status, err := Call(ctx, "POST", ins.address+"/faults", nil, flt, nil)
+		if err != nil || status != http.StatusOK {
+			return errors.Errorf("faults of %s: status %d, %v", ins.id, status, err)
+		}
+	}
+	return nil
+}
+
 // KillEndpoint kills the endpoint and worker of an instance. Its runs stay in
 // the history; those in progress end with the kill. Starts between the last look
 // and the kill are not seen.
