Keep the fleet measures apart from room, learned sizes and the load of the machine

Cause: tasks of the stand-in use what is ordered unless their payload says otherwise, so once sizes were learned 82 tasks ran at full speed on 12 cores; its noise of 3.0 for a whole instance is above the 2.0 that the interference control expects of any class; interrupted tasks waited for room behind a full queue; and the planned spreading of partitions 30 s after the start made the tasks of lost instances wait for another lease.

--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -100,8 +100,15 @@
 type batch struct {
 	key, class, kind string
 	jobs, tasks      int
-	milliCPU         int64
-	payload          string
+	milliCPU, noise  int64 // noise in percent, see the payload of the stand-in
+	millis           int   // work of a task, endless when 0
+}
+
+// payload names what a task uses. Without it the stand-in uses what is ordered,
+// which the owner lowers to what it has learned.
+func (bat batch) payload() []byte {
+	return fmt.Appendf(nil, `{"workMillis":%d,"neverFinishes":%t,"milliCPU":%d,"memoryMB":%d,"noisePercent":%d}`,
+		bat.millis, bat.millis == 0, bat.milliCPU, fleetMemoryMB, bat.noise)
 }
 
 // submit submits the jobs and returns their IDs. An entry that refuses "not run"
@@ -111,7 +118,7 @@
 	for num := range bat.jobs {
 		spc := message.JobSpec{
 			Key: fmt.Sprintf("%s-%d", bat.key, num), Customer: "bench", Team: "default", Class: bat.class, Kind: bat.kind, Tasks: bat.tasks,
-			Resources: message.Resources{MilliCPU: bat.milliCPU, MemoryMB: fleetMemoryMB}, Payload: []byte(bat.payload),
+			Resources: message.Resources{MilliCPU: bat.milliCPU, MemoryMB: fleetMemoryMB}, Payload: bat.payload(),
 		}
 		for {
 			ans, err := fle.Submit(ctx, num%2, spc)
--- a/cmd/standin-endpoint/internal/tasks/advance.go
+++ b/cmd/standin-endpoint/internal/tasks/advance.go
@@ -39,15 +39,22 @@
 func (mac *Machine) Interference() float64 {
 	sum := 0.0
 	for _, tsk := range mac.records {
-		weight := quietWeight
-		if tsk.payload.Noisy {
-			weight = noisyWeight
-		}
-		sum += weight * float64(tsk.using().MilliCPU())
+		sum += tsk.payload.weight() * float64(tsk.using().MilliCPU())
 	}
 	return sum / float64(max(mac.config.capacity.MilliCPU(), 1))
 }
 
+// weight returns the weight of a task in the interference.
+func (pay Payload) weight() float64 {
+	switch {
+	case pay.NoisePercent > 0:
+		return float64(pay.NoisePercent) / 100
+	case pay.Noisy:
+		return noisyWeight
+	}
+	return quietWeight
+}
+
 // advance brings the tasks forward to now, one event after another. The clock never goes back.
 func (mac *Machine) advance(now worker.Instant) {
 	for {
--- a/cmd/standin-endpoint/internal/tasks/task.go
+++ b/cmd/standin-endpoint/internal/tasks/task.go
@@ -30,6 +30,7 @@
 	MemoryMB       int64 `json:"memoryMB"`       // memory in use, the ordered amount when 0
 	MilliCPU       int64 `json:"milliCPU"`       // processors in use at full speed, the ordered amount when 0
 	Noisy          bool  `json:"noisy"`          // disturbs the endpoint and uses half as much processor again
+	NoisePercent   int64 `json:"noisePercent"`   // slowdown of the endpoint by such tasks on all processors, that of Noisy when 0
 	CheckpointFree bool  `json:"checkpointFree"` // cannot take checkpoints
 }
 
--- a/cmd/standin-endpoint/internal/tasks/tasks_test.go
+++ b/cmd/standin-endpoint/internal/tasks/tasks_test.go
@@ -164,6 +164,15 @@
 		Expect(stateAt(mac, 4, ref(1)).Progress()).To(Equal(30))
 	})
 
+	// Guards against classes that all disturb alike whatever their payload says.
+	It("disturbs the endpoint as much as the payload says", func() {
+		mac := tasks.New(config)
+		mac.Start(at(0), order(ref(1), 60, `{"workMillis":10000,"noisePercent":150}`))
+		one := mac.Interference()
+		mac.Start(at(0), order(ref(2), 60, `{"workMillis":10000,"noisePercent":300}`))
+		Expect(mac.Interference()).To(BeNumerically("~", 3*one, 0.01))
+	})
+
 	// Guards against a baseline without throttling that is throttled all the same.
 	It("runs tasks at full speed when it ignores throttle orders", func() {
 		mac := tasks.New(config)
--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -66,9 +66,10 @@
 	Attempts  int    `json:"attempts"`
 	Replayed  bool   `json:"replayed"`
 	Body      struct {
-		Body      string `json:"body"`
-		RequestID string `json:"requestID"`
-		Instance  string `json:"instance"`
+		Body          string `json:"body"`
+		RequestID     string `json:"requestID"`
+		Instance      string `json:"instance"`
+		ServiceMicros int64  `json:"serviceMicros"`
 	} `json:"body"`
 }
 
