--- a/cmd/bench/fleetnoise.go
+++ b/cmd/bench/fleetnoise.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -121,6 +123,7 @@
 	}
 	for _, cls := range waveClasses {
 		rep.value(name+"."+cls.name+".work", float64(cls.millis*win.finishedIn(runs, ids[cls.name]))/win.seconds(), "task-ms/s")
+		rep.value(name+"."+cls.name+".most-on-an-instance", float64(mostAtOnce(runs, ids[cls.name])), "tasks at once")
 	}
 	for pos, cnt := range guardCounters {
 		rep.value(name+"."+cnt.name, now[pos]-acted[pos], "in the wave")
@@ -134,6 +137,36 @@
 	return reportCalls(rep, name, lod.during(win)), nil
 }
 
+// mostAtOnce returns the highest number of tasks of some jobs that ran on one instance at once.
+func mostAtOnce(runs []harness.Run, ids []string) int {
+	type change struct {
+		at    int64
+		count int
+	}
+	changes := map[string][]change{}
+	for _, run := range runs {
+		if !slices.Contains(ids, run.Job) {
+			continue
+		}
+		changes[run.Instance] = append(changes[run.Instance], change{run.Started, 1})
+		if run.Stopped != 0 {
+			changes[run.Instance] = append(changes[run.Instance], change{run.Stopped, -1})
+		}
+	}
+	most := 0
+	for _, list := range changes {
+		slices.SortFunc(list, func(one, two change) int {
+			return cmp.Or(cmp.Compare(one.at, two.at), cmp.Compare(one.count, two.count))
+		})
+		now := 0
+		for _, chg := range list {
+			now += chg.count
+			most = max(most, now)
+		}
+	}
+	return most
+}
+
 // guardCounters are what the agents did to tasks.
 var guardCounters = []struct{ name, prefix string }{
 	{"throttles", "jacinthpost_interference_throttles_total"},
