Leave a tier of endpoints that is lost while another one answers

Cause: ejections were ignored whenever more than half of a tier was ejected. Change: they are ignored only when no candidate of another tier answers. Result: two new specs of core/route; core/route and io/entry pass with -race. The loss of a data centre was not measured again.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -88,7 +88,7 @@
 func (rou *Router[P]) Next(set *Set, tried []fleet.InstanceID, now time.Time, rng *rand.Rand) (Candidate, fleet.Tier, bool) {
 	for _, acceptFull := range [...]bool{false, true} {
 		for tier, cands := range set.tiers {
-			usable := usableOf(cands, tried, now, acceptFull)
+			usable := usableOf(cands, tried, now, acceptFull, set.doubtful(fleet.Tier(tier), now))
 			if len(usable) > 0 {
 				return rou.policy.Pick(rng, usable), fleet.Tier(tier), true
 			}
@@ -97,17 +97,36 @@
 	return Candidate{}, 0, false
 }
 
-// usableOf drops tried, ejected and full candidates. When more than half of a
-// tier is ejected the fault is more likely on this side of the network, so the
-// ejection is ignored.
-func usableOf(cands []Candidate, tried []fleet.InstanceID, now time.Time, acceptFull bool) []Candidate {
-	ejected := 0
+// doubtful reports whether the ejections of a tier are ignored. When more than
+// half of the tier is ejected the fault is more likely on this side of the
+// network, unless a candidate of another tier still answers: then the tier itself
+// is lost, and every attempt there would fail.
+func (set *Set) doubtful(tier fleet.Tier, now time.Time) bool {
+	cands := set.tiers[tier]
+	if 2*answering(cands, now) >= len(cands) {
+		return false
+	}
+	for oth, others := range set.tiers {
+		if fleet.Tier(oth) != tier && answering(others, now) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// answering returns the number of candidates that are not ejected.
+func answering(cands []Candidate, now time.Time) int {
+	count := 0
 	for _, can := range cands {
-		if can.load.Ejected(now) {
-			ejected++
+		if !can.load.Ejected(now) {
+			count++
 		}
 	}
-	ignoreEjection := 2*ejected > len(cands)
+	return count
+}
+
+// usableOf drops tried and full candidates, and ejected ones unless ejections are ignored.
+func usableOf(cands []Candidate, tried []fleet.InstanceID, now time.Time, acceptFull, ignoreEjection bool) []Candidate {
 	usable := make([]Candidate, 0, len(cands))
 	for _, can := range cands {
 		switch {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -90,6 +90,18 @@
 		failTimes(load(set, "t0-2"), 5)
 		expectChoices(set, nil, "t0-0", "t0-1", "t0-2")
 	})
+	It("leaves a tier that is lost, so that the requests go where they are answered", func() {
+		set := tierSizes(2, 2)
+		failTimes(load(set, "t0-0"), 5)
+		failTimes(load(set, "t0-1"), 5)
+		expectChoices(set, nil, "t1-0", "t1-1")
+	})
+	It("ignores ejection when no tier answers, so that a local fault cannot stop a service", func() {
+		set := tierSizes(1, 1)
+		failTimes(load(set, "t0-0"), 5)
+		failTimes(load(set, "t1-0"), 5)
+		expectChoices(set, nil, "t0-0")
+	})
 	It("finds nothing in an empty set", func() {
 		expectChoices(tierSizes(), nil)
 	})
