Answer reading calls of owners in one place and share the partition rows

Cause: List and Summarize repeated who is told that the partition moved and the wait for the durable record; their callers repeated the routing. An agent confirmed the number of partitions twice, through rows of the node and of its owner. The limit of a list stood in the owner, so the HTTP interface imported it. entry.summary returned a Status beside summarize, which returns a Summary. Change: answer and gather hold the shared parts, the owner takes the rows of the node, MaxList is with the messages, and entry.status has its name. Result: io/owner, io/web, io/joblog, io/node and core/report pass with -race.

--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -220,7 +220,7 @@
 	if ent == nil {
 		return Status{}, false
 	}
-	sta := ent.summary()
+	sta := ent.status()
 	sta.tasks = make([]TaskStatus, 0, len(ent.tasks))
 	for idx := range ent.tasks {
 		sta.tasks = append(sta.tasks, ent.tasks[idx].status())
@@ -228,7 +228,7 @@
 	return sta, true
 }
 
-func (ent *entry) summary() Status {
+func (ent *entry) status() Status {
 	sta := Status{id: ent.id, spec: ent.spec, cancelled: ent.cancelled, state: ent.state(), recorded: ent.recorded, endedAt: ent.endedAt}
 	if ent.counts[Queued]+ent.counts[Offered] > 0 {
 		sta.waiting = ent.waiting
--- a/io/message/report.go
+++ b/io/message/report.go
@@ -1,5 +1,8 @@
 package message
 
+// MaxList bounds the jobs of one list.
+const MaxList = 1000
+
 // ListArgs asks for the latest jobs of one partition. An empty field means all.
 type ListArgs struct {
 	Partition int
--- a/io/node/agentnode/placement.go
+++ b/io/node/agentnode/placement.go
@@ -32,7 +32,7 @@
 func newOwner(nod *node.Node, mbs *members) *placedOwner {
 	set := nod.Settings()
 	self := fleet.NewPeer(set.Instance(), nod.Incarnation(), set.PeerAddress())
-	cfg := owner.NewConfig(self, set.Partitions(), set.StoreRegion(), uint64(nod.Incarnation()))
+	cfg := owner.NewConfig(self, nod.Rows(), set.StoreRegion(), uint64(nod.Incarnation()))
 	prt := owner.NewPorts(nod.Table(), nod.Objects(), nod.Pools().Jobs(), ownerSettings{config: nod}).
 		WithView(mbs.view).WithLog(nod.Logger()).WithThread(nod.Thread())
 	dsp := dispatch.New(place.Scored{}, uint64(nod.Incarnation()), set.Partitions())
--- a/io/owner/bench_test.go
+++ b/io/owner/bench_test.go
@@ -17,6 +17,7 @@
 	"jacinthpost/core/resource"
 	"jacinthpost/core/store/storefake"
 	"jacinthpost/core/token"
+	"jacinthpost/io/joblog"
 	"jacinthpost/io/message"
 	"jacinthpost/io/owner"
 	"jacinthpost/io/peer"
@@ -64,7 +65,7 @@
 	view, tab := owner.NewView(list), &storefake.Store{}
 	sit := &site{table: tab}
 	ports := owner.NewPorts(tab, &storefake.ObjectStore{Store: tab}, sit, settings{}).WithView(func() *owner.View { return view })
-	own := owner.New(owner.NewConfig(fleet.NewPeer("owner", 1, "owner"), 1, "r", 1), ports, func(int) *job.Simple { return &job.Simple{} })
+	own := owner.New(owner.NewConfig(fleet.NewPeer("owner", 1, "owner"), joblog.NewRows(tab, 1), "r", 1), ports, func(int) *job.Simple { return &job.Simple{} })
 	sit.service = own.Service(b.Context())
 	go own.Run(b.Context())
 	for nums, _ := own.Owned(b.Context()); len(nums) == 0; nums, _ = own.Owned(b.Context()) {
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -99,7 +99,7 @@
 			}
 			return view
 		})
-	cfg := owner.NewConfig(fleet.NewPeer(fleet.InstanceID(id), 1, id), clu.partitions, "r", 1)
+	cfg := owner.NewConfig(fleet.NewPeer(fleet.InstanceID(id), 1, id), joblog.NewRows(clu.table, clu.partitions), "r", 1)
 	prc.owner = owner.New(cfg, ports, func(int) *job.Simple { return &job.Simple{} })
 	prc.service = prc.owner.Service(prc.ctx)
 	clu.processes[id] = prc
--- a/io/owner/learn_test.go
+++ b/io/owner/learn_test.go
@@ -20,6 +20,7 @@
 	"jacinthpost/core/place"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/io/joblog"
 	"jacinthpost/io/message"
 	"jacinthpost/io/owner"
 )
@@ -64,7 +65,7 @@
 		view := owner.NewView([]owner.Member{member("a", "robust", true), member("b", "sensitive", false)})
 		ports := owner.NewPorts(sto, &storefake.ObjectStore{Store: sto}, ags, settings{}).WithView(func() *owner.View { return view })
 		dsp := dispatch.New(place.Scored{}, 1, 1)
-		own := owner.New(owner.NewConfig(fleet.NewPeer("a", 1, "a"), 1, "r", 1), ports, dsp.Part)
+		own := owner.New(owner.NewConfig(fleet.NewPeer("a", 1, "a"), joblog.NewRows(sto, 1), "r", 1), ports, dsp.Part)
 		var done sync.WaitGroup
 		done.Go(func() { own.Run(ctx) })
 		defer done.Wait()
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -141,16 +141,16 @@
 // Config names the process and the partitions.
 type Config struct {
 	self        fleet.Peer
-	partitions  int
+	rows        *joblog.Rows
 	storeRegion fleet.Region
 	seed        uint64
 }
 
-// NewConfig returns the configuration of a process: its identity, the number of
-// partitions, the region of the store, whose instances are preferred as owners,
+// NewConfig returns the configuration of a process: its identity, the ownership of
+// the partitions, the region of the store, whose instances are preferred as owners,
 // and the seed of the takeover jitter.
-func NewConfig(self fleet.Peer, partitions int, reg fleet.Region, seed uint64) Config {
-	return Config{self: self, partitions: partitions, storeRegion: reg, seed: seed}
+func NewConfig(self fleet.Peer, rws *joblog.Rows, reg fleet.Region, seed uint64) Config {
+	return Config{self: self, rows: rws, storeRegion: reg, seed: seed}
 }
 
 // Owner is the owner role of one process under the placement policy P.
@@ -158,7 +158,6 @@
 	ports Ports
 	loop  *control.Loop[state[P]]
 	calls chan func(ctx context.Context)
-	rows  *joblog.Rows
 	// client finds the owners of other partitions.
 	client *Client
 	ctx    context.Context // of Run, nil before it; used on the control goroutine only
@@ -168,11 +167,10 @@
 
 // New returns a component. The function place makes the placement of a partition.
 func New[P job.Placement](cfg Config, prt Ports, place func(num int) P) *Owner[P] {
-	rws := joblog.NewRows(prt.table, cfg.partitions)
-	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity), rows: rws, client: NewClient(rws, prt.caller)}
+	own := &Owner[P]{ports: prt, calls: make(chan func(context.Context), callCapacity), client: NewClient(cfg.rows, prt.caller)}
 	sta := &state[P]{owner: own, config: cfg, place: place, view: &View{}, addresses: map[fleet.InstanceID]string{},
 		random: rand.New(rand.NewPCG(cfg.seed, uint64(cfg.self.Incarnation())))}
-	for num := range cfg.partitions {
+	for num := range cfg.rows.Count() {
 		sta.slots = append(sta.slots, &slot[P]{num: num, rank: partition.Watchers, ownership: partition.NewOwnership(cfg.self)})
 	}
 	own.loop = control.NewLoop(sta, queueCapacity, nil)
--- a/io/owner/report.go
+++ b/io/owner/report.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// MaxList bounds the jobs of one list.
-	MaxList = 1000
 	// gatherWidth is the number of owners that one report asks at a time.
 	gatherWidth = 8
 	// gatherLimit bounds a report. A partition without an owner is left out then.
@@ -25,15 +23,10 @@
 
 // List lists the latest jobs; see job.Partition.Summaries.
 func (svc *Service[P]) List(args message.ListArgs, reply *message.ListReply) error {
-	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.ListReply)) {
-		if trn.slot == nil {
-			done(message.ListReply{NotOwner: true, OwnerAddress: trn.owner})
-			return
-		}
-		var rep message.ListReply
-		after := uint64(0)
-		for sum := range trn.part().Summaries() {
-			if len(rep.Jobs) >= min(args.Limit, MaxList) {
+	moved := func(owner string) message.ListReply { return message.ListReply{NotOwner: true, OwnerAddress: owner} }
+	return answer(svc, args.Partition, reply, moved, func(part *job.Partition[P], _ time.Time) (rep message.ListReply, after uint64) {
+		for sum := range part.Summaries() {
+			if len(rep.Jobs) >= min(args.Limit, message.MaxList) {
 				break
 			}
 			if selects(args, sum) {
@@ -41,12 +34,7 @@
 				after = max(after, sum.After())
 			}
 		}
-		trn.whenDurable(after, func(durable bool) {
-			if !durable {
-				rep = message.ListReply{NotOwner: true}
-			}
-			done(rep)
-		})
+		return rep, after
 	})
 }
 
@@ -68,48 +56,48 @@
 
 // Summarize reports on the jobs of a partition; see core/report.
 func (svc *Service[P]) Summarize(args message.SummarizeArgs, reply *message.SummarizeReply) error {
-	return exchange(svc, args.Partition, reply, func(trn *turn[P], done func(message.SummarizeReply)) {
-		if trn.slot == nil {
-			done(message.SummarizeReply{NotOwner: true, OwnerAddress: trn.owner})
-			return
-		}
+	moved := func(owner string) message.SummarizeReply {
+		return message.SummarizeReply{NotOwner: true, OwnerAddress: owner}
+	}
+	return answer(svc, args.Partition, reply, moved, func(part *job.Partition[P], now time.Time) (rep message.SummarizeReply, after uint64) {
 		rpt := report.Since(time.UnixMilli(args.SinceMillis))
-		after := uint64(0)
-		for sum := range trn.part().Summaries() {
-			rpt.Count(sum, trn.now)
+		for sum := range part.Summaries() {
+			rpt.Count(sum, now)
 			after = max(after, sum.After())
 		}
-		rep := message.SummarizeReply{Unnamed: rpt.Unnamed()}
 		rep.Rows, rep.Concerns = encodeReport(rpt)
-		trn.whenDurable(after, func(durable bool) {
-			if !durable {
-				rep = message.SummarizeReply{NotOwner: true}
-			}
-			done(rep)
-		})
+		rep.Unnamed = rpt.Unnamed()
+		return rep, after
 	})
 }
 
-// whenDurable calls the function once a record is durable, or with false when
-// the partition is lost before.
-func (trn *turn[P]) whenDurable(after uint64, done func(durable bool)) {
-	tag := trn.wait(func(eff job.Effect) {
-		_, held := eff.(read)
-		done(held)
+// answer answers a call that changes nothing, once the record that the reply
+// rests on is durable. If the partition is not owned here, or not until then, the
+// caller is told so.
+func answer[P job.Placement, R any](svc *Service[P], num int, reply *R, moved func(owner string) R, tell func(part *job.Partition[P], now time.Time) (R, uint64)) error {
+	return exchange(svc, num, reply, func(trn *turn[P], done func(R)) {
+		if trn.slot == nil {
+			done(moved(trn.owner))
+			return
+		}
+		rep, after := tell(trn.part(), trn.now)
+		tag := trn.wait(func(eff job.Effect) {
+			if _, held := eff.(read); !held {
+				rep = moved("")
+			}
+			done(rep)
+		})
+		trn.slot.tenure.read(tag, after)
 	})
-	trn.slot.tenure.read(tag, after)
 }
 
 // List returns the latest jobs of all partitions, the latest one first.
 func (cli *Client) List(ctx context.Context, args message.ListArgs) message.JobList {
-	reps, missing := gather(ctx, cli, func(ctx context.Context, num int) (message.ListReply, error) {
+	reps, missing := gather(ctx, cli, "Owner.List", func(num int) any {
 		args := args
 		args.Partition = num
-		rep, _, err := route(ctx, cli, num, "Owner.List", args, func(rep *message.ListReply) (bool, string) {
-			return rep.NotOwner, rep.OwnerAddress
-		})
-		return rep, err
-	})
+		return args
+	}, func(rep *message.ListReply) (bool, string) { return rep.NotOwner, rep.OwnerAddress })
 	jobs := []message.JobSummary{}
 	for _, rep := range reps {
 		jobs = append(jobs, rep.Jobs...)
@@ -122,13 +110,9 @@
 
 // Report returns the report of all partitions since a time.
 func (cli *Client) Report(ctx context.Context, since time.Time) message.Report {
-	reps, missing := gather(ctx, cli, func(ctx context.Context, num int) (message.SummarizeReply, error) {
-		args := message.SummarizeArgs{Partition: num, SinceMillis: since.UnixMilli()}
-		rep, _, err := route(ctx, cli, num, "Owner.Summarize", args, func(rep *message.SummarizeReply) (bool, string) {
-			return rep.NotOwner, rep.OwnerAddress
-		})
-		return rep, err
-	})
+	reps, missing := gather(ctx, cli, "Owner.Summarize", func(num int) any {
+		return message.SummarizeArgs{Partition: num, SinceMillis: since.UnixMilli()}
+	}, func(rep *message.SummarizeReply) (bool, string) { return rep.NotOwner, rep.OwnerAddress })
 	rpt := report.Since(since)
 	for _, rep := range reps {
 		rpt.Merge(decodeReport(rep))
@@ -138,9 +122,9 @@
 	return enc
 }
 
-// gather asks the owners of all partitions, some at a time, and returns their
+// gather calls the owners of all partitions, some at a time, and returns their
 // replies and the partitions without one.
-func gather[R any](ctx context.Context, cli *Client, ask func(ctx context.Context, num int) (R, error)) (replies []R, missing []int) {
+func gather[R any](ctx context.Context, cli *Client, method string, args func(num int) any, moved func(*R) (bool, string)) (replies []R, missing []int) {
 	ctx, cancel := context.WithTimeout(ctx, gatherLimit)
 	defer cancel()
 	all, errs := make([]R, cli.Partitions()), make([]error, cli.Partitions())
@@ -148,7 +132,7 @@
 	grp.SetLimit(gatherWidth)
 	for num := range all {
 		grp.Go(func() error {
-			all[num], errs[num] = ask(ctx, num)
+			all[num], _, errs[num] = route(ctx, cli, num, method, args(num), moved)
 			return nil
 		})
 	}
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -162,7 +162,7 @@
 	sta.owner.store(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, storeLimit)
 		defer cancel()
-		list, err := sta.owner.rows.Read(limited, nums...)
+		list, err := sta.config.rows.Read(limited, nums...)
 		sta.owner.post(ctx, func(sta *state[P], now time.Time) {
 			sta.watching = false
 			if err != nil {
@@ -254,9 +254,9 @@
 
 // write makes the write of an ownership action and posts its result.
 func (sta *state[P]) write(slt *slot[P], act partition.Action) {
-	own, num := sta.owner, slt.num
+	own, rws, num := sta.owner, sta.config.rows, slt.num
 	own.store(func(ctx context.Context) {
-		res := writeRow(ctx, own.rows, num, act)
+		res := writeRow(ctx, rws, num, act)
 		own.post(ctx, func(sta *state[P], now time.Time) { sta.rowWritten(slt, res, now) })
 	})
 }
--- a/io/web/report.go
+++ b/io/web/report.go
@@ -10,7 +10,6 @@
 
 	"jacinthpost/core/job"
 	"jacinthpost/io/message"
-	"jacinthpost/io/owner"
 )
 
 // Overview tells about the jobs of all partitions.
@@ -64,8 +63,8 @@
 			*text = vals[0]
 		case name == "limit":
 			num, err := strconv.Atoi(vals[0])
-			if err != nil || num < 1 || num > owner.MaxList {
-				return args, fmt.Errorf("limit is %q, expected 1 to %d", vals[0], owner.MaxList)
+			if err != nil || num < 1 || num > message.MaxList {
+				return args, fmt.Errorf("limit is %q, expected 1 to %d", vals[0], message.MaxList)
 			}
 			args.Limit = num
 		default:
