Read answers of an entry in one place and claim nothing for missing partitions

Cause: six commands repeated call, decode and show. A report that no owner had answered ended with 'no job needs attention'. Change: get holds the shared part; an incomplete report speaks of the partitions that answered only.

--- a/cmd/jacinthpost/fleet.go
+++ b/cmd/jacinthpost/fleet.go
@@ -51,26 +51,18 @@
 }
 
 func listMembers(ctx context.Context, cmd *cli.Command) error {
-	ans, err := call(ctx, cmd, "GET", "/v1/members", nil, nil)
-	if err != nil {
-		return err
-	}
-	return show(cmd, ans, func(out io.Writer) error {
-		var list struct {
-			Members []struct {
-				Instance   string `json:"instance"`
-				Role       string `json:"role"`
-				State      string `json:"state"`
-				Region     string `json:"region"`
-				DataCentre string `json:"dataCentre"`
-				Service    string `json:"service"`
-				Address    string `json:"address"`
-				Head       uint64 `json:"head"`
-			} `json:"members"`
-		}
-		if err := ans.Decode(&list); err != nil {
-			return err
-		}
+	return get(ctx, cmd, "/v1/members", func(out io.Writer, list struct {
+		Members []struct {
+			Instance   string `json:"instance"`
+			Role       string `json:"role"`
+			State      string `json:"state"`
+			Region     string `json:"region"`
+			DataCentre string `json:"dataCentre"`
+			Service    string `json:"service"`
+			Address    string `json:"address"`
+			Head       uint64 `json:"head"`
+		} `json:"members"`
+	}) error {
 		var rows [][]string
 		for _, mem := range list.Members {
 			rows = append(rows, []string{mem.Instance, mem.Role, mem.State, mem.Region, mem.DataCentre, mem.Service, mem.Address, strconv.FormatUint(mem.Head, 10)})
@@ -117,22 +109,14 @@
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			query := url.Values{"limit": {strconv.Itoa(cmd.Int("limit"))}, "after": {cmd.String("after")}}
-			ans, err := call(ctx, cmd, "GET", "/v1/audit?"+query.Encode(), nil, nil)
-			if err != nil {
-				return err
-			}
-			return show(cmd, ans, func(out io.Writer) error { return printAudit(out, ans) })
+			return get(ctx, cmd, "/v1/audit?"+query.Encode(), printAudit)
 		},
 	}
 }
 
-func printAudit(out io.Writer, ans operator.Answer) error {
-	var list struct {
-		Entries []audit.Entry `json:"entries"`
-	}
-	if err := ans.Decode(&list); err != nil {
-		return err
-	}
+func printAudit(out io.Writer, list struct {
+	Entries []audit.Entry `json:"entries"`
+}) error {
 	var rows [][]string
 	for _, ent := range list.Entries {
 		rows = append(rows, []string{ent.At.UTC().Format("2006-01-02T15:04:05.000Z"), ent.Actor, strconv.FormatUint(ent.Ticket, 10), ent.Outcome, ent.Action, ent.Detail})
@@ -169,17 +153,9 @@
 }
 
 func printExplanation(ctx context.Context, cmd *cli.Command, path string) error {
-	ans, err := call(ctx, cmd, "GET", path, nil, nil)
-	if err != nil {
-		return err
-	}
-	return show(cmd, ans, func(out io.Writer) error {
-		var body struct {
-			Lines []string `json:"lines"`
-		}
-		if err := ans.Decode(&body); err != nil {
-			return err
-		}
+	return get(ctx, cmd, path, func(out io.Writer, body struct {
+		Lines []string `json:"lines"`
+	}) error {
 		for _, lin := range body.Lines {
 			fmt.Fprintln(out, lin)
 		}
--- a/cmd/jacinthpost/output.go
+++ b/cmd/jacinthpost/output.go
@@ -63,6 +63,21 @@
 	return print(os.Stdout)
 }
 
+// get asks an entry and prints the decoded answer by the given function.
+func get[T any](ctx context.Context, cmd *cli.Command, path string, print func(out io.Writer, body T) error) error {
+	ans, err := call(ctx, cmd, "GET", path, nil, nil)
+	if err != nil {
+		return err
+	}
+	return show(cmd, ans, func(out io.Writer) error {
+		var body T
+		if err := ans.Decode(&body); err != nil {
+			return err
+		}
+		return print(out, body)
+	})
+}
+
 func refused(ans operator.Answer) error {
 	var ref operator.Refusal
 	if err := ans.Decode(&ref); err != nil {
--- a/cmd/jacinthpost/report.go
+++ b/cmd/jacinthpost/report.go
@@ -20,17 +20,7 @@
 		Flags:       []cli.Flag{&cli.DurationFlag{Name: "period", Usage: "how far back jobs that have ended are counted", Value: 16 * time.Hour}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			query := url.Values{"period": {cmd.Duration("period").String()}}
-			ans, err := call(ctx, cmd, "GET", "/v1/report?"+query.Encode(), nil, nil)
-			if err != nil {
-				return err
-			}
-			return show(cmd, ans, func(out io.Writer) error {
-				var rpt message.Report
-				if err := ans.Decode(&rpt); err != nil {
-					return err
-				}
-				return printReport(out, rpt)
-			})
+			return get(ctx, cmd, "/v1/report?"+query.Encode(), printReport)
 		},
 	}
 }
@@ -51,7 +41,7 @@
 	if err := table(out, []string{"TEAM", "CLASS", "FINISHED", "CANCELLED", "PARKED", "RUNNING", "WAITING", "LATE", "EVICTIONS"}, rows); err != nil {
 		return err
 	}
-	if len(rpt.Concerns) == 0 {
+	if len(rpt.Concerns) == 0 && len(rpt.MissingPartitions) == 0 {
 		_, err := fmt.Fprintln(out, "\nno job needs attention")
 		return err
 	}
@@ -59,6 +49,10 @@
 }
 
 func printConcerns(out io.Writer, rpt message.Report) error {
+	if len(rpt.Concerns) == 0 {
+		_, err := fmt.Fprintln(out, "\nno job of the partitions that answered needs attention")
+		return err
+	}
 	fmt.Fprintln(out, "\njobs that need attention (jacinthpost explain job JOB tells more)")
 	var rows [][]string
 	for _, con := range rpt.Concerns {
@@ -94,17 +88,7 @@
 					query.Set(name, cmd.String(name))
 				}
 			}
-			ans, err := call(ctx, cmd, "GET", "/v1/jobs?"+query.Encode(), nil, nil)
-			if err != nil {
-				return err
-			}
-			return show(cmd, ans, func(out io.Writer) error {
-				var list message.JobList
-				if err := ans.Decode(&list); err != nil {
-					return err
-				}
-				return printJobs(out, list)
-			})
+			return get(ctx, cmd, "/v1/jobs?"+query.Encode(), printJobs)
 		},
 	}
 }
--- a/cmd/jacinthpost/ticket.go
+++ b/cmd/jacinthpost/ticket.go
@@ -131,26 +131,18 @@
 }
 
 func listTickets(ctx context.Context, cmd *cli.Command) error {
-	ans, err := call(ctx, cmd, "GET", "/v1/tickets", nil, nil)
-	if err != nil {
-		return err
-	}
-	return show(cmd, ans, func(out io.Writer) error {
-		var list struct {
-			Head    uint64 `json:"head"`
-			Tickets []struct {
-				Number  uint64 `json:"number"`
-				Author  string `json:"author"`
-				Reason  string `json:"reason"`
-				Changes []struct {
-					Kind string `json:"kind"`
-					Name string `json:"name"`
-				} `json:"changes"`
-			} `json:"tickets"`
-		}
-		if err := ans.Decode(&list); err != nil {
-			return err
-		}
+	return get(ctx, cmd, "/v1/tickets", func(out io.Writer, list struct {
+		Head    uint64 `json:"head"`
+		Tickets []struct {
+			Number  uint64 `json:"number"`
+			Author  string `json:"author"`
+			Reason  string `json:"reason"`
+			Changes []struct {
+				Kind string `json:"kind"`
+				Name string `json:"name"`
+			} `json:"changes"`
+		} `json:"tickets"`
+	}) error {
 		var rows [][]string
 		for _, tic := range list.Tickets {
 			objects := ""
