Set up the folder and the programs of the benchmark's processes in one place

Cause: latency, capacity, owner and fleet each made a temporary folder, compiled the programs, bounded the time and made a folder for each fleet. Change: inWorkspace and workspace.start do so. What is measured is unchanged. The other parts were not run with this change before the commit.

--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -32,44 +31,30 @@
 	if len(opt.sizes) > 0 {
 		sizes = opt.sizes
 	}
-	folder, err := os.MkdirTemp("", "jacinthpost-capacity")
-	if err != nil {
-		return errors.Wrap(err, "make folder")
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	ctx, cancel := context.WithTimeout(context.Background(), capacityLimit)
-	defer cancel()
-	binaries := filepath.Join(folder, "bin")
-	if err := harness.BuildBinaries(ctx, ".", binaries); err != nil {
-		return err
-	}
-	for _, size := range sizes {
-		own := filepath.Join(folder, fmt.Sprint(size))
-		if err := os.Mkdir(own, 0o755); err != nil {
-			return errors.Wrap(err, "make folder")
+	return inWorkspace("capacity", capacityLimit, false, func(ctx context.Context, wsp workspace) error {
+		for _, size := range sizes {
+			if err := measureFleet(ctx, rep, wsp, size, opt); err != nil {
+				return err
+			}
 		}
-		fleet := harness.Options{Deployment: "sen-vang", Repo: ".", Binaries: binaries, Folder: own, PortOffset: capacityPorts, Instances: size, Partitions: opt.partitions}
-		if err := measureFleet(ctx, rep, fleet, opt); err != nil {
-			return errors.Wrapf(err, "%d instances", size)
-		}
-	}
-	return nil
+		return nil
+	})
 }
 
-func measureFleet(ctx context.Context, rep *report, fleet harness.Options, opt options) error {
-	fle, err := harness.Start(ctx, fleet)
+func measureFleet(ctx context.Context, rep *report, wsp workspace, size int, opt options) error {
+	name := fmt.Sprintf("capacity.%d-instances", size)
+	fle, err := wsp.start(ctx, name, harness.Options{Deployment: "sen-vang", PortOffset: capacityPorts, Instances: size, Partitions: opt.partitions})
 	if err != nil {
 		return err
 	}
 	defer fle.Stop()
-	name := fmt.Sprintf("capacity.%d-instances", fleet.Instances)
 	if err := observe(ctx, rep, fle, name+".idle", opt); err != nil {
 		return err
 	}
-	if err := startTasks(ctx, fle, fleet.Instances*opt.each, opt.each); err != nil {
+	if err := startTasks(ctx, fle, size*opt.each, opt.each); err != nil {
 		return err
 	}
-	return observe(ctx, rep, fle, name+fmt.Sprintf(".%d-tasks", fleet.Instances*opt.each), opt)
+	return observe(ctx, rep, fle, name+fmt.Sprintf(".%d-tasks", size*opt.each), opt)
 }
 
 // startTasks submits watches of 100 tasks and waits until all run.
--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -23,13 +22,16 @@
 	fleetMemoryMB  = 512
 )
 
-// fleetSteps are the fleets of the part. Their ports, 10500 to 12660, are those
-// of no other measurement, test or demo.
-var fleetSteps = []struct {
+// fleetStep is one fleet of the part.
+type fleetStep struct {
 	name, deployment string
 	offset           int
 	run              func(ctx context.Context, rep *report, fle *harness.Fleet) error
-}{
+}
+
+// fleetSteps are the fleets of the part. Their ports, 10500 to 12660, are those
+// of no other measurement, test or demo.
+var fleetSteps = []fleetStep{
 	{name: "noise", deployment: "bayou-paddle", offset: -11_000, run: measureNoise},
 	{name: "outage", deployment: "sen-vang", offset: -10_500, run: measureTakenOut},
 	{name: "loss", deployment: "sen-vang", offset: -9_400, run: measureLoss},
@@ -39,46 +41,34 @@
 // work. The stand-ins model the time of a request and the work of a task, so the
 // load of the machine adds to latencies; see the load average that is printed.
 func measureFleets(rep *report, opt options) error {
-	folder, err := os.MkdirTemp("", "jacinthpost-fleet")
-	if err != nil {
-		return errors.Wrap(err, "make folder")
-	}
-	defer func() {
-		if opt.logs {
-			fmt.Fprintln(os.Stderr, "logs in", folder)
-			return
+	return inWorkspace("fleet", fleetLimit, opt.logs, func(ctx context.Context, wsp workspace) error {
+		for _, stp := range fleetSteps {
+			if err := stp.measure(ctx, rep, wsp, opt.filter); err != nil {
+				return err
+			}
 		}
-		_ = os.RemoveAll(folder)
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), fleetLimit)
-	defer cancel()
-	binaries := filepath.Join(folder, "bin")
-	if err := harness.BuildBinaries(ctx, ".", binaries); err != nil {
+		return nil
+	})
+}
+
+// measure runs the step if its name contains the filter.
+func (stp fleetStep) measure(ctx context.Context, rep *report, wsp workspace, filter string) error {
+	name := stp.deployment + "." + stp.name
+	if !strings.Contains(name, filter) {
+		return nil
+	}
+	fle, err := wsp.start(ctx, name, harness.Options{
+		Deployment: stp.deployment, PortOffset: stp.offset,
+		Instances: fleetInstances, EndpointArgs: []string{"--service-time", fleetService},
+	})
+	if err != nil {
 		return err
 	}
-	for _, stp := range fleetSteps {
-		name := stp.deployment + "." + stp.name
-		if !strings.Contains(name, opt.filter) {
-			continue
-		}
-		own := filepath.Join(folder, name)
-		if err := os.Mkdir(own, 0o755); err != nil {
-			return errors.Wrap(err, "make folder")
-		}
-		fle, err := harness.Start(ctx, harness.Options{
-			Deployment: stp.deployment, Repo: ".", Binaries: binaries, Folder: own, PortOffset: stp.offset,
-			Instances: fleetInstances, EndpointArgs: []string{"--service-time", fleetService},
-		})
-		if err != nil {
-			return errors.Wrap(err, name)
-		}
-		reportLoad(rep, name+".before")
-		err = stp.run(ctx, rep, fle)
-		reportLoad(rep, name+".after")
-		fle.Stop()
-		if err != nil {
-			return errors.Wrap(err, name)
-		}
+	defer fle.Stop()
+	reportLoad(rep, name+".before")
+	defer reportLoad(rep, name+".after")
+	if err := stp.run(ctx, rep, fle); err != nil {
+		return errors.Wrap(err, name)
 	}
 	return nil
 }
--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -27,19 +25,14 @@
 // measureLatency compares requests through entry and agent with direct calls to
 // the same endpoint, alternating in one run, with real processes on loopback.
 func measureLatency(rep *report, opt options) error {
-	folder, err := os.MkdirTemp("", "jacinthpost-bench")
-	if err != nil {
-		return errors.Wrap(err, "make folder")
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
-	defer cancel()
-	if err := harness.BuildBinaries(ctx, ".", filepath.Join(folder, "bin")); err != nil {
-		return err
-	}
-	fle, err := harness.Start(ctx, harness.Options{
-		Deployment: "sen-vang", Repo: ".", Binaries: filepath.Join(folder, "bin"), Folder: folder,
-		PortOffset: latencyPorts, EndpointArgs: []string{"--service-time", serviceTime},
+	return inWorkspace("latency", 3*time.Minute, false, func(ctx context.Context, wsp workspace) error {
+		return compareLatencies(ctx, rep, wsp, opt)
+	})
+}
+
+func compareLatencies(ctx context.Context, rep *report, wsp workspace, opt options) error {
+	fle, err := wsp.start(ctx, "latency", harness.Options{
+		Deployment: "sen-vang", PortOffset: latencyPorts, EndpointArgs: []string{"--service-time", serviceTime},
 	})
 	if err != nil {
 		return err
--- a/cmd/bench/owner.go
+++ b/cmd/bench/owner.go
@@ -46,54 +46,42 @@
 	if opt.quick {
 		sizes, owners = sizes[:1], owners[:1]
 	}
-	folder, err := os.MkdirTemp("", "jacinthpost-owner")
-	if err != nil {
-		return errors.Wrap(err, "make folder")
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	ctx, cancel := context.WithTimeout(context.Background(), ownerPartLimit)
-	defer cancel()
-	binaries := filepath.Join(folder, "bin")
-	if err := harness.BuildBinaries(ctx, ".", binaries); err != nil {
-		return err
-	}
-	measure := func(name string, run func(ctx context.Context, fle *harness.Fleet, own string) error) error {
-		if !strings.Contains(name, opt.filter) {
-			return nil
-		}
-		own := filepath.Join(folder, name)
-		if err := os.Mkdir(own, 0o755); err != nil {
-			return errors.Wrap(err, "make folder")
-		}
-		ctx, end := context.WithCancel(ctx)
-		defer end()
-		fle, err := harness.Start(ctx, harness.Options{Deployment: "sen-vang", Repo: ".", Binaries: binaries, Folder: own, PortOffset: ownerPorts, Partitions: 1})
-		if err != nil {
-			return err
-		}
-		defer fle.Stop()
-		if err := run(ctx, fle, own); err != nil {
-			return errors.Wrap(err, name)
+	return inWorkspace("owner", ownerPartLimit, false, func(ctx context.Context, wsp workspace) error {
+		for _, count := range sizes {
+			name := fmt.Sprintf("owner.%d-agents", count)
+			if err := besideFleet(ctx, wsp, opt, name, func(ctx context.Context, fle *harness.Fleet) error {
+				return ownerOf(ctx, rep, fle, wsp.logs(name), name, count, opt.observe)
+			}); err != nil {
+				return err
+			}
+		}
+		for _, count := range owners {
+			name := fmt.Sprintf("agent.%d-owners", count)
+			if err := besideFleet(ctx, wsp, opt, name, func(ctx context.Context, fle *harness.Fleet) error {
+				return agentOf(ctx, rep, fle, wsp.logs(name), name, count, opt.observe)
+			}); err != nil {
+				return err
+			}
 		}
 		return nil
+	})
+}
+
+// besideFleet runs a measurement beside the smallest fleet if its name contains
+// the filter. What the measurement started ends with its context.
+func besideFleet(ctx context.Context, wsp workspace, opt options, name string, run func(ctx context.Context, fle *harness.Fleet) error) error {
+	if !strings.Contains(name, opt.filter) {
+		return nil
 	}
-	for _, count := range sizes {
-		name := fmt.Sprintf("owner.%d-agents", count)
-		err := measure(name, func(ctx context.Context, fle *harness.Fleet, own string) error {
-			return ownerOf(ctx, rep, fle, own, name, count, opt.observe)
-		})
-		if err != nil {
-			return err
-		}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	fle, err := wsp.start(ctx, name, harness.Options{Deployment: "sen-vang", PortOffset: ownerPorts, Partitions: 1})
+	if err != nil {
+		return err
 	}
-	for _, count := range owners {
-		name := fmt.Sprintf("agent.%d-owners", count)
-		err := measure(name, func(ctx context.Context, fle *harness.Fleet, own string) error {
-			return agentOf(ctx, rep, fle, own, name, count, opt.observe)
-		})
-		if err != nil {
-			return err
-		}
+	defer fle.Stop()
+	if err := run(ctx, fle); err != nil {
+		return errors.Wrap(err, name)
 	}
 	return nil
 }
