Model jobs of steps and decide for the jobs of a partition

The platform's callers hand in jobs with dependent steps, gangs, lasting and filling tasks. core/workload holds what was accepted; core/batch is the state of a partition's owner: starts leave only after the run is stored, events are forgotten only after their effect is stored.

--- /dev/null
+++ b/core/batch/batch_test.go
@@ -0,0 +1,271 @@
+package batch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/workload"
+	"jacinthpost/internal/specs"
+)
+
+func TestBatch(t *testing.T) { specs.Run(t, "batch") }
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+type scheduler = batch.Scheduler[batch.DeadlineOrder, batch.SpreadPlacement]
+
+// owner drives a scheduler the way its process does.
+type owner struct {
+	*scheduler
+	now time.Time
+}
+
+func newOwner() *owner {
+	return &owner{scheduler: batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, batch.Options{LostAfter: 5 * time.Second}, start), now: start}
+}
+
+func (own *owner) pass(dur time.Duration) {
+	own.now = own.now.Add(dur)
+	own.Tick(own.now, own.now)
+}
+
+// store plans, stores everything and returns the records.
+func (own *owner) store() []batch.JobRecord {
+	own.Plan(own.now)
+	bat := own.Take(100)
+	own.Committed(bat, own.now)
+	return bat.Records()
+}
+
+func step(count int) workload.StepParams {
+	return workload.StepParams{Count: count, MilliCPU: 1000, MemoryMB: 100, EstimateMillis: 1000}
+}
+
+func (own *owner) submit(id string, steps ...workload.StepParams) workload.Job {
+	job, err := workload.New(workload.JobParams{
+		ID: id, Queue: "q", Service: "svc", Payload: "p", Steps: steps, MaxAttempts: 2, Stretch: 2, AcceptedMillis: own.now.UnixMilli(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	own.Submit(job, own.now)
+	own.Tick(own.now, own.now)
+	return job
+}
+
+func report(id string, session uint64) batch.Report {
+	return batch.Report{
+		Instance: fleet.InstanceID(id), Session: session, Life: batch.Life(id + "-life"), Service: "svc",
+		Location: fleet.NewLocation("r", "dc", "rack"), Capacity: resource.New(4000, 4000, 0),
+	}
+}
+
+func (own *owner) orders(id string, session uint64, knd batch.OrderKind) []batch.Order {
+	out, ok := own.Outbox(fleet.InstanceID(id), session, 0)
+	Expect(ok).To(BeTrue())
+	var ords []batch.Order
+	for _, ord := range out.Orders {
+		if ord.Kind == knd {
+			ords = append(ords, ord)
+		}
+	}
+	return ords
+}
+
+func ended(seq uint64, rid batch.RunID, cause batch.EndCause) batch.Event {
+	return batch.Event{Seq: seq, ID: rid, Cause: cause}
+}
+
+func (own *owner) hear(rep batch.Report, evts ...batch.Event) {
+	rep.Events = evts
+	own.Hear(rep, own.now)
+}
+
+func expectState(recs []batch.JobRecord, sta batch.JobState) {
+	GinkgoHelper()
+	Expect(recs).To(HaveLen(1))
+	Expect(recs[0].State).To(Equal(sta))
+}
+
+var _ = Describe("Scheduler", func() {
+	It("releases a start only after the run is stored", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.submit("j", step(1))
+		own.Plan(own.now)
+		bat := own.Take(10)
+		Expect(own.orders("a", 1, batch.StartRun)).To(BeEmpty())
+		own.Abandoned(bat)
+		bat = own.Take(10)
+		own.Committed(bat, own.now)
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
+	})
+
+	It("starts a later step after the earlier one and completes the job", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		snd := step(1)
+		snd.After = []int{0}
+		own.submit("j", step(1), snd)
+		own.store()
+		fst := own.orders("a", 1, batch.StartRun)
+		Expect(fst).To(HaveLen(1))
+		own.hear(report("a", 1), ended(1, fst[0].ID, batch.EndDone))
+		expectState(own.store(), batch.JobRunning)
+		both := own.orders("a", 1, batch.StartRun)
+		Expect(both).To(HaveLen(2))
+		own.hear(report("a", 1), ended(1, fst[0].ID, batch.EndDone), ended(2, both[1].ID, batch.EndDone))
+		expectState(own.store(), batch.JobCompleted)
+	})
+
+	It("lets an agent forget an end only after it is stored", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.submit("j", step(1))
+		own.store()
+		ord := own.orders("a", 1, batch.StartRun)[0]
+		own.hear(report("a", 1), ended(1, ord.ID, batch.EndDone))
+		out, _ := own.Outbox("a", 1, 0)
+		Expect(out.Acked).To(BeZero())
+		own.store()
+		out, _ = own.Outbox("a", 1, 0)
+		Expect(out.Acked).To(BeEquivalentTo(1))
+	})
+
+	It("never reserves more than an instance has, counting what is being stopped", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.submit("j", step(10))
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
+		own.Cancel("j", own.now)
+		own.submit("k", step(4))
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
+	})
+
+	It("fails a job after its attempts and not because of stops", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.submit("j", step(1))
+		for seq, cause := range []batch.EndCause{batch.EndStopped, batch.EndFailed, batch.EndLapsed, batch.EndFailed} {
+			own.store()
+			ords := own.orders("a", 1, batch.StartRun)
+			own.hear(report("a", 1), ended(uint64(seq+1), ords[len(ords)-1].ID, cause))
+			own.pass(time.Second)
+		}
+		expectState(own.store(), batch.JobFailed)
+	})
+
+	DescribeTable("starts a task again only when the old run is certainly gone",
+		func(change func(own *owner), again bool) {
+			own := newOwner()
+			own.hear(report("a", 1))
+			own.submit("j", step(1))
+			own.store()
+			own.hear(report("b", 1))
+			change(own)
+			own.store()
+			Expect(own.orders("b", 1, batch.StartRun)).To(HaveLen(map[bool]int{true: 1}[again]))
+		},
+		Entry("the agent is silent within its lease", func(own *owner) { own.pass(4 * time.Second) }, false),
+		Entry("the lease has expired", func(own *owner) {
+			own.pass(4 * time.Second)
+			own.hear(report("b", 1))
+			own.pass(1500 * time.Millisecond)
+		}, true),
+		Entry("a new agent process lists the run", func(own *owner) {
+			rep := report("a", 2)
+			rep.Runs = []batch.RunState{{ID: batch.RunID{Task: batch.TaskID{Job: "j"}, Run: 1}, Working: true}}
+			own.hear(rep)
+		}, false),
+		Entry("a new agent process does not list the run", func(own *owner) {
+			rep := report("a", 2)
+			rep.Draining = true
+			own.hear(rep)
+		}, true),
+		Entry("the worker has a new life", func(own *owner) {
+			rep := report("a", 2)
+			rep.Life, rep.Draining = "another", true
+			own.hear(rep)
+		}, true),
+	)
+
+	It("keeps inherited runs until their instance reports or the lease of the former owner has expired", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		job := own.submit("j", step(1))
+		recs := own.store()
+		nxt := newOwner()
+		nxt.Restore(job, recs[0], nxt.now)
+		nxt.hear(report("b", 1))
+		nxt.pass(9 * time.Second)
+		nxt.hear(report("b", 1))
+		nxt.store()
+		Expect(nxt.orders("b", 1, batch.StartRun)).To(BeEmpty())
+		nxt.pass(2 * time.Second)
+		nxt.store()
+		Expect(nxt.orders("b", 1, batch.StartRun)).To(HaveLen(1))
+		Expect(nxt.orders("b", 1, batch.StartRun)[0].ID.Run).To(Equal(2))
+	})
+
+	It("starts nothing in a data centre that is out", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.SetOut(map[fleet.DataCentre]bool{"dc": true})
+		own.submit("j", step(1))
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(BeEmpty())
+		own.SetOut(nil)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
+	})
+
+	It("stops a run that no job knows", func() {
+		own := newOwner()
+		rep := report("a", 1)
+		rep.Runs = []batch.RunState{{ID: batch.RunID{Task: batch.TaskID{Job: "gone"}, Run: 3}}}
+		own.hear(rep)
+		own.hear(rep)
+		Expect(own.orders("a", 1, batch.StopRun)).To(HaveLen(1))
+	})
+
+	It("keeps work away from a worker that fails what it runs", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		for seq, id := range []string{"j", "k", "l"} {
+			own.submit(id, step(1))
+			own.store()
+			ords := own.orders("a", 1, batch.StartRun)
+			own.hear(report("a", 1), ended(uint64(seq+1), ords[len(ords)-1].ID, batch.EndFailed))
+		}
+		own.submit("m", step(1))
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(3))
+		own.pass(3 * time.Second)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
+	})
+
+	It("places all members of a gang with one run number or none", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		gang := step(5)
+		gang.Gang = true
+		own.submit("j", gang)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(BeEmpty())
+		own.hear(report("b", 1))
+		own.pass(time.Millisecond)
+		own.store()
+		ords := append(own.orders("a", 1, batch.StartRun), own.orders("b", 1, batch.StartRun)...)
+		Expect(ords).To(HaveLen(5))
+		for _, ord := range ords {
+			Expect(ord.ID.Run).To(Equal(ords[0].ID.Run))
+		}
+	})
+})
--- /dev/null
+++ b/core/batch/job.go
@@ -0,0 +1,155 @@
+package batch
+
+import (
+	"time"
+
+	"jacinthpost/core/workload"
+)
+
+// jobState is a job with the state of its tasks.
+type jobState struct {
+	spec        workload.Job
+	state       JobState
+	occurrences []*occurrence
+	nextDue     int // number of the next occurrence to create
+	acceptedAt  time.Time
+	finalAt     time.Time
+	dirty       bool
+	orders      []pendingOrder // released when the state that contains them is stored
+	acks        []ack          // events that may be forgotten when the state is stored
+}
+
+// occurrence is one run of all steps.
+type occurrence struct {
+	number int
+	steps  []*stepState
+}
+
+// stepState is a step of one occurrence.
+type stepState struct {
+	spec   workload.Step
+	tasks  []*task
+	done   int
+	took   []time.Duration // of tasks that are done
+	grants map[string]string
+}
+
+func newOccurrence(spec workload.Job, num int) *occurrence {
+	occ := &occurrence{number: num, steps: make([]*stepState, len(spec.Steps()))}
+	for idx, stp := range spec.Steps() {
+		sta := &stepState{spec: stp, tasks: make([]*task, stp.Count())}
+		for tnm := range sta.tasks {
+			sta.tasks[tnm] = &task{}
+		}
+		occ.steps[idx] = sta
+	}
+	return occ
+}
+
+// turn reports whether all earlier steps that the step depends on are done.
+func (occ *occurrence) turn(num int) bool {
+	for _, prv := range occ.steps[num].spec.After() {
+		if occ.steps[prv].done < len(occ.steps[prv].tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+func (occ *occurrence) done() bool {
+	for _, stp := range occ.steps {
+		if stp.done < len(stp.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+func (job *jobState) occurrence(num int) *occurrence {
+	for _, occ := range job.occurrences {
+		if occ.number == num {
+			return occ
+		}
+	}
+	return nil
+}
+
+// task returns the task of an identity with its step, or nil.
+func (job *jobState) task(tid TaskID) (*stepState, *task) {
+	occ := job.occurrence(tid.Occurrence)
+	if occ == nil || tid.Step < 0 || tid.Step >= len(occ.steps) {
+		return nil, nil
+	}
+	stp := occ.steps[tid.Step]
+	if tid.Index < 0 || tid.Index >= len(stp.tasks) {
+		return nil, nil
+	}
+	return stp, stp.tasks[tid.Index]
+}
+
+func (job *jobState) hasAttempts() bool {
+	found := false
+	job.eachAttempt(func(TaskID, *task, *attempt) { found = true })
+	return found
+}
+
+// eachTask visits all tasks of the created occurrences.
+func (job *jobState) eachTask(visit func(tid TaskID, stp *stepState, tsk *task)) {
+	for _, occ := range job.occurrences {
+		for num, stp := range occ.steps {
+			for idx, tsk := range stp.tasks {
+				visit(TaskID{Job: job.spec.ID(), Occurrence: occ.number, Step: num, Index: idx}, stp, tsk)
+			}
+		}
+	}
+}
+
+// eachAttempt visits all attempts. The visitor may remove the attempt it is given.
+func (job *jobState) eachAttempt(visit func(tid TaskID, tsk *task, att *attempt)) {
+	job.eachTask(func(tid TaskID, _ *stepState, tsk *task) {
+		for num := len(tsk.attempts) - 1; num >= 0; num-- {
+			visit(tid, tsk, tsk.attempts[num])
+		}
+	})
+}
+
+// createDue creates the occurrences whose time has come and returns how many it created.
+func (job *jobState) createDue(wall time.Time) int {
+	num := 0
+	for job.nextDue < job.spec.Occurrences() && !wall.Before(job.spec.Due(job.nextDue)) {
+		job.occurrences = append(job.occurrences, newOccurrence(job.spec, job.nextDue))
+		job.nextDue++
+		num++
+	}
+	return num
+}
+
+// finish drops occurrences that are done and reports whether the whole job is.
+func (job *jobState) finish() bool {
+	open := job.occurrences[:0]
+	for _, occ := range job.occurrences {
+		if !occ.done() || occ.hasAttempts() {
+			open = append(open, occ)
+		}
+	}
+	unfinished := false
+	for _, occ := range open {
+		unfinished = unfinished || !occ.done()
+	}
+	if !job.spec.Timed() {
+		open = job.occurrences
+	}
+	job.occurrences = open
+	return !unfinished && job.nextDue >= job.spec.Occurrences()
+}
+
+func (occ *occurrence) hasAttempts() bool {
+	for _, stp := range occ.steps {
+		for _, tsk := range stp.tasks {
+			if len(tsk.attempts) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/batch/message.go
@@ -0,0 +1,71 @@
+package batch
+
+import (
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+)
+
+// Report is what an agent tells the owner of the jobs about its instance. It is
+// complete: a run that is neither in Runs nor in Events is not there.
+type Report struct {
+	Instance   fleet.InstanceID
+	Session    uint64 // rises with each process of the agent and each life of the worker
+	Life       Life
+	Service    fleet.Service
+	Location   fleet.Location
+	Labels     []string
+	Capacity   resource.Vector
+	Draining   bool
+	Remaining  time.Duration // at least this long until a draining worker leaves
+	Unready    bool          // the worker doesn't answer
+	Runs       []RunState
+	Events     []Event
+	OrdersSeen uint64 // orders up to this one were taken over by the agent
+}
+
+// RunState is one run that is at work or about to start on an instance.
+type RunState struct {
+	ID         RunID
+	Working    bool // the worker lists the run
+	Checkpoint string
+	Percent    int
+	Figure     float64
+}
+
+// Event is the end of one run, or of the order to start it.
+type Event struct {
+	Seq        uint64
+	ID         RunID
+	Cause      EndCause
+	Checkpoint string
+	Reason     string // of a refusal
+}
+
+// OrderKind is what an order asks for.
+type OrderKind int
+
+// Kinds of orders.
+const (
+	StartRun OrderKind = iota
+	StopRun
+	DescribeRun // names what a run that the agent lists uses; it starts nothing
+)
+
+// Order tells an agent what to do with a run.
+type Order struct {
+	Seq        uint64
+	Kind       OrderKind
+	ID         RunID
+	Payload    string
+	Checkpoint string
+	Need       resource.Vector
+	MilliCPU   int64 // in use at full speed
+	Fills      bool
+	Lasting    bool
+	Image      string
+	Target     time.Duration
+	GroupKey   string // step whose placement a policy service may restrict, empty when none
+	Grant      string // permission of the policy service for the instance
+}
--- /dev/null
+++ b/core/batch/plan.go
@@ -0,0 +1,272 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+)
+
+// lateFactor is the part of the objective after which a late job is worth nothing more.
+const lateFactor = 3
+
+// waiting is a candidate with what it stands for.
+type waiting struct {
+	Candidate
+	job  *jobState
+	occ  *occurrence
+	step int
+}
+
+// Plan places waiting tasks and returns the number of runs assigned.
+func (sch *Scheduler[O, P]) Plan(now time.Time) int {
+	if sch.planned {
+		return 0
+	}
+	sch.planned = true
+	cans := sch.candidates(now)
+	slices.SortFunc(cans, func(fst, snd waiting) int {
+		switch {
+		case sch.order.Before(fst.Candidate, snd.Candidate):
+			return -1
+		case sch.order.Before(snd.Candidate, fst.Candidate):
+			return 1
+		default:
+			return fst.step - snd.step
+		}
+	})
+	pln := planner{now: now}
+	num := 0
+	for _, can := range cans {
+		num += sch.placeStep(&pln, can)
+	}
+	return num
+}
+
+func (sch *Scheduler[O, P]) candidates(now time.Time) []waiting {
+	var cans []waiting
+	for _, job := range sch.jobs {
+		if job.state.Final() {
+			continue
+		}
+		for _, occ := range job.occurrences {
+			for num, stp := range occ.steps {
+				if occ.turn(num) && stp.wants(now) {
+					cans = append(cans, waiting{Candidate: sch.candidate(job, occ, now), job: job, occ: occ, step: num})
+				}
+			}
+		}
+	}
+	return cans
+}
+
+// wants reports whether a task of the step may be started.
+func (stp *stepState) wants(now time.Time) bool {
+	for _, tsk := range stp.tasks {
+		if tsk.ready(now) || stp.wantsCopy(tsk) {
+			return true
+		}
+	}
+	return false
+}
+
+// wantsCopy reports whether a second copy of a task should run beside one that is overdue.
+func (stp *stepState) wantsCopy(tsk *task) bool {
+	return stp.spec.Speculative() && tsk.phase == Active && len(tsk.attempts) == 1 && tsk.attempts[0].overdue
+}
+
+func (sch *Scheduler[O, P]) candidate(job *jobState, occ *occurrence, now time.Time) Candidate {
+	chain := job.spec.Chain(func(num int) time.Duration {
+		return sch.learned.predict(job.spec.Queue(), occ.steps[num])
+	})
+	left := job.spec.Chain(func(num int) time.Duration {
+		if occ.steps[num].done == len(occ.steps[num].tasks) {
+			return 0
+		}
+		return sch.learned.predict(job.spec.Queue(), occ.steps[num])
+	})
+	begin := job.acceptedAt
+	objective := time.Duration(job.spec.Stretch()*float64(chain)) + job.spec.TargetLatency()
+	return Candidate{
+		ID: job.spec.ID(), Priority: job.spec.Priority(), Accepted: begin, Started: job.state == JobRunning,
+		OnTime: begin.Add(objective), TooLate: begin.Add(lateFactor * objective), Left: left, Now: now,
+	}
+}
+
+// planner remembers during one plan what did not fit anywhere.
+type planner struct {
+	now    time.Time
+	failed map[fleet.Service][]failedNeed
+}
+
+type failedNeed struct {
+	room  resource.Vector
+	fills bool
+	cpu   int64
+}
+
+// hopeless reports whether a smaller need of the same kind found no place in this plan.
+func (pln *planner) hopeless(svc fleet.Service, ned Need) bool {
+	for _, old := range pln.failed[svc] {
+		if old.fills == ned.Fills && old.room.FitsIn(ned.Room) && old.cpu <= ned.MilliCPU {
+			return true
+		}
+	}
+	return false
+}
+
+func (pln *planner) fail(svc fleet.Service, ned Need) {
+	if pln.failed == nil {
+		pln.failed = make(map[fleet.Service][]failedNeed)
+	}
+	pln.failed[svc] = append(pln.failed[svc], failedNeed{room: ned.Room, fills: ned.Fills, cpu: ned.MilliCPU})
+}
+
+func (sch *Scheduler[O, P]) placeStep(pln *planner, can waiting) int {
+	stp := can.occ.steps[can.step]
+	if stp.spec.Gang() {
+		return sch.placeGang(pln, can, stp)
+	}
+	num := 0
+	for idx, tsk := range stp.tasks {
+		if !tsk.ready(pln.now) && !stp.wantsCopy(tsk) {
+			continue
+		}
+		ins := sch.choose(pln, can, stp, tsk)
+		if ins == nil {
+			if len(tsk.failedOn) == 0 {
+				break
+			}
+			continue
+		}
+		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
+		sch.assign(can.job, stp, tsk, tid, ins, tsk.run+1, pln.now)
+		num++
+	}
+	return num
+}
+
+// placeGang places all members or none.
+func (sch *Scheduler[O, P]) placeGang(pln *planner, can waiting, stp *stepState) int {
+	run := 0
+	for _, tsk := range stp.tasks {
+		if !tsk.ready(pln.now) {
+			return 0
+		}
+		run = max(run, tsk.run)
+	}
+	checkpoint := stp.checkpoint()
+	var placed []TaskID
+	for idx, tsk := range stp.tasks {
+		ins := sch.choose(pln, can, stp, tsk)
+		if ins == nil {
+			sch.unplace(can.job, placed)
+			return 0
+		}
+		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
+		tsk.checkpoint = checkpoint
+		sch.assign(can.job, stp, tsk, tid, ins, run+1, pln.now)
+		placed = append(placed, tid)
+	}
+	return len(placed)
+}
+
+// unplace takes back starts of this plan.
+func (sch *Scheduler[O, P]) unplace(job *jobState, tids []TaskID) {
+	for _, tid := range tids {
+		_, tsk := job.task(tid)
+		sch.drop(job, tid, tsk, tsk.attempts[len(tsk.attempts)-1])
+	}
+	job.dropOrders(tids)
+	sch.planned = true
+}
+
+// checkpoint returns the checkpoint of any member of a gang, which is valid for all.
+func (stp *stepState) checkpoint() string {
+	for _, tsk := range stp.tasks {
+		if tsk.checkpoint != "" {
+			return tsk.checkpoint
+		}
+	}
+	return ""
+}
+
+func (sch *Scheduler[O, P]) choose(pln *planner, can waiting, stp *stepState, tsk *task) *instance {
+	ned := Need{
+		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Lasting: stp.spec.Lasting(),
+		Serving: stp.spec.Target() > 0, Remote: sch.options.RemoteFactor, Local: true,
+	}
+	svc := fleet.Service(can.job.spec.Service())
+	if pln.hopeless(svc, ned) {
+		return nil
+	}
+	var best *instance
+	bestRating := 0.0
+	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != ""
+	for _, ins := range sch.instances {
+		if ins.service != svc || !ins.usable(sch.out) || !ins.hasLabel(stp.spec.Label()) {
+			continue
+		}
+		if !ins.health.admits(pln.now, ins.runs) || stp.full(ins.id) {
+			limited = true
+			continue
+		}
+		ned.Local = stp.spec.Rack() == "" || ins.hasLabel(stp.spec.Rack())
+		ned.Retried = tsk.failedAt(ins.id)
+		rating, ok := sch.placement.Rate(ned, ins.site())
+		if ok && (best == nil || rating < bestRating || rating == bestRating && ins.id < best.id) {
+			best, bestRating = ins, rating
+		}
+	}
+	if best == nil && !limited {
+		pln.fail(svc, ned)
+	}
+	return best
+}
+
+func (ins *instance) site() Site {
+	return Site{Capacity: ins.capacity, Free: ins.free(), FillCPU: ins.fillCPU, Serving: ins.serving, Slowness: ins.health.slowness}
+}
+
+// full reports whether an instance runs as many tasks of the step as may share one.
+func (stp *stepState) full(id fleet.InstanceID) bool {
+	if stp.spec.PerInstance() == 0 {
+		return false
+	}
+	num := 0
+	for _, tsk := range stp.tasks {
+		for _, att := range tsk.attempts {
+			if att.instance == id {
+				num++
+			}
+		}
+	}
+	return num >= stp.spec.PerInstance()
+}
+
+// assign gives a task a run on an instance. The order leaves when the job is stored.
+func (sch *Scheduler[O, P]) assign(job *jobState, stp *stepState, tsk *task, tid TaskID, ins *instance, run int, now time.Time) {
+	tsk.run = run
+	tsk.phase = Active
+	tsk.attempts = append(tsk.attempts, &attempt{run: run, instance: ins.id, life: ins.life, orderedAt: now})
+	ins.reserve(stp)
+	if job.state == JobQueued {
+		job.state = JobRunning
+	}
+	rid := RunID{Task: tid, Run: run}
+	job.orders = append(job.orders, pendingOrder{instance: ins.id, session: ins.session, order: job.order(StartRun, stp, tsk, rid)})
+	sch.note(now, NoteAssigned, job.spec.ID(), rid, ins.id, "")
+	sch.mark(job)
+}
+
+func (job *jobState) order(knd OrderKind, stp *stepState, tsk *task, rid RunID) Order {
+	ord := Order{
+		Kind: knd, ID: rid, Need: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(),
+		Lasting: stp.spec.Lasting(), Image: stp.spec.Image(), Target: stp.spec.Target(),
+	}
+	if knd == StartRun {
+		ord.Payload, ord.Checkpoint = job.spec.Payload(), tsk.checkpoint
+	}
+	return ord
+}
--- /dev/null
+++ b/core/batch/policy.go
@@ -0,0 +1,142 @@
+package batch
+
+import (
+	"time"
+
+	"jacinthpost/core/resource"
+)
+
+// Ordering decides which of two waiting steps gets room first.
+type Ordering interface {
+	Before(fst, snd Candidate) bool
+}
+
+// Candidate is a step with waiting tasks, as an order sees it.
+type Candidate struct {
+	ID       string
+	Priority int
+	Accepted time.Time
+	Started  bool          // a task of the job has started
+	OnTime   time.Time     // a job that is complete by then is on time
+	TooLate  time.Time     // a job that completes later is worth nothing more
+	Left     time.Duration // predicted time until the job is complete if its tasks start now
+	Now      time.Time
+}
+
+// urgency ranks a candidate: jobs that can be on time, then late ones, then the rest.
+func (can Candidate) urgency() int {
+	end := can.Now.Add(can.Left)
+	switch {
+	case !end.After(can.OnTime):
+		return 0
+	case !end.After(can.TooLate):
+		return 1
+	default:
+		return 2
+	}
+}
+
+// ArrivalOrder places in the order of priority and acceptance.
+type ArrivalOrder struct{}
+
+// Before implements Ordering.
+func (ArrivalOrder) Before(fst, snd Candidate) bool {
+	if fst.Priority != snd.Priority {
+		return fst.Priority < snd.Priority
+	}
+	if !fst.Accepted.Equal(snd.Accepted) {
+		return fst.Accepted.Before(snd.Accepted)
+	}
+	return fst.ID < snd.ID
+}
+
+// DeadlineOrder places in the order of priority, then jobs that can still be on
+// time by their deadline, then late ones. It answers a backlog after a burst, in
+// which the order of arrival makes every job late.
+type DeadlineOrder struct{}
+
+// Before implements Ordering.
+func (DeadlineOrder) Before(fst, snd Candidate) bool {
+	if fst.Priority != snd.Priority {
+		return fst.Priority < snd.Priority
+	}
+	if one, two := fst.urgency(), snd.urgency(); one != two {
+		return one < two
+	}
+	if fst.Started != snd.Started {
+		return fst.Started
+	}
+	if !fst.OnTime.Equal(snd.OnTime) {
+		return fst.OnTime.Before(snd.OnTime)
+	}
+	return fst.ID < snd.ID
+}
+
+// Placement rates an instance for a task. Lower is better.
+type Placement interface {
+	Rate(ned Need, sit Site) (rating float64, ok bool)
+}
+
+// Need is what a placement knows of a task.
+type Need struct {
+	Room     resource.Vector
+	MilliCPU int64 // in use at full speed
+	Fills    bool
+	Lasting  bool
+	Serving  bool // has a latency target
+	Local    bool // the instance is in the rack of the data, or there is none
+	Retried  bool // a run of the task failed on the instance
+	Remote   float64
+}
+
+// Site is what a placement knows of an instance.
+type Site struct {
+	Capacity resource.Vector
+	Free     resource.Vector
+	FillCPU  int64
+	Serving  int
+	Fillers  int
+	Slowness float64
+}
+
+// SpreadPlacement puts tasks where most room is left, filling tasks where most
+// processors are unused, and both away from tasks that they would disturb. It
+// answers a load that is below the capacity, where spreading keeps every worker
+// at full speed.
+type SpreadPlacement struct{}
+
+// Weights of the ratings, in parts of a whole instance.
+const (
+	remotePenalty   = 0.6  // for each full run time that the distance to the data costs
+	retriedPenalty  = 2.0  // a worker on which the task failed is the last choice
+	sharingPenalty  = 0.25 // for a serving task and filling tasks on one instance
+	fillOvercommit  = 1.0  // filling tasks may ask for this part of the unused processors
+	minFillerShare  = 0.5  // a filling task that would get less waits
+	slownessPenalty = 0.5
+)
+
+// Rate implements Placement.
+func (SpreadPlacement) Rate(ned Need, sit Site) (float64, bool) {
+	if !ned.Room.FitsIn(sit.Free) {
+		return 0, false
+	}
+	cpu := float64(max(1, sit.Capacity.MilliCPU()))
+	idle := float64(sit.Free.MilliCPU() - sit.FillCPU)
+	if ned.Fills && idle < minFillerShare*float64(ned.MilliCPU) {
+		return 0, false
+	}
+	rating := 1 - idle/cpu
+	if !ned.Fills {
+		rating = 1 - float64(sit.Free.MilliCPU())/cpu
+	}
+	if !ned.Local {
+		rating += remotePenalty * (ned.Remote - 1)
+	}
+	if ned.Retried {
+		rating += retriedPenalty
+	}
+	if ned.Fills && sit.Serving > 0 || ned.Serving && sit.FillCPU > 0 {
+		rating += sharingPenalty
+	}
+	return rating + slownessPenalty*sit.Slowness, true
+}
--- /dev/null
+++ b/core/batch/record.go
@@ -0,0 +1,124 @@
+package batch
+
+import (
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/workload"
+)
+
+// JobState is what callers see of a job.
+type JobState string
+
+// States of a job. The last three are final.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (sta JobState) Final() bool {
+	return sta == JobCompleted || sta == JobFailed || sta == JobCancelled
+}
+
+// JobRecord is the durable state of a job, next to its unchanging workload.Job.
+type JobRecord struct {
+	ID          string             `json:"id"`
+	Queue       string             `json:"queue"`
+	State       JobState           `json:"state"`
+	Occurrences []OccurrenceRecord `json:"occurrences,omitempty"`
+	NextDue     int                `json:"nextDue,omitempty"` // occurrences before it were created
+}
+
+// OccurrenceRecord is the durable state of one occurrence.
+type OccurrenceRecord struct {
+	Number int            `json:"number,omitempty"`
+	Steps  [][]TaskRecord `json:"steps"`
+}
+
+// TaskRecord is the durable state of a task.
+type TaskRecord struct {
+	Phase      TaskPhase       `json:"p,omitempty"`
+	Run        int             `json:"r,omitempty"`
+	Failures   int             `json:"f,omitempty"`
+	Checkpoint string          `json:"c,omitempty"`
+	Attempts   []AttemptRecord `json:"a,omitempty"`
+}
+
+// AttemptRecord is the durable state of an attempt.
+type AttemptRecord struct {
+	Run      int              `json:"r"`
+	Instance fleet.InstanceID `json:"i"`
+	Life     Life             `json:"l"`
+}
+
+func (job *jobState) record() JobRecord {
+	rec := JobRecord{ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, NextDue: job.nextDue}
+	if job.state.Final() && !job.hasAttempts() {
+		return rec
+	}
+	for _, occ := range job.occurrences {
+		rec.Occurrences = append(rec.Occurrences, occ.record())
+	}
+	return rec
+}
+
+func (occ *occurrence) record() OccurrenceRecord {
+	rec := OccurrenceRecord{Number: occ.number, Steps: make([][]TaskRecord, len(occ.steps))}
+	for num, stp := range occ.steps {
+		rec.Steps[num] = make([]TaskRecord, len(stp.tasks))
+		for idx, tsk := range stp.tasks {
+			rec.Steps[num][idx] = tsk.record()
+		}
+	}
+	return rec
+}
+
+func (tsk *task) record() TaskRecord {
+	rec := TaskRecord{Phase: tsk.phase, Run: tsk.run, Failures: tsk.failures, Checkpoint: tsk.checkpoint}
+	for _, att := range tsk.attempts {
+		rec.Attempts = append(rec.Attempts, AttemptRecord{Run: att.run, Instance: att.instance, Life: att.life})
+	}
+	return rec
+}
+
+// restore rebuilds the state of a job from its record. Attempts are unconfirmed
+// until the agents of their instances report.
+func restore(spec workload.Job, rec JobRecord) *jobState {
+	job := &jobState{spec: spec, state: rec.State, nextDue: rec.NextDue}
+	if rec.State == "" {
+		job.state = JobQueued
+	}
+	for _, old := range rec.Occurrences {
+		job.occurrences = append(job.occurrences, restoreOccurrence(spec, old))
+	}
+	return job
+}
+
+func restoreOccurrence(spec workload.Job, rec OccurrenceRecord) *occurrence {
+	occ := newOccurrence(spec, rec.Number)
+	for num, tsks := range rec.Steps {
+		if num >= len(occ.steps) {
+			break
+		}
+		stp := occ.steps[num]
+		for idx, old := range tsks {
+			if idx < len(stp.tasks) {
+				stp.restore(idx, old)
+			}
+		}
+	}
+	return occ
+}
+
+func (stp *stepState) restore(idx int, rec TaskRecord) {
+	tsk := stp.tasks[idx]
+	tsk.phase, tsk.run, tsk.failures, tsk.checkpoint = rec.Phase, rec.Run, rec.Failures, rec.Checkpoint
+	if rec.Phase == Done {
+		stp.done++
+	}
+	for _, att := range rec.Attempts {
+		tsk.attempts = append(tsk.attempts, &attempt{run: att.Run, instance: att.Instance, life: att.Life, released: true})
+	}
+}
