--- a/cmd/jacinthpost/main.go
+++ b/cmd/jacinthpost/main.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
+
+	"jacinthpost/platform"
 )
 
 // Exit codes of the operator commands.
@@ -49,7 +51,7 @@
 			entryCommand(), agentCommand(), settingsCommand(),
 			requestCommand(), jobCommand(), watchCommand(), reportCommand(),
 			ticketCommand(), stateCommand(), endpointCommand(), dataCentreCommand(),
-			explainCommand(), auditCommand(),
+			explainCommand(), auditCommand(), platform.Command(),
 		},
 	}
 }
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -66,6 +66,5 @@
 	Lasting    bool
 	Image      string
 	Target     time.Duration
-	GroupKey   string // step whose placement a policy service may restrict, empty when none
-	Grant      string // permission of the policy service for the instance
+	Grant      string // permission of the policy service for the worker, empty when none is needed
 }
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -21,7 +21,7 @@
 
 // Plan places waiting tasks and returns the number of runs assigned.
 func (sch *Scheduler[O, P]) Plan(now time.Time) int {
-	if sch.planned {
+	if sch.planned || sch.held {
 		return 0
 	}
 	sch.planned = true
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"slices"
+
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/workload"
 )
@@ -29,6 +31,13 @@
 	State       JobState           `json:"state"`
 	Occurrences []OccurrenceRecord `json:"occurrences,omitempty"`
 	NextDue     int                `json:"nextDue,omitempty"` // occurrences before it were created
+	Places      []PlaceRecord      `json:"places,omitempty"`
+}
+
+// PlaceRecord is a life of a worker that attempts refer to.
+type PlaceRecord struct {
+	Instance fleet.InstanceID `json:"i"`
+	Life     Life             `json:"l"`
 }
 
 // OccurrenceRecord is the durable state of one occurrence.
@@ -46,12 +55,8 @@
 	Attempts   []AttemptRecord `json:"a,omitempty"`
 }
 
-// AttemptRecord is the durable state of an attempt.
-type AttemptRecord struct {
-	Run      int              `json:"r"`
-	Instance fleet.InstanceID `json:"i"`
-	Life     Life             `json:"l"`
-}
+// AttemptRecord is the durable state of an attempt: its run number and the index of its place.
+type AttemptRecord [2]int
 
 func (job *jobState) record() JobRecord {
 	rec := JobRecord{ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, NextDue: job.nextDue}
@@ -59,26 +64,36 @@
 		return rec
 	}
 	for _, occ := range job.occurrences {
-		rec.Occurrences = append(rec.Occurrences, occ.record())
+		rec.Occurrences = append(rec.Occurrences, occ.record(&rec))
 	}
 	return rec
 }
 
-func (occ *occurrence) record() OccurrenceRecord {
+// place returns the index of a place, which it adds when it is new.
+func (rec *JobRecord) place(plc PlaceRecord) int {
+	if num := slices.Index(rec.Places, plc); num >= 0 {
+		return num
+	}
+	rec.Places = append(rec.Places, plc)
+	return len(rec.Places) - 1
+}
+
+func (occ *occurrence) record(job *JobRecord) OccurrenceRecord {
 	rec := OccurrenceRecord{Number: occ.number, Steps: make([][]TaskRecord, len(occ.steps))}
 	for num, stp := range occ.steps {
 		rec.Steps[num] = make([]TaskRecord, len(stp.tasks))
 		for idx, tsk := range stp.tasks {
-			rec.Steps[num][idx] = tsk.record()
+			rec.Steps[num][idx] = tsk.record(job)
 		}
 	}
 	return rec
 }
 
-func (tsk *task) record() TaskRecord {
+func (tsk *task) record(job *JobRecord) TaskRecord {
 	rec := TaskRecord{Phase: tsk.phase, Run: tsk.run, Failures: tsk.failures, Checkpoint: tsk.checkpoint}
 	for _, att := range tsk.attempts {
-		rec.Attempts = append(rec.Attempts, AttemptRecord{Run: att.run, Instance: att.instance, Life: att.life})
+		place := job.place(PlaceRecord{Instance: att.instance, Life: att.life})
+		rec.Attempts = append(rec.Attempts, AttemptRecord{att.run, place})
 	}
 	return rec
 }
@@ -91,12 +106,12 @@
 		job.state = JobQueued
 	}
 	for _, old := range rec.Occurrences {
-		job.occurrences = append(job.occurrences, restoreOccurrence(spec, old))
+		job.occurrences = append(job.occurrences, restoreOccurrence(spec, old, rec.Places))
 	}
 	return job
 }
 
-func restoreOccurrence(spec workload.Job, rec OccurrenceRecord) *occurrence {
+func restoreOccurrence(spec workload.Job, rec OccurrenceRecord, places []PlaceRecord) *occurrence {
 	occ := newOccurrence(spec, rec.Number)
 	for num, tsks := range rec.Steps {
 		if num >= len(occ.steps) {
@@ -105,20 +120,23 @@
 		stp := occ.steps[num]
 		for idx, old := range tsks {
 			if idx < len(stp.tasks) {
-				stp.restore(idx, old)
+				stp.restore(idx, old, places)
 			}
 		}
 	}
 	return occ
 }
 
-func (stp *stepState) restore(idx int, rec TaskRecord) {
+func (stp *stepState) restore(idx int, rec TaskRecord, places []PlaceRecord) {
 	tsk := stp.tasks[idx]
 	tsk.phase, tsk.run, tsk.failures, tsk.checkpoint = rec.Phase, rec.Run, rec.Failures, rec.Checkpoint
 	if rec.Phase == Done {
 		stp.done++
 	}
 	for _, att := range rec.Attempts {
-		tsk.attempts = append(tsk.attempts, &attempt{run: att.Run, instance: att.Instance, life: att.Life, released: true})
+		if place := att[1]; place >= 0 && place < len(places) {
+			plc := places[place]
+			tsk.attempts = append(tsk.attempts, &attempt{run: att[0], instance: plc.Instance, life: plc.Life, released: true})
+		}
 	}
 }
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -7,10 +7,14 @@
 	"jacinthpost/core/fleet"
 )
 
+// staleSession is how long reports of an earlier session may still arrive. After
+// that, a lower session is that of a machine that replaces the former one.
+const staleSession = 3 * time.Second
+
 // Hear applies the report of an agent. A report of an earlier session is ignored.
 func (sch *Scheduler[O, P]) Hear(rep Report, now time.Time) {
 	ins := sch.instance(rep.Instance)
-	if rep.Session < ins.session {
+	if rep.Session < ins.session && now.Sub(ins.heardAt) < staleSession {
 		return
 	}
 	fresh := rep.Session != ins.session
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -34,6 +34,7 @@
 	out       map[fleet.DataCentre]bool
 	learned   durations
 	since     time.Time
+	held      bool
 	planned   bool // nothing changed since the last plan that could let work start
 	notes     []Note
 }
@@ -198,26 +199,42 @@
 	return num
 }
 
+// Hold keeps new runs from starting while set, because a newer decision of the
+// operators may forbid them.
+func (sch *Scheduler[O, P]) Hold(hold bool) {
+	if sch.held && !hold {
+		sch.planned = false
+	}
+	sch.held = hold
+}
+
+// Planned reports whether nothing has changed since the last plan.
+func (sch *Scheduler[O, P]) Planned() bool { return sch.planned }
+
 // Tick does what only time brings about: occurrences fall due, instances that
-// were not heard of are lost, overdue runs are judged, final jobs are forgotten.
+// were not heard of are lost, overdue runs are judged.
 // Wall is the time of day.
 func (sch *Scheduler[O, P]) Tick(now, wall time.Time) {
 	for _, ins := range sch.instances {
 		sch.checkPresence(ins, now)
 	}
-	for id, job := range sch.jobs {
+	for _, job := range sch.jobs {
 		if !job.state.Final() && job.createDue(wall) > 0 {
 			sch.mark(job)
 		}
-		if job.state.Final() && !job.dirty && !job.hasAttempts() && now.Sub(job.finalAt) > sch.options.Retention {
-			delete(sch.jobs, id)
-		}
 	}
 	sch.judgeOverdue(now)
 	sch.planned = false
 }
 
-// Expired returns the final jobs whose records may be removed from the store.
+// Forget drops final jobs whose rows were removed from the store.
+func (sch *Scheduler[O, P]) Forget(ids []string) {
+	for _, id := range ids {
+		delete(sch.jobs, id)
+	}
+}
+
+// Expired returns the final jobs whose rows may be removed from the store.
 func (sch *Scheduler[O, P]) Expired(now time.Time, limit int) []string {
 	var ids []string
 	for id, job := range sch.jobs {
--- /dev/null
+++ b/core/batchhost/orders.go
@@ -0,0 +1,196 @@
+package batchhost
+
+import (
+	"cmp"
+	"time"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/resource"
+)
+
+// Reasons of refusals.
+const (
+	reasonStale       = "stale order"
+	reasonDraining    = "draining"
+	reasonNoLease     = "no lease"
+	reasonNoRoom      = "no room"
+	reasonUndescribed = "unknown room"
+	reasonNoAnswer    = "no answer"
+	reasonVanished    = "not listed"
+)
+
+func compareRuns(fst, snd batch.RunID) int {
+	return cmp.Or(cmp.Compare(fst.Task.Job, snd.Task.Job), cmp.Compare(fst.Task.Occurrence, snd.Task.Occurrence),
+		cmp.Compare(fst.Task.Step, snd.Task.Step), cmp.Compare(fst.Task.Index, snd.Task.Index), cmp.Compare(fst.Run, snd.Run))
+}
+
+// Take applies the orders of an owner that were asked for at sentAt.
+func (hst *Host) Take(epoch, session uint64, ords []batch.Order, sentAt, now time.Time) {
+	if epoch != hst.epoch || session != hst.session {
+		return
+	}
+	for _, ord := range ords {
+		if ord.Seq <= hst.seen {
+			continue
+		}
+		hst.seen = ord.Seq
+		switch ord.Kind {
+		case batch.StartRun:
+			hst.start(ord, sentAt, now)
+		case batch.StopRun:
+			hst.stop(ord.ID)
+		case batch.DescribeRun:
+			if rn := hst.runs[ord.ID]; rn != nil {
+				rn.order, rn.described = ord, true
+			}
+		}
+	}
+}
+
+func (hst *Host) start(ord batch.Order, sentAt, now time.Time) {
+	if hst.runs[ord.ID] != nil {
+		return
+	}
+	if reason := hst.refusal(ord, sentAt, now); reason != "" {
+		hst.emit(ord.ID, batch.EndRefused, "", reason, 0)
+		return
+	}
+	if hst.runs == nil {
+		hst.runs = make(map[batch.RunID]*run)
+	}
+	hst.runs[ord.ID] = &run{
+		order: ord, described: true, takenAt: now, calling: true,
+		state: batch.RunState{ID: ord.ID, Checkpoint: ord.Checkpoint, Percent: fullPercent},
+	}
+	hst.callStart(ord.ID, ord, now)
+}
+
+const fullPercent = 100
+
+func (hst *Host) refusal(ord batch.Order, sentAt, now time.Time) string {
+	if now.Sub(sentAt) > hst.options.StaleOrder {
+		return reasonStale
+	}
+	if hst.worker.Draining {
+		return reasonDraining
+	}
+	if hst.granted.Sub(now) < hst.options.MinimumLeft || hst.clock.at.IsZero() {
+		return reasonNoLease
+	}
+	var used resource.Vector
+	for _, rn := range hst.runs {
+		if !rn.described {
+			return reasonUndescribed
+		}
+		used = used.Plus(rn.order.Need)
+	}
+	if !used.Plus(ord.Need).FitsIn(hst.worker.Capacity) {
+		return reasonNoRoom
+	}
+	return ""
+}
+
+func (hst *Host) callStart(rid batch.RunID, ord batch.Order, now time.Time) {
+	until, ok := hst.Until(now)
+	if !ok {
+		hst.stop(rid)
+		return
+	}
+	hst.calls = append(hst.calls, Call{Kind: CallStart, ID: rid, Order: ord, Life: hst.worker.Life, Until: until})
+}
+
+func (hst *Host) stop(rid batch.RunID) {
+	rn := hst.runs[rid]
+	if rn == nil || rn.stopping {
+		return
+	}
+	rn.stopping = true
+	hst.callStop(rid, rn)
+}
+
+func (hst *Host) callStop(rid batch.RunID, rn *run) {
+	rn.stopCall = true
+	hst.calls = append(hst.calls, Call{Kind: CallStop, ID: rid, Life: hst.worker.Life})
+}
+
+// Verdict is how a call to the worker ended.
+type Verdict int
+
+// Verdicts.
+const (
+	Accepted Verdict = iota
+	NotDone          // the worker certainly did nothing and will not
+	Repeat           // the call may be made again with fresh values
+	Unknown          // it may have been carried out, or may be later
+)
+
+// StartEnded applies the end of a start call.
+func (hst *Host) StartEnded(life batch.Life, rid batch.RunID, ver Verdict, reason string, now time.Time) {
+	rn := hst.runs[rid]
+	if rn == nil || life != hst.worker.Life || !rn.calling {
+		return
+	}
+	switch ver {
+	case Accepted:
+		rn.calling, rn.answered = false, now
+		hst.answered = now
+	case NotDone:
+		if rn.uncertain {
+			// An earlier try may still be carried out, so only a stop settles the run.
+			hst.stop(rid)
+			return
+		}
+		delete(hst.runs, rid)
+		hst.emit(rid, batch.EndRefused, "", reason, 0)
+	case Repeat, Unknown:
+		rn.uncertain = rn.uncertain || ver == Unknown
+		if rn.stopping {
+			return
+		}
+		if now.Sub(rn.takenAt) > hst.options.GiveUpStart {
+			hst.stop(rid)
+			return
+		}
+		hst.callStart(rid, rn.order, now)
+	}
+}
+
+// StopEnded applies the end of a stop call. A stop that may have been lost is repeated.
+func (hst *Host) StopEnded(life batch.Life, rid batch.RunID, ver Verdict, now time.Time) {
+	rn := hst.runs[rid]
+	if rn == nil || life != hst.worker.Life {
+		return
+	}
+	rn.stopCall = false
+	if ver == Accepted {
+		rn.stopped = now
+	}
+}
+
+// Tick repeats stops that were not answered and gives up runs whose lease has certainly expired.
+func (hst *Host) Tick(now time.Time) {
+	for rid, rn := range hst.runs {
+		if rn.stopping && rn.stopped.IsZero() && !rn.stopCall {
+			hst.callStop(rid, rn)
+		}
+	}
+	if hst.lapsed(now) {
+		hst.lapse()
+	}
+}
+
+// lapsed reports whether the worker does not answer and every lease it may have got has ended.
+func (hst *Host) lapsed(now time.Time) bool {
+	if hst.clock.at.IsZero() || !hst.silent(now) || len(hst.runs) == 0 {
+		return false
+	}
+	since := now.Sub(hst.clock.at)
+	return hst.clock.value+since-since*clockSlowPercent/100 > hst.leaseEnd+lapseMargin
+}
+
+func (hst *Host) lapse() {
+	for rid, rn := range hst.runs {
+		hst.emit(rid, batch.EndLapsed, rn.state.Checkpoint, reasonNoAnswer, 0)
+		delete(hst.runs, rid)
+	}
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 var (
@@ -144,3 +145,30 @@
 	// Delete removes an object; a missing object is no error.
 	Delete(ctx context.Context, key string) error
 }
+
+// ErrCompacted reports that the history asked for is gone; the table has to be read anew.
+var ErrCompacted = errors.New("history no longer available")
+
+// Changes is a part of the history of a table, in order. A row without a version was removed.
+type Changes struct {
+	rows    []Row
+	version Version
+}
+
+// NewChanges returns the changes up to a version.
+func NewChanges(rows []Row, ver Version) Changes { return Changes{rows: rows, version: ver} }
+
+// Rows returns the changed rows.
+func (chg Changes) Rows() []Row { return chg.rows }
+
+// Version returns the version from which to continue.
+func (chg Changes) Version() Version { return chg.version }
+
+// Feed tells what changes in a table. A table is the part of the keys before the first slash.
+type Feed interface {
+	// Snapshot returns all rows of a table whose keys have the prefix, with a version
+	// from which Changes misses nothing.
+	Snapshot(ctx context.Context, prefix string) (Changes, error)
+	// Changes waits until a row of the table changes after the version, or until the time has passed.
+	Changes(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error)
+}
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -17,7 +17,8 @@
 const (
 	MaxPayloadBytes = 4000 // of a spec, stated by the callers' interface
 	MaxSteps        = 64
-	MaxStepTasks    = 2000 // keeps the state of a job below the row limit of the store
+	MaxStepTasks    = 1500 // keeps the state of a job below the row limit of the store
+	MaxTasks        = 1500 // of one occurrence, for the same reason
 	MaxOccurrences  = 1000
 )
 
@@ -58,6 +59,7 @@
 	FirstRunMillis      int64        `json:"firstRunMillis,omitempty"`
 	IntervalMillis      int64        `json:"intervalMillis,omitempty"`
 	AcceptedMillis      int64        `json:"acceptedMillis"`
+	Advised             bool         `json:"advised,omitempty"`
 }
 
 // Step is one step of a job.
@@ -144,12 +146,17 @@
 	if par.Occurrences < 0 || par.Occurrences > MaxOccurrences {
 		return Job{}, fmt.Errorf("occurrences: %d, expected 0 to %d", par.Occurrences, MaxOccurrences)
 	}
+	total := 0
 	job := Job{par: par, steps: make([]Step, len(par.Steps))}
 	for num, stp := range par.Steps {
 		if err := stp.check(num); err != nil {
 			return Job{}, fmt.Errorf("steps[%d].%w", num, err)
 		}
 		job.steps[num] = Step{par: stp}
+		total += stp.Count
+	}
+	if total > MaxTasks {
+		return Job{}, fmt.Errorf("steps: %d tasks in all, at most %d", total, MaxTasks)
 	}
 	return job, nil
 }
@@ -199,6 +206,9 @@
 // Occurrences returns how often the steps run, at least once.
 func (job Job) Occurrences() int { return max(1, job.par.Occurrences) }
 
+// Advised reports whether a policy service decides which instances may run a step.
+func (job Job) Advised() bool { return job.par.Advised }
+
 // Timed reports whether occurrences are due at set times.
 func (job Job) Timed() bool { return job.par.Occurrences > 0 }
 
--- /dev/null
+++ b/io/batchagent/agent.go
@@ -0,0 +1,272 @@
+// Package batchagent runs the agent beside a worker: it renews the worker's lease,
+// carries out orders, and reports to the owner of the jobs.
+//
+// One control thread owns the state (package batchhost). Other goroutines hold
+// the worker, report, ask for orders and make calls; each posts what it learned
+// as an event and takes its next request from the control thread.
+package batchagent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"jacinthpost/core/batchhost"
+	"jacinthpost/core/fleet"
+	"jacinthpost/io/control"
+	"jacinthpost/io/lead"
+)
+
+// Times of the agent.
+const (
+	tickPeriod   = 100 * time.Millisecond
+	reportPeriod = 500 * time.Millisecond // without news; the owner's grant is renewed with it
+	reportLimit  = 700 * time.Millisecond // until a connection to the owner counts as silent
+	holdWait     = 800 * time.Millisecond // without shared use of the worker; the lease is renewed after it
+	sharedWait   = 350 * time.Millisecond // while the pace of filling runs depends on fresh measures
+	settleLimit  = 120 * time.Millisecond // for the owner to store new ends before the worker is held again
+	holdRetry    = 100 * time.Millisecond
+	queueEvents  = 256
+)
+
+// Result is how a call to the worker ended.
+type Result struct {
+	Verdict   batchhost.Verdict
+	Reason    string
+	Clock     time.Duration // of the worker, zero when unknown
+	Fenced    bool          // the worker has seen a higher token
+	OtherLife bool          // another life of the worker answers at the address
+}
+
+// HoldRequest renews a worker's lease and asks what it runs.
+type HoldRequest struct {
+	Life  batchLife
+	Token uint64
+	Until time.Duration // zero renews nothing
+	Noted uint64
+	Wait  time.Duration
+}
+
+// Worker is the port to the worker.
+type Worker interface {
+	Start(ctx context.Context, cal batchhost.Call, token uint64) Result
+	Stop(ctx context.Context, cal batchhost.Call, token uint64) Result
+	Pace(ctx context.Context, cal batchhost.Call, token uint64) Result
+	Hold(ctx context.Context, req HoldRequest) (batchhost.Listing, Result)
+}
+
+// Announcement is a heartbeat of the worker.
+type Announcement struct {
+	Worker   batchhost.Worker
+	Born     int64
+	Sequence uint64 // rises with each announcement of a life
+	Clock    time.Duration
+}
+
+// state is the control state of the agent.
+type state struct {
+	host     *batchhost.Host
+	born     int64
+	sequence uint64
+	token    uint64
+	foreign  map[batchLife]bool // lives that turned out not to be at the address
+}
+
+// Agent is the agent of one instance.
+type Agent struct {
+	id       fleet.InstanceID
+	loop     *control.Loop[state]
+	worker   Worker
+	elector  *lead.Elector
+	clock    func() time.Time
+	log      *zap.Logger
+	news     chan struct{} // there is something to report
+	wake     chan struct{} // a worker is known, or its ends were stored
+	link     link
+	trouble  atomic.Bool // the owner does not answer
+	lastGood atomic.Int64
+}
+
+// New returns an agent. Sessions start above the given number, which must be
+// higher for each process of the instance.
+func New(id fleet.InstanceID, wrk Worker, ele *lead.Elector, opt batchhost.Options, session uint64, clk func() time.Time, log *zap.Logger) *Agent {
+	agt := &Agent{
+		id: id, worker: wrk, elector: ele, clock: clk, log: log,
+		news: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+	}
+	thr := control.NewThread(queueEvents)
+	thr.SetClock(clk)
+	agt.loop = control.NewLoopOn(thr, &state{host: batchhost.New(opt, session)}, nil)
+	return agt
+}
+
+// Run works until the context ends.
+func (agt *Agent) Run(ctx context.Context) error {
+	grp, ctx := errgroup.WithContext(ctx)
+	for _, work := range []func(context.Context){agt.loop.Run, agt.hold, agt.report, agt.takeOrders, agt.tick} {
+		grp.Go(func() error {
+			work(ctx)
+			return nil
+		})
+	}
+	defer agt.link.close()
+	return grp.Wait()
+}
+
+func (agt *Agent) tick(ctx context.Context) {
+	tkr := time.NewTicker(tickPeriod)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+			agt.change(ctx, func(sta *state, now time.Time) { sta.host.Tick(now) })
+		}
+	}
+}
+
+// change applies a change on the control thread and then makes the calls it asks for.
+func (agt *Agent) change(ctx context.Context, fun func(sta *state, now time.Time)) {
+	var calls []batchhost.Call
+	var token uint64
+	_, err := control.Query(ctx, agt.loop, func(sta *state, now time.Time) struct{} {
+		fun(sta, now)
+		calls, token = sta.host.Calls(), sta.token
+		return struct{}{}
+	})
+	if err != nil {
+		return
+	}
+	for _, cal := range calls {
+		go agt.call(ctx, cal, token)
+	}
+}
+
+// Announce applies a heartbeat of the worker.
+func (agt *Agent) Announce(ctx context.Context, ann Announcement) error {
+	err := agt.loop.Post(ctx, control.Func[state](func(sta *state, now time.Time) {
+		if !sta.accepts(ann) {
+			return
+		}
+		fresh := ann.Worker.Life != sta.host.Life() || !sta.host.Known()
+		drains := ann.Worker.Draining
+		sta.born, sta.sequence = ann.Born, ann.Sequence
+		sta.host.Announce(ann.Worker, now)
+		if fresh {
+			// The worker's clock rises during its life, so the token is above that of any earlier agent.
+			sta.token = uint64(ann.Clock.Milliseconds())
+			agt.log.Info("worker announced", zap.String("life", string(ann.Worker.Life)), zap.Uint64("token", sta.token))
+		}
+		if fresh || drains {
+			signal(agt.news)
+			signal(agt.wake)
+		}
+	}))
+	return err
+}
+
+// accepts reports whether an announcement is news about the worker at the address.
+func (sta *state) accepts(ann Announcement) bool {
+	if sta.foreign[ann.Worker.Life] {
+		return false
+	}
+	if ann.Worker.Life == sta.host.Life() {
+		return ann.Sequence > sta.sequence
+	}
+	return sta.host.Life() == "" || sta.foreign[sta.host.Life()] || ann.Born >= sta.born
+}
+
+// WorkerLeft notes that the worker ends for good, if it is the one that is meant.
+func (agt *Agent) WorkerLeft(ctx context.Context, meant func(batchhost.Worker) bool) error {
+	return agt.loop.Post(ctx, control.Func[state](func(sta *state, _ time.Time) {
+		life := sta.host.Life()
+		if life == "" || !meant(batchhost.Worker{Life: life}) {
+			return
+		}
+		agt.log.Info("worker left", zap.String("life", string(life)))
+		sta.host.Leave(life)
+		signal(agt.news)
+	}))
+}
+
+// call makes one call to the worker and posts how it ended.
+func (agt *Agent) call(ctx context.Context, cal batchhost.Call, token uint64) {
+	var res Result
+	switch cal.Kind {
+	case batchhost.CallStart:
+		res = agt.worker.Start(ctx, cal, token)
+	case batchhost.CallStop:
+		res = agt.worker.Stop(ctx, cal, token)
+	case batchhost.CallPace:
+		res = agt.worker.Pace(ctx, cal, token)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	agt.count(cal, res)
+	agt.change(ctx, func(sta *state, now time.Time) {
+		sta.learn(cal.Life, res)
+		switch cal.Kind {
+		case batchhost.CallStart:
+			sta.host.StartEnded(cal.Life, cal.ID, res.Verdict, res.Reason, now)
+			if res.Verdict != batchhost.Accepted {
+				signal(agt.news)
+			}
+		case batchhost.CallStop:
+			sta.host.StopEnded(cal.Life, cal.ID, res.Verdict, now)
+			signal(agt.wake)
+		case batchhost.CallPace:
+			// The next list tells the pace in force.
+		}
+	})
+}
+
+// count counts a call and logs one that was not accepted.
+func (agt *Agent) count(cal batchhost.Call, res Result) {
+	name, verdict := callNames[cal.Kind], verdictNames[res.Verdict]
+	metrics.GetOrCreateCounter(`jacinthpost_worker_calls_total{call="` + name + `",verdict="` + verdict + `"}`).Inc()
+	if res.Verdict != batchhost.Accepted {
+		agt.log.Info("worker call not accepted", zap.String("call", name), zap.Stringer("task", cal.ID.Task), zap.Int("run", cal.ID.Run),
+			zap.String("verdict", verdict), zap.String("reason", res.Reason))
+	}
+}
+
+var (
+	callNames    = [...]string{batchhost.CallStart: "start", batchhost.CallStop: "stop", batchhost.CallPace: "pace"}
+	verdictNames = [...]string{batchhost.Accepted: "accepted", batchhost.NotDone: "notDone", batchhost.Repeat: "repeat", batchhost.Unknown: "unknown"}
+)
+
+// learn raises the token above one that the worker has seen, and drops a life that is gone.
+func (sta *state) learn(life batchLife, res Result) {
+	if life != sta.host.Life() {
+		return
+	}
+	if res.Fenced {
+		sta.token = max(sta.token, uint64(res.Clock.Milliseconds()))
+	}
+	if res.OtherLife {
+		sta.markForeign(life)
+	}
+}
+
+const maxForeign = 32
+
+func (sta *state) markForeign(life batchLife) {
+	if sta.foreign == nil || len(sta.foreign) >= maxForeign {
+		sta.foreign = make(map[batchLife]bool)
+	}
+	sta.foreign[life] = true
+}
+
+// signal wakes the receiver of a channel if it is not woken already.
+func signal(chn chan struct{}) {
+	select {
+	case chn <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/io/batchagent/hold.go
@@ -0,0 +1,107 @@
+package batchagent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/batchhost"
+	"jacinthpost/io/control"
+)
+
+type batchLife = batch.Life
+
+// hold renews the worker's lease and listens for ends, one request at a time.
+func (agt *Agent) hold(ctx context.Context) {
+	answers := true
+	for ctx.Err() == nil {
+		req, ok := agt.holdRequest(ctx)
+		if !ok {
+			agt.sleep(ctx, holdRetry)
+			continue
+		}
+		sent := agt.clock()
+		lst, res := agt.worker.Hold(ctx, req)
+		if ctx.Err() != nil {
+			return
+		}
+		good := res.Verdict == batchhost.Accepted
+		if good != answers {
+			agt.log.Info("worker answers changed", zap.Bool("answers", good), zap.String("reason", res.Reason), zap.String("life", string(req.Life)))
+			answers = good
+		}
+		if !good {
+			agt.change(ctx, func(sta *state, _ time.Time) { sta.learn(req.Life, res) })
+			agt.sleep(ctx, holdRetry)
+			continue
+		}
+		lst.SentAt, lst.At = sent, agt.clock()
+		if agt.list(ctx, lst) > 0 {
+			signal(agt.news)
+			agt.settle(ctx)
+		}
+	}
+}
+
+func (agt *Agent) holdRequest(ctx context.Context) (HoldRequest, bool) {
+	type answer struct {
+		req HoldRequest
+		ok  bool
+	}
+	ans, err := control.Query(ctx, agt.loop, func(sta *state, now time.Time) answer {
+		hst := sta.host
+		if !hst.Known() || hst.Life() == "" || sta.foreign[hst.Life()] {
+			return answer{}
+		}
+		req := HoldRequest{Life: hst.Life(), Token: sta.token, Noted: hst.Noted(), Wait: holdWait}
+		req.Until, _ = hst.Until(now)
+		if hst.Sharing() {
+			req.Wait = sharedWait
+		}
+		if req.Until == 0 {
+			req.Wait = 0 // the first answer tells the clock, or the grant has run out
+		}
+		return answer{req: req, ok: true}
+	})
+	return ans.req, err == nil && ans.ok
+}
+
+func (agt *Agent) list(ctx context.Context, lst batchhost.Listing) int {
+	num := 0
+	agt.change(ctx, func(sta *state, _ time.Time) {
+		num = sta.host.List(lst)
+	})
+	return num
+}
+
+// settle gives the owner a moment to store new ends: the worker would list them again at once.
+func (agt *Agent) settle(ctx context.Context) {
+	deadline := time.NewTimer(settleLimit)
+	defer deadline.Stop()
+	for {
+		open, err := control.Query(ctx, agt.loop, func(sta *state, _ time.Time) int { return sta.host.Unconfirmed() })
+		if err != nil || open == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-deadline.C:
+			return
+		case <-agt.wake:
+		}
+	}
+}
+
+// sleep waits for a duration or for news about the worker.
+func (agt *Agent) sleep(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	case <-agt.wake:
+	}
+}
--- /dev/null
+++ b/io/batchowner/owner.go
@@ -0,0 +1,126 @@
+// Package batchowner runs the owner of the jobs of a partition: it takes part in
+// elections and, while it holds the partition, follows what entries accept, serves
+// the agents and stores every change before it has an effect.
+//
+// A reign is the time of one ownership. Its control thread owns the scheduler. One
+// writer stores the changes, a batch at a time, each conditional on the owner row;
+// the first transaction that fails on it ends the reign.
+package batchowner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/store"
+	"jacinthpost/io/batchrpc"
+	"jacinthpost/io/batchstore"
+	"jacinthpost/io/follow"
+	"jacinthpost/io/lead"
+)
+
+// Scheduler is the scheduler with the policies of the product.
+type Scheduler = batch.Scheduler[batch.DeadlineOrder, batch.SpreadPlacement]
+
+// Times of leases. A worker's lease ends at the latest when the grant to its agent
+// ends, and an owner grants only within Validity of its last transaction.
+const (
+	// Grant outlasts the cuts of some seconds between agents and the owner, so that work goes on through them.
+	Grant = 6500 * time.Millisecond
+	// Validity outlasts outages of the store of some seconds.
+	Validity = 8 * time.Second
+	// LostAfter is the grant on a worker's clock that is 2% slow, with a margin for timers.
+	LostAfter = Grant*103/100 + 300*time.Millisecond
+	// healthyFor is how long after its last transaction an owner counts as in touch with the store.
+	healthyFor = time.Second
+	// freshFor bounds the age of the operators' decisions that starts rely on.
+	freshFor   = 2 * time.Second
+	tickPeriod = 100 * time.Millisecond
+	loadLimit  = 3 * time.Second
+)
+
+// Outs follows the data centres that the operators took out.
+type Outs func(ctx context.Context, apply func(map[fleet.DataCentre]bool)) *follow.Follower
+
+// Config is what an owner needs.
+type Config struct {
+	Table   store.Table
+	Feed    store.Feed
+	Part    batchstore.Partition
+	Elector *lead.Elector
+	Outs    Outs
+	Options batch.Options
+	Clock   func() time.Time // steady, counts suspended time
+	Wall    func() time.Time
+	Log     *zap.Logger
+}
+
+// Owner takes part in elections and reigns when it wins.
+type Owner struct {
+	cfg   Config
+	reign atomic.Pointer[reign]
+}
+
+// New returns an owner. Register its Service to serve agents.
+func New(cfg Config) *Owner { return &Owner{cfg: cfg} }
+
+// Run takes part in elections until the context ends.
+func (own *Owner) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		trm, err := own.cfg.Elector.Run(ctx)
+		if err != nil {
+			return nil // only the end of the context stops an elector
+		}
+		err = own.hold(ctx, trm)
+		own.reign.Store(nil)
+		own.cfg.Log.Warn("ownership ended", zap.Uint64("epoch", trm.Owner().Epoch), zap.Error(err))
+		own.cfg.Elector.Suspect()
+	}
+	return nil
+}
+
+// hold reigns until the ownership is lost or the context ends.
+func (own *Owner) hold(ctx context.Context, trm lead.Term) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	rgn := newReign(own.cfg, trm)
+	loaded, stop := context.WithTimeout(ctx, loadLimit)
+	err := rgn.load(loaded)
+	stop()
+	if err != nil {
+		return errors.Wrap(err, "load jobs")
+	}
+	own.reign.Store(rgn)
+	return rgn.run(ctx)
+}
+
+// Service is the net/rpc service for agents.
+type Service struct{ owner *Owner }
+
+// Service returns the net/rpc service for agents.
+func (own *Owner) Service() *Service { return &Service{owner: own} }
+
+// Report takes the report of an agent.
+func (svc *Service) Report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
+	rgn := svc.owner.reign.Load()
+	if rgn == nil || rgn.epoch != arg.Epoch {
+		rep.NotOwner = true
+		return nil
+	}
+	return rgn.report(arg, rep)
+}
+
+// Orders answers with the orders for an agent, when there are some or after a while.
+func (svc *Service) Orders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) error {
+	rgn := svc.owner.reign.Load()
+	if rgn == nil || rgn.epoch != arg.Epoch {
+		rep.NotOwner = true
+		return nil
+	}
+	return rgn.orders(arg, rep)
+}
--- /dev/null
+++ b/io/batchowner/reign.go
@@ -0,0 +1,282 @@
+package batchowner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/store"
+	"jacinthpost/io/batchrpc"
+	"jacinthpost/io/batchstore"
+	"jacinthpost/io/control"
+	"jacinthpost/io/follow"
+	"jacinthpost/io/lead"
+)
+
+const queueEvents = 1024
+
+// reign is one ownership of the partition.
+type reign struct {
+	cfg       Config
+	epoch     uint64
+	owner     batchstore.Owner
+	version   store.Version
+	loop      *control.Loop[Scheduler]
+	inherited map[string]batch.JobRecord // states of jobs that were not restored yet
+	jobs      *follow.Follower
+	outs      *follow.Follower
+	ready     chan struct{} // closed when the jobs are restored
+	once      sync.Once
+	done      chan struct{}
+	writes    chan struct{} // there is something to plan or to store
+	confirmed atomic.Int64  // when the newest stored transaction was sent
+	mu        sync.Mutex
+	waiters   map[fleet.InstanceID]chan struct{}
+}
+
+func newReign(cfg Config, trm lead.Term) *reign {
+	now := cfg.Clock()
+	opt := cfg.Options
+	opt.LostAfter = LostAfter
+	opt.InheritedAfter = Validity + LostAfter
+	rgn := &reign{
+		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(),
+		ready: make(chan struct{}), done: make(chan struct{}), writes: make(chan struct{}, 1),
+		waiters: make(map[fleet.InstanceID]chan struct{}),
+	}
+	rgn.confirmed.Store(now.UnixNano())
+	thr := control.NewThread(queueEvents)
+	thr.SetClock(cfg.Clock)
+	sch := batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, opt, now)
+	sch.Hold(true)
+	rgn.loop = control.NewLoopOn(thr, sch, rgn.after)
+	return rgn
+}
+
+// load reads the stored states. The jobs themselves come through their follower.
+func (rgn *reign) load(ctx context.Context) error {
+	all, err := rgn.cfg.Feed.Snapshot(ctx, rgn.cfg.Part.StatesPrefix())
+	if err != nil {
+		return err
+	}
+	rgn.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
+	for _, row := range all.Rows() {
+		rec, err := batchstore.DecodeState(row.Value())
+		if err != nil {
+			return errors.Wrap(err, row.Key())
+		}
+		rgn.inherited[rgn.cfg.Part.StateName(row.Key())] = rec
+	}
+	return nil
+}
+
+func (rgn *reign) run(ctx context.Context) error {
+	defer close(rgn.done)
+	grp, ctx := errgroup.WithContext(ctx)
+	rgn.jobs = follow.New(rgn.cfg.Feed, rgn.cfg.Part.JobsPrefix(), rgn.cfg.Clock, rgn.cfg.Log, func(rows []store.Row, _ bool) { rgn.applyJobs(ctx, rows) })
+	rgn.outs = rgn.cfg.Outs(ctx, func(out map[fleet.DataCentre]bool) {
+		rgn.post(ctx, func(sch *Scheduler, _ time.Time) { sch.SetOut(out) })
+	})
+	for _, work := range []func(context.Context){rgn.loop.Run, rgn.jobs.Run, rgn.outs.Run, rgn.tick} {
+		grp.Go(func() error {
+			work(ctx)
+			return nil
+		})
+	}
+	grp.Go(func() error { return rgn.write(ctx) })
+	return grp.Wait()
+}
+
+func (rgn *reign) post(ctx context.Context, fun func(sch *Scheduler, now time.Time)) {
+	if err := rgn.loop.Post(ctx, control.Func[Scheduler](fun)); err != nil && ctx.Err() == nil {
+		rgn.cfg.Log.Error("event lost", zap.Error(err))
+	}
+}
+
+// applyJobs takes what entries stored: jobs and cancellations.
+func (rgn *reign) applyJobs(ctx context.Context, rows []store.Row) {
+	rgn.post(ctx, func(sch *Scheduler, now time.Time) {
+		for _, row := range rows {
+			rgn.applyJob(sch, row, now)
+		}
+		rgn.once.Do(func() { close(rgn.ready) })
+	})
+}
+
+func (rgn *reign) applyJob(sch *Scheduler, row store.Row, now time.Time) {
+	if !row.Exists() {
+		return
+	}
+	id, cancel := rgn.cfg.Part.JobName(row.Key())
+	if cancel {
+		sch.Cancel(id, now)
+		return
+	}
+	spec, err := batchstore.DecodeJob(row.Value())
+	if err != nil {
+		rgn.cfg.Log.Error("accepted job can't be read", zap.String("job", id), zap.Error(err))
+		return
+	}
+	rec, found := rgn.inherited[id]
+	if !found {
+		sch.Submit(spec, now)
+		return
+	}
+	delete(rgn.inherited, id)
+	sch.Restore(spec, rec, now)
+}
+
+func (rgn *reign) tick(ctx context.Context) {
+	tkr := time.NewTicker(tickPeriod)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+			rgn.post(ctx, func(sch *Scheduler, now time.Time) {
+				sch.Hold(!rgn.mayStart(now))
+				sch.Tick(now, rgn.cfg.Wall())
+			})
+		}
+	}
+}
+
+// mayStart reports whether the operators' decisions are known well enough for starts.
+func (rgn *reign) mayStart(now time.Time) bool {
+	conf := rgn.outs.Confirmed()
+	return !conf.IsZero() && now.Sub(conf) < freshFor
+}
+
+// after runs after each event on the control thread.
+func (rgn *reign) after(sch *Scheduler, _ time.Time) {
+	for _, note := range sch.Notes() {
+		logNote(rgn.cfg.Log, note)
+	}
+	for _, id := range sch.Changed() {
+		signal(rgn.waiter(id))
+	}
+	if sch.Unsettled() > 0 || !sch.Planned() {
+		signal(rgn.writes)
+	}
+}
+
+func (rgn *reign) waiter(id fleet.InstanceID) chan struct{} {
+	rgn.mu.Lock()
+	defer rgn.mu.Unlock()
+	chn := rgn.waiters[id]
+	if chn == nil {
+		chn = make(chan struct{}, 1)
+		rgn.waiters[id] = chn
+	}
+	return chn
+}
+
+func signal(chn chan struct{}) {
+	select {
+	case chn <- struct{}{}:
+	default:
+	}
+}
+
+// awaitReady waits for the restored jobs and reports whether the reign serves.
+func (rgn *reign) awaitReady(ctx context.Context) bool {
+	select {
+	case <-rgn.ready:
+		return true
+	case <-rgn.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const serveLimit = 500 * time.Millisecond // for one request of an agent, less than the agent's patience
+
+func (rgn *reign) report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serveLimit)
+	defer cancel()
+	if !rgn.awaitReady(ctx) {
+		rep.NotOwner = true
+		return nil
+	}
+	out, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) batch.Outbox {
+		sch.Hear(arg.Core(), now)
+		out, _ := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.OrdersSeen)
+		return out
+	})
+	if err != nil {
+		rep.NotOwner = true
+		return nil
+	}
+	since := time.Duration(rgn.cfg.Clock().UnixNano() - rgn.confirmed.Load())
+	rep.Healthy = since < healthyFor
+	if since < Validity {
+		rep.Grant = Grant
+	}
+	rep.Acked = out.Acked
+	return nil
+}
+
+func (rgn *reign) orders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), batchrpc.OrdersWait+serveLimit)
+	defer cancel()
+	if !rgn.awaitReady(ctx) {
+		rep.NotOwner = true
+		return nil
+	}
+	tmr := time.NewTimer(batchrpc.OrdersWait)
+	defer tmr.Stop()
+	for last := false; ; {
+		known, err := rgn.answerOrders(ctx, arg, rep)
+		if err != nil {
+			rep.NotOwner = true
+			return nil
+		}
+		if last || !known || len(rep.Orders) > 0 || rep.Acked != arg.Acked {
+			return nil
+		}
+		select {
+		case <-rgn.waiter(fleet.InstanceID(arg.Instance)):
+		case <-rgn.done:
+			last = true
+		case <-tmr.C:
+			last = true
+		}
+	}
+}
+
+func (rgn *reign) answerOrders(ctx context.Context, arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) (bool, error) {
+	type answer struct {
+		out   batch.Outbox
+		known bool
+	}
+	ans, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, _ time.Time) answer {
+		out, known := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.Seen)
+		return answer{out: out, known: known}
+	})
+	rep.Unknown, rep.Acked, rep.Orders = !ans.known, ans.out.Acked, batchrpc.FromOrders(ans.out.Orders)
+	return ans.known, err
+}
+
+// logNote writes a decision of the scheduler.
+func logNote(log *zap.Logger, note batch.Note) {
+	fields := []zap.Field{zap.String("job", note.Job)}
+	if note.ID.Run != 0 {
+		fields = append(fields, zap.Stringer("task", note.ID.Task), zap.Int("run", note.ID.Run))
+	}
+	if note.Instance != "" {
+		fields = append(fields, zap.String("instance", string(note.Instance)))
+	}
+	if note.Detail != "" {
+		fields = append(fields, zap.String("detail", note.Detail))
+	}
+	log.Info(string(note.Kind), fields...)
+}
--- /dev/null
+++ b/io/batchowner/write.go
@@ -0,0 +1,202 @@
+package batchowner
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/store"
+	"jacinthpost/io/batchstore"
+	"jacinthpost/io/control"
+	"jacinthpost/io/lead"
+)
+
+const (
+	// batchJobs leaves room for the owner row, the load and removals in the 100 entries of a transaction.
+	batchJobs   = 70
+	removedJobs = 8 // three rows each
+	loadPeriod  = 300 * time.Millisecond
+	writeRetry  = 30 * time.Millisecond
+	// releaseLimit bounds the last transaction of a process that stops.
+	releaseLimit = 600 * time.Millisecond
+)
+
+var errOwnershipLost = errors.New("another process owns the partition")
+
+// change is one transaction.
+type change struct {
+	batch   *batch.Batch
+	expired []string
+	load    []byte // nil when it has not changed
+}
+
+func (chg change) empty() bool {
+	return chg.batch.Empty() && len(chg.expired) == 0 && chg.load == nil
+}
+
+// writer is the state of the writing goroutine.
+type writer struct {
+	*reign
+	load     []byte // as last stored
+	loadAt   time.Time
+	written  time.Time
+	sequence uint64
+}
+
+// write stores changes until the ownership is lost or the context ends.
+func (rgn *reign) write(ctx context.Context) error {
+	select {
+	case <-rgn.ready:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	wrt := &writer{reign: rgn, written: rgn.cfg.Clock(), sequence: rgn.owner.Sequence}
+	for ctx.Err() == nil {
+		wrt.await(ctx)
+		chg, err := wrt.next(ctx)
+		if err != nil {
+			break
+		}
+		if chg.empty() && rgn.cfg.Clock().Sub(wrt.written) < lead.RenewPeriod {
+			continue
+		}
+		if err := wrt.store(ctx, chg); err != nil {
+			return err
+		}
+	}
+	return wrt.release()
+}
+
+// await waits for something to store or for the next renewal of the owner row.
+func (wrt *writer) await(ctx context.Context) {
+	tmr := time.NewTimer(max(0, lead.RenewPeriod-wrt.cfg.Clock().Sub(wrt.written)))
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wrt.writes:
+	case <-tmr.C:
+	}
+}
+
+// next plans and takes what is to be stored.
+func (wrt *writer) next(ctx context.Context) (change, error) {
+	withLoad := wrt.cfg.Clock().Sub(wrt.loadAt) >= loadPeriod
+	return control.Query(ctx, wrt.loop, func(sch *Scheduler, now time.Time) change {
+		sch.Plan(now)
+		chg := change{batch: sch.Take(batchJobs), expired: sch.Expired(now, removedJobs)}
+		if withLoad {
+			lod := batchstore.Encode(batchstore.Load{Pending: sch.Pending()})
+			if !bytes.Equal(lod, wrt.load) {
+				chg.load = lod
+			}
+		}
+		return chg
+	})
+}
+
+// store commits a change. It returns an error only when the ownership is lost.
+func (wrt *writer) store(ctx context.Context, chg change) error {
+	sent := wrt.cfg.Clock()
+	wrt.sequence++
+	res, err := wrt.cfg.Table.Commit(ctx, wrt.transaction(chg))
+	wrt.written = wrt.cfg.Clock()
+	metrics.GetOrCreateHistogram(`jacinthpost_owner_commit_seconds`).Update(wrt.written.Sub(sent).Seconds())
+	if err == nil && res.Committed() {
+		wrt.version = res.Version()
+		wrt.confirmed.Store(sent.UnixNano())
+		if chg.load != nil {
+			wrt.load, wrt.loadAt = chg.load, wrt.written
+		}
+		wrt.post(ctx, func(sch *Scheduler, now time.Time) {
+			sch.Committed(chg.batch, now)
+			sch.Forget(chg.expired)
+		})
+		return nil
+	}
+	wrt.post(ctx, func(sch *Scheduler, _ time.Time) { sch.Abandoned(chg.batch) })
+	if err == nil {
+		return wrt.resolve(ctx, res)
+	}
+	wrt.pause(ctx)
+	return nil
+}
+
+func (wrt *writer) pause(ctx context.Context) {
+	tmr := time.NewTimer(writeRetry)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	}
+}
+
+// resolve tells from the present owner row whether an earlier transaction whose
+// outcome was unknown was applied, or another process took over.
+func (wrt *writer) resolve(ctx context.Context, res store.Result) error {
+	for _, row := range res.Conflicts() {
+		if row.Key() != wrt.cfg.Part.OwnerKey() {
+			continue
+		}
+		return wrt.adopt(row)
+	}
+	rows, err := wrt.cfg.Table.Read(ctx, wrt.cfg.Part.OwnerKey())
+	if err != nil {
+		wrt.pause(ctx)
+		return nil
+	}
+	return wrt.adopt(rows[0])
+}
+
+func (wrt *writer) adopt(row store.Row) error {
+	if !row.Exists() {
+		return errors.Wrap(errOwnershipLost, "owner row is gone")
+	}
+	own, err := batchstore.DecodeOwner(row.Value())
+	if err != nil {
+		return err
+	}
+	if own.Nonce != wrt.owner.Nonce || own.Epoch != wrt.epoch {
+		wrt.cfg.Elector.Adopt(own)
+		return errors.Wrapf(errOwnershipLost, "%s with epoch %d", own.Holder, own.Epoch)
+	}
+	wrt.version = row.Version()
+	return nil
+}
+
+func (wrt *writer) transaction(chg change) *store.Transaction {
+	part := wrt.cfg.Part
+	own := wrt.owner
+	own.Sequence = wrt.sequence
+	txn := &store.Transaction{}
+	txn.Require(part.OwnerKey(), wrt.version)
+	txn.Put(part.OwnerKey(), batchstore.Encode(own))
+	for _, rec := range chg.batch.Records() {
+		txn.Put(part.StateKey(rec.ID), batchstore.Encode(rec))
+	}
+	if chg.load != nil {
+		txn.Put(part.LoadKey(), chg.load)
+	}
+	for _, id := range chg.expired {
+		txn.Delete(part.JobKey(id))
+		txn.Delete(part.CancelKey(id))
+		txn.Delete(part.StateKey(id))
+	}
+	return txn
+}
+
+// release gives the partition up when the process stops, so that another one takes over at once.
+func (wrt *writer) release() error {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	own := wrt.owner
+	own.Sequence, own.Released = wrt.sequence+1, true
+	var txn store.Transaction
+	txn.Require(wrt.cfg.Part.OwnerKey(), wrt.version)
+	txn.Put(wrt.cfg.Part.OwnerKey(), batchstore.Encode(own))
+	_, err := wrt.cfg.Table.Commit(ctx, &txn)
+	return errors.Wrap(err, "release the partition")
+}
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -28,6 +28,7 @@
 type Thread struct {
 	queue    chan func(now time.Time)
 	rejected atomic.Uint64
+	clock    func() time.Time
 }
 
 // NewThread returns a thread with a queue of the given capacity.
@@ -35,14 +36,21 @@
 	return &Thread{queue: make(chan func(time.Time), capacity)}
 }
 
+// SetClock replaces the clock that times the events. It must be called before Run.
+func (thr *Thread) SetClock(clk func() time.Time) { thr.clock = clk }
+
 // Run applies events until the context ends. It must be called once.
 func (thr *Thread) Run(ctx context.Context) {
+	now := time.Now
+	if thr.clock != nil {
+		now = thr.clock
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case run := <-thr.queue:
-			run(time.Now())
+			run(now())
 		}
 	}
 }
--- /dev/null
+++ b/io/follow/follow.go
@@ -0,0 +1,124 @@
+// Package follow keeps a view of a table of the store up to date through its feed.
+//
+// A Follower reads the table once and then takes changes by long polls. When the
+// history is gone, it reads the table anew. It tells how old its view may be, so
+// that its user can stop what a newer row could forbid.
+package follow
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/store"
+)
+
+const (
+	pollWait   = time.Second            // a silent connection is noticed within this and the client's slack
+	firstRetry = 50 * time.Millisecond  // after a failed call
+	lastRetry  = 400 * time.Millisecond // an outage ends with one call per follower in this time
+)
+
+// Follower follows the rows of a table with a common prefix.
+type Follower struct {
+	feed      store.Feed
+	prefix    string
+	apply     func(rows []store.Row, whole bool)
+	clock     func() time.Time
+	log       *zap.Logger
+	confirmed atomic.Int64
+}
+
+// New returns a follower that calls apply with changed rows, or with all rows
+// (whole) after it has read the table. Apply is called from one goroutine.
+func New(fee store.Feed, prefix string, clk func() time.Time, log *zap.Logger, apply func(rows []store.Row, whole bool)) *Follower {
+	return &Follower{feed: fee, prefix: prefix, apply: apply, clock: clk, log: log}
+}
+
+// Confirmed returns the time of which the view is certainly not older, zero before the first reading.
+func (fol *Follower) Confirmed() time.Time {
+	if val := fol.confirmed.Load(); val != 0 {
+		return time.Unix(0, val)
+	}
+	return time.Time{}
+}
+
+// Run follows until the context ends.
+func (fol *Follower) Run(ctx context.Context) {
+	retry := firstRetry
+	lost := false
+	for ctx.Err() == nil {
+		err := fol.follow(ctx, func() {
+			if lost {
+				fol.log.Info("feed regained", zap.String("rows", fol.prefix))
+			}
+			lost, retry = false, firstRetry
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost && !errors.Is(err, store.ErrCompacted) {
+			fol.log.Warn("feed lost", zap.String("rows", fol.prefix), zap.Error(err))
+			lost = true
+		}
+		pause(ctx, retry)
+		retry = min(lastRetry, 2*retry)
+	}
+}
+
+func (fol *Follower) follow(ctx context.Context, reached func()) error {
+	asked := fol.clock()
+	all, err := fol.feed.Snapshot(ctx, fol.prefix)
+	if err != nil {
+		return errors.Wrap(err, "read table")
+	}
+	reached()
+	fol.apply(all.Rows(), true)
+	fol.confirmed.Store(asked.UnixNano())
+	table, _, _ := strings.Cut(fol.prefix, "/")
+	failures := 0
+	for after := all.Version(); ; {
+		asked = fol.clock()
+		chg, err := fol.feed.Changes(ctx, table, after, pollWait)
+		if errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
+			return err
+		}
+		if err != nil {
+			// The view stays; only the history may be gone when the store is back.
+			if failures++; failures == 1 {
+				fol.log.Warn("feed interrupted", zap.String("rows", fol.prefix), zap.Error(err))
+			}
+			pause(ctx, min(lastRetry, firstRetry<<min(failures, 4)))
+			continue
+		}
+		failures = 0
+		fol.confirmed.Store(asked.UnixNano())
+		after = max(after, chg.Version())
+		if rows := fol.own(chg.Rows()); len(rows) > 0 {
+			fol.apply(rows, false)
+		}
+	}
+}
+
+func (fol *Follower) own(rows []store.Row) []store.Row {
+	out := make([]store.Row, 0, len(rows))
+	for _, row := range rows {
+		if strings.HasPrefix(row.Key(), fol.prefix) {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+func pause(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	}
+}
--- /dev/null
+++ b/io/jobaccess/jobaccess.go
@@ -0,0 +1,178 @@
+// Package jobaccess is what a front end for jobs needs: accept a job, cancel it,
+// tell its state and the number of jobs that wait.
+//
+// A Desk works on the store alone, so that jobs are accepted, cancelled and looked
+// up while the owner of the partition is being replaced. A job is accepted when its
+// row is stored. A refusal is given only when the row certainly is not and can't be
+// stored any more; when that is not known, the outcome is unknown.
+package jobaccess
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/store"
+	"jacinthpost/core/workload"
+	"jacinthpost/io/batchstore"
+)
+
+const (
+	firstRetry = 40 * time.Millisecond
+	lastRetry  = 300 * time.Millisecond
+	// refusalPatience is how long a caller is held while the store certainly did
+	// nothing: a quarter of the shortest latency target of the deployments.
+	refusalPatience = 100 * time.Millisecond
+	// OutageRetry is when a caller should come back while the store fails.
+	OutageRetry = time.Second
+)
+
+// Answer is the outcome of a request to a desk.
+type Answer struct {
+	outcome    outcome.Outcome
+	retryAfter time.Duration
+}
+
+// Outcome returns whether the request was carried out.
+func (ans Answer) Outcome() outcome.Outcome { return ans.outcome }
+
+// RetryAfter returns when a refused caller should come back.
+func (ans Answer) RetryAfter() time.Duration { return ans.retryAfter }
+
+// Desk accepts and looks up the jobs of a partition. It is safe for use from any goroutine.
+type Desk struct {
+	table store.Table
+	part  batchstore.Partition
+	load  atomic.Pointer[batchstore.Load]
+	log   *zap.Logger
+}
+
+// New returns a desk.
+func New(tab store.Table, part batchstore.Partition, log *zap.Logger) *Desk {
+	return &Desk{table: tab, part: part, log: log}
+}
+
+// SetLoad replaces the published load of the partition.
+func (dsk *Desk) SetLoad(lod batchstore.Load) { dsk.load.Store(&lod) }
+
+// Submit stores a job. A job that is stored already is accepted again.
+func (dsk *Desk) Submit(ctx context.Context, job workload.Job) Answer {
+	if after := dsk.refuse(job.Queue()); after > 0 {
+		dsk.log.Info("job refused", zap.String("job", job.ID()), zap.String("queue", job.Queue()),
+			zap.String("reason", string(outcome.ReasonCapacity)), zap.Duration("retryAfter", after))
+		return Answer{outcome: outcome.NotRun(outcome.ReasonCapacity, "the queue is too long"), retryAfter: after}
+	}
+	var txn store.Transaction
+	txn.Require(dsk.part.JobKey(job.ID()), 0)
+	txn.Put(dsk.part.JobKey(job.ID()), batchstore.Encode(job.Params()))
+	ans := dsk.write(ctx, &txn)
+	dsk.log.Info("job handed in", zap.String("job", job.ID()), zap.String("queue", job.Queue()),
+		zap.Stringer("outcome", ans.outcome.Kind()), zap.String("reason", string(ans.outcome.Reason())))
+	return ans
+}
+
+func (dsk *Desk) refuse(queue string) time.Duration {
+	lod := dsk.load.Load()
+	if lod == nil {
+		return 0
+	}
+	return time.Duration(lod.Refuse[queue]) * time.Millisecond
+}
+
+// write commits a transaction whose repetition does no harm. Once a try may have
+// been received, it is repeated until the outcome is known or the context ends.
+func (dsk *Desk) write(ctx context.Context, txn *store.Transaction) Answer {
+	begun := time.Now()
+	uncertain := false
+	for wait := firstRetry; ; wait = min(lastRetry, 2*wait) {
+		_, err := dsk.table.Commit(ctx, txn)
+		if err == nil {
+			return Answer{outcome: outcome.Answered()}
+		}
+		uncertain = uncertain || !errors.Is(err, store.ErrUnavailable)
+		if !uncertain && time.Since(begun)+wait > refusalPatience {
+			return Answer{outcome: outcome.NotRun(outcome.ReasonStoreUnavailable, err.Error()), retryAfter: OutageRetry}
+		}
+		if !pause(ctx, wait) {
+			return Answer{outcome: outcome.Unknown(outcome.ReasonTimeout, err.Error())}
+		}
+	}
+}
+
+// Cancel stores the cancellation of a job. The second result is false when there is no such job.
+func (dsk *Desk) Cancel(ctx context.Context, id string) (Answer, bool) {
+	found, err := dsk.exists(ctx, id)
+	if err != nil {
+		return Answer{outcome: outcome.NotRun(outcome.ReasonStoreUnavailable, err.Error()), retryAfter: OutageRetry}, true
+	}
+	if !found {
+		return Answer{}, false
+	}
+	var txn store.Transaction
+	txn.Put(dsk.part.CancelKey(id), []byte("{}"))
+	ans := dsk.write(ctx, &txn)
+	dsk.log.Info("job cancellation handed in", zap.String("job", id), zap.Stringer("outcome", ans.outcome.Kind()))
+	return ans, true
+}
+
+func (dsk *Desk) exists(ctx context.Context, id string) (bool, error) {
+	rows, err := dsk.read(ctx, dsk.part.JobKey(id))
+	if err != nil {
+		return false, err
+	}
+	return rows.Exists(), nil
+}
+
+// State returns the state of a job. The second result is false when there is no such job.
+func (dsk *Desk) State(ctx context.Context, id string) (batch.JobState, bool, error) {
+	row, err := dsk.read(ctx, dsk.part.StateKey(id))
+	if err != nil {
+		return "", false, err
+	}
+	if row.Exists() {
+		rec, err := batchstore.DecodeState(row.Value())
+		return rec.State, true, err
+	}
+	found, err := dsk.exists(ctx, id)
+	return batch.JobQueued, found, err
+}
+
+// Pending returns the number of jobs of a queue of which no task has started.
+func (dsk *Desk) Pending(ctx context.Context, queue string) (int, error) {
+	row, err := dsk.read(ctx, dsk.part.LoadKey())
+	if err != nil || !row.Exists() {
+		return 0, err
+	}
+	lod, err := batchstore.DecodeLoad(row.Value())
+	return lod.Pending[queue], err
+}
+
+// read reads a row and repeats a failed try until the context ends.
+func (dsk *Desk) read(ctx context.Context, key string) (store.Row, error) {
+	for wait := firstRetry; ; wait = min(lastRetry, 2*wait) {
+		rows, err := dsk.table.Read(ctx, key)
+		if err == nil {
+			return rows[0], nil
+		}
+		if !pause(ctx, wait) {
+			return store.Row{}, err
+		}
+	}
+}
+
+// pause waits and reports whether the context is still in force.
+func pause(ctx context.Context, dur time.Duration) bool {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-tmr.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/lead/lead.go
@@ -0,0 +1,220 @@
+// Package lead finds the owner of a partition and elects a new one.
+//
+// The owner row in the table names the owner. Its holder rewrites it with every
+// transaction and at least once in RenewPeriod, so a row whose version stands still
+// tells that its holder has failed. A candidate replaces it by a transaction that
+// is conditional on that version; the former owner's later transactions then fail.
+// Nothing depends on clocks that agree: a takeover is safe at any moment, and the
+// waiting time only avoids needless ones.
+//
+// Processes read the row only while they need to: at their start, and after
+// they called Suspect because the owner does not answer.
+package lead
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/store"
+	"jacinthpost/io/batchstore"
+)
+
+// Times of elections.
+const (
+	RenewPeriod   = 300 * time.Millisecond // of an owner without other writes
+	TakeoverAfter = 1200 * time.Millisecond
+	readPeriod    = 150 * time.Millisecond // of the row while the owner is in doubt
+	readRetry     = 250 * time.Millisecond // after a failed call
+	// distanceFactor turns the round trip to the store into a delay, so that a
+	// candidate near the store goes first.
+	distanceFactor = 12
+	maxJitter      = 120 * time.Millisecond
+)
+
+// Term is one ownership of the partition.
+type Term struct {
+	owner   batchstore.Owner
+	version store.Version
+}
+
+// Owner returns the row of the term.
+func (trm Term) Owner() batchstore.Owner { return trm.owner }
+
+// Version returns the version of the row when the term began.
+func (trm Term) Version() store.Version { return trm.version }
+
+// Elector finds and elects the owner of one partition. Safe for use from any goroutine.
+type Elector struct {
+	table    store.Table
+	part     batchstore.Partition
+	self     batchstore.Owner // holder, address and nonce of this process
+	log      *zap.Logger
+	current  atomic.Pointer[batchstore.Owner]
+	suspect  chan struct{}
+	candid   atomic.Bool
+	seen     bool // the row was read in this doubt
+	version  store.Version
+	since    time.Time // since when the row stands still, zero when its holder is alive
+	distance time.Duration
+	clock    func() time.Time
+}
+
+// New returns an elector for a process that may become the owner when candidate is set.
+func New(tab store.Table, part batchstore.Partition, self batchstore.Owner, candidate bool, clk func() time.Time, log *zap.Logger) *Elector {
+	ele := &Elector{table: tab, part: part, self: self, log: log, suspect: make(chan struct{}, 1), clock: clk}
+	ele.candid.Store(candidate)
+	return ele
+}
+
+// Current returns the owner as last read, false before the first reading.
+func (ele *Elector) Current() (batchstore.Owner, bool) {
+	own := ele.current.Load()
+	if own == nil {
+		return batchstore.Owner{}, false
+	}
+	return *own, true
+}
+
+// Suspect makes the elector look for another owner.
+func (ele *Elector) Suspect() {
+	select {
+	case ele.suspect <- struct{}{}:
+	default:
+	}
+}
+
+// Withdraw keeps this process from becoming the owner.
+func (ele *Elector) Withdraw() { ele.candid.Store(false) }
+
+// Adopt notes an owner that was learned otherwise, such as this process itself.
+func (ele *Elector) Adopt(own batchstore.Owner) { ele.current.Store(&own) }
+
+// Run finds the owner until this process wins an election, whose term it returns.
+func (ele *Elector) Run(ctx context.Context) (Term, error) {
+	ele.seen = false
+	for {
+		trm, won, err := ele.look(ctx)
+		if won || ctx.Err() != nil {
+			return trm, ctx.Err()
+		}
+		wait := readPeriod
+		if err != nil {
+			wait = readRetry
+		}
+		if !ele.pause(ctx, wait) {
+			return Term{}, ctx.Err()
+		}
+	}
+}
+
+// pause waits until the row has to be read again: after the duration when the
+// owner is in doubt, otherwise until somebody suspects it.
+func (ele *Elector) pause(ctx context.Context, dur time.Duration) bool {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-tmr.C:
+	}
+	if ele.doubtful() {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ele.suspect:
+		ele.seen = false
+		return true
+	}
+}
+
+// doubtful reports whether the row has to be read again soon.
+func (ele *Elector) doubtful() bool { return !ele.seen || !ele.since.IsZero() }
+
+// look reads the row and takes it over when its holder has failed.
+func (ele *Elector) look(ctx context.Context) (Term, bool, error) {
+	begun := ele.clock()
+	rows, err := ele.table.Read(ctx, ele.part.OwnerKey())
+	if err != nil {
+		return Term{}, false, err
+	}
+	now := ele.clock()
+	ele.distance = now.Sub(begun)
+	row := rows[0]
+	var own batchstore.Owner
+	if row.Exists() {
+		if own, err = batchstore.DecodeOwner(row.Value()); err != nil {
+			ele.log.Warn("owner row can't be read", zap.Error(err))
+		}
+	}
+	ele.noteRow(row, own, now)
+	if !ele.candid.Load() || !ele.failed(row, own, now) {
+		return Term{}, false, nil
+	}
+	return ele.take(ctx, row, own)
+}
+
+// noteRow notes a row. One that has changed within a doubt has a holder that is
+// alive, unless the holder released it.
+func (ele *Elector) noteRow(row store.Row, own batchstore.Owner, now time.Time) {
+	if ele.seen && row.Version() == ele.version {
+		return
+	}
+	if row.Exists() {
+		ele.current.Store(&own)
+	}
+	ele.since = now
+	if ele.seen && !own.Released {
+		ele.since = time.Time{}
+	}
+	ele.seen, ele.version = true, row.Version()
+}
+
+func (ele *Elector) failed(row store.Row, own batchstore.Owner, now time.Time) bool {
+	patience := TakeoverAfter
+	if !row.Exists() || own.Released || own.Holder == ele.self.Holder {
+		patience = 0 // nobody holds it, or an earlier process of this instance did
+	}
+	patience += distanceFactor*ele.distance + rand.N(maxJitter)
+	return !ele.since.IsZero() && now.Sub(ele.since) >= patience
+}
+
+// take replaces the row. An uncertain outcome is settled by reading the row again.
+func (ele *Elector) take(ctx context.Context, row store.Row, old batchstore.Owner) (Term, bool, error) {
+	own := ele.self
+	own.Epoch, own.Sequence = old.Epoch+1, 1
+	var txn store.Transaction
+	txn.Require(ele.part.OwnerKey(), row.Version())
+	txn.Put(ele.part.OwnerKey(), batchstore.Encode(own))
+	res, err := ele.table.Commit(ctx, &txn)
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		return ele.settle(ctx, own)
+	case err != nil:
+		return Term{}, false, err
+	case !res.Committed():
+		return Term{}, false, nil
+	}
+	ele.log.Info("owner elected", zap.Uint64("epoch", own.Epoch), zap.String("former", old.Holder))
+	ele.current.Store(&own)
+	return Term{owner: own, version: res.Version()}, true, nil
+}
+
+func (ele *Elector) settle(ctx context.Context, own batchstore.Owner) (Term, bool, error) {
+	rows, err := ele.table.Read(ctx, ele.part.OwnerKey())
+	if err != nil {
+		return Term{}, false, err
+	}
+	now, err := batchstore.DecodeOwner(rows[0].Value())
+	if err != nil || now.Nonce != own.Nonce || now.Epoch != own.Epoch {
+		return Term{}, false, err
+	}
+	ele.current.Store(&own)
+	return Term{owner: own, version: rows[0].Version()}, true, nil
+}
--- /dev/null
+++ b/io/telemetry/decisionlog.go
@@ -0,0 +1,64 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// queuedLines bounds the lines that wait for a reader of the output.
+const queuedLines = 4096
+
+// lineQueue writes lines on a goroutine of its own. A line that finds the queue
+// full is dropped and counted, so that nobody ever waits for the output.
+type lineQueue struct {
+	lines chan []byte
+	done  chan struct{}
+	once  sync.Once
+	lost  *metrics.Counter
+}
+
+func newLineQueue(out io.Writer) *lineQueue {
+	que := &lineQueue{
+		lines: make(chan []byte, queuedLines), done: make(chan struct{}),
+		lost: metrics.GetOrCreateCounter("jacinthpost_log_lines_dropped_total"),
+	}
+	go que.run(out)
+	return que
+}
+
+func (que *lineQueue) run(out io.Writer) {
+	defer close(que.done)
+	for line := range que.lines {
+		if _, err := out.Write(line); err != nil {
+			que.lost.Inc()
+		}
+	}
+}
+
+// Write implements zapcore.WriteSyncer.
+func (que *lineQueue) Write(line []byte) (int, error) {
+	select {
+	case que.lines <- append([]byte(nil), line...):
+	default:
+		que.lost.Inc()
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (que *lineQueue) Sync() error { return nil }
+
+// NewDecisionLog returns a logger of JSON lines that never blocks, and a function
+// that waits until the queued lines are written; nothing may be logged after it.
+func NewDecisionLog(out io.Writer) (log *zap.Logger, flush func()) {
+	que := newLineQueue(out)
+	log = zap.New(zapcore.NewCore(encoder(), que, zapcore.InfoLevel))
+	return log, func() {
+		que.once.Do(func() { close(que.lines) })
+		<-que.done
+	}
+}
