--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -197,6 +197,8 @@
 	var txn store.Transaction
 	txn.Require(wrt.cfg.Part.OwnerKey(), wrt.version)
 	txn.Put(wrt.cfg.Part.OwnerKey(), batchstore.Encode(own))
-	_, err := wrt.cfg.Table.Commit(ctx, &txn)
-	return errors.Wrap(err, "release the partition")
+	if _, err := wrt.cfg.Table.Commit(ctx, &txn); err != nil {
+		return errors.Wrap(err, "release the partition")
+	}
+	return nil
 }
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -104,5 +104,8 @@
 		return workload.Job{}, err
 	}
 	job, err := workload.New(par)
-	return job, errors.Wrap(err, "job row")
+	if err != nil {
+		return workload.Job{}, errors.Wrap(err, "job row")
+	}
+	return job, nil
 }
