--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -10,29 +10,31 @@
 
 // instance is the owner's view of an instance and its worker.
 type instance struct {
-	id        fleet.InstanceID
-	session   uint64
-	life      Life
-	service   fleet.Service
-	location  fleet.Location
-	labels    []string
-	capacity  resource.Vector
-	draining  bool
-	unready   bool
-	present   bool // heard of in this ownership and not lost since
-	heardAt   time.Time
-	remaining time.Duration
-	reserved  resource.Vector
-	fillCPU   int64 // in use by filling tasks at full speed
-	serving   int   // tasks with a latency target
-	runs      int
-	handled   uint64 // events up to this one were applied
-	durable   []uint64
-	orders    []Order // not yet seen by the agent
-	orderSeq  uint64
-	health    health
-	changed   bool           // there is something new for the agent
-	strays    map[RunID]bool // runs without an attempt that were told to stop
+	id            fleet.InstanceID
+	session       uint64
+	life          Life
+	service       fleet.Service
+	location      fleet.Location
+	labels        []string
+	capacity      resource.Vector
+	draining      bool
+	unready       bool
+	present       bool // heard of in this ownership and not lost since
+	heardAt       time.Time
+	remaining     time.Duration
+	reserved      resource.Vector
+	fillCPU       int64            // in use by filling tasks at full speed
+	servingCPU    int64            // reserved by tasks with a latency target
+	filling       map[string]int64 // processors that filling tasks use at full speed, by image
+	servingImages map[string]int   // tasks with a latency target, by image
+	runs          int
+	handled       uint64 // events up to this one were applied
+	durable       []uint64
+	orders        []Order // not yet seen by the agent
+	orderSeq      uint64
+	health        health
+	changed       bool           // there is something new for the agent
+	strays        map[RunID]bool // runs without an attempt that were told to stop
 }
 
 // free returns what is not reserved.
@@ -60,11 +62,24 @@
 
 func (ins *instance) count(stp *stepState, sign int) {
 	ins.runs += sign
-	if stp.spec.Fills() {
+	switch {
+	case stp.spec.Fills():
 		ins.fillCPU += int64(sign) * stp.spec.MilliCPU()
+		addTo(&ins.filling, stp.spec.Image(), int64(sign)*stp.spec.MilliCPU())
+	case stp.spec.Target() > 0:
+		ins.servingCPU += int64(sign) * stp.spec.MilliCPU()
+		addTo(&ins.servingImages, stp.spec.Image(), sign)
 	}
-	if stp.spec.Target() > 0 {
-		ins.serving += sign
+}
+
+// addTo adds to an amount and removes it when it becomes zero.
+func addTo[N int | int64](amounts *map[string]N, key string, num N) {
+	if *amounts == nil {
+		*amounts = make(map[string]N)
+	}
+	(*amounts)[key] += num
+	if (*amounts)[key] == 0 {
+		delete(*amounts, key)
 	}
 }
 
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -30,8 +30,9 @@
 	ID         RunID
 	Working    bool // the worker lists the run
 	Checkpoint string
-	Percent    int
-	Figure     float64
+	Percent    int     // of the work that is done; of a lasting task, 100 when it is at work
+	Share      int     // percentage at which a filling task may work, -1 when unknown
+	Figure     float64 // tail latency in milliseconds of a serving task, otherwise processors in use in mCPU
 }
 
 // Event is the end of one run, or of the order to start it.
--- a/core/batch/note.go
+++ b/core/batch/note.go
@@ -1,9 +1,12 @@
 package batch
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/workload"
 )
 
 // NoteKind names a decision in logs.
@@ -41,6 +44,22 @@
 	}
 }
 
+// describe tells the shape of a job: its queue and for each step the tasks, processors, memory, estimate and kind.
+func describe(spec workload.Job) string {
+	var bld strings.Builder
+	fmt.Fprintf(&bld, "queue=%s priority=%d", spec.Queue(), spec.Priority())
+	for _, stp := range spec.Steps() {
+		fmt.Fprintf(&bld, " [%dx %dmCPU %dMB %v", stp.Count(), stp.MilliCPU(), stp.Need().MemoryMB(), stp.Estimate().Round(time.Millisecond))
+		for name, set := range map[string]bool{"fills": stp.Fills(), "lasting": stp.Lasting(), "gang": stp.Gang(), "speculative": stp.Speculative()} {
+			if set {
+				bld.WriteString(" " + name)
+			}
+		}
+		fmt.Fprintf(&bld, " %s target=%v apart=%d after=%v]", stp.Image(), stp.Target(), stp.PerInstance(), stp.After())
+	}
+	return bld.String()
+}
+
 // Notes returns the decisions since the last call.
 func (sch *Scheduler[O, P]) Notes() []Note {
 	out := sch.notes
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -193,10 +193,7 @@
 }
 
 func (sch *Scheduler[O, P]) choose(pln *planner, can waiting, stp *stepState, tsk *task) *instance {
-	ned := Need{
-		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Lasting: stp.spec.Lasting(),
-		Serving: stp.spec.Target() > 0, Remote: sch.options.RemoteFactor, Local: true,
-	}
+	ned := Need{Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills()}
 	svc := fleet.Service(can.job.spec.Service())
 	if pln.hopeless(svc, ned) {
 		return nil
@@ -212,7 +209,7 @@
 			limited = true
 			continue
 		}
-		ned.Local = stp.spec.Rack() == "" || ins.hasLabel(stp.spec.Rack())
+		ned := sch.need(stp, ins)
 		ned.Retried = tsk.failedAt(ins.id)
 		rating, ok := sch.placement.Rate(ned, ins.site())
 		if ok && (best == nil || rating < bestRating || rating == bestRating && ins.id < best.id) {
@@ -225,8 +222,16 @@
 	return best
 }
 
+// need returns what a placement knows of a task of the step on an instance.
+func (sch *Scheduler[O, P]) need(stp *stepState, ins *instance) Need {
+	return Need{
+		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Remote: sch.options.RemoteFactor,
+		Local: stp.spec.Rack() == "" || ins.hasLabel(stp.spec.Rack()), Disturbance: sch.disturbance(ins, stp),
+	}
+}
+
 func (ins *instance) site() Site {
-	return Site{Capacity: ins.capacity, Free: ins.free(), FillCPU: ins.fillCPU, Serving: ins.serving, Slowness: ins.health.slowness}
+	return Site{Capacity: ins.capacity, Free: ins.free(), FillCPU: ins.fillCPU, ServingCPU: ins.servingCPU}
 }
 
 // full reports whether an instance runs as many tasks of the step as may share one.
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -77,57 +77,60 @@
 	Rate(ned Need, sit Site) (rating float64, ok bool)
 }
 
-// Need is what a placement knows of a task.
+// Need is what a placement knows of a task on an instance.
 type Need struct {
-	Room     resource.Vector
-	MilliCPU int64 // in use at full speed
-	Fills    bool
-	Lasting  bool
-	Serving  bool // has a latency target
-	Local    bool // the instance is in the rack of the data, or there is none
-	Retried  bool // a run of the task failed on the instance
-	Remote   float64
+	Room        resource.Vector
+	MilliCPU    int64 // in use at full speed
+	Fills       bool
+	Local       bool    // the instance is in the rack of the data, or there is none
+	Remote      float64 // factor on the run time elsewhere
+	Retried     bool    // a run of the task failed on the instance
+	Disturbance float64 // load by filling tasks on the serving task that they disturb most, 1 is all it bears
 }
 
 // Site is what a placement knows of an instance.
 type Site struct {
-	Capacity resource.Vector
-	Free     resource.Vector
-	FillCPU  int64
-	Serving  int
-	Fillers  int
-	Slowness float64
+	Capacity   resource.Vector
+	Free       resource.Vector
+	FillCPU    int64 // in use by filling tasks at full speed
+	ServingCPU int64 // reserved by tasks with a latency target
 }
 
 // SpreadPlacement puts tasks where most room is left, filling tasks where most
 // processors are unused, and both away from tasks that they would disturb. It
-// answers a load that is below the capacity, where spreading keeps every worker
-// at full speed.
+// answers a load below the capacity, where spreading keeps every worker at full
+// speed, and noisy filling tasks beside services.
 type SpreadPlacement struct{}
 
 // Weights of the ratings, in parts of a whole instance.
 const (
-	remotePenalty   = 0.6  // for each full run time that the distance to the data costs
-	retriedPenalty  = 2.0  // a worker on which the task failed is the last choice
-	sharingPenalty  = 0.25 // for a serving task and filling tasks on one instance
-	fillOvercommit  = 1.0  // filling tasks may ask for this part of the unused processors
-	minFillerShare  = 0.5  // a filling task that would get less waits
-	slownessPenalty = 0.5
+	remotePenalty  = 0.6 // for each full run time that the distance to the data costs
+	retriedPenalty = 2.0 // a worker on which the task failed is the last choice
+	// disturbPenalty makes an instance where a serving task gets half the load that it bears as bad as a full one.
+	disturbPenalty = 2.0
+	// mostDisturbance is where filling tasks would be slowed to a crawl, so that they wait instead.
+	mostDisturbance = 0.5
+	servingUse      = 0.55 // part of their reservation that serving tasks use, with the swing of their load
+	minFillerShare  = 0.7  // a filling task that would get less of its processors waits
 )
 
+// idle returns the processors that nothing uses, in mCPU.
+func (sit Site) idle() float64 {
+	return float64(sit.Free.MilliCPU()-sit.FillCPU) + (1-servingUse)*float64(sit.ServingCPU)
+}
+
 // Rate implements Placement.
 func (SpreadPlacement) Rate(ned Need, sit Site) (float64, bool) {
 	if !ned.Room.FitsIn(sit.Free) {
 		return 0, false
 	}
 	cpu := float64(max(1, sit.Capacity.MilliCPU()))
-	idle := float64(sit.Free.MilliCPU() - sit.FillCPU)
-	if ned.Fills && idle < minFillerShare*float64(ned.MilliCPU) {
-		return 0, false
-	}
-	rating := 1 - idle/cpu
-	if !ned.Fills {
-		rating = 1 - float64(sit.Free.MilliCPU())/cpu
+	rating := 1 - float64(sit.Free.MilliCPU())/cpu
+	if ned.Fills {
+		if sit.idle() < minFillerShare*float64(ned.MilliCPU) || ned.Disturbance > mostDisturbance {
+			return 0, false
+		}
+		rating = 1 - sit.idle()/cpu
 	}
 	if !ned.Local {
 		rating += remotePenalty * (ned.Remote - 1)
@@ -135,8 +138,5 @@
 	if ned.Retried {
 		rating += retriedPenalty
 	}
-	if ned.Fills && sit.Serving > 0 || ned.Serving && sit.FillCPU > 0 {
-		rating += sharingPenalty
-	}
-	return rating + slownessPenalty*sit.Slowness, true
+	return rating + disturbPenalty*ned.Disturbance, true
 }
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -34,6 +34,7 @@
 	if fresh {
 		sch.reconcile(ins, listed, now)
 	}
+	sch.learnSharing(ins, rep)
 	if ins.draining {
 		sch.leaveDraining(ins, now)
 	}
@@ -70,6 +71,12 @@
 	if run.Checkpoint != "" {
 		tsk.checkpoint = run.Checkpoint
 	}
+	switch {
+	case run.Share < 0 || run.Share >= slowShare:
+		att.slowSince = time.Time{}
+	case att.slowSince.IsZero():
+		att.slowSince = now
+	}
 	if !fresh {
 		return
 	}
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/pacing"
 	"jacinthpost/core/workload"
 )
 
@@ -33,6 +34,7 @@
 	instances map[fleet.InstanceID]*instance
 	out       map[fleet.DataCentre]bool
 	learned   durations
+	effects   pacing.Model
 	since     time.Time
 	held      bool
 	planned   bool // nothing changed since the last plan that could let work start
@@ -91,7 +93,7 @@
 	}
 	job := &jobState{spec: spec, state: JobQueued, acceptedAt: now}
 	sch.add(job)
-	sch.note(now, NoteSubmitted, spec.ID(), RunID{}, "", "")
+	sch.note(now, NoteSubmitted, spec.ID(), RunID{}, "", describe(spec))
 	sch.mark(job)
 }
 
@@ -224,6 +226,7 @@
 		}
 	}
 	sch.judgeOverdue(now)
+	sch.moveSlowed(now)
 	sch.planned = false
 }
 
--- a/core/batch/task.go
+++ b/core/batch/task.go
@@ -68,6 +68,7 @@
 	percent   int
 	figure    float64 // tail latency in ms of a serving task, otherwise mCPU in use
 	overdue   bool
+	slowSince time.Time // since when the pace keeps a filling task slow
 }
 
 // task is the state of one task.
@@ -79,7 +80,7 @@
 	attempts   []*attempt
 	notBefore  time.Time
 	failedOn   []fleet.InstanceID
-	awaySince  time.Time // since when a lasting task is not at work
+	movedAt    time.Time
 }
 
 func (tsk *task) find(run int) *attempt {
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -42,6 +42,8 @@
 	clockSlowPercent = 2
 	lapseMargin      = 150 * time.Millisecond // for the rounding and the delay of the worker's timers
 	silentAfter      = 1200 * time.Millisecond
+	paceRepeat       = 2 * time.Second
+	unknownShare     = -1
 	missingLists     = 2 // lists in a row that lack a run that was started
 )
 
@@ -70,6 +72,8 @@
 	stopped   time.Time // when a stop was answered
 	missing   int
 	state     batch.RunState
+	share     int       // percentage asked for last
+	pacedAt   time.Time // when it was asked for, zero when never
 }
 
 // event is an end that the owner has not confirmed yet.
@@ -98,6 +102,7 @@
 	leaseEnd  time.Duration // latest end ever sent, in the worker's clock
 	answered  time.Time
 	pace      pacing.Controller
+	model     pacing.Model
 	calls     []Call
 }
 
@@ -271,7 +276,9 @@
 		Unready: hst.silent(now), OrdersSeen: hst.seen,
 	}
 	for _, rn := range hst.runs {
-		rep.Runs = append(rep.Runs, rn.state)
+		sta := rn.state
+		sta.Share = rn.share
+		rep.Runs = append(rep.Runs, sta)
 	}
 	slices.SortFunc(rep.Runs, func(fst, snd batch.RunState) int { return compareRuns(fst.ID, snd.ID) })
 	for _, evt := range hst.events {
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -74,7 +74,7 @@
 		if hst.runs == nil {
 			hst.runs = make(map[batch.RunID]*run)
 		}
-		rn = &run{takenAt: lst.At}
+		rn = &run{takenAt: lst.At, share: unknownShare, pacedAt: lst.At}
 		hst.runs[sta.ID] = rn
 	}
 	rn.working, rn.missing, rn.calling = true, 0, false
@@ -122,21 +122,47 @@
 
 // observe sets the pace of the filling runs from the measures of the serving ones.
 func (hst *Host) observe(now time.Time) {
-	var srvs []pacing.Serving
-	for _, rn := range hst.runs {
-		if rn.working && rn.order.Target > 0 {
-			tail := time.Duration(rn.state.Figure * float64(time.Millisecond))
-			srvs = append(srvs, pacing.Serving{Tail: tail, Target: rn.order.Target})
+	smp := batch.Sample(hst.worker.Capacity.MilliCPU(), func(visit func(batch.Order, float64)) {
+		for _, rn := range hst.runs {
+			if rn.working && rn.described {
+				visit(rn.order, rn.state.Figure)
+			}
 		}
-	}
-	share := hst.pace.Observe(srvs, now)
+	})
+	hst.model.Learn(smp)
+	hst.pace.Observe(&hst.model, smp, now)
 	for rid, rn := range hst.runs {
-		if rn.working && rn.order.Fills && !rn.stopping && rn.state.Percent != share {
-			hst.calls = append(hst.calls, Call{Kind: CallPace, ID: rid, Life: hst.worker.Life, Percent: share})
+		if rn.working && rn.order.Fills && !rn.stopping {
+			hst.setPace(rid, rn, hst.pace.Share(rn.order.Image), now)
 		}
 	}
 }
 
+// Model returns the learned effects of filling runs on serving ones.
+func (hst *Host) Model() *pacing.Model { return &hst.model }
+
+// setPace asks for a share unless it was asked for recently. The share is asked for
+// again now and then, because an earlier call may be carried out late.
+func (hst *Host) setPace(rid batch.RunID, rn *run, share int, now time.Time) {
+	if rn.pacedAt.IsZero() && share == fullPercent {
+		return
+	}
+	if rn.share == share && now.Sub(rn.pacedAt) < paceRepeat {
+		return
+	}
+	rn.share, rn.pacedAt = share, now
+	hst.calls = append(hst.calls, Call{Kind: CallPace, ID: rid, Life: hst.worker.Life, Percent: share})
+}
+
+// PaceEnded applies the end of a pace call. One that was not accepted is made again with the next list.
+func (hst *Host) PaceEnded(life batch.Life, rid batch.RunID, ver Verdict) {
+	rn := hst.runs[rid]
+	if rn == nil || life != hst.worker.Life || ver == Accepted {
+		return
+	}
+	rn.share = unknownShare
+}
+
 // Sharing reports whether serving and filling runs share the worker, so that measures are needed often.
 func (hst *Host) Sharing() bool {
 	serving, filling := false, false
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -59,8 +59,8 @@
 		hst.runs = make(map[batch.RunID]*run)
 	}
 	hst.runs[ord.ID] = &run{
-		order: ord, described: true, takenAt: now, calling: true,
-		state: batch.RunState{ID: ord.ID, Checkpoint: ord.Checkpoint, Percent: fullPercent},
+		order: ord, described: true, takenAt: now, calling: true, share: fullPercent,
+		state: batch.RunState{ID: ord.ID, Checkpoint: ord.Checkpoint},
 	}
 	hst.callStart(ord.ID, ord, now)
 }
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -1,82 +1,127 @@
 // Package pacing decides how fast filling tasks may work beside tasks that serve.
 //
 // A serving task has a target for its tail latency. Filling tasks on the same
-// worker disturb it by amounts that depend on the pair of images and change within
-// seconds, and the measured tail lags by half a second. A Controller therefore
-// works by feedback: it cuts the share of all filling tasks by a factor when a
-// target is in danger and gives it back in small steps when there is room.
-// It answers waves of noisy tasks beside services with a swinging load.
+// worker disturb it by amounts that depend on the pair of images: most pairs hardly
+// matter, a few lengthen the tail twentyfold. The load of the serving task itself
+// swings too, and all measures lag by half a second.
 //
-// A Controller must be used from one goroutine at a time; the zero value works.
+// A Model learns the effect of each pair. A Controller cuts the share of the
+// filling images that explain a tail near its target, those with the largest effect
+// first, and leaves the others alone. When a tail stays over its target all the
+// same, everything that fills pauses until it is back: a wrong model may cost work
+// but no target. It answers waves of noisy tasks beside services whose load swings.
+//
+// The types must be used from one goroutine at a time; their zero values work.
 package pacing
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
 
-// Limits of the feedback.
+// Limits of the control.
 const (
-	dangerRatio  = 0.9 // of the tail to the target, from which the share is cut
-	severeRatio  = 1.3 // from which the share is cut at once to a quarter
-	calmRatio    = 0.7 // below which the share is raised
-	cutFactor    = 0.55
-	severeFactor = 0.25
-	raiseStep    = 12.0 // percent
-	lowestShare  = 8.0  // a smaller share becomes a pause
-	fullShare    = 100.0
-	// reactionTime is how long a change takes to show: the pace takes effect after
-	// about 100 ms and the measure covers half a second.
-	reactionTime = 550 * time.Millisecond
+	targetPart  = 0.95 // of the target that is aimed at
+	minorEffect = 0.3  // an image with a smaller effect is not cut for a tail that it can't explain
+	raiseStep   = 0.35 // most by which a share rises between two samples
+	lowestShare = 0.1  // a smaller share becomes a pause
+	// overLimit is how long a tail may stay over its target before everything
+	// pauses. The pause takes effect within a second, and users bear 4 s.
+	overLimit  = 2200 * time.Millisecond
+	pauseAfter = 700 * time.Millisecond // beyond the end of the excess, until shares rise again
 )
 
-// Serving is the measure of one serving task.
-type Serving struct {
-	Tail   time.Duration
-	Target time.Duration
-}
-
-// Controller holds the share of the filling tasks of one worker.
+// Controller holds the shares of the filling images of one worker.
 type Controller struct {
-	cut     float64 // percent taken away
-	changed time.Time
+	cuts   map[string]float64 // part taken away from an image
+	over   map[string]time.Time
+	paused time.Time // everything pauses until then
 }
 
-// Share returns the percentage at which filling tasks may work.
-func (con *Controller) Share() int { return int(fullShare - con.cut) }
+// Share returns the percentage at which the tasks of a filling image may work.
+func (con *Controller) Share(image string) int {
+	return int(math.Round(100 * (1 - con.cuts[image])))
+}
 
-// Observe updates the share from the measures of all serving tasks.
-func (con *Controller) Observe(srvs []Serving, now time.Time) int {
-	if len(srvs) == 0 {
-		con.cut = 0
-		return con.Share()
+// Observe updates the shares from a sample, with the effects known to the model.
+func (con *Controller) Observe(mod *Model, smp Sample, now time.Time) {
+	want := con.wanted(mod, smp)
+	if con.excess(smp, now) {
+		con.paused = now.Add(pauseAfter)
 	}
-	if now.Sub(con.changed) < reactionTime {
-		return con.Share()
+	cuts := make(map[string]float64, len(want))
+	for img, share := range want {
+		share = min(share, 1-con.cuts[img]+raiseStep)
+		if share < lowestShare || now.Before(con.paused) {
+			share = 0
+		}
+		cuts[img] = 1 - share
 	}
-	share := fullShare - con.cut
-	switch worst := worstRatio(srvs); {
-	case worst >= severeRatio:
-		share *= severeFactor
-	case worst >= dangerRatio:
-		share *= cutFactor
-	case worst < calmRatio:
-		share += raiseStep
+	con.cuts = cuts
+}
+
+// excess reports whether a serving image has been over its target for too long
+// although something fills beside it.
+func (con *Controller) excess(smp Sample, now time.Time) bool {
+	over := make(map[string]time.Time)
+	long := false
+	for _, srv := range smp.Serving {
+		if srv.Target <= 0 || srv.Tail <= srv.Target {
+			continue
+		}
+		since, found := con.over[srv.Image]
+		if !found {
+			since = now
+		}
+		over[srv.Image] = since
+		long = long || now.Sub(since) >= overLimit
+	}
+	con.over = over
+	return long
+}
+
+// wanted returns the share of each filling image at which all tails keep their targets.
+func (con *Controller) wanted(mod *Model, smp Sample) map[string]float64 {
+	full := make(map[string]float64)
+	for _, fil := range smp.Filling {
+		full[fil.Image] += fil.Wants
 	}
-	if share < lowestShare && share < fullShare-con.cut {
-		share = 0
+	shares := make(map[string]float64, len(full))
+	for img := range full {
+		shares[img] = 1
 	}
-	share = min(fullShare, share)
-	if share != fullShare-con.cut {
-		con.cut = fullShare - share
-		con.changed = now
+	use := smp.use()
+	for _, srv := range smp.Serving {
+		if srv.Target > 0 {
+			fit(mod, srv, use, full, shares)
+		}
 	}
-	return con.Share()
+	return shares
 }
 
-func worstRatio(srvs []Serving) float64 {
-	worst := 0.0
-	for _, srv := range srvs {
-		if srv.Target > 0 {
-			worst = max(worst, float64(srv.Tail)/float64(srv.Target))
+// fit lowers shares until the expected tail of a serving task is within its target.
+func fit(mod *Model, srv Serving, use, full, shares map[string]float64) {
+	now := mod.load(srv.Image, srv.Tail) - mod.Load(srv.Image, use)
+	own := min(fullLoad, max(0, (now+mod.Own(srv))/2))
+	budget := mod.load(srv.Image, targetPart*srv.Target) - own
+	images := make([]string, 0, len(full))
+	for img := range full {
+		budget -= mod.Effect(Pair{Serving: srv.Image, Filling: img}) * full[img] * shares[img]
+		images = append(images, img)
+	}
+	slices.SortFunc(images, func(fst, snd string) int {
+		return cmp.Or(cmp.Compare(mod.Effect(Pair{Serving: srv.Image, Filling: snd}), mod.Effect(Pair{Serving: srv.Image, Filling: fst})), cmp.Compare(fst, snd))
+	})
+	for _, img := range images {
+		eff := mod.Effect(Pair{Serving: srv.Image, Filling: img})
+		if budget >= 0 || eff < minorEffect {
+			return
 		}
+		weight := eff * full[img]
+		cut := min(shares[img], -budget/max(weight, 1e-9))
+		shares[img] -= cut
+		budget += cut * weight
 	}
-	return worst
 }
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -221,7 +221,7 @@
 			sta.host.StopEnded(cal.Life, cal.ID, res.Verdict, now)
 			signal(agt.wake)
 		case batchhost.CallPace:
-			// The next list tells the pace in force.
+			sta.host.PaceEnded(cal.Life, cal.ID, res.Verdict)
 		}
 	})
 }
--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -39,6 +39,7 @@
 	confirmed atomic.Int64  // when the newest stored transaction was sent
 	mu        sync.Mutex
 	waiters   map[fleet.InstanceID]chan struct{}
+	told      map[fleet.InstanceID]time.Time // when the agent got the learned effects, on the control thread
 }
 
 func newReign(cfg Config, trm lead.Term) *reign {
@@ -49,7 +50,7 @@
 	rgn := &reign{
 		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(),
 		ready: make(chan struct{}), done: make(chan struct{}), writes: make(chan struct{}, 1),
-		waiters: make(map[fleet.InstanceID]chan struct{}),
+		waiters: make(map[fleet.InstanceID]chan struct{}), told: make(map[fleet.InstanceID]time.Time),
 	}
 	rgn.confirmed.Store(now.UnixNano())
 	thr := control.NewThread(queueEvents)
@@ -198,6 +199,18 @@
 	}
 }
 
+// effectsPeriod is how often an agent gets the learned effects of all instances.
+const effectsPeriod = 1500 * time.Millisecond
+
+// effectsDue must be called on the control thread.
+func (rgn *reign) effectsDue(id fleet.InstanceID, now time.Time) bool {
+	if now.Sub(rgn.told[id]) < effectsPeriod {
+		return false
+	}
+	rgn.told[id] = now
+	return true
+}
+
 const serveLimit = 500 * time.Millisecond // for one request of an agent, less than the agent's patience
 
 func (rgn *reign) report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
@@ -210,6 +223,9 @@
 	out, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) batch.Outbox {
 		sch.Hear(arg.Core(), now)
 		out, _ := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.OrdersSeen)
+		if rgn.effectsDue(fleet.InstanceID(arg.Instance), now) {
+			rep.Effects = sch.Effects()
+		}
 		return out
 	})
 	if err != nil {
