--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -72,7 +72,6 @@
 	num := 0
 	agt.change(ctx, func(sta *state, _ time.Time) {
 		num = sta.host.List(lst)
-		agt.log.Info("DBG", zap.String("rows", sta.host.Debug()))
 	})
 	return num
 }
