Pack serving tasks, those of one image together

Cause: serving tasks were spread, so each instance had four images of them and a filling image rarely found one that it does not disturb.

--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -227,9 +227,19 @@
 	return Need{
 		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Remote: sch.options.RemoteFactor,
 		Local: stp.spec.Rack() == "" || ins.hasLabel(stp.spec.Rack()), Disturbance: sch.disturbance(ins, stp),
+		Serving: stp.spec.Target() > 0, Strangers: ins.strangers(stp.spec.Image()),
 	}
 }
 
+// strangers returns the number of serving images on the instance other than the given one.
+func (ins *instance) strangers(image string) int {
+	num := len(ins.servingImages)
+	if _, found := ins.servingImages[image]; found {
+		num--
+	}
+	return num
+}
+
 func (ins *instance) site() Site {
 	return Site{Capacity: ins.capacity, Free: ins.free(), FillCPU: ins.fillCPU, ServingCPU: ins.servingCPU}
 }
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -82,6 +82,8 @@
 	Room        resource.Vector
 	MilliCPU    int64 // in use at full speed
 	Fills       bool
+	Serving     bool    // has a latency target
+	Strangers   int     // serving images on the instance other than its own
 	Local       bool    // the instance is in the rack of the data, or there is none
 	Remote      float64 // factor on the run time elsewhere
 	Retried     bool    // a run of the task failed on the instance
@@ -96,10 +98,11 @@
 	ServingCPU int64 // reserved by tasks with a latency target
 }
 
-// SpreadPlacement puts tasks where most room is left, filling tasks where most
-// processors are unused, and both away from tasks that they would disturb. It
-// answers a load below the capacity, where spreading keeps every worker at full
-// speed, and noisy filling tasks beside services.
+// SpreadPlacement spreads tasks over the instances, filling tasks by the
+// processors that are unused, and away from serving tasks that they would disturb.
+// Serving tasks are packed, those of one image together: then many instances have
+// no serving task or few images of them, and any filling image finds places where it
+// disturbs nobody. It answers noisy filling tasks beside services with a swinging load.
 type SpreadPlacement struct{}
 
 // Weights of the ratings, in parts of a whole instance.
@@ -107,7 +110,8 @@
 	remotePenalty  = 0.6 // for each full run time that the distance to the data costs
 	retriedPenalty = 2.0 // a worker on which the task failed is the last choice
 	// disturbPenalty makes an instance where a serving task gets half the load that it bears as bad as a full one.
-	disturbPenalty = 2.0
+	disturbPenalty  = 2.0
+	strangerPenalty = 0.3 // for each other serving image, against packing by room
 	// mostDisturbance is where filling tasks would be slowed to a crawl, so that they wait instead.
 	mostDisturbance = 0.5
 	servingUse      = 0.55 // part of their reservation that serving tasks use, with the swing of their load
@@ -132,6 +136,9 @@
 		}
 		rating = 1 - sit.idle()/cpu
 	}
+	if ned.Serving {
+		rating = float64(sit.Free.MilliCPU())/cpu + strangerPenalty*float64(ned.Strangers)
+	}
 	if !ned.Local {
 		rating += remotePenalty * (ned.Remote - 1)
 	}
--- /dev/null
+++ b/core/batchhost/host_test.go
@@ -0,0 +1,194 @@
+package batchhost_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/batchhost"
+	"jacinthpost/core/resource"
+	"jacinthpost/internal/specs"
+)
+
+func TestBatchhost(t *testing.T) { specs.Run(t, "batchhost") }
+
+const life = batch.Life("w@1")
+
+// agent drives a host the way its process does.
+type agent struct {
+	*batchhost.Host
+	now   time.Time
+	order uint64
+}
+
+func newAgent() *agent {
+	agt := &agent{Host: batchhost.New(batchhost.Options{}, 100), now: time.Unix(1000, 0)}
+	agt.Announce(batchhost.Worker{Life: life, Capacity: resource.New(4000, 4000, 0)}, agt.now)
+	agt.Follow(1)
+	agt.list()
+	agt.Grant(1, agt.now, 6*time.Second)
+	return agt
+}
+
+func (agt *agent) pass(dur time.Duration) {
+	agt.now = agt.now.Add(dur)
+	agt.Tick(agt.now)
+}
+
+func (agt *agent) clock() time.Duration { return agt.now.Sub(time.Unix(0, 0)) }
+
+func (agt *agent) list(runs ...batch.RunState) {
+	agt.List(batchhost.Listing{Life: life, Clock: agt.clock(), Runs: runs, SentAt: agt.now, At: agt.now})
+}
+
+func (agt *agent) listEnds(ends ...batchhost.EndedRun) {
+	agt.List(batchhost.Listing{Life: life, Clock: agt.clock(), Ended: ends, SentAt: agt.now, At: agt.now})
+}
+
+func run(job string) batch.RunID { return batch.RunID{Task: batch.TaskID{Job: job}, Run: 1} }
+
+func (agt *agent) take(knd batch.OrderKind, job string) {
+	agt.order++
+	agt.Take(agt.Epoch(), agt.Session(), []batch.Order{{Seq: agt.order, Kind: knd, ID: run(job), Need: resource.New(3000, 100, 0)}}, agt.now, agt.now)
+}
+
+func (agt *agent) expectCalls(knds ...batchhost.CallKind) {
+	GinkgoHelper()
+	var got []batchhost.CallKind
+	for _, cal := range agt.Calls() {
+		got = append(got, cal.Kind)
+	}
+	Expect(got).To(Equal(knds))
+}
+
+func (agt *agent) expectEvents(causes ...batch.EndCause) {
+	GinkgoHelper()
+	var got []batch.EndCause
+	for _, evt := range agt.Report("a", agt.now).Events {
+		got = append(got, evt.Cause)
+	}
+	Expect(got).To(Equal(causes))
+}
+
+var _ = Describe("Host", func() {
+	DescribeTable("refuses a start that could break a promise",
+		func(change func(agt *agent)) {
+			agt := newAgent()
+			change(agt)
+			agt.Calls()
+			agt.take(batch.StartRun, "j")
+			agt.expectCalls()
+			Expect(agt.Report("a", agt.now).Events).To(ContainElement(HaveField("Cause", batch.EndRefused)))
+		},
+		Entry("no room beside a run that may still start", func(agt *agent) { agt.take(batch.StartRun, "k") }),
+		Entry("no room beside a run that is being stopped", func(agt *agent) {
+			agt.take(batch.StartRun, "k")
+			agt.list(batch.RunState{ID: run("k")})
+			agt.take(batch.StopRun, "k")
+		}),
+		Entry("a run whose room is unknown after a restart", func(agt *agent) { agt.list(batch.RunState{ID: run("k")}) }),
+		Entry("the worker drains", func(agt *agent) { agt.Announce(batchhost.Worker{Life: life, Draining: true}, agt.now) }),
+		Entry("the owner's grant has nearly ended", func(agt *agent) { agt.pass(5800 * time.Millisecond) }),
+	)
+
+	It("ignores orders of an owner that was replaced", func() {
+		agt := newAgent()
+		Expect(agt.Follow(2)).To(BeTrue())
+		agt.Take(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: run("j")}}, agt.now, agt.now)
+		agt.expectCalls()
+		Expect(agt.Follow(1)).To(BeFalse())
+	})
+
+	It("repeats a start without an answer and counts it as started when the worker lists it", func() {
+		agt := newAgent()
+		agt.take(batch.StartRun, "j")
+		agt.expectCalls(batchhost.CallStart)
+		agt.StartEnded(life, run("j"), batchhost.Unknown, "timeout", agt.now)
+		agt.expectCalls(batchhost.CallStart)
+		agt.list(batch.RunState{ID: run("j")})
+		agt.StartEnded(life, run("j"), batchhost.Unknown, "timeout", agt.now)
+		agt.expectCalls()
+		agt.expectEvents()
+	})
+
+	It("settles a refusal after an unknown try only by a stop, because the first may be carried out late", func() {
+		agt := newAgent()
+		agt.take(batch.StartRun, "j")
+		agt.StartEnded(life, run("j"), batchhost.Unknown, "timeout", agt.now)
+		agt.Calls()
+		agt.StartEnded(life, run("j"), batchhost.NotDone, "busy", agt.now)
+		agt.expectEvents()
+		agt.expectCalls(batchhost.CallStop)
+		agt.list()
+		agt.expectEvents()
+		agt.StopEnded(life, run("j"), batchhost.Accepted, agt.now)
+		agt.pass(time.Millisecond)
+		agt.list()
+		agt.expectEvents(batch.EndRefused)
+	})
+
+	It("does not call a run lost because of a list that was asked for before its start was answered", func() {
+		agt := newAgent()
+		agt.take(batch.StartRun, "j")
+		asked := agt.now
+		agt.pass(10 * time.Millisecond)
+		agt.StartEnded(life, run("j"), batchhost.Accepted, "", agt.now)
+		for range 3 {
+			agt.List(batchhost.Listing{Life: life, Clock: agt.clock(), SentAt: asked, At: agt.now})
+		}
+		agt.expectEvents()
+	})
+
+	It("gives up the runs of a silent worker only when its lease has certainly ended", func() {
+		agt := newAgent()
+		agt.take(batch.StartRun, "j")
+		agt.list(batch.RunState{ID: run("j"), Checkpoint: "c"})
+		_, ok := agt.Until(agt.now)
+		Expect(ok).To(BeTrue())
+		agt.pass(4 * time.Second)
+		agt.expectEvents()
+		agt.pass(time.Second)
+		agt.expectEvents(batch.EndLapsed)
+	})
+
+	It("never renews a lease beyond the owner's grant", func() {
+		agt := newAgent()
+		agt.pass(5 * time.Second)
+		agt.list()
+		until, ok := agt.Until(agt.now)
+		Expect(ok).To(BeTrue())
+		Expect(until - agt.clock()).To(Equal(time.Second))
+		agt.pass(time.Second)
+		_, ok = agt.Until(agt.now)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("lets the worker forget an end only when the owner has stored it", func() {
+		agt := newAgent()
+		agt.listEnds(batchhost.EndedRun{Seq: 7, ID: run("j"), Cause: batch.EndDone})
+		Expect(agt.Noted()).To(BeZero())
+		agt.Confirmed(agt.Epoch(), agt.Session(), 1)
+		Expect(agt.Noted()).To(BeEquivalentTo(7))
+	})
+
+	It("reports an end again to a new owner, once", func() {
+		agt := newAgent()
+		agt.listEnds(batchhost.EndedRun{Seq: 7, ID: run("j"), Cause: batch.EndDone})
+		agt.Follow(2)
+		agt.listEnds(batchhost.EndedRun{Seq: 7, ID: run("j"), Cause: batch.EndDone})
+		agt.expectEvents(batch.EndDone)
+	})
+
+	It("starts a new session without runs when the worker has a new life", func() {
+		agt := newAgent()
+		agt.list(batch.RunState{ID: run("j")})
+		before := agt.Session()
+		agt.Announce(batchhost.Worker{Life: "w@2"}, agt.now)
+		Expect(agt.Session()).To(BeNumerically(">", before))
+		Expect(agt.Listed()).To(BeFalse())
+		Expect(agt.Report("a", agt.now).Runs).To(BeEmpty())
+	})
+})
