Keep and make room for short tasks

Lasting tasks now leave headroom for the short tasks seen lately, and one of them is taken down, within its disruption budget, when a short task finds no place for 200 ms.

--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -24,6 +24,7 @@
 	remaining     time.Duration
 	reserved      resource.Vector
 	fillCPU       int64            // in use by filling tasks at full speed
+	shortCPU      int64            // reserved by tasks that neither last nor fill
 	servingCPU    int64            // reserved by tasks with a latency target
 	filling       map[string]int64 // processors that filling tasks use at full speed, by image
 	servingImages map[string]int   // tasks with a latency target, by image
@@ -62,6 +63,9 @@
 
 func (ins *instance) count(stp *stepState, sign int) {
 	ins.runs += sign
+	if stp.short() {
+		ins.shortCPU += int64(sign) * stp.spec.MilliCPU()
+	}
 	switch {
 	case stp.spec.Fills():
 		ins.fillCPU += int64(sign) * stp.spec.MilliCPU()
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -27,11 +27,11 @@
 
 // stepState is a step of one occurrence.
 type stepState struct {
-	spec   workload.Step
-	tasks  []*task
-	done   int
-	took   []time.Duration // of tasks that are done
-	grants map[string]string
+	spec    workload.Step
+	tasks   []*task
+	done    int
+	took    []time.Duration // of tasks that are done
+	blocked time.Time       // since when a task found no place, zero when it did
 }
 
 func newOccurrence(spec workload.Job, num int) *occurrence {
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -135,11 +135,13 @@
 		}
 		ins := sch.choose(pln, can, stp, tsk)
 		if ins == nil {
+			sch.block(can, stp, pln.now)
 			if len(tsk.failedOn) == 0 {
 				break
 			}
 			continue
 		}
+		stp.blocked = time.Time{}
 		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
 		sch.assign(can.job, stp, tsk, tid, ins, tsk.run+1, pln.now)
 		num++
@@ -201,11 +203,12 @@
 	var best *instance
 	bestRating := 0.0
 	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != ""
+	spare := !stp.spec.Lasting() || sch.spare(svc, stp)
 	for _, ins := range sch.instances {
 		if ins.service != svc || !ins.usable(sch.out) || !ins.hasLabel(stp.spec.Label()) {
 			continue
 		}
-		if !ins.health.admits(pln.now, ins.runs) || stp.full(ins.id) {
+		if !ins.health.admits(pln.now, ins.runs) || stp.full(ins.id) || !spare && !ins.roomy(stp) {
 			limited = true
 			continue
 		}
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -35,6 +35,8 @@
 	out       map[fleet.DataCentre]bool
 	learned   durations
 	effects   pacing.Model
+	demand    map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
+	preempted time.Time
 	since     time.Time
 	held      bool
 	planned   bool // nothing changed since the last plan that could let work start
@@ -225,6 +227,7 @@
 			sch.mark(job)
 		}
 	}
+	sch.noteDemand()
 	sch.judgeOverdue(now)
 	sch.moveSlowed(now)
 	sch.planned = false
