--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -251,6 +251,52 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
 	})
 
+	It("starts a task that found no undisturbed place for a while when its job has nothing at work", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		watch, noisy := step(1), step(2)
+		watch.Lasting, watch.TargetMillis, watch.Image = true, 18, "web"
+		noisy.Fills, noisy.Image, noisy.MilliCPU = true, "noisy", 3900
+		own.submit("w", watch)
+		own.store()
+		own.submit("j", noisy)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
+		own.pass(1100 * time.Millisecond)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(2))
+	})
+
+	It("leaves room for short tasks and makes some when there is none", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		watch := step(4)
+		watch.Lasting = true
+		own.submit("w", watch)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(3))
+		short := step(2)
+		own.submit("j", short)
+		own.store()
+		own.pass(300 * time.Millisecond)
+		own.store()
+		Expect(own.orders("a", 1, batch.StopRun)).To(HaveLen(1))
+	})
+
+	It("takes no more lasting tasks down than their budget allows", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		watch := step(3)
+		watch.Lasting, watch.MayMiss = true, 1
+		own.submit("w", watch)
+		own.store()
+		own.submit("j", step(3))
+		own.store()
+		own.pass(300 * time.Millisecond)
+		own.store()
+		Expect(own.orders("a", 1, batch.StopRun)).To(BeEmpty(), "none of them is surely at work yet")
+	})
+
 	It("places all members of a gang with one run number or none", func() {
 		own := newOwner()
 		own.hear(report("a", 1))
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -196,8 +196,9 @@
 
 func (sch *Scheduler[O, P]) choose(pln *planner, can waiting, stp *stepState, tsk *task) *instance {
 	ned := Need{Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills()}
+	starved := sch.starved(can.occ, stp, pln.now)
 	svc := fleet.Service(can.job.spec.Service())
-	if pln.hopeless(svc, ned) {
+	if !starved && pln.hopeless(svc, ned) {
 		return nil
 	}
 	var best *instance
@@ -213,7 +214,7 @@
 			continue
 		}
 		ned := sch.need(stp, ins)
-		ned.Retried = tsk.failedAt(ins.id)
+		ned.Retried, ned.Starved = tsk.failedAt(ins.id), starved
 		rating, ok := sch.placement.Rate(ned, ins.site())
 		if ok && (best == nil || rating < bestRating || rating == bestRating && ins.id < best.id) {
 			best, bestRating = ins, rating
@@ -225,6 +226,15 @@
 	return best
 }
 
+// starvedAfter is how long an occurrence may have nothing at work while a filling
+// task waits for a place where it disturbs nobody. Then it starts anyway and is
+// paced: a job that makes slow progress is better than one that stands still.
+const starvedAfter = time.Second
+
+func (sch *Scheduler[O, P]) starved(occ *occurrence, stp *stepState, now time.Time) bool {
+	return stp.spec.Fills() && !stp.blocked.IsZero() && now.Sub(stp.blocked) >= starvedAfter && !occ.hasAttempts()
+}
+
 // need returns what a placement knows of a task of the step on an instance.
 func (sch *Scheduler[O, P]) need(stp *stepState, ins *instance) Need {
 	return Need{
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -86,6 +86,7 @@
 	Strangers   int     // serving images on the instance other than its own
 	Local       bool    // the instance is in the rack of the data, or there is none
 	Remote      float64 // factor on the run time elsewhere
+	Starved     bool    // the job has had nothing at work for a while
 	Retried     bool    // a run of the task failed on the instance
 	Disturbance float64 // load by filling tasks on the serving task that they disturb most, 1 is all it bears
 }
@@ -131,7 +132,8 @@
 	cpu := float64(max(1, sit.Capacity.MilliCPU()))
 	rating := 1 - float64(sit.Free.MilliCPU())/cpu
 	if ned.Fills {
-		if sit.idle() < minFillerShare*float64(ned.MilliCPU) || ned.Disturbance > mostDisturbance {
+		crowded := sit.idle() < minFillerShare*float64(ned.MilliCPU) || ned.Disturbance > mostDisturbance
+		if crowded && !ned.Starved {
 			return 0, false
 		}
 		rating = 1 - sit.idle()/cpu
--- /dev/null
+++ b/internal/standin/taskworker/taskworker.go
@@ -0,0 +1,286 @@
+// Package taskworker is a stand-in for a worker of the users' platform, written
+// from its published page: it runs tasks for a given time under a lease, lists what
+// runs and what ended, and announces itself to its agent.
+package taskworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+type running struct {
+	run   int
+	begun time.Time
+}
+
+type end struct {
+	seq  uint64
+	name string
+	run  int
+	how  string
+}
+
+// Worker is the stand-in. Its fields must be set before it serves.
+type Worker struct {
+	ID       string
+	Service  string
+	Zone     string
+	CPU      int
+	MemoryMB int
+	TaskTime time.Duration // of every task; zero runs until it is stopped
+
+	mu       sync.Mutex
+	begun    time.Time
+	token    uint64
+	until    int64
+	runs     map[string]running
+	barred   map[string]int // highest run that was stopped or ended
+	ends     []end
+	seq      uint64
+	sequence uint64
+	draining bool
+	starts   map[string]int
+	changed  chan struct{}
+}
+
+// Starts returns how often each task was started.
+func (wrk *Worker) Starts() map[string]int {
+	wrk.mu.Lock()
+	defer wrk.mu.Unlock()
+	out := make(map[string]int, len(wrk.starts))
+	for name, num := range wrk.starts {
+		out[name] = num
+	}
+	return out
+}
+
+// Running returns the number of tasks at work.
+func (wrk *Worker) Running() int {
+	wrk.mu.Lock()
+	defer wrk.mu.Unlock()
+	wrk.advance()
+	return len(wrk.runs)
+}
+
+// SetDraining makes the worker say that it leaves.
+func (wrk *Worker) SetDraining() {
+	wrk.mu.Lock()
+	defer wrk.mu.Unlock()
+	wrk.draining = true
+}
+
+func (wrk *Worker) clock() int64 {
+	if wrk.begun.IsZero() {
+		wrk.begun = time.Now().Add(-time.Minute)
+	}
+	return time.Since(wrk.begun).Milliseconds()
+}
+
+// advance ends what is done and what has outlived the lease.
+func (wrk *Worker) advance() {
+	lapsed := wrk.clock() > wrk.until
+	for name, run := range wrk.runs {
+		switch {
+		case wrk.TaskTime > 0 && time.Since(run.begun) >= wrk.TaskTime:
+			wrk.finish(name, run.run, "done")
+		case lapsed:
+			wrk.finish(name, run.run, "lapsed")
+		}
+	}
+}
+
+func (wrk *Worker) finish(name string, run int, how string) {
+	delete(wrk.runs, name)
+	wrk.seq++
+	wrk.ends = append(wrk.ends, end{wrk.seq, name, run, how})
+	wrk.bar(name, run)
+	if wrk.changed != nil {
+		close(wrk.changed)
+		wrk.changed = nil
+	}
+}
+
+func (wrk *Worker) bar(name string, run int) {
+	if wrk.barred == nil {
+		wrk.barred = make(map[string]int)
+	}
+	wrk.barred[name] = max(wrk.barred[name], run)
+}
+
+type order struct {
+	Task         string
+	Run          int
+	FencingToken uint64
+	UntilMs      int64
+	LastSeen     uint64
+	WaitMs       int
+}
+
+// ServeHTTP implements http.Handler.
+func (wrk *Worker) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	var ord order
+	if json.NewDecoder(req.Body).Decode(&ord) != nil {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if id := req.Header.Get("X-Target-Instance"); id != wrk.ID {
+		wrk.respond(wrt, http.StatusMisdirectedRequest, nil)
+		return
+	}
+	wrk.mu.Lock()
+	fenced := ord.FencingToken < wrk.token
+	wrk.token = max(wrk.token, ord.FencingToken)
+	wrk.mu.Unlock()
+	if fenced {
+		wrk.respond(wrt, http.StatusConflict, map[string]any{"reason": "fence"})
+		return
+	}
+	switch req.URL.Path {
+	case "/-/run-start":
+		wrk.start(wrt, ord)
+	case "/-/run-stop":
+		wrk.stop(wrt, ord)
+	case "/-/hold":
+		wrk.hold(wrt, req, ord)
+	case "/-/pace":
+		wrk.respond(wrt, http.StatusOK, nil)
+	default:
+		wrt.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (wrk *Worker) respond(wrt http.ResponseWriter, status int, body map[string]any) {
+	if body == nil {
+		body = make(map[string]any)
+	}
+	wrk.mu.Lock()
+	body["clockMs"] = wrk.clock()
+	wrk.mu.Unlock()
+	wrt.Header().Set("Content-Type", "application/json")
+	wrt.WriteHeader(status)
+	if err := json.NewEncoder(wrt).Encode(body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (wrk *Worker) start(wrt http.ResponseWriter, ord order) {
+	status, body := wrk.begin(ord)
+	wrk.respond(wrt, status, body)
+}
+
+func (wrk *Worker) begin(ord order) (int, map[string]any) {
+	wrk.mu.Lock()
+	defer wrk.mu.Unlock()
+	wrk.until = max(wrk.until, ord.UntilMs)
+	wrk.advance()
+	if run, found := wrk.runs[ord.Task]; found && run.run == ord.Run {
+		return http.StatusOK, nil
+	}
+	if ord.Run <= wrk.barred[ord.Task] {
+		return http.StatusConflict, map[string]any{"reason": "old"}
+	}
+	if ord.UntilMs < wrk.clock() {
+		return http.StatusConflict, map[string]any{"reason": "late"}
+	}
+	if wrk.runs == nil {
+		wrk.runs, wrk.starts = make(map[string]running), make(map[string]int)
+	}
+	wrk.runs[ord.Task] = running{ord.Run, time.Now()}
+	wrk.starts[ord.Task]++
+	return http.StatusOK, nil
+}
+
+func (wrk *Worker) stop(wrt http.ResponseWriter, ord order) {
+	wrk.mu.Lock()
+	wrk.bar(ord.Task, ord.Run)
+	if run, found := wrk.runs[ord.Task]; found && run.run <= ord.Run {
+		wrk.finish(ord.Task, run.run, "stopped")
+	}
+	wrk.mu.Unlock()
+	wrk.respond(wrt, http.StatusOK, nil)
+}
+
+func (wrk *Worker) hold(wrt http.ResponseWriter, req *http.Request, ord order) {
+	tmr := time.NewTimer(time.Duration(ord.WaitMs) * time.Millisecond)
+	defer tmr.Stop()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for over := ord.WaitMs == 0; ; {
+		body, ended := wrk.lists(ord)
+		if ended || over {
+			wrk.respond(wrt, http.StatusOK, body)
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-tmr.C:
+			over = true
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (wrk *Worker) lists(ord order) (map[string]any, bool) {
+	wrk.mu.Lock()
+	defer wrk.mu.Unlock()
+	wrk.until = max(wrk.until, ord.UntilMs)
+	wrk.advance()
+	for len(wrk.ends) > 0 && wrk.ends[0].seq <= ord.LastSeen {
+		wrk.ends = wrk.ends[1:]
+	}
+	runs, ends := [][]any{}, [][]any{}
+	for name, run := range wrk.runs {
+		runs = append(runs, []any{name, run.run, "", 50, 100})
+	}
+	for _, end := range wrk.ends {
+		ends = append(ends, []any{end.seq, end.name, end.run, end.how, ""})
+	}
+	return map[string]any{"running": runs, "ended": ends}, len(ends) > 0
+}
+
+// Announce sends heartbeats to an agent at host:port until the context ends.
+func (wrk *Worker) Announce(ctx context.Context, addr string, period time.Duration) {
+	tkr := time.NewTicker(period)
+	defer tkr.Stop()
+	for {
+		wrk.announce(ctx, addr)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+		}
+	}
+}
+
+func (wrk *Worker) announce(ctx context.Context, addr string) {
+	wrk.mu.Lock()
+	wrk.sequence++
+	state := "ready"
+	if wrk.draining {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": wrk.Service, "address": "x", "zone": wrk.Zone, "version": "v1", "slots": 8, "state": state,
+		"capacity": map[string]any{"cpu": wrk.CPU, "memMb": wrk.MemoryMB}, "labels": []string{"a", "r1"},
+		"clockMs": wrk.clock(), "sequence": wrk.sequence, "born": 1,
+	})
+	wrk.mu.Unlock()
+	if err != nil {
+		panic(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/-/instances/%s", addr, wrk.ID), bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	rsp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return // the agent may be away
+	}
+	_ = rsp.Body.Close()
+}
