--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -110,7 +111,10 @@
 		wrt.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Hang:
-		<-req.Context().Done()
+		// The server notices that the caller has gone only after it has read the body.
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			<-req.Context().Done()
+		}
 		return
 	}
 	switch req.Method + " " + req.URL.Path {
