--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -132,19 +132,30 @@
 
 // change applies a change on the control thread and then makes the calls it asks for.
 func (agt *Agent) change(ctx context.Context, fun func(sta *state, now time.Time)) {
-	var calls []batchhost.Call
-	var token uint64
-	_, err := control.Query(ctx, agt.loop, func(sta *state, now time.Time) struct{} {
+	changeFor(ctx, agt, func(sta *state, now time.Time) struct{} {
 		fun(sta, now)
-		calls, token = sta.host.Calls(), sta.token
 		return struct{}{}
 	})
+}
+
+// changeFor is change with a result, which is zero when the context ended first.
+func changeFor[R any](ctx context.Context, agt *Agent, fun func(sta *state, now time.Time) R) R {
+	type effect struct {
+		result R
+		calls  []batchhost.Call
+		token  uint64
+	}
+	eff, err := control.Query(ctx, agt.loop, func(sta *state, now time.Time) effect {
+		res := fun(sta, now)
+		return effect{result: res, calls: sta.host.Calls(), token: sta.token}
+	})
 	if err != nil {
-		return
+		return eff.result
 	}
-	for _, cal := range calls {
-		go agt.call(ctx, cal, token)
+	for _, cal := range eff.calls {
+		go agt.call(ctx, cal, eff.token)
 	}
+	return eff.result
 }
 
 // Announce applies a heartbeat of the worker.
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -69,11 +69,7 @@
 }
 
 func (agt *Agent) list(ctx context.Context, lst batchhost.Listing) int {
-	num := 0
-	agt.change(ctx, func(sta *state, _ time.Time) {
-		num = sta.host.List(lst)
-	})
-	return num
+	return changeFor(ctx, agt, func(sta *state, _ time.Time) int { return sta.host.List(lst) })
 }
 
 // settle gives the owner a moment to store new ends: the worker would list them again at once.
--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -12,6 +12,7 @@
 
 	"jacinthpost/core/batch"
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/pacing"
 	"jacinthpost/core/store"
 	"jacinthpost/io/batchrpc"
 	"jacinthpost/io/batchstore"
@@ -220,24 +221,30 @@
 		rep.NotOwner = true
 		return nil
 	}
-	out, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) batch.Outbox {
+	type answer struct {
+		acked   uint64
+		effects map[pacing.Pair]pacing.Estimate
+	}
+	ans, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) answer {
 		sch.Hear(arg.Core(), now)
 		out, _ := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.OrdersSeen)
+		ans := answer{acked: out.Acked}
 		if rgn.effectsDue(fleet.InstanceID(arg.Instance), now) {
-			rep.Effects = sch.Effects()
+			ans.effects = sch.Effects()
 		}
-		return out
+		return ans
 	})
 	if err != nil {
 		rep.NotOwner = true
 		return nil
 	}
+	rep.Effects = ans.effects
 	since := time.Duration(rgn.cfg.Clock().UnixNano() - rgn.confirmed.Load())
 	rep.Healthy = since < healthyFor
 	if since < Validity {
 		rep.Grant = Grant
 	}
-	rep.Acked = out.Acked
+	rep.Acked = ans.acked
 	return nil
 }
 
