Spread accepted jobs over parts of the store

Jobs now lie in 8 parts and don't wait for each other. States of expired jobs are removed after the jobs themselves, orphans at the next takeover.

--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -21,7 +21,10 @@
 	"jacinthpost/io/lead"
 )
 
-const queueEvents = 1024
+const (
+	queueEvents = 1024
+	cleanPeriod = time.Second
+)
 
 // reign is one ownership of the partition.
 type reign struct {
@@ -40,6 +43,7 @@
 	confirmed atomic.Int64  // when the newest stored transaction was sent
 	mu        sync.Mutex
 	waiters   map[fleet.InstanceID]chan struct{}
+	removed   []string                       // jobs whose states are to be removed, on the control thread
 	told      map[fleet.InstanceID]time.Time // when the agent got the learned effects, on the control thread
 }
 
@@ -82,11 +86,11 @@
 func (rgn *reign) run(ctx context.Context) error {
 	defer close(rgn.done)
 	grp, ctx := errgroup.WithContext(ctx)
-	rgn.jobs = follow.New(rgn.cfg.Feed, rgn.cfg.Part.JobsPrefix(), rgn.cfg.Clock, rgn.cfg.Log, func(rows []store.Row, _ bool) { rgn.applyJobs(ctx, rows) })
+	rgn.jobs = follow.New(rgn.cfg.Feed, rgn.cfg.Part.JobsPrefixes(), rgn.cfg.Clock, rgn.cfg.Log, func(rows []store.Row, _ bool) { rgn.applyJobs(ctx, rows) })
 	rgn.outs = rgn.cfg.Outs(ctx, func(out map[fleet.DataCentre]bool) {
 		rgn.post(ctx, func(sch *Scheduler, _ time.Time) { sch.SetOut(out) })
 	})
-	for _, work := range []func(context.Context){rgn.loop.Run, rgn.jobs.Run, rgn.outs.Run, rgn.tick} {
+	for _, work := range []func(context.Context){rgn.loop.Run, rgn.jobs.Run, rgn.outs.Run, rgn.tick, rgn.clean} {
 		grp.Go(func() error {
 			work(ctx)
 			return nil
@@ -108,7 +112,10 @@
 		for _, row := range rows {
 			rgn.applyJob(sch, row, now)
 		}
-		rgn.once.Do(func() { close(rgn.ready) })
+		rgn.once.Do(func() {
+			rgn.removeOrphans()
+			close(rgn.ready)
+		})
 	})
 }
 
@@ -135,6 +142,48 @@
 	sch.Restore(spec, rec, now)
 }
 
+// removeOrphans queues the states whose jobs were removed by a former owner.
+func (rgn *reign) removeOrphans() {
+	for id := range rgn.inherited {
+		rgn.removed = append(rgn.removed, id)
+	}
+}
+
+// clean removes final jobs after their retention: first what the entries wrote,
+// then, with the next transaction of the owner, the state.
+func (rgn *reign) clean(ctx context.Context) {
+	tkr := time.NewTicker(cleanPeriod)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+			rgn.cleanOnce(ctx)
+		}
+	}
+}
+
+func (rgn *reign) cleanOnce(ctx context.Context) {
+	ids, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) []string { return sch.Expired(now, removedJobs) })
+	if err != nil {
+		return
+	}
+	for _, id := range ids {
+		var txn store.Transaction
+		txn.Delete(rgn.cfg.Part.JobKey(id))
+		txn.Delete(rgn.cfg.Part.CancelKey(id))
+		if _, err := rgn.cfg.Table.Commit(ctx, &txn); err != nil {
+			rgn.cfg.Log.Warn("expired job not removed", zap.String("job", id), zap.Error(err))
+			return
+		}
+		rgn.post(ctx, func(sch *Scheduler, _ time.Time) {
+			sch.Forget([]string{id})
+			rgn.removed = append(rgn.removed, id)
+		})
+	}
+}
+
 func (rgn *reign) tick(ctx context.Context) {
 	tkr := time.NewTicker(tickPeriod)
 	defer tkr.Stop()
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// batchJobs leaves room for the owner row, the load and removals in the 100 entries of a transaction.
+	// batchJobs leaves room for the owner row, the load and removed states in the 100 entries of a transaction.
 	batchJobs   = 70
-	removedJobs = 8 // three rows each
+	removedJobs = 20
 	loadPeriod  = 300 * time.Millisecond
 	writeRetry  = 30 * time.Millisecond
 	// releaseLimit bounds the last transaction of a process that stops.
@@ -30,12 +30,12 @@
 // change is one transaction.
 type change struct {
 	batch   *batch.Batch
-	expired []string
-	load    []byte // nil when it has not changed
+	removed []string // jobs whose states are removed
+	load    []byte   // nil when it has not changed
 }
 
 func (chg change) empty() bool {
-	return chg.batch.Empty() && len(chg.expired) == 0 && chg.load == nil
+	return chg.batch.Empty() && len(chg.removed) == 0 && chg.load == nil
 }
 
 // writer is the state of the writing goroutine.
@@ -87,7 +87,9 @@
 	withLoad := wrt.cfg.Clock().Sub(wrt.loadAt) >= loadPeriod
 	return control.Query(ctx, wrt.loop, func(sch *Scheduler, now time.Time) change {
 		sch.Plan(now)
-		chg := change{batch: sch.Take(batchJobs), expired: sch.Expired(now, removedJobs)}
+		num := min(removedJobs, len(wrt.removed))
+		chg := change{batch: sch.Take(batchJobs), removed: wrt.removed[:num:num]}
+		wrt.removed = wrt.removed[num:]
 		if withLoad {
 			lod := batchstore.Encode(batchstore.Load{Pending: sch.Pending()})
 			if !bytes.Equal(lod, wrt.load) {
@@ -113,11 +115,13 @@
 		}
 		wrt.post(ctx, func(sch *Scheduler, now time.Time) {
 			sch.Committed(chg.batch, now)
-			sch.Forget(chg.expired)
 		})
 		return nil
 	}
-	wrt.post(ctx, func(sch *Scheduler, _ time.Time) { sch.Abandoned(chg.batch) })
+	wrt.post(ctx, func(sch *Scheduler, _ time.Time) {
+		sch.Abandoned(chg.batch)
+		wrt.removed = append(wrt.removed, chg.removed...)
+	})
 	if err == nil {
 		return wrt.resolve(ctx, res)
 	}
@@ -180,9 +184,7 @@
 	if chg.load != nil {
 		txn.Put(part.LoadKey(), chg.load)
 	}
-	for _, id := range chg.expired {
-		txn.Delete(part.JobKey(id))
-		txn.Delete(part.CancelKey(id))
+	for _, id := range chg.removed {
 		txn.Delete(part.StateKey(id))
 	}
 	return txn
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -1,16 +1,20 @@
 // Package batchstore lays out the jobs of a partition in the table service and
 // encodes their rows as JSON.
 //
-// Every row of a partition has keys of the form table/partition/name, so that one
-// transaction may cover them. The table jobs is written by entries (what callers
-// handed in or cancelled), the tables states and owners by the owner of the
-// partition, whose every transaction is conditional on the owner row.
+// Keys have the form table/part/name, and a transaction covers one part. The tables
+// states and owners are written by the owner of the partition in one part: its every
+// transaction is conditional on the owner row. The table jobs is written by entries
+// (what callers handed in or cancelled) and spread over JobParts parts, because a part
+// carries out its transactions one after another: acceptance must not queue behind
+// the owner when the store is slow.
 package batchstore
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/batch"
@@ -20,13 +24,29 @@
 // Partition names a set of jobs with one owner.
 type Partition string
 
-const cancelSuffix = "/cancel"
+const (
+	cancelSuffix = "/cancel"
+	// JobParts is the number of parts of the table jobs. A part carries 150 transactions a second.
+	JobParts = 8
+)
+
+func (par Partition) jobsPrefix(num int) string {
+	return fmt.Sprintf("jobs/%s-%d/", par, num)
+}
 
-// JobsPrefix is the prefix of the jobs and cancellations.
-func (par Partition) JobsPrefix() string { return "jobs/" + string(par) + "/" }
+// JobsPrefixes are the prefixes of the jobs and cancellations, one for each part.
+func (par Partition) JobsPrefixes() []string {
+	out := make([]string, JobParts)
+	for num := range out {
+		out[num] = par.jobsPrefix(num)
+	}
+	return out
+}
 
 // JobKey is the key of an accepted job.
-func (par Partition) JobKey(id string) string { return par.JobsPrefix() + id }
+func (par Partition) JobKey(id string) string {
+	return par.jobsPrefix(int(xxhash.Sum64String(id)%JobParts)) + id
+}
 
 // CancelKey is the key of a cancellation, which is listed after its job.
 func (par Partition) CancelKey(id string) string { return par.JobKey(id) + cancelSuffix }
@@ -46,8 +66,8 @@
 
 // JobName returns the job of a key in the table jobs and whether the row is a cancellation.
 func (par Partition) JobName(key string) (id string, cancel bool) {
-	id = strings.TrimPrefix(key, par.JobsPrefix())
-	return strings.CutSuffix(id, cancelSuffix)
+	els := strings.SplitN(key, "/", 3)
+	return strings.CutSuffix(els[len(els)-1], cancelSuffix)
 }
 
 // StateName returns the job of a key in the table states.
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"jacinthpost/core/store"
 )
@@ -23,10 +24,10 @@
 	lastRetry  = 400 * time.Millisecond // an outage ends with one call per follower in this time
 )
 
-// Follower follows the rows of a table with a common prefix.
+// Follower follows the rows of a table whose keys have one of some prefixes.
 type Follower struct {
 	feed      store.Feed
-	prefix    string
+	prefixes  []string
 	apply     func(rows []store.Row, whole bool)
 	clock     func() time.Time
 	log       *zap.Logger
@@ -35,8 +36,8 @@
 
 // New returns a follower that calls apply with changed rows, or with all rows
 // (whole) after it has read the table. Apply is called from one goroutine.
-func New(fee store.Feed, prefix string, clk func() time.Time, log *zap.Logger, apply func(rows []store.Row, whole bool)) *Follower {
-	return &Follower{feed: fee, prefix: prefix, apply: apply, clock: clk, log: log}
+func New(fee store.Feed, prefixes []string, clk func() time.Time, log *zap.Logger, apply func(rows []store.Row, whole bool)) *Follower {
+	return &Follower{feed: fee, prefixes: prefixes, apply: apply, clock: clk, log: log}
 }
 
 // Confirmed returns the time of which the view is certainly not older, zero before the first reading.
@@ -54,7 +55,7 @@
 	for ctx.Err() == nil {
 		err := fol.follow(ctx, func() {
 			if lost {
-				fol.log.Info("feed regained", zap.String("rows", fol.prefix))
+				fol.log.Info("feed regained", zap.String("rows", fol.prefixes[0]))
 			}
 			lost, retry = false, firstRetry
 		})
@@ -62,7 +63,7 @@
 			return
 		}
 		if !lost && !errors.Is(err, store.ErrCompacted) {
-			fol.log.Warn("feed lost", zap.String("rows", fol.prefix), zap.Error(err))
+			fol.log.Warn("feed lost", zap.String("rows", fol.prefixes[0]), zap.Error(err))
 			lost = true
 		}
 		pause(ctx, retry)
@@ -72,14 +73,14 @@
 
 func (fol *Follower) follow(ctx context.Context, reached func()) error {
 	asked := fol.clock()
-	all, err := fol.feed.Snapshot(ctx, fol.prefix)
+	all, err := fol.snapshot(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read table")
 	}
 	reached()
 	fol.apply(all.Rows(), true)
 	fol.confirmed.Store(asked.UnixNano())
-	table, _, _ := strings.Cut(fol.prefix, "/")
+	table, _, _ := strings.Cut(fol.prefixes[0], "/")
 	failures := 0
 	for after := all.Version(); ; {
 		asked = fol.clock()
@@ -90,7 +91,7 @@
 		if err != nil {
 			// The view stays; only the history may be gone when the store is back.
 			if failures++; failures == 1 {
-				fol.log.Warn("feed interrupted", zap.String("rows", fol.prefix), zap.Error(err))
+				fol.log.Warn("feed interrupted", zap.String("rows", fol.prefixes[0]), zap.Error(err))
 			}
 			pause(ctx, min(lastRetry, firstRetry<<min(failures, 4)))
 			continue
@@ -104,11 +105,37 @@
 	}
 }
 
+// snapshot reads all prefixes at once and continues from the oldest reading.
+func (fol *Follower) snapshot(ctx context.Context) (store.Changes, error) {
+	parts := make([]store.Changes, len(fol.prefixes))
+	grp, ctx := errgroup.WithContext(ctx)
+	for num, prefix := range fol.prefixes {
+		grp.Go(func() error {
+			chg, err := fol.feed.Snapshot(ctx, prefix)
+			parts[num] = chg
+			return err
+		})
+	}
+	if err := grp.Wait(); err != nil {
+		return store.Changes{}, err
+	}
+	var rows []store.Row
+	ver := parts[0].Version()
+	for _, part := range parts {
+		rows = append(rows, part.Rows()...)
+		ver = min(ver, part.Version())
+	}
+	return store.NewChanges(rows, ver), nil
+}
+
 func (fol *Follower) own(rows []store.Row) []store.Row {
 	out := make([]store.Row, 0, len(rows))
 	for _, row := range rows {
-		if strings.HasPrefix(row.Key(), fol.prefix) {
-			out = append(out, row)
+		for _, prefix := range fol.prefixes {
+			if strings.HasPrefix(row.Key(), prefix) {
+				out = append(out, row)
+				break
+			}
 		}
 	}
 	return out
