Let the lease of a silent worker end, and headroom only delay lasting tasks

Lasting tasks waited without limit for headroom that short tasks did not take; they now wait 1.5 s. Stops are not repeated while the worker is silent, and lines of one message are sampled above 400 a second.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -283,6 +283,19 @@
 		Expect(own.orders("a", 1, batch.StopRun)).To(HaveLen(1))
 	})
 
+	It("gives a lasting task the headroom when no short task takes it in time", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		watch := step(4)
+		watch.Lasting = true
+		own.submit("w", watch)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(3))
+		own.pass(1600 * time.Millisecond)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
+	})
+
 	It("takes no more lasting tasks down than their budget allows", func() {
 		own := newOwner()
 		own.hear(report("a", 1))
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -31,7 +31,7 @@
 	tasks   []*task
 	done    int
 	took    []time.Duration // of tasks that are done
-	blocked time.Time       // since when a task found no place, zero when it did
+	blocked time.Time       // since when a task that may start finds no place, zero when all did
 }
 
 func newOccurrence(spec workload.Job, num int) *occurrence {
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -52,9 +52,11 @@
 		}
 		for _, occ := range job.occurrences {
 			for num, stp := range occ.steps {
-				if occ.turn(num) && stp.wants(now) {
-					cans = append(cans, waiting{Candidate: sch.candidate(job, occ, now), job: job, occ: occ, step: num})
+				if !occ.turn(num) || !stp.wants(now) {
+					stp.blocked = time.Time{}
+					continue
 				}
+				cans = append(cans, waiting{Candidate: sch.candidate(job, occ, now), job: job, occ: occ, step: num})
 			}
 		}
 	}
@@ -141,7 +143,6 @@
 			}
 			continue
 		}
-		stp.blocked = time.Time{}
 		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
 		sch.assign(can.job, stp, tsk, tid, ins, tsk.run+1, pln.now)
 		num++
@@ -204,7 +205,7 @@
 	var best *instance
 	bestRating := 0.0
 	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != ""
-	spare := !stp.spec.Lasting() || sch.spare(svc, stp)
+	spare := !stp.spec.Lasting() || stp.waitedFor(headroomWait, pln.now) || sch.spare(svc, stp)
 	for _, ins := range sch.instances {
 		if ins.service != svc || !ins.usable(sch.out) || !ins.hasLabel(stp.spec.Label()) {
 			continue
@@ -232,7 +233,7 @@
 const starvedAfter = time.Second
 
 func (sch *Scheduler[O, P]) starved(occ *occurrence, stp *stepState, now time.Time) bool {
-	return stp.spec.Fills() && !stp.blocked.IsZero() && now.Sub(stp.blocked) >= starvedAfter && !occ.hasAttempts()
+	return stp.spec.Fills() && stp.waitedFor(starvedAfter, now) && !occ.hasAttempts()
 }
 
 // need returns what a placement knows of a task of the step on an instance.
--- a/core/batch/preempt.go
+++ b/core/batch/preempt.go
@@ -11,13 +11,14 @@
 // fill the service in time, and then a burst or the loss of a data centre leaves no
 // room for short tasks, which are worth far more for the processors that they use.
 const (
-	leastHeadroom   = 0.04                   // of the service's processors that lasting tasks leave free
-	headroomFactor  = 1.5                    // on the processors that short tasks used at most lately
-	headroomDecay   = 0.995                  // of the remembered use with each tick
-	roomyFactor     = 2                      // an instance with so much room for a lasting task takes it all the same
-	preemptAfter    = 200 * time.Millisecond // without a place
-	preemptInterval = 250 * time.Millisecond // between preemptions: one makes room for several short tasks
-	lastingCost     = 4.0                    // core-seconds that a restart of a lasting task is worth
+	leastHeadroom   = 0.04                    // of the service's processors that lasting tasks leave free
+	headroomFactor  = 1.5                     // on the processors that short tasks used at most lately
+	headroomDecay   = 0.995                   // of the remembered use with each tick
+	headroomWait    = 1500 * time.Millisecond // after which a lasting task takes what is free
+	roomyFactor     = 2                       // an instance with so much room for a lasting task takes it all the same
+	preemptAfter    = 200 * time.Millisecond  // without a place
+	preemptInterval = 250 * time.Millisecond  // between preemptions: one makes room for several short tasks
+	lastingCost     = 4.0                     // core-seconds that a restart of a lasting task is worth
 )
 
 // short reports whether a task reserves processors for a limited time.
@@ -51,6 +52,11 @@
 	return free+short-float64(stp.spec.Need().MilliCPU()) >= headroom
 }
 
+// waitedFor reports whether a task of the step has found no place for a time.
+func (stp *stepState) waitedFor(dur time.Duration, now time.Time) bool {
+	return !stp.blocked.IsZero() && now.Sub(stp.blocked) >= dur
+}
+
 // roomy reports whether an instance has room for a task of the step several times over.
 func (ins *instance) roomy(stp *stepState) bool {
 	return stp.spec.Need().Times(roomyFactor).FitsIn(ins.free())
@@ -61,7 +67,7 @@
 	if stp.blocked.IsZero() {
 		stp.blocked = now
 	}
-	if !stp.short() || now.Sub(stp.blocked) < preemptAfter || now.Sub(sch.preempted) < preemptInterval {
+	if !stp.short() || !stp.waitedFor(preemptAfter, now) || now.Sub(sch.preempted) < preemptInterval {
 		return
 	}
 	sch.preempt(can, stp, now)
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -241,7 +241,9 @@
 // Until returns the lease to ask for now, in the worker's clock, and whether there is one.
 func (hst *Host) Until(now time.Time) (time.Duration, bool) {
 	left := min(hst.options.Lease, hst.granted.Sub(now))
-	if left <= 0 || hst.clock.at.IsZero() {
+	if left <= 0 || hst.clock.at.IsZero() || hst.silent(now) {
+		// The lease of a worker that does not answer must be left to end, or its
+		// runs could never be given up.
 		return 0, false
 	}
 	end := hst.clock.now(now) + left
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -74,7 +74,7 @@
 	if hst.worker.Draining {
 		return reasonDraining
 	}
-	if hst.granted.Sub(now) < hst.options.MinimumLeft || hst.clock.at.IsZero() {
+	if hst.granted.Sub(now) < hst.options.MinimumLeft || hst.clock.at.IsZero() || hst.silent(now) {
 		return reasonNoLease
 	}
 	var used resource.Vector
@@ -170,7 +170,7 @@
 // Tick repeats stops that were not answered and gives up runs whose lease has certainly expired.
 func (hst *Host) Tick(now time.Time) {
 	for rid, rn := range hst.runs {
-		if rn.stopping && rn.stopped.IsZero() && !rn.stopCall {
+		if rn.stopping && rn.stopped.IsZero() && !rn.stopCall && !hst.silent(now) {
 			hst.callStop(rid, rn)
 		}
 	}
--- a/io/telemetry/decisionlog.go
+++ b/io/telemetry/decisionlog.go
@@ -3,14 +3,21 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
-// queuedLines bounds the lines that wait for a reader of the output.
-const queuedLines = 4096
+const (
+	// queuedLines bounds the lines that wait for a reader of the output.
+	queuedLines = 4096
+	// linesPerSecond bounds the lines of one message in a second; of those beyond
+	// it, one in sampledLines is written. It holds all decisions of a busy owner.
+	linesPerSecond = 400
+	sampledLines   = 100
+)
 
 // lineQueue writes lines on a goroutine of its own. A line that finds the queue
 // full is dropped and counted, so that nobody ever waits for the output.
@@ -56,7 +63,13 @@
 // that waits until the queued lines are written; nothing may be logged after it.
 func NewDecisionLog(out io.Writer) (log *zap.Logger, flush func()) {
 	que := newLineQueue(out)
-	log = zap.New(zapcore.NewCore(encoder(), que, zapcore.InfoLevel))
+	dropped := zapcore.SamplerHook(func(_ zapcore.Entry, dec zapcore.SamplingDecision) {
+		if dec&zapcore.LogDropped != 0 {
+			que.lost.Inc()
+		}
+	})
+	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(encoder(), que, zapcore.InfoLevel), time.Second, linesPerSecond, sampledLines, dropped)
+	log = zap.New(core)
 	return log, func() {
 		que.once.Do(func() { close(que.lines) })
 		<-que.done
