--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -214,6 +214,10 @@
 			limited = true
 			continue
 		}
+		if _, ok := stp.permitted(ins, pln.now); can.job.spec.Advised() && !ok {
+			limited = true
+			continue
+		}
 		ned := sch.need(stp, ins)
 		ned.Retried, ned.Starved = tsk.failedAt(ins.id), starved
 		rating, ok := sch.placement.Rate(ned, ins.site())
@@ -284,7 +288,11 @@
 		job.state = JobRunning
 	}
 	rid := RunID{Task: tid, Run: run}
-	job.orders = append(job.orders, pendingOrder{instance: ins.id, session: ins.session, order: job.order(StartRun, stp, tsk, rid)})
+	ord := job.order(StartRun, stp, tsk, rid)
+	if job.spec.Advised() {
+		ord.Grant, _ = stp.permitted(ins, now)
+	}
+	job.orders = append(job.orders, pendingOrder{instance: ins.id, session: ins.session, order: ord})
 	sch.note(now, NoteAssigned, job.spec.ID(), rid, ins.id, "")
 	sch.mark(job)
 }
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -195,6 +195,9 @@
 	case evt.Cause == EndFailed:
 		sch.settleFailed(job, stp, tsk, ins, evt, now)
 	case evt.Cause == EndRefused:
+		if evt.Reason == reasonTicket {
+			delete(stp.permissions, att.life)
+		}
 		tsk.notBefore = now.Add(sch.options.RetryDelay)
 	}
 }
--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -47,6 +47,12 @@
 // Outs follows the data centres that the operators took out.
 type Outs func(ctx context.Context, apply func(map[fleet.DataCentre]bool)) *follow.Follower
 
+// Advisor asks the policy service which workers may run a step. The answer holds
+// their tickets and how long they are valid.
+type Advisor interface {
+	Advise(ctx context.Context, req batch.AdviceRequest) (tickets map[batch.Life]string, valid time.Duration, err error)
+}
+
 // Config is what an owner needs.
 type Config struct {
 	Table   store.Table
@@ -54,6 +60,7 @@
 	Part    batchstore.Partition
 	Elector *lead.Elector
 	Outs    Outs
+	Advisor Advisor // nil when the deployment has no policy service
 	Options batch.Options
 	Clock   func() time.Time // steady, counts suspended time
 	Wall    func() time.Time
--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -24,6 +24,8 @@
 const (
 	queueEvents = 1024
 	cleanPeriod = time.Second
+	// advicePeriod is short against the time that the policy service takes for a decision.
+	advicePeriod = 50 * time.Millisecond
 )
 
 // reign is one ownership of the partition.
@@ -90,7 +92,7 @@
 	rgn.outs = rgn.cfg.Outs(ctx, func(out map[fleet.DataCentre]bool) {
 		rgn.post(ctx, func(sch *Scheduler, _ time.Time) { sch.SetOut(out) })
 	})
-	for _, work := range []func(context.Context){rgn.loop.Run, rgn.jobs.Run, rgn.outs.Run, rgn.tick, rgn.clean} {
+	for _, work := range []func(context.Context){rgn.loop.Run, rgn.jobs.Run, rgn.outs.Run, rgn.tick, rgn.clean, rgn.advise} {
 		grp.Go(func() error {
 			work(ctx)
 			return nil
@@ -200,6 +202,39 @@
 	}
 }
 
+// advise asks the policy service for what waiting tasks need, one request at a time.
+func (rgn *reign) advise(ctx context.Context) {
+	if rgn.cfg.Advisor == nil {
+		return
+	}
+	tkr := time.NewTicker(advicePeriod)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+		}
+		reqs, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) []batch.AdviceRequest { return sch.Advice(now) })
+		if err != nil {
+			return
+		}
+		for _, req := range reqs {
+			rgn.adviseOne(ctx, req)
+		}
+	}
+}
+
+func (rgn *reign) adviseOne(ctx context.Context, req batch.AdviceRequest) {
+	asked := rgn.cfg.Clock()
+	tickets, valid, err := rgn.cfg.Advisor.Advise(ctx, req)
+	if err != nil {
+		rgn.cfg.Log.Warn("policy service failed", zap.Stringer("step", req.Step), zap.Error(err))
+		return
+	}
+	rgn.post(ctx, func(sch *Scheduler, _ time.Time) { sch.Advise(req, tickets, asked.Add(valid)) })
+}
+
 // mayStart reports whether the operators' decisions are known well enough for starts.
 func (rgn *reign) mayStart(now time.Time) bool {
 	conf := rgn.outs.Confirmed()
