--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -336,6 +336,35 @@
 		Expect(own.orders("b", 1, batch.StartRun)[0].Grant).To(Equal("t"))
 	})
 
+	Describe("gang", func() {
+		start := func() (*owner, []batch.Order) {
+			own := newOwner()
+			own.hear(report("a", 1))
+			gang := step(3)
+			gang.Gang = true
+			own.submit("j", gang, gang)
+			own.store()
+			return own, own.orders("a", 1, batch.StartRun)
+		}
+
+		It("stops the other members when one was refused, because they would wait in vain", func() {
+			own, ords := start()
+			own.hear(report("a", 1), ended(1, ords[0].ID, batch.EndRefused))
+			Expect(own.orders("a", 1, batch.StopRun)).To(HaveLen(2))
+		})
+
+		It("is done when one member is, and holds its room until all ends are reported", func() {
+			own, ords := start()
+			own.hear(report("a", 1), ended(1, ords[0].ID, batch.EndDone))
+			own.store()
+			Expect(own.orders("a", 1, batch.StopRun)).To(BeEmpty())
+			Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(3), "the second gang has no room yet")
+			own.hear(report("a", 1), ended(1, ords[0].ID, batch.EndDone), ended(2, ords[1].ID, batch.EndDone), ended(3, ords[2].ID, batch.EndDone))
+			own.store()
+			Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(6))
+		})
+	})
+
 	It("places all members of a gang with one run number or none", func() {
 		own := newOwner()
 		own.hear(report("a", 1))
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -138,9 +138,26 @@
 func (sch *Scheduler[O, P]) lose(job *jobState, tid TaskID, tsk *task, att *attempt, now time.Time) {
 	sch.note(now, NoteEnded, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, string(EndLost))
 	sch.drop(job, tid, tsk, att)
+	sch.breakGang(job, tid, EndLost)
 	sch.mark(job)
 }
 
+// breakGang stops the other members when one is not there any more: they would wait
+// for it in vain. Members of a gang that ran end by themselves when one of them ends.
+func (sch *Scheduler[O, P]) breakGang(job *jobState, tid TaskID, cause EndCause) {
+	stp, tsk := job.task(tid)
+	if !stp.spec.Gang() || tsk.phase == Done || cause == EndDone || cause == EndFailed || cause == EndBroken {
+		return
+	}
+	for idx, oth := range stp.tasks {
+		member := tid
+		member.Index = idx
+		for _, att := range slices.Clone(oth.attempts) {
+			sch.stop(job, member, oth, att)
+		}
+	}
+}
+
 // checkPresence gives up an instance whose worker's lease has certainly expired.
 func (sch *Scheduler[O, P]) checkPresence(ins *instance, now time.Time) {
 	limit := ins.heardAt.Add(sch.options.LostAfter)
@@ -187,6 +204,7 @@
 	if job.state.Final() || tsk.phase == Done {
 		return
 	}
+	sch.breakGang(job, evt.ID.Task, evt.Cause)
 	switch {
 	case stp.spec.Lasting():
 		sch.settleLasting(job, tsk, ins, evt, now)
@@ -219,7 +237,7 @@
 	}
 	sch.complete(job, stp, tsk, evt.ID.Task)
 	if stp.spec.Gang() {
-		sch.completeGang(job, stp, evt.ID.Task)
+		completeGang(stp)
 	}
 	if job.finish() {
 		sch.note(now, NoteFinished, job.spec.ID(), RunID{}, "", string(JobCompleted))
@@ -239,15 +257,14 @@
 	}
 }
 
-// completeGang marks all members as done: one end stands for all of them.
-func (sch *Scheduler[O, P]) completeGang(job *jobState, stp *stepState, tid TaskID) {
-	for idx, oth := range stp.tasks {
-		member := tid
-		member.Index = idx
-		for _, att := range slices.Clone(oth.attempts) {
-			sch.drop(job, member, oth, att)
+// completeGang marks all members as done: one end stands for all of them. The
+// attempts of the others hold their room until their own ends are reported.
+func completeGang(stp *stepState) {
+	for _, oth := range stp.tasks {
+		if oth.phase != Done {
+			oth.phase = Done
+			stp.done++
 		}
-		sch.complete(job, stp, oth, member)
 	}
 }
 
