--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -118,16 +118,9 @@
 }
 
 func (agt *Agent) tick(ctx context.Context) {
-	tkr := time.NewTicker(tickPeriod)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tkr.C:
-			agt.change(ctx, func(sta *state, now time.Time) { sta.host.Tick(now) })
-		}
-	}
+	control.Every(ctx, tickPeriod, func() {
+		agt.change(ctx, func(sta *state, now time.Time) { sta.host.Tick(now) })
+	})
 }
 
 // change applies a change on the control thread and then makes the calls it asks for.
--- a/io/batchagent/link.go
+++ b/io/batchagent/link.go
@@ -188,21 +188,12 @@
 // takeOrders asks the owner for orders by long poll.
 func (agt *Agent) takeOrders(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !agt.takeOnce(ctx) {
-			agt.rest(ctx)
+		if !agt.takeOnce(ctx) && control.Pause(ctx, linkRetry) != nil {
+			return
 		}
 	}
 }
 
-func (agt *Agent) rest(ctx context.Context) {
-	tmr := time.NewTimer(linkRetry)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C:
-	}
-}
-
 func (agt *Agent) takeOnce(ctx context.Context) bool {
 	own, found := agt.elector.Current()
 	if !found {
--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -154,16 +154,7 @@
 // clean removes final jobs after their retention: first what the entries wrote,
 // then, with the next transaction of the owner, the state.
 func (rgn *reign) clean(ctx context.Context) {
-	tkr := time.NewTicker(cleanPeriod)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tkr.C:
-			rgn.cleanOnce(ctx)
-		}
-	}
+	control.Every(ctx, cleanPeriod, func() { rgn.cleanOnce(ctx) })
 }
 
 func (rgn *reign) cleanOnce(ctx context.Context) {
@@ -187,19 +178,12 @@
 }
 
 func (rgn *reign) tick(ctx context.Context) {
-	tkr := time.NewTicker(tickPeriod)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tkr.C:
-			rgn.post(ctx, func(sch *Scheduler, now time.Time) {
-				sch.Hold(!rgn.mayStart(now))
-				sch.Tick(now, rgn.cfg.Wall())
-			})
-		}
-	}
+	control.Every(ctx, tickPeriod, func() {
+		rgn.post(ctx, func(sch *Scheduler, now time.Time) {
+			sch.Hold(!rgn.mayStart(now))
+			sch.Tick(now, rgn.cfg.Wall())
+		})
+	})
 }
 
 // advise asks the policy service for what waiting tasks need, one request at a time.
@@ -207,14 +191,7 @@
 	if rgn.cfg.Advisor == nil {
 		return
 	}
-	tkr := time.NewTicker(advicePeriod)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tkr.C:
-		}
+	control.Every(ctx, advicePeriod, func() {
 		reqs, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) []batch.AdviceRequest { return sch.Advice(now) })
 		if err != nil {
 			return
@@ -222,7 +199,7 @@
 		for _, req := range reqs {
 			rgn.adviseOne(ctx, req)
 		}
-	}
+	})
 }
 
 func (rgn *reign) adviseOne(ctx context.Context, req batch.AdviceRequest) {
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -125,17 +125,15 @@
 	if err == nil {
 		return wrt.resolve(ctx, res)
 	}
-	wrt.pause(ctx)
-	return nil
+	return wrt.pause(ctx)
 }
 
-func (wrt *writer) pause(ctx context.Context) {
-	tmr := time.NewTimer(writeRetry)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C:
+// pause waits before the next try. The end of the context is no loss of ownership: the caller looks at it.
+func (wrt *writer) pause(ctx context.Context) error {
+	if err := control.Pause(ctx, writeRetry); err != nil && ctx.Err() == nil {
+		return err
 	}
+	return nil
 }
 
 // resolve tells from the present owner row whether an earlier transaction whose
@@ -149,8 +147,7 @@
 	}
 	rows, err := wrt.cfg.Table.Read(ctx, wrt.cfg.Part.OwnerKey())
 	if err != nil {
-		wrt.pause(ctx)
-		return nil
+		return wrt.pause(ctx)
 	}
 	return wrt.adopt(rows[0])
 }
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jacinthpost/core/store"
+	"jacinthpost/io/control"
 )
 
 const (
@@ -66,7 +67,9 @@
 			fol.log.Warn("feed lost", zap.String("rows", fol.prefixes[0]), zap.Error(err))
 			lost = true
 		}
-		pause(ctx, retry)
+		if control.Pause(ctx, retry) != nil {
+			return
+		}
 		retry = min(lastRetry, 2*retry)
 	}
 }
@@ -93,7 +96,9 @@
 			if failures++; failures == 1 {
 				fol.log.Warn("feed interrupted", zap.String("rows", fol.prefixes[0]), zap.Error(err))
 			}
-			pause(ctx, min(lastRetry, firstRetry<<min(failures, 4)))
+			if err := control.Pause(ctx, min(lastRetry, firstRetry<<min(failures, 4))); err != nil {
+				return err
+			}
 			continue
 		}
 		failures = 0
@@ -140,12 +145,3 @@
 	}
 	return out
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C:
-	}
-}
--- a/io/jobaccess/jobaccess.go
+++ b/io/jobaccess/jobaccess.go
@@ -20,6 +20,7 @@
 	"jacinthpost/core/store"
 	"jacinthpost/core/workload"
 	"jacinthpost/io/batchstore"
+	"jacinthpost/io/control"
 )
 
 const (
@@ -98,7 +99,7 @@
 		if !uncertain && time.Since(begun)+wait > refusalPatience {
 			return Answer{outcome: outcome.NotRun(outcome.ReasonStoreUnavailable, err.Error()), retryAfter: OutageRetry}
 		}
-		if !pause(ctx, wait) {
+		if control.Pause(ctx, wait) != nil {
 			return Answer{outcome: outcome.Unknown(outcome.ReasonTimeout, err.Error())}
 		}
 	}
@@ -159,20 +160,8 @@
 		if err == nil {
 			return rows[0], nil
 		}
-		if !pause(ctx, wait) {
+		if control.Pause(ctx, wait) != nil {
 			return store.Row{}, err
 		}
 	}
 }
-
-// pause waits and reports whether the context is still in force.
-func pause(ctx context.Context, dur time.Duration) bool {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tmr.C:
-		return true
-	}
-}
