--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -296,6 +296,21 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
 	})
 
+	It("puts tightly coupled tasks into one rack when it has room", func() {
+		own := newOwner()
+		own.scheduler = batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, batch.Options{RemoteFactor: 3}, start)
+		for _, id := range []string{"a", "b", "c"} {
+			rep := report(id, 1)
+			rep.Labels = []string{"kind", map[string]string{"a": "r1", "b": "r2", "c": "r1"}[id]}
+			own.hear(rep)
+		}
+		coupled := step(6)
+		coupled.TightlyCoupled = true
+		own.submit("j", coupled)
+		own.store()
+		Expect(own.orders("b", 1, batch.StartRun)).To(BeEmpty())
+	})
+
 	It("takes no more lasting tasks down than their budget allows", func() {
 		own := newOwner()
 		own.hear(report("a", 1))
--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -142,7 +142,6 @@
 	until     time.Time
 	period    time.Duration
 	probation bool
-	slowness  float64 // learned factor on run times, 0 when unknown
 }
 
 // good records a run that completed.
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -44,6 +44,7 @@
 	return num
 }
 
+// candidates returns the steps that have tasks to place.
 func (sch *Scheduler[O, P]) candidates(now time.Time) []waiting {
 	var cans []waiting
 	for _, job := range sch.jobs {
@@ -139,7 +140,7 @@
 		if ins == nil {
 			sch.block(can, stp, pln.now)
 			if len(tsk.failedOn) == 0 {
-				break
+				break // the tasks of a step are equal, so the others find no place either
 			}
 			continue
 		}
@@ -195,6 +196,7 @@
 	return ""
 }
 
+// choose returns the best instance for a task, nil when there is none.
 func (sch *Scheduler[O, P]) choose(pln *planner, can waiting, stp *stepState, tsk *task) *instance {
 	ned := Need{Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills()}
 	starved := sch.starved(can.occ, stp, pln.now)
@@ -243,12 +245,37 @@
 // need returns what a placement knows of a task of the step on an instance.
 func (sch *Scheduler[O, P]) need(stp *stepState, ins *instance) Need {
 	return Need{
-		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Remote: sch.options.RemoteFactor,
-		Local: stp.spec.Rack() == "" || ins.hasLabel(stp.spec.Rack()), Disturbance: sch.disturbance(ins, stp),
+		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Remote: sch.option().RemoteFactor,
+		Local: sch.local(stp, ins), Disturbance: sch.disturbance(ins, stp),
 		Serving: stp.spec.Target() > 0, Strangers: ins.strangers(stp.spec.Image()),
 	}
 }
 
+// local reports whether a task of the step runs at full speed on an instance: in the
+// rack of its data, and for tightly coupled tasks in the rack of the others.
+func (sch *Scheduler[O, P]) local(stp *stepState, ins *instance) bool {
+	if stp.spec.Rack() != "" && !ins.hasLabel(stp.spec.Rack()) {
+		return false
+	}
+	if !stp.spec.TightlyCoupled() {
+		return true
+	}
+	for _, tsk := range stp.tasks {
+		for _, att := range tsk.attempts {
+			return sch.instance(att.instance).rack() == ins.rack()
+		}
+	}
+	return true
+}
+
+// rack returns the rack of an instance, which its last label names.
+func (ins *instance) rack() string {
+	if len(ins.labels) == 0 {
+		return ""
+	}
+	return ins.labels[len(ins.labels)-1]
+}
+
 // strangers returns the number of serving images on the instance other than the given one.
 func (ins *instance) strangers(image string) int {
 	num := len(ins.servingImages)
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -160,9 +160,9 @@
 
 // checkPresence gives up an instance whose worker's lease has certainly expired.
 func (sch *Scheduler[O, P]) checkPresence(ins *instance, now time.Time) {
-	limit := ins.heardAt.Add(sch.options.LostAfter)
+	limit := ins.heardAt.Add(sch.option().LostAfter)
 	if ins.session == 0 {
-		limit = sch.since.Add(sch.options.InheritedAfter)
+		limit = sch.since.Add(sch.option().InheritedAfter)
 	}
 	if now.Before(limit) || (!ins.present && ins.runs == 0) {
 		return
@@ -216,7 +216,7 @@
 		if evt.Reason == reasonTicket {
 			delete(stp.permissions, att.life)
 		}
-		tsk.notBefore = now.Add(sch.options.RetryDelay)
+		tsk.notBefore = now.Add(sch.option().RetryDelay)
 	}
 }
 
@@ -271,7 +271,7 @@
 func (sch *Scheduler[O, P]) settleFailed(job *jobState, stp *stepState, tsk *task, ins *instance, evt Event, now time.Time) {
 	tsk.failures++
 	tsk.failedOn = appendRecent(tsk.failedOn, ins.id)
-	tsk.notBefore = now.Add(sch.options.RetryDelay)
+	tsk.notBefore = now.Add(sch.option().RetryDelay)
 	sch.judge(ins, job, now)
 	failures := tsk.failures
 	if stp.spec.Gang() {
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -47,7 +47,6 @@
 type Options struct {
 	LostAfter      time.Duration // after the last report, a worker's lease has certainly expired
 	InheritedAfter time.Duration // after taking over, for instances that never reported
-	StopTimeout    time.Duration // a stopped run has ended after this
 	Retention      time.Duration // of final jobs
 	RemoteFactor   float64       // on run times away from the rack of the data
 	RetryDelay     time.Duration // before a failed task is tried again
@@ -55,17 +54,19 @@
 
 // Defaults of the options, for deployments that set none.
 const (
-	defaultLostAfter   = 10 * time.Second
-	defaultStopTimeout = time.Second
-	defaultRetention   = 10 * time.Minute
-	defaultRetryDelay  = 50 * time.Millisecond // lets a failing worker be recognised before the task comes back
+	defaultLostAfter  = 10 * time.Second
+	defaultRetention  = 10 * time.Minute
+	defaultRetryDelay = 50 * time.Millisecond // lets a failing worker be recognised before the task comes back
 )
 
 // New returns a scheduler that takes over at the given time.
 func New[O Ordering, P Placement](ord O, pla P, opt Options, now time.Time) *Scheduler[O, P] {
-	return &Scheduler[O, P]{order: ord, placement: pla, options: opt.withDefaults(), since: now}
+	return &Scheduler[O, P]{order: ord, placement: pla, options: opt, since: now}
 }
 
+// option returns the options with their defaults, so that the zero value works.
+func (sch *Scheduler[O, P]) option() Options { return sch.options.withDefaults() }
+
 func (opt Options) withDefaults() Options {
 	if opt.LostAfter == 0 {
 		opt.LostAfter = defaultLostAfter
@@ -73,9 +74,6 @@
 	if opt.InheritedAfter == 0 {
 		opt.InheritedAfter = 2 * opt.LostAfter
 	}
-	if opt.StopTimeout == 0 {
-		opt.StopTimeout = defaultStopTimeout
-	}
 	if opt.Retention == 0 {
 		opt.Retention = defaultRetention
 	}
@@ -99,7 +97,8 @@
 	sch.mark(job)
 }
 
-// Restore adds a stored job during a takeover.
+// Restore adds a stored job during a takeover. Its objective counts from now,
+// because the steady clocks of two owners can't be compared.
 func (sch *Scheduler[O, P]) Restore(spec workload.Job, rec JobRecord, now time.Time) {
 	if sch.jobs[spec.ID()] != nil {
 		return
@@ -244,7 +243,7 @@
 func (sch *Scheduler[O, P]) Expired(now time.Time, limit int) []string {
 	var ids []string
 	for id, job := range sch.jobs {
-		old := job.state.Final() && now.Sub(job.finalAt) > sch.options.Retention
+		old := job.state.Final() && now.Sub(job.finalAt) > sch.option().Retention
 		if old && !job.dirty && !job.hasAttempts() && len(ids) < limit {
 			ids = append(ids, id)
 		}
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -6,8 +6,8 @@
 	"jacinthpost/core/pacing"
 )
 
-// Sample gathers the measures of the runs on a worker.
-func Sample(milliCPU int64, each func(visit func(ord Order, figure float64))) pacing.Sample {
+// SharingSample gathers the measures of the runs on a worker.
+func SharingSample(milliCPU int64, each func(visit func(ord Order, figure float64))) pacing.Sample {
 	var smp pacing.Sample
 	whole := float64(max(1, milliCPU))
 	each(func(ord Order, figure float64) {
@@ -25,7 +25,7 @@
 
 // learnSharing updates the effects of filling tasks from the measures in a report.
 func (sch *Scheduler[O, P]) learnSharing(ins *instance, rep Report) {
-	smp := Sample(ins.capacity.MilliCPU(), func(visit func(Order, float64)) {
+	smp := SharingSample(ins.capacity.MilliCPU(), func(visit func(Order, float64)) {
 		for _, run := range rep.Runs {
 			if stp, _, att := sch.find(ins, run.ID); att != nil && run.Working {
 				visit(Order{ID: run.ID, Image: stp.spec.Image(), Fills: stp.spec.Fills(), MilliCPU: stp.spec.MilliCPU(), Target: stp.spec.Target()}, run.Figure)
@@ -42,7 +42,7 @@
 const (
 	slowShare  = 45                      // percent, below which a task is better off elsewhere
 	slowFor    = 700 * time.Millisecond  // until it is moved
-	moveAgain  = 2500 * time.Millisecond // between two moves of a task
+	moveAgain  = 2500 * time.Millisecond // at work before a task is moved (again)
 	betterPart = 0.5                     // of the disturbance here is the most elsewhere
 )
 
@@ -63,7 +63,6 @@
 				return
 			}
 			att.slowSince = time.Time{}
-			tsk.movedAt = now
 			sch.note(now, NoteStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, "slowed down")
 			sch.stop(job, tid, tsk, att)
 		})
--- a/core/batch/task.go
+++ b/core/batch/task.go
@@ -80,7 +80,6 @@
 	attempts   []*attempt
 	notBefore  time.Time
 	failedOn   []fleet.InstanceID
-	movedAt    time.Time
 }
 
 func (tsk *task) find(run int) *attempt {
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -122,7 +122,7 @@
 
 // observe sets the pace of the filling runs from the measures of the serving ones.
 func (hst *Host) observe(now time.Time) {
-	smp := batch.Sample(hst.worker.Capacity.MilliCPU(), func(visit func(batch.Order, float64)) {
+	smp := batch.SharingSample(hst.worker.Capacity.MilliCPU(), func(visit func(batch.Order, float64)) {
 		for _, rn := range hst.runs {
 			if rn.working && rn.described {
 				visit(rn.order, rn.state.Figure)
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthpost/core/batch"
 	"jacinthpost/core/batchhost"
 	"jacinthpost/core/fleet"
 	"jacinthpost/io/control"
@@ -44,7 +45,7 @@
 
 // HoldRequest renews a worker's lease and asks what it runs.
 type HoldRequest struct {
-	Life  batchLife
+	Life  batch.Life
 	Token uint64
 	Until time.Duration // zero renews nothing
 	Noted uint64
@@ -73,7 +74,7 @@
 	born     int64
 	sequence uint64
 	token    uint64
-	foreign  map[batchLife]bool // lives that turned out not to be at the address
+	foreign  map[batch.Life]bool // lives that turned out not to be at the address
 }
 
 // Agent is the agent of one instance.
@@ -246,7 +247,7 @@
 )
 
 // learn raises the token above one that the worker has seen, and drops a life that is gone.
-func (sta *state) learn(life batchLife, res Result) {
+func (sta *state) learn(life batch.Life, res Result) {
 	if life != sta.host.Life() {
 		return
 	}
@@ -260,9 +261,9 @@
 
 const maxForeign = 32
 
-func (sta *state) markForeign(life batchLife) {
+func (sta *state) markForeign(life batch.Life) {
 	if sta.foreign == nil || len(sta.foreign) >= maxForeign {
-		sta.foreign = make(map[batchLife]bool)
+		sta.foreign = make(map[batch.Life]bool)
 	}
 	sta.foreign[life] = true
 }
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -6,13 +6,10 @@
 
 	"go.uber.org/zap"
 
-	"jacinthpost/core/batch"
 	"jacinthpost/core/batchhost"
 	"jacinthpost/io/control"
 )
 
-type batchLife = batch.Life
-
 // hold renews the worker's lease and listens for ends, one request at a time.
 func (agt *Agent) hold(ctx context.Context) {
 	answers := true
