--- a/io/lead/lead.go
+++ b/io/lead/lead.go
@@ -56,7 +56,6 @@
 	log      *zap.Logger
 	current  atomic.Pointer[batchstore.Owner]
 	suspect  chan struct{}
-	candid   atomic.Bool
 	seen     bool // the row was read in this doubt
 	version  store.Version
 	since    time.Time // since when the row stands still, zero when its holder is alive
@@ -64,11 +63,9 @@
 	clock    func() time.Time
 }
 
-// New returns an elector for a process that may become the owner when candidate is set.
-func New(tab store.Table, part batchstore.Partition, self batchstore.Owner, candidate bool, clk func() time.Time, log *zap.Logger) *Elector {
-	ele := &Elector{table: tab, part: part, self: self, log: log, suspect: make(chan struct{}, 1), clock: clk}
-	ele.candid.Store(candidate)
-	return ele
+// New returns an elector of a candidate, whose holder, address and nonce are set.
+func New(tab store.Table, part batchstore.Partition, self batchstore.Owner, clk func() time.Time, log *zap.Logger) *Elector {
+	return &Elector{table: tab, part: part, self: self, log: log, suspect: make(chan struct{}, 1), clock: clk}
 }
 
 // Current returns the owner as last read, false before the first reading.
@@ -88,9 +85,6 @@
 	}
 }
 
-// Withdraw keeps this process from becoming the owner.
-func (ele *Elector) Withdraw() { ele.candid.Store(false) }
-
 // Adopt notes an owner that was learned otherwise, such as this process itself.
 func (ele *Elector) Adopt(own batchstore.Owner) { ele.current.Store(&own) }
 
@@ -154,7 +148,7 @@
 		}
 	}
 	ele.noteRow(row, own, now)
-	if !ele.candid.Load() || !ele.failed(row, own, now) {
+	if !ele.failed(row, own, now) {
 		return Term{}, false, nil
 	}
 	return ele.take(ctx, row, own)
