--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// Until returns the lease to ask for now, in the worker's clock, and whether there is one.
+// Until returns the end of the lease to ask the worker for, in its clock, and whether there is one.
 func (hst *Host) Until(now time.Time) (time.Duration, bool) {
 	left := min(hst.options.Lease, hst.granted.Sub(now))
 	if left <= 0 || hst.clock.at.IsZero() || hst.silent(now) {
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -45,6 +45,7 @@
 	loadAt   time.Time
 	written  time.Time
 	sequence uint64
+	failed   bool // the last call failed, so the next one waits a little
 }
 
 // write stores changes until the ownership is lost or the context ends.
@@ -73,6 +74,10 @@
 
 // await waits for something to store or for the next renewal of the owner row.
 func (wrt *writer) await(ctx context.Context) {
+	if wrt.failed && control.Pause(ctx, writeRetry) != nil {
+		return
+	}
+	wrt.failed = false
 	tmr := time.NewTimer(max(0, lead.RenewPeriod-wrt.cfg.Clock().Sub(wrt.written)))
 	defer tmr.Stop()
 	select {
@@ -125,14 +130,7 @@
 	if err == nil {
 		return wrt.resolve(ctx, res)
 	}
-	return wrt.pause(ctx)
-}
-
-// pause waits before the next try. The end of the context is no loss of ownership: the caller looks at it.
-func (wrt *writer) pause(ctx context.Context) error {
-	if err := control.Pause(ctx, writeRetry); err != nil && ctx.Err() == nil {
-		return err
-	}
+	wrt.failed = true
 	return nil
 }
 
@@ -147,7 +145,8 @@
 	}
 	rows, err := wrt.cfg.Table.Read(ctx, wrt.cfg.Part.OwnerKey())
 	if err != nil {
-		return wrt.pause(ctx)
+		wrt.failed = true
+		return nil
 	}
 	return wrt.adopt(rows[0])
 }
