Let the decision log end without a closed queue or a wait

A line written after the end would have met a closed channel and ended the process with a panic; found by reading. The end waits 200 ms at most for a reader.

--- a/io/telemetry/decisionlog.go
+++ b/io/telemetry/decisionlog.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +16,7 @@
 	// it, one in sampledLines is written. It holds all decisions of a busy owner.
 	linesPerSecond = 400
 	sampledLines   = 100
+	flushLimit     = 200 * time.Millisecond // a process ends even if nobody reads its output
 )
 
 // lineQueue writes lines on a goroutine of its own. A line that finds the queue
@@ -24,7 +24,6 @@
 type lineQueue struct {
 	lines chan []byte
 	done  chan struct{}
-	once  sync.Once
 	lost  *metrics.Counter
 }
 
@@ -40,6 +39,9 @@
 func (que *lineQueue) run(out io.Writer) {
 	defer close(que.done)
 	for line := range que.lines {
+		if line == nil {
+			return
+		}
 		if _, err := out.Write(line); err != nil {
 			que.lost.Inc()
 		}
@@ -60,7 +62,7 @@
 func (que *lineQueue) Sync() error { return nil }
 
 // NewDecisionLog returns a logger of JSON lines that never blocks, and a function
-// that waits until the queued lines are written; nothing may be logged after it.
+// that waits a little until the queued lines are written. Lines after it are dropped.
 func NewDecisionLog(out io.Writer) (log *zap.Logger, flush func()) {
 	que := newLineQueue(out)
 	dropped := zapcore.SamplerHook(func(_ zapcore.Entry, dec zapcore.SamplingDecision) {
@@ -70,8 +72,20 @@
 	})
 	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(encoder(), que, zapcore.InfoLevel), time.Second, linesPerSecond, sampledLines, dropped)
 	log = zap.New(core)
-	return log, func() {
-		que.once.Do(func() { close(que.lines) })
-		<-que.done
+	return log, que.flush
+}
+
+// flush waits until the lines queued so far are written, at most for flushLimit.
+func (que *lineQueue) flush() {
+	tmr := time.NewTimer(flushLimit)
+	defer tmr.Stop()
+	select {
+	case que.lines <- nil:
+	case <-tmr.C:
+		return
+	}
+	select {
+	case <-que.done:
+	case <-tmr.C:
 	}
 }
