--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -88,7 +88,7 @@
 	Remote      float64 // factor on the run time elsewhere
 	Starved     bool    // the job has had nothing at work for a while
 	Retried     bool    // a run of the task failed on the instance
-	Disturbance float64 // load by filling tasks on the serving task that they disturb most, 1 is all it bears
+	Disturbance float64 // serving tasks that a filling task brings over their targets, or load on a serving task by what fills
 }
 
 // Site is what a placement knows of an instance.
@@ -110,11 +110,9 @@
 const (
 	remotePenalty  = 0.6 // for each full run time that the distance to the data costs
 	retriedPenalty = 2.0 // a worker on which the task failed is the last choice
-	// disturbPenalty makes an instance where a serving task gets half the load that it bears as bad as a full one.
+	// disturbPenalty makes an instance where one serving task in two gets over its target as bad as a full one.
 	disturbPenalty  = 2.0
-	strangerPenalty = 0.3 // for each other serving image, against packing by room
-	// mostDisturbance is where filling tasks would be slowed to a crawl, so that they wait instead.
-	mostDisturbance = 0.5
+	strangerPenalty = 0.3  // for each other serving image, against packing by room
 	servingUse      = 0.55 // part of their reservation that serving tasks use, with the swing of their load
 	minFillerShare  = 0.7  // a filling task that would get less of its processors waits
 )
@@ -132,8 +130,7 @@
 	cpu := float64(max(1, sit.Capacity.MilliCPU()))
 	rating := 1 - float64(sit.Free.MilliCPU())/cpu
 	if ned.Fills {
-		crowded := sit.idle() < minFillerShare*float64(ned.MilliCPU) || ned.Disturbance > mostDisturbance
-		if crowded && !ned.Starved {
+		if crowded := sit.idle() < minFillerShare*float64(ned.MilliCPU); crowded && !ned.Starved {
 			return 0, false
 		}
 		rating = 1 - sit.idle()/cpu
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -33,11 +33,9 @@
 		}
 	})
 	sch.effects.Learn(smp)
+	ins.serving = smp.Serving
 }
 
-// Effects returns what is known of filling images beside serving ones.
-func (sch *Scheduler[O, P]) Effects() map[pacing.Pair]pacing.Estimate { return sch.effects.Estimates() }
-
 // Limits of moving filling tasks that may hardly work where they are.
 const (
 	slowShare  = 45                      // percent, below which a task is better off elsewhere
@@ -58,7 +56,7 @@
 			if !att.slow(stp, now) {
 				return
 			}
-			here := sch.disturbance(sch.instance(att.instance), stp)
+			here := sch.disturbedBy(sch.instance(att.instance), stp)
 			if !sch.betterElsewhere(job, stp, att, here, now) {
 				return
 			}
@@ -88,25 +86,43 @@
 	return false
 }
 
-// disturbance returns the largest load on a serving task of an instance by what
-// fills beside it when a task of the step is added.
+// disturbance returns how much worse the sharing on an instance becomes by one more
+// task of the step: for a filling task the number of serving tasks that get over their
+// targets, for a serving task the load by what fills.
 func (sch *Scheduler[O, P]) disturbance(ins *instance, stp *stepState) float64 {
-	whole := float64(max(1, ins.capacity.MilliCPU()))
-	use := make(map[string]float64, len(ins.filling)+1)
-	for img, cpu := range ins.filling {
-		use[img] = float64(cpu) / whole
-	}
+	use := ins.fillingUse()
 	switch {
 	case stp.spec.Target() > 0:
 		return sch.effects.Load(stp.spec.Image(), use)
 	case stp.spec.Fills():
-		use[stp.spec.Image()] += float64(stp.spec.MilliCPU()) / whole
-		worst := 0.0
-		for img := range ins.servingImages {
-			worst = max(worst, sch.effects.Load(img, use))
-		}
-		return worst
+		before := sch.effects.Harm(ins.serving, use)
+		use[stp.spec.Image()] += ins.part(stp)
+		return sch.effects.Harm(ins.serving, use) - before
 	default:
 		return 0
 	}
 }
+
+// disturbedBy returns the number of serving tasks that are over their targets because
+// of one filling task of the step that is there.
+func (sch *Scheduler[O, P]) disturbedBy(ins *instance, stp *stepState) float64 {
+	use := ins.fillingUse()
+	with := sch.effects.Harm(ins.serving, use)
+	use[stp.spec.Image()] -= ins.part(stp)
+	return with - sch.effects.Harm(ins.serving, use)
+}
+
+// fillingUse returns the part of the processors that filling tasks use at full speed, by image.
+func (ins *instance) fillingUse() map[string]float64 {
+	use := make(map[string]float64, len(ins.filling)+1)
+	for img, cpu := range ins.filling {
+		use[img] = float64(cpu) / ins.whole()
+	}
+	return use
+}
+
+// part returns the part of the processors that a task of the step uses.
+func (ins *instance) part(stp *stepState) float64 { return float64(stp.spec.MilliCPU()) / ins.whole() }
+
+// whole returns the processors of the worker in mCPU.
+func (ins *instance) whole() float64 { return float64(max(1, ins.capacity.MilliCPU())) }
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -102,7 +102,6 @@
 	leaseEnd  time.Duration // latest end ever sent, in the worker's clock
 	answered  time.Time
 	pace      pacing.Controller
-	model     pacing.Model
 	calls     []Call
 }
 
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -129,22 +129,18 @@
 			}
 		}
 	})
-	hst.model.Learn(smp)
-	hst.pace.Observe(&hst.model, smp, now)
+	hst.pace.Observe(smp, now)
 	for rid, rn := range hst.runs {
 		if rn.working && rn.order.Fills && !rn.stopping {
-			hst.setPace(rid, rn, hst.pace.Share(rn.order.Image), now)
+			hst.setPace(rid, rn, hst.pace.Share(), now)
 		}
 	}
 }
 
-// Model returns the learned effects of filling runs on serving ones.
-func (hst *Host) Model() *pacing.Model { return &hst.model }
-
 // setPace asks for a share unless it was asked for recently. The share is asked for
 // again now and then, because an earlier call may be carried out late.
 func (hst *Host) setPace(rid batch.RunID, rn *run, share int, now time.Time) {
-	if rn.pacedAt.IsZero() && share == fullPercent {
+	if rn.pacedAt.IsZero() && share == pacing.FullShare {
 		return
 	}
 	if rn.share == share && now.Sub(rn.pacedAt) < paceRepeat {
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/pacing"
 	"jacinthpost/core/resource"
 )
 
@@ -59,14 +60,12 @@
 		hst.runs = make(map[batch.RunID]*run)
 	}
 	hst.runs[ord.ID] = &run{
-		order: ord, described: true, takenAt: now, calling: true, share: fullPercent,
+		order: ord, described: true, takenAt: now, calling: true, share: pacing.FullShare,
 		state: batch.RunState{ID: ord.ID, Checkpoint: ord.Checkpoint},
 	}
 	hst.callStart(ord.ID, ord, now)
 }
 
-const fullPercent = 100
-
 func (hst *Host) refusal(ord batch.Order, sentAt, now time.Time) string {
 	if now.Sub(sentAt) > hst.options.StaleOrder {
 		return reasonStale
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -1,69 +1,62 @@
-// Package pacing decides how fast filling tasks may work beside tasks that serve.
+// Package pacing decides when filling tasks pause beside tasks that serve.
 //
 // A serving task has a target for its tail latency. Filling tasks on the same
 // worker disturb it by amounts that depend on the pair of images: most pairs hardly
 // matter, a few lengthen the tail twentyfold. The load of the serving task itself
 // swings too, and all measures lag by half a second.
 //
-// A Model learns the effect of each pair. A Controller cuts the share of the
-// filling images that explain a tail near its target, those with the largest effect
-// first, and leaves the others alone. When a tail stays over its target all the
-// same, everything that fills pauses until it is back: a wrong model may cost work
-// but no target. It answers waves of noisy tasks beside services whose load swings.
+// A tail is either within its target or not, so a filling task that works at half
+// its speed beside a tail that stays over the target costs the serving task twice
+// the time and gains nothing. A Controller therefore knows two states: everything
+// that fills works at full speed, or pauses because a tail has been over its target
+// for nearly as long as users bear. A Model learns the effect of each pair, so that
+// placement can choose where filling tasks disturb least.
 //
 // The types must be used from one goroutine at a time; their zero values work.
 package pacing
 
-import (
-	"cmp"
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 // Limits of the control.
 const (
-	targetPart  = 0.95 // of the target that is aimed at
-	minorEffect = 0.3  // an image with a smaller effect is not cut for a tail that it can't explain
-	raiseStep   = 0.35 // most by which a share rises between two samples
-	lowestShare = 0.1  // a smaller share becomes a pause
-	// overLimit is how long a tail may stay over its target before everything
+	// overLimit is how long a tail may stay over its target before what fills
 	// pauses. The pause takes effect within a second, and users bear 4 s.
-	overLimit  = 2200 * time.Millisecond
-	pauseAfter = 700 * time.Millisecond // beyond the end of the excess, until shares rise again
+	overLimit = 2500 * time.Millisecond
+	// pauseAfter is how long a pause goes on after the last excess: less than the
+	// time between two samples, so that it ends with the first sample without one.
+	pauseAfter = 200 * time.Millisecond
 )
 
-// Controller holds the shares of the filling images of one worker.
+// Percentages of its speed at which a filling task works.
+const (
+	FullShare   = 100
+	PausedShare = 0
+)
+
+// Controller decides for the filling tasks of one worker.
 type Controller struct {
-	cuts   map[string]float64 // part taken away from an image
-	over   map[string]time.Time
-	paused time.Time // everything pauses until then
+	over    map[string]time.Time // since when the tail of a serving task is over its target
+	until   time.Time            // what fills pauses until then
+	pausing bool
 }
 
-// Share returns the percentage at which the tasks of a filling image may work.
-func (con *Controller) Share(image string) int {
-	return int(math.Round(100 * (1 - con.cuts[image])))
+// Share returns the percentage at which filling tasks may work.
+func (con *Controller) Share() int {
+	if con.pausing {
+		return PausedShare
+	}
+	return FullShare
 }
 
-// Observe updates the shares from a sample, with the effects known to the model.
-func (con *Controller) Observe(mod *Model, smp Sample, now time.Time) {
-	want := con.wanted(mod, smp)
+// Observe updates the share from a sample.
+func (con *Controller) Observe(smp Sample, now time.Time) {
 	if con.excess(smp, now) {
-		con.paused = now.Add(pauseAfter)
+		con.until = now.Add(pauseAfter)
 	}
-	cuts := make(map[string]float64, len(want))
-	for img, share := range want {
-		share = min(share, 1-con.cuts[img]+raiseStep)
-		if share < lowestShare || now.Before(con.paused) {
-			share = 0
-		}
-		cuts[img] = 1 - share
-	}
-	con.cuts = cuts
+	con.pausing = now.Before(con.until)
 }
 
-// excess reports whether a serving image has been over its target for too long
-// although something fills beside it.
+// excess reports whether a serving task has been over its target for too long.
 func (con *Controller) excess(smp Sample, now time.Time) bool {
 	over := make(map[string]time.Time)
 	long := false
@@ -71,57 +64,13 @@
 		if srv.Target <= 0 || srv.Tail <= srv.Target {
 			continue
 		}
-		since, found := con.over[srv.Image]
+		since, found := con.over[srv.ID]
 		if !found {
 			since = now
 		}
-		over[srv.Image] = since
+		over[srv.ID] = since
 		long = long || now.Sub(since) >= overLimit
 	}
 	con.over = over
 	return long
 }
-
-// wanted returns the share of each filling image at which all tails keep their targets.
-func (con *Controller) wanted(mod *Model, smp Sample) map[string]float64 {
-	full := make(map[string]float64)
-	for _, fil := range smp.Filling {
-		full[fil.Image] += fil.Wants
-	}
-	shares := make(map[string]float64, len(full))
-	for img := range full {
-		shares[img] = 1
-	}
-	use := smp.use()
-	for _, srv := range smp.Serving {
-		if srv.Target > 0 {
-			fit(mod, srv, use, full, shares)
-		}
-	}
-	return shares
-}
-
-// fit lowers shares until the expected tail of a serving task is within its target.
-func fit(mod *Model, srv Serving, use, full, shares map[string]float64) {
-	now := mod.load(srv.Image, srv.Tail) - mod.Load(srv.Image, use)
-	own := min(fullLoad, max(0, (now+mod.Own(srv))/2))
-	budget := mod.load(srv.Image, targetPart*srv.Target) - own
-	images := make([]string, 0, len(full))
-	for img := range full {
-		budget -= mod.Effect(Pair{Serving: srv.Image, Filling: img}) * full[img] * shares[img]
-		images = append(images, img)
-	}
-	slices.SortFunc(images, func(fst, snd string) int {
-		return cmp.Or(cmp.Compare(mod.Effect(Pair{Serving: srv.Image, Filling: snd}), mod.Effect(Pair{Serving: srv.Image, Filling: fst})), cmp.Compare(fst, snd))
-	})
-	for _, img := range images {
-		eff := mod.Effect(Pair{Serving: srv.Image, Filling: img})
-		if budget >= 0 || eff < minorEffect {
-			return
-		}
-		weight := eff * full[img]
-		cut := min(shares[img], -budget/max(weight, 1e-9))
-		shares[img] -= cut
-		budget += cut * weight
-	}
-}
--- a/io/batchagent/link.go
+++ b/io/batchagent/link.go
@@ -131,7 +131,6 @@
 	agt.trust(rep.Healthy)
 	agt.change(ctx, func(sta *state, _ time.Time) {
 		sta.host.Grant(own.Epoch, sent, rep.Grant)
-		sta.host.Model().Merge(rep.Effects)
 		agt.confirm(sta, own.Epoch, arg.Session, rep.Acked)
 	})
 	return true
--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -12,7 +12,6 @@
 
 	"jacinthpost/core/batch"
 	"jacinthpost/core/fleet"
-	"jacinthpost/core/pacing"
 	"jacinthpost/core/store"
 	"jacinthpost/io/batchrpc"
 	"jacinthpost/io/batchstore"
@@ -45,8 +44,7 @@
 	confirmed atomic.Int64  // when the newest stored transaction was sent
 	mu        sync.Mutex
 	waiters   map[fleet.InstanceID]chan struct{}
-	removed   []string                       // jobs whose states are to be removed, on the control thread
-	told      map[fleet.InstanceID]time.Time // when the agent got the learned effects, on the control thread
+	removed   []string // jobs whose states are to be removed, on the control thread
 }
 
 func newReign(cfg Config, trm lead.Term) *reign {
@@ -57,7 +55,7 @@
 	rgn := &reign{
 		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(),
 		ready: make(chan struct{}), done: make(chan struct{}), writes: make(chan struct{}, 1),
-		waiters: make(map[fleet.InstanceID]chan struct{}), told: make(map[fleet.InstanceID]time.Time),
+		waiters: make(map[fleet.InstanceID]chan struct{}),
 	}
 	rgn.confirmed.Store(now.UnixNano())
 	thr := control.NewThread(queueEvents)
@@ -261,18 +259,6 @@
 	}
 }
 
-// effectsPeriod is how often an agent gets the learned effects of all instances.
-const effectsPeriod = 1500 * time.Millisecond
-
-// effectsDue must be called on the control thread.
-func (rgn *reign) effectsDue(id fleet.InstanceID, now time.Time) bool {
-	if now.Sub(rgn.told[id]) < effectsPeriod {
-		return false
-	}
-	rgn.told[id] = now
-	return true
-}
-
 const serveLimit = 500 * time.Millisecond // for one request of an agent, less than the agent's patience
 
 func (rgn *reign) report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
@@ -282,30 +268,21 @@
 		rep.NotOwner = true
 		return nil
 	}
-	type answer struct {
-		acked   uint64
-		effects map[pacing.Pair]pacing.Estimate
-	}
-	ans, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) answer {
+	acked, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) uint64 {
 		sch.Hear(arg.Core(), now)
 		out, _ := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.OrdersSeen)
-		ans := answer{acked: out.Acked}
-		if rgn.effectsDue(fleet.InstanceID(arg.Instance), now) {
-			ans.effects = sch.Effects()
-		}
-		return ans
+		return out.Acked
 	})
 	if err != nil {
 		rep.NotOwner = true
 		return nil
 	}
-	rep.Effects = ans.effects
 	since := time.Duration(rgn.cfg.Clock().UnixNano() - rgn.confirmed.Load())
 	rep.Healthy = since < healthyFor
 	if since < Validity {
 		rep.Grant = Grant
 	}
-	rep.Acked = ans.acked
+	rep.Acked = acked
 	return nil
 }
 
--- a/io/batchrpc/batchrpc.go
+++ b/io/batchrpc/batchrpc.go
@@ -10,7 +10,6 @@
 
 	"jacinthpost/core/batch"
 	"jacinthpost/core/fleet"
-	"jacinthpost/core/pacing"
 	"jacinthpost/core/resource"
 )
 
@@ -54,7 +53,6 @@
 	Healthy  bool          // the owner reached the store recently
 	Grant    time.Duration // the worker's lease may be renewed for so long, counted from the sending of the report
 	Acked    uint64
-	Effects  map[pacing.Pair]pacing.Estimate // now and then: what is known of filling images beside serving ones
 }
 
 // OrdersArgs asks for orders.
