--- a/core/batch/durations.go
+++ b/core/batch/durations.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/workload"
 )
 
@@ -108,6 +109,6 @@
 	if stp.spec.Speculative() {
 		return
 	}
-	sch.note(now, NoteStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "overdue")
+	sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "overdue")
 	sch.stop(job, tid, tsk, att)
 }
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/resource"
 )
@@ -320,7 +321,7 @@
 		ord.Grant, _ = stp.permitted(ins, now)
 	}
 	job.orders = append(job.orders, pendingOrder{instance: ins.id, session: ins.session, order: ord})
-	sch.note(now, NoteAssigned, job.spec.ID(), rid, ins.id, "")
+	sch.note(now, decision.RunAssigned, job.spec.ID(), rid, ins.id, "")
 	sch.mark(job)
 }
 
--- a/core/batch/preempt.go
+++ b/core/batch/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/resource"
 )
@@ -100,7 +101,7 @@
 		return
 	}
 	sch.preempted = now
-	sch.note(now, NoteStopped, best.job.spec.ID(), RunID{Task: best.tid, Run: best.att.run}, best.att.instance, "preempted for "+can.job.spec.ID())
+	sch.note(now, decision.RunStopped, best.job.spec.ID(), RunID{Task: best.tid, Run: best.att.run}, best.att.instance, "preempted for "+can.job.spec.ID())
 	sch.stop(best.job, best.tid, best.tsk, best.att)
 }
 
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 )
 
@@ -20,7 +21,7 @@
 	fresh := rep.Session != ins.session
 	if fresh {
 		ins.open(rep)
-		sch.note(now, NoteHeard, "", RunID{}, ins.id, string(rep.Life))
+		sch.note(now, decision.InstanceHeard, "", RunID{}, ins.id, string(rep.Life))
 	}
 	ins.update(rep, now)
 	for _, evt := range rep.Events {
@@ -136,7 +137,7 @@
 
 // lose drops an attempt that is certainly not at work any more.
 func (sch *Scheduler[O, P]) lose(job *jobState, tid TaskID, tsk *task, att *attempt, now time.Time) {
-	sch.note(now, NoteEnded, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, string(EndLost))
+	sch.note(now, decision.RunEnded, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, string(EndLost))
 	sch.drop(job, tid, tsk, att)
 	sch.breakGang(job, tid, EndLost)
 	sch.mark(job)
@@ -167,7 +168,7 @@
 	if now.Before(limit) || (!ins.present && ins.runs == 0) {
 		return
 	}
-	sch.note(now, NoteLost, "", RunID{}, ins.id, "")
+	sch.note(now, decision.InstanceLost, "", RunID{}, ins.id, "")
 	ins.present = false
 	sch.eachAttemptOn(ins.id, func(job *jobState, tid TaskID, tsk *task, att *attempt) {
 		sch.lose(job, tid, tsk, att, now)
@@ -189,7 +190,7 @@
 	job := sch.jobs[evt.ID.Task.Job]
 	ins.pendingEvent(evt.Seq)
 	job.acks = append(job.acks, ack{instance: ins.id, session: ins.session, seq: evt.Seq})
-	sch.note(now, NoteEnded, job.spec.ID(), evt.ID, ins.id, string(evt.Cause)+" "+evt.Reason)
+	sch.note(now, decision.RunEnded, job.spec.ID(), evt.ID, ins.id, string(evt.Cause)+" "+evt.Reason)
 	sch.settle(job, stp, tsk, att, evt, now)
 	sch.mark(job)
 }
@@ -240,7 +241,7 @@
 		completeGang(stp)
 	}
 	if job.finish() {
-		sch.note(now, NoteFinished, job.spec.ID(), RunID{}, "", string(JobCompleted))
+		sch.note(now, decision.JobFinished, job.spec.ID(), RunID{}, "", string(JobCompleted))
 		job.state, job.finalAt = JobCompleted, now
 	}
 }
@@ -280,7 +281,7 @@
 	if failures < job.spec.MaxAttempts() {
 		return
 	}
-	sch.note(now, NoteFinished, job.spec.ID(), evt.ID, ins.id, string(JobFailed))
+	sch.note(now, decision.JobFinished, job.spec.ID(), evt.ID, ins.id, string(JobFailed))
 	sch.end(job, JobFailed, now)
 }
 
@@ -296,7 +297,7 @@
 // judge counts a failure against an instance.
 func (sch *Scheduler[O, P]) judge(ins *instance, job *jobState, now time.Time) {
 	if ins.health.bad(job.spec.ID(), now) {
-		sch.note(now, NoteSuspended, job.spec.ID(), RunID{}, ins.id, ins.health.period.String())
+		sch.note(now, decision.InstanceSuspended, job.spec.ID(), RunID{}, ins.id, ins.health.period.String())
 	}
 }
 
@@ -319,7 +320,7 @@
 		}
 		left := sch.learned.predict(job.spec.Queue(), stp) - now.Sub(att.orderedAt)
 		if stp.spec.Lasting() || left > ins.remaining {
-			sch.note(now, NoteStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "drain")
+			sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "drain")
 			sch.stop(job, tid, tsk, att)
 		}
 	})
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -19,6 +19,7 @@
 import (
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/pacing"
 	"jacinthpost/core/workload"
@@ -93,7 +94,7 @@
 	}
 	job := &jobState{spec: spec, state: JobQueued, acceptedAt: now}
 	sch.add(job)
-	sch.note(now, NoteSubmitted, spec.ID(), RunID{}, "", describe(spec))
+	sch.note(now, decision.JobSubmitted, spec.ID(), RunID{}, "", describe(spec))
 	sch.mark(job)
 }
 
@@ -130,7 +131,7 @@
 	if job == nil || job.state.Final() {
 		return
 	}
-	sch.note(now, NoteCancelled, id, RunID{}, "", "")
+	sch.note(now, decision.JobCancelled, id, RunID{}, "", "")
 	sch.end(job, JobCancelled, now)
 }
 
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/pacing"
 )
 
@@ -61,7 +62,7 @@
 				return
 			}
 			att.slowSince = time.Time{}
-			sch.note(now, NoteStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, "slowed down")
+			sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, "slowed down")
 			sch.stop(job, tid, tsk, att)
 		})
 	}
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -159,6 +159,9 @@
 	rn.share = unknownShare
 }
 
+// Pausing reports whether what fills pauses for the sake of a serving run.
+func (hst *Host) Pausing() bool { return hst.pace.Share() == pacing.PausedShare }
+
 // Sharing reports whether serving and filling runs share the worker, so that measures are needed often.
 func (hst *Host) Sharing() bool {
 	serving, filling := false, false
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -17,6 +17,7 @@
 
 	"jacinthpost/core/batch"
 	"jacinthpost/core/batchhost"
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/io/control"
 	"jacinthpost/io/lead"
@@ -74,6 +75,7 @@
 	born     int64
 	sequence uint64
 	token    uint64
+	pausing  bool                // what fills pauses for a serving run
 	foreign  map[batch.Life]bool // lives that turned out not to be at the address
 }
 
@@ -165,7 +167,7 @@
 		if fresh {
 			// The worker's clock rises during its life, so the token is above that of any earlier agent.
 			sta.token = uint64(ann.Clock.Milliseconds())
-			agt.log.Info("worker announced", zap.String("life", string(ann.Worker.Life)), zap.Uint64("token", sta.token))
+			agt.log.Info(string(decision.WorkerAnnounced), zap.String("life", string(ann.Worker.Life)), zap.Uint64("token", sta.token))
 		}
 		if fresh || drains {
 			signal(agt.news)
@@ -193,7 +195,7 @@
 		if life == "" || !meant(batchhost.Worker{Life: life}) {
 			return
 		}
-		agt.log.Info("worker left", zap.String("life", string(life)))
+		agt.log.Info(string(decision.WorkerLeft), zap.String("life", string(life)))
 		sta.host.Leave(life)
 		signal(agt.news)
 	}))
@@ -231,13 +233,16 @@
 	})
 }
 
-// count counts a call and logs one that was not accepted.
+// count counts a call. Starts are logged, and whatever was not accepted.
 func (agt *Agent) count(cal batchhost.Call, res Result) {
 	name, verdict := callNames[cal.Kind], verdictNames[res.Verdict]
 	metrics.GetOrCreateCounter(`jacinthpost_worker_calls_total{call="` + name + `",verdict="` + verdict + `"}`).Inc()
-	if res.Verdict != batchhost.Accepted {
-		agt.log.Info("worker call not accepted", zap.String("call", name), zap.Stringer("task", cal.ID.Task), zap.Int("run", cal.ID.Run),
-			zap.String("verdict", verdict), zap.String("reason", res.Reason))
+	run := []zap.Field{zap.String(decision.KeyJob, cal.ID.Task.Job), zap.Stringer(decision.KeyTask, cal.ID.Task), zap.Int(decision.KeyRun, cal.ID.Run)}
+	switch {
+	case res.Verdict != batchhost.Accepted:
+		agt.log.Info(string(decision.CallNotAccepted), append(run, zap.String("call", name), zap.String("verdict", verdict), zap.String(decision.KeyReason, res.Reason))...)
+	case cal.Kind == batchhost.CallStart:
+		agt.log.Info(string(decision.RunStarted), run...)
 	}
 }
 
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"jacinthpost/core/batchhost"
+	"jacinthpost/core/decision"
 	"jacinthpost/io/control"
 )
 
@@ -26,7 +27,7 @@
 		}
 		good := res.Verdict == batchhost.Accepted
 		if good != answers {
-			agt.log.Info("worker answers changed", zap.Bool("answers", good), zap.String("reason", res.Reason), zap.String("life", string(req.Life)))
+			agt.log.Info(string(decision.WorkerAnswers), zap.Bool("answers", good), zap.String("reason", res.Reason), zap.String("life", string(req.Life)))
 			answers = good
 		}
 		if !good {
@@ -66,7 +67,18 @@
 }
 
 func (agt *Agent) list(ctx context.Context, lst batchhost.Listing) int {
-	return changeFor(ctx, agt, func(sta *state, _ time.Time) int { return sta.host.List(lst) })
+	return changeFor(ctx, agt, func(sta *state, _ time.Time) int {
+		num := sta.host.List(lst)
+		if pausing := sta.host.Pausing(); pausing != sta.pausing {
+			sta.pausing = pausing
+			knd := decision.FillingResumed
+			if pausing {
+				knd = decision.FillingPaused
+			}
+			agt.log.Info(string(knd), zap.String(decision.KeyInstance, string(agt.id)), zap.Int("runs", len(lst.Runs)))
+		}
+		return num
+	})
 }
 
 // settle gives the owner a moment to store new ends: the worker would list them again at once.
--- a/io/batchagent/link.go
+++ b/io/batchagent/link.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/decision"
 	"jacinthpost/io/batchrpc"
 	"jacinthpost/io/batchstore"
 	"jacinthpost/io/control"
@@ -164,7 +165,7 @@
 // doubt makes the elector look for another owner.
 func (agt *Agent) doubt(own batchstore.Owner, err error) {
 	if !agt.trouble.Swap(true) {
-		agt.log.Warn("owner lost", zap.String("holder", own.Holder), zap.Uint64("epoch", own.Epoch), zap.Error(err))
+		agt.log.Warn(string(decision.OwnerLost), zap.String("holder", own.Holder), zap.Uint64("epoch", own.Epoch), zap.Error(err))
 	}
 	agt.elector.Suspect()
 }
@@ -175,7 +176,7 @@
 	if healthy {
 		agt.lastGood.Store(now.UnixNano())
 		if agt.trouble.Swap(false) {
-			agt.log.Info("owner regained")
+			agt.log.Info(string(decision.OwnerRegained))
 		}
 		return
 	}
--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/store"
 	"jacinthpost/io/batchrpc"
@@ -85,7 +86,7 @@
 		}
 		err = own.hold(ctx, trm)
 		own.reign.Store(nil)
-		own.cfg.Log.Warn("ownership ended", zap.Uint64("epoch", trm.Owner().Epoch), zap.Error(err))
+		own.cfg.Log.Warn(string(decision.OwnershipEnded), zap.Uint64("epoch", trm.Owner().Epoch), zap.Error(err))
 		own.cfg.Elector.Suspect()
 	}
 	return nil
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/store"
 	"jacinthpost/io/control"
 )
@@ -56,7 +57,7 @@
 	for ctx.Err() == nil {
 		err := fol.follow(ctx, func() {
 			if lost {
-				fol.log.Info("feed regained", zap.String("rows", fol.prefixes[0]))
+				fol.log.Info(string(decision.FeedRegained), zap.String("rows", fol.prefixes[0]))
 			}
 			lost, retry = false, firstRetry
 		})
@@ -64,7 +65,7 @@
 			return
 		}
 		if !lost && !errors.Is(err, store.ErrCompacted) {
-			fol.log.Warn("feed lost", zap.String("rows", fol.prefixes[0]), zap.Error(err))
+			fol.log.Warn(string(decision.FeedLost), zap.String("rows", fol.prefixes[0]), zap.Error(err))
 			lost = true
 		}
 		if control.Pause(ctx, retry) != nil {
@@ -94,7 +95,7 @@
 		if err != nil {
 			// The view stays; only the history may be gone when the store is back.
 			if failures++; failures == 1 {
-				fol.log.Warn("feed interrupted", zap.String("rows", fol.prefixes[0]), zap.Error(err))
+				fol.log.Warn(string(decision.FeedInterrupted), zap.String("rows", fol.prefixes[0]), zap.Error(err))
 			}
 			if err := control.Pause(ctx, min(lastRetry, firstRetry<<min(failures, 4))); err != nil {
 				return err
--- a/io/jobaccess/jobaccess.go
+++ b/io/jobaccess/jobaccess.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/decision"
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/store"
 	"jacinthpost/core/workload"
@@ -63,8 +64,9 @@
 
 // Submit stores a job. A job that is stored already is accepted again.
 func (dsk *Desk) Submit(ctx context.Context, job workload.Job) Answer {
+	begun := time.Now()
 	if after := dsk.refuse(job.Queue()); after > 0 {
-		dsk.log.Info("job refused", zap.String("job", job.ID()), zap.String("queue", job.Queue()),
+		dsk.log.Info(string(decision.JobRefused), zap.String("job", job.ID()), zap.String("queue", job.Queue()),
 			zap.String("reason", string(outcome.ReasonCapacity)), zap.Duration("retryAfter", after))
 		return Answer{outcome: outcome.NotRun(outcome.ReasonCapacity, "the queue is too long"), retryAfter: after}
 	}
@@ -72,8 +74,9 @@
 	txn.Require(dsk.part.JobKey(job.ID()), 0)
 	txn.Put(dsk.part.JobKey(job.ID()), batchstore.Encode(job.Params()))
 	ans := dsk.write(ctx, &txn)
-	dsk.log.Info("job handed in", zap.String("job", job.ID()), zap.String("queue", job.Queue()),
-		zap.Stringer("outcome", ans.outcome.Kind()), zap.String("reason", string(ans.outcome.Reason())))
+	dsk.log.Info(string(decision.JobHandedIn), zap.String("job", job.ID()), zap.String("queue", job.Queue()),
+		zap.Stringer(decision.KeyOutcome, ans.outcome.Kind()), zap.String(decision.KeyReason, string(ans.outcome.Reason())),
+		zap.Duration(decision.KeyTook, time.Since(begun)))
 	return ans
 }
 
@@ -107,6 +110,7 @@
 
 // Cancel stores the cancellation of a job. The second result is false when there is no such job.
 func (dsk *Desk) Cancel(ctx context.Context, id string) (Answer, bool) {
+	begun := time.Now()
 	found, err := dsk.exists(ctx, id)
 	if err != nil {
 		return Answer{outcome: outcome.NotRun(outcome.ReasonStoreUnavailable, err.Error()), retryAfter: OutageRetry}, true
@@ -117,7 +121,8 @@
 	var txn store.Transaction
 	txn.Put(dsk.part.CancelKey(id), []byte("{}"))
 	ans := dsk.write(ctx, &txn)
-	dsk.log.Info("job cancellation handed in", zap.String("job", id), zap.Stringer("outcome", ans.outcome.Kind()))
+	dsk.log.Info(string(decision.CancelHandedIn), zap.String(decision.KeyJob, id), zap.Stringer(decision.KeyOutcome, ans.outcome.Kind()),
+		zap.Duration(decision.KeyTook, time.Since(begun)))
 	return ans, true
 }
 
--- a/io/lead/lead.go
+++ b/io/lead/lead.go
@@ -20,6 +20,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/store"
 	"jacinthpost/io/batchstore"
 )
@@ -195,7 +196,7 @@
 	case !res.Committed():
 		return Term{}, false, nil
 	}
-	ele.log.Info("owner elected", zap.Uint64("epoch", own.Epoch), zap.String("former", old.Holder))
+	ele.log.Info(string(decision.OwnerElected), zap.Uint64("epoch", own.Epoch), zap.String("former", old.Holder))
 	ele.current.Store(&own)
 	return Term{owner: own, version: res.Version()}, true, nil
 }
