--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -30,6 +30,7 @@
 	MinimumLeft time.Duration // a start with less granted time is refused
 	StaleOrder  time.Duration // an order that took longer to arrive is refused
 	GiveUpStart time.Duration // a start without an answer for so long is turned into a stop
+	Patience    time.Duration // users bear a tail over its target for so long; zero is the default
 }
 
 // Defaults of the options.
@@ -196,7 +197,7 @@
 	hst.listed, hst.noted, hst.seen = 0, 0, 0
 	hst.clock, hst.leaseEnd = clock{}, 0
 	hst.answered = time.Time{}
-	hst.pace = pacing.Controller{}
+	hst.pace = pacing.New(hst.options.Patience)
 	hst.calls = nil
 }
 
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -19,10 +19,12 @@
 
 // Limits of the control.
 const (
-	// overLimit is how long a tail may stay over its target before what fills
-	// pauses. Users bear 4 s; of them up to 0.9 s pass before an excess is measured, and
-	// up to 0.7 s until the pause works.
-	overLimit = 2200 * time.Millisecond
+	// defaultPatience is what users bear where a deployment does not say it.
+	defaultPatience = 4 * time.Second
+	// reaction is the part of the patience that is left for the measures and for the
+	// pause: up to 0.9 s until an excess is measured, up to 0.7 s until a pause works,
+	// and a margin.
+	reaction = 1800 * time.Millisecond
 	// Measures are rough, so an excess ends with a tail well within its target, or with
 	// calmSamples in a row within it.
 	calmPart    = 0.8 // of the target
@@ -40,6 +42,7 @@
 
 // Controller decides for the filling tasks of one worker.
 type Controller struct {
+	limit   time.Duration     // of an excess, until what fills pauses; zero is the default
 	over    map[string]excess // of serving tasks, by the task
 	until   time.Time         // what fills pauses until then
 	pausing bool
@@ -51,6 +54,15 @@
 	within int // samples in a row within the target
 }
 
+// New returns a controller for users who bear a tail over its target for a time. Zero
+// means the default; a time that is too short for a reaction means pauses at once.
+func New(patience time.Duration) Controller {
+	if patience == 0 {
+		return Controller{}
+	}
+	return Controller{limit: max(time.Nanosecond, patience-reaction)}
+}
+
 // Share returns the percentage at which filling tasks may work.
 func (con *Controller) Share() int {
 	if con.pausing {
@@ -61,12 +73,19 @@
 
 // Observe updates the share from a sample.
 func (con *Controller) Observe(smp Sample, now time.Time) {
-	if con.over = follow(con.over, smp, now); exceeded(con.over, now) {
+	if con.over = follow(con.over, smp, now); exceeded(con.over, con.overLimit(), now) {
 		con.until = now.Add(pauseAfter)
 	}
 	con.pausing = now.Before(con.until)
 }
 
+func (con *Controller) overLimit() time.Duration {
+	if con.limit == 0 {
+		return defaultPatience - reaction
+	}
+	return con.limit
+}
+
 // follow returns the excesses after one more sample.
 func follow(old map[string]excess, smp Sample, now time.Time) map[string]excess {
 	out := make(map[string]excess, len(old))
@@ -92,9 +111,9 @@
 }
 
 // exceeded reports whether an excess has lasted too long.
-func exceeded(over map[string]excess, now time.Time) bool {
+func exceeded(over map[string]excess, limit time.Duration, now time.Time) bool {
 	for _, exc := range over {
-		if now.Sub(exc.since) >= overLimit {
+		if now.Sub(exc.since) >= limit {
 			return true
 		}
 	}
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -107,6 +107,21 @@
 		}
 	})
 
+	// Guards against a bound of the deployment that is shorter than the default and not kept.
+	DescribeTable("pauses in time for the patience of the deployment", func(patience, most time.Duration) {
+		ctl := pacing.New(patience)
+		now := time.Unix(0, 0)
+		for ctl.Share() != pacing.PausedShare {
+			Expect(now.Sub(time.Unix(0, 0))).To(BeNumerically("<=", most))
+			ctl.Observe(pacing.Sample{Serving: []pacing.Serving{{ID: "a", Image: "web", Tail: 2 * target, Target: target}}}, now)
+			now = now.Add(period)
+		}
+	},
+		Entry("none given", time.Duration(0), 2800*time.Millisecond),
+		Entry("short", 2500*time.Millisecond, 1400*time.Millisecond),
+		Entry("shorter than a reaction", time.Second, period),
+	)
+
 	It("does not pause for tails of two tasks that are over their targets in turn", func() {
 		var ctl pacing.Controller
 		now := time.Unix(0, 0)
