--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -267,6 +267,45 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(2))
 	})
 
+	// Guards against a worker with a lasting task that gets no more work after a suspension,
+	// because that task never ends (senvang mix, seed 926949979109: LOST).
+	It("gives a worker with a lasting task work again after a suspension", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		watch := step(1)
+		watch.Lasting = true
+		own.submit("w", watch)
+		own.store()
+		seq := uint64(0)
+		for _, id := range []string{"j", "k", "l"} {
+			own.submit(id, step(1))
+			own.store()
+			ords := own.orders("a", 1, batch.StartRun)
+			seq++
+			own.hear(report("a", 1), ended(seq, ords[len(ords)-1].ID, batch.EndFailed))
+		}
+		own.store()
+		own.pass(3 * time.Second)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(5), "one run on trial")
+		own.hear(report("a", 1))
+		own.pass(2 * time.Second)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(7), "the others after it")
+	})
+
+	// Guards against a second run when an instance that was given up comes back and takes
+	// an order of the time before.
+	It("withdraws a start that an instance did not take before it was lost", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.submit("j", step(1))
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
+		own.pass(6 * time.Second)
+		Expect(own.orders("a", 1, batch.StartRun)).To(BeEmpty())
+	})
+
 	// Load pattern: noisy filling tasks while every instance has serving tasks. Waiting for a
 	// quiet place left processors idle and made the jobs late.
 	It("starts a filling task at once beside a serving task that it disturbs", func() {
--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -104,6 +104,11 @@
 	}
 }
 
+// withdraw drops the order to start a run that the agent has not taken over yet.
+func (ins *instance) withdraw(rid RunID) {
+	ins.orders = slices.DeleteFunc(ins.orders, func(ord Order) bool { return ord.Kind == StartRun && ord.ID == rid })
+}
+
 // pendingEvent records that an event may not be forgotten by the agent yet.
 func (ins *instance) pendingEvent(seq uint64) { ins.durable = append(ins.durable, seq) }
 
@@ -136,6 +141,7 @@
 	suspectJobs       = 2               // one job alone may be at fault itself
 	firstSuspension   = 2 * time.Second // a worker's fault lasts some seconds
 	longestSuspension = 8 * time.Second
+	trialPeriod       = 1500 * time.Millisecond // a faulty worker fails what it starts within its run time, mostly below it
 )
 
 // health judges a worker by the ends of its runs.
@@ -143,11 +149,12 @@
 	failed    []string // jobs of the failures in a row
 	until     time.Time
 	period    time.Duration
-	probation bool
+	probation bool      // after a suspension, until a trial is passed
+	trial     time.Time // end of the trial of the first new run, zero while there is none
 }
 
 // good records a run that completed.
-func (hea *health) good() { hea.failed, hea.probation, hea.period = nil, false, 0 }
+func (hea *health) good() { *hea = health{until: hea.until} }
 
 // bad records a failed run and reports whether the worker becomes suspended.
 func (hea *health) bad(job string, now time.Time) bool {
@@ -169,14 +176,26 @@
 	}
 	hea.period = min(longestSuspension, max(firstSuspension, 2*hea.period))
 	hea.until = now.Add(hea.period)
-	hea.probation = true
+	hea.probation, hea.trial = true, time.Time{}
 	return true
 }
 
-// admits reports whether one more run may be placed beside the given number.
-func (hea *health) admits(now time.Time, runs int) bool {
+// admits reports whether one more run may be placed.
+func (hea *health) admits(now time.Time) bool {
 	if now.Before(hea.until) {
 		return false
 	}
-	return !hea.probation || runs == 0
+	return !hea.probation || hea.trial.IsZero() || !now.Before(hea.trial)
+}
+
+// assigned notes a new run. On probation it is a trial: others follow when it has not
+// failed for a while. Runs that were there before tell nothing, and lasting ones never end.
+func (hea *health) assigned(now time.Time) {
+	switch {
+	case !hea.probation:
+	case hea.trial.IsZero():
+		hea.trial = now.Add(trialPeriod)
+	default:
+		hea.probation = false
+	}
 }
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -213,7 +213,7 @@
 		if ins.service != svc || !ins.usable(sch.out) || !ins.hasLabel(stp.spec.Label()) {
 			continue
 		}
-		if !ins.health.admits(pln.now, ins.runs) || stp.full(ins.id) || !spare && !ins.roomy(stp) {
+		if !ins.health.admits(pln.now) || stp.full(ins.id) || !spare && !ins.roomy(stp) {
 			limited = true
 			continue
 		}
@@ -312,6 +312,7 @@
 	tsk.phase = Active
 	tsk.attempts = append(tsk.attempts, &attempt{run: run, instance: ins.id, life: ins.life, orderedAt: now})
 	ins.reserve(stp)
+	ins.health.assigned(now)
 	if job.state == JobQueued {
 		job.state = JobRunning
 	}
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -138,6 +138,7 @@
 // lose drops an attempt that is certainly not at work any more.
 func (sch *Scheduler[O, P]) lose(job *jobState, tid TaskID, tsk *task, att *attempt, now time.Time) {
 	sch.note(now, decision.RunEnded, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, string(EndLost))
+	sch.instance(att.instance).withdraw(RunID{Task: tid, Run: att.run})
 	sch.drop(job, tid, tsk, att)
 	sch.breakGang(job, tid, EndLost)
 	sch.mark(job)
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -76,7 +76,7 @@
 
 func (sch *Scheduler[O, P]) betterElsewhere(job *jobState, stp *stepState, att *attempt, here float64, now time.Time) bool {
 	for _, ins := range sch.instances {
-		if ins.id == att.instance || string(ins.service) != job.spec.Service() || !ins.usable(sch.out) || !ins.health.admits(now, ins.runs) {
+		if ins.id == att.instance || string(ins.service) != job.spec.Service() || !ins.usable(sch.out) || !ins.health.admits(now) {
 			continue
 		}
 		ned := sch.need(stp, ins)
