--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -251,6 +251,9 @@
 	return end, true
 }
 
+// ClockKnown reports whether the worker's clock is known.
+func (hst *Host) ClockKnown() bool { return !hst.clock.at.IsZero() }
+
 // Seen returns the last order that was taken over.
 func (hst *Host) Seen() uint64 { return hst.seen }
 
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -58,8 +58,11 @@
 		if hst.Sharing() {
 			req.Wait = sharedWait
 		}
-		if req.Until == 0 {
-			req.Wait = 0 // the first answer tells the clock, or the grant has run out
+		switch {
+		case !hst.ClockKnown():
+			req.Wait = 0 // the first answer tells the clock
+		case req.Until == 0:
+			req.Wait = min(req.Wait, sharedWait) // the grant has run out and may come back
 		}
 		return answer{req: req, ok: true}
 	})
