--- /dev/null
+++ b/cmd/soak/clients.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"jacinthpost/io/control"
+)
+
+const (
+	clients      = 3
+	submitPeriod = 250 * time.Millisecond // of a client
+	callLimit    = 3 * time.Second
+	tries        = 4
+	retryPause   = 400 * time.Millisecond
+	cancelPart   = 0.1 // of the accepted jobs
+)
+
+// fate is what a caller knows of a job.
+type fate struct {
+	accepted  bool
+	refused   bool // every try was answered with "not run"
+	cancelled bool // a cancellation was sent
+	final     string
+}
+
+// book holds the fates of all jobs.
+type book struct {
+	mu    sync.Mutex
+	fates map[string]*fate
+	names []string
+}
+
+func (bok *book) add(id string) *fate {
+	bok.mu.Lock()
+	defer bok.mu.Unlock()
+	fat := &fate{}
+	bok.fates[id] = fat
+	bok.names = append(bok.names, id)
+	return fat
+}
+
+// change applies a change to a fate.
+func (bok *book) change(fat *fate, change func(fat *fate)) {
+	bok.mu.Lock()
+	defer bok.mu.Unlock()
+	change(fat)
+}
+
+// all returns the jobs with copies of their fates.
+func (bok *book) all() map[string]fate {
+	bok.mu.Lock()
+	defer bok.mu.Unlock()
+	out := make(map[string]fate, len(bok.fates))
+	for id, fat := range bok.fates {
+		out[id] = *fat
+	}
+	return out
+}
+
+// caller is one client with connections of its own.
+type caller struct {
+	fleet *fleet
+	book  *book
+	mon   *monitor
+	rnd   *rand.Rand
+	name  string
+	http  *http.Client
+}
+
+func (cal *caller) run(ctx context.Context) {
+	for num := 0; control.Pause(ctx, submitPeriod/2+time.Duration(cal.rnd.Int64N(int64(submitPeriod)))) == nil; num++ {
+		id := fmt.Sprintf("%s%d", cal.name, num)
+		fat := cal.book.add(id)
+		cal.submit(ctx, id, fat)
+		if known := cal.book.all(); len(known) > 0 {
+			cal.check(ctx, known)
+		}
+	}
+}
+
+// submit hands a job in and cancels some.
+func (cal *caller) submit(ctx context.Context, id string, fat *fate) {
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":100},{"count":2,"cpu":500,"memMb":100,"after":[0]}]}`, 1+cal.rnd.IntN(4))
+	refused := true
+	for range tries {
+		status, _ := cal.call(ctx, http.MethodPost, id, body)
+		if status == http.StatusOK {
+			cal.book.change(fat, func(fat *fate) { fat.accepted = true })
+			break
+		}
+		refused = refused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		if control.Pause(ctx, retryPause) != nil {
+			refused = false
+			break
+		}
+	}
+	accepted := false
+	cal.book.change(fat, func(fat *fate) { fat.refused, accepted = refused && !fat.accepted, fat.accepted })
+	if accepted && cal.rnd.Float64() < cancelPart {
+		cal.book.change(fat, func(fat *fate) { fat.cancelled = true })
+		cal.call(ctx, http.MethodDelete, id, "")
+	}
+}
+
+// check asks for a job and compares the answer with what is known.
+func (cal *caller) check(ctx context.Context, known map[string]fate) {
+	cal.book.mu.Lock()
+	id := cal.book.names[cal.rnd.IntN(len(cal.book.names))]
+	cal.book.mu.Unlock()
+	cal.look(ctx, id, known[id])
+}
+
+// look asks for the state of a job and returns it, empty when there was no answer.
+func (cal *caller) look(ctx context.Context, id string, before fate) string {
+	status, body := cal.call(ctx, http.MethodGet, id, "")
+	if status == http.StatusGone && before.accepted {
+		cal.mon.report("job %s: accepted and not known any more", id)
+	}
+	if status != http.StatusOK {
+		return ""
+	}
+	var ans struct {
+		State string `json:"state"`
+	}
+	if err := json.Unmarshal([]byte(body), &ans); err != nil {
+		cal.mon.report("job %s: answer %q: %v", id, body, err)
+		return ""
+	}
+	if before.final != "" && before.final != ans.State {
+		cal.mon.report("job %s: shown as %s after %s", id, ans.State, before.final)
+	}
+	if final(ans.State) {
+		cal.book.mu.Lock()
+		cal.book.fates[id].final = ans.State
+		cal.book.mu.Unlock()
+	}
+	return ans.State
+}
+
+func final(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
+}
+
+// call asks an entry. The status is zero without an answer.
+func (cal *caller) call(ctx context.Context, method, id, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	ent := cal.fleet.entries[cal.rnd.IntN(len(cal.fleet.entries))]
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+ent.entry+"/q/"+id, strings.NewReader(body))
+	if err != nil {
+		cal.mon.report("request: %v", err)
+		return 0, ""
+	}
+	req.Host = queueHost
+	rsp, err := cal.http.Do(req)
+	if err != nil {
+		return 0, "" // the entry may be away
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	data, err := io.ReadAll(rsp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return rsp.StatusCode, string(data)
+}
--- /dev/null
+++ b/cmd/soak/fleet.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/platform"
+	"jacinthpost/platform/standin/rowstore"
+	"jacinthpost/platform/standin/taskworker"
+)
+
+const (
+	queueHost   = "soak.example"
+	queueConfig = `{"version":1,"routes":[{"name":"q","host":"` + queueHost + `","pathPrefix":"/q/","service":"s","maxAttempts":3,"stretch":2,"targetLatencyMs":500}],"limits":{}}`
+	taskTime    = 300 * time.Millisecond
+	beatPeriod  = 300 * time.Millisecond
+	graceTime   = 3.0 // seconds
+	firstPort   = 21000
+	portsEach   = 8 // ports of a process
+)
+
+// gate is the way of one process to the store.
+type gate struct {
+	store http.Handler
+	mode  atomic.Int32
+}
+
+// Modes of a gate.
+const (
+	gateOpen int32 = iota
+	gateHangs
+	gateResets
+)
+
+// ServeHTTP implements http.Handler.
+func (gat *gate) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	switch gat.mode.Load() {
+	case gateHangs:
+		<-req.Context().Done()
+	case gateResets:
+		panic(http.ErrAbortHandler)
+	default:
+		gat.store.ServeHTTP(wrt, req)
+	}
+}
+
+// process is one entry or agent.
+type process struct {
+	name   string
+	role   platform.Role
+	binary string
+	path   string // of its settings; the log lies beside them
+	entry  string // address for callers
+	gate   *gate
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	end chan struct{}
+}
+
+// start runs the process if it does not run.
+func (pro *process) start() error {
+	pro.mu.Lock()
+	defer pro.mu.Unlock()
+	if pro.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(pro.path+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(pro.binary, "platform", string(pro.role))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+pro.path)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, pro.name)
+	}
+	end := make(chan struct{})
+	pro.cmd, pro.end = cmd, end
+	go func() {
+		_ = cmd.Wait() // how it ended stands in its log
+		_ = out.Close()
+		pro.mu.Lock()
+		pro.cmd = nil
+		pro.mu.Unlock()
+		close(end)
+	}()
+	return nil
+}
+
+// signal sends a signal if the process runs.
+func (pro *process) signal(sig syscall.Signal) {
+	pro.mu.Lock()
+	defer pro.mu.Unlock()
+	if pro.cmd != nil {
+		_ = pro.cmd.Process.Signal(sig) // it may have ended meanwhile
+	}
+}
+
+// ended waits until the process is gone, at most for a time, and kills it then.
+func (pro *process) ended(limit time.Duration) {
+	pro.mu.Lock()
+	end, runs := pro.end, pro.cmd != nil
+	pro.mu.Unlock()
+	if !runs {
+		return
+	}
+	select {
+	case <-end:
+	case <-time.After(limit):
+		pro.signal(syscall.SIGCONT)
+		pro.signal(syscall.SIGKILL)
+		<-end
+	}
+}
+
+// fleet is the processes of one seed with the stand-ins around them.
+type fleet struct {
+	rows      rowstore.Server
+	workers   []*taskworker.Worker
+	processes []*process
+	entries   []*process
+	ip        string
+	port      int
+	folder    string
+	options   options
+}
+
+// newFleet starts the stand-ins and the processes. The stand-ins end with the context.
+func newFleet(ctx context.Context, opt options, mon *monitor) (*fleet, error) {
+	fle := &fleet{
+		ip: fmt.Sprintf("127.%d.%d.1", 100+opt.seed/250%100, 1+opt.seed%250), port: firstPort,
+		folder: filepath.Join(opt.folder, "seed-"+strconv.FormatUint(opt.seed, 10)), options: opt,
+	}
+	if err := os.MkdirAll(fle.folder, 0o755); err != nil {
+		return nil, err
+	}
+	fle.rows.Put("op", "", "config", base64.StdEncoding.EncodeToString([]byte(queueConfig)))
+	for num := range opt.agents {
+		if err := fle.addAgent(ctx, num, mon); err != nil {
+			return nil, err
+		}
+	}
+	for num := range opt.entries {
+		pro, err := fle.addProcess(ctx, "entry-"+strconv.Itoa(num), platform.EntryRole, zoneOf(num), "")
+		if err != nil {
+			return nil, err
+		}
+		fle.entries = append(fle.entries, pro)
+	}
+	for _, pro := range fle.processes {
+		if err := pro.start(); err != nil {
+			return nil, err
+		}
+	}
+	return fle, nil
+}
+
+func zoneOf(num int) string { return [...]string{"z1", "z2"}[num%2] }
+
+func (fle *fleet) addAgent(ctx context.Context, num int, mon *monitor) error {
+	name := "agent-" + strconv.Itoa(num)
+	wrk := &taskworker.Worker{ID: "w-" + name, Service: "s", Zone: zoneOf(num), CPU: 4000, MemoryMB: 4000, TaskTime: taskTime, Observer: mon}
+	addr, err := fle.serve(ctx, wrk)
+	if err != nil {
+		return err
+	}
+	pro, err := fle.addProcess(ctx, name, platform.AgentRole, wrk.Zone, addr)
+	if err != nil {
+		return err
+	}
+	go wrk.Run(ctx)
+	go wrk.Announce(ctx, pro.entry, beatPeriod)
+	fle.workers = append(fle.workers, wrk)
+	return nil
+}
+
+// serve serves a handler on a port of the fleet.
+func (fle *fleet) serve(ctx context.Context, hnd http.Handler) (string, error) {
+	addr := fle.address()
+	lsn, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: hnd, ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(lsn) }() // ends when the server is closed
+	return addr, nil
+}
+
+func (fle *fleet) address() string {
+	fle.port++
+	return net.JoinHostPort(fle.ip, strconv.Itoa(fle.port))
+}
+
+// addProcess writes the settings of a process. The entry of an agent is its control address.
+func (fle *fleet) addProcess(ctx context.Context, name string, role platform.Role, zone, app string) (*process, error) {
+	gat := &gate{store: &fle.rows}
+	store, err := fle.serve(ctx, gat)
+	if err != nil {
+		return nil, err
+	}
+	fle.port += portsEach
+	front, ready := fle.address(), fle.address()
+	set := map[string]any{
+		"nodeName": name, "ip": fle.ip, "zone": zone, "zones": map[string]string{"z1": "r", "z2": "r"},
+		"internalPorts": []int{fle.port + 1, fle.port + 2}, "listenAddrs": map[string]string{"frontend": front, "ready": ready, "control": front},
+		"app": app, "limits": map[string]any{"memoryMb": 150}, "platform": map[string]any{"address": store},
+		"bounds": map[string]any{"graceS": graceTime, "holdMaxMs": 6000, "remoteFactor": 1},
+	}
+	fle.port += 2
+	raw, err := json.Marshal(set)
+	if err != nil {
+		return nil, err
+	}
+	pro := &process{name: name, role: role, binary: fle.options.binary, path: filepath.Join(fle.folder, name+".json"), entry: front, gate: gat}
+	fle.processes = append(fle.processes, pro)
+	return pro, os.WriteFile(pro.path, raw, 0o600)
+}
+
+// stop ends all processes.
+func (fle *fleet) stop() {
+	for _, pro := range fle.processes {
+		pro.signal(syscall.SIGCONT)
+		pro.signal(syscall.SIGKILL)
+	}
+	for _, pro := range fle.processes {
+		pro.ended(time.Second)
+	}
+}
+
+// heal ends all faults and starts what does not run.
+func (fle *fleet) heal() error {
+	fle.rows.SetFault(rowstore.None)
+	for _, zone := range []string{zoneOf(0), zoneOf(1)} {
+		fle.rows.Put("op", "", "evacuate/"+zone, "")
+	}
+	for _, pro := range fle.processes {
+		pro.gate.mode.Store(gateOpen)
+		pro.signal(syscall.SIGCONT)
+		if err := pro.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/soak/soak.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"jacinthpost/io/control"
+)
+
+const (
+	warmUp = 2 * time.Second // until the processes have found each other
+	// settleLimit is the time after all faults in which every accepted job must end: the
+	// lapse of inherited runs takes 15 s, the rest is work.
+	settleLimit  = 40 * time.Second
+	settlePeriod = 300 * time.Millisecond
+)
+
+// soak plays one seed.
+func soak(ctx context.Context, opt options) (result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mon := newMonitor()
+	fle, err := newFleet(ctx, opt, mon)
+	if err != nil {
+		return result{}, err
+	}
+	defer fle.stop()
+	if err := control.Pause(ctx, warmUp); err != nil {
+		return result{}, err
+	}
+	bok := &book{fates: make(map[string]*fate)}
+	brk := &breaker{fleet: fle, rnd: rand.New(rand.NewPCG(opt.seed, 0)), mon: mon}
+	broken, end := context.WithTimeout(ctx, opt.length)
+	defer end()
+	var wait sync.WaitGroup
+	for num := range clients {
+		cal := newCaller(fle, bok, mon, opt.seed, num)
+		wait.Go(func() { cal.run(broken) })
+	}
+	brk.run(broken)
+	wait.Wait()
+	if err := fle.heal(); err != nil {
+		return result{}, err
+	}
+	settle(ctx, newCaller(fle, bok, mon, opt.seed, clients))
+	return conclude(fle, bok, mon, brk.num), nil
+}
+
+func newCaller(fle *fleet, bok *book, mon *monitor, seed uint64, num int) *caller {
+	return &caller{
+		fleet: fle, book: bok, mon: mon, name: string(rune('a' + num)), rnd: rand.New(rand.NewPCG(seed, uint64(1+num))),
+		http: &http.Client{Transport: &http.Transport{}},
+	}
+}
+
+// settle waits until every accepted job is shown as ended and nothing of it runs.
+func settle(ctx context.Context, cal *caller) {
+	limit := time.Now().Add(settleLimit)
+	for {
+		open := 0
+		for id, fat := range cal.book.all() {
+			if fat.accepted && (!final(cal.look(ctx, id, fat)) || cal.mon.atWork(id) > 0) {
+				open++
+			}
+		}
+		if open == 0 {
+			return
+		}
+		if time.Now().After(limit) || control.Pause(ctx, settlePeriod) != nil {
+			return
+		}
+	}
+}
+
+// conclude compares the fates of the jobs with what the workers saw.
+func conclude(fle *fleet, bok *book, mon *monitor, breaks int) result {
+	res := result{seed: fle.options.seed, breaks: breaks, folder: fle.folder}
+	for id, fat := range bok.all() {
+		switch {
+		case fat.accepted:
+			res.accepted++
+		case fat.refused:
+			res.refused++
+		default:
+			res.unknown++
+		}
+		if fat.cancelled {
+			res.cancelled++
+		}
+		switch {
+		case fat.refused && mon.hasBegun(id):
+			mon.report("job %s: refused by every answer, and has run", id)
+		case fat.accepted && fat.final == "":
+			mon.report("job %s: accepted, and not ended %v after the last fault", id, settleLimit)
+		case fat.final == "cancelled" && !fat.cancelled:
+			mon.report("job %s: shown as cancelled, and nobody cancelled it", id)
+		case fat.final == "failed":
+			mon.report("job %s: shown as failed, and no task failed", id)
+		}
+	}
+	res.starts, res.faults = mon.result()
+	if len(res.faults) == 0 {
+		_ = os.RemoveAll(fle.folder) // only logs of failed seeds are wanted
+	}
+	return res
+}
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -267,6 +267,28 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(2))
 	})
 
+	// Guards against new filling tasks that keep a tail over its target while the others pause
+	// (bayou quiet-1, seed 787359202736: HARM).
+	It("places no filling task where those that are there pause", func() {
+		own := newOwner()
+		rep := report("a", 1)
+		own.hear(rep)
+		noisy := step(1)
+		noisy.Fills, noisy.Image = true, "noisy"
+		own.submit("j", noisy)
+		own.store()
+		rep.Runs = []batch.RunState{{ID: own.orders("a", 1, batch.StartRun)[0].ID, Working: true, Share: 0}}
+		own.hear(rep)
+		own.submit("k", noisy)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
+		rep.Runs[0].Share = 100
+		own.hear(rep)
+		own.pass(100 * time.Millisecond)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(2))
+	})
+
 	// Guards against a worker with a lasting task that gets no more work after a suspension,
 	// because that task never ends (senvang mix, seed 926949979109: LOST).
 	It("gives a worker with a lasting task work again after a suspension", func() {
--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -29,6 +29,7 @@
 	servingCPU    int64            // reserved by tasks with a latency target
 	filling       map[string]int64 // processors that filling tasks use at full speed, by image
 	servingImages map[string]int   // tasks with a latency target, by image
+	pausing       bool             // what fills pauses, by the last report
 	serving       []pacing.Serving // measures of the serving tasks in the last report
 	runs          int
 	handled       uint64 // events up to this one were applied
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -287,7 +287,7 @@
 }
 
 func (ins *instance) site() Site {
-	return Site{Capacity: ins.capacity, Free: ins.free(), FillCPU: ins.fillCPU, ServingCPU: ins.servingCPU}
+	return Site{Capacity: ins.capacity, Free: ins.free(), FillCPU: ins.fillCPU, ServingCPU: ins.servingCPU, Pausing: ins.pausing}
 }
 
 // full reports whether an instance runs as many tasks of the step as may share one.
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -97,6 +97,7 @@
 	Free       resource.Vector
 	FillCPU    int64 // in use by filling tasks at full speed
 	ServingCPU int64 // reserved by tasks with a latency target
+	Pausing    bool  // what fills pauses for the sake of a serving task
 }
 
 // SpreadPlacement spreads tasks over the instances, filling tasks by the
@@ -130,7 +131,7 @@
 	cpu := float64(max(1, sit.Capacity.MilliCPU()))
 	rating := 1 - float64(sit.Free.MilliCPU())/cpu
 	if ned.Fills {
-		if crowded := sit.idle() < minFillerShare*float64(ned.MilliCPU); crowded && !ned.Starved {
+		if crowded := sit.Pausing || sit.idle() < minFillerShare*float64(ned.MilliCPU); crowded && !ned.Starved {
 			return 0, false
 		}
 		rating = 1 - sit.idle()/cpu
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -6,6 +6,7 @@
 
 	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/pacing"
 )
 
 // staleSession is how long reports of an earlier session may still arrive. After
@@ -54,6 +55,7 @@
 	ins.service, ins.location, ins.labels = rep.Service, rep.Location, rep.Labels
 	ins.capacity, ins.draining, ins.remaining = rep.Capacity, rep.Draining, rep.Remaining
 	ins.unready, ins.present, ins.heardAt = rep.Unready, true, now
+	ins.pausing = slices.ContainsFunc(rep.Runs, func(run RunState) bool { return run.Share == pacing.PausedShare })
 	ins.seen(rep.OrdersSeen)
 }
 
--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -94,6 +94,24 @@
 		Entry("the owner's grant has nearly ended", func(agt *agent) { agt.pass(5800 * time.Millisecond) }),
 	)
 
+	// Guards against a run that works at full speed through a pause until it is listed.
+	It("pauses a filling run that starts during a pause at once", func() {
+		agt := newAgent()
+		serve, fill := run("web"), run("noisy")
+		agt.Take(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: serve, Image: "web", Target: 10 * time.Millisecond}}, agt.now, agt.now)
+		agt.StartEnded(life, serve, batchhost.Accepted, "", agt.now)
+		for range 12 {
+			agt.pass(300 * time.Millisecond)
+			agt.list(batch.RunState{ID: serve, Figure: 50})
+		}
+		agt.Calls()
+		agt.Grant(1, agt.now, 6*time.Second)
+		agt.Take(1, agt.Session(), []batch.Order{{Seq: 2, Kind: batch.StartRun, ID: fill, Image: "noisy", Fills: true}}, agt.now, agt.now)
+		agt.expectCalls(batchhost.CallStart)
+		agt.StartEnded(life, fill, batchhost.Accepted, "", agt.now)
+		agt.expectCalls(batchhost.CallPace)
+	})
+
 	It("ignores orders of an owner that was replaced", func() {
 		agt := newAgent()
 		Expect(agt.Follow(2)).To(BeTrue())
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -133,6 +133,9 @@
 	case Accepted:
 		rn.calling, rn.answered = false, now
 		hst.answered = now
+		if rn.order.Fills && hst.Pausing() && !rn.stopping {
+			hst.setPace(rid, rn, pacing.PausedShare, now) // it began at full speed
+		}
 	case NotDone:
 		if rn.uncertain {
 			// An earlier try may still be carried out, so only a stop settles the run.
