--- a/cmd/soak/clients.go
+++ b/cmd/soak/clients.go
@@ -23,77 +23,77 @@
 	cancelPart   = 0.1 // of the accepted jobs
 )
 
-// fate is what a caller knows of a job.
-type fate struct {
+// submission is what a caller knows of a job.
+type submission struct {
 	accepted  bool
 	refused   bool // every try was answered with "not run"
 	cancelled bool // a cancellation was sent
 	final     string
 }
 
-// book holds the fates of all jobs.
-type book struct {
-	mu    sync.Mutex
-	fates map[string]*fate
-	names []string
+// ledger holds what is known of all jobs.
+type ledger struct {
+	mu          sync.Mutex
+	submissions map[string]*submission
+	names       []string
 }
 
-func (bok *book) add(id string) *fate {
-	bok.mu.Lock()
-	defer bok.mu.Unlock()
-	fat := &fate{}
-	bok.fates[id] = fat
-	bok.names = append(bok.names, id)
-	return fat
+func (led *ledger) add(id string) *submission {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	sub := &submission{}
+	led.submissions[id] = sub
+	led.names = append(led.names, id)
+	return sub
 }
 
-// change applies a change to a fate.
-func (bok *book) change(fat *fate, change func(fat *fate)) {
-	bok.mu.Lock()
-	defer bok.mu.Unlock()
-	change(fat)
+// change applies a change to a submission.
+func (led *ledger) change(sub *submission, change func(sub *submission)) {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	change(sub)
 }
 
-// all returns the jobs with copies of their fates.
-func (bok *book) all() map[string]fate {
-	bok.mu.Lock()
-	defer bok.mu.Unlock()
-	out := make(map[string]fate, len(bok.fates))
-	for id, fat := range bok.fates {
-		out[id] = *fat
+// all returns the jobs with copies of what is known.
+func (led *ledger) all() map[string]submission {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	out := make(map[string]submission, len(led.submissions))
+	for id, sub := range led.submissions {
+		out[id] = *sub
 	}
 	return out
 }
 
 // caller is one client with connections of its own.
 type caller struct {
-	fleet *fleet
-	book  *book
-	mon   *monitor
-	rnd   *rand.Rand
-	name  string
-	http  *http.Client
+	fleet  *fleet
+	ledger *ledger
+	mon    *monitor
+	rnd    *rand.Rand
+	name   string
+	http   *http.Client
 }
 
 func (cal *caller) run(ctx context.Context) {
 	for num := 0; control.Pause(ctx, submitPeriod/2+time.Duration(cal.rnd.Int64N(int64(submitPeriod)))) == nil; num++ {
 		id := fmt.Sprintf("%s%d", cal.name, num)
-		fat := cal.book.add(id)
-		cal.submit(ctx, id, fat)
-		if known := cal.book.all(); len(known) > 0 {
+		sub := cal.ledger.add(id)
+		cal.submit(ctx, id, sub)
+		if known := cal.ledger.all(); len(known) > 0 {
 			cal.check(ctx, known)
 		}
 	}
 }
 
 // submit hands a job in and cancels some.
-func (cal *caller) submit(ctx context.Context, id string, fat *fate) {
+func (cal *caller) submit(ctx context.Context, id string, sub *submission) {
 	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":100},{"count":2,"cpu":500,"memMb":100,"after":[0]}]}`, 1+cal.rnd.IntN(4))
 	refused := true
 	for range tries {
 		status, _ := cal.call(ctx, http.MethodPost, id, body)
 		if status == http.StatusOK {
-			cal.book.change(fat, func(fat *fate) { fat.accepted = true })
+			cal.ledger.change(sub, func(sub *submission) { sub.accepted = true })
 			break
 		}
 		refused = refused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
@@ -103,23 +103,23 @@
 		}
 	}
 	accepted := false
-	cal.book.change(fat, func(fat *fate) { fat.refused, accepted = refused && !fat.accepted, fat.accepted })
+	cal.ledger.change(sub, func(sub *submission) { sub.refused, accepted = refused && !sub.accepted, sub.accepted })
 	if accepted && cal.rnd.Float64() < cancelPart {
-		cal.book.change(fat, func(fat *fate) { fat.cancelled = true })
+		cal.ledger.change(sub, func(sub *submission) { sub.cancelled = true })
 		cal.call(ctx, http.MethodDelete, id, "")
 	}
 }
 
 // check asks for a job and compares the answer with what is known.
-func (cal *caller) check(ctx context.Context, known map[string]fate) {
-	cal.book.mu.Lock()
-	id := cal.book.names[cal.rnd.IntN(len(cal.book.names))]
-	cal.book.mu.Unlock()
+func (cal *caller) check(ctx context.Context, known map[string]submission) {
+	cal.ledger.mu.Lock()
+	id := cal.ledger.names[cal.rnd.IntN(len(cal.ledger.names))]
+	cal.ledger.mu.Unlock()
 	cal.look(ctx, id, known[id])
 }
 
 // look asks for the state of a job and returns it, empty when there was no answer.
-func (cal *caller) look(ctx context.Context, id string, before fate) string {
+func (cal *caller) look(ctx context.Context, id string, before submission) string {
 	status, body := cal.call(ctx, http.MethodGet, id, "")
 	if status == http.StatusGone && before.accepted {
 		cal.mon.report("job %s: accepted and not known any more", id)
@@ -138,9 +138,9 @@
 		cal.mon.report("job %s: shown as %s after %s", id, ans.State, before.final)
 	}
 	if final(ans.State) {
-		cal.book.mu.Lock()
-		cal.book.fates[id].final = ans.State
-		cal.book.mu.Unlock()
+		cal.ledger.mu.Lock()
+		cal.ledger.submissions[id].final = ans.State
+		cal.ledger.mu.Unlock()
 	}
 	return ans.State
 }
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -18,8 +18,8 @@
 	longestFault  = 5 * time.Second
 )
 
-// breaker injects faults that overlap.
-type breaker struct {
+// injector injects faults that overlap.
+type injector struct {
 	fleet *fleet
 	rnd   *rand.Rand
 	mon   *monitor
@@ -28,96 +28,96 @@
 }
 
 // span draws a time.
-func (brk *breaker) span(least, most time.Duration) time.Duration {
-	return least + time.Duration(brk.rnd.Int64N(int64(most-least)))
+func (inj *injector) span(least, most time.Duration) time.Duration {
+	return least + time.Duration(inj.rnd.Int64N(int64(most-least)))
 }
 
-func (brk *breaker) process() *process {
-	return brk.fleet.processes[brk.rnd.IntN(len(brk.fleet.processes))]
+func (inj *injector) process() *process {
+	return inj.fleet.processes[inj.rnd.IntN(len(inj.fleet.processes))]
 }
 
 // run injects faults until the context ends, and waits until they are over.
-func (brk *breaker) run(ctx context.Context) {
+func (inj *injector) run(ctx context.Context) {
 	kinds := []func(ctx context.Context){
-		brk.kill, brk.kill, brk.freeze, brk.freeze, brk.terminate, brk.reload, brk.cut, brk.cut,
-		brk.storeFault, brk.compact, brk.rebirth, brk.killMany, brk.evacuate,
+		inj.kill, inj.kill, inj.freeze, inj.freeze, inj.terminate, inj.reload, inj.cut, inj.cut,
+		inj.storeFault, inj.compact, inj.rebirth, inj.killMany, inj.evacuate,
 	}
-	for control.Pause(ctx, brk.span(shortestPause, longestPause)) == nil {
-		brk.num++
-		kinds[brk.rnd.IntN(len(kinds))](ctx)
+	for control.Pause(ctx, inj.span(shortestPause, longestPause)) == nil {
+		inj.num++
+		kinds[inj.rnd.IntN(len(kinds))](ctx)
 	}
-	brk.wait.Wait()
+	inj.wait.Wait()
 }
 
 // later runs the end of a fault after a time, or when the context ends.
-func (brk *breaker) later(ctx context.Context, dur time.Duration, end func()) {
-	brk.wait.Go(func() {
+func (inj *injector) later(ctx context.Context, dur time.Duration, end func()) {
+	inj.wait.Go(func() {
 		_ = control.Pause(ctx, dur) // at the end of the context every fault ends
 		end()
 	})
 }
 
-func (brk *breaker) restart(pro *process) {
+func (inj *injector) restart(pro *process) {
 	if err := pro.start(); err != nil {
-		brk.mon.report("restart: %v", err)
+		inj.mon.report("restart: %v", err)
 	}
 }
 
-func (brk *breaker) kill(ctx context.Context) {
-	pro := brk.process()
+func (inj *injector) kill(ctx context.Context) {
+	pro := inj.process()
 	pro.signal(syscall.SIGKILL)
-	brk.later(ctx, brk.span(50*time.Millisecond, longestFault), func() { brk.restart(pro) })
+	inj.later(ctx, inj.span(50*time.Millisecond, longestFault), func() { inj.restart(pro) })
 }
 
 // killMany kills all processes at once, as a loss of power does.
-func (brk *breaker) killMany(ctx context.Context) {
-	for _, pro := range brk.fleet.processes {
+func (inj *injector) killMany(ctx context.Context) {
+	for _, pro := range inj.fleet.processes {
 		pro.signal(syscall.SIGKILL)
 	}
-	brk.later(ctx, brk.span(50*time.Millisecond, time.Second), func() {
-		for _, pro := range brk.fleet.processes {
-			brk.restart(pro)
+	inj.later(ctx, inj.span(50*time.Millisecond, time.Second), func() {
+		for _, pro := range inj.fleet.processes {
+			inj.restart(pro)
 		}
 	})
 }
 
-func (brk *breaker) freeze(ctx context.Context) {
-	pro := brk.process()
+func (inj *injector) freeze(ctx context.Context) {
+	pro := inj.process()
 	pro.signal(syscall.SIGSTOP)
 	// Longer than a lease at times, so that runs must be given up and not come back.
-	brk.later(ctx, brk.span(100*time.Millisecond, 2*longestFault), func() { pro.signal(syscall.SIGCONT) })
+	inj.later(ctx, inj.span(100*time.Millisecond, 2*longestFault), func() { pro.signal(syscall.SIGCONT) })
 }
 
-func (brk *breaker) terminate(ctx context.Context) {
-	pro := brk.process()
+func (inj *injector) terminate(ctx context.Context) {
+	pro := inj.process()
 	pro.signal(syscall.SIGTERM)
-	brk.later(ctx, brk.span(time.Second, longestFault), func() {
+	inj.later(ctx, inj.span(time.Second, longestFault), func() {
 		pro.ended(time.Second)
-		brk.restart(pro)
+		inj.restart(pro)
 	})
 }
 
-func (brk *breaker) reload(context.Context) { brk.process().signal(syscall.SIGHUP) }
+func (inj *injector) reload(context.Context) { inj.process().signal(syscall.SIGHUP) }
 
-func (brk *breaker) cut(ctx context.Context) {
-	pro := brk.process()
-	pro.gate.mode.Store([...]int32{gateHangs, gateResets}[brk.rnd.IntN(2)])
-	brk.later(ctx, brk.span(200*time.Millisecond, 2*longestFault), func() { pro.gate.mode.Store(gateOpen) })
+func (inj *injector) cut(ctx context.Context) {
+	pro := inj.process()
+	pro.storeLink.mode.Store([...]int32{linkHangs, linkResets}[inj.rnd.IntN(2)])
+	inj.later(ctx, inj.span(200*time.Millisecond, 2*longestFault), func() { pro.storeLink.mode.Store(linkOpen) })
 }
 
-func (brk *breaker) storeFault(ctx context.Context) {
-	brk.fleet.rows.SetFault([...]rowstore.Fault{rowstore.Busy, rowstore.LoseAnswer, rowstore.Hang}[brk.rnd.IntN(3)])
-	brk.later(ctx, brk.span(200*time.Millisecond, longestFault), func() { brk.fleet.rows.SetFault(rowstore.None) })
+func (inj *injector) storeFault(ctx context.Context) {
+	inj.fleet.rows.SetFault([...]rowstore.Fault{rowstore.Busy, rowstore.LoseAnswer, rowstore.Hang}[inj.rnd.IntN(3)])
+	inj.later(ctx, inj.span(200*time.Millisecond, longestFault), func() { inj.fleet.rows.SetFault(rowstore.None) })
 }
 
-func (brk *breaker) compact(context.Context) { brk.fleet.rows.Compact() }
+func (inj *injector) compact(context.Context) { inj.fleet.rows.Compact() }
 
-func (brk *breaker) rebirth(context.Context) {
-	brk.fleet.workers[brk.rnd.IntN(len(brk.fleet.workers))].Reborn()
+func (inj *injector) rebirth(context.Context) {
+	inj.fleet.workers[inj.rnd.IntN(len(inj.fleet.workers))].Reborn()
 }
 
-func (brk *breaker) evacuate(ctx context.Context) {
-	name := "evacuate/" + zoneOf(brk.rnd.IntN(2))
-	brk.fleet.rows.Put("op", "", name, base64.StdEncoding.EncodeToString([]byte("{}")))
-	brk.later(ctx, brk.span(time.Second, longestFault), func() { brk.fleet.rows.Put("op", "", name, "") })
+func (inj *injector) evacuate(ctx context.Context) {
+	name := "evacuate/" + zoneOf(inj.rnd.IntN(2))
+	inj.fleet.rows.Put("op", "", name, base64.StdEncoding.EncodeToString([]byte("{}")))
+	inj.later(ctx, inj.span(time.Second, longestFault), func() { inj.fleet.rows.Put("op", "", name, "") })
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -33,39 +33,39 @@
 	portsEach   = 8 // ports of a process
 )
 
-// gate is the way of one process to the store.
-type gate struct {
+// storeLink is the way of one process to the store.
+type storeLink struct {
 	store http.Handler
 	mode  atomic.Int32
 }
 
-// Modes of a gate.
+// Modes of a link.
 const (
-	gateOpen int32 = iota
-	gateHangs
-	gateResets
+	linkOpen int32 = iota
+	linkHangs
+	linkResets
 )
 
 // ServeHTTP implements http.Handler.
-func (gat *gate) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
-	switch gat.mode.Load() {
-	case gateHangs:
+func (lnk *storeLink) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	switch lnk.mode.Load() {
+	case linkHangs:
 		<-req.Context().Done()
-	case gateResets:
+	case linkResets:
 		panic(http.ErrAbortHandler)
 	default:
-		gat.store.ServeHTTP(wrt, req)
+		lnk.store.ServeHTTP(wrt, req)
 	}
 }
 
 // process is one entry or agent.
 type process struct {
-	name   string
-	role   platform.Role
-	binary string
-	path   string // of its settings; the log lies beside them
-	entry  string // address for callers
-	gate   *gate
+	name      string
+	role      platform.Role
+	binary    string
+	path      string // of its settings; the log lies beside them
+	entry     string // address for callers
+	storeLink *storeLink
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -209,8 +209,8 @@
 
 // addProcess writes the settings of a process. The entry of an agent is its control address.
 func (fle *fleet) addProcess(ctx context.Context, name string, role platform.Role, zone, app string) (*process, error) {
-	gat := &gate{store: &fle.rows}
-	store, err := fle.serve(ctx, gat)
+	lnk := &storeLink{store: &fle.rows}
+	store, err := fle.serve(ctx, lnk)
 	if err != nil {
 		return nil, err
 	}
@@ -227,7 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pro := &process{name: name, role: role, binary: fle.options.binary, path: filepath.Join(fle.folder, name+".json"), entry: front, gate: gat}
+	pro := &process{name: name, role: role, binary: fle.options.binary, path: filepath.Join(fle.folder, name+".json"), entry: front, storeLink: lnk}
 	fle.processes = append(fle.processes, pro)
 	return pro, os.WriteFile(pro.path, raw, 0o600)
 }
@@ -243,14 +243,14 @@
 	}
 }
 
-// heal ends all faults and starts what does not run.
-func (fle *fleet) heal() error {
+// restore ends all faults and starts what does not run.
+func (fle *fleet) restore() error {
 	fle.rows.SetFault(rowstore.None)
 	for _, zone := range []string{zoneOf(0), zoneOf(1)} {
 		fle.rows.Put("op", "", "evacuate/"+zone, "")
 	}
 	for _, pro := range fle.processes {
-		pro.gate.mode.Store(gateOpen)
+		pro.storeLink.mode.Store(linkOpen)
 		pro.signal(syscall.SIGCONT)
 		if err := pro.start(); err != nil {
 			return err
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -69,7 +69,7 @@
 type result struct {
 	seed                                  uint64
 	accepted, refused, unknown, cancelled int
-	breaks                                int
+	injected                              int
 	starts                                int
 	folder                                string
 	faults                                []string
@@ -78,7 +78,7 @@
 // String formats the result for a terminal.
 func (res result) String() string {
 	txt := fmt.Sprintf("seed %d: %d faults injected; jobs accepted %d, refused %d, unknown %d, cancelled %d; %d starts",
-		res.seed, res.breaks, res.accepted, res.refused, res.unknown, res.cancelled, res.starts)
+		res.seed, res.injected, res.accepted, res.refused, res.unknown, res.cancelled, res.starts)
 	if len(res.faults) == 0 {
 		return txt + "; every promise was kept"
 	}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -32,27 +32,27 @@
 	if err := control.Pause(ctx, warmUp); err != nil {
 		return result{}, err
 	}
-	bok := &book{fates: make(map[string]*fate)}
-	brk := &breaker{fleet: fle, rnd: rand.New(rand.NewPCG(opt.seed, 0)), mon: mon}
+	led := &ledger{submissions: make(map[string]*submission)}
+	inj := &injector{fleet: fle, rnd: rand.New(rand.NewPCG(opt.seed, 0)), mon: mon}
 	broken, end := context.WithTimeout(ctx, opt.length)
 	defer end()
 	var wait sync.WaitGroup
 	for num := range clients {
-		cal := newCaller(fle, bok, mon, opt.seed, num)
+		cal := newCaller(fle, led, mon, opt.seed, num)
 		wait.Go(func() { cal.run(broken) })
 	}
-	brk.run(broken)
+	inj.run(broken)
 	wait.Wait()
-	if err := fle.heal(); err != nil {
+	if err := fle.restore(); err != nil {
 		return result{}, err
 	}
-	settle(ctx, newCaller(fle, bok, mon, opt.seed, clients))
-	return conclude(fle, bok, mon, brk.num), nil
+	settle(ctx, newCaller(fle, led, mon, opt.seed, clients))
+	return conclude(fle, led, mon, inj.num), nil
 }
 
-func newCaller(fle *fleet, bok *book, mon *monitor, seed uint64, num int) *caller {
+func newCaller(fle *fleet, led *ledger, mon *monitor, seed uint64, num int) *caller {
 	return &caller{
-		fleet: fle, book: bok, mon: mon, name: string(rune('a' + num)), rnd: rand.New(rand.NewPCG(seed, uint64(1+num))),
+		fleet: fle, ledger: led, mon: mon, name: string(rune('a' + num)), rnd: rand.New(rand.NewPCG(seed, uint64(1+num))),
 		http: &http.Client{Transport: &http.Transport{}},
 	}
 }
@@ -62,8 +62,8 @@
 	limit := time.Now().Add(settleLimit)
 	for {
 		open := 0
-		for id, fat := range cal.book.all() {
-			if fat.accepted && (!final(cal.look(ctx, id, fat)) || cal.mon.atWork(id) > 0) {
+		for id, sub := range cal.ledger.all() {
+			if sub.accepted && (!final(cal.look(ctx, id, sub)) || cal.mon.atWork(id) > 0) {
 				open++
 			}
 		}
@@ -76,29 +76,29 @@
 	}
 }
 
-// conclude compares the fates of the jobs with what the workers saw.
-func conclude(fle *fleet, bok *book, mon *monitor, breaks int) result {
-	res := result{seed: fle.options.seed, breaks: breaks, folder: fle.folder}
-	for id, fat := range bok.all() {
+// conclude compares the entries of the jobs with what the workers saw.
+func conclude(fle *fleet, led *ledger, mon *monitor, injected int) result {
+	res := result{seed: fle.options.seed, injected: injected, folder: fle.folder}
+	for id, sub := range led.all() {
 		switch {
-		case fat.accepted:
+		case sub.accepted:
 			res.accepted++
-		case fat.refused:
+		case sub.refused:
 			res.refused++
 		default:
 			res.unknown++
 		}
-		if fat.cancelled {
+		if sub.cancelled {
 			res.cancelled++
 		}
 		switch {
-		case fat.refused && mon.hasBegun(id):
+		case sub.refused && mon.hasBegun(id):
 			mon.report("job %s: refused by every answer, and has run", id)
-		case fat.accepted && fat.final == "":
+		case sub.accepted && sub.final == "":
 			mon.report("job %s: accepted, and not ended %v after the last fault", id, settleLimit)
-		case fat.final == "cancelled" && !fat.cancelled:
+		case sub.final == "cancelled" && !sub.cancelled:
 			mon.report("job %s: shown as cancelled, and nobody cancelled it", id)
-		case fat.final == "failed":
+		case sub.final == "failed":
 			mon.report("job %s: shown as failed, and no task failed", id)
 		}
 	}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -34,7 +34,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.faults).To(BeEmpty())
 		Expect(res.accepted).To(BeNumerically(">", 0))
-		Expect(res.breaks).To(BeNumerically(">", 0))
+		Expect(res.injected).To(BeNumerically(">", 0))
 	},
 		Entry("seed 1", uint64(1)),
 	)
--- a/core/history/history.go
+++ b/core/history/history.go
@@ -50,19 +50,19 @@
 
 // Day is the lines of all processes with corrected clocks, in the order of time.
 type Day struct {
-	lines   []Line
-	offsets map[string]time.Duration
-	knots   int
+	lines          []Line
+	offsets        map[string]time.Duration
+	contradictions int
 }
 
 // New corrects the clocks of the lines and sorts them. The lines are changed.
 func New(lines []Line) Day {
-	off, knots := correct(lines)
+	off, contradictions := correct(lines)
 	for num := range lines {
 		lines[num].At = lines[num].At.Add(off[lines[num].Node])
 	}
 	slices.SortStableFunc(lines, func(fst, snd Line) int { return fst.At.Compare(snd.At) })
-	return Day{lines: lines, offsets: off, knots: knots}
+	return Day{lines: lines, offsets: off, contradictions: contradictions}
 }
 
 // Lines returns the lines in the order of time.
@@ -73,13 +73,13 @@
 
 // Contradictions returns the number of pairs of nodes whose clocks no move puts in order,
 // as when a clock was set during the day.
-func (day Day) Contradictions() int { return day.knots }
+func (day Day) Contradictions() int { return day.contradictions }
 
 // pair is an order of two nodes: what happened at the first one came before.
 type pair struct{ before, after string }
 
 // correct returns the moves of the clocks and the number of pairs that contradict each other.
-func correct(lines []Line) (offsets map[string]time.Duration, knots int) {
+func correct(lines []Line) (offsets map[string]time.Duration, contradictions int) {
 	need := excesses(lines)
 	pairs := make([]pair, 0, len(need))
 	for par := range need {
@@ -102,10 +102,10 @@
 	}
 	for _, par := range pairs {
 		if offsets[par.before]+need[par] > offsets[par.after] {
-			knots++
+			contradictions++
 		}
 	}
-	return offsets, knots
+	return offsets, contradictions
 }
 
 // excesses returns by how much the clock of the first node is ahead of that of the
