--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -316,6 +316,23 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(7), "the others after it")
 	})
 
+	// Guards against an end that the worker forgets before it is stored: a restarted agent
+	// repeats the event, and the run is not known any more (soak, seed 203).
+	It("lets a restarted agent forget an end only after it is stored", func() {
+		own := newOwner()
+		own.hear(report("a", 1))
+		own.submit("j", step(1))
+		own.store()
+		rid := own.orders("a", 1, batch.StartRun)[0].ID
+		own.hear(report("a", 1), ended(1, rid, batch.EndDone))
+		own.hear(report("a", 2), ended(1, rid, batch.EndDone))
+		out, _ := own.Outbox("a", 2, 0)
+		Expect(out.Acked).To(BeZero())
+		own.store()
+		out, _ = own.Outbox("a", 2, 0)
+		Expect(out.Acked).To(Equal(uint64(1)))
+	})
+
 	// Guards against a second run when an instance that was given up comes back and takes
 	// an order of the time before.
 	It("withdraws a start that an instance did not take before it was lost", func() {
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -15,6 +15,7 @@
 	acceptedAt  time.Time
 	finalAt     time.Time
 	dirty       bool
+	unsettled   bool           // something of the state is not stored yet
 	orders      []pendingOrder // released when the state that contains them is stored
 	acks        []ack          // events that may be forgotten when the state is stored
 }
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -47,6 +47,7 @@
 // Committed releases the orders and events of a stored batch.
 func (sch *Scheduler[O, P]) Committed(bat *Batch, now time.Time) {
 	for num, job := range bat.jobs {
+		job.unsettled = job.dirty
 		for _, pnd := range bat.orders[num] {
 			sch.release(job, pnd, now)
 		}
--- a/core/batch/property_test.go
+++ b/core/batch/property_test.go
@@ -422,6 +422,7 @@
 			"silence":    func(*rapid.T) { fle.pass(modelLost) },
 			"takeOver":   func(*rapid.T) { fle.takeOver() },
 			"reborn":     func(*rapid.T) { fle.rebirth(fle.agent()) },
+			"restart":    func(*rapid.T) { fle.agent().open() },
 			"": func(*rapid.T) {
 				fle.T = t
 			},
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -187,17 +187,27 @@
 	ins.changed = true
 	delete(ins.strays, evt.ID)
 	stp, tsk, att := sch.find(ins, evt.ID)
+	job := sch.jobs[evt.ID.Task.Job]
 	if att == nil {
+		if job != nil && job.unsettled {
+			// A restarted agent repeats an event whose effect may not be stored yet.
+			sch.acknowledge(ins, job, evt)
+			sch.mark(job)
+		}
 		return
 	}
-	job := sch.jobs[evt.ID.Task.Job]
-	ins.pendingEvent(evt.Seq)
-	job.acks = append(job.acks, ack{instance: ins.id, session: ins.session, seq: evt.Seq})
+	sch.acknowledge(ins, job, evt)
 	sch.note(now, decision.RunEnded, job.spec.ID(), evt.ID, ins.id, string(evt.Cause)+" "+evt.Reason)
 	sch.settle(job, stp, tsk, att, evt, now)
 	sch.mark(job)
 }
 
+// acknowledge lets the agent forget an event when the job is stored.
+func (sch *Scheduler[O, P]) acknowledge(ins *instance, job *jobState, evt Event) {
+	ins.pendingEvent(evt.Seq)
+	job.acks = append(job.acks, ack{instance: ins.id, session: ins.session, seq: evt.Seq})
+}
+
 // settle applies the end of an attempt to its task and its job.
 func (sch *Scheduler[O, P]) settle(job *jobState, stp *stepState, tsk *task, att *attempt, evt Event, now time.Time) {
 	ins := sch.instance(att.instance)
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -180,6 +180,7 @@
 
 // mark queues a job to be stored.
 func (sch *Scheduler[O, P]) mark(job *jobState) {
+	job.unsettled = true
 	if !job.dirty {
 		job.dirty = true
 		sch.dirty = append(sch.dirty, job)
