--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -94,6 +94,25 @@
 		Entry("the owner's grant has nearly ended", func(agt *agent) { agt.pass(5800 * time.Millisecond) }),
 	)
 
+	// Guards against a pause that waits for the next list of a worker and comes too late
+	// (grown bayou scale-1: HARM).
+	It("pauses what fills when a tail has been over its target for too long, without a new list", func() {
+		agt := newAgent()
+		serve, fill := run("web"), run("noisy")
+		agt.Take(1, agt.Session(), []batch.Order{
+			{Seq: 1, Kind: batch.StartRun, ID: serve, Image: "web", Target: 10 * time.Millisecond},
+			{Seq: 2, Kind: batch.StartRun, ID: fill, Image: "noisy", Fills: true},
+		}, agt.now, agt.now)
+		agt.list(batch.RunState{ID: serve, Figure: 50}, batch.RunState{ID: fill})
+		agt.Calls()
+		agt.pass(2100 * time.Millisecond)
+		agt.expectCalls()
+		agt.pass(150 * time.Millisecond)
+		agt.expectCalls(batchhost.CallPace)
+		agt.pass(100 * time.Millisecond)
+		agt.expectCalls()
+	})
+
 	// Guards against a run that works at full speed through a pause until it is listed.
 	It("pauses a filling run that starts during a pause at once", func() {
 		agt := newAgent()
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -130,6 +130,10 @@
 		}
 	})
 	hst.pace.Observe(smp, now)
+	hst.setPaces(now)
+}
+
+func (hst *Host) setPaces(now time.Time) {
 	for rid, rn := range hst.runs {
 		if rn.working && rn.order.Fills && !rn.stopping {
 			hst.setPace(rid, rn, hst.pace.Share(), now)
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -169,13 +169,17 @@
 	}
 }
 
-// Tick repeats stops that were not answered and gives up runs whose lease has certainly expired.
+// Tick repeats stops that were not answered, begins a pause that is due, and gives up
+// runs whose lease has certainly expired.
 func (hst *Host) Tick(now time.Time) {
 	for rid, rn := range hst.runs {
 		if rn.stopping && rn.stopped.IsZero() && !rn.stopCall && !hst.silent(now) {
 			hst.callStop(rid, rn)
 		}
 	}
+	if hst.pace.Advance(now) {
+		hst.setPaces(now)
+	}
 	if hst.lapsed(now) {
 		hst.lapse()
 	}
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -86,6 +86,16 @@
 	return con.limit
 }
 
+// Advance begins a pause when an excess has lasted too long by the given time, without
+// a new sample: the next one may come too late. It reports whether a pause began.
+func (con *Controller) Advance(now time.Time) bool {
+	if con.pausing || !exceeded(con.over, con.overLimit(), now) {
+		return false
+	}
+	con.until, con.pausing = now.Add(pauseAfter), true
+	return true
+}
+
 // follow returns the excesses after one more sample.
 func follow(old map[string]excess, smp Sample, now time.Time) map[string]excess {
 	out := make(map[string]excess, len(old))
