--- a/cmd/soak/clients.go
+++ b/cmd/soak/clients.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jacinthpost/io/control"
+	"jacinthpost/platform/standin/deployment"
 )
 
 const (
@@ -88,7 +89,7 @@
 
 // submit hands a job in and cancels some.
 func (cal *caller) submit(ctx context.Context, id string, sub *submission) {
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":100},{"count":2,"cpu":500,"memMb":100,"after":[0]}]}`, 1+cal.rnd.IntN(4))
+	body := deployment.Job(1 + cal.rnd.IntN(4))
 	refused := true
 	for range tries {
 		status, _ := cal.call(ctx, http.MethodPost, id, body)
@@ -154,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	ent := cal.fleet.entries[cal.rnd.IntN(len(cal.fleet.entries))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+ent.entry+"/q/"+id, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+ent.entry+deployment.Path(id), strings.NewReader(body))
 	if err != nil {
 		cal.mon.report("request: %v", err)
 		return 0, ""
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
 
 	"jacinthpost/io/control"
+	"jacinthpost/platform/standin/deployment"
 	"jacinthpost/platform/standin/rowstore"
 )
 
@@ -117,7 +117,7 @@
 }
 
 func (inj *injector) evacuate(ctx context.Context) {
-	name := "evacuate/" + zoneOf(inj.rnd.IntN(2))
-	inj.fleet.rows.Put("op", "", name, base64.StdEncoding.EncodeToString([]byte("{}")))
-	inj.later(ctx, inj.span(time.Second, longestFault), func() { inj.fleet.rows.Put("op", "", name, "") })
+	zone := zoneOf(inj.rnd.IntN(2))
+	deployment.SetOut(&inj.fleet.rows, zone, true)
+	inj.later(ctx, inj.span(time.Second, longestFault), func() { deployment.SetOut(&inj.fleet.rows, zone, false) })
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,18 +17,18 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/platform"
+	"jacinthpost/platform/standin/deployment"
 	"jacinthpost/platform/standin/rowstore"
 	"jacinthpost/platform/standin/taskworker"
 )
 
 const (
-	queueHost   = "soak.example"
-	queueConfig = `{"version":1,"routes":[{"name":"q","host":"` + queueHost + `","pathPrefix":"/q/","service":"s","maxAttempts":3,"stretch":2,"targetLatencyMs":500}],"limits":{}}`
-	taskTime    = 300 * time.Millisecond
-	beatPeriod  = 300 * time.Millisecond
-	graceTime   = 3.0 // seconds
-	firstPort   = 21000
-	portsEach   = 8 // ports of a process
+	queueHost  = "soak.example"
+	taskTime   = 300 * time.Millisecond
+	beatPeriod = 300 * time.Millisecond
+	graceTime  = 3.0 // seconds
+	firstPort  = 21000
+	portsEach  = 8 // ports of a process
 )
 
 // storeLink is the way of one process to the store.
@@ -149,7 +147,7 @@
 	if err := os.MkdirAll(fle.folder, 0o755); err != nil {
 		return nil, err
 	}
-	fle.rows.Put("op", "", "config", base64.StdEncoding.EncodeToString([]byte(queueConfig)))
+	deployment.Configure(&fle.rows, queueHost, "s")
 	for num := range opt.agents {
 		if err := fle.addAgent(ctx, num, mon); err != nil {
 			return nil, err
@@ -216,17 +214,14 @@
 	}
 	fle.port += portsEach
 	front, ready := fle.address(), fle.address()
-	set := map[string]any{
-		"nodeName": name, "ip": fle.ip, "zone": zone, "zones": map[string]string{"z1": "r", "z2": "r"},
-		"internalPorts": []int{fle.port + 1, fle.port + 2}, "listenAddrs": map[string]string{"frontend": front, "ready": ready, "control": front},
-		"app": app, "limits": map[string]any{"memoryMb": 150}, "platform": map[string]any{"address": store},
-		"bounds": map[string]any{"graceS": graceTime, "holdMaxMs": 6000, "remoteFactor": 1},
-	}
-	fle.port += 2
-	raw, err := json.Marshal(set)
+	raw, err := deployment.Process{
+		Name: name, IP: fle.ip, Zone: zone, Zones: []string{zoneOf(0), zoneOf(1)}, InternalPorts: []int{fle.port + 1, fle.port + 2},
+		Frontend: front, Ready: ready, Control: front, Worker: app, Store: store, GraceSeconds: graceTime,
+	}.Settings()
 	if err != nil {
 		return nil, err
 	}
+	fle.port += 2
 	pro := &process{name: name, role: role, binary: fle.options.binary, path: filepath.Join(fle.folder, name+".json"), entry: front, storeLink: lnk}
 	fle.processes = append(fle.processes, pro)
 	return pro, os.WriteFile(pro.path, raw, 0o600)
@@ -247,7 +242,7 @@
 func (fle *fleet) restore() error {
 	fle.rows.SetFault(rowstore.None)
 	for _, zone := range []string{zoneOf(0), zoneOf(1)} {
-		fle.rows.Put("op", "", "evacuate/"+zone, "")
+		deployment.SetOut(&fle.rows, zone, false)
 	}
 	for _, pro := range fle.processes {
 		pro.storeLink.mode.Store(linkOpen)
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -47,6 +47,9 @@
 		return result{}, err
 	}
 	settle(ctx, newCaller(fle, led, mon, opt.seed, clients))
+	if err := ctx.Err(); err != nil {
+		return result{}, err // jobs that were not waited for tell nothing
+	}
 	return conclude(fle, led, mon, inj.num), nil
 }
 
--- a/core/ticket/object.go
+++ b/core/ticket/object.go
@@ -166,7 +166,7 @@
 	dgr.number(math.Float64bits(adm.batchShare))
 }
 
-// Customer is a tenant. A customer that cancels stays, inactive, with its settings.
+// Customer is whom work is accepted for. One that cancels stays, inactive, with its settings.
 type Customer struct {
 	active   bool
 	team     fleet.Team
