--- /dev/null
+++ b/core/batch/forecast.go
@@ -0,0 +1,165 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"jacinthpost/core/admission"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
+)
+
+// sizesKnownAfter is when every worker that lives has told its size to a new owner.
+const sizesKnownAfter = 15 * time.Second
+
+// learnSize remembers the largest workers of each service, also those that are gone: one may come back.
+func (sch *Scheduler[O, P]) learnSize(rep Report) {
+	old := sch.sizes[rep.Service]
+	fits := func(siz resource.Vector) bool { return rep.Capacity.FitsIn(siz) }
+	if rep.Life == "" || slices.ContainsFunc(old, fits) {
+		return
+	}
+	if sch.sizes == nil {
+		sch.sizes = make(map[fleet.Service][]resource.Vector)
+	}
+	sch.sizes[rep.Service] = admission.Largest(append(slices.Clone(old), rep.Capacity))
+}
+
+// Sizes returns the sizes of the largest workers of each service, nil until they are known.
+func (sch *Scheduler[O, P]) Sizes(now time.Time) map[fleet.Service][]resource.Vector {
+	if now.Sub(sch.since) < sizesKnownAfter {
+		return nil
+	}
+	return sch.sizes
+}
+
+// amount is work, or the rate at which a service carries it out, by what binds it:
+// processors reserved by short tasks, processors used by filling ones, and memory.
+type amount struct {
+	short, fills, memory float64 // in mCPU and MB, times seconds for work
+}
+
+func (amt *amount) add(oth amount) {
+	amt.short += oth.short
+	amt.fills += oth.fills
+	amt.memory += oth.memory
+}
+
+// over returns how long work takes at a rate.
+func (amt amount) over(rate amount) time.Duration {
+	return seconds(max(ratio(amt.short, rate.short), ratio(amt.fills, rate.fills), ratio(amt.memory, rate.memory)))
+}
+
+// longestForecast stands for work that nothing can carry out, in seconds.
+const longestForecast = 3600
+
+func ratio(work, rate float64) float64 {
+	switch {
+	case work <= 0:
+		return 0
+	case rate <= 0:
+		return longestForecast
+	default:
+		return min(longestForecast, work/rate)
+	}
+}
+
+// backlog is the unfinished work of a queue and what a usual job of it looks like.
+type backlog struct {
+	service          fleet.Service
+	priority         int
+	work             amount
+	jobs             int
+	chain, objective time.Duration // sums over the jobs
+	blocked          time.Duration // the longest time for which a step has found no place
+	flowing          bool          // a step that wants to start is not blocked
+}
+
+// Forecasts predicts by queue what happens to a job that is handed in now. The work of
+// all queues of the same or a higher priority goes before, and drains at the rate that the
+// service has for it. Queues without unfinished jobs are left out.
+func (sch *Scheduler[O, P]) Forecasts(now time.Time) map[string]admission.Forecast {
+	queues := sch.backlogs(now)
+	rates := sch.rates()
+	out := make(map[string]admission.Forecast, len(queues))
+	for name, bkl := range queues {
+		var ahead amount
+		for _, oth := range queues {
+			if oth.service == bkl.service && oth.priority <= bkl.priority {
+				ahead.add(oth.work)
+			}
+		}
+		fct := admission.Forecast{
+			Wait: ahead.over(rates[bkl.service]), Chain: bkl.chain / time.Duration(bkl.jobs), Objective: bkl.objective / time.Duration(bkl.jobs),
+		}
+		if !bkl.flowing {
+			fct.Blocked = bkl.blocked
+		}
+		out[name] = fct
+	}
+	return out
+}
+
+func (sch *Scheduler[O, P]) backlogs(now time.Time) map[string]*backlog {
+	out := make(map[string]*backlog)
+	for _, job := range sch.jobs {
+		if job.state.Final() || job.spec.Lasting() {
+			continue
+		}
+		bkl := out[job.spec.Queue()]
+		if bkl == nil {
+			bkl = &backlog{service: fleet.Service(job.spec.Service()), priority: job.spec.Priority()}
+			out[job.spec.Queue()] = bkl
+		}
+		for _, occ := range job.occurrences {
+			sch.addOccurrence(bkl, job, occ, now)
+		}
+	}
+	for name, bkl := range out {
+		if bkl.jobs == 0 {
+			delete(out, name)
+		}
+	}
+	return out
+}
+
+func (sch *Scheduler[O, P]) addOccurrence(bkl *backlog, job *jobState, occ *occurrence, now time.Time) {
+	chain := job.spec.Chain(func(num int) time.Duration { return sch.learned.predict(job.spec.Queue(), occ.steps[num]) })
+	bkl.jobs++
+	bkl.chain += chain
+	bkl.objective += time.Duration(job.spec.Stretch()*float64(chain)) + job.spec.TargetLatency()
+	for num, stp := range occ.steps {
+		left := float64(len(stp.tasks)-stp.done) * sch.learned.predict(job.spec.Queue(), stp).Seconds()
+		bkl.work.memory += left * float64(stp.spec.Need().MemoryMB())
+		if stp.spec.Fills() {
+			bkl.work.fills += left * float64(stp.spec.MilliCPU())
+		} else {
+			bkl.work.short += left * float64(stp.spec.MilliCPU())
+		}
+		switch {
+		case !occ.turn(num) || !stp.wants(now):
+		case stp.blocked.IsZero():
+			bkl.flowing = true
+		default:
+			bkl.blocked = max(bkl.blocked, now.Sub(stp.blocked))
+		}
+	}
+}
+
+// rates returns what each service can carry out in a second beside its lasting tasks.
+func (sch *Scheduler[O, P]) rates() map[fleet.Service]amount {
+	out := make(map[fleet.Service]amount)
+	for _, ins := range sch.instances {
+		if !ins.usable(sch.out) {
+			continue
+		}
+		rate := out[ins.service]
+		rate.add(amount{
+			short:  float64(ins.free().MilliCPU() + ins.shortCPU),
+			fills:  ins.site().idle() + float64(ins.fillCPU),
+			memory: float64(ins.capacity.MemoryMB() - ins.lastingMB),
+		})
+		out[ins.service] = rate
+	}
+	return out
+}
--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -27,6 +27,7 @@
 	fillCPU       int64            // in use by filling tasks at full speed
 	shortCPU      int64            // reserved by tasks that neither last nor fill
 	servingCPU    int64            // reserved by tasks with a latency target
+	lastingMB     int64            // reserved by lasting tasks
 	filling       map[string]int64 // processors that filling tasks use at full speed, by image
 	servingImages map[string]int   // tasks with a latency target, by image
 	pausing       bool             // what fills pauses, by the last report
@@ -66,6 +67,9 @@
 
 func (ins *instance) count(stp *stepState, sign int) {
 	ins.runs += sign
+	if stp.spec.Lasting() {
+		ins.lastingMB += int64(sign) * stp.spec.Need().MemoryMB()
+	}
 	if stp.short() {
 		ins.shortCPU += int64(sign) * stp.spec.MilliCPU()
 	}
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -25,6 +25,7 @@
 		sch.note(now, decision.InstanceHeard, "", RunID{}, ins.id, string(rep.Life))
 	}
 	ins.update(rep, now)
+	sch.learnSize(rep)
 	for _, evt := range rep.Events {
 		sch.hearEvent(ins, evt, now)
 	}
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -22,6 +22,7 @@
 	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/pacing"
+	"jacinthpost/core/resource"
 	"jacinthpost/core/workload"
 )
 
@@ -34,6 +35,7 @@
 	dirty     []*jobState
 	instances map[fleet.InstanceID]*instance
 	out       map[fleet.DataCentre]bool
+	sizes     map[fleet.Service][]resource.Vector // the largest workers heard of
 	learned   durations
 	effects   pacing.Model
 	demand    map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -8,10 +8,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
+	"jacinthpost/core/admission"
 	"jacinthpost/core/batch"
 	"jacinthpost/core/store"
 	"jacinthpost/io/batchstore"
 	"jacinthpost/io/control"
+	"jacinthpost/io/jobaccess"
 	"jacinthpost/io/lead"
 )
 
@@ -21,6 +23,9 @@
 	removedJobs = 20
 	loadPeriod  = 300 * time.Millisecond
 	writeRetry  = 30 * time.Millisecond
+	// refusalRepeat is well within the time after which entries drop a refusal.
+	refusalRepeat = jobaccess.RefusalValidity / 3
+	refusalStep   = 500 * time.Millisecond // smaller changes of the time to come back are not stored
 	// releaseLimit bounds the last transaction of a process that stops.
 	releaseLimit = 600 * time.Millisecond
 )
@@ -96,15 +101,30 @@
 		chg := change{batch: sch.Take(batchJobs), removed: wrt.removed[:num:num]}
 		wrt.removed = wrt.removed[num:]
 		if withLoad {
-			lod := batchstore.Encode(batchstore.Load{Pending: sch.Pending()})
-			if !bytes.Equal(lod, wrt.load) {
-				chg.load = lod
-			}
+			chg.load = wrt.changedLoad(sch, now)
 		}
 		return chg
 	})
 }
 
+// changedLoad returns the load to publish, nil when the stored one will do. Refusals are
+// stored again now and then, because entries drop old ones.
+func (wrt *writer) changedLoad(sch *Scheduler, now time.Time) []byte {
+	lod := batchstore.Load{Pending: sch.Pending(), Refuse: make(map[string]int64)}
+	for queue, after := range admission.Refusals(admission.Useful{}, sch.Forecasts(now)) {
+		lod.Refuse[queue] = after.Round(refusalStep).Milliseconds()
+	}
+	for svc, sizes := range sch.Sizes(now) {
+		lod.SetSizes(svc, sizes)
+	}
+	data := batchstore.Encode(lod)
+	repeat := len(lod.Refuse) > 0 && now.Sub(wrt.loadAt) >= refusalRepeat
+	if bytes.Equal(data, wrt.load) && !repeat {
+		return nil
+	}
+	return data
+}
+
 // store commits a change. It returns an error only when the ownership is lost.
 func (wrt *writer) store(ctx context.Context, chg change) error {
 	sent := wrt.cfg.Clock()
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -18,6 +18,8 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/core/resource"
 	"jacinthpost/core/workload"
 )
 
@@ -85,8 +87,37 @@
 
 // Load is what the owner publishes for entries.
 type Load struct {
-	Pending map[string]int   `json:"pending,omitempty"` // by queue, jobs of which no task has started
-	Refuse  map[string]int64 `json:"refuse,omitempty"`  // by queue, milliseconds after which a caller should come back
+	Pending map[string]int    `json:"pending,omitempty"` // by queue, jobs of which no task has started
+	Refuse  map[string]int64  `json:"refuse,omitempty"`  // by queue, milliseconds after which a caller should come back
+	Sizes   map[string][]Size `json:"sizes,omitempty"`   // by service, of its largest workers
+}
+
+// Size is the capacity of a worker.
+type Size struct {
+	MilliCPU     int64 `json:"milliCpu,omitempty"`
+	MemoryMB     int64 `json:"memoryMb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// SetSizes replaces the sizes of the workers of a service.
+func (lod *Load) SetSizes(svc fleet.Service, vecs []resource.Vector) {
+	if lod.Sizes == nil {
+		lod.Sizes = make(map[string][]Size)
+	}
+	var out []Size
+	for _, vec := range vecs {
+		out = append(out, Size{MilliCPU: vec.MilliCPU(), MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators()})
+	}
+	lod.Sizes[string(svc)] = out
+}
+
+// SizesOf returns the sizes of the workers of a service.
+func (lod Load) SizesOf(svc string) []resource.Vector {
+	out := make([]resource.Vector, len(lod.Sizes[svc]))
+	for num, siz := range lod.Sizes[svc] {
+		out[num] = resource.New(siz.MilliCPU, siz.MemoryMB, siz.Accelerators)
+	}
+	return out
 }
 
 // Encode returns the value of a row.
--- a/io/jobaccess/jobaccess.go
+++ b/io/jobaccess/jobaccess.go
@@ -15,9 +15,11 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"jacinthpost/core/admission"
 	"jacinthpost/core/batch"
 	"jacinthpost/core/decision"
 	"jacinthpost/core/outcome"
+	"jacinthpost/core/resource"
 	"jacinthpost/core/store"
 	"jacinthpost/core/workload"
 	"jacinthpost/io/batchstore"
@@ -30,6 +32,14 @@
 	// refusalPatience is how long a caller is held while the store certainly did
 	// nothing: a quarter of the shortest latency target of the deployments.
 	refusalPatience = 100 * time.Millisecond
+	// RefusalValidity is how long a published refusal holds: after it, the owner that
+	// published it may have gone, and the backlog with it.
+	RefusalValidity = 3 * time.Second
+	// lookupLimit bounds the look for a stored job before a refusal: a few round trips between regions.
+	lookupLimit = 300 * time.Millisecond
+	// noWorkerRetry is when the caller of a job that fits no worker should come back: larger
+	// ones join seldom.
+	noWorkerRetry = 30 * time.Second
 	// OutageRetry is when a caller should come back while the store fails.
 	OutageRetry = time.Second
 )
@@ -50,7 +60,7 @@
 type Desk struct {
 	table store.Table
 	part  batchstore.Partition
-	load  atomic.Pointer[batchstore.Load]
+	load  atomic.Pointer[published]
 	log   *zap.Logger
 }
 
@@ -59,16 +69,22 @@
 	return &Desk{table: tab, part: part, log: log}
 }
 
-// SetLoad replaces the published load of the partition.
-func (dsk *Desk) SetLoad(lod batchstore.Load) { dsk.load.Store(&lod) }
+// published is a load with the time of its arrival.
+type published struct {
+	load batchstore.Load
+	at   time.Time
+}
+
+// SetLoad replaces the published load of the partition, which arrived at the given time.
+func (dsk *Desk) SetLoad(lod batchstore.Load, at time.Time) {
+	dsk.load.Store(&published{load: lod, at: at})
+}
 
 // Submit stores a job. A job that is stored already is accepted again.
 func (dsk *Desk) Submit(ctx context.Context, job workload.Job) Answer {
 	begun := time.Now()
-	if after := dsk.refuse(job.Queue()); after > 0 {
-		dsk.log.Info(string(decision.JobRefused), zap.String("job", job.ID()), zap.String("queue", job.Queue()),
-			zap.String("reason", string(outcome.ReasonCapacity)), zap.Duration("retryAfter", after))
-		return Answer{outcome: outcome.NotRun(outcome.ReasonCapacity, "the queue is too long"), retryAfter: after}
+	if ans, refused := dsk.refuse(ctx, job, begun); refused {
+		return ans
 	}
 	var txn store.Transaction
 	txn.Require(dsk.part.JobKey(job.ID()), 0)
@@ -80,12 +96,44 @@
 	return ans
 }
 
-func (dsk *Desk) refuse(queue string) time.Duration {
-	lod := dsk.load.Load()
-	if lod == nil {
-		return 0
+// refuse returns the refusal of a job that can't be served in useful time, if there is one.
+// A job that an earlier request of its caller has stored is never refused, nor is one of
+// which this is not known soon.
+func (dsk *Desk) refuse(ctx context.Context, job workload.Job, now time.Time) (Answer, bool) {
+	pub := dsk.load.Load()
+	if pub == nil {
+		return Answer{}, false
+	}
+	after, detail := pub.judge(job, now)
+	if detail == "" {
+		return Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupLimit)
+	defer cancel()
+	if found, err := dsk.exists(ctx, job.ID()); err != nil || found {
+		return Answer{}, false
+	}
+	dsk.log.Info(string(decision.JobRefused), zap.String(decision.KeyJob, job.ID()), zap.String("queue", job.Queue()),
+		zap.String(decision.KeyReason, string(outcome.ReasonCapacity)), zap.String("detail", detail),
+		zap.Duration("retryAfter", after), zap.Duration("loadAge", now.Sub(pub.at)))
+	return Answer{outcome: outcome.NotRun(outcome.ReasonCapacity, detail), retryAfter: after}, true
+}
+
+// judge returns why a job is refused and when its caller should come back. The reason is
+// empty when the job is to be accepted.
+func (pub published) judge(job workload.Job, now time.Time) (after time.Duration, detail string) {
+	var needs []resource.Vector
+	for _, stp := range job.Steps() {
+		needs = append(needs, stp.Need())
+	}
+	if ned, found := admission.TooLarge(needs, pub.load.SizesOf(job.Service())); found {
+		return admission.Spread(noWorkerRetry, job.ID()), "no worker has room for a task of " + ned.String()
+	}
+	if now.Sub(pub.at) > RefusalValidity || pub.load.Refuse[job.Queue()] == 0 {
+		return 0, ""
 	}
-	return time.Duration(lod.Refuse[queue]) * time.Millisecond
+	after = time.Duration(pub.load.Refuse[job.Queue()]) * time.Millisecond
+	return admission.Spread(after, job.ID()), "the job would be complete too late"
 }
 
 // write commits a transaction whose repetition does no harm. Once a try may have
--- /dev/null
+++ b/io/jobaccess/jobaccess_test.go
@@ -0,0 +1,101 @@
+package jobaccess_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/outcome"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/store/storefake"
+	"jacinthpost/core/workload"
+	"jacinthpost/internal/specs"
+	"jacinthpost/io/batchstore"
+	"jacinthpost/io/jobaccess"
+)
+
+func TestJobAccess(t *testing.T) { specs.Run(t, "jobaccess") }
+
+func job(id string, memoryMB int64) workload.Job {
+	spc, err := workload.New(workload.JobParams{
+		ID: id, Queue: "q", Service: "svc", Steps: []workload.StepParams{{Count: 1, MilliCPU: 100, MemoryMB: memoryMB}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return spc
+}
+
+func load() batchstore.Load {
+	lod := batchstore.Load{Refuse: map[string]int64{"q": 2000}}
+	lod.SetSizes("svc", []resource.Vector{resource.New(4000, 1000, 0)})
+	return lod
+}
+
+func expectRefused(ans jobaccess.Answer, least, most time.Duration) {
+	GinkgoHelper()
+	Expect(ans.Outcome().Kind()).To(Equal(outcome.KindNotRun))
+	Expect(ans.Outcome().Reason()).To(Equal(outcome.ReasonCapacity))
+	Expect(ans.RetryAfter()).To(And(BeNumerically(">=", least), BeNumerically("<=", most)))
+}
+
+func expectAccepted(ans jobaccess.Answer) {
+	GinkgoHelper()
+	Expect(ans.Outcome().Kind()).To(Equal(outcome.KindAnswered), ans.Outcome().Detail())
+}
+
+var _ = Describe("refusals of a desk", func() {
+	desk := func() (*storefake.Store, *jobaccess.Desk) {
+		sto := &storefake.Store{}
+		return sto, jobaccess.New(sto, "p0", zap.NewNop())
+	}
+	limited := func(ctx context.Context) context.Context {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		DeferCleanup(cancel)
+		return ctx
+	}
+
+	// Guards against a queue that is shut for callers whose job can't be complete in useful time, yet accepts.
+	It("refuse at once while the queue refuses, and store nothing", func(ctx SpecContext) {
+		sto, dsk := desk()
+		dsk.SetLoad(load(), time.Now())
+		expectRefused(dsk.Submit(limited(ctx), job("1", 10)), 2*time.Second, 3*time.Second)
+		Expect(sto.Commits()).To(BeZero())
+	})
+
+	// Guards against "not accepted" for a job that an earlier request stored.
+	It("accept a job that is stored already", func(ctx SpecContext) {
+		_, dsk := desk()
+		expectAccepted(dsk.Submit(limited(ctx), job("1", 10)))
+		dsk.SetLoad(load(), time.Now())
+		expectAccepted(dsk.Submit(limited(ctx), job("1", 10)))
+	})
+
+	// Guards against a queue that stays shut after the owner that shut it has gone.
+	It("end when they are old", func(ctx SpecContext) {
+		_, dsk := desk()
+		dsk.SetLoad(load(), time.Now().Add(-jobaccess.RefusalValidity-time.Second))
+		expectAccepted(dsk.Submit(limited(ctx), job("1", 10)))
+	})
+
+	// Guards against a job that waits for ever.
+	It("turn away what fits no worker, however old the sizes are", func(ctx SpecContext) {
+		_, dsk := desk()
+		lod := load()
+		lod.Refuse = nil
+		dsk.SetLoad(lod, time.Now().Add(-time.Hour))
+		expectRefused(dsk.Submit(limited(ctx), job("1", 1001)), 30*time.Second, 45*time.Second)
+		expectAccepted(dsk.Submit(limited(ctx), job("2", 1000)))
+	})
+
+	// Guards against a false "not accepted": nobody knows whether an earlier request was stored.
+	It("leave the verdict to the store when it does not tell whether the job is there", func(ctx SpecContext) {
+		sto, dsk := desk()
+		dsk.SetLoad(load(), time.Now())
+		sto.SetDown(true)
+		ans := dsk.Submit(limited(ctx), job("1", 10))
+		Expect(ans.Outcome().Reason()).To(Equal(outcome.ReasonStoreUnavailable))
+	})
+})
