--- a/core/batch/property_test.go
+++ b/core/batch/property_test.go
@@ -22,14 +22,14 @@
 // agentModel is an agent with its worker: it carries out orders and reports ends until
 // the owner has stored them.
 type agentModel struct {
-	id      fleet.InstanceID
-	session uint64
-	life    int
-	seen    uint64
-	runs    map[batch.RunID]batch.Order
-	events  []batch.Event
-	seq     uint64
-	heardAt time.Time
+	id        fleet.InstanceID
+	session   uint64
+	life      int
+	seen      uint64
+	runs      map[batch.RunID]batch.Order
+	events    []batch.Event
+	seq       uint64
+	grantedAt time.Time
 }
 
 func (agt *agentModel) lifeName() batch.Life {
@@ -84,6 +84,8 @@
 	owner  *scheduler
 	jobs   map[string]workload.Job
 	stored map[string]batch.JobRecord
+	left   batch.Presence // as stored last
+	ruled  bool           // it is of the present owner
 	agents []*agentModel
 	done   map[batch.TaskID]bool // by ends that count, see forget
 	failed map[batch.TaskID]int  // the same
@@ -101,14 +103,15 @@
 		worked: make(map[batch.TaskID]bool), broke: make(map[batch.TaskID]int), runs: make(map[batch.TaskID]int),
 	}
 	for _, id := range []fleet.InstanceID{"a", "b", "c"} {
-		fle.agents = append(fle.agents, &agentModel{id: id, session: 1, runs: make(map[batch.RunID]batch.Order), heardAt: start})
+		fle.agents = append(fle.agents, &agentModel{id: id, session: 1, runs: make(map[batch.RunID]batch.Order), grantedAt: start})
 	}
 	fle.newOwner()
 	return fle
 }
 
 func (fle *fleetModel) newOwner() {
-	opt := batch.Options{LostAfter: modelLost, InheritedAfter: 2 * modelLost}
+	// A former owner grants nothing any more from the moment of the takeover on.
+	opt := batch.Options{LostAfter: modelLost, InheritedAfter: modelLost}
 	fle.owner = batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, opt, fle.now)
 }
 
@@ -165,11 +168,15 @@
 		fle.stored[rec.ID] = rec
 	}
 	fle.owner.Committed(bat, fle.now)
+	fle.left = fle.owner.Presence(fle.now)
+	fle.ruled = true
 }
 
 func (fle *fleetModel) report(agt *agentModel) {
-	agt.heardAt = fle.now
 	fle.owner.Hear(agt.report(), fle.now)
+	if fle.ruled && slices.Contains(fle.left.Heard, agt.id) {
+		agt.grantedAt = fle.now
+	}
 }
 
 func (fle *fleetModel) orders(agt *agentModel) {
@@ -282,7 +289,7 @@
 func (fle *fleetModel) pass(dur time.Duration) {
 	fle.now = fle.now.Add(dur)
 	for _, agt := range fle.agents {
-		if fle.now.Sub(agt.heardAt) < modelLost-time.Second {
+		if fle.now.Sub(agt.grantedAt) < modelLost-time.Second {
 			continue
 		}
 		fle.forget(agt)
@@ -295,6 +302,8 @@
 
 func (fle *fleetModel) takeOver() {
 	fle.newOwner()
+	fle.owner.Inherit(fle.left)
+	fle.ruled = false
 	for _, id := range slices.Sorted(maps.Keys(fle.jobs)) {
 		if rec, found := fle.stored[id]; found {
 			fle.owner.Restore(fle.jobs[id], rec, fle.now)
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -167,7 +167,7 @@
 func (sch *Scheduler[O, P]) checkPresence(ins *instance, now time.Time) {
 	limit := ins.heardAt.Add(sch.option().LostAfter)
 	if ins.session == 0 {
-		limit = sch.since.Add(sch.option().InheritedAfter)
+		limit = sch.since.Add(sch.option().InheritedAfter - sch.silent[ins.id])
 	}
 	if now.Before(limit) || (!ins.present && ins.runs == 0) {
 		return
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -41,6 +41,7 @@
 	demand    map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
 	preempted time.Time
 	since     time.Time
+	silent    map[fleet.InstanceID]time.Duration // inherited, see Presence
 	held      bool
 	planned   bool // nothing changed since the last plan that could let work start
 	notes     []Note
--- /dev/null
+++ b/io/batchowner/presence.go
@@ -0,0 +1,94 @@
+package batchowner
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/io/batchstore"
+)
+
+// readPresence reads what the former owner left about the instances.
+func (rgn *reign) readPresence(ctx context.Context) (batch.Presence, error) {
+	rows, err := rgn.cfg.Table.Read(ctx, rgn.cfg.Part.PresenceKey())
+	if err != nil || !rows[0].Exists() {
+		return batch.Presence{}, err
+	}
+	prs, err := batchstore.DecodePresence(rows[0].Value())
+	return prs.Core(), err
+}
+
+// changedPresence returns the presence to store, nil when the stored one will do.
+func (wrt *writer) changedPresence(sch *Scheduler, now time.Time) *batch.Presence {
+	prs := sch.Presence(now)
+	if bytes.Equal(batchstore.Encode(batchstore.FromPresence(prs)), wrt.presence) {
+		return nil
+	}
+	return &prs
+}
+
+// grantWait is how long a report waits until the presence of its instance is stored: a few
+// transactions. After it, the next report brings the grant.
+const grantWait = 200 * time.Millisecond
+
+// grants are the instances that may be granted time, because a stored presence names them.
+// The zero value has none. It is safe for use from any goroutine.
+type grants struct {
+	mu      sync.Mutex
+	ids     map[fleet.InstanceID]bool
+	changed chan struct{}
+}
+
+// set replaces the instances.
+func (grs *grants) set(ids []fleet.InstanceID) {
+	grs.mu.Lock()
+	defer grs.mu.Unlock()
+	grs.ids = make(map[fleet.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		grs.ids[id] = true
+	}
+	if grs.changed != nil {
+		close(grs.changed)
+		grs.changed = nil
+	}
+}
+
+func (grs *grants) len() int {
+	grs.mu.Lock()
+	defer grs.mu.Unlock()
+	return len(grs.ids)
+}
+
+// look reports whether an instance may be granted time, with a channel that is closed at the next change.
+func (grs *grants) look(id fleet.InstanceID) (bool, <-chan struct{}) {
+	grs.mu.Lock()
+	defer grs.mu.Unlock()
+	if grs.changed == nil {
+		grs.changed = make(chan struct{})
+	}
+	return grs.ids[id], grs.changed
+}
+
+// await waits a little until an instance may be granted time, and reports whether it may.
+func (grs *grants) await(ctx context.Context, id fleet.InstanceID) bool {
+	found, changed := grs.look(id)
+	if found {
+		return true
+	}
+	tmr := time.NewTimer(grantWait)
+	defer tmr.Stop()
+	for !found {
+		select {
+		case <-changed:
+			found, changed = grs.look(id)
+		case <-tmr.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
--- a/io/batchowner/reign.go
+++ b/io/batchowner/reign.go
@@ -34,6 +34,7 @@
 	owner     batchstore.Owner
 	version   store.Version
 	loop      *control.Loop[Scheduler]
+	scheduler *Scheduler                 // owned by the control thread once it runs
 	inherited map[string]batch.JobRecord // states of jobs that were not restored yet
 	jobs      *follow.Follower
 	outs      *follow.Follower
@@ -45,6 +46,7 @@
 	mu        sync.Mutex
 	waiters   map[fleet.InstanceID]chan struct{}
 	removed   []string // jobs whose states are to be removed, on the control thread
+	granted   grants
 
 	maintenance *maintenance
 }
@@ -65,16 +67,28 @@
 	thr.SetClock(cfg.Clock)
 	sch := batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, opt, now)
 	sch.Hold(true)
+	rgn.scheduler = sch
 	rgn.loop = control.NewLoopOn(thr, sch, rgn.after)
 	return rgn
 }
 
 // load reads the stored states. The jobs themselves come through their follower.
 func (rgn *reign) load(ctx context.Context) error {
-	all, err := rgn.cfg.Feed.Snapshot(ctx, rgn.cfg.Part.StatesPrefix())
-	if err != nil {
+	var all store.Changes
+	var prs batch.Presence
+	grp, ctx := errgroup.WithContext(ctx)
+	grp.Go(func() (err error) {
+		all, err = rgn.cfg.Feed.Snapshot(ctx, rgn.cfg.Part.StatesPrefix())
+		return err
+	})
+	grp.Go(func() (err error) {
+		prs, err = rgn.readPresence(ctx)
+		return err
+	})
+	if err := grp.Wait(); err != nil {
 		return err
 	}
+	rgn.scheduler.Inherit(prs) // the control thread does not run yet
 	rgn.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
 	for _, row := range all.Rows() {
 		rec, err := batchstore.DecodeState(row.Value())
@@ -230,7 +244,7 @@
 	for _, id := range sch.Changed() {
 		signal(rgn.waiter(id))
 	}
-	if sch.Unsettled() > 0 || !sch.Planned() || rgn.maintenance.planner.Changed() {
+	if sch.Unsettled() > 0 || !sch.Planned() || rgn.maintenance.planner.Changed() || sch.Heard() > rgn.granted.len() {
 		signal(rgn.writes)
 	}
 }
@@ -274,18 +288,20 @@
 		rep.NotOwner = true
 		return nil
 	}
+	id := fleet.InstanceID(arg.Instance)
 	acked, err := control.Query(ctx, rgn.loop, func(sch *Scheduler, now time.Time) uint64 {
 		sch.Hear(arg.Core(), now)
-		out, _ := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.OrdersSeen)
+		out, _ := sch.Outbox(id, arg.Session, arg.OrdersSeen)
 		return out.Acked
 	})
 	if err != nil {
 		rep.NotOwner = true
 		return nil
 	}
+	granted := rgn.granted.await(ctx, id)
 	since := time.Duration(rgn.cfg.Clock().UnixNano() - rgn.confirmed.Load())
 	rep.Healthy = since < healthyFor
-	if since < Validity {
+	if since < Validity && granted {
 		rep.Grant = Grant
 	}
 	rep.Acked = acked
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -39,16 +39,19 @@
 	removed []string // jobs whose states are removed
 	load    []byte   // nil when it has not changed
 	waves   []upkeep.Change
+
+	presence *batch.Presence // nil when it has not changed
 }
 
 func (chg change) empty() bool {
-	return chg.batch.Empty() && len(chg.removed) == 0 && chg.load == nil && len(chg.waves) == 0
+	return chg.batch.Empty() && len(chg.removed) == 0 && chg.load == nil && len(chg.waves) == 0 && chg.presence == nil
 }
 
 // writer is the state of the writing goroutine.
 type writer struct {
 	*reign
 	load     []byte // as last stored
+	presence []byte // the same
 	loadAt   time.Time
 	written  time.Time
 	sequence uint64
@@ -102,6 +105,7 @@
 		num := min(removedJobs, len(wrt.removed))
 		chg := change{batch: sch.Take(batchJobs), removed: wrt.removed[:num:num], waves: wrt.maintenance.planner.Take()}
 		wrt.removed = wrt.removed[num:]
+		chg.presence = wrt.changedPresence(sch, now)
 		if withLoad {
 			chg.load = wrt.changedLoad(sch, now)
 		}
@@ -140,6 +144,10 @@
 		if chg.load != nil {
 			wrt.load, wrt.loadAt = chg.load, wrt.written
 		}
+		if chg.presence != nil {
+			wrt.presence = batchstore.Encode(batchstore.FromPresence(*chg.presence))
+			wrt.granted.set(chg.presence.Heard)
+		}
 		wrt.post(ctx, func(sch *Scheduler, now time.Time) {
 			sch.Committed(chg.batch, now)
 			wrt.maintenance.stored(chg.waves)
@@ -204,6 +212,9 @@
 	if chg.load != nil {
 		txn.Put(part.LoadKey(), chg.load)
 	}
+	if chg.presence != nil {
+		txn.Put(part.PresenceKey(), batchstore.Encode(batchstore.FromPresence(*chg.presence)))
+	}
 	for _, wav := range chg.waves {
 		txn.Put(part.WaveKey(wav.Wave), encodeProgress(wav))
 	}
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -67,6 +68,9 @@
 // which changes far less often than the owner row.
 func (par Partition) LoadKey() string { return "loads/" + string(par) + "/load" }
 
+// PresenceKey is the key of what the owner leaves to its successor about the instances.
+func (par Partition) PresenceKey() string { return "presences/" + string(par) + "/presence" }
+
 // WavesPrefix is the prefix of the progress of maintenance waves.
 func (par Partition) WavesPrefix() string { return "waves/" + string(par) + "/" }
 
@@ -99,6 +103,36 @@
 	Sizes   map[string][]Size `json:"sizes,omitempty"`   // by service, of its largest workers
 }
 
+// Presence is a batch.Presence.
+type Presence struct {
+	Heard         []string         `json:"heard,omitempty"`
+	SilentSeconds map[string]int64 `json:"silentSeconds,omitempty"`
+}
+
+// FromPresence converts a presence.
+func FromPresence(prs batch.Presence) Presence {
+	out := Presence{SilentSeconds: make(map[string]int64, len(prs.Silent))}
+	for _, id := range prs.Heard {
+		out.Heard = append(out.Heard, string(id))
+	}
+	for id, dur := range prs.Silent {
+		out.SilentSeconds[string(id)] = int64(dur / time.Second)
+	}
+	return out
+}
+
+// Core returns the batch.Presence.
+func (prs Presence) Core() batch.Presence {
+	out := batch.Presence{Silent: make(map[fleet.InstanceID]time.Duration, len(prs.SilentSeconds))}
+	for _, id := range prs.Heard {
+		out.Heard = append(out.Heard, fleet.InstanceID(id))
+	}
+	for id, secs := range prs.SilentSeconds {
+		out.Silent[fleet.InstanceID(id)] = time.Duration(secs) * time.Second
+	}
+	return out
+}
+
 // Size is the capacity of a worker.
 type Size struct {
 	MilliCPU     int64 `json:"milliCpu,omitempty"`
@@ -150,6 +184,9 @@
 // DecodeLoad decodes a published load.
 func DecodeLoad(data []byte) (Load, error) { return decode[Load](data, "load row") }
 
+// DecodePresence decodes the row of the presence.
+func DecodePresence(data []byte) (Presence, error) { return decode[Presence](data, "presence row") }
+
 // DecodeState decodes the state of a job.
 func DecodeState(data []byte) (batch.JobRecord, error) {
 	return decode[batch.JobRecord](data, "state row")
