--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -223,8 +223,12 @@
 		}
 		ned := sch.need(stp, ins)
 		ned.Retried, ned.Starved = tsk.failedAt(ins.id), starved
-		rating, ok := sch.placement.Rate(ned, ins.site())
-		if ok && (best == nil || rating < bestRating || rating == bestRating && ins.id < best.id) {
+		if !sch.placement.Fits(ned, ins.site()) {
+			continue
+		}
+		ned.Disturbance = sch.disturbance(ins, stp)
+		rating := sch.placement.Rate(ned, ins.site())
+		if best == nil || rating < bestRating || rating == bestRating && ins.id < best.id {
 			best, bestRating = ins, rating
 		}
 	}
@@ -243,12 +247,12 @@
 	return stp.spec.Fills() && stp.waitedFor(starvedAfter, now) && !occ.hasAttempts()
 }
 
-// need returns what a placement knows of a task of the step on an instance.
+// need returns what a placement knows of a task of the step on an instance, without the
+// disturbance: that takes long to work out, and most instances have no room in a backlog.
 func (sch *Scheduler[O, P]) need(stp *stepState, ins *instance) Need {
 	return Need{
 		Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills(), Remote: sch.option().RemoteFactor,
-		Local: sch.local(stp, ins), Disturbance: sch.disturbance(ins, stp),
-		Serving: stp.spec.Target() > 0, Strangers: ins.strangers(stp.spec.Image()),
+		Local: sch.local(stp, ins), Serving: stp.spec.Target() > 0, Strangers: ins.strangers(stp.spec.Image()),
 	}
 }
 
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -72,9 +72,12 @@
 	return fst.ID < snd.ID
 }
 
-// Placement rates an instance for a task. Lower is better.
+// Placement chooses an instance for a task.
 type Placement interface {
-	Rate(ned Need, sit Site) (rating float64, ok bool)
+	// Fits reports whether a task may be placed on an instance. The disturbance is not known yet.
+	Fits(ned Need, sit Site) bool
+	// Rate rates an instance on which the task fits. Lower is better.
+	Rate(ned Need, sit Site) float64
 }
 
 // Need is what a placement knows of a task on an instance.
@@ -123,17 +126,17 @@
 	return float64(sit.Free.MilliCPU()-sit.FillCPU) + (1-servingUse)*float64(sit.ServingCPU)
 }
 
+// Fits implements Placement.
+func (SpreadPlacement) Fits(ned Need, sit Site) bool {
+	crowded := ned.Fills && (sit.Pausing || sit.idle() < minFillerShare*float64(ned.MilliCPU))
+	return ned.Room.FitsIn(sit.Free) && (!crowded || ned.Starved)
+}
+
 // Rate implements Placement.
-func (SpreadPlacement) Rate(ned Need, sit Site) (float64, bool) {
-	if !ned.Room.FitsIn(sit.Free) {
-		return 0, false
-	}
+func (SpreadPlacement) Rate(ned Need, sit Site) float64 {
 	cpu := float64(max(1, sit.Capacity.MilliCPU()))
 	rating := 1 - float64(sit.Free.MilliCPU())/cpu
 	if ned.Fills {
-		if crowded := sit.Pausing || sit.idle() < minFillerShare*float64(ned.MilliCPU); crowded && !ned.Starved {
-			return 0, false
-		}
 		rating = 1 - sit.idle()/cpu
 	}
 	if ned.Serving {
@@ -145,5 +148,5 @@
 	if ned.Retried {
 		rating += retriedPenalty
 	}
-	return rating + disturbPenalty*ned.Disturbance, true
+	return rating + disturbPenalty*ned.Disturbance
 }
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -79,8 +79,7 @@
 		if ins.id == att.instance || string(ins.service) != job.spec.Service() || !ins.usable(sch.out) || !ins.health.admits(now) {
 			continue
 		}
-		ned := sch.need(stp, ins)
-		if _, ok := sch.placement.Rate(ned, ins.site()); ok && ned.Disturbance <= betterPart*here {
+		if sch.placement.Fits(sch.need(stp, ins), ins.site()) && sch.disturbance(ins, stp) <= betterPart*here {
 			return true
 		}
 	}
