--- a/cmd/jacinthpost/main.go
+++ b/cmd/jacinthpost/main.go
@@ -51,7 +51,7 @@
 			entryCommand(), agentCommand(), settingsCommand(),
 			requestCommand(), jobCommand(), watchCommand(), reportCommand(),
 			ticketCommand(), stateCommand(), endpointCommand(), dataCentreCommand(),
-			explainCommand(), auditCommand(), traceCommand(), logsCommand(), platform.Command(),
+			explainCommand(), auditCommand(), traceCommand(), logsCommand(), simulateCommand(), platform.Command(),
 		},
 	}
 }
