--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -146,7 +146,42 @@
 	}
 }
 
-// rates returns what each service can carry out in a second beside its lasting tasks.
+// leastFillRate is the part of the idle processors that filling tasks get at least in the end.
+const leastFillRate = 0.4
+
+// fillUseWeight is the weight of one tick in the mean use by filling tasks: it covers some
+// seconds, several pauses.
+const fillUseWeight = 0.02
+
+// noteFillUse follows how many processors filling tasks really use: less than what is idle,
+// because they pause for the sake of serving tasks.
+func (sch *Scheduler[O, P]) noteFillUse() {
+	used := make(map[fleet.Service]float64)
+	for _, job := range sch.jobs {
+		if job.state.Final() {
+			continue
+		}
+		job.eachAttempt(func(tid TaskID, _ *task, att *attempt) {
+			if stp, _ := job.task(tid); stp.spec.Fills() {
+				used[fleet.Service(job.spec.Service())] += att.figure
+			}
+		})
+	}
+	if sch.fillUse == nil {
+		sch.fillUse = make(map[fleet.Service]float64)
+	}
+	for _, ins := range sch.instances {
+		if _, found := sch.fillUse[ins.service]; !found {
+			sch.fillUse[ins.service] = 0
+		}
+	}
+	for svc, old := range sch.fillUse {
+		sch.fillUse[svc] = old + fillUseWeight*(used[svc]-old)
+	}
+}
+
+// rates returns what each service can carry out in a second beside its lasting tasks, while
+// work waits. Filling tasks get what they have used lately, once that is known.
 func (sch *Scheduler[O, P]) rates() map[fleet.Service]amount {
 	out := make(map[fleet.Service]amount)
 	for _, ins := range sch.instances {
@@ -161,5 +196,9 @@
 		})
 		out[ins.service] = rate
 	}
+	for svc, rate := range out {
+		rate.fills = min(rate.fills, max(leastFillRate*rate.fills, sch.fillUse[svc]))
+		out[svc] = rate
+	}
 	return out
 }
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -39,6 +39,7 @@
 	learned   durations
 	effects   pacing.Model
 	demand    map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
+	fillUse   map[fleet.Service]float64 // processors that filling tasks have used lately on average, in mCPU
 	preempted time.Time
 	since     time.Time
 	silent    map[fleet.InstanceID]time.Duration // inherited, see Presence
@@ -232,6 +233,7 @@
 		}
 	}
 	sch.noteDemand()
+	sch.noteFillUse()
 	sch.judgeOverdue(now)
 	sch.moveSlowed(now)
 	sch.emptyLeaving(now)
