--- a/core/simulation/worker.go
+++ b/core/simulation/worker.go
@@ -28,14 +28,12 @@
 	largestLoad   = 0.98
 )
 
-func jobName(num int) string             { return fmt.Sprintf("%016x", num) }
-func servingImage(num int) string        { return fmt.Sprintf("serving-%d", num) }
-func fillingImage(num int) string        { return fmt.Sprintf("filling-%d", num) }
-func instanceName(num int) string        { return fmt.Sprintf("worker-%02d", num) }
-func hashPart(words ...string) float64   { return float64(hashOf(words...)%10_000) / 10_000 }
-func lifeOf(num, life int) batch.Life    { return batch.Life(fmt.Sprintf("%d@%d", num, life)) }
-func (wrk *worker) whole() float64       { return float64(wrk.capacity.MilliCPU()) }
-func (wrk *worker) id() fleet.InstanceID { return fleet.InstanceID(instanceName(wrk.number)) }
+func jobName(num int) string      { return fmt.Sprintf("%016x", num) }
+func servingImage(num int) string { return fmt.Sprintf("serving-%d", num) }
+func fillingImage(num int) string { return fmt.Sprintf("filling-%d", num) }
+
+// hashPart returns a number from 0 to 1 that depends on the words.
+func hashPart(words ...string) float64 { return float64(hashOf(words...)%10_000) / 10_000 }
 
 func hashOf(words ...string) uint64 {
 	sum := fnv.New64a()
@@ -91,6 +89,16 @@
 	})
 }
 
+func (wrk *worker) id() fleet.InstanceID {
+	return fleet.InstanceID(fmt.Sprintf("worker-%02d", wrk.number))
+}
+
+func (wrk *worker) present() batch.Life {
+	return batch.Life(fmt.Sprintf("%d@%d", wrk.number, wrk.life))
+}
+
+func (wrk *worker) whole() float64 { return float64(wrk.capacity.MilliCPU()) }
+
 func (wrk *worker) emit(rid batch.RunID, cause batch.EndCause) {
 	wrk.seq++
 	wrk.events = append(wrk.events, batch.Event{Seq: wrk.seq, ID: rid, Cause: cause})
@@ -107,7 +115,7 @@
 
 func (wrk *worker) report() batch.Report {
 	rep := batch.Report{
-		Instance: wrk.id(), Session: wrk.session, Life: lifeOf(wrk.number, wrk.life), Service: serviceName,
+		Instance: wrk.id(), Session: wrk.session, Life: wrk.present(), Service: serviceName,
 		Location: fleet.NewLocation("region", fleet.DataCentre(wrk.centre), ""), Capacity: wrk.capacity, OrdersSeen: wrk.seen, Events: wrk.events,
 	}
 	for _, rid := range wrk.order() {
