--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -37,7 +37,7 @@
 	if fresh {
 		sch.reconcile(ins, listed, now)
 	}
-	sch.learnSharing(ins, rep)
+	sch.learnSharing(ins, rep, now)
 	if ins.draining {
 		sch.leaveDraining(ins, now)
 	}
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -15,7 +15,7 @@
 		switch {
 		case ord.Target > 0:
 			smp.Serving = append(smp.Serving, pacing.Serving{
-				ID: ord.ID.Task.String(), Image: ord.Image, Tail: figure, Target: float64(ord.Target) / float64(time.Millisecond),
+				ID: ord.ID.Task.String(), Group: ord.ID.Task.Job, Image: ord.Image, Tail: figure, Target: float64(ord.Target) / float64(time.Millisecond),
 			})
 		case ord.Fills:
 			smp.Filling = append(smp.Filling, pacing.Filling{Image: ord.Image, Used: figure / whole, Wants: float64(ord.MilliCPU) / whole})
@@ -25,15 +25,15 @@
 }
 
 // learnSharing updates the effects of filling tasks from the measures in a report.
-func (sch *Scheduler[O, P]) learnSharing(ins *instance, rep Report) {
+func (sch *Scheduler[O, P]) learnSharing(ins *instance, rep Report, now time.Time) {
 	smp := SharingSample(ins.capacity.MilliCPU(), func(visit func(Order, float64)) {
 		for _, run := range rep.Runs {
-			if stp, _, att := sch.find(ins, run.ID); att != nil && run.Working {
+			if stp, _, att := sch.find(ins, run.ID); att != nil && run.Working && (stp.spec.Fills() || run.Percent >= fullyStarted) {
 				visit(Order{ID: run.ID, Image: stp.spec.Image(), Fills: stp.spec.Fills(), MilliCPU: stp.spec.MilliCPU(), Target: stp.spec.Target()}, run.Figure)
 			}
 		}
 	})
-	sch.effects.Learn(smp)
+	sch.effects.Learn(smp, now)
 	ins.serving = smp.Serving
 }
 
--- a/core/pacing/model.go
+++ b/core/pacing/model.go
@@ -1,31 +1,25 @@
 package pacing
 
-// Constants of the learned effects. An effect is the load on a serving task by
-// filling tasks that use the whole worker.
+import "time"
+
+// Constants of the expected disturbance.
 const (
-	unknownEffect = 1.0  // assumed for a pair that was never seen together
-	largestEffect = 12.0 // beyond any effect that can be measured
-	effectRate    = 0.35 // part of an error that the effects take over at once
-	ownRate       = 0.08 // part of an error that the own load takes over while something fills
-	aloneRate     = 0.4  // the same while nothing does
-	smallShare    = 0.06 // of a worker: smaller shares tell little about their effect
-	firstLoad     = 0.45 // own load before it is known
-	fullLoad      = 0.98 // the largest own load
-	saturatedLoad = 0.92 // a tail that tells a higher load is that of an overload, of any amount
-	overLoad      = 1.2  // assumed then, because a queue grows as long as it lasts
-	floorPart     = 0.8  // of the shortest tail seen is the tail without load: no task is ever without
-	maxOwn        = 1024 // tasks whose own load is remembered
 	// loadScatter is how far the load of a serving task swings around its mean: within
 	// it, a tail is over its target for a part of the time.
 	loadScatter = 0.2
 	// unknownBudget is the load at the target of a task whose tail without load is not
 	// known yet: targets of several times that tail are usual.
 	unknownBudget = 0.75
+	floorPart     = 0.8  // of the shortest tail seen is the tail without load: no task is ever without
+	highestLoad   = 0.98 // that a tail can tell
+	saturatedLoad = 0.92 // a tail that tells a higher load is that of an overload, of any amount
+	overLoad      = 1.2  // assumed then, because a queue grows as long as it lasts
 )
 
 // Serving is the measure of one task with a latency target.
 type Serving struct {
 	ID     string
+	Group  string // of tasks whose own load swings together, such as those of a job
 	Image  string
 	Tail   float64 // milliseconds
 	Target float64 // milliseconds
@@ -50,45 +44,31 @@
 	Filling string
 }
 
-// Estimate is what is known of a pair.
-type Estimate struct {
-	Effect float64
-	Seen   float64 // number of samples, weighted by the use of the filling image
-}
-
 // Model learns how much each filling image loads each serving image. A tail grows
 // as in a queue: it is the tail without load divided by one minus the load. The load
-// is the own one, which swings, plus the effects of what fills beside it, in
-// proportion to the processors in use. Loads add up while tails explode, so the model
-// learns loads. The zero value knows nothing.
+// is the own one, which swings with that of the other tasks of the group, plus the effects of
+// what fills beside it, in proportion to the processors in use. Loads add up while
+// tails explode, so the model learns loads. The zero value knows nothing.
 type Model struct {
-	pairs map[Pair]Estimate
-	floor map[string]float64 // tail without load, by serving image
-	own   map[string]float64 // own load, by serving task
+	images map[string]*estimator // by serving image
+	floor  map[string]float64    // tail without load, by serving image
 }
 
 // Effect returns the effect of a filling image on a serving one.
 func (mod *Model) Effect(par Pair) float64 {
-	if est, found := mod.pairs[par]; found {
-		return est.Effect
+	if est := mod.images[par.Serving]; est != nil {
+		return est.effect(par.Filling)
 	}
 	return unknownEffect
 }
 
-func (mod *Model) set(par Pair, est Estimate) {
-	if mod.pairs == nil {
-		mod.pairs = make(map[Pair]Estimate)
-	}
-	mod.pairs[par] = est
-}
-
 // load returns the load that explains a tail of a serving image.
 func (mod *Model) load(image string, tail float64) float64 {
 	floor := mod.floor[image]
 	if tail <= floor || floor <= 0 {
 		return 0
 	}
-	return min(fullLoad, 1-floor/tail)
+	return min(highestLoad, 1-floor/tail)
 }
 
 // use adds up the use of each filling image.
@@ -113,22 +93,18 @@
 
 // Own returns the own load of a serving task.
 func (mod *Model) Own(srv Serving) float64 {
-	if val, found := mod.own[srv.ID]; found {
-		return val
+	if est := mod.images[srv.Image]; est != nil {
+		return est.own(srv.Group)
 	}
-	return firstLoad
+	return meanLoad
 }
 
 // Learn updates the effects and the own loads from a sample.
-func (mod *Model) Learn(smp Sample) {
+func (mod *Model) Learn(smp Sample, now time.Time) {
 	use := smp.use()
-	power := smallShare * smallShare
-	for _, val := range use {
-		power += val * val
-	}
 	for _, srv := range smp.Serving {
 		mod.learnFloor(srv)
-		mod.learnServing(srv, use, power)
+		mod.learnServing(srv, use, now)
 	}
 }
 
@@ -141,25 +117,23 @@
 	}
 }
 
-func (mod *Model) learnServing(srv Serving, use map[string]float64, power float64) {
-	if len(mod.own) >= maxOwn || mod.own == nil {
-		mod.own = make(map[string]float64)
+func (mod *Model) learnServing(srv Serving, use map[string]float64, now time.Time) {
+	if srv.Tail <= 0 {
+		return
 	}
-	seen, own := mod.load(srv.Image, srv.Tail), mod.Own(srv)
-	miss := seen - own - mod.Load(srv.Image, use)
-	if seen >= saturatedLoad {
-		miss = max(0, overLoad-own-mod.Load(srv.Image, use))
+	if mod.images == nil {
+		mod.images = make(map[string]*estimator)
 	}
-	rate := ownRate
-	if len(use) == 0 {
-		rate = aloneRate
+	est := mod.images[srv.Image]
+	if est == nil {
+		est = &estimator{}
+		mod.images[srv.Image] = est
 	}
-	mod.own[srv.ID] = min(fullLoad, max(0, own+rate*miss))
-	for fil, val := range use {
-		par := Pair{Serving: srv.Image, Filling: fil}
-		eff := mod.Effect(par) + effectRate*miss*val/power
-		mod.set(par, Estimate{Effect: min(largestEffect, max(0, eff)), Seen: mod.pairs[par].Seen + val})
+	seen := mod.load(srv.Image, srv.Tail)
+	if seen >= saturatedLoad {
+		seen = overLoad
 	}
+	est.observe(observation{group: srv.Group, use: use, load: seen, saturated: seen == overLoad, at: now})
 }
 
 // Harm returns how many of the serving tasks are expected to be over their targets
@@ -168,12 +142,17 @@
 func (mod *Model) Harm(srvs []Serving, use map[string]float64) float64 {
 	sum := 0.0
 	for _, srv := range srvs {
-		budget := mod.load(srv.Image, srv.Target)
-		if budget <= 0 {
-			budget = unknownBudget
-		}
-		over := mod.Own(srv) + mod.Load(srv.Image, use) - budget
-		sum += min(1, max(0, 0.5+over/(2*loadScatter)))
+		sum += mod.over(srv, use)
 	}
 	return sum
 }
+
+// over returns the part of the time in which a serving task is expected to be over its target.
+func (mod *Model) over(srv Serving, use map[string]float64) float64 {
+	budget := mod.load(srv.Image, srv.Target)
+	if budget <= 0 {
+		budget = unknownBudget
+	}
+	excess := mod.Own(srv) + mod.Load(srv.Image, use) - budget
+	return min(1, max(0, 0.5+excess/(2*loadScatter)))
+}
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -61,7 +61,7 @@
 			smp.Filling = append(smp.Filling, pacing.Filling{Image: img, Used: wrk.used(img), Wants: cpu})
 			wrk.work[img] += wrk.used(img) / cpu
 		}
-		wrk.model.Learn(smp)
+		wrk.model.Learn(smp, wrk.now)
 		wrk.ctl.Observe(smp, wrk.now)
 		wrk.over += period
 		if tail <= target {
