--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -131,6 +131,20 @@
 		agt.expectCalls(batchhost.CallPace)
 	})
 
+	// Guards against a start that is repeated without its payload and checkpoint, because the owner
+	// was replaced in between and described the run that the agent reported (late orders: UNASKED).
+	It("repeats a start as it was ordered after a new owner described the run", func() {
+		agt := newAgent()
+		rid := run("j")
+		agt.Take(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: rid, Payload: "build", Checkpoint: "half"}}, agt.now, agt.now)
+		agt.Calls()
+		agt.Follow(2)
+		agt.Take(2, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.DescribeRun, ID: rid, Need: resource.New(1, 1, 0)}}, agt.now, agt.now)
+		agt.StartEnded(life, rid, batchhost.Unknown, "", agt.now)
+		Expect(agt.Calls()).To(ConsistOf(And(
+			HaveField("Kind", batchhost.CallStart), HaveField("Order.Payload", "build"), HaveField("Order.Checkpoint", "half"))))
+	})
+
 	It("ignores orders of an owner that was replaced", func() {
 		agt := newAgent()
 		Expect(agt.Follow(2)).To(BeTrue())
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -41,13 +41,19 @@
 		case batch.StopRun:
 			hst.stop(ord.ID)
 		case batch.DescribeRun:
-			if rn := hst.runs[ord.ID]; rn != nil {
-				rn.order, rn.described = ord, true
-			}
+			hst.describe(ord)
 		}
 	}
 }
 
+// describe notes what a run needs that was found at the worker. A run that was ordered is known
+// already, and its start may have to be repeated with the payload of that order.
+func (hst *Host) describe(ord batch.Order) {
+	if rn := hst.runs[ord.ID]; rn != nil && !rn.described {
+		rn.order, rn.described = ord, true
+	}
+}
+
 func (hst *Host) start(ord batch.Order, sentAt, now time.Time) {
 	if hst.runs[ord.ID] != nil {
 		return
