--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -45,7 +45,8 @@
 	silentAfter      = 1200 * time.Millisecond
 	paceRepeat       = 2 * time.Second
 	unknownShare     = -1
-	missingLists     = 2 // lists in a row that lack a run that was started
+	startRetry       = 100 * time.Millisecond // between tries of a start after the second; a worker that comes up resets connections at once
+	missingLists     = 2                      // lists in a row that lack a run that was started
 )
 
 // Worker is what a worker says of itself.
@@ -64,8 +65,10 @@
 	order     batch.Order
 	described bool
 	takenAt   time.Time
-	calling   bool // a start call is in flight or to be repeated
-	uncertain bool // a try to start may be carried out later
+	calling   bool      // a start call is in flight or to be repeated
+	uncertain bool      // a try to start may be carried out later
+	repeated  bool      // the start was tried more than once
+	repeatAt  time.Time // when the start is tried again, zero while a call is in flight
 	answered  time.Time
 	working   bool
 	stopping  bool
--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -145,6 +145,27 @@
 			HaveField("Kind", batchhost.CallStart), HaveField("Order.Payload", "build"), HaveField("Order.Checkpoint", "half"))))
 	})
 
+	// Guards against a tight loop of calls to a worker that resets each connection, such as one that
+	// goes down and up by turns (flapping-workers: 50,000 connections in 14 s).
+	DescribeTable("repeats a start that is not settled a few times a second", func(ver batchhost.Verdict) {
+		agt := newAgent()
+		rid, tries := run("j"), 0
+		agt.take(batch.StartRun, "j")
+		for range 100 {
+			for _, cal := range agt.Calls() {
+				Expect(cal.Kind).To(Equal(batchhost.CallStart))
+				tries++
+				agt.StartEnded(life, rid, ver, "", agt.now)
+			}
+			agt.pass(10 * time.Millisecond)
+		}
+		Expect(tries).To(BeNumerically(">=", 5))
+		Expect(tries).To(BeNumerically("<=", 12))
+	},
+		Entry("no answer", batchhost.Unknown),
+		Entry("refused for a reason that fresh values should mend", batchhost.Repeat),
+	)
+
 	It("ignores orders of an owner that was replaced", func() {
 		agt := newAgent()
 		Expect(agt.Follow(2)).To(BeTrue())
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -152,15 +152,25 @@
 		hst.emit(rid, batch.EndRefused, "", reason, 0)
 	case Repeat, Unknown:
 		rn.uncertain = rn.uncertain || ver == Unknown
-		if rn.stopping {
-			return
-		}
-		if now.Sub(rn.takenAt) > hst.options.GiveUpStart {
-			hst.stop(rid)
-			return
+		rn.repeatAt = now
+		if rn.repeated {
+			rn.repeatAt = now.Add(startRetry)
 		}
-		hst.callStart(rid, rn.order, now)
+		hst.repeatStart(rid, rn, now)
+	}
+}
+
+// repeatStart repeats a start that is not settled, when it is due.
+func (hst *Host) repeatStart(rid batch.RunID, rn *run, now time.Time) {
+	if !rn.calling || rn.stopping || rn.repeatAt.IsZero() || now.Before(rn.repeatAt) {
+		return
+	}
+	if now.Sub(rn.takenAt) > hst.options.GiveUpStart {
+		hst.stop(rid)
+		return
 	}
+	rn.repeatAt, rn.repeated = time.Time{}, true
+	hst.callStart(rid, rn.order, now)
 }
 
 // StopEnded applies the end of a stop call. A stop that may have been lost is repeated.
@@ -175,10 +185,11 @@
 	}
 }
 
-// Tick repeats stops that were not answered, begins a pause that is due, and gives up
-// runs whose lease has certainly expired.
+// Tick repeats starts and stops that were not answered, begins a pause that is due, and
+// gives up runs whose lease has certainly expired.
 func (hst *Host) Tick(now time.Time) {
 	for rid, rn := range hst.runs {
+		hst.repeatStart(rid, rn, now)
 		if rn.stopping && rn.stopped.IsZero() && !rn.stopCall && !hst.silent(now) {
 			hst.callStop(rid, rn)
 		}
