--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -166,6 +166,19 @@
 		Entry("refused for a reason that fresh values should mend", batchhost.Repeat),
 	)
 
+	// Guards against a task that runs twice: an agent that was restarted does not know which lease its
+	// former process asked for, and must let that one end (late-orders on bayou-paddle, seed 2: TWICE).
+	It("gives up the runs of a silent worker after a restart only when the former lease has ended", func() {
+		agt := &agent{Host: batchhost.New(batchhost.Options{Lease: 4 * time.Second}, 100), now: time.Unix(1000, 0)}
+		agt.Announce(batchhost.Worker{Life: life, Capacity: resource.New(4000, 4000, 0)}, agt.now)
+		agt.Follow(1)
+		agt.list(batch.RunState{ID: run("j")})
+		agt.pass(3900 * time.Millisecond)
+		agt.expectEvents()
+		agt.pass(400 * time.Millisecond)
+		agt.expectEvents(batch.EndLapsed)
+	})
+
 	It("ignores orders of an owner that was replaced", func() {
 		agt := newAgent()
 		Expect(agt.Follow(2)).To(BeTrue())
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -32,7 +32,7 @@
 	}
 	hst.answered = lst.At
 	hst.lists = true
-	hst.clock = clock{value: lst.Clock, at: lst.At}
+	hst.setClock(lst.Clock, lst.At)
 	num := hst.listEnds(lst.Ended)
 	there := make(map[batch.RunID]bool, len(lst.Runs))
 	for _, sta := range lst.Runs {
@@ -44,11 +44,13 @@
 	return num
 }
 
-// SetClock notes the worker's clock from another answer.
-func (hst *Host) SetClock(life batch.Life, val time.Duration, at time.Time) {
-	if life == hst.worker.Life && at.After(hst.clock.at) {
-		hst.clock = clock{value: val, at: at}
+// setClock notes a reading of the worker's clock. With the first one of a life, a former
+// process of this agent may have asked for a lease up to then, and a whole one at most.
+func (hst *Host) setClock(val time.Duration, at time.Time) {
+	if hst.clock.at.IsZero() {
+		hst.leaseEnd = max(hst.leaseEnd, val+hst.options.Lease)
 	}
+	hst.clock = clock{value: val, at: at}
 }
 
 func (hst *Host) listEnds(ends []EndedRun) int {
