--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -34,7 +34,8 @@
 	pausing       bool             // what fills pauses, by the last report
 	serving       []pacing.Serving // measures of the serving tasks in the last report
 	runs          int
-	handled       uint64 // events up to this one were applied
+	relievedAt    time.Time // when a filling task was moved away last
+	handled       uint64    // events up to this one were applied
 	durable       []uint64
 	orders        []Order // not yet seen by the agent
 	orderSeq      uint64
--- /dev/null
+++ b/core/batch/relieve.go
@@ -0,0 +1,82 @@
+package batch
+
+import (
+	"time"
+
+	"jacinthpost/core/decision"
+	"jacinthpost/core/fleet"
+)
+
+// Limits of moves for the sake of serving tasks.
+const (
+	relievePeriod   = 300 * time.Millisecond // between searches: measures come twice a second
+	relieveInterval = time.Second            // between moves from one instance, until the measures show the effect of the last one
+	relieveAfter    = 600 * time.Millisecond // at work before a filling task may be moved
+	relieveGain     = 0.6                    // serving tasks within their targets that a move must gain
+	relieveProgress = 60                     // percent; beyond it the task is done before a move has helped much
+)
+
+// departure is an attempt that may be moved away.
+type departure struct {
+	job  *jobState
+	tid  TaskID
+	tsk  *task
+	att  *attempt
+	gain float64
+}
+
+// relieve moves filling tasks that keep serving tasks over their targets to instances where
+// they disturb less. It answers pairs of images that turn out to disturb after they were placed.
+func (sch *Scheduler[O, P]) relieve(now time.Time) {
+	if now.Sub(sch.relievedAt) < relievePeriod {
+		return
+	}
+	sch.relievedAt = now
+	best := make(map[fleet.InstanceID]departure)
+	for _, job := range sch.jobs {
+		if job.state.Final() {
+			continue
+		}
+		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
+			stp, _ := job.task(tid)
+			ins := sch.instance(att.instance)
+			if !att.movable(stp, now) || len(ins.serving) == 0 || now.Sub(ins.relievedAt) < relieveInterval {
+				return
+			}
+			dep := departure{job: job, tid: tid, tsk: tsk, att: att}
+			here := sch.disturbedBy(ins, stp)
+			if here < max(relieveGain, best[ins.id].gain) {
+				return
+			}
+			dep.gain = here - sch.leastDisturbance(job, stp, att, now)
+			if dep.gain >= max(relieveGain, best[ins.id].gain) {
+				best[ins.id] = dep
+			}
+		})
+	}
+	for id, dep := range best {
+		sch.instance(id).relievedAt = now
+		sch.note(now, decision.RunStopped, dep.job.spec.ID(), RunID{Task: dep.tid, Run: dep.att.run}, id, "disturbs serving tasks")
+		sch.stop(dep.job, dep.tid, dep.tsk, dep.att)
+	}
+}
+
+// movable reports whether a filling attempt may be moved without losing work.
+func (att *attempt) movable(stp *stepState, now time.Time) bool {
+	return stp.spec.Fills() && stp.spec.Checkpointing() && !stp.spec.Gang() && !att.stopping && !att.working.IsZero() &&
+		now.Sub(att.working) >= relieveAfter && att.percent < relieveProgress
+}
+
+// leastDisturbance returns the disturbance at the best other instance with room.
+func (sch *Scheduler[O, P]) leastDisturbance(job *jobState, stp *stepState, att *attempt, now time.Time) float64 {
+	least := float64(len(sch.instances))
+	for _, ins := range sch.instances {
+		if ins.id == att.instance || string(ins.service) != job.spec.Service() || !ins.usable(sch.out) || !ins.health.admits(now) {
+			continue
+		}
+		if sch.placement.Fits(sch.need(stp, ins), ins.site()) {
+			least = min(least, sch.disturbance(ins, stp))
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/core/batch/relieve_test.go
@@ -0,0 +1,89 @@
+package batch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/workload"
+)
+
+// disturbed is the load pattern of a service on one instance beside which a filling image turns
+// out to be noisy only after it was placed, while another instance has room.
+type disturbed struct {
+	*owner
+	watch, noisy batch.RunID
+	tail         float64
+	percent      int // progress of the filling task
+}
+
+func newDisturbed(change func(noisy *workload.StepParams)) *disturbed {
+	dis := &disturbed{owner: newOwner(), tail: 5, percent: 20}
+	watch, noisy := step(1), step(1)
+	watch.Lasting, watch.TargetMillis, watch.Image = true, 18, "web"
+	noisy.Fills, noisy.Image, noisy.MilliCPU, noisy.Checkpointing = true, "noisy", 800, true
+	change(&noisy)
+	dis.hear(report("a", 1))
+	dis.submit("watch", watch)
+	dis.store()
+	dis.watch = dis.orders("a", 1, batch.StartRun)[0].ID
+	dis.list(4) // alone, with a short tail
+	dis.submit("noisy", noisy)
+	dis.store()
+	dis.noisy = dis.orders("a", 1, batch.StartRun)[1].ID
+	return dis
+}
+
+// list passes time in which the instance reports its runs twice a second.
+func (dis *disturbed) list(times int) {
+	for range times {
+		rep := report("a", 1)
+		rep.Runs = append(rep.Runs, batch.RunState{ID: dis.watch, Working: true, Percent: 100, Share: 100, Figure: dis.tail})
+		if dis.noisy.Task.Job != "" {
+			rep.Runs = append(rep.Runs, batch.RunState{ID: dis.noisy, Working: true, Percent: dis.percent, Share: 100, Figure: 800})
+		}
+		dis.hear(rep)
+		dis.pass(500 * time.Millisecond)
+	}
+}
+
+func (dis *disturbed) expectMoves(num int) {
+	GinkgoHelper()
+	Expect(dis.orders("a", 1, batch.StopRun)).To(HaveLen(num))
+}
+
+var _ = Describe("Moves for the sake of serving tasks", func() {
+	keep := func(*workload.StepParams) {}
+
+	It("moves a filling task that turns out to disturb to an instance without serving tasks", func() {
+		dis := newDisturbed(keep)
+		dis.hear(report("b", 1))
+		dis.tail = 100
+		dis.list(4)
+		dis.expectMoves(1)
+		Expect(dis.orders("a", 1, batch.StopRun)[0].ID).To(Equal(dis.noisy))
+	})
+
+	// Guards against work that is stopped without a gain for anybody.
+	DescribeTable("leaves a filling task where it is", func(change func(*workload.StepParams), prepare func(dis *disturbed)) {
+		dis := newDisturbed(change)
+		dis.tail = 100
+		prepare(dis)
+		dis.list(4)
+		dis.expectMoves(0)
+	},
+		Entry("no other instance has room", keep, func(*disturbed) {}),
+		Entry("the tail is within its target", keep, func(dis *disturbed) {
+			dis.hear(report("b", 1))
+			dis.tail = 6
+		}),
+		Entry("the task would lose its work", func(noisy *workload.StepParams) { noisy.Checkpointing = false },
+			func(dis *disturbed) { dis.hear(report("b", 1)) }),
+		Entry("the task is nearly done", keep, func(dis *disturbed) {
+			dis.hear(report("b", 1))
+			dis.percent = 80
+		}),
+	)
+})
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -28,24 +28,25 @@
 
 // Scheduler owns the jobs of a partition.
 type Scheduler[O Ordering, P Placement] struct {
-	order     O
-	placement P
-	options   Options
-	jobs      map[string]*jobState
-	dirty     []*jobState
-	instances map[fleet.InstanceID]*instance
-	out       map[fleet.DataCentre]bool
-	sizes     map[fleet.Service][]resource.Vector // the largest workers heard of
-	learned   durations
-	effects   pacing.Model
-	demand    map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
-	fillUse   map[fleet.Service]float64 // processors that filling tasks have used lately on average, in mCPU
-	preempted time.Time
-	since     time.Time
-	silent    map[fleet.InstanceID]time.Duration // inherited, see Presence
-	held      bool
-	planned   bool // nothing changed since the last plan that could let work start
-	notes     []Note
+	order      O
+	placement  P
+	options    Options
+	jobs       map[string]*jobState
+	dirty      []*jobState
+	instances  map[fleet.InstanceID]*instance
+	out        map[fleet.DataCentre]bool
+	sizes      map[fleet.Service][]resource.Vector // the largest workers heard of
+	learned    durations
+	effects    pacing.Model
+	demand     map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
+	fillUse    map[fleet.Service]float64 // processors that filling tasks have used lately on average, in mCPU
+	preempted  time.Time
+	relievedAt time.Time
+	since      time.Time
+	silent     map[fleet.InstanceID]time.Duration // inherited, see Presence
+	held       bool
+	planned    bool // nothing changed since the last plan that could let work start
+	notes      []Note
 }
 
 // Options are the times that the scheduler counts on.
@@ -236,6 +237,7 @@
 	sch.noteFillUse()
 	sch.judgeOverdue(now)
 	sch.moveSlowed(now)
+	sch.relieve(now)
 	sch.emptyLeaving(now)
 	sch.planned = false
 }
