--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -180,6 +180,42 @@
 	}
 }
 
+// noteFillWait works out for how long the filling tasks that could start now keep each service busy.
+func (sch *Scheduler[O, P]) noteFillWait(now time.Time) {
+	work := make(map[fleet.Service]float64)
+	for _, job := range sch.jobs {
+		if job.state.Final() {
+			continue
+		}
+		for _, occ := range job.occurrences {
+			work[fleet.Service(job.spec.Service())] += sch.waitingFill(job, occ, now)
+		}
+	}
+	rates := sch.rates()
+	sch.fillWait = make(map[fleet.Service]time.Duration, len(work))
+	for svc, amt := range work {
+		sch.fillWait[svc] = seconds(ratio(amt, rates[svc].fills))
+	}
+}
+
+// waitingFill returns the work of the filling tasks of an occurrence that wait for a place, in mCPU seconds.
+func (sch *Scheduler[O, P]) waitingFill(job *jobState, occ *occurrence, now time.Time) float64 {
+	sum := 0.0
+	for num, stp := range occ.steps {
+		if !stp.spec.Fills() || !occ.turn(num) || !stp.wants(now) {
+			continue
+		}
+		waits := 0
+		for _, tsk := range stp.tasks {
+			if tsk.ready(now) {
+				waits++
+			}
+		}
+		sum += float64(waits) * sch.learned.predict(job.spec.Queue(), stp).Seconds() * float64(stp.spec.MilliCPU())
+	}
+	return sum
+}
+
 // rates returns what each service can carry out in a second beside its lasting tasks, while
 // work waits. Filling tasks get what they have used lately, once that is known.
 func (sch *Scheduler[O, P]) rates() map[fleet.Service]amount {
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -95,6 +95,7 @@
 	return Candidate{
 		ID: job.spec.ID(), Priority: job.spec.Priority(), Accepted: begin, Started: job.state == JobRunning,
 		OnTime: begin.Add(objective), TooLate: begin.Add(lateFactor * objective), Left: left, Now: now,
+		Backlog: sch.fillWait[fleet.Service(job.spec.Service())],
 	}
 }
 
@@ -200,7 +201,8 @@
 // choose returns the best instance for a task, nil when there is none.
 func (sch *Scheduler[O, P]) choose(pln *planner, can waiting, stp *stepState, tsk *task) *instance {
 	ned := Need{Room: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), Fills: stp.spec.Fills()}
-	starved := sch.starved(can.occ, stp, pln.now)
+	patient := can.patient()
+	starved := sch.starved(can.occ, stp, patient, pln.now)
 	svc := fleet.Service(can.job.spec.Service())
 	if !starved && pln.hopeless(svc, ned) {
 		return nil
@@ -222,11 +224,15 @@
 			continue
 		}
 		ned := sch.need(stp, ins)
-		ned.Retried, ned.Starved = tsk.failedAt(ins.id), starved
+		ned.Retried, ned.Starved, ned.Patient = tsk.failedAt(ins.id), starved, patient
 		if !sch.placement.Fits(ned, ins.site()) {
 			continue
 		}
 		ned.Disturbance = sch.disturbance(ins, stp)
+		if !sch.placement.Worthwhile(ned) {
+			limited = true
+			continue
+		}
 		rating := sch.placement.Rate(ned, ins.site())
 		if best == nil || rating < bestRating || rating == bestRating && ins.id < best.id {
 			best, bestRating = ins, rating
@@ -238,13 +244,20 @@
 	return best
 }
 
-// starvedAfter is how long an occurrence may have nothing at work while a filling
-// task waits for a place where it disturbs nobody. Then it starts anyway and is
-// paced: a job that makes slow progress is better than one that stands still.
-const starvedAfter = time.Second
+// An occurrence that has nothing at work for a while starts a filling task wherever there is
+// room: a job that makes slow progress is better than one that stands still. A patient one
+// waits longer, but within the 3 s for which users bear a job that stands still.
+const (
+	starvedAfter        = time.Second
+	patientStarvedAfter = 2 * time.Second
+)
 
-func (sch *Scheduler[O, P]) starved(occ *occurrence, stp *stepState, now time.Time) bool {
-	return stp.spec.Fills() && stp.waitedFor(starvedAfter, now) && !occ.hasAttempts()
+func (sch *Scheduler[O, P]) starved(occ *occurrence, stp *stepState, patient bool, now time.Time) bool {
+	after := starvedAfter
+	if patient {
+		after = patientStarvedAfter
+	}
+	return stp.spec.Fills() && stp.waitedFor(after, now) && !occ.hasAttempts()
 }
 
 // need returns what a placement knows of a task of the step on an instance, without the
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -20,6 +20,7 @@
 	OnTime   time.Time     // a job that is complete by then is on time
 	TooLate  time.Time     // a job that completes later is worth nothing more
 	Left     time.Duration // predicted time until the job is complete if its tasks start now
+	Backlog  time.Duration // predicted time until the filling tasks that wait have been carried out
 	Now      time.Time
 }
 
@@ -36,6 +37,20 @@
 	}
 }
 
+// Slack that makes a job patient: above it the job is on time after the wait for one more place,
+// and after one or two tasks that fail or run longer than predicted.
+const (
+	patientSlack = 1200 * time.Millisecond
+	patientPart  = 0.25 // of the predicted time until the job is complete
+)
+
+// patient reports whether the job is on time also when its tasks wait for better places. In a
+// backlog nobody is: processors that stay idle now are missing when the jobs behind are due.
+func (can Candidate) patient() bool {
+	slack := can.OnTime.Sub(can.Now.Add(can.Backlog + can.Left))
+	return slack >= max(patientSlack, time.Duration(patientPart*float64(can.Left)))
+}
+
 // ArrivalOrder places in the order of priority and acceptance.
 type ArrivalOrder struct{}
 
@@ -76,6 +91,8 @@
 type Placement interface {
 	// Fits reports whether a task may be placed on an instance. The disturbance is not known yet.
 	Fits(ned Need, sit Site) bool
+	// Worthwhile reports whether a place where the task fits is good enough, or the task waits for a better one.
+	Worthwhile(ned Need) bool
 	// Rate rates an instance on which the task fits. Lower is better.
 	Rate(ned Need, sit Site) float64
 }
@@ -90,6 +107,7 @@
 	Local       bool    // the instance is in the rack of the data, or there is none
 	Remote      float64 // factor on the run time elsewhere
 	Starved     bool    // the job has had nothing at work for a while
+	Patient     bool    // the job has time to wait for a better place
 	Retried     bool    // a run of the task failed on the instance
 	Disturbance float64 // serving tasks that a filling task brings over their targets, or load on a serving task by what fills
 }
@@ -119,6 +137,7 @@
 	strangerPenalty = 0.3  // for each other serving image, against packing by room
 	servingUse      = 0.55 // part of their reservation that serving tasks use, with the swing of their load
 	minFillerShare  = 0.7  // a filling task that would get less of its processors waits
+	patientHarm     = 0.2  // serving tasks that a patient filling task may bring over their targets
 )
 
 // idle returns the processors that nothing uses, in mCPU.
@@ -132,6 +151,12 @@
 	return ned.Room.FitsIn(sit.Free) && (!crowded || ned.Starved)
 }
 
+// Worthwhile implements Placement. Filling jobs come with twice the time that they need, and
+// on a day without a backlog the time is of use only to the serving tasks beside them.
+func (SpreadPlacement) Worthwhile(ned Need) bool {
+	return !ned.Fills || !ned.Patient || ned.Starved || ned.Disturbance <= patientHarm
+}
+
 // Rate implements Placement.
 func (SpreadPlacement) Rate(ned Need, sit Site) float64 {
 	cpu := float64(max(1, sit.Capacity.MilliCPU()))
--- a/core/batch/relieve.go
+++ b/core/batch/relieve.go
@@ -13,6 +13,7 @@
 	relieveInterval = time.Second            // between moves from one instance, until the measures show the effect of the last one
 	relieveAfter    = 600 * time.Millisecond // at work before a filling task may be moved
 	relieveGain     = 0.6                    // serving tasks within their targets that a move must gain
+	relieveBacklog  = time.Second            // of waiting filling tasks: beyond it the next one takes the place at once
 	relieveProgress = 60                     // percent; beyond it the task is done before a move has helped much
 )
 
@@ -40,7 +41,8 @@
 		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
 			stp, _ := job.task(tid)
 			ins := sch.instance(att.instance)
-			if !att.movable(stp, now) || len(ins.serving) == 0 || now.Sub(ins.relievedAt) < relieveInterval {
+			if !att.movable(stp, now) || len(ins.serving) == 0 || now.Sub(ins.relievedAt) < relieveInterval ||
+				sch.fillWait[ins.service] > relieveBacklog {
 				return
 			}
 			dep := departure{job: job, tid: tid, tsk: tsk, att: att}
--- a/core/batch/relieve_test.go
+++ b/core/batch/relieve_test.go
@@ -36,19 +36,33 @@
 	return dis
 }
 
+// runs returns a report of the instance with what it runs.
+func (dis *disturbed) runs() batch.Report {
+	rep := report("a", 1)
+	rep.Runs = append(rep.Runs, batch.RunState{ID: dis.watch, Working: true, Percent: 100, Share: 100, Figure: dis.tail})
+	if dis.noisy.Task.Job != "" {
+		rep.Runs = append(rep.Runs, batch.RunState{ID: dis.noisy, Working: true, Percent: dis.percent, Share: 100, Figure: 800})
+	}
+	return rep
+}
+
 // list passes time in which the instance reports its runs twice a second.
 func (dis *disturbed) list(times int) {
 	for range times {
-		rep := report("a", 1)
-		rep.Runs = append(rep.Runs, batch.RunState{ID: dis.watch, Working: true, Percent: 100, Share: 100, Figure: dis.tail})
-		if dis.noisy.Task.Job != "" {
-			rep.Runs = append(rep.Runs, batch.RunState{ID: dis.noisy, Working: true, Percent: dis.percent, Share: 100, Figure: 800})
-		}
-		dis.hear(rep)
+		dis.hear(dis.runs())
 		dis.pass(500 * time.Millisecond)
 	}
 }
 
+// finish ends the noisy task.
+func (dis *disturbed) finish() {
+	rid := dis.noisy
+	dis.noisy = batch.RunID{}
+	dis.tail = 5
+	dis.hear(dis.runs(), ended(1, rid, batch.EndDone))
+	dis.store()
+}
+
 func (dis *disturbed) expectMoves(num int) {
 	GinkgoHelper()
 	Expect(dis.orders("a", 1, batch.StopRun)).To(HaveLen(num))
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -38,8 +38,9 @@
 	sizes      map[fleet.Service][]resource.Vector // the largest workers heard of
 	learned    durations
 	effects    pacing.Model
-	demand     map[fleet.Service]float64 // processors that short tasks used at most lately, in mCPU
-	fillUse    map[fleet.Service]float64 // processors that filling tasks have used lately on average, in mCPU
+	demand     map[fleet.Service]float64       // processors that short tasks used at most lately, in mCPU
+	fillUse    map[fleet.Service]float64       // processors that filling tasks have used lately on average, in mCPU
+	fillWait   map[fleet.Service]time.Duration // until the filling tasks that wait have been carried out
 	preempted  time.Time
 	relievedAt time.Time
 	since      time.Time
@@ -235,6 +236,7 @@
 	}
 	sch.noteDemand()
 	sch.noteFillUse()
+	sch.noteFillWait(now)
 	sch.judgeOverdue(now)
 	sch.moveSlowed(now)
 	sch.relieve(now)
--- a/core/simulation/simulation_test.go
+++ b/core/simulation/simulation_test.go
@@ -16,12 +16,17 @@
 
 func TestSimulation(t *testing.T) { specs.Run(t, "simulation") }
 
-const seeds = 2 // a flood takes about 2 s a seed, ten times that with the race detector
+const (
+	seeds = 2 // a flood takes about 2 s a seed, ten times that with the race detector
+	// floodSeeds tells refusals from none: the numbers of useless jobs of single seeds differ by a
+	// tenth either way.
+	floodSeeds = 4
+)
 
 // play plays a pattern with some seeds and given policies, and adds up the results.
-func play[O batch.Ordering, P batch.Placement, A admission.Policy](dep simulation.Deployment, pat simulation.Pattern, ord O, pla P, pol A) map[string]simulation.ClassResult {
+func play[O batch.Ordering, P batch.Placement, A admission.Policy](dep simulation.Deployment, pat simulation.Pattern, num uint64, ord O, pla P, pol A) map[string]simulation.ClassResult {
 	var all []simulation.Result
-	for seed := range uint64(seeds) {
+	for seed := range num {
 		all = append(all, simulation.New(dep, pat, seed+1, ord, pla, pol).Play())
 	}
 	out := make(map[string]simulation.ClassResult)
@@ -32,7 +37,7 @@
 }
 
 func product(dep simulation.Deployment, pat simulation.Pattern) map[string]simulation.ClassResult {
-	return play(dep, pat, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.Useful{})
+	return play(dep, pat, seeds, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.Useful{})
 }
 
 func pattern(dep simulation.Deployment, name string) simulation.Pattern {
@@ -75,22 +80,22 @@
 			// Guards against a flood that makes every batch job late, and against work that is worth nothing.
 			It("refuses what would be complete too late in a flood", func() {
 				pat := pattern(dep, "flood")
-				with := product(dep, pat)
-				without := play(dep, pat, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.AcceptAll{})
+				with := play(dep, pat, floodSeeds, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.Useful{})
+				without := play(dep, pat, floodSeeds, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.AcceptAll{})
 				Expect(without[batchName].TooLate()+without[batchName].Unserved()).To(BeNumerically(">", 0), "the flood is too small")
 				useless := func(got map[string]simulation.ClassResult) int {
 					return got[batchName].TooLate() + got[batchName].Unserved()
 				}
 				Expect(useless(with)).To(BeNumerically("<", useless(without)))
-				Expect(with[batchName].OnTime()).To(BeNumerically(">=", without[batchName].OnTime()*9/10))
+				Expect(with[batchName].OnTime()).To(BeNumerically(">", without[batchName].OnTime()))
 				expectServed(with["check"], 0.9)
 			})
 
 			// Guards against an order of places in which every job of a backlog becomes late.
 			It("has more jobs on time by deadline than by arrival", func() {
 				pat := pattern(dep, "flood")
-				arrival := play(dep, pat, batch.ArrivalOrder{}, batch.SpreadPlacement{}, admission.AcceptAll{})
-				deadline := play(dep, pat, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.AcceptAll{})
+				arrival := play(dep, pat, seeds, batch.ArrivalOrder{}, batch.SpreadPlacement{}, admission.AcceptAll{})
+				deadline := play(dep, pat, seeds, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.AcceptAll{})
 				Expect(deadline[batchName].OnTime()).To(BeNumerically(">", arrival[batchName].OnTime()))
 			})
 
