--- a/core/batch/relieve.go
+++ b/core/batch/relieve.go
@@ -23,7 +23,16 @@
 	tid  TaskID
 	tsk  *task
 	att  *attempt
-	gain float64
+	gain float64 // serving tasks that get within their targets
+}
+
+// before reports whether a departure goes first. Equal gains are common, because a tail is over
+// its target or not, so the identity decides and decisions repeat with the same events.
+func (dep departure) before(oth departure) bool {
+	if oth.att == nil || dep.gain != oth.gain {
+		return dep.gain > oth.gain
+	}
+	return dep.tid.String() < oth.tid.String()
 }
 
 // relieve moves filling tasks that keep serving tasks over their targets to instances where
@@ -39,20 +48,9 @@
 			continue
 		}
 		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
-			stp, _ := job.task(tid)
-			ins := sch.instance(att.instance)
-			if !att.movable(stp, now) || len(ins.serving) == 0 || now.Sub(ins.relievedAt) < relieveInterval ||
-				sch.fillWait[ins.service] > relieveBacklog {
-				return
-			}
-			dep := departure{job: job, tid: tid, tsk: tsk, att: att}
-			here := sch.disturbedBy(ins, stp)
-			if here < max(relieveGain, best[ins.id].gain) {
-				return
-			}
-			dep.gain = here - sch.leastDisturbance(job, stp, att, now)
-			if dep.gain >= max(relieveGain, best[ins.id].gain) {
-				best[ins.id] = dep
+			dep, found := sch.departure(job, tid, tsk, att, now)
+			if found && dep.before(best[att.instance]) {
+				best[att.instance] = dep
 			}
 		})
 	}
@@ -63,6 +61,21 @@
 	}
 }
 
+// departure returns the move of an attempt, and whether it is worth its cost.
+func (sch *Scheduler[O, P]) departure(job *jobState, tid TaskID, tsk *task, att *attempt, now time.Time) (departure, bool) {
+	stp, _ := job.task(tid)
+	ins := sch.instance(att.instance)
+	if !att.movable(stp, now) || len(ins.serving) == 0 || now.Sub(ins.relievedAt) < relieveInterval || sch.fillWait[ins.service] > relieveBacklog {
+		return departure{}, false
+	}
+	here := sch.disturbedBy(ins, stp)
+	if here < relieveGain {
+		return departure{}, false
+	}
+	gain := here - sch.leastDisturbance(job, stp, att, now)
+	return departure{job: job, tid: tid, tsk: tsk, att: att, gain: gain}, gain >= relieveGain
+}
+
 // movable reports whether a filling attempt may be moved without losing work.
 func (att *attempt) movable(stp *stepState, now time.Time) bool {
 	return stp.spec.Fills() && stp.spec.Checkpointing() && !stp.spec.Gang() && !att.stopping && !att.working.IsZero() &&
--- a/core/batch/relieve_test.go
+++ b/core/batch/relieve_test.go
@@ -15,6 +15,7 @@
 type disturbed struct {
 	*owner
 	watch, noisy batch.RunID
+	others       []batch.RunID // more filling tasks of the same kind
 	tail         float64
 	percent      int // progress of the filling task
 }
@@ -43,6 +44,9 @@
 	if dis.noisy.Task.Job != "" {
 		rep.Runs = append(rep.Runs, batch.RunState{ID: dis.noisy, Working: true, Percent: dis.percent, Share: 100, Figure: 800})
 	}
+	for _, rid := range dis.others {
+		rep.Runs = append(rep.Runs, batch.RunState{ID: rid, Working: true, Percent: dis.percent, Share: 100, Figure: 800})
+	}
 	return rep
 }
 
@@ -80,6 +84,25 @@
 		Expect(dis.orders("a", 1, batch.StopRun)[0].ID).To(Equal(dis.noisy))
 	})
 
+	// Guards against decisions that depend on the order of a map: a tail is over its target or not, so
+	// gains are often equal.
+	It("moves the same one of equal tasks each time", func() {
+		for range 10 {
+			dis := newDisturbed(keep)
+			next := step(1)
+			next.Fills, next.Image, next.MilliCPU, next.Checkpointing = true, "noisy", 800, true
+			dis.submit("another", next)
+			dis.store()
+			dis.others = []batch.RunID{dis.orders("a", 1, batch.StartRun)[2].ID}
+			dis.hear(report("b", 1))
+			dis.tail = 40
+			dis.list(8)
+			stops := dis.orders("a", 1, batch.StopRun)
+			Expect(stops).NotTo(BeEmpty())
+			Expect(stops[0].ID.Task.Job).To(Equal("another"))
+		}
+	})
+
 	// Guards against work that is stopped without a gain for anybody.
 	DescribeTable("leaves a filling task where it is", func(change func(*workload.StepParams), prepare func(dis *disturbed)) {
 		dis := newDisturbed(change)
