--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -24,7 +24,8 @@
 	return smp
 }
 
-// learnSharing updates the effects of filling tasks from the measures in a report.
+// learnSharing updates the effects of filling tasks from the measures in a report. The tail of a
+// serving task that is still starting tells nothing about what fills beside it.
 func (sch *Scheduler[O, P]) learnSharing(ins *instance, rep Report, now time.Time) {
 	smp := SharingSample(ins.capacity.MilliCPU(), func(visit func(Order, float64)) {
 		for _, run := range rep.Runs {
