--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -31,9 +31,9 @@
 	if len(opt.sizes) > 0 {
 		sizes = opt.sizes
 	}
-	return inWorkspace("capacity", capacityLimit, false, func(ctx context.Context, wsp workspace) error {
+	return inScratch("capacity", capacityLimit, false, func(ctx context.Context, scr scratch) error {
 		for _, size := range sizes {
-			if err := measureFleet(ctx, rep, wsp, size, opt); err != nil {
+			if err := measureFleet(ctx, rep, scr, size, opt); err != nil {
 				return err
 			}
 		}
@@ -41,9 +41,9 @@
 	})
 }
 
-func measureFleet(ctx context.Context, rep *report, wsp workspace, size int, opt options) error {
+func measureFleet(ctx context.Context, rep *report, scr scratch, size int, opt options) error {
 	name := fmt.Sprintf("capacity.%d-instances", size)
-	fle, err := wsp.start(ctx, name, harness.Options{Deployment: "sen-vang", PortOffset: capacityPorts, Instances: size, Partitions: opt.partitions})
+	fle, err := scr.start(ctx, name, harness.Options{Deployment: "sen-vang", PortOffset: capacityPorts, Instances: size, Partitions: opt.partitions})
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 		part := min(count, 100)
 		count -= part
 		ans, err := fle.Submit(ctx, 0, message.JobSpec{
-			Key: fmt.Sprint("capacity-", num), Customer: "bench", Team: "default", Class: "bench", Kind: "watch", Tasks: part,
+			Key: fmt.Sprint("capacity-", num), Workspace: "bench", Team: "default", Class: "bench", Kind: "watch", Tasks: part,
 			Resources: message.Resources{MilliCPU: milli, MemoryMB: 256}, Payload: []byte(`{"neverFinishes":true}`),
 		})
 		if err != nil || ans.Outcome != "answered" {
--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -41,9 +41,9 @@
 // work. The stand-ins model the time of a request and the work of a task, so the
 // load of the machine adds to latencies; see the load average that is printed.
 func measureFleets(rep *report, opt options) error {
-	return inWorkspace("fleet", fleetLimit, opt.logs, func(ctx context.Context, wsp workspace) error {
+	return inScratch("fleet", fleetLimit, opt.logs, func(ctx context.Context, scr scratch) error {
 		for _, stp := range fleetSteps {
-			if err := stp.measure(ctx, rep, wsp, opt.filter); err != nil {
+			if err := stp.measure(ctx, rep, scr, opt.filter); err != nil {
 				return err
 			}
 		}
@@ -52,12 +52,12 @@
 }
 
 // measure runs the step if its name contains the filter.
-func (stp fleetStep) measure(ctx context.Context, rep *report, wsp workspace, filter string) error {
+func (stp fleetStep) measure(ctx context.Context, rep *report, scr scratch, filter string) error {
 	name := stp.deployment + "." + stp.name
 	if !strings.Contains(name, filter) {
 		return nil
 	}
-	fle, err := wsp.start(ctx, name, harness.Options{
+	fle, err := scr.start(ctx, name, harness.Options{
 		Deployment: stp.deployment, PortOffset: stp.offset,
 		Instances: fleetInstances, EndpointArgs: []string{"--service-time", fleetService},
 	})
@@ -107,7 +107,7 @@
 	ids := make([]string, 0, bat.jobs)
 	for num := range bat.jobs {
 		spc := message.JobSpec{
-			Key: fmt.Sprintf("%s-%d", bat.key, num), Customer: "bench", Team: "default", Class: bat.class, Kind: bat.kind, Tasks: bat.tasks,
+			Key: fmt.Sprintf("%s-%d", bat.key, num), Workspace: "bench", Team: "default", Class: bat.class, Kind: bat.kind, Tasks: bat.tasks,
 			Resources: message.Resources{MilliCPU: bat.milliCPU, MemoryMB: fleetMemoryMB}, Payload: bat.payload(),
 		}
 		for {
--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -25,13 +25,13 @@
 // measureLatency compares requests through entry and agent with direct calls to
 // the same endpoint, alternating in one run, with real processes on loopback.
 func measureLatency(rep *report, opt options) error {
-	return inWorkspace("latency", 3*time.Minute, false, func(ctx context.Context, wsp workspace) error {
-		return compareLatencies(ctx, rep, wsp, opt)
+	return inScratch("latency", 3*time.Minute, false, func(ctx context.Context, scr scratch) error {
+		return compareLatencies(ctx, rep, scr, opt)
 	})
 }
 
-func compareLatencies(ctx context.Context, rep *report, wsp workspace, opt options) error {
-	fle, err := wsp.start(ctx, "latency", harness.Options{
+func compareLatencies(ctx context.Context, rep *report, scr scratch, opt options) error {
+	fle, err := scr.start(ctx, "latency", harness.Options{
 		Deployment: "sen-vang", PortOffset: latencyPorts, EndpointArgs: []string{"--service-time", serviceTime},
 	})
 	if err != nil {
--- a/cmd/bench/lightowner.go
+++ b/cmd/bench/lightowner.go
@@ -79,7 +79,7 @@
 	for seq := 1; low.held.Load() < int64(tasks); seq++ {
 		off := message.OfferArgs{Partition: lightPartition + num, OwnerAddress: lsn.Addr().String(), Task: message.TaskSpec{
 			Ref:  message.TaskRef{Job: fmt.Sprintf("light-job-%d-%d", num, seq), Token: message.Token{Epoch: 1, Sequence: uint64(seq)}},
-			Kind: "watch", Class: "bench", Team: "default", Customer: "bench", LeaseMillis: lightLease.Milliseconds(),
+			Kind: "watch", Class: "bench", Team: "default", Workspace: "bench", LeaseMillis: lightLease.Milliseconds(),
 			Resources: message.Resources{MilliCPU: 500, MemoryMB: 256}, Payload: []byte(`{"neverFinishes":true}`),
 		}}
 		var rep message.OfferReply
--- a/cmd/bench/owner.go
+++ b/cmd/bench/owner.go
@@ -46,19 +46,19 @@
 	if opt.quick {
 		sizes, owners = sizes[:1], owners[:1]
 	}
-	return inWorkspace("owner", ownerPartLimit, false, func(ctx context.Context, wsp workspace) error {
+	return inScratch("owner", ownerPartLimit, false, func(ctx context.Context, scr scratch) error {
 		for _, count := range sizes {
 			name := fmt.Sprintf("owner.%d-agents", count)
-			if err := besideFleet(ctx, wsp, opt, name, func(ctx context.Context, fle *harness.Fleet) error {
-				return ownerOf(ctx, rep, fle, wsp.logs(name), name, count, opt.observe)
+			if err := besideFleet(ctx, scr, opt, name, func(ctx context.Context, fle *harness.Fleet) error {
+				return ownerOf(ctx, rep, fle, scr.logs(name), name, count, opt.observe)
 			}); err != nil {
 				return err
 			}
 		}
 		for _, count := range owners {
 			name := fmt.Sprintf("agent.%d-owners", count)
-			if err := besideFleet(ctx, wsp, opt, name, func(ctx context.Context, fle *harness.Fleet) error {
-				return agentOf(ctx, rep, fle, wsp.logs(name), name, count, opt.observe)
+			if err := besideFleet(ctx, scr, opt, name, func(ctx context.Context, fle *harness.Fleet) error {
+				return agentOf(ctx, rep, fle, scr.logs(name), name, count, opt.observe)
 			}); err != nil {
 				return err
 			}
@@ -69,13 +69,13 @@
 
 // besideFleet runs a measurement beside the smallest fleet if its name contains
 // the filter. What the measurement started ends with its context.
-func besideFleet(ctx context.Context, wsp workspace, opt options, name string, run func(ctx context.Context, fle *harness.Fleet) error) error {
+func besideFleet(ctx context.Context, scr scratch, opt options, name string, run func(ctx context.Context, fle *harness.Fleet) error) error {
 	if !strings.Contains(name, opt.filter) {
 		return nil
 	}
 	ctx, end := context.WithCancel(ctx)
 	defer end()
-	fle, err := wsp.start(ctx, name, harness.Options{Deployment: "sen-vang", PortOffset: ownerPorts, Partitions: 1})
+	fle, err := scr.start(ctx, name, harness.Options{Deployment: "sen-vang", PortOffset: ownerPorts, Partitions: 1})
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 // submitLight submits a job as soon as the light agents are known, without which it is too large.
 func submitLight(ctx context.Context, fle *harness.Fleet, num, tasks int) error {
 	for {
-		ans, err := fle.Submit(ctx, 0, message.JobSpec{Key: fmt.Sprint("light-", num), Customer: "bench", Team: "default",
+		ans, err := fle.Submit(ctx, 0, message.JobSpec{Key: fmt.Sprint("light-", num), Workspace: "bench", Team: "default",
 			Class: "bench", Kind: "watch", Tasks: tasks, Resources: lightTask})
 		if err == nil && ans.Outcome == "answered" {
 			return nil
--- a/cmd/demo/jobs.go
+++ b/cmd/demo/jobs.go
@@ -20,7 +20,7 @@
 
 func spec(key, kind, payload string, tasks int) message.JobSpec {
 	return message.JobSpec{
-		Key: key, Customer: "demo", Team: "default", Class: kind + "Class", Kind: kind, Tasks: tasks,
+		Key: key, Workspace: "demo", Team: "default", Class: kind + "Class", Kind: kind, Tasks: tasks,
 		Resources: message.Resources{MilliCPU: 1000, MemoryMB: 1024}, Payload: []byte(payload),
 	}
 }
@@ -124,7 +124,7 @@
 }
 
 func (dem *demo) changeTicket(ctx context.Context) (string, error) {
-	chg := harness.Change{Kind: "customer", Name: "demo", State: map[string]any{"active": true, "settings": map[string]string{"language": "vi"}}}
+	chg := harness.Change{Kind: "workspace", Name: "demo", State: map[string]any{"active": true, "settings": map[string]string{"language": "vi"}}}
 	if err := dem.file(ctx, chg, "accepted"); err != nil {
 		return "", err
 	}
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	defer fle.Stop()
-	fmt.Printf("== %s (%s): %d entries, %d instances; logs in %s\n", name, fle.Deployment().Customer, len(fle.Entries()), len(fle.Instances()), folder)
+	fmt.Printf("== %s (%s): %d entries, %d instances; logs in %s\n", name, fle.Deployment().Organisation, len(fle.Entries()), len(fle.Instances()), folder)
 	dem := &demo{fleet: fle}
 	for _, stp := range steps {
 		begun := time.Now()
--- a/cmd/jacinthpost/job.go
+++ b/cmd/jacinthpost/job.go
@@ -26,7 +26,7 @@
 		Commands: []*cli.Command{
 			{
 				Name: "submit", Usage: "submit a job described by a JSON file (- for standard input) or by flags", ArgsUsage: "[FILE]",
-				Description: "Example: jacinthpost job submit --key term-2027 --customer uni-1 --class termBuild --tasks 4 --milli-cpu 2000 --memory-mb 4000 --payload '{\"workMillis\":3000}'",
+				Description: "Example: jacinthpost job submit --key term-2027 --workspace uni-1 --class termBuild --tasks 4 --milli-cpu 2000 --memory-mb 4000 --payload '{\"workMillis\":3000}'",
 				Flags:       append(jobFlags("build"), &cli.BoolFlag{Name: "wait", Usage: "wait until the job has ended"}),
 				Action:      func(ctx context.Context, cmd *cli.Command) error { return submitJob(ctx, cmd, "/v1/jobs") },
 			},
@@ -54,7 +54,7 @@
 func watchCommand() *cli.Command {
 	return &cli.Command{
 		Name: "watch", Usage: "start a watch, which runs until it is cancelled with job cancel", ArgsUsage: "[FILE]",
-		Description: "Example: jacinthpost watch --key seats-101 --customer uni-1 --class seatWatch --milli-cpu 200 --memory-mb 256",
+		Description: "Example: jacinthpost watch --key seats-101 --workspace uni-1 --class seatWatch --milli-cpu 200 --memory-mb 256",
 		Flags:       jobFlags("watch"),
 		Action:      func(ctx context.Context, cmd *cli.Command) error { return submitJob(ctx, cmd, "/v1/watches") },
 	}
@@ -63,8 +63,8 @@
 func jobFlags(kind string) []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "key", Usage: "idempotency key of the job"},
-		&cli.StringFlag{Name: "customer", Usage: "customer who owns the job"},
-		&cli.StringFlag{Name: "team", Usage: "team whose quota it uses; that of the customer when absent"},
+		&cli.StringFlag{Name: "workspace", Aliases: []string{"customer"}, Usage: "workspace that owns the job"},
+		&cli.StringFlag{Name: "team", Usage: "team whose quota it uses; that of the workspace when absent"},
 		&cli.StringFlag{Name: "class", Usage: "job class", Value: "default"},
 		&cli.StringFlag{Name: "kind", Usage: "build, plan or watch", Value: kind},
 		&cli.BoolFlag{Name: "urgent", Usage: "start before other work"},
@@ -82,7 +82,7 @@
 		return readInput(name)
 	}
 	spec := message.JobSpec{
-		Key: cmd.String("key"), Customer: cmd.String("customer"), Team: cmd.String("team"), Class: cmd.String("class"),
+		Key: cmd.String("key"), Workspace: cmd.String("workspace"), Team: cmd.String("team"), Class: cmd.String("class"),
 		Kind: cmd.String("kind"), Urgent: cmd.Bool("urgent"), Tasks: cmd.Int("tasks"),
 		Resources: message.Resources{MilliCPU: cmd.Int64("milli-cpu"), MemoryMB: cmd.Int64("memory-mb"), Accelerators: cmd.Int64("accelerators")},
 		Payload:   []byte(cmd.String("payload")),
@@ -186,7 +186,7 @@
 	if err := ans.Decode(&env); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "job %s of %s: %s %s\n", env.Job.JobID, env.Job.Spec.Customer, env.Job.State, env.Job.Reason)
+	fmt.Fprintf(out, "job %s of %s: %s %s\n", env.Job.JobID, env.Job.Spec.Workspace, env.Job.State, env.Job.Reason)
 	var rows [][]string
 	for _, tsk := range env.Job.Tasks {
 		rows = append(rows, []string{
--- a/cmd/jacinthpost/report.go
+++ b/cmd/jacinthpost/report.go
@@ -60,7 +60,7 @@
 		if con.BehindMillis > 0 {
 			behind = (time.Duration(con.BehindMillis) * time.Millisecond).Round(time.Second).String()
 		}
-		rows = append(rows, []string{con.Why, con.JobID, con.Customer, con.Team, con.Class, utc(con.SubmittedAt), behind, con.Detail})
+		rows = append(rows, []string{con.Why, con.JobID, con.Workspace, con.Team, con.Class, utc(con.SubmittedAt), behind, con.Detail})
 	}
 	if err := table(out, []string{"WHY", "JOB", "CUSTOMER", "TEAM", "CLASS", "SUBMITTED", "BEHIND", "DETAIL"}, rows); err != nil {
 		return err
@@ -72,14 +72,14 @@
 }
 
 func listJobsCommand() *cli.Command {
-	names := [...]string{"customer", "team", "class", "state"}
+	names := [...]string{"workspace", "team", "class", "state"}
 	flags := []cli.Flag{&cli.IntFlag{Name: "limit", Usage: "number of jobs", Value: 100}}
 	for _, name := range names {
 		flags = append(flags, &cli.StringFlag{Name: name, Usage: "only jobs with this " + name})
 	}
 	return &cli.Command{
 		Name: "list", Usage: "list the latest jobs",
-		Description: "Example: jacinthpost job list --state parked --customer uni-1",
+		Description: "Example: jacinthpost job list --state parked --workspace uni-1",
 		Flags:       flags,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			query := url.Values{"limit": {strconv.Itoa(cmd.Int("limit"))}}
@@ -100,7 +100,7 @@
 	var rows [][]string
 	for _, sum := range list.Jobs {
 		rows = append(rows, []string{
-			sum.JobID, sum.Customer, sum.Team, sum.Class, sum.Kind, sum.State, fmt.Sprintf("%d of %d", sum.Ended, sum.Tasks),
+			sum.JobID, sum.Workspace, sum.Team, sum.Class, sum.Kind, sum.State, fmt.Sprintf("%d of %d", sum.Ended, sum.Tasks),
 			strconv.Itoa(sum.Evictions), utc(sum.SubmittedAt), sum.Detail,
 		})
 	}
--- a/cmd/jacinthpost/request.go
+++ b/cmd/jacinthpost/request.go
@@ -21,7 +21,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "body", Usage: "body of the request", Value: "{}"},
 			&cli.StringFlag{Name: "key", Usage: "idempotency key: the request runs at most once"},
-			&cli.StringFlag{Name: "customer", Usage: "customer who sends it"},
+			&cli.StringFlag{Name: "workspace", Aliases: []string{"customer"}, Usage: "workspace that sends it"},
 			&cli.StringFlag{Name: "path", Usage: "path at the endpoint"},
 			&cli.BoolFlag{Name: "idempotent", Usage: "the request may run more than once"},
 			&cli.BoolFlag{Name: "batch", Usage: "the request is not latency-critical"},
@@ -60,7 +60,7 @@
 
 func requestHeaders(cmd *cli.Command) map[string]string {
 	headers := map[string]string{"Jacinthpost-Idempotent": strconv.FormatBool(cmd.Bool("idempotent"))}
-	for flag, name := range map[string]string{"key": "Idempotency-Key", "customer": "Jacinthpost-Customer", "path": "Jacinthpost-Path"} {
+	for flag, name := range map[string]string{"key": "Idempotency-Key", "workspace": "Jacinthpost-Workspace", "path": "Jacinthpost-Path"} {
 		if val := cmd.String(flag); val != "" {
 			headers[name] = val
 		}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -28,22 +28,22 @@
 
 // Request is what admission knows of a service request.
 type Request struct {
-	service  fleet.Service
-	customer fleet.Customer
-	batch    bool
-	deadline time.Time
+	service   fleet.Service
+	workspace fleet.Workspace
+	batch     bool
+	deadline  time.Time
 }
 
 // NewRequest returns a request that has to start before the deadline.
-func NewRequest(svc fleet.Service, cus fleet.Customer, batch bool, deadline time.Time) Request {
-	return Request{service: svc, customer: cus, batch: batch, deadline: deadline}
+func NewRequest(svc fleet.Service, wsp fleet.Workspace, batch bool, deadline time.Time) Request {
+	return Request{service: svc, workspace: wsp, batch: batch, deadline: deadline}
 }
 
 // Service returns the service asked for.
 func (req Request) Service() fleet.Service { return req.service }
 
-// Customer returns the customer on whose behalf the request runs.
-func (req Request) Customer() fleet.Customer { return req.customer }
+// Workspace returns the workspace on whose behalf the request runs.
+func (req Request) Workspace() fleet.Workspace { return req.workspace }
 
 // Batch reports whether the request is not latency-critical.
 func (req Request) Batch() bool { return req.batch }
@@ -85,20 +85,20 @@
 
 // Limits bounds the outstanding requests, queued and running. Zero means no limit.
 type Limits struct {
-	perService  int
-	perCustomer int
+	perService   int
+	perWorkspace int
 }
 
-// NewLimits returns limits on the outstanding requests of one service and of one customer.
-func NewLimits(perService, perCustomer int) Limits {
-	return Limits{perService: perService, perCustomer: perCustomer}
+// NewLimits returns limits on the outstanding requests of one service and of one workspace.
+func NewLimits(perService, perWorkspace int) Limits {
+	return Limits{perService: perService, perWorkspace: perWorkspace}
 }
 
 // PerService returns the limit on the outstanding requests of one service.
 func (lim Limits) PerService() int { return lim.perService }
 
-// PerCustomer returns the limit on the outstanding requests of one customer.
-func (lim Limits) PerCustomer() int { return lim.perCustomer }
+// PerWorkspace returns the limit on the outstanding requests of one workspace.
+func (lim Limits) PerWorkspace() int { return lim.perWorkspace }
 
 // Item is a queued request with the caller's value.
 type Item[V any] struct {
@@ -122,13 +122,13 @@
 
 // Queue holds the requests that wait for a slot.
 type Queue[V any, P Policy] struct {
-	policy    P
-	capacity  int
-	items     []Item[V]
-	last      uint64
-	services  map[fleet.Service]int
-	customers map[fleet.Customer]int
-	estimate  Estimate
+	policy     P
+	capacity   int
+	items      []Item[V]
+	last       uint64
+	services   map[fleet.Service]int
+	workspaces map[fleet.Workspace]int
+	estimate   Estimate
 }
 
 // New returns a queue for at most capacity requests.
@@ -194,8 +194,8 @@
 		return outcome.NotRun(outcome.ReasonDeadline, "the deadline has passed"), true
 	case lim.perService > 0 && que.services[req.service] >= lim.perService:
 		return outcome.NotRun(outcome.ReasonAdmission, "the limit of the service is reached"), true
-	case lim.perCustomer > 0 && que.customers[req.customer] >= lim.perCustomer:
-		return outcome.NotRun(outcome.ReasonAdmission, "the limit of the customer is reached"), true
+	case lim.perWorkspace > 0 && que.workspaces[req.workspace] >= lim.perWorkspace:
+		return outcome.NotRun(outcome.ReasonAdmission, "the limit of the workspace is reached"), true
 	}
 	if wait := que.estimate.Wait(pos, loa); now.Add(wait).After(req.deadline) {
 		return outcome.NotRun(outcome.ReasonDeadline, fmt.Sprintf("expected to wait %v", wait)), true
@@ -260,10 +260,10 @@
 func (que *Queue[V, P]) count(req Request, dlt int) {
 	if que.services == nil {
 		que.services = make(map[fleet.Service]int)
-		que.customers = make(map[fleet.Customer]int)
+		que.workspaces = make(map[fleet.Workspace]int)
 	}
 	addOrDelete(que.services, req.service, dlt)
-	addOrDelete(que.customers, req.customer, dlt)
+	addOrDelete(que.workspaces, req.workspace, dlt)
 }
 
 // addOrDelete keeps the map as small as the set of keys with outstanding requests.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -28,7 +28,7 @@
 )
 
 func request(batch bool, millis int) admit.Request {
-	return admit.NewRequest("svc", "cus", batch, epoch.Add(time.Duration(millis)*time.Millisecond))
+	return admit.NewRequest("svc", "wsp", batch, epoch.Add(time.Duration(millis)*time.Millisecond))
 }
 
 // queue returns a queue for three requests with a mean service time of 100 ms.
@@ -83,7 +83,7 @@
 	Entry("not what would start just in time", 2, request(true, 150), full, admit.Limits{}, outcome.Reason("")),
 	Entry("not what starts at once, whatever the estimate", 0, request(false, 1), admit.NewLoad(2, 1), admit.Limits{}, outcome.Reason("")),
 	Entry("beyond the limit of the service", 2, request(false, 9000), full, admit.NewLimits(2, 0), outcome.ReasonAdmission),
-	Entry("beyond the limit of the customer", 2, request(false, 9000), full, admit.NewLimits(0, 2), outcome.ReasonAdmission),
+	Entry("beyond the limit of the workspace", 2, request(false, 9000), full, admit.NewLimits(0, 2), outcome.ReasonAdmission),
 )
 
 // Guards against a full queue of batch requests that blocks latency-critical ones.
@@ -120,7 +120,7 @@
 					take(itm.Value())
 				}
 				if dec.Refusal().Reason() == outcome.ReasonAdmission && len(tickets)+len(running) < 4 {
-					rt.Fatalf("the limit of the customer is reached with %d queued and %d running", len(tickets), len(running))
+					rt.Fatalf("the limit of the workspace is reached with %d queued and %d running", len(tickets), len(running))
 				}
 				if dec.Accepted() {
 					tickets[next] = dec.Ticket()
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -126,10 +126,10 @@
 // submit sends a job to a partition. A payload that starts with "poison" makes
 // every task fail; the lease stands for the run time.
 func (wld *world) submit(num int, spc job.Spec, key string) job.ID {
-	spc = spc.WithKey("customer", key)
+	spc = spc.WithKey("workspace", key)
 	wld.tags++
 	wld.collect(num, wld.parts[num].Submit(wld.env(), wld.tags, spc))
-	id := job.NewID("customer", key)
+	id := job.NewID("workspace", key)
 	if _, known := wld.parts[num].Status(id); known {
 		wld.jobs = append(wld.jobs, id)
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,5 +1,5 @@
 // Package fleet names the parts of a deployment: instances, their location,
-// services, customers and teams.
+// services, workspaces and teams.
 //
 // The identifiers are opaque strings from settings and tickets. The package
 // holds no state, so its values may be used from any goroutine.
@@ -18,8 +18,8 @@
 	Rack string
 	// Service names the latency-critical service that an endpoint serves.
 	Service string
-	// Customer owns keyed requests, jobs and settings.
-	Customer string
+	// Workspace owns keyed requests, jobs and settings.
+	Workspace string
 	// Team is the unit of quota.
 	Team string
 	// JobClass groups jobs with similar resource use.
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -47,14 +47,14 @@
 type Site interface {
 	// RequestsAllowed reports whether requests of a service may start now, and if not, why.
 	RequestsAllowed(svc fleet.Service, now time.Time) (outcome.Outcome, bool)
-	// Limits returns the limits for a service and a customer.
-	Limits(svc fleet.Service, cus fleet.Customer) admit.Limits
+	// Limits returns the limits for a service and a workspace.
+	Limits(svc fleet.Service, wsp fleet.Workspace) admit.Limits
 }
 
 // Admission is an optional part of a Site: the settings that tickets make for a service.
 type Admission interface {
-	// Permit counts a request of a customer against its rate, and reports whether it may run.
-	Permit(svc fleet.Service, cus fleet.Customer, now time.Time) (outcome.Outcome, bool)
+	// Permit counts a request of a workspace against its rate, and reports whether it may run.
+	Permit(svc fleet.Service, wsp fleet.Workspace, now time.Time) (outcome.Outcome, bool)
 	// CriticalSlots returns how many of the slots batch requests may not use, false when no ticket says so.
 	CriticalSlots(svc fleet.Service, slots int) (int, bool)
 }
@@ -167,7 +167,7 @@
 		return []Verdict[V, A]{itk.refuse(rid, val, out, now)}
 	}
 	loa := admit.NewLoad(itk.account.Capacity().Slots(), itk.account.Requests())
-	lim := itk.site.Limits(req.Service(), req.Customer())
+	lim := itk.site.Limits(req.Service(), req.Workspace())
 	dec := itk.queue.Offer(req, waiting[V]{id: rid, value: val}, now, loa, lim)
 	if !dec.Accepted() {
 		return []Verdict[V, A]{itk.refuse(rid, val, dec.Refusal(), now)}
@@ -191,7 +191,7 @@
 		return out, false
 	}
 	if adm, ok := itk.site.(Admission); ok {
-		return adm.Permit(req.Service(), req.Customer(), now)
+		return adm.Permit(req.Service(), req.Workspace(), now)
 	}
 	return outcome.Outcome{}, true
 }
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -34,7 +34,7 @@
 func (sit *site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
 	return outcome.NotRun(sit.refusal, ""), sit.refusal == ""
 }
-func (*site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.NewLimits(0, 6) }
+func (*site) Limits(fleet.Service, fleet.Workspace) admit.Limits { return admit.NewLimits(0, 6) }
 
 // fixture is an intake of two slots and a queue of three, with deliveries as values.
 type fixture struct {
@@ -61,7 +61,7 @@
 }
 
 func (fix *fixture) arrive(counter uint64, val int, timeout time.Duration, batch bool) []intake.Verdict[int, string] {
-	req := admit.NewRequest("svc", "cus", batch, fix.now.Add(timeout))
+	req := admit.NewRequest("svc", "wsp", batch, fix.now.Add(timeout))
 	return fix.Arrive(reqlog.NewID("entry", 1, counter), req, val, fix.now)
 }
 
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -53,13 +53,13 @@
 	MaxLease = 4 * time.Hour
 )
 
-// ID names a job. It is derived from the customer and the key.
+// ID names a job. It is derived from the workspace and the key.
 type ID string
 
-// NewID returns the job ID of a customer's key, so that a repeated submission
+// NewID returns the job ID of a workspace's key, so that a repeated submission
 // reaches the same partition and job.
-func NewID(cus fleet.Customer, key string) ID {
-	sum := sha256.Sum256(fmt.Appendf(nil, "%d:%s%s", len(cus), cus, key))
+func NewID(wsp fleet.Workspace, key string) ID {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d:%s%s", len(wsp), wsp, key))
 	return ID(fmt.Sprintf("j%x", sum[:16]))
 }
 
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -14,7 +14,7 @@
 // returns a changed copy.
 type Spec struct {
 	key       string
-	customer  fleet.Customer
+	workspace fleet.Workspace
 	team      fleet.Team
 	class     fleet.JobClass
 	service   fleet.Service
@@ -27,7 +27,7 @@
 	lease     time.Duration
 	rerun     Rerun
 	restarts  bool            // the tasks start from the beginning after each stop
-	charged   fleet.Team      // team of the customer, empty for none
+	charged   fleet.Team      // team of the workspace, empty for none
 	classSize resource.Vector // size of a task in the settings of the class, zero for none
 }
 
@@ -36,9 +36,9 @@
 	return Spec{kind: knd, tasks: tasks, resources: vec}
 }
 
-// WithKey returns the job under a customer's key.
-func (spc Spec) WithKey(cus fleet.Customer, key string) Spec {
-	spc.customer, spc.key = cus, key
+// WithKey returns the job under a workspace's key.
+func (spc Spec) WithKey(wsp fleet.Workspace, key string) Spec {
+	spc.workspace, spc.key = wsp, key
 	return spc
 }
 
@@ -73,10 +73,10 @@
 	return spc
 }
 
-// WithCustomerTeam returns the job with the team that operators have set for its
-// customer. It counts for a submission without a team, and one that names
-// another team is refused: it would use a share that is not the customer's.
-func (spc Spec) WithCustomerTeam(tea fleet.Team) Spec {
+// WithWorkspaceTeam returns the job with the team that operators have set for its
+// workspace. It counts for a submission without a team, and one that names
+// another team is refused: it would use a share that is not the workspace's.
+func (spc Spec) WithWorkspaceTeam(tea fleet.Team) Spec {
 	spc.charged = tea
 	return spc
 }
@@ -108,8 +108,8 @@
 // Key returns the idempotency key.
 func (spc Spec) Key() string { return spc.key }
 
-// Customer returns the customer.
-func (spc Spec) Customer() fleet.Customer { return spc.customer }
+// Workspace returns the workspace.
+func (spc Spec) Workspace() fleet.Workspace { return spc.workspace }
 
 // Team returns the team that pays for the job.
 func (spc Spec) Team() fleet.Team { return cmp.Or(spc.team, spc.charged) }
@@ -155,11 +155,11 @@
 func (spc Spec) Checkpointable() bool { return !spc.restarts }
 
 // Digest identifies the content, so that a repeated submission can be compared
-// after the payload has been dropped. The settings of the class and the customer
+// after the payload has been dropped. The settings of the class and the workspace
 // are left out, because operators may change them between two submissions.
 func (spc Spec) Digest() string {
 	sum := sha256.New()
-	fmt.Fprintf(sum, "%q %q %q %q %q %d %t %d %v %d %d ", spc.key, spc.customer, spc.team, spc.class, spc.service,
+	fmt.Fprintf(sum, "%q %q %q %q %q %d %t %d %v %d %d ", spc.key, spc.workspace, spc.team, spc.class, spc.service,
 		spc.kind, spc.urgent, spc.tasks, spc.resources, spc.deadline, len(spc.payload))
 	sum.Write(spc.payload)
 	return fmt.Sprintf("%x", sum.Sum(nil)[:16])
@@ -168,14 +168,14 @@
 // invalid returns why the job cannot be accepted, empty if it can.
 func (spc Spec) invalid() string {
 	switch {
-	case spc.key == "" || spc.customer == "":
-		return "key and customer must be set"
+	case spc.key == "" || spc.workspace == "":
+		return "key and workspace must be set"
 	case spc.tasks < 1 || spc.tasks > MaxTasks:
 		return fmt.Sprintf("%d tasks: must be 1 to %d", spc.tasks, MaxTasks)
 	case len(spc.payload) > MaxPayloadBytes:
 		return fmt.Sprintf("payload of %d bytes: at most %d", len(spc.payload), MaxPayloadBytes)
 	case spc.team != "" && spc.charged != "" && spc.team != spc.charged:
-		return fmt.Sprintf("customer %s belongs to team %s, not to %s", spc.customer, spc.charged, spc.team)
+		return fmt.Sprintf("workspace %s belongs to team %s, not to %s", spc.workspace, spc.charged, spc.team)
 	case spc.Resources() == resource.Vector{}:
 		return fmt.Sprintf("resources must be set: no size is set for class %q", spc.class)
 	case !spc.Resources().Valid():
--- a/core/job/spec_test.go
+++ b/core/job/spec_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a share or a size that the settings in force don't give, and
 // against a repeated submission that becomes another job when they change.
-var _ = Describe("the settings of customer and class", func() {
+var _ = Describe("the settings of workspace and class", func() {
 	large := resource.New(4000, 2000, 0)
 	sized := func(vec resource.Vector, tea fleet.Team) job.Spec {
 		return job.NewSpec(job.KindBuild, 1, vec).WithKey("uni", "term").WithTeam(tea).WithClass("termBuild", 0)
@@ -29,17 +29,17 @@
 	}
 
 	It("count where the submission names nothing", func() {
-		expectAccepted(newBench(), sized(resource.Vector{}, "").WithClassSize(large).WithCustomerTeam("catalogue"), "catalogue", large)
+		expectAccepted(newBench(), sized(resource.Vector{}, "").WithClassSize(large).WithWorkspaceTeam("catalogue"), "catalogue", large)
 	})
 
 	It("give way to a size that is named", func() {
-		expectAccepted(newBench(), sized(size, "catalogue").WithClassSize(large).WithCustomerTeam("catalogue"), "catalogue", size)
+		expectAccepted(newBench(), sized(size, "catalogue").WithClassSize(large).WithWorkspaceTeam("catalogue"), "catalogue", size)
 	})
 
 	It("refuse the share of another team", func() {
-		out := submit(newBench(), sized(size, "boats").WithCustomerTeam("catalogue")).Outcome()
+		out := submit(newBench(), sized(size, "boats").WithWorkspaceTeam("catalogue")).Outcome()
 		Expect(out.Reason()).To(Equal(job.ReasonInvalid))
-		Expect(out.Detail()).To(Equal("customer uni belongs to team catalogue, not to boats"))
+		Expect(out.Detail()).To(Equal("workspace uni belongs to team catalogue, not to boats"))
 	})
 
 	It("refuse a job for which no size is known", func() {
@@ -50,7 +50,7 @@
 
 	It("may change between two submissions of one job", func() {
 		ben := newBench()
-		expectAccepted(ben, sized(resource.Vector{}, "").WithClassSize(size).WithCustomerTeam("catalogue"), "catalogue", size)
-		expectAccepted(ben, sized(resource.Vector{}, "").WithClassSize(large).WithCustomerTeam("boats"), "catalogue", size)
+		expectAccepted(ben, sized(resource.Vector{}, "").WithClassSize(size).WithWorkspaceTeam("catalogue"), "catalogue", size)
+		expectAccepted(ben, sized(resource.Vector{}, "").WithClassSize(large).WithWorkspaceTeam("boats"), "catalogue", size)
 	})
 })
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -13,7 +13,7 @@
 // Submit takes in a job. The same job submitted again gives the present one.
 func (par *Partition[P]) Submit(env Env, tag Tag, spc Spec) *Output {
 	out := &Output{}
-	id := NewID(spc.customer, spc.key)
+	id := NewID(spc.workspace, spc.key)
 	rep := Reply{tag: tag, job: id, out: outcome.Answered()}
 	if ent := par.jobs[id]; ent != nil {
 		rep.after, rep.existing = ent.recorded, true
--- a/core/job/summary.go
+++ b/core/job/summary.go
@@ -10,7 +10,7 @@
 // Summary describes a job without its tasks.
 type Summary struct {
 	id        ID
-	customer  fleet.Customer
+	workspace fleet.Workspace
 	team      fleet.Team
 	class     fleet.JobClass
 	kind      Kind
@@ -28,8 +28,8 @@
 // ID returns the job.
 func (sum Summary) ID() ID { return sum.id }
 
-// Customer returns the customer.
-func (sum Summary) Customer() fleet.Customer { return sum.customer }
+// Workspace returns the workspace.
+func (sum Summary) Workspace() fleet.Workspace { return sum.workspace }
 
 // Team returns the team that pays for the job.
 func (sum Summary) Team() fleet.Team { return sum.team }
@@ -88,7 +88,7 @@
 func (ent *entry) summarize() Summary {
 	spc := &ent.spec
 	sum := Summary{
-		id: ent.id, customer: spc.customer, team: spc.Team(), class: spc.class, kind: spc.kind, urgent: spc.urgent,
+		id: ent.id, workspace: spc.workspace, team: spc.Team(), class: spc.class, kind: spc.kind, urgent: spc.urgent,
 		state: ent.state(), tasks: ent.counts, recorded: ent.recorded,
 		submitted: time.UnixMilli(ent.submittedAt), ended: unixMillis(ent.endedAt), deadline: unixMillis(spc.deadline),
 	}
--- a/core/place/task.go
+++ b/core/place/task.go
@@ -76,7 +76,7 @@
 // Class returns the job class.
 func (tsk Task) Class() fleet.JobClass { return tsk.class }
 
-// Declared returns the amounts that the customer declared.
+// Declared returns the amounts that the submission declared.
 func (tsk Task) Declared() resource.Vector { return tsk.declared }
 
 // IsUrgent reports whether the task overtakes others.
--- a/core/rate/rate_test.go
+++ b/core/rate/rate_test.go
@@ -42,7 +42,7 @@
 		Entry("no limit", 0.0, 10*time.Millisecond, time.Second, 100),
 	)
 
-	// Guards against one customer that uses up the tokens of others, and against unbounded memory.
+	// Guards against one workspace that uses up the tokens of others, and against unbounded memory.
 	It("keeps keys apart and their number bounded, and names a true wait", func() {
 		rapid.Check(GinkgoT(), func(rpt *rapid.T) {
 			lim, now := rate.New[int](4), start
--- a/core/report/report.go
+++ b/core/report/report.go
@@ -115,15 +115,15 @@
 	concern   Concern
 	id        job.ID
 	key       Key
-	customer  fleet.Customer
+	workspace fleet.Workspace
 	submitted time.Time
 	behind    time.Duration
 	detail    string
 }
 
-// NewItem returns a job of a customer that needs attention.
-func NewItem(con Concern, id job.ID, key Key, cus fleet.Customer) Item {
-	return Item{concern: con, id: id, key: key, customer: cus}
+// NewItem returns a job of a workspace that needs attention.
+func NewItem(con Concern, id job.ID, key Key, wsp fleet.Workspace) Item {
+	return Item{concern: con, id: id, key: key, workspace: wsp}
 }
 
 // WithTimes returns the item with the time of the submission and how far the job is behind its deadline.
@@ -147,8 +147,8 @@
 // Key returns the team and the class.
 func (itm Item) Key() Key { return itm.key }
 
-// Customer returns the customer.
-func (itm Item) Customer() fleet.Customer { return itm.customer }
+// Workspace returns the workspace.
+func (itm Item) Workspace() fleet.Workspace { return itm.workspace }
 
 // Submitted returns when the job was submitted.
 func (itm Item) Submitted() time.Time { return itm.submitted }
@@ -188,7 +188,7 @@
 	}
 	rpt.AddRow(key, row)
 	if con, concerned := concernOf(sum, late); concerned {
-		rpt.AddItem(NewItem(con, sum.ID(), key, sum.Customer()).WithTimes(sum.Submitted(), late).WithDetail(sum.Detail()))
+		rpt.AddItem(NewItem(con, sum.ID(), key, sum.Workspace()).WithTimes(sum.Submitted(), late).WithDetail(sum.Detail()))
 	}
 }
 
--- a/core/ticket/decide.go
+++ b/core/ticket/decide.go
@@ -125,13 +125,13 @@
 	if ver != chg.base {
 		return Outcome{kind: OutcomeWrongBase, key: chg.Key(), current: ver}, true
 	}
-	// A cancelled customer may return after a year and must find its settings.
-	before, existed := obj.(Customer)
-	after, isCustomer := chg.object.(Customer)
-	if existed && isCustomer && !after.active && !maps.Equal(before.settings, after.settings) {
+	// A cancelled workspace may return after a year and must find its settings.
+	before, existed := obj.(Workspace)
+	after, isWorkspace := chg.object.(Workspace)
+	if existed && isWorkspace && !after.active && !maps.Equal(before.settings, after.settings) {
 		path := fmt.Sprintf("changes[%d].state.settings", idx)
 		return Invalid(NewFault(path, fmt.Sprintf("%d settings", len(after.settings)),
-			fmt.Sprintf("the settings of version %d, which a cancelled customer keeps", ver))), true
+			fmt.Sprintf("the settings of version %d, which a cancelled workspace keeps", ver))), true
 	}
 	return Outcome{}, false
 }
--- a/core/ticket/object.go
+++ b/core/ticket/object.go
@@ -137,15 +137,15 @@
 
 // Admission limits the requests of the service that has the object's name.
 type Admission struct {
-	maxQueue     int
-	customerRate float64
-	batchShare   float64
+	maxQueue      int
+	workspaceRate float64
+	batchShare    float64
 }
 
 // NewAdmission returns limits: queued requests per instance, requests a second
-// per customer (zero: no limit), and the share of slots that batch requests may use, 0 to 1.
-func NewAdmission(maxQueue int, customerRate, batchShare float64) Admission {
-	return Admission{maxQueue: maxQueue, customerRate: customerRate, batchShare: batchShare}
+// per workspace (zero: no limit), and the share of slots that batch requests may use, 0 to 1.
+func NewAdmission(maxQueue int, workspaceRate, batchShare float64) Admission {
+	return Admission{maxQueue: maxQueue, workspaceRate: workspaceRate, batchShare: batchShare}
 }
 
 // Kind returns KindAdmission.
@@ -154,49 +154,49 @@
 // MaxQueue returns the number of requests that may wait at one instance.
 func (adm Admission) MaxQueue() int { return adm.maxQueue }
 
-// CustomerRate returns the requests a second that one customer may send, zero for no limit.
-func (adm Admission) CustomerRate() float64 { return adm.customerRate }
+// WorkspaceRate returns the requests a second that one workspace may send, zero for no limit.
+func (adm Admission) WorkspaceRate() float64 { return adm.workspaceRate }
 
 // BatchShare returns the share of slots that batch requests may use, 0 to 1.
 func (adm Admission) BatchShare() float64 { return adm.batchShare }
 
 func (adm Admission) digest(dgr *digester) {
 	dgr.number(uint64(adm.maxQueue))
-	dgr.number(math.Float64bits(adm.customerRate))
+	dgr.number(math.Float64bits(adm.workspaceRate))
 	dgr.number(math.Float64bits(adm.batchShare))
 }
 
-// Customer is whom work is accepted for. One that cancels stays, inactive, with its settings.
-type Customer struct {
+// Workspace is what work is accepted for. One that cancels stays, inactive, with its settings.
+type Workspace struct {
 	active   bool
 	team     fleet.Team
 	settings map[string]string
 }
 
-// NewCustomer returns a customer.
-func NewCustomer(active bool, tea fleet.Team, settings map[string]string) Customer {
-	return Customer{active: active, team: tea, settings: maps.Clone(settings)}
+// NewWorkspace returns a workspace.
+func NewWorkspace(active bool, tea fleet.Team, settings map[string]string) Workspace {
+	return Workspace{active: active, team: tea, settings: maps.Clone(settings)}
 }
 
-// Kind returns KindCustomer.
-func (Customer) Kind() Kind { return KindCustomer }
+// Kind returns KindWorkspace.
+func (Workspace) Kind() Kind { return KindWorkspace }
 
-// Active reports whether the customer may send work.
-func (cus Customer) Active() bool { return cus.active }
+// Active reports whether the workspace may send work.
+func (wsp Workspace) Active() bool { return wsp.active }
 
-// Team returns the team whose quota the customer uses.
-func (cus Customer) Team() fleet.Team { return cus.team }
+// Team returns the team whose quota the workspace uses.
+func (wsp Workspace) Team() fleet.Team { return wsp.team }
 
-// Settings returns a copy of the customer's settings.
-func (cus Customer) Settings() map[string]string { return maps.Clone(cus.settings) }
+// Settings returns a copy of the workspace's settings.
+func (wsp Workspace) Settings() map[string]string { return maps.Clone(wsp.settings) }
 
 // Setting returns one setting, empty when it is not set.
-func (cus Customer) Setting(key string) string { return cus.settings[key] }
+func (wsp Workspace) Setting(key string) string { return wsp.settings[key] }
 
-func (cus Customer) digest(dgr *digester) {
-	dgr.flag(cus.active)
-	dgr.text(string(cus.team))
-	dgr.mapping(cus.settings)
+func (wsp Workspace) digest(dgr *digester) {
+	dgr.flag(wsp.active)
+	dgr.text(string(wsp.team))
+	dgr.mapping(wsp.settings)
 }
 
 // Endpoint tells whether operators drain an endpoint.
--- a/core/ticket/state.go
+++ b/core/ticket/state.go
@@ -177,9 +177,9 @@
 	return lookup[JobClass](sta, KindJobClass, string(name))
 }
 
-// Customer returns a customer.
-func (sta State) Customer(name fleet.Customer) (Customer, bool) {
-	return lookup[Customer](sta, KindCustomer, string(name))
+// Workspace returns a workspace.
+func (sta State) Workspace(name fleet.Workspace) (Workspace, bool) {
+	return lookup[Workspace](sta, KindWorkspace, string(name))
 }
 
 // Team returns the quota of a team.
--- a/core/ticket/ticket.go
+++ b/core/ticket/ticket.go
@@ -28,14 +28,14 @@
 	KindJobClass   Kind = "jobClass"
 	KindDataCentre Kind = "dataCentre"
 	KindAdmission  Kind = "admission"
-	KindCustomer   Kind = "customer"
+	KindWorkspace  Kind = "workspace"
 	KindEndpoint   Kind = "endpoint"
 	KindTeam       Kind = "team"
 )
 
 // Kinds returns every kind in a fixed order.
 func Kinds() []Kind {
-	return []Kind{KindAdmission, KindCustomer, KindDataCentre, KindEndpoint, KindJobClass, KindService, KindTeam}
+	return []Kind{KindAdmission, KindDataCentre, KindEndpoint, KindJobClass, KindService, KindTeam, KindWorkspace}
 }
 
 // Key identifies an object.
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -27,9 +27,9 @@
 
 var (
 	settings  = map[string]string{"plan": "gold"}
-	customer  = ticket.NewCustomer(true, "team-a", settings)
-	cancelled = ticket.NewCustomer(false, "team-a", settings)
-	forgotten = ticket.NewCustomer(false, "team-a", nil)
+	workspace = ticket.NewWorkspace(true, "team-a", settings)
+	cancelled = ticket.NewWorkspace(false, "team-a", settings)
+	forgotten = ticket.NewWorkspace(false, "team-a", nil)
 )
 
 func file(num ticket.Number, changes ...ticket.Change) ticket.Ticket {
@@ -40,9 +40,9 @@
 	return ticket.NewChange(name, base, obj)
 }
 
-// twoTickets has a customer at version 1 and an endpoint at version 2.
+// twoTickets has a workspace at version 1 and an endpoint at version 2.
 func twoTickets() ticket.State {
-	sta, _ := ticket.State{}.Apply(file(1, change("cus", 0, customer)))
+	sta, _ := ticket.State{}.Apply(file(1, change("wsp", 0, workspace)))
 	sta, _ = sta.Apply(file(2, change("end", 0, ticket.NewEndpoint(true))))
 	return sta
 }
@@ -61,19 +61,19 @@
 },
 	Entry("next number", file(3, change("end", 2, ticket.NewEndpoint(false))), ticket.OutcomeAccepted,
 		func(out ticket.Outcome) { Expect(out.Next()).To(Equal(ticket.Number(4))) }),
-	Entry("repeated", file(1, change("cus", 0, customer)), ticket.OutcomeSame, nil),
-	Entry("same number, other content", file(1, change("cus", 0, cancelled)), ticket.OutcomeConflict,
+	Entry("repeated", file(1, change("wsp", 0, workspace)), ticket.OutcomeSame, nil),
+	Entry("same number, other content", file(1, change("wsp", 0, cancelled)), ticket.OutcomeConflict,
 		func(out ticket.Outcome) {
-			Expect(out.Ticket().Same(file(1, change("cus", 0, customer)))).To(BeTrue())
+			Expect(out.Ticket().Same(file(1, change("wsp", 0, workspace)))).To(BeTrue())
 		}),
-	Entry("gap", file(4, change("new", 0, customer)), ticket.OutcomeGap,
+	Entry("gap", file(4, change("new", 0, workspace)), ticket.OutcomeGap,
 		func(out ticket.Outcome) { Expect(out.Next()).To(Equal(ticket.Number(3))) }),
-	Entry("wrong base", file(3, change("cus", 0, cancelled)), ticket.OutcomeWrongBase,
+	Entry("wrong base", file(3, change("wsp", 0, cancelled)), ticket.OutcomeWrongBase,
 		func(out ticket.Outcome) { Expect(out.Current()).To(Equal(ticket.Number(1))) }),
-	Entry("base of a missing object", file(3, change("new", 1, customer)), ticket.OutcomeWrongBase, nil),
-	Entry("one wrong base of two", file(3, change("end", 2, ticket.NewEndpoint(false)), change("cus", 2, cancelled)), ticket.OutcomeWrongBase, nil),
-	Entry("cancellation with its settings", file(3, change("cus", 1, cancelled)), ticket.OutcomeAccepted, nil),
-	Entry("cancellation that drops settings", file(3, change("cus", 1, forgotten)), ticket.OutcomeInvalid, nil),
+	Entry("base of a missing object", file(3, change("new", 1, workspace)), ticket.OutcomeWrongBase, nil),
+	Entry("one wrong base of two", file(3, change("end", 2, ticket.NewEndpoint(false)), change("wsp", 2, cancelled)), ticket.OutcomeWrongBase, nil),
+	Entry("cancellation with its settings", file(3, change("wsp", 1, cancelled)), ticket.OutcomeAccepted, nil),
+	Entry("cancellation that drops settings", file(3, change("wsp", 1, forgotten)), ticket.OutcomeInvalid, nil),
 	Entry("no changes", file(3), ticket.OutcomeInvalid, nil),
 )
 
@@ -86,30 +86,30 @@
 	}
 	Expect(paths).To(ConsistOf(path))
 },
-	Entry("number", file(0, change("cus", 0, customer)), "number"),
-	Entry("author", ticket.New(1, "a b", "r", change("cus", 0, customer)), "author"),
-	Entry("reason", ticket.New(1, "a", " ", change("cus", 0, customer)), "reason"),
-	Entry("huge reason", ticket.New(1, "a", strings.Repeat("x", 2000), change("cus", 0, customer)), "reason"),
-	Entry("object twice", file(1, change("cus", 0, customer), change("cus", 0, cancelled)), "changes[1].name"),
-	Entry("no object", file(1, change("cus", 0, nil)), "changes[0].kind"),
-	Entry("name with a slash", file(1, change("a/b", 0, customer)), "changes[0].name"),
-	Entry("base not below the number", file(1, change("cus", 1, customer)), "changes[0].baseVersion"),
+	Entry("number", file(0, change("wsp", 0, workspace)), "number"),
+	Entry("author", ticket.New(1, "a b", "r", change("wsp", 0, workspace)), "author"),
+	Entry("reason", ticket.New(1, "a", " ", change("wsp", 0, workspace)), "reason"),
+	Entry("huge reason", ticket.New(1, "a", strings.Repeat("x", 2000), change("wsp", 0, workspace)), "reason"),
+	Entry("object twice", file(1, change("wsp", 0, workspace), change("wsp", 0, cancelled)), "changes[1].name"),
+	Entry("no object", file(1, change("wsp", 0, nil)), "changes[0].kind"),
+	Entry("name with a slash", file(1, change("a/b", 0, workspace)), "changes[0].name"),
+	Entry("base not below the number", file(1, change("wsp", 1, workspace)), "changes[0].baseVersion"),
 	Entry("no slots", file(1, change("svc", 0, ticket.NewService(0, 1, time.Second))), "changes[0].state.slots"),
 	Entry("negative timeout", file(1, change("svc", 0, ticket.NewService(1, 1, -1))), "changes[0].state.defaultTimeoutMillis"),
 	Entry("relative path", file(1, change("svc", 0, ticket.NewService(1, 1, time.Second, "a"))), "changes[0].state.idempotentPaths[0]"),
 	Entry("negative resources", file(1, change("cls", 0, ticket.NewJobClass(resource.New(1, -1, 0), time.Minute, 0, true))), "changes[0].state.resources"),
 	Entry("lease without end", file(1, change("cls", 0, ticket.NewJobClass(resource.New(1, 1, 0), math.MaxInt64, 0, true))), "changes[0].state.leaseMillis"),
 	Entry("out without reason", file(1, change("dc", 0, ticket.NewDataCentre(true, ""))), "changes[0].state.reason"),
-	Entry("rate not a number", file(1, change("svc", 0, ticket.NewAdmission(1, math.NaN(), 0))), "changes[0].state.customerRate"),
+	Entry("rate not a number", file(1, change("svc", 0, ticket.NewAdmission(1, math.NaN(), 0))), "changes[0].state.workspaceRate"),
 	Entry("share above one", file(1, change("tea", 0, ticket.NewTeam(1.5, 0, 0, true))), "changes[0].state.cpuShare"),
-	Entry("team with a space", file(1, change("cus", 0, ticket.NewCustomer(true, "a b", nil))), "changes[0].state.team"),
+	Entry("team with a space", file(1, change("wsp", 0, ticket.NewWorkspace(true, "a b", nil))), "changes[0].state.team"),
 	Entry("too many changes", file(1, make([]ticket.Change, 1000)...), "changes"),
 )
 
 // Guards against content that shares a digest and is taken for a repetition.
 var _ = It("Digest depends on every field", func() {
 	objects := []ticket.Object{
-		customer, cancelled, forgotten, ticket.NewCustomer(true, "team-b", settings),
+		workspace, cancelled, forgotten, ticket.NewWorkspace(true, "team-b", settings),
 		ticket.NewEndpoint(true), ticket.NewEndpoint(false), ticket.NewDataCentre(false, ""), ticket.NewDataCentre(true, "x"),
 		ticket.NewService(1, 2, time.Second), ticket.NewService(2, 1, time.Second), ticket.NewService(1, 2, time.Second, "/ab"),
 		ticket.NewService(1, 2, time.Second, "/a", "/b"), ticket.NewAdmission(1, 2, 0), ticket.NewAdmission(1, 0, 0.5),
--- a/core/ticket/validate.go
+++ b/core/ticket/validate.go
@@ -23,7 +23,7 @@
 	MaxSlots         = 1024        // per instance
 	MaxConnections   = 65_536      // per instance
 	MaxQueue         = 100_000     // requests per instance
-	MaxCustomerRate  = 1_000_000.0 // requests a second
+	MaxWorkspaceRate = 1_000_000.0 // requests a second
 	MinLease         = 10 * time.Second
 	MaxLease         = 4 * time.Hour
 	MaxTimeout       = 10 * time.Minute
@@ -185,21 +185,21 @@
 
 func (adm Admission) check(chk *checker) {
 	chk.between("maxQueue", adm.maxQueue, 0, MaxQueue)
-	chk.share("customerRate", adm.customerRate, MaxCustomerRate)
+	chk.share("workspaceRate", adm.workspaceRate, MaxWorkspaceRate)
 	chk.share("batchShare", adm.batchShare, 1)
 }
 
-func (cus Customer) check(chk *checker) {
-	if cus.team != "" {
-		chk.name("team", string(cus.team))
+func (wsp Workspace) check(chk *checker) {
+	if wsp.team != "" {
+		chk.name("team", string(wsp.team))
 	}
-	chk.between("settings", len(cus.settings), 0, MaxSettings)
-	if len(cus.settings) > MaxSettings {
+	chk.between("settings", len(wsp.settings), 0, MaxSettings)
+	if len(wsp.settings) > MaxSettings {
 		return
 	}
-	for _, key := range sortedKeys(cus.settings) {
+	for _, key := range sortedKeys(wsp.settings) {
 		chk.name("settings", key)
-		chk.text("settings."+excerpt(key), cus.settings[key], MaxSettingLength, false)
+		chk.text("settings."+excerpt(key), wsp.settings[key], MaxSettingLength, false)
 	}
 }
 
--- a/internal/failure/config_test.go
+++ b/internal/failure/config_test.go
@@ -16,8 +16,8 @@
 	"jacinthpost/io/table/tableapi"
 )
 
-// racedCustomer is the object that both operators change.
-const racedCustomer = "raced"
+// racedWorkspace is the object that both operators change.
+const racedWorkspace = "raced"
 
 // operator files tickets through one entry until it has enough of its own accepted.
 type operator struct {
@@ -26,8 +26,8 @@
 	accepted map[uint64]string // content of its accepted tickets by number
 }
 
-// customerState is the complete state of a customer whose settings name the content.
-func customerState(active bool, content string) map[string]any {
+// workspaceState is the complete state of a workspace whose settings name the content.
+func workspaceState(active bool, content string) map[string]any {
 	return map[string]any{"active": active, "settings": map[string]string{"content": content}}
 }
 
@@ -47,9 +47,9 @@
 	for try := 0; len(opr.accepted) < enough && ctx.Err() == nil; try++ {
 		sta, err := opr.fleet.State(ctx, opr.entry)
 		Expect(err).NotTo(HaveOccurred())
-		base, _ := versionOf(sta, "customer", racedCustomer)
+		base, _ := versionOf(sta, "workspace", racedWorkspace)
 		content := fmt.Sprintf("operator %d try %d", opr.entry, try)
-		chg := harness.Change{Kind: "customer", Name: racedCustomer, BaseVersion: base, State: customerState(true, content)}
+		chg := harness.Change{Kind: "workspace", Name: racedWorkspace, BaseVersion: base, State: workspaceState(true, content)}
 		if opr.fileUntilKnown(ctx, sta.Head+1, chg) {
 			opr.accepted[sta.Head+1] = content
 		}
@@ -126,18 +126,18 @@
 	It("brings a ticket into force at every process within 3 s", func(ctx SpecContext) {
 		fle := scene.StartFleet(ctx, "bayou-paddle")
 		for try := range 5 {
-			chg := harness.Change{Kind: "customer", Name: fmt.Sprintf("customer-%d", try), State: customerState(true, "first")}
+			chg := harness.Change{Kind: "workspace", Name: fmt.Sprintf("workspace-%d", try), State: workspaceState(true, "first")}
 			num, accepted := scene.FileNext(ctx, fle, chg)
 			scene.AwaitInForce(ctx, fle, num, accepted)
 		}
 	}, SpecTimeout(time.Minute))
 
 	// Guards against settings that a cancellation or a restart of all processes
-	// removes: the customer may return a year later.
-	It("keeps the settings of a cancelled customer", func(ctx SpecContext) {
+	// removes: the workspace may return a year later.
+	It("keeps the settings of a cancelled workspace", func(ctx SpecContext) {
 		fle := scene.StartFleet(ctx, "bayou-paddle")
-		num, _ := scene.FileNext(ctx, fle, harness.Change{Kind: "customer", Name: "demo", State: customerState(true, "kept")})
-		num, accepted := fileNextAt(ctx, fle, num+1, harness.Change{Kind: "customer", Name: "demo", BaseVersion: num, State: customerState(false, "kept")})
+		num, _ := scene.FileNext(ctx, fle, harness.Change{Kind: "workspace", Name: "demo", State: workspaceState(true, "kept")})
+		num, accepted := fileNextAt(ctx, fle, num+1, harness.Change{Kind: "workspace", Name: "demo", BaseVersion: num, State: workspaceState(false, "kept")})
 		scene.AwaitInForce(ctx, fle, num, accepted)
 		for range 2 {
 			for ent := range fle.Entries() {
@@ -161,7 +161,7 @@
 	GinkgoHelper()
 	sta, err := fle.State(ctx, ent)
 	Expect(err).NotTo(HaveOccurred())
-	ver, state := versionOf(sta, "customer", "demo")
+	ver, state := versionOf(sta, "workspace", "demo")
 	Expect(ver).To(Equal(num))
 	Expect(state).To(MatchJSON(`{"active":false,"settings":{"content":"kept"}}`))
 	env, err := fle.Request(ctx, ent, "refused", "", false, scene.RequestLimit)
@@ -186,8 +186,8 @@
 			sta, err := fle.State(ctx, ent)
 			gom.Expect(err).NotTo(HaveOccurred())
 			gom.Expect(sta.Head).To(Equal(head))
-			ver, state := versionOf(sta, "customer", racedCustomer)
-			want, _ := json.Marshal(customerState(true, all[head]))
+			ver, state := versionOf(sta, "workspace", racedWorkspace)
+			want, _ := json.Marshal(workspaceState(true, all[head]))
 			gom.Expect(ver).To(Equal(head))
 			gom.Expect(state).To(MatchJSON(want))
 		}).WithContext(ctx).Within(scene.InForce).Should(Succeed())
--- a/internal/failure/learn_test.go
+++ b/internal/failure/learn_test.go
@@ -28,7 +28,7 @@
 	var keys []string
 	for num := 0; len(keys) < count; num++ {
 		key := fmt.Sprint("wasteful-", num)
-		if job.PartitionOf(job.NewID(fleet.Customer("demo"), key), partitions) == 0 {
+		if job.PartitionOf(job.NewID(fleet.Workspace("demo"), key), partitions) == 0 {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/failure/region/partition_test.go
+++ b/internal/failure/region/partition_test.go
@@ -127,7 +127,7 @@
 				Expect(lost).NotTo(BeEmpty(), "tasks ran in the region that was cut off")
 				expectLeaseEndsFirst(lost, cut)
 				var accepted time.Time
-				num, accepted = scene.FileNext(ctx, fle, harness.Change{Kind: "customer", Name: "parted", State: map[string]any{"active": true}})
+				num, accepted = scene.FileNext(ctx, fle, harness.Change{Kind: "workspace", Name: "parted", State: map[string]any{"active": true}})
 				expectHeadAt(ctx, fle, 0, processes(near), num, accepted)
 				scene.Hold(ctx, time.Until(cut.Add(cutFor-measured)))
 				countBytes(ctx, fle, "during the cut")
--- a/internal/failure/scene/work.go
+++ b/internal/failure/scene/work.go
@@ -20,10 +20,10 @@
 	TasksLimit = 75 * time.Second
 )
 
-// JobSpec returns a job of the demo customer.
+// JobSpec returns a job of the demo workspace.
 func JobSpec(key, kind, payload string, tasks int, milliCPU, memoryMB int64) message.JobSpec {
 	return message.JobSpec{
-		Key: key, Customer: "demo", Team: "default", Class: kind + "Class", Kind: kind, Tasks: tasks,
+		Key: key, Workspace: "demo", Team: "default", Class: kind + "Class", Kind: kind, Tasks: tasks,
 		Resources: message.Resources{MilliCPU: milliCPU, MemoryMB: memoryMB}, Payload: []byte(payload),
 	}
 }
--- a/internal/harness/calls.go
+++ b/internal/harness/calls.go
@@ -76,7 +76,7 @@
 // Request sends a service request to an entry. The key may be empty.
 func (fle *Fleet) Request(ctx context.Context, ent int, body, key string, idempotent bool, timeout time.Duration) (Envelope, error) {
 	headers := map[string]string{
-		"Jacinthpost-Customer":       "demo",
+		"Jacinthpost-Workspace":      "demo",
 		"Jacinthpost-Idempotent":     strconv.FormatBool(idempotent),
 		"Jacinthpost-Timeout-Millis": strconv.FormatInt(timeout.Milliseconds(), 10),
 	}
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -45,8 +45,8 @@
 
 // Deployment is the part of deployment.json that the harness uses.
 type Deployment struct {
-	Customer string `json:"customer"`
-	Regions  []struct {
+	Organisation string `json:"organisation"`
+	Regions      []struct {
 		Name        string   `json:"name"`
 		DataCentres []string `json:"dataCentres"`
 	} `json:"regions"`
--- a/io/agentstate/sitefake/sitefake.go
+++ b/io/agentstate/sitefake/sitefake.go
@@ -27,7 +27,7 @@
 }
 
 // Limits implements intake.Site.
-func (Site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.Limits{} }
+func (Site) Limits(fleet.Service, fleet.Workspace) admit.Limits { return admit.Limits{} }
 
 // StartsAllowed implements runner.Site.
 func (Site) StartsAllowed(time.Time) (outcome.Outcome, bool) { return outcome.Outcome{}, true }
--- a/io/config/codec.go
+++ b/io/config/codec.go
@@ -57,11 +57,12 @@
 		Reason string `json:"reason,omitempty"`
 	}
 	admissionBody struct {
-		MaxQueue     int     `json:"maxQueue"`
-		CustomerRate float64 `json:"customerRate"`
-		BatchShare   float64 `json:"batchShare"`
+		MaxQueue      int      `json:"maxQueue"`
+		WorkspaceRate float64  `json:"workspaceRate"`
+		FormerRate    *float64 `json:"customerRate,omitempty"` // its name in earlier versions
+		BatchShare    float64  `json:"batchShare"`
 	}
-	customerBody struct {
+	workspaceBody struct {
 		Active   bool              `json:"active"`
 		Team     string            `json:"team,omitempty"`
 		Settings map[string]string `json:"settings,omitempty"`
@@ -83,6 +84,18 @@
 	stateOut = "out"
 )
 
+// formerWorkspace is the kind of workspaces in tickets and rows of earlier
+// versions, which stay readable: an accepted setting stays in force.
+const formerWorkspace = "customer"
+
+// kindOf returns the kind that a name stands for.
+func kindOf(name string) ticket.Kind {
+	if name == formerWorkspace {
+		return ticket.KindWorkspace
+	}
+	return ticket.Kind(name)
+}
+
 // decodeState decodes the state of one kind strictly.
 type decodeState func(raw []byte) (ticket.Object, error)
 
@@ -107,10 +120,16 @@
 		return ticket.NewDataCentre(bod.State == stateOut, bod.Reason), nil
 	}),
 	ticket.KindAdmission: decoder(func(bod admissionBody) (ticket.Object, error) {
-		return ticket.NewAdmission(bod.MaxQueue, bod.CustomerRate, bod.BatchShare), nil
+		if bod.FormerRate != nil {
+			if bod.WorkspaceRate != 0 {
+				return nil, errors.New("workspaceRate and customerRate, its former name, are both given")
+			}
+			bod.WorkspaceRate = *bod.FormerRate
+		}
+		return ticket.NewAdmission(bod.MaxQueue, bod.WorkspaceRate, bod.BatchShare), nil
 	}),
-	ticket.KindCustomer: decoder(func(bod customerBody) (ticket.Object, error) {
-		return ticket.NewCustomer(bod.Active, fleet.Team(bod.Team), bod.Settings), nil
+	ticket.KindWorkspace: decoder(func(bod workspaceBody) (ticket.Object, error) {
+		return ticket.NewWorkspace(bod.Active, fleet.Team(bod.Team), bod.Settings), nil
 	}),
 	ticket.KindEndpoint: decoder(func(bod endpointBody) (ticket.Object, error) {
 		return ticket.NewEndpoint(bod.Draining), nil
@@ -183,7 +202,7 @@
 }
 
 func decodeObject(knd string, raw []byte, path string) (ticket.Object, []ticket.Fault) {
-	decode, known := decoders[ticket.Kind(knd)]
+	decode, known := decoders[kindOf(knd)]
 	if !known {
 		expectation, _ := json.Marshal(ticket.Kinds())
 		return nil, []ticket.Fault{ticket.NewFault(path+"kind", excerpt(knd), "one of "+string(expectation))}
@@ -243,9 +262,9 @@
 		}
 		return bod
 	case ticket.Admission:
-		return admissionBody{MaxQueue: obj.MaxQueue(), CustomerRate: obj.CustomerRate(), BatchShare: obj.BatchShare()}
-	case ticket.Customer:
-		return customerBody{Active: obj.Active(), Team: string(obj.Team()), Settings: obj.Settings()}
+		return admissionBody{MaxQueue: obj.MaxQueue(), WorkspaceRate: obj.WorkspaceRate(), BatchShare: obj.BatchShare()}
+	case ticket.Workspace:
+		return workspaceBody{Active: obj.Active(), Team: string(obj.Team()), Settings: obj.Settings()}
 	case ticket.Endpoint:
 		return endpointBody{Draining: obj.Draining()}
 	case ticket.Team:
@@ -293,5 +312,5 @@
 	if len(faults) > 0 {
 		return ticket.Record{}, errors.Errorf("record %s/%s: %v", bod.Kind, bod.Name, faults[0])
 	}
-	return ticket.NewRecord(ticket.NewKey(ticket.Kind(bod.Kind), bod.Name), ticket.Number(bod.Version), obj), nil
+	return ticket.NewRecord(ticket.NewKey(kindOf(bod.Kind), bod.Name), ticket.Number(bod.Version), obj), nil
 }
--- a/io/config/codec_test.go
+++ b/io/config/codec_test.go
@@ -21,7 +21,7 @@
 		ticket.NewChange("catalog-core", 0, ticket.NewAdmission(100, 2.5, 0.25)),
 		ticket.NewChange("build", 0, ticket.NewJobClass(resource.New(2000, 4096, 1), 15*time.Second, time.Hour, true).WithRerun(job.RerunNever)),
 		ticket.NewChange("bac-hanoi", 0, ticket.NewDataCentre(true, "power work")),
-		ticket.NewChange("uni-1", 0, ticket.NewCustomer(true, "team-a", map[string]string{"plan": "gold", "tier": ""})),
+		ticket.NewChange("uni-1", 0, ticket.NewWorkspace(true, "team-a", map[string]string{"plan": "gold", "tier": ""})),
 		ticket.NewChange("agent-1", 0, ticket.NewEndpoint(true)),
 		ticket.NewChange("team-a", 0, ticket.NewTeam(0.5, 0.25, 0.125, true)))
 }
@@ -70,6 +70,30 @@
 	Entry("but not if it is switched off", `,"checkpointable":false`, false),
 )
 
+// Guards against settings that an earlier version accepted and that can't be read
+// any more: a workspace and its rate had other names then.
+var _ = Describe("tickets of earlier versions", func() {
+	state := func(kind, raw string) ticket.Object {
+		GinkgoHelper()
+		tic, faults := config.DecodeTicket(1, []byte(`{"author":"a","reason":"r","changes":[{"kind":"`+kind+`","name":"uni","state":`+raw+`}]}`))
+		Expect(faults).To(BeEmpty())
+		return tic.Changes()[0].Object()
+	}
+
+	It("hold workspaces", func() {
+		Expect(state("customer", `{"active":true,"settings":{"language":"vi"}}`)).To(Equal(state("workspace", `{"active":true,"settings":{"language":"vi"}}`)))
+	})
+
+	It("hold the rate of a workspace", func() {
+		Expect(state("admission", `{"maxQueue":1,"customerRate":3,"batchShare":0}`)).To(Equal(state("admission", `{"maxQueue":1,"workspaceRate":3,"batchShare":0}`)))
+	})
+
+	It("don't give the rate under both names", func() {
+		_, faults := config.DecodeTicket(1, []byte(`{"author":"a","reason":"r","changes":[{"kind":"admission","name":"s","state":{"maxQueue":1,"workspaceRate":2,"customerRate":3,"batchShare":0}}]}`))
+		Expect(faults).To(HaveLen(1))
+	})
+})
+
 // FuzzDecodeTicket guards against panics and against accepted tickets that change when stored.
 func FuzzDecodeTicket(f *testing.F) {
 	raw, err := config.EncodeTicket(everyKind())
@@ -77,7 +101,7 @@
 		f.Fatal(err)
 	}
 	f.Add(raw)
-	f.Add([]byte(`{"author":"a","reason":"r","changes":[{"kind":"customer","name":"a","state":{"active":false,"settings":{"k":"v"}}}]}`))
+	f.Add([]byte(`{"author":"a","reason":"r","changes":[{"kind":"workspace","name":"a","state":{"active":false,"settings":{"k":"v"}}}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		tic, faults := config.DecodeTicket(9, raw)
 		if len(faults) > 0 {
--- a/io/config/filer_test.go
+++ b/io/config/filer_test.go
@@ -326,3 +326,29 @@
 	}
 	return ticket.New(sta.Head()+1, "operator", "many", changes...)
 }
+
+// Guards against settings of a workspace that revert, or can't be changed any
+// more, because an earlier version stored them under another name.
+var _ = It("goes on from the settings that an earlier version stored for a workspace", func(ctx SpecContext) {
+	const settings = `{"active":true,"settings":{"language":"vi"}}`
+	tab := &storefake.Store{}
+	txn := &store.Transaction{}
+	txn.Put("config/head", []byte(`{"number":1}`))
+	txn.Put("config/ticket/000000000001", []byte(`{"number":1,"author":"a","reason":"r","changes":[{"kind":"customer","name":"uni","baseVersion":0,"state":`+settings+`}]}`))
+	txn.Put("config/object/customer/uni", []byte(`{"kind":"customer","name":"uni","version":1,"state":`+settings+`}`))
+	Expect(tab.Commit(ctx, txn)).To(Satisfy(store.Result.Committed))
+
+	sta, err := config.Load(ctx, tab)
+	Expect(err).NotTo(HaveOccurred())
+	wsp, found := sta.Workspace("uni")
+	Expect(found).To(BeTrue())
+	Expect(wsp.Setting("language")).To(Equal("vi"))
+
+	fil, _ := newFiler(tab)
+	next := ticket.New(2, "a", "r", ticket.NewChange("uni", 1, ticket.NewWorkspace(true, "", map[string]string{"language": "fr"})))
+	Expect(fil.File(ctx, next).Kind()).To(Equal(ticket.OutcomeAccepted))
+	sta, err = config.Load(ctx, tab)
+	Expect(err).NotTo(HaveOccurred())
+	wsp, _ = sta.Workspace("uni")
+	Expect(wsp.Setting("language")).To(Equal("fr"))
+})
--- a/io/config/rows.go
+++ b/io/config/rows.go
@@ -27,7 +27,14 @@
 // Ticket numbers in keys have leading zeros, so that key order is the order of the sequence.
 func ticketKey(num ticket.Number) string { return fmt.Sprintf("%s%012d", ticketPrefix, num) }
 
-func objectKey(key ticket.Key) string { return objectPrefix + key.String() }
+// objectKey returns the key of the row of an object. Workspaces keep the name that
+// earlier versions gave their rows, so that the versions of stored ones go on.
+func objectKey(key ticket.Key) string {
+	if key.Kind() == ticket.KindWorkspace {
+		return objectPrefix + formerWorkspace + "/" + key.Name()
+	}
+	return objectPrefix + key.String()
+}
 
 type headBody struct {
 	Number uint64 `json:"number"`
--- a/io/entry/record.go
+++ b/io/entry/record.go
@@ -28,9 +28,9 @@
 }
 
 // rowKey returns the key of the row of a keyed request. The parts are escaped,
-// so that no customer can name a row of another.
+// so that no workspace can name a row of another.
 func rowKey(req Request) string {
-	parts := []string{"key", url.PathEscape(string(req.customer)), url.PathEscape(string(req.service)), url.PathEscape(req.key)}
+	parts := []string{"key", url.PathEscape(string(req.workspace)), url.PathEscape(string(req.service)), url.PathEscape(req.key)}
 	return strings.Join(parts, "/")
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -17,7 +17,7 @@
 // Request is a service request of a caller.
 type Request struct {
 	service    fleet.Service
-	customer   fleet.Customer
+	workspace  fleet.Workspace
 	key        string
 	idempotent bool
 	batch      bool
@@ -27,8 +27,8 @@
 }
 
 // NewRequest returns a latency-critical request that is not idempotent and has no key.
-func NewRequest(svc fleet.Service, cus fleet.Customer, path string, body []byte, deadline time.Time) Request {
-	return Request{service: svc, customer: cus, path: path, body: body, deadline: deadline}
+func NewRequest(svc fleet.Service, wsp fleet.Workspace, path string, body []byte, deadline time.Time) Request {
+	return Request{service: svc, workspace: wsp, path: path, body: body, deadline: deadline}
 }
 
 // WithKey returns the request with an idempotency key, so that it runs at most
@@ -53,8 +53,8 @@
 // Service returns the service that the request is for.
 func (req Request) Service() fleet.Service { return req.service }
 
-// Customer returns the customer who sent the request.
-func (req Request) Customer() fleet.Customer { return req.customer }
+// Workspace returns the workspace that sent the request.
+func (req Request) Workspace() fleet.Workspace { return req.workspace }
 
 // Path returns the path at the endpoint.
 func (req Request) Path() string { return req.path }
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -152,7 +152,7 @@
 	args := message.ServeArgs{
 		RequestID:       requestID,
 		Service:         string(req.service),
-		Customer:        string(req.customer),
+		Workspace:       string(req.workspace),
 		Path:            req.path,
 		Method:          "POST",
 		Body:            req.body,
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -37,10 +37,10 @@
 func (site) RequestsAllowed(fleet.Service, time.Time) (outcome.Outcome, bool) {
 	return outcome.Outcome{}, true
 }
-func (site) Limits(fleet.Service, fleet.Customer) admit.Limits { return admit.Limits{} }
-func (site) StartsAllowed(time.Time) (outcome.Outcome, bool)   { return outcome.Outcome{}, true }
-func (site) Partition(string) int                              { return 0 }
-func (site) Owner(int) (string, bool)                          { return "", false }
+func (site) Limits(fleet.Service, fleet.Workspace) admit.Limits { return admit.Limits{} }
+func (site) StartsAllowed(time.Time) (outcome.Outcome, bool)    { return outcome.Outcome{}, true }
+func (site) Partition(string) int                               { return 0 }
+func (site) Owner(int) (string, bool)                           { return "", false }
 
 // host records the effects that the guard wants.
 type host struct {
--- a/io/joblog/format.go
+++ b/io/joblog/format.go
@@ -1,6 +1,7 @@
 package joblog
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -52,7 +53,8 @@
 
 type specJSON struct {
 	Key          string `json:"key"`
-	Customer     string `json:"customer"`
+	Workspace    string `json:"workspace"`
+	FormerName   string `json:"customer,omitempty"` // the workspace in records of earlier versions
 	Team         string `json:"team,omitempty"`
 	Class        string `json:"class,omitempty"`
 	Service      string `json:"service,omitempty"`
@@ -108,7 +110,7 @@
 func encodeSpec(spc job.Spec) *specJSON {
 	vec := spc.Resources()
 	return &specJSON{
-		Key: spc.Key(), Customer: string(spc.Customer()), Team: string(spc.Team()), Class: string(spc.Class()),
+		Key: spc.Key(), Workspace: string(spc.Workspace()), Team: string(spc.Team()), Class: string(spc.Class()),
 		Service: string(spc.Service()), Kind: spc.Kind().String(), Urgent: spc.Urgent(), Tasks: spc.Tasks(),
 		MilliCPU: vec.MilliCPU(), MemoryMB: vec.MemoryMB(), Accelerators: vec.Accelerators(),
 		Payload: spc.Payload(), Deadline: spc.Deadline(), LeaseMillis: spc.Lease().Milliseconds(),
@@ -174,7 +176,7 @@
 		return job.Spec{}, errors.Errorf("unknown setting of rerun %q", enc.Rerun)
 	}
 	return job.NewSpec(knd, enc.Tasks, resource.New(enc.MilliCPU, enc.MemoryMB, enc.Accelerators)).
-		WithKey(fleet.Customer(enc.Customer), enc.Key).
+		WithKey(fleet.Workspace(cmp.Or(enc.Workspace, enc.FormerName)), enc.Key).
 		WithTeam(fleet.Team(enc.Team)).
 		WithClass(fleet.JobClass(enc.Class), time.Duration(enc.LeaseMillis)*time.Millisecond).
 		WithRerun(rer).
--- a/io/joblog/format_fuzz_test.go
+++ b/io/joblog/format_fuzz_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/partition"
@@ -14,7 +17,7 @@
 )
 
 func everyRecord() []job.Record {
-	spc := job.NewSpec(job.KindBuild, 2, resource.New(500, 1_000, 1)).WithKey("customer", "key").WithTeam("team").
+	spc := job.NewSpec(job.KindBuild, 2, resource.New(500, 1_000, 1)).WithKey("workspace", "key").WithTeam("team").
 		WithClass("class", 15*time.Second).WithService("service").WithUrgency(true).WithPayload([]byte("payload")).WithDeadline(9)
 	ref := job.NewRef("job", 1, token.New(2, 3))
 	var recs []job.Record
@@ -26,6 +29,19 @@
 	return recs
 }
 
+// formerBatch is a row of an earlier version, in which the workspace has another name.
+const formerBatch = `{"batchID":"id","epoch":1,"records":[{"kind":"jobSubmitted","atUnixMillis":4,"job":"job","spec":{"key":"key","customer":"uni","kind":"build","tasks":1,"milliCPU":1,"memoryMB":1,"leaseMillis":1}}]}`
+
+// Guards against jobs that lose their workspace, and with it their identity, when
+// a row of an earlier version is read.
+var _ = It("reads the workspace of a job that an earlier version stored", func() {
+	bat, err := decodeBatch([]byte(formerBatch))
+	Expect(err).NotTo(HaveOccurred())
+	recs, err := decodeRecords(bat.Records)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(recs[0].Spec().Workspace())).To(Equal("uni"))
+})
+
 // FuzzDecodeBatch guards against panics on a damaged log row and against
 // records that change when they are written again in a snapshot.
 func FuzzDecodeBatch(f *testing.F) {
@@ -36,6 +52,7 @@
 		}
 		f.Add(raw)
 	}
+	f.Add([]byte(formerBatch))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		bat, err := decodeBatch(raw)
 		if err != nil {
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -30,7 +30,7 @@
 	Kind        string // build, plan or watch
 	Class       string
 	Team        string
-	Customer    string
+	Workspace   string
 	Urgent      bool
 	Resources   Resources
 	Payload     []byte
@@ -182,7 +182,7 @@
 // JobSpec is a submitted job.
 type JobSpec struct {
 	Key        string    `json:"key"`
-	Customer   string    `json:"customer"`
+	Workspace  string    `json:"workspace"`
 	Team       string    `json:"team"`
 	Class      string    `json:"class"`
 	Kind       string    `json:"kind"`
@@ -246,7 +246,7 @@
 type ServeArgs struct {
 	RequestID       string
 	Service         string
-	Customer        string
+	Workspace       string
 	Path            string
 	Method          string
 	Body            []byte
--- a/io/message/report.go
+++ b/io/message/report.go
@@ -6,7 +6,7 @@
 // ListArgs asks for the latest jobs of one partition. An empty field means all.
 type ListArgs struct {
 	Partition int
-	Customer  string
+	Workspace string
 	Team      string
 	Class     string
 	State     string
@@ -30,7 +30,7 @@
 // JobSummary describes a job without its tasks.
 type JobSummary struct {
 	JobID       string `json:"jobID"`
-	Customer    string `json:"customer"`
+	Workspace   string `json:"workspace"`
 	Team        string `json:"team"`
 	Class       string `json:"class"`
 	Kind        string `json:"kind"`
@@ -89,7 +89,7 @@
 type Concern struct {
 	Why          string `json:"why"`
 	JobID        string `json:"jobID"`
-	Customer     string `json:"customer"`
+	Workspace    string `json:"workspace"`
 	Team         string `json:"team"`
 	Class        string `json:"class"`
 	SubmittedAt  int64  `json:"submittedUnixMillis"`
--- a/io/node/agentnode/members.go
+++ b/io/node/agentnode/members.go
@@ -94,8 +94,8 @@
 // has a lease longer by that time.
 func (ose ownerSettings) Complete(spc job.Spec) job.Spec {
 	sta := ose.config.State()
-	if cus, found := sta.Customer(spc.Customer()); found {
-		spc = spc.WithCustomerTeam(cus.Team())
+	if wsp, found := sta.Workspace(spc.Workspace()); found {
+		spc = spc.WithWorkspaceTeam(wsp.Team())
 	}
 	if cls, found := sta.JobClass(spc.Class()); found {
 		spc = spc.WithClass(spc.Class(), max(cls.Lease(), cls.Outage())).WithRerun(cls.Rerun()).
--- a/io/node/agentnode/site.go
+++ b/io/node/agentnode/site.go
@@ -43,10 +43,10 @@
 	slots      int // of the endpoint, as last announced
 }
 
-// sender is a customer of a service.
+// sender is a workspace of a service.
 type sender struct {
-	service  fleet.Service
-	customer fleet.Customer
+	service   fleet.Service
+	workspace fleet.Workspace
 }
 
 // RequestsAllowed implements intake.Site.
@@ -80,7 +80,7 @@
 
 // Limits implements intake.Site. The admission ticket of a service bounds the
 // requests that wait; those in the slots do not count.
-func (sit *site) Limits(svc fleet.Service, _ fleet.Customer) admit.Limits {
+func (sit *site) Limits(svc fleet.Service, _ fleet.Workspace) admit.Limits {
 	adm, found := sit.config.State().Admission(svc)
 	if !found {
 		return admit.Limits{}
@@ -88,18 +88,18 @@
 	return admit.NewLimits(adm.MaxQueue()+sit.slots, 0)
 }
 
-// Permit implements intake.Admission. The rate of a customer holds for the whole
+// Permit implements intake.Admission. The rate of a workspace holds for the whole
 // fleet and requests are spread evenly over the agents, so each agent enforces
 // its part; a request refused here may find a part that is not used up elsewhere.
-func (sit *site) Permit(svc fleet.Service, cus fleet.Customer, now time.Time) (outcome.Outcome, bool) {
+func (sit *site) Permit(svc fleet.Service, wsp fleet.Workspace, now time.Time) (outcome.Outcome, bool) {
 	adm, found := sit.config.State().Admission(svc)
 	if !found {
 		return outcome.Outcome{}, true
 	}
-	part := adm.CustomerRate() / float64(max(1, sit.serving(svc)))
-	if wait, allowed := sit.rates.Allow(sender{service: svc, customer: cus}, part, now); !allowed {
-		return outcome.NotRun(outcome.ReasonAdmission, fmt.Sprintf("customer %s sends more than %g requests a second; the next one is admitted here in %v",
-			cus, adm.CustomerRate(), wait.Round(time.Millisecond))), false
+	part := adm.WorkspaceRate() / float64(max(1, sit.serving(svc)))
+	if wait, allowed := sit.rates.Allow(sender{service: svc, workspace: wsp}, part, now); !allowed {
+		return outcome.NotRun(outcome.ReasonAdmission, fmt.Sprintf("workspace %s sends more than %g requests a second; the next one is admitted here in %v",
+			wsp, adm.WorkspaceRate(), wait.Round(time.Millisecond))), false
 	}
 	return outcome.Outcome{}, true
 }
--- a/io/node/agentnode/site_test.go
+++ b/io/node/agentnode/site_test.go
@@ -29,15 +29,15 @@
 }
 
 var _ = Describe("site", func() {
-	// Guards against a customer rate that is taken for a number of outstanding
+	// Guards against a workspace rate that is taken for a number of outstanding
 	// requests, or that each agent grants in full.
-	It("admits the agent's part of the rate of each customer", func() {
+	It("admits the agent's part of the rate of each workspace", func() {
 		sit, start := newSite(ticket.NewAdmission(10, 30, 1)), time.Unix(1000, 0)
-		passed := map[fleet.Customer]int{}
+		passed := map[fleet.Workspace]int{}
 		for at := time.Duration(0); at < 10*time.Second; at += 5 * time.Millisecond {
-			for _, cus := range []fleet.Customer{"one", "two"} {
-				if out, ok := sit.Permit("service", cus, start.Add(at)); ok {
-					passed[cus]++
+			for _, wsp := range []fleet.Workspace{"one", "two"} {
+				if out, ok := sit.Permit("service", wsp, start.Add(at)); ok {
+					passed[wsp]++
 				} else {
 					Expect(out.Detail()).To(ContainSubstring("30 requests a second"))
 				}
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// admission applies the settings of customers before a request is routed.
+// admission applies the settings of workspaces before a request is routed.
 type admission struct {
 	requests web.Requests
 	config   web.Configuration
@@ -137,8 +137,8 @@
 
 // Serve implements web.Requests.
 func (adm admission) Serve(ctx context.Context, req entry.Request) entry.Answer {
-	if cus, known := adm.config.State().Customer(req.Customer()); known && !cus.Active() {
-		return entry.Refused(outcome.NotRun(outcome.ReasonAdmission, "customer "+string(req.Customer())+" is not active"))
+	if wsp, known := adm.config.State().Workspace(req.Workspace()); known && !wsp.Active() {
+		return entry.Refused(outcome.NotRun(outcome.ReasonAdmission, "workspace "+string(req.Workspace())+" is not active"))
 	}
 	return adm.requests.Serve(ctx, adm.defaults(req))
 }
@@ -160,9 +160,9 @@
 
 // Submit implements web.Jobs.
 func (jcl jobClient) Submit(ctx context.Context, spec message.JobSpec) message.JobReply {
-	cus, known := jcl.config.State().Customer(fleet.Customer(spec.Customer))
-	if known && !cus.Active() {
-		return message.JobReply{Outcome: outcome.KindNotRun.String(), Reason: string(outcome.ReasonAdmission), Detail: "customer " + spec.Customer + " is not active"}
+	wsp, known := jcl.config.State().Workspace(fleet.Workspace(spec.Workspace))
+	if known && !wsp.Active() {
+		return message.JobReply{Outcome: outcome.KindNotRun.String(), Reason: string(outcome.ReasonAdmission), Detail: "workspace " + spec.Workspace + " is not active"}
 	}
 	return jcl.client.Submit(ctx, spec)
 }
--- a/io/node/entrynode/explain.go
+++ b/io/node/entrynode/explain.go
@@ -31,8 +31,8 @@
 		return []string{rep.Outcome + ": " + rep.Reason + " " + rep.Detail}, rep.Reason != string(job.ReasonNoJob)
 	}
 	sta := rep.Status
-	lines := []string{fmt.Sprintf("job %s of customer %s, class %s, kind %s, partition %d: %s %s",
-		sta.JobID, sta.Spec.Customer, sta.Spec.Class, sta.Spec.Kind, job.PartitionOf(job.ID(id), exp.jobs.Partitions()), sta.State, sta.Reason)}
+	lines := []string{fmt.Sprintf("job %s of workspace %s, class %s, kind %s, partition %d: %s %s",
+		sta.JobID, sta.Spec.Workspace, sta.Spec.Class, sta.Spec.Kind, job.PartitionOf(job.ID(id), exp.jobs.Partitions()), sta.State, sta.Reason)}
 	for _, tsk := range sta.Tasks {
 		lines = append(lines, fmt.Sprintf("task %d: %s on %q, token %d.%d, %d attempts, %d evictions, progress %d%%, %s",
 			tsk.Index, tsk.State, tsk.Instance, tsk.Token.Epoch, tsk.Token.Sequence, tsk.Attempts, tsk.Evictions, tsk.Progress, tsk.Detail))
--- a/io/owner/bench_test.go
+++ b/io/owner/bench_test.go
@@ -73,7 +73,7 @@
 	}
 	sit.claimed.Add(tasks)
 	var rep message.JobReply
-	spc := message.JobSpec{Key: "k", Customer: "c", Kind: "watch", Tasks: tasks, Resources: message.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+	spc := message.JobSpec{Key: "k", Workspace: "c", Kind: "watch", Tasks: tasks, Resources: message.Resources{MilliCPU: 1000, MemoryMB: 1000}}
 	if err := sit.service.Submit(message.SubmitArgs{Spec: spc}, &rep); err != nil || rep.Outcome != "answered" {
 		b.Fatal(err, rep)
 	}
--- a/io/owner/client.go
+++ b/io/owner/client.go
@@ -45,7 +45,7 @@
 
 // Submit submits a job to the owner of its partition.
 func (cli *Client) Submit(ctx context.Context, spc message.JobSpec) message.JobReply {
-	id := job.NewID(fleet.Customer(spc.Customer), spc.Key)
+	id := job.NewID(fleet.Workspace(spc.Workspace), spc.Key)
 	num := job.PartitionOf(id, cli.rows.Count())
 	return cli.call(ctx, num, "Owner.Submit", message.SubmitArgs{Partition: num, JobID: string(id), Spec: spc})
 }
--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -317,7 +317,7 @@
 }
 
 func spec(key string, tasks int) message.JobSpec {
-	return message.JobSpec{Key: key, Customer: "c", Kind: "build", Tasks: tasks, Resources: message.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+	return message.JobSpec{Key: key, Workspace: "c", Kind: "build", Tasks: tasks, Resources: message.Resources{MilliCPU: 1000, MemoryMB: 1000}}
 }
 
 // submit submits a job and reports whether it was acknowledged.
--- a/io/owner/convert.go
+++ b/io/owner/convert.go
@@ -34,7 +34,7 @@
 	spc := tsk.Spec()
 	return message.TaskSpec{
 		Ref: encodeRef(tsk.Ref()), Kind: spc.Kind().String(), Class: string(spc.Class()), Team: string(spc.Team()),
-		Customer: string(spc.Customer()), Urgent: spc.Urgent(), Resources: encodeVector(spc.Resources()),
+		Workspace: string(spc.Workspace()), Urgent: spc.Urgent(), Resources: encodeVector(spc.Resources()),
 		Payload: spc.Payload(), Checkpoint: tsk.Checkpoint(), LeaseMillis: spc.Lease().Milliseconds(),
 		Restarts: !spc.Checkpointable(),
 	}
@@ -50,18 +50,18 @@
 
 func encodeSpec(spc job.Spec) message.JobSpec {
 	return message.JobSpec{
-		Key: spc.Key(), Customer: string(spc.Customer()), Team: string(spc.Team()), Class: string(spc.Class()),
+		Key: spc.Key(), Workspace: string(spc.Workspace()), Team: string(spc.Team()), Class: string(spc.Class()),
 		Kind: spc.Kind().String(), Urgent: spc.Urgent(), Tasks: spc.Tasks(), Resources: encodeVector(spc.Resources()),
 		Payload: spc.Payload(), DeadlineAt: spc.Deadline(), Service: string(spc.Service()),
 	}
 }
 
 // decodeSpec reports false for an unknown kind of job. The settings of the class
-// and the customer are those at submission.
+// and the workspace are those at submission.
 func decodeSpec(spc message.JobSpec, settings Settings) (job.Spec, bool) {
 	knd, known := job.ParseKind(spc.Kind)
 	return settings.Complete(job.NewSpec(knd, spc.Tasks, decodeVector(spc.Resources)).
-		WithKey(fleet.Customer(spc.Customer), spc.Key).
+		WithKey(fleet.Workspace(spc.Workspace), spc.Key).
 		WithTeam(fleet.Team(spc.Team)).
 		WithClass(fleet.JobClass(spc.Class), 0).
 		WithService(fleet.Service(spc.Service)).
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -66,7 +66,7 @@
 	StartsAllowed(dce fleet.DataCentre) bool
 	// TakenOut returns the data centres taken out of service, sorted.
 	TakenOut() []fleet.DataCentre
-	// Complete returns the job with the settings of its class and its customer.
+	// Complete returns the job with the settings of its class and its workspace.
 	Complete(spc job.Spec) job.Spec
 }
 
--- a/io/owner/report.go
+++ b/io/owner/report.go
@@ -41,7 +41,7 @@
 // selects reports whether the caller asked for a job.
 func selects(args message.ListArgs, sum job.Summary) bool {
 	wanted := [...]struct{ asked, has string }{
-		{args.Customer, string(sum.Customer())},
+		{args.Workspace, string(sum.Workspace())},
 		{args.Team, string(sum.Team())},
 		{args.Class, string(sum.Class())},
 		{args.State, sum.State().String()},
@@ -149,7 +149,7 @@
 
 func encodeSummary(sum job.Summary) message.JobSummary {
 	enc := message.JobSummary{
-		JobID: string(sum.ID()), Customer: string(sum.Customer()), Team: string(sum.Team()), Class: string(sum.Class()),
+		JobID: string(sum.ID()), Workspace: string(sum.Workspace()), Team: string(sum.Team()), Class: string(sum.Class()),
 		Kind: sum.Kind().String(), Urgent: sum.Urgent(), State: sum.State().String(),
 		Ended:  sum.Tasks(job.Finished) + sum.Tasks(job.Cancelled),
 		Parked: sum.Tasks(job.Parked), Evictions: sum.Evictions(), Detail: sum.Detail(),
@@ -182,7 +182,7 @@
 	}
 	for _, itm := range rpt.Items() {
 		concerns = append(concerns, message.Concern{
-			Why: itm.Concern().String(), JobID: string(itm.ID()), Customer: string(itm.Customer()),
+			Why: itm.Concern().String(), JobID: string(itm.ID()), Workspace: string(itm.Workspace()),
 			Team: string(itm.Key().Team()), Class: string(itm.Key().Class()),
 			SubmittedAt: itm.Submitted().UnixMilli(), BehindMillis: itm.Behind().Milliseconds(), Detail: itm.Detail(),
 		})
@@ -204,7 +204,7 @@
 			continue
 		}
 		key := report.NewKey(fleet.Team(con.Team), fleet.JobClass(con.Class))
-		rpt.AddItem(report.NewItem(knd, job.ID(con.JobID), key, fleet.Customer(con.Customer)).
+		rpt.AddItem(report.NewItem(knd, job.ID(con.JobID), key, fleet.Workspace(con.Workspace)).
 			WithTimes(time.UnixMilli(con.SubmittedAt), time.Duration(con.BehindMillis)*time.Millisecond).WithDetail(con.Detail))
 	}
 	return rpt
--- a/io/owner/service.go
+++ b/io/owner/service.go
@@ -96,12 +96,12 @@
 			return
 		}
 		spc, known := decodeSpec(args.Spec, svc.owner.ports.settings)
-		id := job.NewID(spc.Customer(), spc.Key())
+		id := job.NewID(spc.Workspace(), spc.Key())
 		switch {
 		case !known:
 			done(refusal(job.ReasonInvalid, "unknown kind of job "+args.Spec.Kind))
 		case args.JobID != "" && args.JobID != string(id):
-			done(refusal(job.ReasonInvalid, "the job ID does not belong to the customer and key"))
+			done(refusal(job.ReasonInvalid, "the job ID does not belong to the workspace and key"))
 		case job.PartitionOf(id, len(trn.state.slots)) != args.Partition:
 			done(refusal(job.ReasonInvalid, "the job belongs to another partition"))
 		case trn.slot.tenure.unsaved > maxUnsaved:
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -129,7 +129,7 @@
 	deadline := now.Add(min(time.Duration(arg.RemainingMillis)*time.Millisecond, maxRemaining))
 	cal := &call{
 		id: rid, args: arg, arrived: now, waiter: make(agentstate.Waiter, 1),
-		request: admit.NewRequest(fleet.Service(arg.Service), fleet.Customer(arg.Customer), arg.Batch, deadline),
+		request: admit.NewRequest(fleet.Service(arg.Service), fleet.Workspace(arg.Workspace), arg.Batch, deadline),
 	}
 	num := svc.outstanding.Add(1)
 	defer svc.outstanding.Add(-1)
--- a/io/serve/serve_test.go
+++ b/io/serve/serve_test.go
@@ -82,7 +82,7 @@
 
 func args(counter int, timeout time.Duration) message.ServeArgs {
 	return message.ServeArgs{
-		RequestID: fmt.Sprintf("entry/1/%d", counter), Service: "svc", Customer: "cus",
+		RequestID: fmt.Sprintf("entry/1/%d", counter), Service: "svc", Workspace: "cus",
 		Body: fmt.Append(nil, "body-", counter), RemainingMillis: timeout.Milliseconds(),
 	}
 }
--- a/io/web/input.go
+++ b/io/web/input.go
@@ -18,13 +18,14 @@
 const (
 	headerTimeoutMillis = "Jacinthpost-Timeout-Millis"
 	headerIdempotent    = "Jacinthpost-Idempotent"
-	headerCustomer      = "Jacinthpost-Customer"
+	headerWorkspace     = "Jacinthpost-Workspace"
+	headerFormer        = "Jacinthpost-Customer" // the workspace, from callers of earlier versions
 	headerPriority      = "Jacinthpost-Priority"
 	headerPath          = "Jacinthpost-Path"
 	headerKey           = "Idempotency-Key"
 )
 
-var singleHeaders = []string{headerTimeoutMillis, headerIdempotent, headerCustomer, headerPriority, headerPath, headerKey, "Content-Length", "Content-Type"}
+var singleHeaders = []string{headerTimeoutMillis, headerIdempotent, headerWorkspace, headerFormer, headerPriority, headerPath, headerKey, "Content-Length", "Content-Type"}
 
 // countCalls counts calls by method and status class.
 func countCalls(rw http.ResponseWriter, req *http.Request, next http.HandlerFunc) {
@@ -123,7 +124,7 @@
 	return "", fmt.Errorf("header %s is %q, expected one of %s", name, txt, strings.Join(values, ", "))
 }
 
-// validName reports whether a name of a service, customer or key is acceptable.
+// validName reports whether a name of a service, workspace or key is acceptable.
 func validName(txt string) bool {
 	if txt == "" || len(txt) > NameLimit {
 		return false
--- a/io/web/report.go
+++ b/io/web/report.go
@@ -51,7 +51,7 @@
 // without it the list would hold jobs that were not asked for.
 func listArgs(query url.Values) (message.ListArgs, error) {
 	args := message.ListArgs{Limit: defaultListed}
-	texts := map[string]*string{"customer": &args.Customer, "team": &args.Team, "class": &args.Class, "state": &args.State}
+	texts := map[string]*string{"workspace": &args.Workspace, "team": &args.Team, "class": &args.Class, "state": &args.State}
 	for name, vals := range query {
 		text, known := texts[name]
 		switch {
@@ -68,7 +68,7 @@
 			}
 			args.Limit = num
 		default:
-			return args, fmt.Errorf("%s is not known, expected customer, team, class, state or limit", name)
+			return args, fmt.Errorf("%s is not known, expected workspace, team, class, state or limit", name)
 		}
 	}
 	if _, known := job.ParseState(args.State); args.State != "" && !known {
--- a/io/web/requests.go
+++ b/io/web/requests.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -51,12 +52,16 @@
 	if err != nil {
 		return none, err
 	}
-	for _, name := range [...]string{headerKey, headerCustomer, headerPath} {
+	for _, name := range [...]string{headerKey, headerWorkspace, headerFormer, headerPath} {
 		if txt := req.Header.Get(name); txt != "" && !validName(txt) {
 			return none, fmt.Errorf("header %s: 1 to %d printable characters expected", name, NameLimit)
 		}
 	}
-	res := entry.NewRequest(fleet.Service(service), fleet.Customer(req.Header.Get(headerCustomer)),
+	wsp, err := workspaceOf(req)
+	if err != nil {
+		return none, err
+	}
+	res := entry.NewRequest(fleet.Service(service), wsp,
 		req.Header.Get(headerPath), body, time.Now().Add(timeout))
 	if key := req.Header.Get(headerKey); key != "" {
 		res = res.WithKey(key)
@@ -70,6 +75,15 @@
 	return res, nil
 }
 
+// workspaceOf returns the workspace of a request, under either name of its header.
+func workspaceOf(req *http.Request) (fleet.Workspace, error) {
+	name, former := req.Header.Get(headerWorkspace), req.Header.Get(headerFormer)
+	if name != "" && former != "" && name != former {
+		return "", fmt.Errorf("headers %s and %s, its former name, differ", headerWorkspace, headerFormer)
+	}
+	return fleet.Workspace(cmp.Or(name, former)), nil
+}
+
 // writeAnswer sends the end of a service request in its envelope.
 func writeAnswer(rw http.ResponseWriter, ans entry.Answer) {
 	status := statusOf[ans.Outcome().Kind()]
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -32,14 +32,16 @@
 type fixture struct {
 	calls  int
 	asked  fleet.Service // whose timeout was asked for
+	served entry.Request
 	listed message.ListArgs
 	answer entry.Answer
 	job    message.JobReply
 	filed  ticket.Outcome
 }
 
-func (fix *fixture) Serve(context.Context, entry.Request) entry.Answer {
+func (fix *fixture) Serve(_ context.Context, req entry.Request) entry.Answer {
 	fix.calls++
+	fix.served = req
 	return fix.answer
 }
 
@@ -95,12 +97,24 @@
 	Expect(string(fix.asked)).To(Equal("svc"))
 })
 
+// Guards against requests of callers of earlier versions that escape the limits and
+// settings of their workspace, because its header has another name now.
+var _ = DescribeTable("a request belongs to the workspace of its header",
+	func(name string) {
+		fix := &fixture{answer: entry.Refused(outcome.NotRun(outcome.ReasonNoEndpoint, ""))}
+		send(fix, "POST", requests, "{}", header(name, "uni"))
+		Expect(string(fix.served.Workspace())).To(Equal("uni"))
+	},
+	Entry("under its name", "Jacinthpost-Workspace"),
+	Entry("under its former name", "Jacinthpost-Customer"),
+)
+
 // Guards against a list of jobs that were not asked for.
 var _ = It("passes on which jobs are asked for", func() {
 	fix := &fixture{}
-	code, _ := send(fix, "GET", "/v1/jobs?state=parked&customer=uni&limit=7", "", nil)
+	code, _ := send(fix, "GET", "/v1/jobs?state=parked&workspace=uni&limit=7", "", nil)
 	Expect(code).To(Equal(200))
-	Expect(fix.listed).To(Equal(message.ListArgs{State: "parked", Customer: "uni", Limit: 7}))
+	Expect(fix.listed).To(Equal(message.ListArgs{State: "parked", Workspace: "uni", Limit: 7}))
 })
 
 // send returns the status and the decoded answer, which must be JSON whatever was sent.
@@ -152,6 +166,7 @@
 	Entry("idempotent no boolean", "POST", requests, "{}", header("Jacinthpost-Idempotent", "yes"), 400, "expected one of"),
 	Entry("unknown priority", "POST", requests, "{}", header("Jacinthpost-Priority", "high"), 400, "expected one of"),
 	Entry("key with control characters", "POST", requests, "{}", header("Idempotency-Key", "a\x01"), 400, "printable"),
+	Entry("two workspaces", "POST", requests, "{}", header("Jacinthpost-Workspace", "a", "Jacinthpost-Customer", "b"), 400, "differ"),
 	Entry("key too long", "POST", requests, "{}", header("Idempotency-Key", strings.Repeat("k", 200)), 400, "printable"),
 	Entry("body too large", "POST", requests, strings.Repeat("x", web.RequestBodyLimit+1), nil, 413, "larger than"),
 	Entry("job with unknown field", "POST", jobs, `{"key":"a","priority":1}`, nil, 400, "unknown field"),
@@ -167,7 +182,7 @@
 	Entry("list of an unknown state", "GET", "/v1/jobs?state=happy", "", nil, 400, "expected a state"),
 	Entry("list with an unknown parameter", "GET", "/v1/jobs?status=parked", "", nil, 400, "is not known"),
 	Entry("list limit absurd", "GET", "/v1/jobs?limit=0", "", nil, 400, "expected 1 to"),
-	Entry("list of two customers", "GET", "/v1/jobs?customer=a&customer=b", "", nil, 400, "more than once"),
+	Entry("list of two workspaces", "GET", "/v1/jobs?workspace=a&workspace=b", "", nil, 400, "more than once"),
 	Entry("report of no period", "GET", "/v1/report?period=yesterday", "", nil, 400, "expected a duration"),
 	Entry("report of the future", "GET", "/v1/report?period=-1h", "", nil, 400, "expected a duration"),
 	Entry("unknown subject", "GET", "/v1/explain/planet/x", "", nil, 404, "can be explained"),
