--- a/core/batch/advice.go
+++ b/core/batch/advice.go
@@ -36,22 +36,20 @@
 // Advice returns the requests that waiting tasks of advised queues need now.
 func (sch *Scheduler[O, P]) Advice(now time.Time) []AdviceRequest {
 	var reqs []AdviceRequest
-	for _, job := range sch.jobs {
-		if !job.spec.Advised() || job.state.Final() {
-			continue
+	sch.eachOccurrence(func(job *jobState, occ *occurrence) {
+		if !job.spec.Advised() {
+			return
 		}
-		for _, occ := range job.occurrences {
-			for num, stp := range occ.steps {
-				if !occ.turn(num) || !stp.wants(now) || now.Sub(stp.advised) < adviceRepeat {
-					continue
-				}
-				if lives := sch.unadvised(job, stp, now); len(lives) > 0 {
-					stp.advised = now
-					reqs = append(reqs, AdviceRequest{Step: TaskID{Job: job.spec.ID(), Occurrence: occ.number, Step: num}, Lives: lives})
-				}
+		for num, stp := range occ.steps {
+			if !occ.turn(num) || !stp.wants(now) || now.Sub(stp.advised) < adviceRepeat {
+				continue
+			}
+			if lives := sch.unadvised(job, stp, now); len(lives) > 0 {
+				stp.advised = now
+				reqs = append(reqs, AdviceRequest{Step: TaskID{Job: job.spec.ID(), Occurrence: occ.number, Step: num}, Lives: lives})
 			}
 		}
-	}
+	})
 	return reqs
 }
 
--- a/core/batch/durations.go
+++ b/core/batch/durations.go
@@ -71,17 +71,12 @@
 
 // judgeOverdue moves runs that take far longer than they should.
 func (sch *Scheduler[O, P]) judgeOverdue(now time.Time) {
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
+	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
+		stp, _ := job.task(tid)
+		if sch.overdue(job, stp, att, now) {
+			sch.moveOverdue(job, stp, tid, tsk, att, now)
 		}
-		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
-			stp, _ := job.task(tid)
-			if sch.overdue(job, stp, att, now) {
-				sch.moveOverdue(job, stp, tid, tsk, att, now)
-			}
-		})
-	}
+	})
 }
 
 func (sch *Scheduler[O, P]) overdue(job *jobState, stp *stepState, att *attempt, now time.Time) bool {
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -102,24 +102,17 @@
 
 func (sch *Scheduler[O, P]) backlogs(now time.Time) map[string]*backlog {
 	out := make(map[string]*backlog)
-	for _, job := range sch.jobs {
-		if job.state.Final() || job.spec.Lasting() {
-			continue
+	sch.eachOccurrence(func(job *jobState, occ *occurrence) {
+		if job.spec.Lasting() {
+			return
 		}
 		bkl := out[job.spec.Queue()]
 		if bkl == nil {
 			bkl = &backlog{service: fleet.Service(job.spec.Service()), priority: job.spec.Priority()}
 			out[job.spec.Queue()] = bkl
 		}
-		for _, occ := range job.occurrences {
-			sch.addOccurrence(bkl, job, occ, now)
-		}
-	}
-	for name, bkl := range out {
-		if bkl.jobs == 0 {
-			delete(out, name)
-		}
-	}
+		sch.addOccurrence(bkl, job, occ, now)
+	})
 	return out
 }
 
@@ -157,16 +150,11 @@
 // because they pause for the sake of serving tasks.
 func (sch *Scheduler[O, P]) noteFillUse() {
 	used := make(map[fleet.Service]float64)
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
+	sch.eachAttempt(func(job *jobState, tid TaskID, _ *task, att *attempt) {
+		if stp, _ := job.task(tid); stp.spec.Fills() {
+			used[fleet.Service(job.spec.Service())] += att.figure
 		}
-		job.eachAttempt(func(tid TaskID, _ *task, att *attempt) {
-			if stp, _ := job.task(tid); stp.spec.Fills() {
-				used[fleet.Service(job.spec.Service())] += att.figure
-			}
-		})
-	}
+	})
 	if sch.fillUse == nil {
 		sch.fillUse = make(map[fleet.Service]float64)
 	}
@@ -183,14 +171,9 @@
 // noteFillWait works out for how long the filling tasks that could start now keep each service busy.
 func (sch *Scheduler[O, P]) noteFillWait(now time.Time) {
 	work := make(map[fleet.Service]float64)
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
-		}
-		for _, occ := range job.occurrences {
-			work[fleet.Service(job.spec.Service())] += sch.waitingFill(job, occ, now)
-		}
-	}
+	sch.eachOccurrence(func(job *jobState, occ *occurrence) {
+		work[fleet.Service(job.spec.Service())] += sch.waitingFill(job, occ, now)
+	})
 	rates := sch.rates()
 	sch.fillWait = make(map[fleet.Service]time.Duration, len(work))
 	for svc, amt := range work {
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -116,6 +116,29 @@
 	})
 }
 
+// eachOccurrence visits the occurrences of the jobs that are not final.
+func (sch *Scheduler[O, P]) eachOccurrence(visit func(job *jobState, occ *occurrence)) {
+	for _, job := range sch.jobs {
+		if job.state.Final() {
+			continue
+		}
+		for _, occ := range job.occurrences {
+			visit(job, occ)
+		}
+	}
+}
+
+// eachAttempt visits the attempts of the jobs that are not final. The visitor may
+// remove the attempt it is given.
+func (sch *Scheduler[O, P]) eachAttempt(visit func(job *jobState, tid TaskID, tsk *task, att *attempt)) {
+	for _, job := range sch.jobs {
+		if job.state.Final() {
+			continue
+		}
+		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) { visit(job, tid, tsk, att) })
+	}
+}
+
 // createDue creates the occurrences whose time has come and returns how many it created.
 func (job *jobState) createDue(wall time.Time) int {
 	num := 0
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -48,20 +48,15 @@
 // candidates returns the steps that have tasks to place.
 func (sch *Scheduler[O, P]) candidates(now time.Time) []waiting {
 	var cans []waiting
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
-		}
-		for _, occ := range job.occurrences {
-			for num, stp := range occ.steps {
-				if !occ.turn(num) || !stp.wants(now) {
-					stp.blocked = time.Time{}
-					continue
-				}
-				cans = append(cans, waiting{Candidate: sch.candidate(job, occ, now), job: job, occ: occ, step: num})
+	sch.eachOccurrence(func(job *jobState, occ *occurrence) {
+		for num, stp := range occ.steps {
+			if !occ.turn(num) || !stp.wants(now) {
+				stp.blocked = time.Time{}
+				continue
 			}
+			cans = append(cans, waiting{Candidate: sch.candidate(job, occ, now), job: job, occ: occ, step: num})
 		}
-	}
+	})
 	return cans
 }
 
@@ -209,17 +204,13 @@
 	}
 	var best *instance
 	bestRating := 0.0
-	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != ""
+	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != "" // what excludes a place for this step need not exclude it for others
 	spare := !stp.spec.Lasting() || stp.waitedFor(headroomWait, pln.now) || sch.spare(svc, stp)
 	for _, ins := range sch.instances {
-		if ins.service != svc || !ins.usable(sch.out) || !ins.hasLabel(stp.spec.Label()) {
-			continue
-		}
-		if !ins.health.admits(pln.now) || stp.full(ins.id) || !spare && !ins.roomy(stp) {
-			limited = true
+		if !sch.serves(ins, can.job) {
 			continue
 		}
-		if _, ok := stp.permitted(ins, pln.now); can.job.spec.Advised() && !ok {
+		if !sch.admits(ins, can.job, stp, pln.now) || !spare && !ins.roomy(stp) {
 			limited = true
 			continue
 		}
@@ -244,6 +235,20 @@
 	return best
 }
 
+// serves reports whether an instance takes new tasks of the service of a job.
+func (sch *Scheduler[O, P]) serves(ins *instance, job *jobState) bool {
+	return string(ins.service) == job.spec.Service() && ins.usable(sch.out)
+}
+
+// admits reports whether nothing but a lack of room keeps a task of the step from an instance.
+func (sch *Scheduler[O, P]) admits(ins *instance, job *jobState, stp *stepState, now time.Time) bool {
+	if !ins.hasLabel(stp.spec.Label()) || !ins.health.admits(now) || stp.full(ins.id) {
+		return false
+	}
+	_, permitted := stp.permitted(ins, now)
+	return permitted || !job.spec.Advised()
+}
+
 // An occurrence that has nothing at work for a while starts a filling task wherever there is
 // room: a job that makes slow progress is better than one that stands still. A patient one
 // waits longer, but within the 3 s for which users bear a job that stands still.
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -137,9 +137,11 @@
 	strangerPenalty = 0.3  // for each other serving image, against packing by room
 	servingUse      = 0.55 // part of their reservation that serving tasks use, with the swing of their load
 	minFillerShare  = 0.7  // a filling task that would get less of its processors waits
-	patientHarm     = 0.2  // serving tasks that a patient filling task may bring over their targets
 )
 
+// patientHarm is the number of serving tasks that a patient filling task may bring over their targets.
+const patientHarm = 0.2
+
 // idle returns the processors that nothing uses, in mCPU.
 func (sit Site) idle() float64 {
 	return float64(sit.Free.MilliCPU()-sit.FillCPU) + (1-servingUse)*float64(sit.ServingCPU)
--- a/core/batch/preempt.go
+++ b/core/batch/preempt.go
@@ -86,17 +86,12 @@
 // preempt stops the attempt that costs least among those whose end makes room for a task.
 func (sch *Scheduler[O, P]) preempt(can waiting, stp *stepState, now time.Time) {
 	var best *victim
-	for _, job := range sch.jobs {
-		if job.state.Final() || job.spec.Service() != can.job.spec.Service() {
-			continue
+	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
+		vic := victim{job: job, tid: tid, tsk: tsk, att: att}
+		if sch.mayPreempt(&vic, can, stp, now) && (best == nil || vic.cost < best.cost) {
+			best = &vic
 		}
-		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
-			vic := victim{job: job, tid: tid, tsk: tsk, att: att}
-			if sch.mayPreempt(&vic, can, stp, now) && (best == nil || vic.cost < best.cost) {
-				best = &vic
-			}
-		})
-	}
+	})
 	if best == nil {
 		return
 	}
@@ -110,6 +105,9 @@
 	ins := sch.instance(vic.att.instance)
 	old, _ := vic.job.task(vic.tid)
 	lasts := old.spec.Lasting()
+	if vic.job.spec.Service() != can.job.spec.Service() {
+		return false
+	}
 	if vic.att.stopping || old.spec.Gang() || !ins.usable(sch.out) || !ins.hasLabel(stp.spec.Label()) || stp.full(ins.id) {
 		return false
 	}
--- a/core/batch/relieve.go
+++ b/core/batch/relieve.go
@@ -17,6 +17,38 @@
 	relieveProgress = 60                     // percent; beyond it the task is done before a move has helped much
 )
 
+// Limits of moving filling tasks that may hardly work where they are.
+const (
+	slowShare  = 45                      // percent, below which a task is better off elsewhere
+	slowFor    = 700 * time.Millisecond  // until it is moved
+	moveAgain  = 2500 * time.Millisecond // at work before a task is moved (again)
+	betterPart = 0.5                     // of the disturbance here is the most elsewhere
+)
+
+// moveSlowed stops filling tasks that were slowed down for the sake of serving ones, when
+// they would disturb less on another instance. It answers pauses that would make their jobs late.
+func (sch *Scheduler[O, P]) moveSlowed(now time.Time) {
+	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
+		stp, _ := job.task(tid)
+		if !att.slow(stp, now) {
+			return
+		}
+		least, found := sch.leastDisturbance(job, stp, att, now)
+		if !found || least > betterPart*sch.disturbedBy(sch.instance(att.instance), stp) {
+			return
+		}
+		att.slowSince = time.Time{}
+		sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, "slowed down")
+		sch.stop(job, tid, tsk, att)
+	})
+}
+
+// slow reports whether an attempt was slowed down for a while, and may be moved.
+func (att *attempt) slow(stp *stepState, now time.Time) bool {
+	return stp.spec.Fills() && stp.spec.Checkpointing() && !att.stopping && !att.slowSince.IsZero() &&
+		now.Sub(att.slowSince) >= slowFor && now.Sub(att.working) >= moveAgain
+}
+
 // departure is an attempt that may be moved away.
 type departure struct {
 	job  *jobState
@@ -43,17 +75,12 @@
 	}
 	sch.relievedAt = now
 	best := make(map[fleet.InstanceID]departure)
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
+	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
+		dep, found := sch.departure(job, tid, tsk, att, now)
+		if found && dep.before(best[att.instance]) {
+			best[att.instance] = dep
 		}
-		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
-			dep, found := sch.departure(job, tid, tsk, att, now)
-			if found && dep.before(best[att.instance]) {
-				best[att.instance] = dep
-			}
-		})
-	}
+	})
 	for id, dep := range best {
 		sch.instance(id).relievedAt = now
 		sch.note(now, decision.RunStopped, dep.job.spec.ID(), RunID{Task: dep.tid, Run: dep.att.run}, id, "disturbs serving tasks")
@@ -72,8 +99,9 @@
 	if here < relieveGain {
 		return departure{}, false
 	}
-	gain := here - sch.leastDisturbance(job, stp, att, now)
-	return departure{job: job, tid: tid, tsk: tsk, att: att, gain: gain}, gain >= relieveGain
+	least, found := sch.leastDisturbance(job, stp, att, now)
+	gain := here - least
+	return departure{job: job, tid: tid, tsk: tsk, att: att, gain: gain}, found && gain >= relieveGain
 }
 
 // movable reports whether a filling attempt may be moved without losing work.
@@ -82,16 +110,16 @@
 		now.Sub(att.working) >= relieveAfter && att.percent < relieveProgress
 }
 
-// leastDisturbance returns the disturbance at the best other instance with room.
-func (sch *Scheduler[O, P]) leastDisturbance(job *jobState, stp *stepState, att *attempt, now time.Time) float64 {
-	least := float64(len(sch.instances))
+// leastDisturbance returns the disturbance at the best other instance on which the task
+// of an attempt fits, and whether there is any.
+func (sch *Scheduler[O, P]) leastDisturbance(job *jobState, stp *stepState, att *attempt, now time.Time) (least float64, found bool) {
 	for _, ins := range sch.instances {
-		if ins.id == att.instance || string(ins.service) != job.spec.Service() || !ins.usable(sch.out) || !ins.health.admits(now) {
+		if ins.id == att.instance || !sch.serves(ins, job) || !sch.admits(ins, job, stp, now) || !sch.placement.Fits(sch.need(stp, ins), ins.site()) {
 			continue
 		}
-		if sch.placement.Fits(sch.need(stp, ins), ins.site()) {
-			least = min(least, sch.disturbance(ins, stp))
+		if val := sch.disturbance(ins, stp); !found || val < least {
+			least, found = val, true
 		}
 	}
-	return least
+	return least, found
 }
--- a/core/batch/relieve_test.go
+++ b/core/batch/relieve_test.go
@@ -118,6 +118,13 @@
 		}),
 		Entry("the task would lose its work", func(noisy *workload.StepParams) { noisy.Checkpointing = false },
 			func(dis *disturbed) { dis.hear(report("b", 1)) }),
+		Entry("the only other instance runs as many tasks of the step as may share one", func(noisy *workload.StepParams) { noisy.Count, noisy.PerInstance = 2, 1 },
+			func(dis *disturbed) {
+				dis.hear(report("b", 1))
+				dis.pass(0)
+				dis.store()
+				Expect(dis.orders("b", 1, batch.StartRun)).To(HaveLen(1))
+			}),
 		Entry("the task is nearly done", keep, func(dis *disturbed) {
 			dis.hear(report("b", 1))
 			dis.percent = 80
--- a/core/batch/sharing.go
+++ b/core/batch/sharing.go
@@ -1,9 +1,10 @@
 package batch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
-	"jacinthpost/core/decision"
 	"jacinthpost/core/pacing"
 )
 
@@ -38,55 +39,6 @@
 	ins.serving = smp.Serving
 }
 
-// Limits of moving filling tasks that may hardly work where they are.
-const (
-	slowShare  = 45                      // percent, below which a task is better off elsewhere
-	slowFor    = 700 * time.Millisecond  // until it is moved
-	moveAgain  = 2500 * time.Millisecond // at work before a task is moved (again)
-	betterPart = 0.5                     // of the disturbance here is the most elsewhere
-)
-
-// moveSlowed stops filling tasks that were slowed down for the sake of serving
-// ones, when they would disturb less on another instance.
-func (sch *Scheduler[O, P]) moveSlowed(now time.Time) {
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
-		}
-		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
-			stp, _ := job.task(tid)
-			if !att.slow(stp, now) {
-				return
-			}
-			here := sch.disturbedBy(sch.instance(att.instance), stp)
-			if !sch.betterElsewhere(job, stp, att, here, now) {
-				return
-			}
-			att.slowSince = time.Time{}
-			sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, "slowed down")
-			sch.stop(job, tid, tsk, att)
-		})
-	}
-}
-
-// slow reports whether an attempt was slowed down for a while, and may be moved.
-func (att *attempt) slow(stp *stepState, now time.Time) bool {
-	return stp.spec.Fills() && stp.spec.Checkpointing() && !att.stopping && !att.slowSince.IsZero() &&
-		now.Sub(att.slowSince) >= slowFor && now.Sub(att.working) >= moveAgain
-}
-
-func (sch *Scheduler[O, P]) betterElsewhere(job *jobState, stp *stepState, att *attempt, here float64, now time.Time) bool {
-	for _, ins := range sch.instances {
-		if ins.id == att.instance || string(ins.service) != job.spec.Service() || !ins.usable(sch.out) || !ins.health.admits(now) {
-			continue
-		}
-		if sch.placement.Fits(sch.need(stp, ins), ins.site()) && sch.disturbance(ins, stp) <= betterPart*here {
-			return true
-		}
-	}
-	return false
-}
-
 // disturbance returns how much worse the sharing on an instance becomes by one more
 // task of the step: for a filling task the number of serving tasks that get over their
 // targets, for a serving task the load by what fills.
@@ -96,9 +48,7 @@
 	case stp.spec.Target() > 0:
 		return sch.effects.Load(stp.spec.Image(), use)
 	case stp.spec.Fills():
-		before := sch.effects.Harm(ins.serving, use)
-		use[stp.spec.Image()] += ins.part(stp)
-		return sch.effects.Harm(ins.serving, use) - before
+		return sch.effects.Harm(ins.serving, use.With(stp.spec.Image(), ins.part(stp))) - sch.effects.Harm(ins.serving, use)
 	default:
 		return 0
 	}
@@ -108,18 +58,16 @@
 // of one filling task of the step that is there.
 func (sch *Scheduler[O, P]) disturbedBy(ins *instance, stp *stepState) float64 {
 	use := ins.fillingUse()
-	with := sch.effects.Harm(ins.serving, use)
-	use[stp.spec.Image()] -= ins.part(stp)
-	return with - sch.effects.Harm(ins.serving, use)
+	return sch.effects.Harm(ins.serving, use) - sch.effects.Harm(ins.serving, use.With(stp.spec.Image(), -ins.part(stp)))
 }
 
 // fillingUse returns the part of the processors that filling tasks use at full speed, by image.
-func (ins *instance) fillingUse() map[string]float64 {
-	use := make(map[string]float64, len(ins.filling)+1)
-	for img, cpu := range ins.filling {
-		use[img] = float64(cpu) / ins.whole()
+func (ins *instance) fillingUse() pacing.Uses {
+	uss := make(pacing.Uses, 0, len(ins.filling))
+	for _, img := range slices.Sorted(maps.Keys(ins.filling)) {
+		uss = append(uss, pacing.NewUse(img, float64(ins.filling[img])/ins.whole()))
 	}
-	return use
+	return uss
 }
 
 // part returns the part of the processors that a task of the step uses.
--- a/core/pacing/estimator.go
+++ b/core/pacing/estimator.go
@@ -1,7 +1,6 @@
 package pacing
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -23,12 +22,33 @@
 	largestState = 64
 )
 
+// cause is what a load comes from: a group of serving tasks by itself, or a filling image.
+type cause struct {
+	kind causeKind
+	name string
+}
+
+type causeKind uint8
+
+const (
+	ownLoad causeKind = iota
+	fillingImage
+)
+
+// expected returns the mean and the scatter of the quantity that belongs to a cause before
+// anything is measured.
+func (cse cause) expected() (mean, scatter float64) {
+	if cse.kind == ownLoad {
+		return meanLoad, ownScatter
+	}
+	return unknownEffect, unknownScatter
+}
+
 // unknown is a quantity that is estimated: the own load of a group, or the effect of a filling image.
 type unknown struct {
-	name string
-	own  bool
-	mean float64
-	seen time.Time
+	cause cause
+	mean  float64
+	seen  time.Time
 }
 
 // estimator estimates the own loads of the groups of one serving image and the effects of all
@@ -44,7 +64,7 @@
 // observation is a measured load of a task.
 type observation struct {
 	group     string
-	use       map[string]float64 // of processors, by filling image
+	uses      Uses
 	load      float64
 	saturated bool // the load may be higher
 	at        time.Time
@@ -56,32 +76,30 @@
 	weight float64
 }
 
-func (est *estimator) effect(image string) float64 { return est.value(image, false, unknownEffect) }
+func (est *estimator) effect(image string) float64 { return est.mean(cause{fillingImage, image}) }
 
-func (est *estimator) own(group string) float64 { return est.value(group, true, meanLoad) }
+func (est *estimator) own(group string) float64 { return est.mean(cause{ownLoad, group}) }
 
-func (est *estimator) value(name string, own bool, unseen float64) float64 {
-	if pos := est.find(name, own); pos >= 0 {
+func (est *estimator) mean(cse cause) float64 {
+	if pos := est.find(cse); pos >= 0 {
 		return est.unknowns[pos].mean
 	}
-	return unseen
+	mean, _ := cse.expected()
+	return mean
 }
 
-func (est *estimator) find(name string, own bool) int {
-	return slices.IndexFunc(est.unknowns, func(unk unknown) bool { return unk.own == own && unk.name == name })
+func (est *estimator) find(cse cause) int {
+	return slices.IndexFunc(est.unknowns, func(unk unknown) bool { return unk.cause == cse })
 }
 
 // index returns the position of an unknown. A new one takes the place of the one that was
 // not seen for the longest time when there is no room for more.
-func (est *estimator) index(name string, own bool, now time.Time) int {
-	pos := est.find(name, own)
+func (est *estimator) index(cse cause, now time.Time) int {
+	pos := est.find(cse)
 	if pos < 0 {
 		pos = est.add()
-		mean, scatter := unknownEffect, unknownScatter
-		if own {
-			mean, scatter = meanLoad, ownScatter
-		}
-		est.unknowns[pos] = unknown{name: name, own: own, mean: mean}
+		mean, scatter := cse.expected()
+		est.unknowns[pos] = unknown{cause: cse, mean: mean}
 		for num := range est.cov {
 			est.cov[pos][num], est.cov[num][pos] = 0, 0
 		}
@@ -122,7 +140,7 @@
 	keep := math.Exp(-past / ownMemory.Seconds())
 	for pos := range est.unknowns {
 		unk := &est.unknowns[pos]
-		if !unk.own {
+		if unk.cause.kind == fillingImage {
 			est.cov[pos][pos] = min(unknownScatter*unknownScatter, est.cov[pos][pos]+effectDrift*effectDrift*past)
 			continue
 		}
@@ -138,9 +156,9 @@
 // observe updates the estimates from a measure.
 func (est *estimator) observe(obs observation) {
 	est.advance(obs.at)
-	parts := []part{{pos: est.index(obs.group, true, obs.at), weight: 1}}
-	for _, image := range slices.Sorted(maps.Keys(obs.use)) { // in a fixed order, so that sums repeat
-		parts = append(parts, part{pos: est.index(image, false, obs.at), weight: obs.use[image]})
+	parts := []part{{pos: est.index(cause{ownLoad, obs.group}, obs.at), weight: 1}}
+	for _, use := range obs.uses {
+		parts = append(parts, part{pos: est.index(cause{fillingImage, use.image}, obs.at), weight: use.part})
 	}
 	miss := obs.load
 	for _, prt := range parts {
@@ -171,7 +189,7 @@
 	for num := range est.unknowns {
 		unk := &est.unknowns[num]
 		unk.mean = max(0, unk.mean+shared[num]/total*miss)
-		if !unk.own {
+		if unk.cause.kind == fillingImage {
 			unk.mean = min(largestEffect, unk.mean)
 		}
 		for oth := range est.unknowns {
--- a/core/pacing/model.go
+++ b/core/pacing/model.go
@@ -71,22 +71,11 @@
 	return min(highestLoad, 1-floor/tail)
 }
 
-// use adds up the use of each filling image.
-func (smp Sample) use() map[string]float64 {
-	out := make(map[string]float64)
-	for _, fil := range smp.Filling {
-		if fil.Used > 0 {
-			out[fil.Image] += fil.Used
-		}
-	}
-	return out
-}
-
 // Load returns the load on a serving image by given uses of filling images.
-func (mod *Model) Load(image string, use map[string]float64) float64 {
+func (mod *Model) Load(image string, uss Uses) float64 {
 	sum := 0.0
-	for fil, val := range use {
-		sum += mod.Effect(Pair{Serving: image, Filling: fil}) * val
+	for _, use := range uss {
+		sum += mod.Effect(Pair{Serving: image, Filling: use.image}) * use.part
 	}
 	return sum
 }
@@ -101,10 +90,10 @@
 
 // Learn updates the effects and the own loads from a sample.
 func (mod *Model) Learn(smp Sample, now time.Time) {
-	use := smp.use()
+	uss := smp.uses()
 	for _, srv := range smp.Serving {
 		mod.learnFloor(srv)
-		mod.learnServing(srv, use, now)
+		mod.learnServing(srv, uss, now)
 	}
 }
 
@@ -117,7 +106,7 @@
 	}
 }
 
-func (mod *Model) learnServing(srv Serving, use map[string]float64, now time.Time) {
+func (mod *Model) learnServing(srv Serving, uss Uses, now time.Time) {
 	if srv.Tail <= 0 {
 		return
 	}
@@ -129,30 +118,30 @@
 		est = &estimator{}
 		mod.images[srv.Image] = est
 	}
-	seen := mod.load(srv.Image, srv.Tail)
-	if seen >= saturatedLoad {
-		seen = overLoad
+	obs := observation{group: srv.Group, uses: uss, load: mod.load(srv.Image, srv.Tail), at: now}
+	if obs.load >= saturatedLoad {
+		obs.load, obs.saturated = overLoad, true
 	}
-	est.observe(observation{group: srv.Group, use: use, load: seen, saturated: seen == overLoad, at: now})
+	est.observe(obs)
 }
 
 // Harm returns how many of the serving tasks are expected to be over their targets
 // beside given uses of filling images, counting those that are so for a part of the time
 // as that part.
-func (mod *Model) Harm(srvs []Serving, use map[string]float64) float64 {
+func (mod *Model) Harm(srvs []Serving, uss Uses) float64 {
 	sum := 0.0
 	for _, srv := range srvs {
-		sum += mod.over(srv, use)
+		sum += mod.over(srv, uss)
 	}
 	return sum
 }
 
 // over returns the part of the time in which a serving task is expected to be over its target.
-func (mod *Model) over(srv Serving, use map[string]float64) float64 {
+func (mod *Model) over(srv Serving, uss Uses) float64 {
 	budget := mod.load(srv.Image, srv.Target)
 	if budget <= 0 {
 		budget = unknownBudget
 	}
-	excess := mod.Own(srv) + mod.Load(srv.Image, use) - budget
+	excess := mod.Own(srv) + mod.Load(srv.Image, uss) - budget
 	return min(1, max(0, 0.5+excess/(2*loadScatter)))
 }
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -160,7 +160,7 @@
 	}
 	harm := func(mod *pacing.Model, img string, cpu float64) float64 {
 		srv := []pacing.Serving{{ID: "t", Image: "web", Target: target}}
-		return mod.Harm(srv, map[string]float64{img: cpu})
+		return mod.Harm(srv, pacing.Uses{pacing.NewUse(img, cpu)})
 	}
 
 	DescribeTable("tells a noisy image from a quiet one", func(swing float64) {
@@ -185,6 +185,6 @@
 	})
 
 	It("expects nothing on a worker without serving tasks", func() {
-		Expect(new(pacing.Model).Harm(nil, map[string]float64{"noisy": 1})).To(BeZero())
+		Expect(new(pacing.Model).Harm(nil, pacing.Uses{pacing.NewUse("noisy", 1)})).To(BeZero())
 	})
 })
