--- a/core/interfere/controller.go
+++ b/core/interfere/controller.go
@@ -359,9 +359,13 @@
 }
 
 // harm returns the cost of a class in budgets of the service it hurts most.
+// Idle services are left out: no request is there that could be slow.
 func (con *Controller) harm(run *running) float64 {
 	worst := 0.0
 	for _, mon := range con.monitors {
+		if mon.signal.idle() {
+			continue
+		}
 		worst = max(worst, mon.costs.cost(run.task.class)/mon.budget())
 	}
 	return worst
--- a/core/interfere/interfere_test.go
+++ b/core/interfere/interfere_test.go
@@ -22,6 +22,9 @@
 
 var capacity = resource.New(16_000, 64_000, 0)
 
+// requestRate is the usual number of requests a second.
+const requestRate = 40
+
 // load is one instance with tasks of known noise and a service of known latency.
 type load struct {
 	con     *interfere.Controller
@@ -30,13 +33,14 @@
 	noise   map[string]float64 // slowdown by the whole instance, by task
 	percent map[string]int
 	factor  float64 // latency that no task explains
+	rate    int     // requests a second
 	kinds   map[interfere.Kind]int
 	evicted explain.Reason // of the latest eviction
 }
 
 func newLoad() *load {
 	return &load{
-		con: interfere.NewController(capacity, interfere.NewService("svc", 0)),
+		con: interfere.NewController(capacity, interfere.NewService("svc", 0)), rate: requestRate,
 		rnd: rand.New(rand.NewPCG(1, 1)), now: time.Unix(0, 0), factor: 1,
 		noise: make(map[string]float64), percent: make(map[string]int), kinds: make(map[interfere.Kind]int),
 	}
@@ -56,11 +60,11 @@
 	return sum
 }
 
-// run advances by whole seconds with 40 requests each and carries out the actions.
+// run advances by whole seconds and carries out the actions.
 func (lod *load) run(seconds int) {
 	for range 2 * seconds {
 		lod.now = lod.now.Add(500 * time.Millisecond)
-		for range 20 {
+		for range lod.rate / 2 {
 			latency := 5e6 * lod.factor * math.Exp(0.35*lod.rnd.NormFloat64()) * (1 + lod.slowdown()*lod.rnd.ExpFloat64())
 			lod.con.Request("svc", time.Duration(latency))
 		}
@@ -96,6 +100,22 @@
 	Expect(lod.percent["noisy"]).To(BeNumerically("<", 60), "a class that has become quiet is released")
 })
 
+// Guards against tasks that get a tenth of their processors for the whole of
+// their leases because of a cost that was only assumed, beside a service without
+// requests, and against a service that is not protected once requests come.
+var _ = It("throttles for an idle service only when its requests begin", func() {
+	lod := newLoad()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		lod.start(id, "unknown", 2)
+	}
+	lod.rate = 0
+	lod.run(15)
+	Expect(lod.kinds[interfere.Throttle]).To(BeZero())
+	lod.rate = requestRate
+	lod.run(1)
+	Expect(lod.slowdown()).To(BeNumerically("<", 1.2), "four tasks at full speed slow it down by 2")
+})
+
 // Guards against a wave of evictions when noisy tasks arrive together, and
 // against evictions without checkpoint.
 var _ = It("answers a wave of noisy tasks with throttling and rare evictions", func() {
--- a/core/interfere/signal.go
+++ b/core/interfere/signal.go
@@ -28,6 +28,10 @@
 	tailDensity = 0.103
 	// extremeQuantile is the score at the 99th percentile.
 	extremeQuantile = 2.326
+	// idleRate is the number of requests a second below which a service counts as
+	// idle. A baseline would then take more than three minutes, so throttling for
+	// an assumed cost would hold work up for longer than it protects anybody.
+	idleRate = 1
 	// tailSpread is the standard error of the slowdown signal for one request,
 	// in units of the spread of the latency, found from its two halves.
 	tailSpread = 1.2
@@ -117,6 +121,9 @@
 	return &sig.levels[sig.level]
 }
 
+// idle reports whether the service gets next to no requests.
+func (sig *signal) idle() bool { return sig.rate < idleRate }
+
 // learned reports whether there is a baseline for any request rate.
 func (sig *signal) learned() bool { return sig.base().samples >= learnedSamples }
 
