--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -33,6 +33,10 @@
 	return sch.sizes
 }
 
+// forecastsAfter is when a new owner can predict: by then the instances have reported to it, and it
+// has seen for some seconds how many processors filling tasks use.
+const forecastsAfter = 6 * time.Second
+
 // amount is work, or the rate at which a service carries it out, by what binds it:
 // processors reserved by short tasks, processors used by filling ones, and memory.
 type amount struct {
@@ -77,8 +81,12 @@
 
 // Forecasts predicts by queue what happens to a job that is handed in now. The work of
 // all queues of the same or a higher priority goes before, and drains at the rate that the
-// service has for it. Queues without unfinished jobs are left out.
+// service has for it. Queues without unfinished jobs are left out. A new owner predicts nothing at
+// first: it would take instances that have not reported for lost, and refuse jobs while they stand idle.
 func (sch *Scheduler[O, P]) Forecasts(now time.Time) map[string]admission.Forecast {
+	if now.Sub(sch.since) < forecastsAfter {
+		return nil
+	}
 	queues := sch.backlogs(now)
 	rates := sch.rates()
 	out := make(map[string]admission.Forecast, len(queues))
--- a/core/batch/forecast_test.go
+++ b/core/batch/forecast_test.go
@@ -57,7 +57,15 @@
 	returned time.Duration // the longest time to come back
 }
 
+// newRush returns a service whose owner has known it for a while.
 func newRush() *rush {
+	rsh := newOwnedRush()
+	rsh.load("", 0, 0, 10*time.Second)
+	return rsh
+}
+
+// newOwnedRush returns a service that has a new owner.
+func newOwnedRush() *rush {
 	rsh := &rush{owner: newOwner()}
 	for num := range 2 {
 		rsh.places = append(rsh.places, &place{id: fmt.Sprintf("w%d", num), began: make(map[batch.RunID]time.Time)})
@@ -141,6 +149,15 @@
 		Expect(rsh.Forecasts(rsh.now)).To(BeEmpty(), "unfinished jobs")
 	})
 
+	// Guards against refusals while workers stand idle that have not reported to a new owner yet.
+	It("refuses nothing for some seconds after a takeover, and then what is too late", func() {
+		rsh := newOwnedRush()
+		rsh.load("q", 0, 12, 5*time.Second)
+		Expect(rsh.refused).To(BeZero())
+		rsh.load("q", 0, 12, 5*time.Second)
+		Expect(rsh.refused).To(BeNumerically(">", 0))
+	})
+
 	// Guards against urgent work that is refused for a backlog behind it.
 	It("refuses no urgent job for a backlog of others", func() {
 		rsh := newRush()
