--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -17,6 +17,8 @@
 	JobSubmitted      Kind = "jobSubmitted"
 	JobCancelled      Kind = "jobCancelled"
 	JobFinished       Kind = "jobFinished"
+	QueueRefuses      Kind = "queueRefuses"
+	QueueAccepts      Kind = "queueAccepts"
 	RunAssigned       Kind = "runAssigned"
 	RunEnded          Kind = "runEnded"
 	RunStopped        Kind = "runStopped"
--- /dev/null
+++ b/io/batchowner/load.go
@@ -0,0 +1,79 @@
+package batchowner
+
+import (
+	"bytes"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthpost/core/admission"
+	"jacinthpost/core/decision"
+	"jacinthpost/io/batchstore"
+	"jacinthpost/io/jobaccess"
+)
+
+const (
+	loadPeriod = 300 * time.Millisecond // between two looks at the load
+	// refusalRepeat is well within the time after which entries drop a refusal.
+	refusalRepeat = jobaccess.RefusalValidity / 3
+	refusalStep   = 500 * time.Millisecond // smaller changes of the time to come back are not stored
+)
+
+// loadRow decides when the load is published to the entries.
+type loadRow struct {
+	data     []byte    // as last stored
+	at       time.Time // when it was stored
+	seen     time.Time // when the load was worked out last
+	refusing map[string]time.Duration
+}
+
+// stored notes that the load was published.
+func (row *loadRow) stored(data []byte, at time.Time) { row.data, row.at = data, at }
+
+// next returns the load to publish, nil when the stored one will do. Refusals are
+// stored again now and then, because entries drop old ones.
+func (row *loadRow) next(sch *Scheduler, now time.Time, log *zap.Logger) []byte {
+	if now.Sub(row.seen) < loadPeriod {
+		return nil
+	}
+	row.seen = now
+	lod := batchstore.Load{Pending: sch.Pending(), Refuse: make(map[string]int64)}
+	fcts := sch.Forecasts(now)
+	refusing := admission.Refusals(admission.Useful{}, fcts)
+	for queue, after := range refusing {
+		lod.Refuse[queue] = after.Round(refusalStep).Milliseconds()
+	}
+	row.note(refusing, fcts, log)
+	for svc, sizes := range sch.Sizes(now) {
+		lod.SetSizes(svc, sizes)
+	}
+	data := batchstore.Encode(lod)
+	repeat := len(lod.Refuse) > 0 && now.Sub(row.at) >= refusalRepeat
+	if bytes.Equal(data, row.data) && !repeat {
+		return nil
+	}
+	return data
+}
+
+// note logs the queues that begin to refuse jobs, with what is predicted, and those that accept again.
+func (row *loadRow) note(refusing map[string]time.Duration, fcts map[string]admission.Forecast, log *zap.Logger) {
+	for queue, after := range refusing {
+		if _, already := row.refusing[queue]; !already {
+			log.Info(string(decision.QueueRefuses), append(forecastFields(queue, fcts[queue]), zap.Duration("retryAfter", after))...)
+		}
+	}
+	for queue := range row.refusing {
+		if _, still := refusing[queue]; !still {
+			log.Info(string(decision.QueueAccepts), forecastFields(queue, fcts[queue])...)
+		}
+	}
+	row.refusing = refusing
+}
+
+// forecastFields returns the inputs of a refusal. They are zero for a queue without unfinished jobs.
+func forecastFields(queue string, fct admission.Forecast) []zap.Field {
+	return []zap.Field{
+		zap.String("queue", queue), zap.Duration("wait", fct.Wait), zap.Duration("chain", fct.Chain),
+		zap.Duration("objective", fct.Objective), zap.Duration("blocked", fct.Blocked),
+	}
+}
--- /dev/null
+++ b/io/batchowner/load_test.go
@@ -0,0 +1,78 @@
+package batchowner
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/decision"
+	"jacinthpost/core/workload"
+	"jacinthpost/io/batchstore"
+)
+
+// shutService is a service without any worker, so that its jobs find no place.
+type shutService struct {
+	scheduler *Scheduler
+	now       time.Time
+}
+
+func newShutService() *shutService {
+	now := time.Unix(1_700_000_000, 0)
+	return &shutService{scheduler: batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, batch.Options{}, now), now: now}
+}
+
+func (svc *shutService) submit(id string) {
+	GinkgoHelper()
+	job, err := workload.New(workload.JobParams{
+		ID: id, Queue: "q", Service: "svc", MaxAttempts: 1, Stretch: 2, Steps: []workload.StepParams{{Count: 1, MilliCPU: 100, MemoryMB: 1}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	svc.scheduler.Submit(job, svc.now)
+}
+
+// pass plans twice a second, as the owner does more often.
+func (svc *shutService) pass(dur time.Duration) {
+	for end := svc.now.Add(dur); svc.now.Before(end); {
+		svc.now = svc.now.Add(500 * time.Millisecond)
+		svc.scheduler.Tick(svc.now, svc.now)
+		svc.scheduler.Plan(svc.now)
+	}
+}
+
+var _ = Describe("the published load", func() {
+	// Guards against a forecast with each transaction, of which there are thirty a second.
+	It("is worked out now and then", func() {
+		svc := newShutService()
+		var row loadRow
+		svc.submit("a")
+		lod, err := batchstore.DecodeLoad(row.next(svc.scheduler, svc.now, zap.NewNop()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lod.Pending).To(HaveKeyWithValue("q", 1))
+		svc.submit("b")
+		Expect(row.next(svc.scheduler, svc.now.Add(loadPeriod/2), zap.NewNop())).To(BeNil())
+		Expect(row.next(svc.scheduler, svc.now.Add(loadPeriod), zap.NewNop())).NotTo(BeNil())
+	})
+
+	// Guards against refusals that on-call can't explain: the line at the entry names no prediction.
+	It("logs what was predicted when a queue begins to refuse, once, and when it accepts again", func() {
+		cor, logs := observer.New(zap.InfoLevel)
+		svc := newShutService()
+		var row loadRow
+		svc.submit("a")
+		svc.pass(10 * time.Second)
+		for range 3 {
+			row.stored(row.next(svc.scheduler, svc.now, zap.New(cor)), svc.now)
+			svc.pass(500 * time.Millisecond)
+		}
+		refusals := logs.FilterMessage(string(decision.QueueRefuses)).AllUntimed()
+		Expect(refusals).To(HaveLen(1))
+		Expect(refusals[0].ContextMap()).To(And(HaveKey("wait"), HaveKey("objective"), HaveKey("blocked"), HaveKeyWithValue("queue", "q")))
+		svc.scheduler.Cancel("a", svc.now)
+		Expect(row.next(svc.scheduler, svc.now, zap.New(cor))).NotTo(BeNil())
+		Expect(logs.FilterMessage(string(decision.QueueAccepts)).Len()).To(Equal(1))
+	})
+})
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -1,20 +1,17 @@
 package batchowner
 
 import (
-	"bytes"
 	"context"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
-	"jacinthpost/core/admission"
 	"jacinthpost/core/batch"
 	"jacinthpost/core/store"
 	"jacinthpost/core/upkeep"
 	"jacinthpost/io/batchstore"
 	"jacinthpost/io/control"
-	"jacinthpost/io/jobaccess"
 	"jacinthpost/io/lead"
 )
 
@@ -22,11 +19,7 @@
 	// batchJobs leaves room for the owner row, the load and removed states in the 100 entries of a transaction.
 	batchJobs   = 70
 	removedJobs = 20
-	loadPeriod  = 300 * time.Millisecond
 	writeRetry  = 30 * time.Millisecond
-	// refusalRepeat is well within the time after which entries drop a refusal.
-	refusalRepeat = jobaccess.RefusalValidity / 3
-	refusalStep   = 500 * time.Millisecond // smaller changes of the time to come back are not stored
 	// releaseLimit bounds the last transaction of a process that stops.
 	releaseLimit = 600 * time.Millisecond
 )
@@ -50,9 +43,8 @@
 // writer is the state of the writing goroutine.
 type writer struct {
 	*reign
-	load     []byte // as last stored
-	presence []byte // the same
-	loadAt   time.Time
+	load     loadRow
+	presence []byte // as last stored
 	written  time.Time
 	sequence uint64
 	failed   bool // the last call failed, so the next one waits a little
@@ -99,38 +91,17 @@
 
 // next plans and takes what is to be stored.
 func (wrt *writer) next(ctx context.Context) (change, error) {
-	withLoad := wrt.cfg.Clock().Sub(wrt.loadAt) >= loadPeriod
 	return control.Query(ctx, wrt.loop, func(sch *Scheduler, now time.Time) change {
 		sch.Plan(now)
 		num := min(removedJobs, len(wrt.removed))
 		chg := change{batch: sch.Take(batchJobs), removed: wrt.removed[:num:num], waves: wrt.maintenance.planner.Take()}
 		wrt.removed = wrt.removed[num:]
 		chg.presence = wrt.changedPresence(sch, now)
-		if withLoad {
-			chg.load = wrt.changedLoad(sch, now)
-		}
+		chg.load = wrt.load.next(sch, now, wrt.cfg.Log)
 		return chg
 	})
 }
 
-// changedLoad returns the load to publish, nil when the stored one will do. Refusals are
-// stored again now and then, because entries drop old ones.
-func (wrt *writer) changedLoad(sch *Scheduler, now time.Time) []byte {
-	lod := batchstore.Load{Pending: sch.Pending(), Refuse: make(map[string]int64)}
-	for queue, after := range admission.Refusals(admission.Useful{}, sch.Forecasts(now)) {
-		lod.Refuse[queue] = after.Round(refusalStep).Milliseconds()
-	}
-	for svc, sizes := range sch.Sizes(now) {
-		lod.SetSizes(svc, sizes)
-	}
-	data := batchstore.Encode(lod)
-	repeat := len(lod.Refuse) > 0 && now.Sub(wrt.loadAt) >= refusalRepeat
-	if bytes.Equal(data, wrt.load) && !repeat {
-		return nil
-	}
-	return data
-}
-
 // store commits a change. It returns an error only when the ownership is lost.
 func (wrt *writer) store(ctx context.Context, chg change) error {
 	sent := wrt.cfg.Clock()
@@ -142,7 +113,7 @@
 		wrt.version = res.Version()
 		wrt.confirmed.Store(sent.UnixNano())
 		if chg.load != nil {
-			wrt.load, wrt.loadAt = chg.load, wrt.written
+			wrt.load.stored(chg.load, wrt.written)
 		}
 		if chg.presence != nil {
 			wrt.presence = batchstore.Encode(batchstore.FromPresence(*chg.presence))
