--- a/cmd/jacinthpost/main.go
+++ b/cmd/jacinthpost/main.go
@@ -49,7 +49,7 @@
 		},
 		Commands: []*cli.Command{
 			entryCommand(), agentCommand(), settingsCommand(),
-			requestCommand(), jobCommand(), watchCommand(), reportCommand(),
+			requestCommand(), jobCommand(), watchCommand(), queueCommand(), reportCommand(),
 			ticketCommand(), stateCommand(), endpointCommand(), dataCentreCommand(),
 			explainCommand(), auditCommand(), traceCommand(), logsCommand(), simulateCommand(), platform.Command(),
 		},
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -5,10 +5,12 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/workload"
 )
 
 // Queue is a named queue of jobs.
@@ -60,6 +62,23 @@
 // Queues returns all queues.
 func (cat *Catalog) Queues() []Queue { return cat.queues }
 
+// Queue returns the queue of a name.
+func (cat *Catalog) Queue(name string) (Queue, bool) {
+	pos := slices.IndexFunc(cat.queues, func(que Queue) bool { return que.Name == name })
+	if pos < 0 {
+		return Queue{}, false
+	}
+	return cat.queues[pos], true
+}
+
+// Apply returns the values of a job that is handed in to the queue with the queue's policy.
+func (que Queue) Apply(par workload.JobParams) workload.JobParams {
+	par.Queue, par.Service, par.Priority = que.Name, string(que.Service), que.Priority
+	par.MaxAttempts, par.Stretch, par.Advised = que.MaxAttempts, que.Stretch, que.Advised
+	par.TargetLatencyMillis = float64(que.TargetLatency) / float64(time.Millisecond)
+	return par
+}
+
 // Match returns the queue with the longest prefix of the path among those of the
 // host, and the rest of the path.
 func (cat *Catalog) Match(host, path string) (que Queue, rest string, found bool) {
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -70,8 +70,13 @@
 	registerFleet(mux, prt.Fleet)
 	registerAudit(mux, prt.Audit)
 	registerExplain(mux, prt.Explain)
+	return wrap(mux)
+}
+
+// wrap counts calls and refuses ambiguous headers.
+func wrap(handler http.Handler) http.Handler {
 	ngr := negroni.New(negroni.HandlerFunc(countCalls), negroni.HandlerFunc(refuseRepeatedHeaders))
-	ngr.UseHandler(mux)
+	ngr.UseHandler(handler)
 	return ngr
 }
 
