Log when serving tasks are over their targets, and what was known of the tasks beside them

Agents log the begin and the end of each violation now. The assignment of a best-effort task has its image, the expected violations, whether its effect had been measured, why it was placed and the urgency of its job. jacinthpost logs report adds the time over target up by cause, job, instance and pair of images.

--- a/cmd/jacinthpost/logreport.go
+++ b/cmd/jacinthpost/logreport.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +86,9 @@
 	for _, ele := range sum.Elections() {
 		fmt.Fprintf(out, "\nowner elected on %s at +%s, nothing was assigned for %s around it\n", ele.Node, short(ele.At.Sub(from)), short(ele.AssignmentGap))
 	}
+	if err := printOverTarget(out, sum.OverTarget()); err != nil {
+		return err
+	}
 	return printSlowest(out, sum, from)
 }
 
@@ -125,6 +131,38 @@
 	return table(out, []string{"JOB", "HANDED IN", "TOOK", "IDLE", "RUNS", "STATE"}, rows)
 }
 
+// topRows is the number of jobs, instances and pairs of images that printOverTarget names.
+const topRows = 8
+
+func printOverTarget(out io.Writer, ovr history.OverTarget) error {
+	if ovr.Total() == 0 {
+		return nil
+	}
+	fmt.Fprintf(out, "\nserving tasks over their targets: %s, %s of it repeated; any task of a job %s, any task on an instance %s\n",
+		short(ovr.Total()), short(ovr.Repeated()), short(ovr.Jobs()), short(ovr.Instances()))
+	pairs := make(map[string]time.Duration, len(ovr.ByPair()))
+	for par, val := range ovr.ByPair() {
+		pairs[par.Serving+" beside "+par.BestEffort] = val
+	}
+	var rows [][]string
+	rows = append(rows, longest("cause", ovr.Causes())...)
+	rows = append(rows, longest("most urgent job beside", ovr.Urgencies())...)
+	rows = append(rows, longest("job", ovr.ByJob())...)
+	rows = append(rows, longest("instance", ovr.ByInstance())...)
+	rows = append(rows, longest("images", pairs)...)
+	return table(out, []string{"BY", "", "OVER TARGET"}, rows)
+}
+
+// longest returns rows for the entries with the longest times.
+func longest[K ~string](title string, times map[K]time.Duration) [][]string {
+	keys := slices.SortedFunc(maps.Keys(times), func(fst, snd K) int { return cmp.Or(cmp.Compare(times[snd], times[fst]), cmp.Compare(fst, snd)) })
+	rows := make([][]string, 0, topRows)
+	for _, key := range keys[:min(topRows, len(keys))] {
+		rows = append(rows, []string{title, string(key), short(times[key])})
+	}
+	return rows
+}
+
 // summaryTimes are times in JSON, in milliseconds.
 type summaryTimes struct {
 	Count int     `json:"count"`
@@ -137,6 +175,31 @@
 	return summaryTimes{Count: val.Count, Half: toMillis(val.P50), Most: toMillis(val.P95), Last: toMillis(val.P99)}
 }
 
+// overTargetTimes is the time over target in JSON, in milliseconds.
+type overTargetTimes struct {
+	Total     float64            `json:"totalMillis"`
+	Repeated  float64            `json:"repeatedMillis"`
+	Jobs      float64            `json:"jobsMillis"`
+	Instances float64            `json:"instancesMillis"`
+	Causes    map[string]float64 `json:"causeMillis"`
+	Urgencies map[string]float64 `json:"urgencyMillis"`
+}
+
+func toOverTargetTimes(ovr history.OverTarget) overTargetTimes {
+	return overTargetTimes{
+		Total: toMillis(ovr.Total()), Repeated: toMillis(ovr.Repeated()), Jobs: toMillis(ovr.Jobs()), Instances: toMillis(ovr.Instances()),
+		Causes: millisByName(ovr.Causes()), Urgencies: millisByName(ovr.Urgencies()),
+	}
+}
+
+func millisByName[K ~string](times map[K]time.Duration) map[string]float64 {
+	out := make(map[string]float64, len(times))
+	for key, val := range times {
+		out[string(key)] = toMillis(val)
+	}
+	return out
+}
+
 func printSummaryJSON(out io.Writer, sum history.Summary) error {
 	type queue struct {
 		Name   string         `json:"name"`
@@ -166,15 +229,16 @@
 	}
 	from, to := sum.Span()
 	return encodeIndented(out, struct {
-		From      time.Time          `json:"from"`
-		To        time.Time          `json:"to"`
-		Queues    []queue            `json:"queues"`
-		HandedIn  map[string]int     `json:"handedIn"`
-		Ends      map[string]int     `json:"ends"`
-		Stops     map[string]int     `json:"stops"`
-		Losses    map[string]int     `json:"losses"`
-		Gaps      map[string]float64 `json:"gapMillis"`
-		Elections int                `json:"elections"`
-		Slowest   []slow             `json:"slowest"`
-	}{from, to, ques, sum.HandedIn(), sum.Ends(), sum.Stops(), sum.Disruptions(), gaps, len(sum.Elections()), slows})
+		From       time.Time          `json:"from"`
+		To         time.Time          `json:"to"`
+		Queues     []queue            `json:"queues"`
+		HandedIn   map[string]int     `json:"handedIn"`
+		Ends       map[string]int     `json:"ends"`
+		Stops      map[string]int     `json:"stops"`
+		Losses     map[string]int     `json:"losses"`
+		Gaps       map[string]float64 `json:"gapMillis"`
+		Elections  int                `json:"elections"`
+		OverTarget overTargetTimes    `json:"overTarget"`
+		Slowest    []slow             `json:"slowest"`
+	}{from, to, ques, sum.HandedIn(), sum.Ends(), sum.Stops(), sum.Disruptions(), gaps, len(sum.Elections()), toOverTargetTimes(sum.OverTarget()), slows})
 }
--- a/core/batch/interference.go
+++ b/core/batch/interference.go
@@ -63,6 +63,18 @@
 	return sch.interferenceModel.ExpectedViolations(ins.serving, use) - sch.interferenceModel.ExpectedViolations(ins.serving, use.With(stp.spec.Image(), -ins.cpuFraction(stp)))
 }
 
+// unmeasured returns the number of serving images on an instance for which the effect of the step's
+// image was never measured.
+func (sch *Scheduler[O, P]) unmeasured(ins *instance, stp *stepState) int {
+	num := 0
+	for img := range ins.servingImages {
+		if !sch.interferenceModel.Measured(pacing.Pair{Serving: img, BestEffort: stp.spec.Image()}) {
+			num++
+		}
+	}
+	return num
+}
+
 // bestEffortUses returns the fraction of the CPU that best-effort tasks use at full speed, by
 // image.
 func (ins *instance) bestEffortUses() pacing.Uses {
--- a/core/batch/note.go
+++ b/core/batch/note.go
@@ -18,6 +18,51 @@
 	ID       RunID
 	Instance fleet.InstanceID
 	Detail   string
+	Image    string           // of the run, set for assignments only
+	Placed   *PlacementRecord // set for assignments of best-effort tasks only
+}
+
+// PlacementRecord is what was known when a best-effort task was placed.
+type PlacementRecord struct {
+	Reason       PlacementReason
+	Urgency      Urgency
+	Interference float64 // expected number of serving tasks that exceed their targets because of the task
+	Unmeasured   int     // serving images on the instance for which the effect of the task's image was never measured
+}
+
+// PlacementReason is the reason why a best-effort task was placed although it might interfere.
+type PlacementReason string
+
+// Reasons of placements, from the strongest to the weakest.
+const (
+	PlacedHarmless PlacementReason = "harmless" // no more than tolerated interference was expected
+	PlacedStarved  PlacementReason = "starved"  // the job had no run for a while
+	PlacedNoSlack  PlacementReason = "noSlack"  // the job had no time to wait
+)
+
+func (asg Assignment) reason() PlacementReason {
+	switch {
+	case asg.Interference <= maxInterferenceWithSlack:
+		return PlacedHarmless
+	case asg.Starved:
+		return PlacedStarved
+	default:
+		return PlacedNoSlack
+	}
+}
+
+// noteAssignment records the assignment of a run.
+func (sch *Scheduler[O, P]) noteAssignment(stp *stepState, rid RunID, cho choice, now time.Time) {
+	if len(sch.notes) >= maxNotes {
+		return
+	}
+	note := Note{At: now, Kind: decision.RunAssigned, Job: rid.Task.Job, ID: rid, Instance: cho.instance.id, Image: stp.spec.Image()}
+	if stp.spec.BestEffort() {
+		note.Placed = &PlacementRecord{
+			Reason: cho.assignment.reason(), Urgency: cho.urgency, Interference: cho.assignment.Interference, Unmeasured: sch.unmeasured(cho.instance, stp),
+		}
+	}
+	sch.notes = append(sch.notes, note)
 }
 
 // maxNotes limits the notes between two calls of Notes. Further ones are dropped.
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/resource"
 )
@@ -135,8 +134,8 @@
 		if !tsk.ready(pln.now) && !stp.needsCopy(tsk) {
 			continue
 		}
-		ins := sch.chooseInstance(pln, can, stp, tsk)
-		if ins == nil {
+		cho := sch.chooseInstance(pln, can, stp, tsk)
+		if cho.instance == nil {
 			sch.recordBlocked(can, stp, pln.now)
 			if len(tsk.failedOn) == 0 {
 				break // the tasks of a step are identical, so the others would find no instance either
@@ -144,7 +143,7 @@
 			continue
 		}
 		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
-		sch.assign(can.job, stp, tsk, tid, ins, tsk.run+1, pln.now)
+		sch.assign(can.job, stp, tsk, tid, cho, tsk.run+1, pln.now)
 		num++
 	}
 	return num
@@ -162,14 +161,14 @@
 	checkpoint := stp.checkpoint()
 	var placed []TaskID
 	for idx, tsk := range stp.tasks {
-		ins := sch.chooseInstance(pln, can, stp, tsk)
-		if ins == nil {
+		cho := sch.chooseInstance(pln, can, stp, tsk)
+		if cho.instance == nil {
 			sch.unplace(can.job, placed)
 			return 0
 		}
 		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
 		tsk.checkpoint = checkpoint
-		sch.assign(can.job, stp, tsk, tid, ins, run+1, pln.now)
+		sch.assign(can.job, stp, tsk, tid, cho, run+1, pln.now)
 		placed = append(placed, tid)
 	}
 	return len(placed)
@@ -196,17 +195,25 @@
 	return ""
 }
 
-// chooseInstance returns the instance with the lowest cost for a task, or nil when there is none.
-func (sch *Scheduler[O, P]) chooseInstance(pln *planner, can waitingStep, stp *stepState, tsk *task) *instance {
+// choice is the instance chosen for a task, with the data that decided. The instance is nil if there
+// is none.
+type choice struct {
+	instance   *instance
+	assignment Assignment
+	urgency    Urgency
+	cost       float64
+}
+
+// chooseInstance returns the instance with the lowest cost for a task.
+func (sch *Scheduler[O, P]) chooseInstance(pln *planner, can waitingStep, stp *stepState, tsk *task) choice {
 	asg := Assignment{Resources: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), BestEffort: stp.spec.BestEffort()}
 	slack := can.hasSlack()
 	starved := sch.starved(can.occ, stp, slack, pln.now)
 	svc := fleet.Service(can.job.spec.Service())
 	if !starved && pln.knownUnplaceable(svc, asg) {
-		return nil
+		return choice{}
 	}
-	var best *instance
-	bestCost := 0.0
+	var best choice
 	// The planner must not learn from this step if an instance that it excludes may suit other steps.
 	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != ""
 	headroom := !stp.spec.LongRunning() || stp.blockedFor(headroomWait, pln.now) || sch.keepsHeadroom(svc, stp)
@@ -229,11 +236,11 @@
 			continue
 		}
 		cost := sch.placement.Cost(asg, ins.info())
-		if best == nil || cost < bestCost || cost == bestCost && ins.id < best.id {
-			best, bestCost = ins, cost
+		if best.instance == nil || cost < best.cost || cost == best.cost && ins.id < best.instance.id {
+			best = choice{instance: ins, assignment: asg, urgency: can.urgency(), cost: cost}
 		}
 	}
-	if best == nil && !limited {
+	if best.instance == nil && !limited {
 		pln.markUnplaceable(svc, asg)
 	}
 	return best
@@ -333,7 +340,8 @@
 }
 
 // assign creates a run of a task on an instance. The start order is sent after the job is stored.
-func (sch *Scheduler[O, P]) assign(job *jobState, stp *stepState, tsk *task, tid TaskID, ins *instance, run int, now time.Time) {
+func (sch *Scheduler[O, P]) assign(job *jobState, stp *stepState, tsk *task, tid TaskID, cho choice, run int, now time.Time) {
+	ins := cho.instance
 	tsk.run = run
 	tsk.phase = Active
 	tsk.attempts = append(tsk.attempts, &attempt{run: run, instance: ins.id, incarnation: ins.incarnation, orderedAt: now})
@@ -348,7 +356,7 @@
 		ord.Authorization, _ = stp.permitted(ins, now)
 	}
 	job.orders = append(job.orders, pendingOrder{instance: ins.id, session: ins.session, order: ord})
-	sch.note(now, decision.RunAssigned, job.spec.ID(), rid, ins.id, "")
+	sch.noteAssignment(stp, rid, cho, now)
 	sch.markDirty(job)
 }
 
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -24,17 +24,28 @@
 	Now            time.Time
 }
 
-// urgency returns the rank of a candidate: 0 for jobs that can be on time, 1 for those that will be
-// late, 2 for those whose results will have no value.
-func (can Candidate) urgency() int {
+// Urgency tells what the result of a job will be worth. Lower values are more urgent.
+type Urgency int
+
+// Urgencies of jobs.
+const (
+	OnTime    Urgency = iota // the job can be on time
+	Late                     // it will be late
+	Worthless                // its result will have no value
+)
+
+// String returns the name of the urgency in the decision log.
+func (urg Urgency) String() string { return [...]string{"onTime", "late", "worthless"}[urg] }
+
+func (can Candidate) urgency() Urgency {
 	end := can.Now.Add(can.Remaining)
 	switch {
 	case !end.After(can.Deadline):
-		return 0
+		return OnTime
 	case !end.After(can.WorthlessAfter):
-		return 1
+		return Late
 	default:
-		return 2
+		return Worthless
 	}
 }
 
--- a/core/batch/slack_test.go
+++ b/core/batch/slack_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/decision"
 	"jacinthpost/core/workload"
 )
 
@@ -58,6 +59,26 @@
 		Expect(starts(ics)).To(Equal(1))
 	})
 
+	// Guards against logs that don't tell why a serving task was disturbed.
+	It("are noted with what was known when they were placed", func() {
+		placedOf := func(ics *interferenceCase, job string) *batch.PlacementRecord {
+			GinkgoHelper()
+			for _, note := range ics.Notes() {
+				if note.Kind == decision.RunAssigned && note.Job == job {
+					return note.Placed
+				}
+			}
+			Fail("job " + job + " has no assignment")
+			return nil
+		}
+		first := placedOf(newInterferenceCase(func(*workload.StepParams) {}), "noisy")
+		Expect(*first).To(And(HaveField("Unmeasured", 1), HaveField("Urgency", batch.OnTime)))
+		ics := caseWithNext(time.Second)
+		ics.store()
+		Expect(*placedOf(ics, "next")).To(And(HaveField("Reason", batch.PlacedNoSlack), HaveField("Unmeasured", 0), HaveField("Interference", BeNumerically(">", 0.5))))
+		Expect(placedOf(newInterferenceCase(func(*workload.StepParams) {}), "watch")).To(BeNil())
+	})
+
 	It("start at once on an instance without serving tasks", func() {
 		ics := caseWithNext(10 * time.Second)
 		ics.receive(report("b", 1))
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -111,6 +111,7 @@
 	maxLeaseEnd  time.Duration // latest end ever requested, in the worker's clock
 	answeredAt   time.Time     // last answer of the worker
 	pace         pacing.Controller
+	violations   []pacing.Change // not yet returned by Violations
 	calls        []Call
 }
 
@@ -209,7 +210,7 @@
 	hst.lastEnd, hst.forgettable, hst.lastOrder = 0, 0, 0
 	hst.clock, hst.maxLeaseEnd = clock{}, 0
 	hst.answeredAt = time.Time{}
-	hst.pace = pacing.New(hst.options.MaxViolation)
+	hst.pace, hst.violations = pacing.New(hst.options.MaxViolation), nil
 	hst.calls = nil
 }
 
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -133,7 +133,7 @@
 			}
 		}
 	})
-	hst.pace.Observe(smp, now)
+	hst.violations = append(hst.violations, hst.pace.Observe(smp, now)...)
 	hst.setPaces(now)
 }
 
@@ -169,6 +169,14 @@
 	rn.share = unknownShare
 }
 
+// Violations removes and returns the beginnings and ends of violations of latency targets since the
+// last call.
+func (hst *Host) Violations() []pacing.Change {
+	out := hst.violations
+	hst.violations = nil
+	return out
+}
+
 // Pausing reports whether best-effort runs are paused to protect a serving run.
 func (hst *Host) Pausing() bool { return hst.pace.Share() == pacing.PausedShare }
 
--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -36,6 +36,8 @@
 	CallNotAccepted Kind = "workerCallNotAccepted"
 	FillingPaused   Kind = "fillingPaused"
 	FillingResumed  Kind = "fillingResumed"
+	TargetExceeded  Kind = "targetExceeded" // the tail latency of a serving task rose over its target
+	TargetMet       Kind = "targetMet"      // it is within its target again, or the task is gone
 )
 
 // Changes of processes, owners, workers, feeds and settings, written by the process that observes
@@ -73,4 +75,13 @@
 	KeyReason   = "reason"
 	KeyQueue    = "queue"
 	KeyTook     = "took"
+	KeyImage    = "image"
+)
+
+// Keys of the fields that RunAssigned lines of best-effort tasks have in addition.
+const (
+	KeyPlaced       = "placed"       // why the place was accepted
+	KeyUrgency      = "urgency"      // of the job
+	KeyInterference = "interference" // number of serving tasks expected to exceed their targets because of the run
+	KeyUnmeasured   = "unmeasured"   // number of serving images on the instance for which the effect of the image was never measured
 )
--- a/core/history/history.go
+++ b/core/history/history.go
@@ -33,6 +33,8 @@
 	Reason   string
 	Detail   string
 	Took     time.Duration // duration of the request, zero for other lines
+	Image    string
+	Placed   Placed // of assignments of best-effort runs
 }
 
 // isAbout reports whether the line is about a job or one of its tasks.
--- a/core/history/summary.go
+++ b/core/history/summary.go
@@ -20,6 +20,7 @@
 	disruptions map[string]int
 	from, to    time.Time
 	progress    []Count
+	overTarget  OverTarget
 }
 
 // Queue holds totals over the jobs of one queue.
@@ -79,6 +80,7 @@
 	sum.slowest = slowest(traces)
 	sum.elections = elections(tml.lines)
 	sum.progress = progress(traces, sum.from, sum.to)
+	sum.overTarget = tml.overTarget()
 	return sum
 }
 
@@ -114,6 +116,9 @@
 // Progress returns the number of waiting and running jobs at regular intervals.
 func (sum Summary) Progress() []Count { return sum.progress }
 
+// OverTarget returns the time in which serving tasks were over their targets.
+func (sum Summary) OverTarget() OverTarget { return sum.overTarget }
+
 // traces returns the traces of all jobs, ordered by their first lines.
 func (tml Timeline) traces() []Trace {
 	var order []string
--- a/core/pacing/model.go
+++ b/core/pacing/model.go
@@ -63,6 +63,12 @@
 	return priorEffect
 }
 
+// Measured reports whether the effect of a pair has been measured.
+func (mod *Model) Measured(par Pair) bool {
+	est := mod.estimators[par.Serving]
+	return est != nil && est.findVariable(source{bestEffortImage, par.BestEffort}) >= 0
+}
+
 // load returns the load at which a serving image has the given tail latency.
 func (mod *Model) load(image string, tail float64) float64 {
 	floor := mod.unloadedTails[image]
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -15,7 +15,11 @@
 // The types must be used from one goroutine at a time. Their zero values are ready to use.
 package pacing
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Limits of the controller.
 const (
@@ -50,6 +54,7 @@
 
 // violation is a period in which the tail latency of a serving task is over its target.
 type violation struct {
+	task          ServingTask
 	since         time.Time
 	withinSamples int // consecutive samples within the target
 }
@@ -72,12 +77,38 @@
 	return FullShare
 }
 
-// Observe updates the share from a sample.
-func (con *Controller) Observe(smp Sample, now time.Time) {
-	if con.violations = updateViolations(con.violations, smp, now); anyLongerThan(con.violations, con.violationLimit(), now) {
+// Change reports that a violation of the target of a serving task began, or that it ended or the task
+// is gone.
+type Change struct {
+	Task  ServingTask
+	Began bool
+}
+
+// Observe updates the share from a sample and returns the violations that began or ended with it,
+// ordered by task.
+func (con *Controller) Observe(smp Sample, now time.Time) []Change {
+	old := con.violations
+	if con.violations = updateViolations(old, smp, now); anyLongerThan(con.violations, con.violationLimit(), now) {
 		con.pausedUntil = now.Add(pauseDuration)
 	}
 	con.pausing = now.Before(con.pausedUntil)
+	return changes(old, con.violations)
+}
+
+func changes(old, current map[string]violation) []Change {
+	var out []Change
+	for id, vio := range old {
+		if _, found := current[id]; !found {
+			out = append(out, Change{Task: vio.task})
+		}
+	}
+	for id, vio := range current {
+		if _, found := old[id]; !found {
+			out = append(out, Change{Task: vio.task, Began: true})
+		}
+	}
+	slices.SortFunc(out, func(fst, snd Change) int { return cmp.Compare(fst.Task.ID, snd.Task.ID) })
+	return out
 }
 
 func (con *Controller) violationLimit() time.Duration {
@@ -116,6 +147,7 @@
 				continue
 			}
 		}
+		vio.task = srv
 		out[srv.ID] = vio
 	}
 	return out
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -134,6 +134,22 @@
 		}
 	})
 
+	// Guards against logs that don't tell when a serving task was over its target.
+	It("returns the violations that begin and end with a sample", func() {
+		var ctl pacing.Controller
+		now := time.Unix(0, 0)
+		observe := func(tasks ...pacing.ServingTask) []pacing.Change {
+			now = now.Add(sampleInterval)
+			return ctl.Observe(pacing.Sample{Serving: tasks}, now)
+		}
+		within, over := pacing.ServingTask{ID: "a", TailMillis: 10, TargetMillis: target}, pacing.ServingTask{ID: "a", TailMillis: 2 * target, TargetMillis: target}
+		other := pacing.ServingTask{ID: "b", TailMillis: 2 * target, TargetMillis: target}
+		Expect(observe(within)).To(BeEmpty())
+		Expect(observe(over, other)).To(Equal([]pacing.Change{{Task: over, Began: true}, {Task: other, Began: true}}))
+		Expect(observe(over, other)).To(BeEmpty())
+		Expect(observe(within)).To(Equal([]pacing.Change{{Task: over}, {Task: other}}), "one is within its target, the other is gone")
+	})
+
 	It("does not pause best-effort tasks without serving tasks", func() {
 		var ctl pacing.Controller
 		ctl.Observe(pacing.Sample{BestEffort: []pacing.BestEffortTask{{Image: "noisy", Used: 1, Demand: 1}}}, time.Unix(0, 0))
@@ -163,6 +179,13 @@
 		return mod.ExpectedViolations(srv, pacing.Uses{pacing.NewUse(img, cpu)})
 	}
 
+	It("knows which pairs were measured", func() {
+		mod := measured(0)
+		Expect(mod.Measured(pacing.Pair{Serving: "web", BestEffort: "noisy"})).To(BeTrue())
+		Expect(mod.Measured(pacing.Pair{Serving: "web", BestEffort: "never run"})).To(BeFalse())
+		Expect(mod.Measured(pacing.Pair{Serving: "never run", BestEffort: "noisy"})).To(BeFalse())
+	})
+
 	DescribeTable("learns a larger effect for a noisy image than for a quiet one", func(amplitude float64) {
 		mod := measured(amplitude)
 		Expect(mod.Effect(pacing.Pair{Serving: "web", BestEffort: "noisy"})).To(BeNumerically(">", 1.5))
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -8,6 +8,7 @@
 
 	"jacinthpost/core/batchhost"
 	"jacinthpost/core/decision"
+	"jacinthpost/core/pacing"
 	"jacinthpost/io/control"
 )
 
@@ -76,6 +77,7 @@
 func (agt *Agent) applyListing(ctx context.Context, lst batchhost.Listing) int {
 	return changeFor(ctx, agt, func(sta *state, _ time.Time) int {
 		num := sta.host.ApplyListing(lst)
+		agt.logViolations(sta.host.Violations())
 		if pausing := sta.host.Pausing(); pausing != sta.pausing {
 			sta.pausing = pausing
 			knd := decision.FillingResumed
@@ -88,6 +90,17 @@
 	})
 }
 
+func (agt *Agent) logViolations(changes []pacing.Change) {
+	for _, chg := range changes {
+		knd := decision.TargetMet
+		if chg.Began {
+			knd = decision.TargetExceeded
+		}
+		agt.log.Info(string(knd), zap.String(decision.KeyJob, chg.Task.Group), zap.String(decision.KeyTask, chg.Task.ID),
+			zap.String(decision.KeyInstance, string(agt.id)), zap.String(decision.KeyImage, chg.Task.Image))
+	}
+}
+
 // awaitStored waits up to storeTimeout until the owner has stored all ends. The worker would list ends
 // that are not stored again at once.
 func (agt *Agent) awaitStored(ctx context.Context) {
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/store"
 	"jacinthpost/io/batchrpc"
@@ -362,6 +364,13 @@
 	if note.Instance != "" {
 		fields = append(fields, zap.String("instance", string(note.Instance)))
 	}
+	if note.Image != "" {
+		fields = append(fields, zap.String(decision.KeyImage, note.Image))
+	}
+	if plc := note.Placed; plc != nil {
+		fields = append(fields, zap.String(decision.KeyPlaced, string(plc.Reason)), zap.Stringer(decision.KeyUrgency, plc.Urgency),
+			zap.Float64(decision.KeyInterference, math.Round(plc.Interference*100)/100), zap.Int(decision.KeyUnmeasured, plc.Unmeasured))
+	}
 	if note.Detail != "" {
 		fields = append(fields, zap.String("detail", note.Detail))
 	}
--- a/io/logfile/logfile.go
+++ b/io/logfile/logfile.go
@@ -97,18 +97,23 @@
 		return history.Line{}, false
 	}
 	var bdy struct {
-		Time     time.Time     `json:"time"`
-		Message  decision.Kind `json:"message"`
-		Node     string        `json:"node"`
-		Job      string        `json:"job"`
-		Task     string        `json:"task"`
-		Run      int           `json:"run"`
-		Instance string        `json:"instance"`
-		Queue    string        `json:"queue"`
-		Outcome  string        `json:"outcome"`
-		Reason   string        `json:"reason"`
-		Detail   string        `json:"detail"`
-		Took     float64       `json:"took"` // milliseconds
+		Time         time.Time     `json:"time"`
+		Message      decision.Kind `json:"message"`
+		Node         string        `json:"node"`
+		Job          string        `json:"job"`
+		Task         string        `json:"task"`
+		Run          int           `json:"run"`
+		Instance     string        `json:"instance"`
+		Queue        string        `json:"queue"`
+		Outcome      string        `json:"outcome"`
+		Reason       string        `json:"reason"`
+		Detail       string        `json:"detail"`
+		Took         float64       `json:"took"` // milliseconds
+		Image        string        `json:"image"`
+		Placed       string        `json:"placed"`
+		Urgency      string        `json:"urgency"`
+		Interference float64       `json:"interference"`
+		Unmeasured   int           `json:"unmeasured"`
 	}
 	if json.Unmarshal(raw[begin:], &bdy) != nil || bdy.Message == "" || bdy.Time.IsZero() {
 		return history.Line{}, false
@@ -116,6 +121,7 @@
 	return history.Line{
 		At: bdy.Time, Node: bdy.Node, Kind: bdy.Message, Job: bdy.Job, Task: bdy.Task, Run: bdy.Run, Instance: bdy.Instance,
 		Queue: bdy.Queue, Outcome: bdy.Outcome, Reason: bdy.Reason, Detail: bdy.Detail,
-		Took: time.Duration(bdy.Took * float64(time.Millisecond)),
+		Took: time.Duration(bdy.Took * float64(time.Millisecond)), Image: bdy.Image,
+		Placed: history.Placed{Reason: bdy.Placed, Urgency: bdy.Urgency, Interference: bdy.Interference, Unmeasured: bdy.Unmeasured},
 	}, true
 }
--- a/io/logfile/logfile_test.go
+++ b/io/logfile/logfile_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jacinthpost/core/decision"
+	"jacinthpost/core/history"
 	"jacinthpost/internal/specs"
 	"jacinthpost/io/logfile"
 	"jacinthpost/io/telemetry"
@@ -58,6 +59,13 @@
 			HaveField("Queue", "q"), HaveField("Outcome", "answered"), HaveField("Took", 40*time.Millisecond)))
 	})
 
+	It("reads what was known when a best-effort task was placed", func() {
+		lines := read(strings.Replace(line, "}", `,"image":"x","placed":"noSlack","urgency":"late","interference":0.42,"unmeasured":2}`, 1)).Lines()
+		Expect(lines).To(HaveLen(1))
+		Expect(lines[0]).To(And(HaveField("Image", "x"),
+			HaveField("Placed", history.Placed{Reason: "noSlack", Urgency: "late", Interference: 0.42, Unmeasured: 2})))
+	})
+
 	It("reads folders, and names a file that is missing", func() {
 		dir := GinkgoT().TempDir()
 		Expect(os.WriteFile(filepath.Join(dir, "one.log"), []byte(line), 0o600)).To(Succeed())
