--- a/core/simulation/pattern.go
+++ b/core/simulation/pattern.go
@@ -10,9 +10,12 @@
 type Pattern struct {
 	Name     string
 	Duration time.Duration
-	Bursts   []Burst
-	Outages  []Outage
-	Crashes  []Crash
+	// LongRunningJobs is the number of long-running jobs that are submitted at the start, in place of
+	// Class.InitialJobs. Zero leaves that.
+	LongRunningJobs int
+	Bursts          []Burst
+	Outages         []Outage
+	Crashes         []Crash
 }
 
 // Burst multiplies the arrival rate of a class for a period.
@@ -42,6 +45,7 @@
 		{Name: "crash", Duration: day, Crashes: []Crash{{Workers: 3, At: 10 * time.Second, Downtime: 6 * time.Second}}},
 		{Name: "out", Duration: day, Outages: []Outage{{At: 8 * time.Second, Duration: 12 * time.Second}},
 			Bursts: []Burst{{Class: batch, Factor: 1.4, At: 10 * time.Second, Duration: 6 * time.Second}}},
+		{Name: "crowded", Duration: day, LongRunningJobs: 11, Bursts: []Burst{{Class: batch, Factor: 2.2, At: 10 * time.Second, Duration: 10 * time.Second}}},
 	}
 }
 
@@ -55,11 +59,18 @@
 	return 1
 }
 
+func (pat Pattern) initialJobs(cls Class) int {
+	if cls.LongRunning && pat.LongRunningJobs > 0 {
+		return pat.LongRunningJobs
+	}
+	return cls.InitialJobs
+}
+
 // arrivals draws the jobs of a pattern, ordered by time.
 func (pat Pattern) arrivals(dep Deployment, rng *rand.Rand) []arrival {
 	var out []arrival
 	for class, cls := range dep.Classes {
-		for range cls.InitialJobs {
+		for range pat.initialJobs(cls) {
 			out = append(out, dep.drawJob(rng, len(out), class, 0))
 		}
 		for at := time.Duration(0); at < pat.Duration; at += Step {
--- a/core/simulation/result.go
+++ b/core/simulation/result.go
@@ -42,6 +42,7 @@
 	servingFraction float64
 	wastedWork      time.Duration // of jobs that were complete too late
 	responses       []time.Duration
+	credits         []jobCredit
 }
 
 // Name returns the name of the class.
@@ -71,6 +72,13 @@
 // ran within their latency target.
 func (cls ClassResult) ServingFraction() float64 { return cls.servingFraction }
 
+// Credit returns the fraction of their credit that the long-running jobs earned. See credit.
+func (cls ClassResult) Credit() float64 { return earnedFraction(cls.credits) }
+
+// LargestCredit returns the lower one of the fractions of their credit that the largest tenth of the
+// long-running jobs and the next fifth earned.
+func (cls ClassResult) LargestCredit() float64 { return largestEarnedFraction(cls.credits) }
+
 // Wait returns a quantile of the times from the last attempt to submit a job to its first start.
 func (cls ClassResult) Wait(fraction float64) time.Duration { return quantile(cls.waits, fraction) }
 
@@ -104,19 +112,33 @@
 
 // countServingTime adds a step to the task times of the long-running jobs.
 func (rn *Run[O, P, A]) countServingTime() {
-	for _, jb := range rn.arrivals {
-		if jb.accepted && rn.deployment.Classes[jb.class].LongRunning {
-			jb.expectedTime += Step * time.Duration(jb.params.Steps[0].Count)
-		}
-	}
 	for _, wrk := range rn.workers {
 		for rid, run := range wrk.runs {
-			within := run.order.Target == 0 || run.tailMillis <= float64(run.order.Target)/float64(time.Millisecond)
-			if run.order.LongRunning && run.percent >= 100 && within {
-				rn.jobs[rid.Task.Job].servedTime += Step
+			if run.order.LongRunning && run.percent >= 100 {
+				rn.jobs[rid.Task.Job].addServingTime(run)
 			}
 		}
 	}
+	for _, jb := range rn.arrivals {
+		if !jb.accepted || !rn.deployment.Classes[jb.class].LongRunning {
+			continue
+		}
+		tasks := jb.params.Steps[0].Count
+		jb.expectedTime += Step * time.Duration(tasks)
+		if rn.now%creditPeriod < Step {
+			jb.credit.endPeriod(tasks)
+		}
+	}
+}
+
+// addServingTime adds a step of a run that is at work.
+func (jb *job) addServingTime(run *run) {
+	if run.order.Target > 0 && run.tailMillis > float64(run.order.Target)/float64(time.Millisecond) {
+		jb.credit.over += Step
+		return
+	}
+	jb.servedTime += Step
+	jb.credit.within += Step
 }
 
 func (rn *Run[O, P, A]) result() Result {
@@ -134,6 +156,7 @@
 			if !jb.accepted {
 				cls.refused++
 			}
+			cls.credits = append(cls.credits, jb.weighedCredit())
 			continue
 		}
 		cls.addJob(jb)
@@ -198,4 +221,5 @@
 	cls.servingFraction += oth.servingFraction / runs
 	cls.waits = append(cls.waits, oth.waits...)
 	cls.responses = append(cls.responses, oth.responses...)
+	cls.credits = append(cls.credits, oth.credits...)
 }
--- a/core/simulation/run.go
+++ b/core/simulation/run.go
@@ -33,6 +33,7 @@
 	endedAt      time.Duration
 	servedTime   time.Duration // task time of a long-running job within its latency target
 	expectedTime time.Duration // task time of a long-running job since it was accepted
+	credit       credit
 	started      bool
 }
 
--- a/core/simulation/simulation_test.go
+++ b/core/simulation/simulation_test.go
@@ -102,6 +102,20 @@
 				Expect(deadline[batchClass].OnTime()).To(BeNumerically(">", arrival[batchClass].OnTime()))
 			})
 
+			// Guards against best-effort tasks that keep most serving tasks over their targets, and the
+			// large serving jobs more than the others, when more batch work arrives than can run beside
+			// them. At most 60% of what is owed may fail, and the largest jobs must be served at least
+			// half as often as all (bayou scale-1, seed 11: SHORT).
+			It("keeps serving jobs served when batch work arrives faster than it can run beside them", func() {
+				for seed := range uint64(seeds) {
+					res := simulation.New(dep, pattern(dep, "crowded"), seed+1, batch.DeadlineOrder{}, batch.SpreadPlacement{}, admission.RefuseLate{}).Run()
+					got, found := res.Class("watch")
+					Expect(found).To(BeTrue())
+					Expect(got.Credit()).To(BeNumerically(">=", 0.4), "seed %d", seed+1)
+					Expect(got.LargestCredit()).To(BeNumerically(">=", got.Credit()/2), "seed %d", seed+1)
+				}
+			})
+
 			// Guards against jobs that are lost with their workers or during the outage of a data centre.
 			DescribeTable("completes accepted jobs", func(name string) {
 				got := simulateDefault(dep, pattern(dep, name))
