Place serving tasks on empty instances rather than beside another image

Cause: an instance with several serving images is a bad place for nearly every best-effort image, because a few pairs in ten disturb. The cost of another image (0.3) was less than what packing saves, so packing mixed images while instances were empty.

The cost is 1.0 now, that of an empty instance.

--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -155,8 +155,9 @@
 	// interferencePenalty gives an instance on which 0.5 serving tasks exceed their targets the
 	// cost of a full one.
 	interferencePenalty = 2.0
-	// otherImagePenalty applies for each other serving image. It is weighed against packing by free CPU.
-	otherImagePenalty = 0.3
+	// otherImagePenalty applies for each other serving image. Packing alone saves less, so an empty
+	// instance is preferred to one with another image.
+	otherImagePenalty = 1.0
 	// servingUseFraction is the fraction of their reservation that serving tasks use, including the
 	// fluctuations of their load.
 	servingUseFraction = 0.55
