--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -20,6 +20,11 @@
 	MaxStepTasks    = 1500 // keeps the stored state of a job below the store's row size limit
 	MaxTasks        = 1500 // in one occurrence, for the same reason
 	MaxOccurrences  = 1000
+	// maxMillis bounds durations, about 31 years, so that sums of them don't overflow. MaxAmount bounds the
+	// resources of a task for the same reason.
+	maxMillis  = 1e12
+	maxAmount  = 1 << 40
+	maxStretch = 1e6
 )
 
 // StepParams are the parameters of a step. A zero value means unset.
@@ -149,6 +154,9 @@
 	if len(par.Steps) == 0 || len(par.Steps) > MaxSteps {
 		return Job{}, fmt.Errorf("steps: got %d, expected 1 to %d", len(par.Steps), MaxSteps)
 	}
+	if !(par.TargetLatencyMillis >= 0 && par.TargetLatencyMillis <= maxMillis) || !(par.Stretch >= 0 && par.Stretch <= maxStretch) {
+		return Job{}, fmt.Errorf("targetLatencyMillis, stretch: got %g and %g, expected 0 to %g and 0 to %g", par.TargetLatencyMillis, par.Stretch, maxMillis, maxStretch)
+	}
 	if par.Occurrences < 0 || par.Occurrences > MaxOccurrences {
 		return Job{}, fmt.Errorf("occurrences: got %d, expected 0 to %d", par.Occurrences, MaxOccurrences)
 	}
@@ -171,8 +179,17 @@
 	if par.Count < 1 || par.Count > MaxStepTasks {
 		return fmt.Errorf("count: got %d, expected 1 to %d", par.Count, MaxStepTasks)
 	}
-	if !resource.New(par.MilliCPU, par.MemoryMB, par.Accelerators).Valid() {
-		return fmt.Errorf("resources: got a negative amount, expected zero or more")
+	need := resource.New(par.MilliCPU, par.MemoryMB, par.Accelerators)
+	if !need.Valid() || !need.FitsIn(resource.New(maxAmount, maxAmount, maxAmount)) {
+		return fmt.Errorf("resources: got %v, expected amounts from 0 to %d", need, maxAmount)
+	}
+	for name, val := range map[string]float64{"estimateMillis": par.EstimateMillis, "targetMillis": par.TargetMillis} {
+		if !(val >= 0 && val <= maxMillis) {
+			return fmt.Errorf("%s: got %g, expected 0 to %g", name, val, maxMillis)
+		}
+	}
+	if par.PerInstance < 0 || par.MaxUnavailable < 0 {
+		return fmt.Errorf("perInstance, mayMiss: got %d and %d, expected zero or more", par.PerInstance, par.MaxUnavailable)
 	}
 	for _, prv := range par.Dependencies {
 		if prv < 0 || prv >= num {
