Restore beside rows of the owner that can't be decoded

A state, presence or wave row that could not be decoded made each new owner give the partition up, so no job was scheduled again. An owner row that could not be decoded led to a takeover with epoch 1, which no agent follows after a higher one.

A job whose state can't be decoded is left alone, because starting it could run tasks twice. Without a presence the longest wait for silent instances applies. The epoch after an owner row that can't be decoded is above the row's version, which bounds all former epochs. State rows are also checked for values that no owner stores.

--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 
 	"jacinthpost/core/fleet"
@@ -60,6 +61,36 @@
 // JobRecord.Places.
 type AttemptRecord [2]int
 
+// Check returns an error if the record holds a value that no owner stores.
+func (rec JobRecord) Check() error {
+	known := []JobState{"", JobQueued, JobRunning, JobCompleted, JobFailed, JobCancelled}
+	if !slices.Contains(known, rec.State) || rec.NextDue < 0 {
+		return fmt.Errorf("state %q, next occurrence %d", rec.State, rec.NextDue)
+	}
+	for _, occ := range rec.Occurrences {
+		for _, stp := range occ.Steps {
+			for _, tsk := range stp {
+				if err := tsk.check(len(rec.Places)); err != nil {
+					return fmt.Errorf("occurrence %d: %w", occ.Number, err)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (rec TaskRecord) check(places int) error {
+	if rec.Phase < Waiting || rec.Phase > TaskFailed || rec.Run < 0 || rec.Failures < 0 {
+		return fmt.Errorf("task in phase %d with run %d and %d failures", rec.Phase, rec.Run, rec.Failures)
+	}
+	for _, att := range rec.Attempts {
+		if att[0] < 0 || att[1] < 0 || att[1] >= places {
+			return fmt.Errorf("run %d at place %d of %d", att[0], att[1], places)
+		}
+	}
+	return nil
+}
+
 func (job *jobState) record() JobRecord {
 	rec := JobRecord{ID: job.spec.ID(), Queue: job.spec.Queue(), State: job.state, NextDue: job.nextDue}
 	if job.state.Final() && !job.hasAttempts() {
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -38,6 +37,7 @@
 	loop         *control.Loop[Scheduler]
 	scheduler    *Scheduler                 // used only by the control thread once that runs
 	inherited    map[string]batch.JobRecord // stored states of jobs that are not restored yet
+	unreadable   map[string]bool            // jobs whose stored states can't be decoded; starting them could run tasks again
 	jobs         *follow.Follower
 	directives   *follow.Follower
 	ready        chan struct{} // closed when all jobs are restored
@@ -93,12 +93,16 @@
 	}
 	osp.scheduler.RestorePresence(prs) // safe, because the control thread does not run yet
 	osp.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
+	osp.unreadable = make(map[string]bool)
 	for _, row := range all.Rows() {
+		id := osp.cfg.Partition.ParseStateKey(row.Key())
 		rec, err := batchstore.DecodeState(row.Value())
 		if err != nil {
-			return errors.Wrap(err, row.Key())
+			osp.cfg.Log.Error("cannot decode the state of a job; the job is left as it is", zap.String("job", id), zap.Error(err))
+			osp.unreadable[id] = true
+			continue
 		}
-		osp.inherited[osp.cfg.Partition.ParseStateKey(row.Key())] = rec
+		osp.inherited[id] = rec
 	}
 	return nil
 }
@@ -147,6 +151,9 @@
 		return
 	}
 	id, cancel := osp.cfg.Partition.ParseJobKey(row.Key())
+	if osp.unreadable[id] {
+		return
+	}
 	if cancel {
 		sch.Cancel(id, now)
 		return
--- a/io/batchowner/presence.go
+++ b/io/batchowner/presence.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"jacinthpost/core/batch"
 	"jacinthpost/core/fleet"
 	"jacinthpost/io/batchstore"
@@ -18,7 +20,12 @@
 		return batch.Presence{}, err
 	}
 	prs, err := batchstore.DecodePresence(rows[0].Value())
-	return prs.Core(), err
+	if err != nil {
+		// Without a presence no instance counts as silent, so the longest wait applies to all.
+		osp.cfg.Log.Error("cannot decode the presence of the instances", zap.Error(err))
+		return batch.Presence{}, nil
+	}
+	return prs.Core(), nil
 }
 
 // changedPresence returns the presence to store, nil if it equals the stored one.
--- a/io/batchowner/upkeep.go
+++ b/io/batchowner/upkeep.go
@@ -94,8 +94,9 @@
 			err = json.Unmarshal(row.Value(), &prg)
 		}
 		if err != nil {
+			// The list of machines and the service's answers to repeated requests tell what was done.
 			mnt.cfg.Log.Error("cannot decode the progress of a wave", zap.String("key", row.Key()), zap.Error(err))
-			return false
+			continue
 		}
 		stored[num] = prg
 	}
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -192,7 +192,15 @@
 
 // DecodeState decodes the state of a job.
 func DecodeState(data []byte) (batch.JobRecord, error) {
-	return decode[batch.JobRecord](data, "state row")
+	var rec batch.JobRecord
+	err := json.Unmarshal(data, &rec)
+	if err == nil {
+		err = rec.Check()
+	}
+	if err != nil {
+		return batch.JobRecord{}, errors.Wrap(err, "state row")
+	}
+	return rec, nil
 }
 
 // DecodeJob decodes an accepted job.
--- a/io/lead/lead.go
+++ b/io/lead/lead.go
@@ -149,6 +149,7 @@
 	if row.Exists() {
 		if own, err = batchstore.DecodeOwner(row.Value()); err != nil {
 			ele.log.Warn("cannot decode the owner row", zap.Error(err))
+			own = batchstore.Owner{}
 		}
 	}
 	ele.recordRow(row, own, now)
@@ -187,7 +188,12 @@
 // takeOver replaces the row and reports whether it did. If the outcome is unknown, it reads the row again.
 func (ele *Elector) takeOver(ctx context.Context, row store.Row, old batchstore.Owner) (Term, bool, error) {
 	own := ele.self
+	// Agents follow only higher epochs. If the row can't be decoded, its version is an upper bound of all
+	// former epochs, because each of them began with a transaction.
 	own.Epoch, own.Sequence = old.Epoch+1, 1
+	if row.Exists() && old.Epoch == 0 {
+		own.Epoch = uint64(row.Version()) + 1
+	}
 	var txn store.Transaction
 	txn.Require(ele.part.OwnerKey(), row.Version())
 	txn.Put(ele.part.OwnerKey(), batchstore.Encode(own))
--- a/io/lead/lead_test.go
+++ b/io/lead/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +58,18 @@
 		Expect(took).To(BeNumerically("<", lead.TakeoverAfter))
 	})
 
+	// Guards against an epoch below former ones, which no agent follows.
+	It("takes over a row that can't be decoded with an epoch above all former ones", func(ctx SpecContext) {
+		tab := &storefake.Store{}
+		for seq := range uint64(6) {
+			write(ctx, tab, row("other", 5, seq, false))
+		}
+		write(ctx, tab, []byte(strings.Repeat("[", 20_000)))
+		trm, _, won := elect(ctx, tab, 5*time.Second)
+		Expect(won).To(BeTrue())
+		Expect(trm.Owner().Epoch).To(BeNumerically(">", 5))
+	})
+
 	It("takes over a row that does not change, with a higher epoch", func(ctx SpecContext) {
 		tab := &storefake.Store{}
 		write(ctx, tab, row("other", 4, 9, false))
