--- a/core/batch/durations.go
+++ b/core/batch/durations.go
@@ -46,9 +46,7 @@
 // that are done, or if there are none, the queue's average weighted with the declared estimate.
 func (dur *durations) predict(queue string, stp *stepState) time.Duration {
 	if len(stp.doneTimes) > 0 {
-		took := slices.Clone(stp.doneTimes)
-		slices.Sort(took)
-		return took[len(took)/2]
+		return stp.doneTimes[len(stp.doneTimes)/2]
 	}
 	est := stp.spec.Estimate().Seconds()
 	mean, found := dur.means[durationKey(queue, stp.spec)]
@@ -64,6 +62,12 @@
 	}
 }
 
+// addDoneTime adds the run time of a task that is done.
+func (stp *stepState) addDoneTime(took time.Duration) {
+	pos, _ := slices.BinarySearch(stp.doneTimes, took)
+	stp.doneTimes = slices.Insert(stp.doneTimes, pos, took)
+}
+
 func seconds(val float64) time.Duration { return time.Duration(val * float64(time.Second)) }
 
 // Limits after which a run counts as overdue, because the run hangs or its worker is slow.
@@ -75,15 +79,15 @@
 
 // handleOverdue finds runs that take far longer than predicted and runs their tasks elsewhere.
 func (sch *Scheduler[O, P]) handleOverdue(now time.Time) {
-	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		stp, _ := job.task(tid)
-		if sch.overdue(job, stp, att, now) {
-			sch.moveOverdue(job, stp, tid, tsk, att, now)
+	sch.eachAttempt(func(att *attempt) {
+		if sch.overdue(att, now) {
+			sch.moveOverdue(att, now)
 		}
 	})
 }
 
-func (sch *Scheduler[O, P]) overdue(job *jobState, stp *stepState, att *attempt, now time.Time) bool {
+func (sch *Scheduler[O, P]) overdue(att *attempt, now time.Time) bool {
+	stp := att.step
 	if att.overdue || att.stopping || att.workingSince.IsZero() || stp.spec.LongRunning() || stp.spec.BestEffort() || stp.spec.Gang() {
 		return false
 	}
@@ -91,24 +95,25 @@
 	if len(stp.doneTimes) > 1 {
 		factor = overdueFactor
 	}
-	limit := time.Duration(factor)*sch.runTimes.predict(job.spec.Queue(), stp) + overdueSlack
+	limit := time.Duration(factor)*sch.runTimes.predict(att.job.spec.Queue(), stp) + overdueSlack
 	return now.Sub(att.workingSince) > limit
 }
 
 // moveOverdue marks an overdue run, so that a speculative task gets a second copy on another
 // instance. It stops the run of other tasks. A task that has failed or was moved before is not
 // moved again.
-func (sch *Scheduler[O, P]) moveOverdue(job *jobState, stp *stepState, tid TaskID, tsk *task, att *attempt, now time.Time) {
+func (sch *Scheduler[O, P]) moveOverdue(att *attempt, now time.Time) {
 	att.overdue = true
-	ins := sch.instance(att.instance)
+	ins, tsk := sch.instance(att.instance), att.task
+	sch.open(att.step)
 	if tsk.failedOnInstance(ins.id) || len(tsk.failedOn) > 0 {
 		return
 	}
-	sch.countFailure(ins, job, now)
+	sch.countFailure(ins, att.job, now)
 	tsk.failedOn = appendRecent(tsk.failedOn, ins.id)
-	if stp.spec.Speculative() {
+	if att.step.spec.Speculative() {
 		return
 	}
-	sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "overdue")
-	sch.stop(job, tid, tsk, att)
+	sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), ins.id, "overdue")
+	sch.stop(att)
 }
--- a/core/batch/evacuation.go
+++ b/core/batch/evacuation.go
@@ -10,27 +10,28 @@
 // SetEvacuating sets the workers to evacuate before maintenance of their machines. They get no new
 // runs, and their tasks are moved away. All other workers may get runs again.
 func (sch *Scheduler[O, P]) SetEvacuating(selected func(Incarnation) bool) {
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		evacuating := ins.incarnation != "" && selected(ins.incarnation)
-		if ins.evacuating && !evacuating {
+		if ins.evacuating != evacuating {
+			ins.evacuating = evacuating
+			sch.touch(ins)
 			sch.planned = false
 		}
-		ins.evacuating = evacuating
 	}
 }
 
 // Load returns the number of runs on the workers whose incarnations match.
 func (sch *Scheduler[O, P]) Load(matches func(Incarnation) bool) upkeep.Load {
 	var lod upkeep.Load
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		if !matches(ins.incarnation) {
 			continue
 		}
-		sch.eachAttemptOn(ins.id, func(job *jobState, tid TaskID, _ *task, att *attempt) {
+		ins.eachAttempt(func(att *attempt) {
 			if att.incarnation != ins.incarnation {
 				return
 			}
-			if stp, _ := job.task(tid); stp.spec.LongRunning() {
+			if att.step.spec.LongRunning() {
 				lod.LongRunning++
 			} else {
 				lod.Short++
@@ -44,18 +45,18 @@
 // budgets allow, and those with checkpoints, because they lose no work. Other tasks run to their
 // end.
 func (sch *Scheduler[O, P]) evacuate(now time.Time) {
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		if !ins.evacuating {
 			continue
 		}
-		sch.eachAttemptOn(ins.id, func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-			stp, _ := job.task(tid)
-			if att.stopping || stp.spec.Gang() || job.state.Final() {
+		ins.eachAttempt(func(att *attempt) {
+			stp := att.step
+			if att.stopping || stp.spec.Gang() || att.job.state.Final() {
 				return
 			}
-			if stp.spec.LongRunning() && stp.mayStop(tsk, now) || !stp.spec.LongRunning() && stp.spec.Checkpointing() {
-				sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "upkeep")
-				sch.stop(job, tid, tsk, att)
+			if stp.spec.LongRunning() && stp.mayStop(att.task, now) || !stp.spec.LongRunning() && stp.spec.Checkpointing() {
+				sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), ins.id, "upkeep")
+				sch.stop(att)
 			}
 		})
 	}
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -164,15 +164,15 @@
 // CPU, because best-effort tasks pause to protect serving tasks.
 func (sch *Scheduler[O, P]) updateBestEffortUse() {
 	used := make(map[fleet.Service]float64)
-	sch.eachAttempt(func(job *jobState, tid TaskID, _ *task, att *attempt) {
-		if stp, _ := job.task(tid); stp.spec.BestEffort() {
-			used[fleet.Service(job.spec.Service())] += att.measurement
+	sch.eachAttempt(func(att *attempt) {
+		if att.step.spec.BestEffort() {
+			used[fleet.Service(att.job.spec.Service())] += att.measurement
 		}
 	})
 	if sch.bestEffortUse == nil {
 		sch.bestEffortUse = make(map[fleet.Service]float64)
 	}
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		if _, found := sch.bestEffortUse[ins.service]; !found {
 			sch.bestEffortUse[ins.service] = 0
 		}
@@ -220,7 +220,7 @@
 // below minBestEffortFraction of the idle CPU.
 func (sch *Scheduler[O, P]) rates() map[fleet.Service]workVector {
 	out := make(map[fleet.Service]workVector)
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		if !ins.usable(sch.excluded) {
 			continue
 		}
--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -33,15 +33,21 @@
 	servingImages     map[string]int       // number of serving tasks by image
 	bestEffortPaused  bool                 // best-effort tasks were paused in the last report
 	serving           []pacing.ServingTask // measurements of the serving tasks in the last report
-	runs              int
+	attempts          []*attempt
 	movedAt           time.Time // when a best-effort task was last moved away
 	appliedEvents     uint64    // sequence number of the last applied event
 	unstoredEvents    []uint64
 	orders            []Order // not yet acknowledged by the agent
 	orderSeq          uint64
 	health            health
-	changed           bool           // the outbox has changed since the last call of Changed
-	orphans           map[RunID]bool // runs without an attempt that were ordered to stop
+	changed           bool            // contained in Scheduler.changed
+	orphans           map[RunID]bool  // runs without an attempt that were ordered to stop
+	version           uint64          // of the data on which placements depend, see Scheduler.touch
+	admitted          bool            // the health admitted runs at the last tick
+	uses              pacing.Uses     // of the best-effort images
+	usesKnown         bool            // uses is of the present attempts and capacity
+	prospect          pacing.Prospect // of the serving tasks
+	prospectKnown     bool            // prospect is of the present measurements and uses
 }
 
 // free returns the resources that are not reserved.
@@ -57,19 +63,36 @@
 	return ins.present && !ins.draining && !ins.evacuating && !ins.unready && !excluded[ins.location.DataCentre()]
 }
 
-func (ins *instance) reserve(stp *stepState) {
-	ins.reserved = ins.reserved.Plus(stp.spec.Need())
-	ins.count(stp, 1)
+// attach adds an attempt and reserves its resources.
+func (ins *instance) attach(att *attempt) {
+	att.slot = len(ins.attempts)
+	ins.attempts = append(ins.attempts, att)
+	ins.reserved = ins.reserved.Plus(att.step.spec.Need())
+	ins.count(att.step, 1)
 }
 
-func (ins *instance) release(stp *stepState) {
-	ins.reserved = ins.reserved.Minus(stp.spec.Need())
-	ins.count(stp, -1)
+// detach removes an attempt and frees its resources.
+func (ins *instance) detach(att *attempt) {
+	last := len(ins.attempts) - 1
+	ins.attempts[att.slot] = ins.attempts[last]
+	ins.attempts[att.slot].slot = att.slot
+	ins.attempts[last] = nil
+	ins.attempts = ins.attempts[:last]
+	ins.reserved = ins.reserved.Minus(att.step.spec.Need())
+	ins.count(att.step, -1)
+}
+
+// eachAttempt visits all attempts. The visitor may remove the attempt it is given.
+func (ins *instance) eachAttempt(visit func(att *attempt)) {
+	for num := len(ins.attempts) - 1; num >= 0; num-- {
+		if num < len(ins.attempts) { // the visitor may also remove others, of the same gang
+			visit(ins.attempts[num])
+		}
+	}
 }
 
 // count adds a run of a task of the step to the sums of the instance, or removes it if sign is -1.
 func (ins *instance) count(stp *stepState, sign int) {
-	ins.runs += sign
 	if stp.spec.LongRunning() {
 		ins.longRunningMB += int64(sign) * stp.spec.Need().MemoryMB()
 	}
@@ -78,6 +101,7 @@
 	}
 	switch {
 	case stp.spec.BestEffort():
+		ins.usesKnown, ins.prospectKnown = false, false
 		ins.bestEffortCPU += int64(sign) * stp.spec.MilliCPU()
 		addTo(&ins.bestEffortByImage, stp.spec.Image(), int64(sign)*stp.spec.MilliCPU())
 	case stp.spec.Target() > 0:
@@ -97,12 +121,20 @@
 	}
 }
 
-// push queues an order for the agent.
-func (ins *instance) push(ord Order) {
+// push queues an order for the agent of an instance.
+func (sch *Scheduler[O, P]) push(ins *instance, ord Order) {
 	ins.orderSeq++
 	ord.Seq = ins.orderSeq
 	ins.orders = append(ins.orders, ord)
-	ins.changed = true
+	sch.markChanged(ins)
+}
+
+// markChanged records that the outbox of an instance has changed.
+func (sch *Scheduler[O, P]) markChanged(ins *instance) {
+	if !ins.changed {
+		ins.changed = true
+		sch.changed = append(sch.changed, ins)
+	}
 }
 
 // ackOrders drops the orders up to a sequence number, which the agent has received.
@@ -120,12 +152,14 @@
 // addUnstored records an event that the agent must keep until its effect is stored.
 func (ins *instance) addUnstored(seq uint64) { ins.unstoredEvents = append(ins.unstoredEvents, seq) }
 
-// markStored records that the effect of an event is stored.
-func (ins *instance) markStored(seq uint64) {
-	if num := slices.Index(ins.unstoredEvents, seq); num >= 0 {
-		ins.unstoredEvents = slices.Delete(ins.unstoredEvents, num, num+1)
-		ins.changed = true
+// markStored records that the effect of an event is stored, and reports whether it was not before.
+func (ins *instance) markStored(seq uint64) bool {
+	num := slices.Index(ins.unstoredEvents, seq)
+	if num < 0 {
+		return false
 	}
+	ins.unstoredEvents = slices.Delete(ins.unstoredEvents, num, num+1)
+	return true
 }
 
 // storedEvents returns the sequence number up to which the agent may discard events.
--- a/core/batch/interference.go
+++ b/core/batch/interference.go
@@ -30,27 +30,36 @@
 // that are still starting are left out, because their tail latency says nothing about best-effort
 // tasks.
 func (sch *Scheduler[O, P]) learnInterference(ins *instance, rep Report, now time.Time) {
-	smp := InterferenceSample(ins.capacity.MilliCPU(), func(visit func(Order, float64)) {
-		for _, run := range rep.Runs {
-			if stp, _, att := sch.find(ins, run.ID); att != nil && run.Working && (stp.spec.BestEffort() || run.Percent >= fullyStarted) {
-				visit(Order{ID: run.ID, Image: stp.spec.Image(), BestEffort: stp.spec.BestEffort(), MilliCPU: stp.spec.MilliCPU(), Target: stp.spec.Target()}, run.Figure)
-			}
+	smp := pacing.Sample{Serving: ins.serving[:0]}
+	total := ins.totalCPU()
+	for _, run := range rep.Runs {
+		if !run.Working {
+			continue
 		}
-	})
+		stp, _, att := sch.find(ins, run.ID)
+		switch {
+		case att == nil:
+		case stp.spec.Target() > 0 && (run.Percent >= fullyStarted || stp.spec.BestEffort()):
+			smp.Serving = append(smp.Serving, pacing.ServingTask{
+				Group: run.ID.Task.Job, Image: stp.spec.Image(), TailMillis: run.Figure, TargetMillis: float64(stp.spec.Target()) / float64(time.Millisecond),
+			})
+		case stp.spec.BestEffort():
+			smp.BestEffort = append(smp.BestEffort, pacing.BestEffortTask{Image: stp.spec.Image(), Used: run.Figure / total, Demand: float64(stp.spec.MilliCPU()) / total})
+		}
+	}
 	sch.interferenceModel.Learn(smp, now)
-	ins.serving = smp.Serving
+	ins.serving, ins.prospectKnown = smp.Serving, false
 }
 
 // interference returns the interference that one more task of the step causes on an instance. For a
 // best-effort task it is the number of serving tasks that exceed their targets because of it, for a
 // serving task the load that the best-effort tasks put on it.
 func (sch *Scheduler[O, P]) interference(ins *instance, stp *stepState) float64 {
-	use := ins.bestEffortUses()
 	switch {
 	case stp.spec.Target() > 0:
-		return sch.interferenceModel.Load(stp.spec.Image(), use)
+		return sch.interferenceModel.Load(stp.spec.Image(), ins.bestEffortUses())
 	case stp.spec.BestEffort():
-		return sch.interferenceModel.ExpectedViolations(ins.serving, use.With(stp.spec.Image(), ins.cpuFraction(stp))) - sch.interferenceModel.ExpectedViolations(ins.serving, use)
+		return sch.prospect(ins).AddedViolations(stp.spec.Image(), ins.cpuFraction(stp))
 	default:
 		return 0
 	}
@@ -59,8 +68,15 @@
 // interferenceBy returns the number of serving tasks on an instance that exceed their targets
 // because of one of the best-effort tasks of the step that it runs.
 func (sch *Scheduler[O, P]) interferenceBy(ins *instance, stp *stepState) float64 {
-	use := ins.bestEffortUses()
-	return sch.interferenceModel.ExpectedViolations(ins.serving, use) - sch.interferenceModel.ExpectedViolations(ins.serving, use.With(stp.spec.Image(), -ins.cpuFraction(stp)))
+	return -sch.prospect(ins).AddedViolations(stp.spec.Image(), -ins.cpuFraction(stp))
+}
+
+// prospect returns what is expected of the serving tasks on an instance, as of its last report.
+func (sch *Scheduler[O, P]) prospect(ins *instance) pacing.Prospect {
+	if !ins.prospectKnown {
+		ins.prospect, ins.prospectKnown = sch.interferenceModel.Prospect(ins.serving, ins.bestEffortUses()), true
+	}
+	return ins.prospect
 }
 
 // unmeasured returns the number of serving images on an instance for which the effect of the step's
@@ -78,11 +94,14 @@
 // bestEffortUses returns the fraction of the CPU that best-effort tasks use at full speed, by
 // image.
 func (ins *instance) bestEffortUses() pacing.Uses {
-	uss := make(pacing.Uses, 0, len(ins.bestEffortByImage))
+	if ins.usesKnown {
+		return ins.uses
+	}
+	ins.uses, ins.usesKnown = ins.uses[:0], true
 	for _, img := range slices.Sorted(maps.Keys(ins.bestEffortByImage)) {
-		uss = append(uss, pacing.NewUse(img, float64(ins.bestEffortByImage[img])/ins.totalCPU()))
+		ins.uses = append(ins.uses, pacing.NewUse(img, float64(ins.bestEffortByImage[img])/ins.totalCPU()))
 	}
-	return uss
+	return ins.uses
 }
 
 // cpuFraction returns the fraction of the instance's CPU that a task of the step uses at full
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"jacinthpost/core/workload"
@@ -23,6 +24,7 @@
 // occurrence is one execution of all steps of a job. A timed job has one for each time at which it is
 // due.
 type occurrence struct {
+	job    *jobState
 	number int
 	steps  []*stepState
 }
@@ -30,20 +32,23 @@
 // stepState is a step of one occurrence.
 type stepState struct {
 	spec        workload.Step
+	occurrence  *occurrence
+	number      int
 	tasks       []*task
 	done        int
-	doneTimes   []time.Duration            // run times of the tasks that are done
+	doneTimes   []time.Duration            // run times of the tasks that are done, sorted
 	permissions map[Incarnation]permission // of a job that needs permission
 	requestedAt time.Time                  // when permissions were last requested
 	// blockedSince is the time since when a startable task has found no instance. It is zero when all
 	// have found one.
 	blockedSince time.Time
+	rejections   rejections
 }
 
-func newOccurrence(spec workload.Job, num int) *occurrence {
-	occ := &occurrence{number: num, steps: make([]*stepState, len(spec.Steps()))}
-	for idx, stp := range spec.Steps() {
-		sta := &stepState{spec: stp, tasks: make([]*task, stp.Count())}
+func newOccurrence(job *jobState, num int) *occurrence {
+	occ := &occurrence{job: job, number: num, steps: make([]*stepState, len(job.spec.Steps()))}
+	for idx, stp := range job.spec.Steps() {
+		sta := &stepState{spec: stp, occurrence: occ, number: idx, tasks: make([]*task, stp.Count())}
 		for tnm := range sta.tasks {
 			sta.tasks[tnm] = &task{}
 		}
@@ -94,51 +99,40 @@
 }
 
 func (job *jobState) hasAttempts() bool {
-	found := false
-	job.eachAttempt(func(TaskID, *task, *attempt) { found = true })
-	return found
+	return slices.ContainsFunc(job.occurrences, (*occurrence).hasAttempts)
 }
 
-// eachTask visits all tasks of the created occurrences.
-func (job *jobState) eachTask(visit func(tid TaskID, stp *stepState, tsk *task)) {
+// eachAttempt visits all attempts. The visitor may remove the attempt it is given.
+func (job *jobState) eachAttempt(visit func(att *attempt)) {
 	for _, occ := range job.occurrences {
-		for num, stp := range occ.steps {
-			for idx, tsk := range stp.tasks {
-				visit(TaskID{Job: job.spec.ID(), Occurrence: occ.number, Step: num, Index: idx}, stp, tsk)
+		for _, stp := range occ.steps {
+			for _, tsk := range stp.tasks {
+				for _, att := range slices.Backward(tsk.attempts) {
+					visit(att)
+				}
 			}
 		}
 	}
 }
 
-// eachAttempt visits all attempts. The visitor may remove the attempt it is given.
-func (job *jobState) eachAttempt(visit func(tid TaskID, tsk *task, att *attempt)) {
-	job.eachTask(func(tid TaskID, _ *stepState, tsk *task) {
-		for num := len(tsk.attempts) - 1; num >= 0; num-- {
-			visit(tid, tsk, tsk.attempts[num])
-		}
-	})
-}
-
 // eachOccurrence visits the occurrences of the jobs that are not final.
 func (sch *Scheduler[O, P]) eachOccurrence(visit func(job *jobState, occ *occurrence)) {
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
-		}
+	for _, job := range sch.active {
 		for _, occ := range job.occurrences {
 			visit(job, occ)
 		}
 	}
 }
 
-// eachAttempt visits the attempts of the jobs that are not final. The visitor may
-// remove the attempt it is given.
-func (sch *Scheduler[O, P]) eachAttempt(visit func(job *jobState, tid TaskID, tsk *task, att *attempt)) {
-	for _, job := range sch.jobs {
-		if job.state.Final() {
-			continue
-		}
-		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) { visit(job, tid, tsk, att) })
+// eachAttempt visits the attempts of the jobs that are not final. The visitor may remove the attempt it
+// is given.
+func (sch *Scheduler[O, P]) eachAttempt(visit func(att *attempt)) {
+	for _, ins := range sch.instanceList {
+		ins.eachAttempt(func(att *attempt) {
+			if !att.job.state.Final() {
+				visit(att)
+			}
+		})
 	}
 }
 
@@ -146,7 +140,7 @@
 func (job *jobState) createDue(wall time.Time) int {
 	num := 0
 	for job.nextDue < job.spec.Occurrences() && !wall.Before(job.spec.Due(job.nextDue)) {
-		job.occurrences = append(job.occurrences, newOccurrence(job.spec, job.nextDue))
+		job.occurrences = append(job.occurrences, newOccurrence(job, job.nextDue))
 		job.nextDue++
 		num++
 	}
--- a/core/batch/move.go
+++ b/core/batch/move.go
@@ -41,32 +41,28 @@
 // moveThrottled stops best-effort tasks that are throttled to protect serving tasks, if they would
 // interfere less on another instance. Otherwise long pauses would make their jobs late.
 func (sch *Scheduler[O, P]) moveThrottled(now time.Time) {
-	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		stp, _ := job.task(tid)
-		if !att.throttled(stp, now) {
+	sch.eachAttempt(func(att *attempt) {
+		if !att.throttled(now) {
 			return
 		}
-		least, found := sch.leastInterference(job, stp, att, now)
-		if !found || least > maxInterferenceRatio*sch.interferenceBy(sch.instance(att.instance), stp) {
+		least, found := sch.leastInterference(att, now)
+		if !found || least > maxInterferenceRatio*sch.interferenceBy(sch.instance(att.instance), att.step) {
 			return
 		}
 		att.throttledSince = time.Time{}
-		sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, "slowed down")
-		sch.stop(job, tid, tsk, att)
+		sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), att.instance, "slowed down")
+		sch.stop(att)
 	})
 }
 
 // throttled reports whether an attempt has been throttled for some time and may be moved.
-func (att *attempt) throttled(stp *stepState, now time.Time) bool {
-	return stp.spec.BestEffort() && stp.spec.Checkpointing() && !att.stopping && !att.throttledSince.IsZero() &&
+func (att *attempt) throttled(now time.Time) bool {
+	return att.step.spec.BestEffort() && att.step.spec.Checkpointing() && !att.stopping && !att.throttledSince.IsZero() &&
 		now.Sub(att.throttledSince) >= throttledMoveAfter && now.Sub(att.workingSince) >= minRunTimeBeforeThrottledMove
 }
 
 // move is a possible move of an attempt away from its instance.
 type move struct {
-	job  *jobState
-	tid  TaskID
-	tsk  *task
 	att  *attempt
 	gain float64 // number of serving tasks that it brings within their targets
 }
@@ -78,7 +74,7 @@
 	if oth.att == nil || mov.gain != oth.gain {
 		return mov.gain > oth.gain
 	}
-	return mov.tid.String() < oth.tid.String()
+	return mov.att.taskID.String() < oth.att.taskID.String()
 }
 
 // reduceInterference stops best-effort tasks that keep serving tasks over their targets, if they
@@ -90,50 +86,50 @@
 	}
 	sch.moveSearchedAt = now
 	best := make(map[fleet.InstanceID]move)
-	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		mov, found := sch.evaluateMove(job, tid, tsk, att, now)
+	sch.eachAttempt(func(att *attempt) {
+		mov, found := sch.evaluateMove(att, now)
 		if found && mov.better(best[att.instance]) {
 			best[att.instance] = mov
 		}
 	})
 	for id, mov := range best {
 		sch.instance(id).movedAt = now
-		sch.note(now, decision.RunStopped, mov.job.spec.ID(), RunID{Task: mov.tid, Run: mov.att.run}, id, "disturbs serving tasks")
-		sch.stop(mov.job, mov.tid, mov.tsk, mov.att)
+		sch.note(now, decision.RunStopped, mov.att.job.spec.ID(), mov.att.id(), id, "disturbs serving tasks")
+		sch.stop(mov.att)
 	}
 }
 
 // evaluateMove returns the best move of an attempt, and whether its gain is large enough.
-func (sch *Scheduler[O, P]) evaluateMove(job *jobState, tid TaskID, tsk *task, att *attempt, now time.Time) (move, bool) {
-	stp, _ := job.task(tid)
+func (sch *Scheduler[O, P]) evaluateMove(att *attempt, now time.Time) (move, bool) {
 	ins := sch.instance(att.instance)
-	if !att.movable(stp, now) || len(ins.serving) == 0 || now.Sub(ins.movedAt) < moveInterval || sch.bestEffortWait[ins.service] > maxBacklogForMoves {
+	if len(ins.serving) == 0 || !att.movable(now) || now.Sub(ins.movedAt) < moveInterval || sch.bestEffortWait[ins.service] > maxBacklogForMoves {
 		return move{}, false
 	}
-	here := sch.interferenceBy(ins, stp)
+	here := sch.interferenceBy(ins, att.step)
 	if here < minMoveGain {
 		return move{}, false
 	}
-	least, found := sch.leastInterference(job, stp, att, now)
+	least, found := sch.leastInterference(att, now)
 	gain := here - least
-	return move{job: job, tid: tid, tsk: tsk, att: att, gain: gain}, found && gain >= minMoveGain
+	return move{att: att, gain: gain}, found && gain >= minMoveGain
 }
 
 // movable reports whether an attempt is of a best-effort task that may be moved without losing
 // work.
-func (att *attempt) movable(stp *stepState, now time.Time) bool {
+func (att *attempt) movable(now time.Time) bool {
+	stp := att.step
 	return stp.spec.BestEffort() && stp.spec.Checkpointing() && !stp.spec.Gang() && !att.stopping && !att.workingSince.IsZero() &&
 		now.Sub(att.workingSince) >= minRunTimeBeforeMove && att.percent < maxProgressForMoves
 }
 
 // leastInterference returns the lowest interference of an attempt's task on the other instances on
 // which it fits, and whether there is such an instance.
-func (sch *Scheduler[O, P]) leastInterference(job *jobState, stp *stepState, att *attempt, now time.Time) (least float64, found bool) {
-	for _, ins := range sch.instances {
-		if ins.id == att.instance || !sch.serves(ins, job) || !sch.admits(ins, job, stp, now) || !sch.placement.Fits(sch.assignment(stp, ins), ins.info()) {
+func (sch *Scheduler[O, P]) leastInterference(att *attempt, now time.Time) (least float64, found bool) {
+	for _, ins := range sch.instanceList {
+		if ins.id == att.instance || !sch.serves(ins, att.job) || !sch.admits(ins, att.job, att.step, now) || !sch.placement.Fits(sch.assignment(att.step, ins), ins.info()) {
 			continue
 		}
-		if val := sch.interference(ins, stp); !found || val < least {
+		if val := sch.interference(ins, att.step); !found || val < least {
 			least, found = val, true
 		}
 	}
--- a/core/batch/permission.go
+++ b/core/batch/permission.go
@@ -64,7 +64,7 @@
 // or expired, in the order of decreasing free CPU.
 func (sch *Scheduler[O, P]) unknownPermissions(job *jobState, stp *stepState, now time.Time) []Incarnation {
 	var inss []*instance
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		perm, found := stp.permissions[ins.incarnation]
 		open := !found || perm.authorization != "" && !now.Before(perm.validUntil)
 		if open && string(ins.service) == job.spec.Service() && ins.usable(sch.excluded) && stp.spec.Need().FitsIn(ins.free()) {
@@ -99,5 +99,6 @@
 	for _, inc := range req.Incarnations {
 		stp.permissions[inc] = permission{authorization: authorizations[inc], validUntil: until.Add(-permissionMargin)}
 	}
+	stp.rejections = rejections{}
 	sch.planned = false
 }
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -52,8 +52,8 @@
 			sch.release(job, pnd, now)
 		}
 		for _, evt := range wrb.acks[num] {
-			if ins := sch.instance(evt.instance); ins.session == evt.session {
-				ins.markStored(evt.seq)
+			if ins := sch.instance(evt.instance); ins.session == evt.session && ins.markStored(evt.seq) {
+				sch.markChanged(ins)
 			}
 		}
 	}
@@ -72,12 +72,12 @@
 	}
 	ins := sch.instance(pnd.instance)
 	if ins.session != pnd.session || !ins.usable(sch.excluded) {
-		sch.endLost(job, pnd.order.ID.Task, tsk, att, now)
+		sch.endLost(att, now)
 		return
 	}
 	att.released = true
 	att.orderedAt = now
-	ins.push(pnd.order)
+	sch.push(ins, pnd.order)
 }
 
 // Abandoned marks the jobs of a batch to be stored again. It is called when storing the batch
@@ -125,13 +125,12 @@
 
 // Changed returns the instances whose outboxes have changed since the last call.
 func (sch *Scheduler[O, P]) Changed() []fleet.InstanceID {
-	var ids []fleet.InstanceID
-	for id, ins := range sch.instances {
-		if ins.changed {
-			ins.changed = false
-			ids = append(ids, id)
-		}
+	ids := make([]fleet.InstanceID, len(sch.changed))
+	for num, ins := range sch.changed {
+		ins.changed = false
+		ids[num] = ins.id
 	}
+	sch.changed = sch.changed[:0]
 	return ids
 }
 
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,15 +12,16 @@
 // worthlessFactor is the multiple of the objective after which the result of a job has no value.
 const worthlessFactor = 3
 
-// waitingStep is a candidate with its job, occurrence and step.
+// waitingStep is a candidate with its step.
 type waitingStep struct {
 	Candidate
 	job  *jobState
-	occ  *occurrence
-	step int
+	step *stepState
 }
 
-// Plan places waiting tasks on instances and returns the number of runs that it assigned.
+// Plan places waiting tasks on instances and returns the number of runs that it assigned. It looks at a
+// limited number of instances in one call, so that reports are not kept waiting. Planned tells whether
+// it must be called again.
 func (sch *Scheduler[O, P]) Plan(now time.Time) int {
 	if sch.planned || sch.onHold {
 		return 0
@@ -33,32 +35,75 @@
 		case sch.order.Before(snd.Candidate, fst.Candidate):
 			return 1
 		default:
-			return fst.step - snd.step
+			return cmp.Or(fst.step.occurrence.number-snd.step.occurrence.number, fst.step.number-snd.step.number)
 		}
 	})
 	pln := planner{now: now}
 	num := 0
 	for _, can := range cans {
 		num += sch.placeStep(&pln, can)
+		if pln.evaluated >= maxEvaluations {
+			sch.planned = false
+			break
+		}
 	}
 	return num
 }
 
 // candidates returns the steps with tasks to place.
 func (sch *Scheduler[O, P]) candidates(now time.Time) []waitingStep {
-	var cans []waitingStep
-	sch.eachOccurrence(func(job *jobState, occ *occurrence) {
-		for num, stp := range occ.steps {
-			if !occ.dependenciesDone(num) || !stp.startable(now) {
-				stp.blockedSince = time.Time{}
-				continue
-			}
-			cans = append(cans, waitingStep{Candidate: sch.candidate(job, occ, now), job: job, occ: occ, step: num})
+	cans := sch.waiting[:0]
+	for stp := range sch.openSteps {
+		job := stp.occurrence.job
+		if job.state.Final() || !stp.occurrence.dependenciesDone(stp.number) || !stp.mayStart() {
+			stp.blockedSince = time.Time{}
+			delete(sch.openSteps, stp)
+			continue
 		}
-	})
+		if !stp.startable(now) {
+			stp.blockedSince = time.Time{}
+			continue
+		}
+		cans = append(cans, waitingStep{Candidate: sch.candidate(stp.occurrence, now), job: job, step: stp})
+	}
+	sch.waiting = cans
 	return cans
 }
 
+// open adds a step to those that Plan looks at. It must be called after each change by which a task of
+// the step may start now or later.
+func (sch *Scheduler[O, P]) open(stp *stepState) {
+	if sch.openSteps == nil {
+		sch.openSteps = make(map[*stepState]struct{})
+	}
+	sch.openSteps[stp] = struct{}{}
+	sch.planned = false
+}
+
+// openAll opens all steps of an occurrence.
+func (sch *Scheduler[O, P]) openAll(occ *occurrence) {
+	for _, stp := range occ.steps {
+		sch.open(stp)
+	}
+}
+
+// openDependents opens the steps that depend on a step if that is done.
+func (sch *Scheduler[O, P]) openDependents(stp *stepState) {
+	if stp.done < len(stp.tasks) {
+		return
+	}
+	for _, oth := range stp.occurrence.steps {
+		if slices.Contains(oth.spec.Dependencies(), stp.number) {
+			sch.open(oth)
+		}
+	}
+}
+
+// mayStart reports whether a task of the step may start now or later, without a further change.
+func (stp *stepState) mayStart() bool {
+	return slices.ContainsFunc(stp.tasks, func(tsk *task) bool { return tsk.phase == Waiting && len(tsk.attempts) == 0 || stp.needsCopy(tsk) })
+}
+
 // startable reports whether a task of the step may start now.
 func (stp *stepState) startable(now time.Time) bool {
 	for _, tsk := range stp.tasks {
@@ -75,7 +120,13 @@
 	return stp.spec.Speculative() && tsk.phase == Active && len(tsk.attempts) == 1 && tsk.attempts[0].overdue
 }
 
-func (sch *Scheduler[O, P]) candidate(job *jobState, occ *occurrence, now time.Time) Candidate {
+// taskID returns the ID of the task of the step with an index.
+func (stp *stepState) taskID(idx int) TaskID {
+	return TaskID{Job: stp.occurrence.job.spec.ID(), Occurrence: stp.occurrence.number, Step: stp.number, Index: idx}
+}
+
+func (sch *Scheduler[O, P]) candidate(occ *occurrence, now time.Time) Candidate {
+	job := occ.job
 	chain := job.spec.CriticalPath(func(num int) time.Duration {
 		return sch.runTimes.predict(job.spec.Queue(), occ.steps[num])
 	})
@@ -94,10 +145,11 @@
 	}
 }
 
-// planner holds the tasks for which one call of Plan found no instance, to skip similar ones.
+// planner holds the state of one call of Plan.
 type planner struct {
 	now         time.Time
-	unplaceable map[fleet.Service][]unplaceableTask
+	unplaceable map[fleet.Service][]unplaceableTask // for which this call found no instance, to skip similar ones
+	evaluated   int                                 // instances that were looked at
 }
 
 type unplaceableTask struct {
@@ -125,16 +177,17 @@
 }
 
 func (sch *Scheduler[O, P]) placeStep(pln *planner, can waitingStep) int {
-	stp := can.occ.steps[can.step]
+	stp := can.step
 	if stp.spec.Gang() {
-		return sch.placeGang(pln, can, stp)
+		return sch.placeGang(pln, can)
 	}
 	num := 0
+	sea := sch.newSearch(can)
 	for idx, tsk := range stp.tasks {
 		if !tsk.ready(pln.now) && !stp.needsCopy(tsk) {
 			continue
 		}
-		cho := sch.chooseInstance(pln, can, stp, tsk)
+		cho := sch.chooseInstance(pln, sea, tsk)
 		if cho.instance == nil {
 			sch.recordBlocked(can, stp, pln.now)
 			if len(tsk.failedOn) == 0 {
@@ -142,15 +195,16 @@
 			}
 			continue
 		}
-		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
-		sch.assign(can.job, stp, tsk, tid, cho, tsk.run+1, pln.now)
+		sch.assign(stp, tsk, idx, cho, tsk.run+1, pln.now)
+		sch.updateOption(pln, sea, cho.instance)
 		num++
 	}
 	return num
 }
 
 // placeGang places all members of a gang or none.
-func (sch *Scheduler[O, P]) placeGang(pln *planner, can waitingStep, stp *stepState) int {
+func (sch *Scheduler[O, P]) placeGang(pln *planner, can waitingStep) int {
+	stp := can.step
 	run := 0
 	for _, tsk := range stp.tasks {
 		if !tsk.ready(pln.now) {
@@ -160,16 +214,17 @@
 	}
 	checkpoint := stp.checkpoint()
 	var placed []TaskID
+	sea := sch.newSearch(can)
 	for idx, tsk := range stp.tasks {
-		cho := sch.chooseInstance(pln, can, stp, tsk)
+		cho := sch.chooseInstance(pln, sea, tsk)
 		if cho.instance == nil {
 			sch.unplace(can.job, placed)
 			return 0
 		}
-		tid := TaskID{Job: can.job.spec.ID(), Occurrence: can.occ.number, Step: can.step, Index: idx}
 		tsk.checkpoint = checkpoint
-		sch.assign(can.job, stp, tsk, tid, cho, run+1, pln.now)
-		placed = append(placed, tid)
+		sch.assign(stp, tsk, idx, cho, run+1, pln.now)
+		sch.updateOption(pln, sea, cho.instance)
+		placed = append(placed, stp.taskID(idx))
 	}
 	return len(placed)
 }
@@ -179,7 +234,7 @@
 func (sch *Scheduler[O, P]) unplace(job *jobState, tids []TaskID) {
 	for _, tid := range tids {
 		_, tsk := job.task(tid)
-		sch.drop(job, tid, tsk, tsk.attempts[len(tsk.attempts)-1])
+		sch.drop(tsk.attempts[len(tsk.attempts)-1])
 	}
 	job.dropOrders(tids)
 	sch.planned = true
@@ -195,57 +250,6 @@
 	return ""
 }
 
-// choice is the instance chosen for a task, with the data that decided. The instance is nil if there
-// is none.
-type choice struct {
-	instance   *instance
-	assignment Assignment
-	urgency    Urgency
-	cost       float64
-}
-
-// chooseInstance returns the instance with the lowest cost for a task.
-func (sch *Scheduler[O, P]) chooseInstance(pln *planner, can waitingStep, stp *stepState, tsk *task) choice {
-	asg := Assignment{Resources: stp.spec.Need(), MilliCPU: stp.spec.MilliCPU(), BestEffort: stp.spec.BestEffort()}
-	slack := can.hasSlack()
-	starved := sch.starved(can.occ, stp, slack, pln.now)
-	svc := fleet.Service(can.job.spec.Service())
-	if !starved && pln.knownUnplaceable(svc, asg) {
-		return choice{}
-	}
-	var best choice
-	// The planner must not learn from this step if an instance that it excludes may suit other steps.
-	limited := stp.spec.PerInstance() > 0 || stp.spec.Label() != ""
-	headroom := !stp.spec.LongRunning() || stp.blockedFor(headroomWait, pln.now) || sch.keepsHeadroom(svc, stp)
-	for _, ins := range sch.instances {
-		if !sch.serves(ins, can.job) {
-			continue
-		}
-		if !sch.admits(ins, can.job, stp, pln.now) || !headroom && !ins.hasAmpleRoom(stp) {
-			limited = true
-			continue
-		}
-		asg := sch.assignment(stp, ins)
-		asg.FailedBefore, asg.Starved = tsk.failedOnInstance(ins.id), starved
-		if !sch.placement.Fits(asg, ins.info()) {
-			continue
-		}
-		asg.Interference = sch.interference(ins, stp)
-		if !sch.placement.Acceptable(asg) {
-			limited = true
-			continue
-		}
-		cost := sch.placement.Cost(asg, ins.info())
-		if best.instance == nil || cost < best.cost || cost == best.cost && ins.id < best.instance.id {
-			best = choice{instance: ins, assignment: asg, urgency: can.urgency(), cost: cost}
-		}
-	}
-	if best.instance == nil && !limited {
-		pln.markUnplaceable(svc, asg)
-	}
-	return best
-}
-
 // serves reports whether an instance accepts new tasks of the job's service.
 func (sch *Scheduler[O, P]) serves(ins *instance, job *jobState) bool {
 	return string(ins.service) == job.spec.Service() && ins.usable(sch.excluded)
@@ -268,12 +272,12 @@
 	starvedWithSlackAfter = 2 * time.Second
 )
 
-func (sch *Scheduler[O, P]) starved(occ *occurrence, stp *stepState, slack bool, now time.Time) bool {
+func (sch *Scheduler[O, P]) starved(stp *stepState, slack bool, now time.Time) bool {
 	after := starvedAfter
 	if slack {
 		after = starvedWithSlackAfter
 	}
-	return stp.spec.BestEffort() && stp.blockedFor(after, now) && !occ.hasAttempts()
+	return stp.spec.BestEffort() && stp.blockedFor(after, now) && !stp.occurrence.hasAttempts()
 }
 
 // assignment returns the assignment of a task of the step to an instance without its interference,
@@ -291,15 +295,22 @@
 	if stp.spec.Rack() != "" && !ins.hasLabel(stp.spec.Rack()) {
 		return false
 	}
+	coupled := sch.coupledRack(stp)
+	return coupled == "" || coupled == ins.rack()
+}
+
+// coupledRack returns the rack of the first task of a tightly coupled step that has a run, or an empty
+// string if there is none.
+func (sch *Scheduler[O, P]) coupledRack(stp *stepState) string {
 	if !stp.spec.TightlyCoupled() {
-		return true
+		return ""
 	}
 	for _, tsk := range stp.tasks {
 		for _, att := range tsk.attempts {
-			return sch.instance(att.instance).rack() == ins.rack()
+			return sch.instance(att.instance).rack()
 		}
 	}
-	return true
+	return ""
 }
 
 // rack returns the rack of an instance, which is its last label.
@@ -340,13 +351,15 @@
 }
 
 // assign creates a run of a task on an instance. The start order is sent after the job is stored.
-func (sch *Scheduler[O, P]) assign(job *jobState, stp *stepState, tsk *task, tid TaskID, cho choice, run int, now time.Time) {
-	ins := cho.instance
+func (sch *Scheduler[O, P]) assign(stp *stepState, tsk *task, idx int, cho choice, run int, now time.Time) {
+	job, ins, tid := stp.occurrence.job, cho.instance, stp.taskID(idx)
 	tsk.run = run
 	tsk.phase = Active
-	tsk.attempts = append(tsk.attempts, &attempt{run: run, instance: ins.id, incarnation: ins.incarnation, orderedAt: now})
-	ins.reserve(stp)
+	att := &attempt{job: job, step: stp, task: tsk, taskID: tid, run: run, instance: ins.id, incarnation: ins.incarnation, orderedAt: now}
+	tsk.attempts = append(tsk.attempts, att)
+	ins.attach(att)
 	ins.health.recordStart(now)
+	sch.touch(ins)
 	if job.state == JobQueued {
 		job.state = JobRunning
 	}
--- a/core/batch/preempt.go
+++ b/core/batch/preempt.go
@@ -38,7 +38,7 @@
 // updateShortPeak updates the decaying peak of the CPU that short tasks reserve in each service.
 func (sch *Scheduler[O, P]) updateShortPeak() {
 	used := make(map[fleet.Service]int64)
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		used[ins.service] += ins.shortCPU
 	}
 	if sch.shortPeak == nil {
@@ -53,7 +53,7 @@
 // starts.
 func (sch *Scheduler[O, P]) keepsHeadroom(svc fleet.Service, stp *stepState) bool {
 	var free, total, short float64
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		if ins.service == svc && ins.usable(sch.excluded) {
 			free += float64(ins.free().MilliCPU())
 			total += float64(ins.capacity.MilliCPU())
@@ -86,57 +86,62 @@
 	sch.preempt(can, stp, now)
 }
 
-// victim is an attempt that may be stopped to make room.
+// victim is an attempt that may be stopped to make room, with the cost of stopping it.
 type victim struct {
-	job  *jobState
-	tid  TaskID
-	tsk  *task
 	att  *attempt
 	cost float64
 }
 
+// before reports whether a victim is to be stopped rather than another one. The task ID breaks ties, so
+// that decisions are deterministic.
+func (vic victim) before(oth victim) bool {
+	if oth.att == nil || vic.cost != oth.cost {
+		return oth.att == nil || vic.cost < oth.cost
+	}
+	return vic.att.taskID.String() < oth.att.taskID.String()
+}
+
 // preempt stops the attempt with the lowest cost among those whose end makes room for a task.
 func (sch *Scheduler[O, P]) preempt(can waitingStep, stp *stepState, now time.Time) {
-	var best *victim
-	sch.eachAttempt(func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		vic := victim{job: job, tid: tid, tsk: tsk, att: att}
-		if sch.mayPreempt(&vic, can, stp, now) && (best == nil || vic.cost < best.cost) {
-			best = &vic
+	var best victim
+	sch.eachAttempt(func(att *attempt) {
+		if cost, found := sch.preemptionCost(att, can, stp, now); found {
+			if vic := (victim{att: att, cost: cost}); vic.before(best) {
+				best = vic
+			}
 		}
 	})
-	if best == nil {
+	if best.att == nil {
 		return
 	}
 	sch.preemptedAt = now
-	sch.note(now, decision.RunStopped, best.job.spec.ID(), RunID{Task: best.tid, Run: best.att.run}, best.att.instance, "preempted for "+can.job.spec.ID())
-	sch.stop(best.job, best.tid, best.tsk, best.att)
+	sch.note(now, decision.RunStopped, best.att.job.spec.ID(), best.att.id(), best.att.instance, "preempted for "+can.job.spec.ID())
+	sch.stop(best.att)
 }
 
-// mayPreempt reports whether a victim may be stopped for a step, and if so sets its cost.
-func (sch *Scheduler[O, P]) mayPreempt(vic *victim, can waitingStep, stp *stepState, now time.Time) bool {
-	ins := sch.instance(vic.att.instance)
-	old, _ := vic.job.task(vic.tid)
+// preemptionCost returns the cost of stopping an attempt for a step, and whether it may be stopped.
+func (sch *Scheduler[O, P]) preemptionCost(att *attempt, can waitingStep, stp *stepState, now time.Time) (float64, bool) {
+	ins, old := sch.instance(att.instance), att.step
 	longRunning := old.spec.LongRunning()
-	if vic.job.spec.Service() != can.job.spec.Service() {
-		return false
+	if att.job.spec.Service() != can.job.spec.Service() {
+		return 0, false
 	}
-	if vic.att.stopping || old.spec.Gang() || !ins.usable(sch.excluded) || !ins.hasLabel(stp.spec.Label()) || stp.atLimit(ins.id) {
-		return false
+	if att.stopping || old.spec.Gang() || !ins.usable(sch.excluded) || !ins.hasLabel(stp.spec.Label()) || stp.atLimit(ins.id) {
+		return 0, false
 	}
-	if vic.job.spec.Priority() < can.Priority || !longRunning && vic.job.spec.Priority() == can.Priority {
-		return false
+	if att.job.spec.Priority() < can.Priority || !longRunning && att.job.spec.Priority() == can.Priority {
+		return 0, false
 	}
-	if longRunning && !old.mayStop(vic.tsk, now) {
-		return false
+	if longRunning && !old.mayStop(att.task, now) {
+		return 0, false
 	}
 	if !stp.spec.Need().FitsIn(ins.free().Plus(old.spec.Need())) || !covers(old.spec.Need(), stp.spec.Need().Minus(ins.free())) {
-		return false
+		return 0, false
 	}
-	vic.cost = longRunningRestartCost
-	if !longRunning {
-		vic.cost = now.Sub(vic.att.orderedAt).Seconds() * float64(old.spec.MilliCPU()) / 1000
+	if longRunning {
+		return longRunningRestartCost, true
 	}
-	return true
+	return now.Sub(att.orderedAt).Seconds() * float64(old.spec.MilliCPU()) / 1000, true
 }
 
 // covers reports whether an amount contains some of a missing resource.
--- a/core/batch/presence.go
+++ b/core/batch/presence.go
@@ -20,15 +20,30 @@
 	Unreported map[fleet.InstanceID]time.Duration // have runs, and have had no new grant for this time
 }
 
+// presencePeriod is the time after which a presence with unreported instances may have changed.
+const presencePeriod = 200 * time.Millisecond
+
+// PresenceChanged reports whether Presence may return something else than at its last call.
+func (sch *Scheduler[O, P]) PresenceChanged(now time.Time) bool {
+	if sch.presenceChanged || sch.presenceAt.IsZero() {
+		return true
+	}
+	return now.Sub(sch.presenceAt) >= presencePeriod && slices.ContainsFunc(sch.instanceList, func(ins *instance) bool {
+		return ins.session == 0 && len(ins.attempts) > 0
+	})
+}
+
 // Presence returns the present state of the instances. Times are rounded down to seconds, so that
 // the result changes rarely.
 func (sch *Scheduler[O, P]) Presence(now time.Time) Presence {
+	sch.presenceChanged, sch.presenceAt = false, now
 	var prs Presence
-	for id, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
+		id := ins.id
 		switch {
 		case ins.session != 0:
 			prs.Reported = append(prs.Reported, id)
-		case ins.runs > 0:
+		case len(ins.attempts) > 0:
 			if prs.Unreported == nil {
 				prs.Unreported = make(map[fleet.InstanceID]time.Duration)
 			}
@@ -47,11 +62,5 @@
 
 // ReportedInstances returns the number of instances that have reported to this owner.
 func (sch *Scheduler[O, P]) ReportedInstances() int {
-	num := 0
-	for _, ins := range sch.instances {
-		if ins.session != 0 {
-			num++
-		}
-	}
-	return num
+	return sch.reported
 }
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -139,13 +139,13 @@
 		job.state = JobQueued
 	}
 	for _, old := range rec.Occurrences {
-		job.occurrences = append(job.occurrences, restoreOccurrence(spec, old, rec.Places))
+		job.occurrences = append(job.occurrences, restoreOccurrence(job, old, rec.Places))
 	}
 	return job
 }
 
-func restoreOccurrence(spec workload.Job, rec OccurrenceRecord, places []PlaceRecord) *occurrence {
-	occ := newOccurrence(spec, rec.Number)
+func restoreOccurrence(job *jobState, rec OccurrenceRecord, places []PlaceRecord) *occurrence {
+	occ := newOccurrence(job, rec.Number)
 	for num, tsks := range rec.Steps {
 		if num >= len(occ.steps) {
 			break
@@ -169,7 +169,10 @@
 	for _, att := range rec.Attempts {
 		if place := att[1]; place >= 0 && place < len(places) {
 			plc := places[place]
-			tsk.attempts = append(tsk.attempts, &attempt{run: att[0], instance: plc.Instance, incarnation: plc.Incarnation, released: true})
+			tsk.attempts = append(tsk.attempts, &attempt{
+				job: stp.occurrence.job, step: stp, task: tsk, taskID: stp.taskID(idx),
+				run: att[0], instance: plc.Instance, incarnation: plc.Incarnation, released: true,
+			})
 		}
 	}
 }
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -21,21 +21,24 @@
 	}
 	newSession := rep.Session != ins.session
 	if newSession {
+		if ins.session == 0 {
+			sch.reported++
+			sch.presenceChanged = true
+		}
 		ins.startSession(rep)
 		sch.note(now, decision.InstanceHeard, "", RunID{}, ins.id, string(rep.Incarnation))
 	}
 	ins.update(rep, now)
+	sch.touch(ins)
 	sch.recordSize(rep)
 	for _, evt := range rep.Events {
 		sch.applyEvent(ins, evt, now)
 	}
-	listed := make(map[RunID]bool, len(rep.Runs))
 	for _, run := range rep.Runs {
-		listed[run.ID] = true
 		sch.confirm(ins, run, newSession, now)
 	}
 	if newSession {
-		sch.reconcile(ins, listed, now)
+		sch.reconcile(ins, rep.Runs, now)
 	}
 	sch.learnInterference(ins, rep, now)
 	if ins.draining {
@@ -55,6 +58,7 @@
 
 func (ins *instance) update(rep Report, now time.Time) {
 	ins.service, ins.location, ins.labels = rep.Service, rep.Location, rep.Labels
+	ins.usesKnown = ins.usesKnown && rep.Capacity == ins.capacity
 	ins.capacity, ins.draining, ins.drainTime = rep.Capacity, rep.Draining, rep.Remaining
 	ins.unready, ins.present, ins.reportedAt = rep.Unready, true, now
 	ins.bestEffortPaused = slices.ContainsFunc(rep.Runs, func(run RunState) bool { return run.Share == pacing.PausedShare })
@@ -63,9 +67,9 @@
 
 // confirm records that the agent lists a run. A run without an attempt is ordered to stop.
 func (sch *Scheduler[O, P]) confirm(ins *instance, run RunState, newSession bool, now time.Time) {
-	stp, tsk, att := sch.find(ins, run.ID)
+	_, tsk, att := sch.find(ins, run.ID)
 	if att == nil {
-		ins.stopOrphan(run.ID)
+		sch.stopOrphan(ins, run.ID)
 		return
 	}
 	att.confirmed = true
@@ -85,13 +89,13 @@
 	if !newSession {
 		return
 	}
-	ins.push(sch.jobs[run.ID.Task.Job].order(DescribeRun, stp, tsk, run.ID))
+	sch.push(ins, att.job.order(DescribeRun, att.step, tsk, run.ID))
 	if att.stopping {
-		ins.push(Order{Kind: StopRun, ID: run.ID})
+		sch.push(ins, Order{Kind: StopRun, ID: run.ID})
 	}
 }
 
-func (ins *instance) stopOrphan(rid RunID) {
+func (sch *Scheduler[O, P]) stopOrphan(ins *instance, rid RunID) {
 	if ins.orphans[rid] {
 		return
 	}
@@ -99,7 +103,7 @@
 		ins.orphans = make(map[RunID]bool)
 	}
 	ins.orphans[rid] = true
-	ins.push(Order{Kind: StopRun, ID: rid})
+	sch.push(ins, Order{Kind: StopRun, ID: rid})
 }
 
 // find returns the step, the task and the attempt of a run. The attempt is nil if it is not on the
@@ -122,47 +126,39 @@
 
 // reconcile ends the attempts on an instance that its agent does not list at the start of a
 // session.
-func (sch *Scheduler[O, P]) reconcile(ins *instance, listed map[RunID]bool, now time.Time) {
-	sch.eachAttemptOn(ins.id, func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		if att.incarnation == ins.incarnation && (listed[RunID{Task: tid, Run: att.run}] || !att.released) {
+func (sch *Scheduler[O, P]) reconcile(ins *instance, runs []RunState, now time.Time) {
+	listed := make(map[RunID]bool, len(runs))
+	for _, run := range runs {
+		listed[run.ID] = true
+	}
+	ins.eachAttempt(func(att *attempt) {
+		if att.incarnation == ins.incarnation && (listed[att.id()] || !att.released) {
 			return
 		}
-		sch.endLost(job, tid, tsk, att, now)
+		sch.endLost(att, now)
 	})
 }
 
-func (sch *Scheduler[O, P]) eachAttemptOn(id fleet.InstanceID, visit func(*jobState, TaskID, *task, *attempt)) {
-	for _, job := range sch.jobs {
-		job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) {
-			if att.instance == id {
-				visit(job, tid, tsk, att)
-			}
-		})
-	}
-}
-
 // endLost drops an attempt that is certainly not running any more.
-func (sch *Scheduler[O, P]) endLost(job *jobState, tid TaskID, tsk *task, att *attempt, now time.Time) {
-	sch.note(now, decision.RunEnded, job.spec.ID(), RunID{Task: tid, Run: att.run}, att.instance, string(EndLost))
-	sch.instance(att.instance).withdraw(RunID{Task: tid, Run: att.run})
-	sch.drop(job, tid, tsk, att)
-	sch.stopGang(job, tid, EndLost)
-	sch.markDirty(job)
+func (sch *Scheduler[O, P]) endLost(att *attempt, now time.Time) {
+	ins := sch.instance(att.instance)
+	sch.note(now, decision.RunEnded, att.job.spec.ID(), att.id(), ins.id, string(EndLost))
+	ins.withdraw(att.id())
+	sch.drop(att)
+	sch.stopGang(att, EndLost)
+	sch.markDirty(att.job)
 }
 
 // stopGang stops the other members of a gang after the end of a member that may not have run,
 // because they would wait for it forever. Members of a running gang end by themselves when one of
 // them ends.
-func (sch *Scheduler[O, P]) stopGang(job *jobState, tid TaskID, cause EndCause) {
-	stp, tsk := job.task(tid)
-	if !stp.spec.Gang() || tsk.phase == Done || cause == EndDone || cause == EndFailed || cause == EndGangEnded {
+func (sch *Scheduler[O, P]) stopGang(ended *attempt, cause EndCause) {
+	if !ended.step.spec.Gang() || ended.task.phase == Done || cause == EndDone || cause == EndFailed || cause == EndGangEnded {
 		return
 	}
-	for idx, oth := range stp.tasks {
-		member := tid
-		member.Index = idx
+	for _, oth := range ended.step.tasks {
 		for _, att := range slices.Clone(oth.attempts) {
-			sch.stop(job, member, oth, att)
+			sch.stop(att)
 		}
 	}
 }
@@ -173,14 +169,13 @@
 	if ins.session == 0 {
 		limit = sch.takeoverAt.Add(sch.option().InheritedAfter - sch.unreportedFor[ins.id])
 	}
-	if now.Before(limit) || (!ins.present && ins.runs == 0) {
+	if now.Before(limit) || (!ins.present && len(ins.attempts) == 0) {
 		return
 	}
 	sch.note(now, decision.InstanceLost, "", RunID{}, ins.id, "")
 	ins.present = false
-	sch.eachAttemptOn(ins.id, func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		sch.endLost(job, tid, tsk, att, now)
-	})
+	sch.touch(ins)
+	ins.eachAttempt(func(att *attempt) { sch.endLost(att, now) })
 }
 
 // applyEvent applies an event unless it was applied before. An event that changes a job is
@@ -190,9 +185,9 @@
 		return
 	}
 	ins.appliedEvents = evt.Seq
-	ins.changed = true
+	sch.markChanged(ins)
 	delete(ins.orphans, evt.ID)
-	stp, tsk, att := sch.find(ins, evt.ID)
+	_, _, att := sch.find(ins, evt.ID)
 	job := sch.jobs[evt.ID.Task.Job]
 	if att == nil {
 		if job != nil && job.unstored {
@@ -204,7 +199,7 @@
 	}
 	sch.ackWhenStored(ins, job, evt)
 	sch.note(now, decision.RunEnded, job.spec.ID(), evt.ID, ins.id, string(evt.Cause)+" "+evt.Reason)
-	sch.applyEnd(job, stp, tsk, att, evt, now)
+	sch.applyEnd(att, evt, now)
 	sch.markDirty(job)
 }
 
@@ -215,26 +210,26 @@
 }
 
 // applyEnd applies the end of an attempt to its task and its job.
-func (sch *Scheduler[O, P]) applyEnd(job *jobState, stp *stepState, tsk *task, att *attempt, evt Event, now time.Time) {
-	ins := sch.instance(att.instance)
-	sch.drop(job, evt.ID.Task, tsk, att)
+func (sch *Scheduler[O, P]) applyEnd(att *attempt, evt Event, now time.Time) {
+	job, tsk, ins := att.job, att.task, sch.instance(att.instance)
+	sch.drop(att)
 	if evt.Checkpoint != "" && evt.Cause != EndDone {
 		tsk.checkpoint = evt.Checkpoint
 	}
 	if job.state.Final() || tsk.phase == Done {
 		return
 	}
-	sch.stopGang(job, evt.ID.Task, evt.Cause)
+	sch.stopGang(att, evt.Cause)
 	switch {
-	case stp.spec.LongRunning():
+	case att.step.spec.LongRunning():
 		sch.applyLongRunningEnd(job, tsk, ins, evt, now)
 	case evt.Cause == EndDone:
-		sch.applySuccess(job, stp, tsk, att, evt, now)
+		sch.applySuccess(att, now)
 	case evt.Cause == EndFailed:
-		sch.applyFailure(job, stp, tsk, ins, evt, now)
+		sch.applyFailure(att, evt, now)
 	case evt.Cause == EndRefused:
 		if evt.Reason == reasonAuthorization {
-			delete(stp.permissions, att.incarnation)
+			delete(att.step.permissions, att.incarnation)
 		}
 		tsk.notBefore = now.Add(sch.option().RetryDelay)
 	}
@@ -247,33 +242,36 @@
 	}
 }
 
-func (sch *Scheduler[O, P]) applySuccess(job *jobState, stp *stepState, tsk *task, att *attempt, evt Event, now time.Time) {
+func (sch *Scheduler[O, P]) applySuccess(att *attempt, now time.Time) {
+	job, stp := att.job, att.step
 	ins := sch.instance(att.instance)
 	ins.health.recordSuccess()
+	sch.touch(ins)
 	if !att.workingSince.IsZero() {
 		took := now.Sub(att.workingSince)
-		stp.doneTimes = append(stp.doneTimes, took)
+		stp.addDoneTime(took)
 		sch.runTimes.learn(job.spec.Queue(), stp.spec, took)
 	}
-	sch.complete(job, stp, tsk, evt.ID.Task)
+	sch.complete(stp, att.task)
 	if stp.spec.Gang() {
 		completeGang(stp)
 	}
+	sch.openDependents(stp)
 	if job.dropFinished() {
 		sch.note(now, decision.JobFinished, job.spec.ID(), RunID{}, "", string(JobCompleted))
-		job.state, job.finalAt = JobCompleted, now
+		sch.finish(job, JobCompleted, now)
 	}
 }
 
 // complete marks a task as done and stops its other copies.
-func (sch *Scheduler[O, P]) complete(job *jobState, stp *stepState, tsk *task, tid TaskID) {
+func (sch *Scheduler[O, P]) complete(stp *stepState, tsk *task) {
 	if tsk.phase == Done {
 		return
 	}
 	tsk.phase = Done
 	stp.done++
 	for _, oth := range slices.Clone(tsk.attempts) {
-		sch.stop(job, tid, tsk, oth)
+		sch.stop(oth)
 	}
 }
 
@@ -288,7 +286,8 @@
 	}
 }
 
-func (sch *Scheduler[O, P]) applyFailure(job *jobState, stp *stepState, tsk *task, ins *instance, evt Event, now time.Time) {
+func (sch *Scheduler[O, P]) applyFailure(att *attempt, evt Event, now time.Time) {
+	job, stp, tsk, ins := att.job, att.step, att.task, sch.instance(att.instance)
 	tsk.failures++
 	tsk.failedOn = appendRecent(tsk.failedOn, ins.id)
 	tsk.notBefore = now.Add(sch.option().RetryDelay)
@@ -317,6 +316,7 @@
 // countFailure counts a failure against an instance, which may suspend it.
 func (sch *Scheduler[O, P]) countFailure(ins *instance, job *jobState, now time.Time) {
 	if ins.health.recordFailure(job.spec.ID(), now) {
+		sch.touch(ins)
 		sch.note(now, decision.InstanceSuspended, job.spec.ID(), RunID{}, ins.id, ins.health.suspension.String())
 	}
 }
@@ -333,15 +333,14 @@
 // evacuateDraining stops the runs that would not end before a draining worker shuts down. They lose
 // less work when they move now than when the shutdown cuts them off.
 func (sch *Scheduler[O, P]) evacuateDraining(ins *instance, now time.Time) {
-	sch.eachAttemptOn(ins.id, func(job *jobState, tid TaskID, tsk *task, att *attempt) {
-		stp, _ := job.task(tid)
-		if att.stopping || job.state.Final() || stp.spec.Gang() {
+	ins.eachAttempt(func(att *attempt) {
+		if att.stopping || att.job.state.Final() || att.step.spec.Gang() {
 			return
 		}
-		left := sch.runTimes.predict(job.spec.Queue(), stp) - now.Sub(att.orderedAt)
-		if stp.spec.LongRunning() || left > ins.drainTime {
-			sch.note(now, decision.RunStopped, job.spec.ID(), RunID{Task: tid, Run: att.run}, ins.id, "drain")
-			sch.stop(job, tid, tsk, att)
+		left := sch.runTimes.predict(att.job.spec.Queue(), att.step) - now.Sub(att.orderedAt)
+		if att.step.spec.LongRunning() || left > ins.drainTime {
+			sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), ins.id, "drain")
+			sch.stop(att)
 		}
 	})
 }
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -35,8 +35,16 @@
 	placement         P
 	options           Options
 	jobs              map[string]*jobState
-	dirty             []*jobState // to be stored
+	active            map[string]*jobState    // those that are not final
+	dirty             []*jobState             // to be stored
+	openSteps         map[*stepState]struct{} // a superset of the steps with tasks that may start
 	instances         map[fleet.InstanceID]*instance
+	instanceList      []*instance // the same, in the order in which they appeared
+	version           uint64      // increases with each change of the data on which placements depend
+	changed           []*instance // whose outboxes have changed since the last call of Changed
+	reported          int         // instances that have reported to this owner
+	presenceChanged   bool        // an instance has reported for the first time since the last call of Presence
+	presenceAt        time.Time   // of the last call of Presence
 	excluded          map[fleet.DataCentre]bool
 	sizes             map[fleet.Service][]resource.Vector // of the largest workers that have reported
 	runTimes          durations
@@ -51,6 +59,8 @@
 	onHold            bool
 	planned           bool // nothing has changed since the last plan that could let a task start
 	notes             []Note
+	waiting           []waitingStep // memory for the next plan
+	search            search        // memory for the next search
 }
 
 // Options are the settings of a scheduler. Zero values select defaults.
@@ -123,21 +133,40 @@
 		job.finalAt = now
 	}
 	sch.add(job)
-	job.eachAttempt(func(tid TaskID, _ *task, att *attempt) {
+	job.eachAttempt(func(att *attempt) {
 		att.orderedAt = now
-		stp, _ := job.task(tid)
-		sch.instance(att.instance).reserve(stp)
+		ins := sch.instance(att.instance)
+		ins.attach(att)
+		sch.touch(ins)
 	})
 }
 
+// add adds a job. The occurrence of a job without a schedule is created at once: its due time is by the
+// clock of another machine.
 func (sch *Scheduler[O, P]) add(job *jobState) {
 	if sch.jobs == nil {
-		sch.jobs = make(map[string]*jobState)
+		sch.jobs, sch.active = make(map[string]*jobState), make(map[string]*jobState)
 	}
 	sch.jobs[job.spec.ID()] = job
+	if job.state.Final() {
+		return
+	}
+	sch.active[job.spec.ID()] = job
+	if !job.spec.Timed() && job.createDue(job.spec.Accepted()) > 0 {
+		sch.markDirty(job)
+	}
+	for _, occ := range job.occurrences {
+		sch.openAll(occ)
+	}
 	sch.planned = false
 }
 
+// finish makes a job final.
+func (sch *Scheduler[O, P]) finish(job *jobState, sta JobState, now time.Time) {
+	job.state, job.finalAt = sta, now
+	delete(sch.active, job.spec.ID())
+}
+
 // Cancel stops a job. It does nothing if the job is unknown or final.
 func (sch *Scheduler[O, P]) Cancel(id string, now time.Time) {
 	job := sch.jobs[id]
@@ -150,33 +179,37 @@
 
 // end makes a job final and stops its runs.
 func (sch *Scheduler[O, P]) end(job *jobState, sta JobState, now time.Time) {
-	job.state, job.finalAt = sta, now
-	job.eachAttempt(func(tid TaskID, tsk *task, att *attempt) { sch.stop(job, tid, tsk, att) })
+	sch.finish(job, sta, now)
+	job.eachAttempt(sch.stop)
 	sch.markDirty(job)
 }
 
 // stop orders an attempt to stop. An attempt whose start order has not been released is dropped at
 // once.
-func (sch *Scheduler[O, P]) stop(job *jobState, tid TaskID, tsk *task, att *attempt) {
+func (sch *Scheduler[O, P]) stop(att *attempt) {
 	if !att.released {
-		sch.drop(job, tid, tsk, att)
+		sch.drop(att)
 		return
 	}
 	if att.stopping {
 		return
 	}
 	att.stopping = true
-	sch.instance(att.instance).push(Order{Kind: StopRun, ID: RunID{Task: tid, Run: att.run}})
+	sch.push(sch.instance(att.instance), Order{Kind: StopRun, ID: att.id()})
 }
 
 // drop removes an attempt that is certainly not running and frees its resources.
-func (sch *Scheduler[O, P]) drop(job *jobState, tid TaskID, tsk *task, att *attempt) {
-	stp, _ := job.task(tid)
-	sch.instance(att.instance).release(stp)
+func (sch *Scheduler[O, P]) drop(att *attempt) {
+	ins, tsk := sch.instance(att.instance), att.task
+	ins.detach(att)
+	sch.touch(ins)
 	tsk.remove(att)
 	if len(tsk.attempts) == 0 && tsk.phase == Active {
 		tsk.phase = Waiting
 	}
+	if !att.job.state.Final() {
+		sch.open(att.step)
+	}
 	sch.planned = false
 }
 
@@ -188,10 +221,17 @@
 			sch.instances = make(map[fleet.InstanceID]*instance)
 		}
 		sch.instances[id] = ins
+		sch.instanceList = append(sch.instanceList, ins)
 	}
 	return ins
 }
 
+// touch records a change of the data of an instance on which placements depend.
+func (sch *Scheduler[O, P]) touch(ins *instance) {
+	sch.version++
+	ins.version = sch.version
+}
+
 // markDirty queues a job to be stored.
 func (sch *Scheduler[O, P]) markDirty(job *jobState) {
 	job.unstored = true
@@ -204,13 +244,16 @@
 // SetExcluded sets the data centres in which no new runs may start.
 func (sch *Scheduler[O, P]) SetExcluded(dcs map[fleet.DataCentre]bool) {
 	sch.excluded = dcs
+	for _, ins := range sch.instanceList {
+		sch.touch(ins)
+	}
 	sch.planned = false
 }
 
 // Pending returns the number of jobs by queue of which no task has started.
 func (sch *Scheduler[O, P]) Pending() map[string]int {
 	num := make(map[string]int)
-	for _, job := range sch.jobs {
+	for _, job := range sch.active {
 		if job.state == JobQueued {
 			num[job.spec.Queue()]++
 		}
@@ -235,12 +278,19 @@
 // and overdue runs. It also starts moves of tasks between instances. Now is the monotonic time of
 // the owner, wall the time of day.
 func (sch *Scheduler[O, P]) Tick(now, wall time.Time) {
-	for _, ins := range sch.instances {
+	for _, ins := range sch.instanceList {
 		sch.checkPresence(ins, now)
+		if admits := ins.health.admits(now); admits != ins.admitted {
+			ins.admitted = admits
+			sch.touch(ins)
+		}
 	}
-	for _, job := range sch.jobs {
-		if !job.state.Final() && job.createDue(wall) > 0 {
+	for _, job := range sch.active {
+		if old := len(job.occurrences); job.createDue(wall) > 0 {
 			sch.markDirty(job)
+			for _, occ := range job.occurrences[old:] {
+				sch.openAll(occ)
+			}
 		}
 	}
 	sch.updateShortPeak()
--- a/core/batch/task.go
+++ b/core/batch/task.go
@@ -58,6 +58,11 @@
 
 // attempt is a run of a task that may be running on an instance.
 type attempt struct {
+	job            *jobState
+	step           *stepState
+	task           *task
+	taskID         TaskID
+	slot           int // index in the attempts of the instance
 	run            int
 	instance       fleet.InstanceID
 	incarnation    Incarnation
@@ -83,6 +88,8 @@
 	failedOn   []fleet.InstanceID
 }
 
+func (att *attempt) id() RunID { return RunID{Task: att.taskID, Run: att.run} }
+
 func (tsk *task) find(run int) *attempt {
 	for _, att := range tsk.attempts {
 		if att.run == run {
--- a/core/pacing/estimator.go
+++ b/core/pacing/estimator.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -59,6 +58,7 @@
 type estimator struct {
 	updatedAt   time.Time
 	variables   []variable
+	indices     map[source]int // of the variables
 	covariances [][]float64
 }
 
@@ -90,7 +90,10 @@
 }
 
 func (est *estimator) findVariable(src source) int {
-	return slices.IndexFunc(est.variables, func(vrb variable) bool { return vrb.source == src })
+	if pos, found := est.indices[src]; found {
+		return pos
+	}
+	return -1
 }
 
 // variableIndex returns the index of the variable of a source and marks it as seen. It adds the
@@ -100,7 +103,12 @@
 	if pos < 0 {
 		pos = est.allocateVariable()
 		mean, stdDev := src.prior()
+		delete(est.indices, est.variables[pos].source)
 		est.variables[pos] = variable{source: src, mean: mean}
+		if est.indices == nil {
+			est.indices = make(map[source]int)
+		}
+		est.indices[src] = pos
 		for num := range est.covariances {
 			est.covariances[pos][num], est.covariances[num][pos] = 0, 0
 		}
--- a/core/pacing/model.go
+++ b/core/pacing/model.go
@@ -138,17 +138,21 @@
 func (mod *Model) ExpectedViolations(srvs []ServingTask, uss Uses) float64 {
 	sum := 0.0
 	for _, srv := range srvs {
-		sum += mod.violationFraction(srv, uss)
+		sum += violationFraction(mod.excess(srv, uss))
 	}
 	return sum
 }
 
-// violationFraction returns the expected fraction of time in which a serving task is over its target.
-func (mod *Model) violationFraction(srv ServingTask, uss Uses) float64 {
+// excess returns the expected load of a serving task beyond the load at which it reaches its target.
+func (mod *Model) excess(srv ServingTask, uss Uses) float64 {
 	budget := mod.load(srv.Image, srv.TargetMillis)
 	if budget <= 0 {
 		budget = defaultLoadBudget
 	}
-	excess := mod.OwnLoad(srv) + mod.Load(srv.Image, uss) - budget
+	return mod.OwnLoad(srv) + mod.Load(srv.Image, uss) - budget
+}
+
+// violationFraction returns the expected fraction of time in which a serving task is over its target.
+func violationFraction(excess float64) float64 {
 	return min(1, max(0, 0.5+excess/(2*loadAmplitude)))
 }
--- a/io/batchowner/presence.go
+++ b/io/batchowner/presence.go
@@ -30,8 +30,12 @@
 
 // changedPresence returns the presence to store, nil if it equals the stored one.
 func (wrt *writer) changedPresence(sch *Scheduler, now time.Time) *batch.Presence {
+	if !wrt.presenceDue && !sch.PresenceChanged(now) {
+		return nil
+	}
 	prs := sch.Presence(now)
-	if bytes.Equal(batchstore.Encode(batchstore.FromPresence(prs)), wrt.presence) {
+	wrt.presenceDue = !bytes.Equal(batchstore.Encode(batchstore.FromPresence(prs)), wrt.presence)
+	if !wrt.presenceDue {
 		return nil
 	}
 	return &prs
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -44,11 +44,12 @@
 // writer stores changes. It belongs to the goroutine that runs write.
 type writer struct {
 	*ownership
-	load      loadPublisher
-	presence  []byte // as last stored
-	writtenAt time.Time
-	sequence  uint64
-	failed    bool // the last call failed, so the next one waits for writeRetryDelay
+	load        loadPublisher
+	presence    []byte // as last stored
+	presenceDue bool   // the presence must be stored
+	writtenAt   time.Time
+	sequence    uint64
+	failed      bool // the last call failed, so the next one waits for writeRetryDelay
 }
 
 // write stores changes until the ownership is lost or the context ends.
@@ -118,7 +119,7 @@
 			wrt.load.stored(chg.load, wrt.writtenAt)
 		}
 		if chg.presence != nil {
-			wrt.presence = batchstore.Encode(batchstore.FromPresence(*chg.presence))
+			wrt.presence, wrt.presenceDue = batchstore.Encode(batchstore.FromPresence(*chg.presence)), false
 			wrt.grantable.set(chg.presence.Reported)
 		}
 		wrt.post(ctx, func(sch *Scheduler, now time.Time) {
