Send news between reports, and wait in the owner until ends are stored

An owner of 240 agents answered about 3,000 calls a second: each end of a run was a whole report with all runs of the worker, and a further answer told that the end was stored.

Agents now send whole reports each 0.5 s, and news (ends of runs and received orders) at once. The owner answers them when the ends are stored, at the latest after 120 ms, so an answer to the poll for orders has orders. Under load ends gather while an answer is awaited. An owner that doesn't know the session asks for a report; one of an earlier version doesn't know the call, and gets reports. Ends tell how long the run took, because a short run may end before a report lists it. Calls of agents need no context of their own.

New part of cmd/bench, jobowner: a real owner beside light agents and callers at the rates of the large site, with a processor profile.

--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// batch is a number of like jobs.
-type batch struct {
+// taskBatch is a number of like jobs.
+type taskBatch struct {
 	key, class, kind string
 	jobs, tasks      int
 	milliCPU, noise  int64 // noise in percent, see the payload of the stand-in
@@ -96,14 +96,14 @@
 
 // payload names what a task uses. Without it the stand-in uses what is ordered,
 // which the owner lowers to what it has learned.
-func (bat batch) payload() []byte {
+func (bat taskBatch) payload() []byte {
 	return fmt.Appendf(nil, `{"workMillis":%d,"neverFinishes":%t,"milliCPU":%d,"memoryMB":%d,"noisePercent":%d}`,
 		bat.millis, bat.millis == 0, bat.milliCPU, fleetMemoryMB, bat.noise)
 }
 
 // submit submits the jobs and returns their IDs. An entry that refuses "not run"
 // is asked again, as an operator would; the key makes this one job.
-func (bat batch) submit(ctx context.Context, fle *harness.Fleet) ([]string, error) {
+func (bat taskBatch) submit(ctx context.Context, fle *harness.Fleet) ([]string, error) {
 	ids := make([]string, 0, bat.jobs)
 	for num := range bat.jobs {
 		spc := message.JobSpec{
--- a/cmd/bench/fleetloss.go
+++ b/cmd/bench/fleetloss.go
@@ -29,7 +29,7 @@
 // measureLoss kills all agents and endpoints of a data centre at once under requests and tasks.
 func measureLoss(ctx context.Context, rep *report, fle *harness.Fleet) error {
 	const name = "fleet.sen-vang.loss"
-	watches := batch{key: "watch", class: "seat-watch", kind: "watch", jobs: 16, tasks: 4, milliCPU: 1000, noise: 5}
+	watches := taskBatch{key: "watch", class: "seat-watch", kind: "watch", jobs: 16, tasks: 4, milliCPU: 1000, noise: 5}
 	ids, err := watches.submit(ctx, fle)
 	if err != nil {
 		return err
@@ -40,7 +40,7 @@
 		}
 	}
 	// All tasks fit on the instances that stay, so that none waits for room.
-	builds := batch{key: "build", class: "term-build", kind: "build", jobs: 10, tasks: 3, milliCPU: 2000, noise: 6, millis: 180_000}
+	builds := taskBatch{key: "build", class: "term-build", kind: "build", jobs: 10, tasks: 3, milliCPU: 2000, noise: 6, millis: 180_000}
 	if _, err := builds.submit(ctx, fle); err != nil {
 		return err
 	}
--- a/cmd/bench/fleetnoise.go
+++ b/cmd/bench/fleetnoise.go
@@ -100,7 +100,7 @@
 	ids := map[string][]string{}
 	var all []string
 	for _, cls := range waveClasses {
-		bat := batch{key: name + cls.name, class: name + cls.name, kind: "plan", jobs: waveJobs, tasks: cls.tasks, milliCPU: cls.milliCPU, noise: cls.noise, millis: cls.millis}
+		bat := taskBatch{key: name + cls.name, class: name + cls.name, kind: "plan", jobs: waveJobs, tasks: cls.tasks, milliCPU: cls.milliCPU, noise: cls.noise, millis: cls.millis}
 		if ids[cls.name], err = bat.submit(ctx, fle); err != nil {
 			return tails{}, err
 		}
--- a/cmd/bench/fleetoutage.go
+++ b/cmd/bench/fleetoutage.go
@@ -23,7 +23,7 @@
 // ticket, while it is out, while it returns and after that.
 func measureTakenOut(ctx context.Context, rep *report, fle *harness.Fleet) error {
 	const name = "fleet.sen-vang.outage"
-	bat := batch{key: "build", class: "term-build", kind: "build", jobs: 32, tasks: 180, milliCPU: 2000, millis: buildMillis}
+	bat := taskBatch{key: "build", class: "term-build", kind: "build", jobs: 32, tasks: 180, milliCPU: 2000, millis: buildMillis}
 	ids, err := bat.submit(ctx, fle)
 	if err != nil {
 		return err
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -37,14 +37,18 @@
 	{name: "capacity", run: measureCapacity, ask: true},
 	{name: "owner", run: measureOwner, ask: true},
 	{name: "fleet", run: measureFleets, ask: true},
+	{name: "jobowner", run: measureJobOwner, ask: true},
 }
 
+// maxSize is the largest size of a fleet in a part. The capacity part takes up to 60 processes.
+const maxSize = 1400
+
 // addSizes reads a list of fleet sizes.
 func (opt *options) addSizes(list string) error {
 	for txt := range strings.SplitSeq(list, ",") {
 		size, err := strconv.Atoi(txt)
-		if err != nil || size < 3 || size > 60 {
-			return fmt.Errorf("%q is no size from 3 to 60", txt)
+		if err != nil || size < 3 || size > maxSize {
+			return fmt.Errorf("%q is no size from 3 to %d", txt, maxSize)
 		}
 		opt.sizes = append(opt.sizes, size)
 	}
@@ -57,12 +61,12 @@
 	opt.seeds = seedRange{first: 1, count: 5}
 	flag.Func("seeds", "number of seeds of each scenario from 1 on, or a range such as 101-110 (default 5)", opt.seeds.set)
 	flag.StringVar(&opt.filter, "filter", "", "run only the decision measures or the steps of the fleet part whose name contains this")
-	flag.Func("sizes", "fleet sizes of the capacity part, separated by commas (default 3,12,24,48)", opt.addSizes)
+	flag.Func("sizes", "fleet sizes of the capacity part (default 3,12,24,48) or the jobowner part (default 11,55,120,240), separated by commas", opt.addSizes)
 	flag.IntVar(&opt.each, "tasks-each", tasksEach, "tasks of each instance in the capacity part")
 	flag.IntVar(&opt.partitions, "partitions", 0, "job partitions in the capacity part, those of the deployment when 0; few make owners of many tasks")
-	flag.StringVar(&opt.profiles, "profiles", "", "folder for processor profiles of the busiest owner and the least busy agent of the capacity part")
+	flag.StringVar(&opt.profiles, "profiles", "", "folder for processor profiles of the busiest owner and the least busy agent of the capacity part, and of the owner of the jobowner part")
 	flag.DurationVar(&opt.observe, "observe", 15*time.Second, "time over which the capacity part observes a fleet; a tick of processor time is 10 ms")
-	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity, fleet; the first two when empty")
+	only := flag.String("only", "", "parts to run, separated by commas: latency, decisions, capacity, owner, fleet, jobowner; the first two when empty")
 	flag.BoolVar(&opt.logs, "keep-logs", false, "keep the settings and logs of the fleet part")
 	flag.Parse()
 	rep := newReport(os.Stdout)
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -136,6 +136,38 @@
 		Expect(out.Acked).To(BeEquivalentTo(1))
 	})
 
+	// Guards against ends that are applied to a session in which the agent's runs are not known.
+	It("applies news only after a report of the session", func() {
+		own := newOwner()
+		news := batch.News{Instance: "a", Session: 1}
+		Expect(own.ApplyNews(news, own.now)).To(BeFalse())
+		own.receive(report("a", 1))
+		own.submit("j", step(1))
+		own.store()
+		news.Events = []batch.Event{endEvent(1, own.orders("a", 1, batch.StartRun)[0].ID, batch.EndDone)}
+		news.Session = 2
+		Expect(own.ApplyNews(news, own.now)).To(BeFalse())
+		news.Session = 1
+		Expect(own.ApplyNews(news, own.now)).To(BeTrue())
+		Expect(own.StoredEvents("a", 1)).To(BeZero())
+		expectState(own.store(), batch.JobCompleted)
+		Expect(own.StoredEvents("a", 1)).To(BeEquivalentTo(1))
+		Expect(own.Stored()).To(ConsistOf(fleet.InstanceID("a")))
+	})
+
+	// Guards against an instance that is lost although it sends news.
+	It("takes news as a sign of life", func() {
+		own := newOwner()
+		own.receive(report("a", 1))
+		own.submit("j", step(1))
+		own.store()
+		for range 20 {
+			own.advance(time.Second)
+			Expect(own.ApplyNews(batch.News{Instance: "a", Session: 1}, own.now)).To(BeTrue())
+		}
+		Expect(own.store()).To(BeEmpty())
+	})
+
 	It("never reserves more than the capacity of an instance, including runs that are being stopped", func() {
 		own := newOwner()
 		own.receive(report("a", 1))
--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -40,7 +40,8 @@
 	orders            []Order // not yet acknowledged by the agent
 	orderSeq          uint64
 	health            health
-	changed           bool            // contained in Scheduler.changed
+	ordered           bool            // contained in Scheduler.ordered
+	stored            bool            // contained in Scheduler.stored
 	orphans           map[RunID]bool  // runs without an attempt that were ordered to stop
 	version           uint64          // of the data on which placements depend, see Scheduler.touch
 	admitted          bool            // the health admitted runs at the last tick
@@ -126,14 +127,17 @@
 	ins.orderSeq++
 	ord.Seq = ins.orderSeq
 	ins.orders = append(ins.orders, ord)
-	sch.markChanged(ins)
+	if !ins.ordered {
+		ins.ordered = true
+		sch.ordered = append(sch.ordered, ins)
+	}
 }
 
-// markChanged records that the outbox of an instance has changed.
-func (sch *Scheduler[O, P]) markChanged(ins *instance) {
-	if !ins.changed {
-		ins.changed = true
-		sch.changed = append(sch.changed, ins)
+// eventsStored records that an agent may discard events that it could not before.
+func (sch *Scheduler[O, P]) eventsStored(ins *instance) {
+	if !ins.stored {
+		ins.stored = true
+		sch.stored = append(sch.stored, ins)
 	}
 }
 
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -41,7 +41,16 @@
 	ID         RunID
 	Cause      EndCause
 	Checkpoint string
-	Reason     string // of a refusal
+	Reason     string        // of a refusal
+	Took       time.Duration // from the start to the end of the run, zero if unknown
+}
+
+// News is what an agent sends between two reports: the ends of runs since the last one.
+type News struct {
+	Instance    fleet.InstanceID
+	Session     uint64
+	Events      []Event
+	AckedOrders uint64 // sequence number of the last order that the agent has received
 }
 
 // OrderKind is the action that an order requests.
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -53,7 +53,7 @@
 		}
 		for _, evt := range wrb.acks[num] {
 			if ins := sch.instance(evt.instance); ins.session == evt.session && ins.markStored(evt.seq) {
-				sch.markChanged(ins)
+				sch.eventsStored(ins)
 			}
 		}
 	}
@@ -123,14 +123,35 @@
 	return Outbox{Orders: append([]Order(nil), ins.orders...), Acked: ins.storedEvents()}, true
 }
 
-// Changed returns the instances whose outboxes have changed since the last call.
-func (sch *Scheduler[O, P]) Changed() []fleet.InstanceID {
-	ids := make([]fleet.InstanceID, len(sch.changed))
-	for num, ins := range sch.changed {
-		ins.changed = false
+// StoredEvents returns the sequence number up to which an agent may discard events. It returns zero if
+// session is not the current session of the instance.
+func (sch *Scheduler[O, P]) StoredEvents(id fleet.InstanceID, session uint64) uint64 {
+	ins := sch.instances[id]
+	if ins == nil || ins.session != session {
+		return 0
+	}
+	return ins.storedEvents()
+}
+
+// Ordered returns the instances that have got orders since the last call.
+func (sch *Scheduler[O, P]) Ordered() []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, len(sch.ordered))
+	for num, ins := range sch.ordered {
+		ins.ordered = false
+		ids[num] = ins.id
+	}
+	sch.ordered = sch.ordered[:0]
+	return ids
+}
+
+// Stored returns the instances whose agents may discard events that they could not at the last call.
+func (sch *Scheduler[O, P]) Stored() []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, len(sch.stored))
+	for num, ins := range sch.stored {
+		ins.stored = false
 		ids[num] = ins.id
 	}
-	sch.changed = sch.changed[:0]
+	sch.stored = sch.stored[:0]
 	return ids
 }
 
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// ApplyNews applies the news of an agent. It returns false if the agent must send a report first, because
+// its session is not known.
+func (sch *Scheduler[O, P]) ApplyNews(nws News, now time.Time) bool {
+	ins := sch.instances[nws.Instance]
+	if ins == nil || ins.session != nws.Session || !ins.present {
+		return false
+	}
+	ins.reportedAt = now
+	ins.ackOrders(nws.AckedOrders)
+	for _, evt := range nws.Events {
+		sch.applyEvent(ins, evt, now)
+	}
+	return true
+}
+
 // startSession resets the state of the connection to the agent: in a new session the agent knows no
 // orders, and its event numbers start again.
 func (ins *instance) startSession(rep Report) {
@@ -185,7 +200,7 @@
 		return
 	}
 	ins.appliedEvents = evt.Seq
-	sch.markChanged(ins)
+	sch.eventsStored(ins)
 	delete(ins.orphans, evt.ID)
 	_, _, att := sch.find(ins, evt.ID)
 	job := sch.jobs[evt.ID.Task.Job]
@@ -224,7 +239,7 @@
 	case att.step.spec.LongRunning():
 		sch.applyLongRunningEnd(job, tsk, ins, evt, now)
 	case evt.Cause == EndDone:
-		sch.applySuccess(att, now)
+		sch.applySuccess(att, evt.Took, now)
 	case evt.Cause == EndFailed:
 		sch.applyFailure(att, evt, now)
 	case evt.Cause == EndRefused:
@@ -242,13 +257,15 @@
 	}
 }
 
-func (sch *Scheduler[O, P]) applySuccess(att *attempt, now time.Time) {
+func (sch *Scheduler[O, P]) applySuccess(att *attempt, took time.Duration, now time.Time) {
 	job, stp := att.job, att.step
 	ins := sch.instance(att.instance)
 	ins.health.recordSuccess()
 	sch.touch(ins)
 	if !att.workingSince.IsZero() {
-		took := now.Sub(att.workingSince)
+		took = now.Sub(att.workingSince) // what predictions are compared with
+	}
+	if took > 0 {
 		stp.addDoneTime(took)
 		sch.runTimes.learn(job.spec.Queue(), stp.spec, took)
 	}
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -41,7 +41,8 @@
 	instances         map[fleet.InstanceID]*instance
 	instanceList      []*instance // the same, in the order in which they appeared
 	version           uint64      // increases with each change of the data on which placements depend
-	changed           []*instance // whose outboxes have changed since the last call of Changed
+	ordered           []*instance // that have got orders since the last call of Ordered
+	stored            []*instance // of which events were stored since the last call of Stored
 	reported          int         // instances that have reported to this owner
 	presenceChanged   bool        // an instance has reported for the first time since the last call of Presence
 	presenceAt        time.Time   // of the last call of Presence
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -307,6 +307,15 @@
 	return rep
 }
 
+// News returns the ends of runs that the owner has not confirmed.
+func (hst *Host) News(id fleet.InstanceID) batch.News {
+	nws := batch.News{Instance: id, Session: hst.session, AckedOrders: hst.lastOrder}
+	for _, evt := range hst.events {
+		nws.Events = append(nws.Events, evt.Event)
+	}
+	return nws
+}
+
 func (hst *Host) silent(now time.Time) bool {
 	return hst.answeredAt.IsZero() || now.Sub(hst.answeredAt) > silentAfter
 }
@@ -323,10 +332,9 @@
 	}
 }
 
-func (hst *Host) emit(rid batch.RunID, cause batch.EndCause, checkpoint, reason string, workerSeq uint64) {
+// emit numbers an event and keeps it until the owner confirms it.
+func (hst *Host) emit(evt batch.Event, workerSeq uint64) {
 	hst.eventSeq++
-	hst.events = append(hst.events, event{
-		Event:     batch.Event{Seq: hst.eventSeq, ID: rid, Cause: cause, Checkpoint: checkpoint, Reason: reason},
-		workerSeq: workerSeq,
-	})
+	evt.Seq = hst.eventSeq
+	hst.events = append(hst.events, event{Event: evt, workerSeq: workerSeq})
 }
--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -64,6 +64,21 @@
 	Expect(got).To(Equal(knds))
 }
 
+// Guards against run times that the owner can't learn, because the run ended before a report listed it.
+var _ = It("tells in its news how long a run took", func() {
+	agt := newAgent()
+	agt.order(batch.StartRun, "j")
+	agt.StartEnded(incarnation, run("j"), batchhost.Accepted, "", agt.now)
+	agt.now = agt.now.Add(640 * time.Millisecond)
+	agt.listEnds(batchhost.EndedRun{Seq: 1, ID: run("j"), Cause: batch.EndDone})
+	nws := agt.News("a")
+	Expect(nws.Session).To(Equal(agt.Session()))
+	Expect(nws.Events).To(HaveLen(1))
+	Expect(nws.Events[0].Took).To(Equal(640 * time.Millisecond))
+	agt.Confirmed(agt.Epoch(), agt.Session(), 1)
+	Expect(agt.News("a").Events).To(BeEmpty())
+})
+
 func (agt *agent) expectEvents(causes ...batch.EndCause) {
 	GinkgoHelper()
 	var got []batch.EndCause
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -34,7 +34,7 @@
 	hst.answeredAt = lst.ReceivedAt
 	hst.hasListing = true
 	hst.setClock(lst.Clock, lst.ReceivedAt)
-	num := hst.addEnds(lst.Ended)
+	num := hst.addEnds(lst.Ended, lst.ReceivedAt)
 	listed := make(map[batch.RunID]bool, len(lst.Runs))
 	for _, sta := range lst.Runs {
 		listed[sta.ID] = true
@@ -54,15 +54,19 @@
 	hst.clock = clock{value: val, at: at}
 }
 
-func (hst *Host) addEnds(ends []EndedRun) int {
+func (hst *Host) addEnds(ends []EndedRun, at time.Time) int {
 	num := 0
 	for _, end := range ends {
 		if end.Seq <= hst.lastEnd {
 			continue
 		}
 		hst.lastEnd = end.Seq
+		evt := batch.Event{ID: end.ID, Cause: end.Cause, Checkpoint: end.Checkpoint}
+		if rn := hst.runs[end.ID]; rn != nil && !rn.startedAt.IsZero() {
+			evt.Took = at.Sub(rn.startedAt)
+		}
 		delete(hst.runs, end.ID)
-		hst.emit(end.ID, end.Cause, end.Checkpoint, "", end.Seq)
+		hst.emit(evt, end.Seq)
 		num++
 	}
 	return num
@@ -118,7 +122,7 @@
 			continue
 		}
 		delete(hst.runs, rid)
-		hst.emit(rid, batch.EndRefused, rn.state.Checkpoint, reasonNotListed, 0)
+		hst.emit(batch.Event{ID: rid, Cause: batch.EndRefused, Checkpoint: rn.state.Checkpoint, Reason: reasonNotListed}, 0)
 		num++
 	}
 	return num
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if reason := hst.refusal(ord, sentAt, now); reason != "" {
-		hst.emit(ord.ID, batch.EndRefused, "", reason, 0)
+		hst.emit(batch.Event{ID: ord.ID, Cause: batch.EndRefused, Reason: reason}, 0)
 		return
 	}
 	if hst.runs == nil {
@@ -150,7 +150,7 @@
 			return
 		}
 		delete(hst.runs, rid)
-		hst.emit(rid, batch.EndRefused, "", reason, 0)
+		hst.emit(batch.Event{ID: rid, Cause: batch.EndRefused, Reason: reason}, 0)
 	case Retry, Unknown:
 		rn.mayStartLate = rn.mayStartLate || out == Unknown
 		rn.retryAt = now
@@ -216,7 +216,7 @@
 
 func (hst *Host) expireRuns() {
 	for rid, rn := range hst.runs {
-		hst.emit(rid, batch.EndLeaseExpired, rn.state.Checkpoint, reasonNoAnswer, 0)
+		hst.emit(batch.Event{ID: rid, Cause: batch.EndLeaseExpired, Checkpoint: rn.state.Checkpoint, Reason: reasonNoAnswer}, 0)
 		delete(hst.runs, rid)
 	}
 }
--- a/core/pacing/estimator_test.go
+++ b/core/pacing/estimator_test.go
@@ -78,6 +78,21 @@
 		Entry("light", "light"),
 	)
 
+	// Guards against a prospect that differs from what the model expects.
+	It("gives a prospect that agrees with the expected violations", func() {
+		flt := fleet{amplitude: 0.5, effect: effects, target: 18}
+		flt.run(rounds(8))
+		srvs := []pacing.ServingTask{{Group: "job", Image: "web", TailMillis: 9, TargetMillis: 18}, {Group: "other", Image: "never seen", TargetMillis: 18}}
+		uss := pacing.Uses{pacing.NewUse("middling", 0.1)}
+		prs := flt.model.Prospect(srvs, uss)
+		for _, img := range []string{"heavy", "middling", "light", "never seen"} {
+			for _, fraction := range []float64{0.02, 0.1, -0.05} {
+				want := flt.model.ExpectedViolations(srvs, uss.With(img, fraction)) - flt.model.ExpectedViolations(srvs, uss)
+				Expect(prs.AddedViolations(img, fraction)).To(BeNumerically("~", want, 1e-12), "%s %g", img, fraction)
+			}
+		}
+	})
+
 	// Guards against a state that grows with each best-effort image ever seen beside a service.
 	It("evicts the least recently seen images", func() {
 		flt := fleet{effect: map[string]float64{"heavy": 4}, target: 18}
--- a/core/simulation/run.go
+++ b/core/simulation/run.go
@@ -169,7 +169,8 @@
 	}
 	rn.scheduler.Plan(now)
 	rn.scheduler.Committed(rn.scheduler.NextBatch(batchSize), now)
-	rn.scheduler.Changed()
+	rn.scheduler.Ordered()
+	rn.scheduler.Stored()
 	for _, nte := range rn.scheduler.Notes() {
 		rn.applyNote(nte)
 	}
--- a/core/simulation/worker.go
+++ b/core/simulation/worker.go
@@ -101,9 +101,10 @@
 
 func (wrk *worker) milliCPU() float64 { return float64(wrk.capacity.MilliCPU()) }
 
-func (wrk *worker) addEvent(rid batch.RunID, cause batch.EndCause) {
+func (wrk *worker) addEvent(evt batch.Event) {
 	wrk.seq++
-	wrk.events = append(wrk.events, batch.Event{Seq: wrk.seq, ID: rid, Cause: cause})
+	evt.Seq = wrk.seq
+	wrk.events = append(wrk.events, evt)
 	wrk.reportPending = true
 }
 
@@ -145,9 +146,9 @@
 		switch {
 		case ord.Kind == batch.StopRun && wrk.runs[ord.ID] != nil:
 			delete(wrk.runs, ord.ID)
-			wrk.addEvent(ord.ID, batch.EndStopped)
+			wrk.addEvent(batch.Event{ID: ord.ID, Cause: batch.EndStopped})
 		case ord.Kind == batch.StartRun && !wrk.reserved().Plus(ord.Need).FitsIn(wrk.capacity):
-			wrk.addEvent(ord.ID, batch.EndRefused)
+			wrk.addEvent(batch.Event{ID: ord.ID, Cause: batch.EndRefused})
 		case ord.Kind == batch.StartRun:
 			wrk.runs[ord.ID] = &run{order: ord, remaining: duration(ord.ID), duration: duration(ord.ID), startedAt: now}
 			wrk.reportPending = true
@@ -182,7 +183,7 @@
 		}
 		if rn.remaining -= time.Duration(speed * float64(Step)); rn.remaining <= 0 {
 			delete(wrk.runs, rid)
-			wrk.addEvent(rid, batch.EndDone)
+			wrk.addEvent(batch.Event{ID: rid, Cause: batch.EndDone, Took: now - rn.startedAt})
 			continue
 		}
 		rn.percent = int(100 * (rn.duration - rn.remaining) / max(1, rn.duration))
--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -58,17 +58,18 @@
 
 // Usage returns the resource usage of the agent.
 func (ins *Instance) Usage(ctx context.Context) (Usage, error) {
-	return usageOf(ctx, ins.agent, ins.metrics)
+	return ProcessUsage(ctx, ins.agent.cmd.Process.Pid, ins.metrics)
 }
 
 // Usage returns the resource usage of the entry.
 func (ent *Entry) Usage(ctx context.Context) (Usage, error) {
-	return usageOf(ctx, ent.process, ent.metrics)
+	return ProcessUsage(ctx, ent.process.cmd.Process.Pid, ent.metrics)
 }
 
-func usageOf(ctx context.Context, pro *Process, metrics string) (Usage, error) {
+// ProcessUsage returns the resource usage of a process, with the metrics that it serves at an address.
+func ProcessUsage(ctx context.Context, pid int, metrics string) (Usage, error) {
 	var usg Usage
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pro.cmd.Process.Pid))
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return usg, errors.Wrap(err, "read processor time")
 	}
@@ -79,7 +80,7 @@
 	pages, _ := strconv.ParseInt(fields[21], 10, 64)
 	usg.processor = time.Duration(user+system) * clockTick
 	usg.memory = pages * int64(os.Getpagesize())
-	usg.switches, err = voluntarySwitches(pro.cmd.Process.Pid)
+	usg.switches, err = voluntarySwitches(pid)
 	if err != nil {
 		return usg, err
 	}
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -27,6 +27,7 @@
 const (
 	tickPeriod     = 100 * time.Millisecond
 	reportPeriod   = 500 * time.Millisecond // between reports without changes; each renews the owner's grant
+	reportSlack    = 20 * time.Millisecond  // by which a report may be early
 	reportTimeout  = 700 * time.Millisecond // for the owner's answer to a report
 	holdWait       = 800 * time.Millisecond // of a hold request, unless serving and filling runs share the worker
 	sharedWait     = 350 * time.Millisecond // of a hold request if they do: the pace depends on recent latencies
@@ -78,6 +79,7 @@
 	token    uint64
 	pausing  bool                       // filling runs are paused to protect a serving run
 	departed map[batch.Incarnation]bool // lives that are no longer at the worker's address
+	reports  reportSchedule
 }
 
 // Agent is the agent of one instance.
@@ -172,6 +174,7 @@
 			agt.log.Info(string(decision.WorkerAnnounced), zap.String("life", string(ann.Worker.Incarnation)), zap.Uint64("token", sta.token))
 		}
 		if newIncarnation || draining {
+			sta.reports.due = true
 			signal(agt.reportNeeded)
 			signal(agt.holdNeeded)
 		}
--- a/io/batchagent/owner.go
+++ b/io/batchagent/owner.go
@@ -93,7 +93,19 @@
 	}
 }
 
-// report reports the state of the instance to the owner every reportPeriod, and at once after a change.
+// reportSchedule tells when a whole report is due. Between reports the agent sends news, which are small.
+type reportSchedule struct {
+	due     bool      // the description of the worker has changed, or the owner has asked for a report
+	session uint64    // of the last report that the owner has answered
+	sentAt  time.Time // of that report
+}
+
+// isDue reports whether the next message in a session must be a report.
+func (sdl *reportSchedule) isDue(session uint64, now time.Time) bool {
+	return sdl.due || sdl.session != session || now.Sub(sdl.sentAt) >= reportPeriod-reportSlack
+}
+
+// report reports the state of the instance to the owner every reportPeriod, and sends news at once.
 func (agt *Agent) report(ctx context.Context) {
 	tmr := time.NewTimer(0)
 	defer tmr.Stop()
@@ -104,54 +116,83 @@
 		case <-agt.reportNeeded:
 		case <-tmr.C:
 		}
-		wait := reportPeriod
-		if !agt.reportOnce(ctx) {
-			wait = ownerRetryDelay
-		}
-		tmr.Reset(wait)
+		tmr.Reset(agt.reportOnce(ctx))
 	}
 }
 
-func (agt *Agent) reportOnce(ctx context.Context) bool {
+// reportOnce sends a report or news, and returns the time until the next report.
+func (agt *Agent) reportOnce(ctx context.Context) time.Duration {
 	own, found := agt.elector.Current()
 	if !found {
 		agt.elector.Suspect()
-		return false
+		return ownerRetryDelay
 	}
-	arg, ok := agt.reportArgs(ctx, own)
+	msg, ok := agt.nextMessage(ctx, own)
 	if !ok {
-		return true
+		return reportPeriod
 	}
 	var rep batchrpc.ReportReply
 	sent := agt.clock()
-	err := agt.callOwner(ctx, own.Address, batchrpc.ReportMethod, reportTimeout, &arg, &rep)
+	err := msg.send(ctx, agt, own, &rep)
+	if err != nil || rep.NotOwner || rep.Unknown {
+		agt.change(ctx, func(sta *state, _ time.Time) { sta.reports.due = true })
+	}
+	var remote rpc.ServerError
+	if rep.Unknown || !msg.whole && errors.As(err, &remote) {
+		return 0 // an owner of an earlier version knows no news
+	}
 	if err != nil || rep.NotOwner {
 		agt.suspectOwner(own, err)
-		return false
+		return ownerRetryDelay
 	}
 	agt.recordAnswer(rep.Healthy)
-	agt.change(ctx, func(sta *state, _ time.Time) {
+	return changeFor(ctx, agt, func(sta *state, now time.Time) time.Duration {
 		sta.host.Grant(own.Epoch, sent, rep.Grant)
-		agt.confirm(sta, own.Epoch, arg.Session, rep.Acked)
+		agt.confirm(sta, own.Epoch, msg.session, rep.Acked)
+		if msg.whole {
+			sta.reports.session, sta.reports.sentAt = msg.session, sent
+		}
+		return max(0, sta.reports.sentAt.Add(reportPeriod).Sub(now))
 	})
-	return true
 }
 
-func (agt *Agent) reportArgs(ctx context.Context, own batchstore.Owner) (batchrpc.ReportArgs, bool) {
+// message is a report or news.
+type message struct {
+	whole   bool // a report
+	session uint64
+	report  batch.Report
+	news    batch.News
+}
+
+// nextMessage returns the message to send now. It returns false if there is nothing to tell yet.
+func (agt *Agent) nextMessage(ctx context.Context, own batchstore.Owner) (message, bool) {
 	type answer struct {
-		rep batch.Report
+		msg message
 		ok  bool
 	}
 	ans, err := control.Query(ctx, agt.loop, func(sta *state, now time.Time) answer {
-		if !sta.host.Announced() || !sta.host.Follow(own.Epoch) || !sta.host.ReadyToReport() {
+		hst := sta.host
+		if !hst.Announced() || !hst.Follow(own.Epoch) || !hst.ReadyToReport() {
 			return answer{}
 		}
-		return answer{rep: sta.host.Report(agt.id, now), ok: true}
+		msg := message{session: hst.Session(), whole: sta.reports.isDue(hst.Session(), now)}
+		if msg.whole {
+			msg.report, sta.reports.due = hst.Report(agt.id, now), false
+		} else {
+			msg.news = hst.News(agt.id)
+		}
+		return answer{msg: msg, ok: true}
 	})
-	if err != nil || !ans.ok {
-		return batchrpc.ReportArgs{}, false
+	return ans.msg, err == nil && ans.ok
+}
+
+func (msg message) send(ctx context.Context, agt *Agent, own batchstore.Owner, rep *batchrpc.ReportReply) error {
+	if msg.whole {
+		arg := batchrpc.FromReport(own.Epoch, msg.report)
+		return agt.callOwner(ctx, own.Address, batchrpc.ReportMethod, reportTimeout, &arg, rep)
 	}
-	return batchrpc.FromReport(own.Epoch, ans.rep), true
+	arg := batchrpc.FromNews(own.Epoch, msg.news)
+	return agt.callOwner(ctx, own.Address, batchrpc.NewsMethod, reportTimeout, &arg, rep)
 }
 
 func (agt *Agent) confirm(sta *state, epoch, session, acked uint64) {
@@ -219,6 +260,7 @@
 		return false
 	}
 	if rep.Unknown {
+		agt.change(ctx, func(sta *state, _ time.Time) { sta.reports.due = true })
 		signal(agt.reportNeeded)
 		return false
 	}
--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -118,6 +118,7 @@
 	if err != nil {
 		return errors.Wrap(err, "restore the states of jobs")
 	}
+	osp.life = ctx
 	own.current.Store(osp)
 	return osp.run(ctx)
 }
@@ -138,6 +139,16 @@
 	return osp.report(arg, rep)
 }
 
+// News handles the news of an agent.
+func (svc *Service) News(arg batchrpc.NewsArgs, rep *batchrpc.ReportReply) error {
+	osp := svc.owner.current.Load()
+	if osp == nil || osp.epoch != arg.Epoch {
+		rep.NotOwner = true
+		return nil
+	}
+	return osp.news(arg, rep)
+}
+
 // Orders returns the orders for an agent. Without orders it answers after batchrpc.OrdersWait.
 func (svc *Service) Orders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) error {
 	osp := svc.owner.current.Load()
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -43,11 +43,12 @@
 	ready        chan struct{} // closed when all jobs are restored
 	readyOnce    sync.Once
 	done         chan struct{}
-	writeNeeded  chan struct{} // signalled when there is something to plan or to store
-	confirmedAt  atomic.Int64  // when the last successful transaction was sent, in ns
-	mu           sync.Mutex
-	orderSignals map[fleet.InstanceID]chan struct{}
-	removable    []string // jobs whose states must be removed; used on the control thread
+	life         context.Context // ends with the ownership; calls of net/rpc have no context
+	writeNeeded  chan struct{}   // signalled when there is something to plan or to store
+	confirmedAt  atomic.Int64    // when the last successful transaction was sent, in ns
+	orderSignals signals         // that an instance has got orders
+	storeSignals signals         // that events of an instance were stored
+	removable    []string        // jobs whose states must be removed; used on the control thread
 	grantable    grantableSet
 
 	maintenance *maintenance
@@ -61,7 +62,6 @@
 	osp := &ownership{
 		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(),
 		ready: make(chan struct{}), done: make(chan struct{}), writeNeeded: make(chan struct{}, 1),
-		orderSignals: make(map[fleet.InstanceID]chan struct{}),
 	}
 	osp.maintenance = &maintenance{ownership: osp, startedAt: now}
 	osp.confirmedAt.Store(now.UnixNano())
@@ -252,21 +252,34 @@
 	for _, note := range sch.Notes() {
 		logNote(osp.cfg.Log, note)
 	}
-	for _, id := range sch.Changed() {
-		signal(osp.orderSignal(id))
+	for _, id := range sch.Ordered() {
+		signal(osp.orderSignals.of(id))
+	}
+	for _, id := range sch.Stored() {
+		signal(osp.storeSignals.of(id))
 	}
 	if sch.UnstoredJobs() > 0 || !sch.Planned() || osp.maintenance.planner.Changed() || sch.ReportedInstances() > osp.grantable.len() {
 		signal(osp.writeNeeded)
 	}
 }
 
-func (osp *ownership) orderSignal(id fleet.InstanceID) chan struct{} {
-	osp.mu.Lock()
-	defer osp.mu.Unlock()
-	chn := osp.orderSignals[id]
+// signals is a set of signals by instance. The zero value is empty. It is safe for concurrent use.
+type signals struct {
+	mu    sync.Mutex
+	chans map[fleet.InstanceID]chan struct{}
+}
+
+// of returns the signal of an instance.
+func (sgs *signals) of(id fleet.InstanceID) chan struct{} {
+	sgs.mu.Lock()
+	defer sgs.mu.Unlock()
+	chn := sgs.chans[id]
 	if chn == nil {
+		if sgs.chans == nil {
+			sgs.chans = make(map[fleet.InstanceID]chan struct{})
+		}
 		chn = make(chan struct{}, 1)
-		osp.orderSignals[id] = chn
+		sgs.chans[id] = chn
 	}
 	return chn
 }
@@ -278,69 +291,129 @@
 	}
 }
 
-// awaitReady waits until all jobs are restored. It returns false if the ownership or the context ends
-// first.
-func (osp *ownership) awaitReady(ctx context.Context) bool {
+// requestTimeout limits how long a request of an agent waits until all jobs are restored. It is below the
+// agent's own time limit.
+const requestTimeout = 500 * time.Millisecond
+
+// awaitReady waits until all jobs are restored. It returns false if the ownership ends first, or after
+// requestTimeout.
+func (osp *ownership) awaitReady() bool {
+	select {
+	case <-osp.ready:
+		return true
+	default:
+	}
+	tmr := time.NewTimer(requestTimeout)
+	defer tmr.Stop()
 	select {
 	case <-osp.ready:
 		return true
 	case <-osp.done:
 		return false
-	case <-ctx.Done():
+	case <-tmr.C:
 		return false
 	}
 }
 
-// requestTimeout limits a request of an agent. It is below the agent's own time limit.
-const requestTimeout = 500 * time.Millisecond
+// receipt is the result of a report or news on the control thread.
+type receipt struct {
+	known bool
+	acked uint64 // events up to this one are stored
+}
 
 func (osp *ownership) report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-	defer cancel()
-	if !osp.awaitReady(ctx) {
-		rep.NotOwner = true
-		return nil
-	}
 	id := fleet.InstanceID(arg.Instance)
-	acked, err := control.Query(ctx, osp.loop, func(sch *Scheduler, now time.Time) uint64 {
+	osp.receive(id, rep, func(sch *Scheduler, now time.Time) receipt {
 		sch.ApplyReport(arg.Core(), now)
-		out, _ := sch.Outbox(id, arg.Session, arg.OrdersSeen)
-		return out.Acked
+		return receipt{known: true, acked: sch.StoredEvents(id, arg.Session)}
+	})
+	osp.awaitStored(id, arg.Session, arg.Events, rep)
+	return nil
+}
+
+func (osp *ownership) news(arg batchrpc.NewsArgs, rep *batchrpc.ReportReply) error {
+	id := fleet.InstanceID(arg.Instance)
+	osp.receive(id, rep, func(sch *Scheduler, now time.Time) receipt {
+		known := sch.ApplyNews(arg.Core(), now)
+		return receipt{known: known, acked: sch.StoredEvents(id, arg.Session)}
 	})
+	osp.awaitStored(id, arg.Session, arg.Events, rep)
+	return nil
+}
+
+// storedWait is how long an answer waits until the events of its message are stored. It is the time of a
+// few transactions. Without the wait, each event would need a further answer.
+const storedWait = 120 * time.Millisecond
+
+// awaitStored waits until the events of an instance are stored, and acknowledges those that are.
+func (osp *ownership) awaitStored(id fleet.InstanceID, session uint64, evts []batch.Event, rep *batchrpc.ReportReply) {
+	if rep.NotOwner || rep.Unknown || len(evts) == 0 {
+		return
+	}
+	last := evts[len(evts)-1].Seq
+	tmr := time.NewTimer(storedWait)
+	defer tmr.Stop()
+	for rep.Acked < last {
+		select {
+		case <-osp.storeSignals.of(id):
+		case <-osp.done:
+			return
+		case <-tmr.C:
+			return
+		}
+		acked, err := control.Query(osp.life, osp.loop, func(sch *Scheduler, _ time.Time) uint64 { return sch.StoredEvents(id, session) })
+		if err != nil {
+			return // the ownership has ended; the next owner acknowledges the events
+		}
+		rep.Acked = max(rep.Acked, acked)
+	}
+}
+
+// receive applies a message of an instance on the control thread and grants the instance time.
+func (osp *ownership) receive(id fleet.InstanceID, rep *batchrpc.ReportReply, apply func(sch *Scheduler, now time.Time) receipt) {
+	if !osp.awaitReady() {
+		rep.NotOwner = true
+		return
+	}
+	rcp, err := control.Query(osp.life, osp.loop, apply)
 	if err != nil {
 		rep.NotOwner = true
-		return nil
+		return
+	}
+	if !rcp.known {
+		rep.Unknown = true
+		return
 	}
-	granted := osp.grantable.await(ctx, id)
+	granted := osp.grantable.await(osp.life, id)
 	since := time.Duration(osp.cfg.Clock().UnixNano() - osp.confirmedAt.Load())
 	rep.Healthy = since < healthyWithin
 	if since < OwnershipValidity && granted {
 		rep.Grant = GrantDuration
 	}
-	rep.Acked = acked
-	return nil
+	rep.Acked = rcp.acked
 }
 
 func (osp *ownership) orders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), batchrpc.OrdersWait+requestTimeout)
-	defer cancel()
-	if !osp.awaitReady(ctx) {
+	if !osp.awaitReady() {
 		rep.NotOwner = true
 		return nil
 	}
-	tmr := time.NewTimer(batchrpc.OrdersWait)
-	defer tmr.Stop()
+	var tmr *time.Timer
 	for last := false; ; {
-		known, err := osp.answerOrders(ctx, arg, rep)
+		known, err := osp.answerOrders(arg, rep)
 		if err != nil {
 			rep.NotOwner = true
 			return nil
 		}
-		if last || !known || len(rep.Orders) > 0 || rep.Acked != arg.Acked {
+		if last || !known || len(rep.Orders) > 0 {
 			return nil
 		}
+		if tmr == nil {
+			tmr = time.NewTimer(batchrpc.OrdersWait)
+			defer tmr.Stop()
+		}
 		select {
-		case <-osp.orderSignal(fleet.InstanceID(arg.Instance)):
+		case <-osp.orderSignals.of(fleet.InstanceID(arg.Instance)):
 		case <-osp.done:
 			last = true
 		case <-tmr.C:
@@ -349,12 +422,12 @@
 	}
 }
 
-func (osp *ownership) answerOrders(ctx context.Context, arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) (bool, error) {
+func (osp *ownership) answerOrders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) (bool, error) {
 	type answer struct {
 		out   batch.Outbox
 		known bool
 	}
-	ans, err := control.Query(ctx, osp.loop, func(sch *Scheduler, _ time.Time) answer {
+	ans, err := control.Query(osp.life, osp.loop, func(sch *Scheduler, _ time.Time) answer {
 		out, known := sch.Outbox(fleet.InstanceID(arg.Instance), arg.Session, arg.Seen)
 		return answer{out: out, known: known}
 	})
--- a/io/batchrpc/batchrpc.go
+++ b/io/batchrpc/batchrpc.go
@@ -1,8 +1,8 @@
 // Package batchrpc defines the net/rpc messages between agents and the owner of the jobs, and converts
 // them from and to the types of package batch.
 //
-// An agent sends reports and requests orders by long poll. Both contain the epoch of the owner that the
-// agent follows. A process that is not the owner of that epoch answers with NotOwner.
+// An agent sends reports, sends news between them, and requests orders by long poll. All contain the epoch
+// of the owner that the agent follows. A process that is not the owner of that epoch answers with NotOwner.
 package batchrpc
 
 import (
@@ -17,6 +17,7 @@
 const (
 	ServiceName  = "Jobs"
 	ReportMethod = ServiceName + ".Report"
+	NewsMethod   = ServiceName + ".News"
 	OrdersMethod = ServiceName + ".Orders"
 )
 
@@ -47,9 +48,18 @@
 	Events                                      []batch.Event
 }
 
-// ReportReply is the answer to a report.
+// NewsArgs is a batch.News.
+type NewsArgs struct {
+	Epoch               uint64
+	Instance            string
+	Session, OrdersSeen uint64
+	Events              []batch.Event
+}
+
+// ReportReply is the answer to a report or to news.
 type ReportReply struct {
 	NotOwner bool
+	Unknown  bool          // the owner does not know the session of the news; the agent must report first
 	Healthy  bool          // the owner reached the store recently
 	Grant    time.Duration // for which the worker's lease may be renewed, counted from the sending of the report
 	Acked    uint64        // events up to this one are stored
@@ -96,6 +106,16 @@
 	}
 }
 
+// FromNews converts news for the owner of an epoch.
+func FromNews(epoch uint64, nws batch.News) NewsArgs {
+	return NewsArgs{Epoch: epoch, Instance: string(nws.Instance), Session: nws.Session, OrdersSeen: nws.AckedOrders, Events: nws.Events}
+}
+
+// Core converts the arguments to news.
+func (arg NewsArgs) Core() batch.News {
+	return batch.News{Instance: fleet.InstanceID(arg.Instance), Session: arg.Session, AckedOrders: arg.OrdersSeen, Events: arg.Events}
+}
+
 // Core converts the arguments to a report.
 func (arg ReportArgs) Core() batch.Report {
 	return batch.Report{
