Pass what an owner has learned on to its successor, and report pauses at once

The owner stores the learned effects, the tails without load and the run times, each 2 s and with a transaction that is made anyway. Values that no model learns are left out.

Since news are sent between reports, the owner learned of pauses and violations up to 0.5 s later than before. Agents now send a report when best-effort runs pause or resume and when a violation begins.

--- a/core/batch/durations.go
+++ b/core/batch/durations.go
@@ -24,6 +24,9 @@
 // run times differ by factors.
 type durations struct{ means map[string]float64 }
 
+// maxKnownRunSeconds bounds restored run times. Longer ones are not learned from batch tasks.
+const maxKnownRunSeconds = 86400
+
 func durationKey(queue string, stp workload.Step) string {
 	if stp.BestEffort() {
 		return queue + "/fills"
--- a/core/pacing/estimator_test.go
+++ b/core/pacing/estimator_test.go
@@ -78,6 +78,34 @@
 		Entry("light", "light"),
 	)
 
+	// Guards against an owner that learns everything again after it took over, while the tasks that it
+	// places disturb others (large site, trouble-1: twice to five times the time over targets after each).
+	It("gives its knowledge to another model", func() {
+		flt := fleet{amplitude: 0.5, effect: effects, target: 18}
+		flt.run(rounds(8))
+		var next pacing.Model
+		next.Restore(flt.model.Knowledge(10), flt.now)
+		for _, img := range []string{"heavy", "middling", "light"} {
+			par := pacing.Pair{Serving: "web", BestEffort: img}
+			Expect(next.Effect(par)).To(Equal(flt.model.Effect(par)))
+			Expect(next.Measured(par)).To(BeTrue())
+		}
+		srvs := []pacing.ServingTask{{Group: "new", Image: "web", TargetMillis: 18}}
+		Expect(next.ExpectedViolations(srvs, nil)).To(BeNumerically("<", 0.1), "the tail without load must be known")
+		Expect(flt.model.Knowledge(2).Effects).To(HaveLen(2))
+	})
+
+	// Guards against stored values that make the estimates infinite.
+	It("leaves out knowledge that no model learns", func() {
+		var mod pacing.Model
+		par := pacing.Pair{Serving: "web", BestEffort: "heavy"}
+		for _, odd := range []pacing.Effect{{Mean: 1e300, Variance: 1}, {Mean: -1, Variance: 1}, {Mean: math.NaN(), Variance: 1}, {Mean: 1, Variance: 0}, {Mean: 1, Variance: 1e9}} {
+			odd.Pair = par
+			mod.Restore(pacing.Knowledge{Effects: []pacing.Effect{odd}, UnloadedTails: map[string]float64{"web": -1}}, time.Unix(0, 0))
+		}
+		Expect(mod.Measured(par)).To(BeFalse())
+	})
+
 	// Guards against a prospect that differs from what the model expects.
 	It("gives a prospect that agrees with the expected violations", func() {
 		flt := fleet{amplitude: 0.5, effect: effects, target: 18}
--- a/core/pacing/model.go
+++ b/core/pacing/model.go
@@ -105,26 +105,36 @@
 }
 
 func (mod *Model) learnUnloadedTail(srv ServingTask) {
-	if mod.unloadedTails == nil {
-		mod.unloadedTails = make(map[string]float64)
-	}
 	if old, found := mod.unloadedTails[srv.Image]; srv.TailMillis > 0 && (!found || unloadedFraction*srv.TailMillis < old) {
-		mod.unloadedTails[srv.Image] = unloadedFraction * srv.TailMillis
+		mod.setUnloadedTail(srv.Image, unloadedFraction*srv.TailMillis)
 	}
 }
 
-func (mod *Model) learnServing(srv ServingTask, uss Uses, now time.Time) {
-	if srv.TailMillis <= 0 {
-		return
+func (mod *Model) setUnloadedTail(image string, millis float64) {
+	if mod.unloadedTails == nil {
+		mod.unloadedTails = make(map[string]float64)
 	}
+	mod.unloadedTails[image] = millis
+}
+
+// estimator returns the estimator of a serving image. It adds one if there is none.
+func (mod *Model) estimator(image string) *estimator {
 	if mod.estimators == nil {
 		mod.estimators = make(map[string]*estimator)
 	}
-	est := mod.estimators[srv.Image]
+	est := mod.estimators[image]
 	if est == nil {
 		est = &estimator{}
-		mod.estimators[srv.Image] = est
+		mod.estimators[image] = est
+	}
+	return est
+}
+
+func (mod *Model) learnServing(srv ServingTask, uss Uses, now time.Time) {
+	if srv.TailMillis <= 0 {
+		return
 	}
+	est := mod.estimator(srv.Image)
 	obs := observation{group: srv.Group, uses: uss, load: mod.load(srv.Image, srv.TailMillis), at: now}
 	if obs.load >= saturatedLoad {
 		obs.load, obs.saturated = assumedOverload, true
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,9 +78,14 @@
 func (agt *Agent) applyListing(ctx context.Context, lst batchhost.Listing) int {
 	return changeFor(ctx, agt, func(sta *state, _ time.Time) int {
 		num := sta.host.ApplyListing(lst)
-		agt.logViolations(sta.host.Violations())
+		vios := sta.host.Violations()
+		agt.logViolations(vios)
+		if slices.ContainsFunc(vios, func(chg pacing.Change) bool { return chg.Began }) {
+			agt.reportSoon(sta)
+		}
 		if pausing := sta.host.Pausing(); pausing != sta.pausing {
 			sta.pausing = pausing
+			agt.reportSoon(sta)
 			knd := decision.FillingResumed
 			if pausing {
 				knd = decision.FillingPaused
@@ -90,6 +96,13 @@
 	})
 }
 
+// reportSoon makes the next message to the owner a report, and sends it at once. The owner places no
+// best-effort tasks where they pause, and learns from violations.
+func (agt *Agent) reportSoon(sta *state) {
+	sta.reports.due = true
+	signal(agt.reportNeeded)
+}
+
 func (agt *Agent) logViolations(changes []pacing.Change) {
 	for _, chg := range changes {
 		knd := decision.TargetMet
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -83,6 +83,7 @@
 func (osp *ownership) restoreStates(ctx context.Context) error {
 	var all store.Changes
 	var prs batch.Presence
+	var kno batch.Knowledge
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() (err error) {
 		all, err = osp.cfg.Feed.Snapshot(ctx, osp.cfg.Partition.StatesPrefix())
@@ -92,10 +93,16 @@
 		prs, err = osp.readPresence(ctx)
 		return err
 	})
+	grp.Go(func() (err error) {
+		kno, err = osp.readLearned(ctx)
+		return err
+	})
 	if err := grp.Wait(); err != nil {
 		return err
 	}
-	osp.scheduler.RestorePresence(prs) // safe, because the control thread does not run yet
+	// The control thread does not run yet.
+	osp.scheduler.RestorePresence(prs)
+	osp.scheduler.RestoreKnowledge(kno, osp.cfg.Clock())
 	osp.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
 	osp.unreadable = make(map[string]bool)
 	for _, row := range all.Rows() {
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -35,16 +35,18 @@
 	waves   []upkeep.Change
 
 	presence *batch.Presence // nil if unchanged
+	learned  []byte          // nil if unchanged
 }
 
 func (chg change) empty() bool {
-	return chg.batch.Empty() && len(chg.removed) == 0 && chg.load == nil && len(chg.waves) == 0 && chg.presence == nil
+	return chg.batch.Empty() && len(chg.removed) == 0 && chg.load == nil && len(chg.waves) == 0 && chg.presence == nil && chg.learned == nil
 }
 
 // writer stores changes. It belongs to the goroutine that runs write.
 type writer struct {
 	*ownership
 	load        loadPublisher
+	learned     learnedPublisher
 	presence    []byte // as last stored
 	presenceDue bool   // the presence must be stored
 	writtenAt   time.Time
@@ -100,6 +102,7 @@
 		wrt.removable = wrt.removable[num:]
 		chg.presence = wrt.changedPresence(sch, now)
 		chg.load = wrt.load.next(sch, now, wrt.cfg.Log)
+		chg.learned = wrt.learned.next(sch, now)
 		return chg
 	}))
 }
@@ -119,6 +122,9 @@
 		if chg.load != nil {
 			wrt.load.stored(chg.load, wrt.writtenAt)
 		}
+		if chg.learned != nil {
+			wrt.learned.data = chg.learned
+		}
 		if chg.presence != nil {
 			wrt.presence, wrt.presenceDue = batchstore.Encode(batchstore.FromPresence(*chg.presence)), false
 			wrt.grantable.set(chg.presence.Reported)
@@ -192,6 +198,9 @@
 	if chg.presence != nil {
 		txn.Put(part.PresenceKey(), batchstore.Encode(batchstore.FromPresence(*chg.presence)))
 	}
+	if chg.learned != nil {
+		txn.Put(part.LearnedKey(), chg.learned)
+	}
 	for _, wav := range chg.waves {
 		txn.Put(part.WaveKey(wav.Wave), encodeProgress(wav))
 	}
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +21,7 @@
 
 	"jacinthpost/core/batch"
 	"jacinthpost/core/fleet"
+	"jacinthpost/core/pacing"
 	"jacinthpost/core/resource"
 	"jacinthpost/core/workload"
 )
@@ -68,6 +70,9 @@
 // table and the table of the owner row changes far more often.
 func (par Partition) LoadKey() string { return "loads/" + string(par) + "/load" }
 
+// LearnedKey returns the key of what an owner has learned, which it passes on to its successor.
+func (par Partition) LearnedKey() string { return "learned/" + string(par) + "/learned" }
+
 // PresenceKey returns the key of the presence of the instances, which an owner passes on to its successor.
 func (par Partition) PresenceKey() string { return "presences/" + string(par) + "/presence" }
 
@@ -159,6 +164,52 @@
 	return out
 }
 
+// Learned is a batch.Knowledge. Effects are by serving image, then by best-effort image.
+type Learned struct {
+	Effects     map[string]map[string]LearnedEffect `json:"effects,omitempty"`
+	TailsMillis map[string]float64                  `json:"tailsMillis,omitempty"`
+	RunSeconds  map[string]float64                  `json:"runSeconds,omitempty"`
+}
+
+// LearnedEffect is a mean and its variance.
+type LearnedEffect [2]float64
+
+// learnedPrecision is the precision of stored values. Changes below it are not worth a write.
+const learnedPrecision = 100
+
+func rounded(val float64) float64 { return math.Round(val*learnedPrecision) / learnedPrecision }
+
+// FromKnowledge converts a batch.Knowledge.
+func FromKnowledge(kno batch.Knowledge) Learned {
+	out := Learned{Effects: make(map[string]map[string]LearnedEffect), TailsMillis: make(map[string]float64), RunSeconds: make(map[string]float64)}
+	for _, eff := range kno.Interference.Effects {
+		of := out.Effects[eff.Pair.Serving]
+		if of == nil {
+			of = make(map[string]LearnedEffect)
+			out.Effects[eff.Pair.Serving] = of
+		}
+		of[eff.Pair.BestEffort] = LearnedEffect{rounded(eff.Mean), max(1.0/learnedPrecision, rounded(eff.Variance))}
+	}
+	for img, tail := range kno.Interference.UnloadedTails {
+		out.TailsMillis[img] = rounded(tail)
+	}
+	for key, secs := range kno.RunSeconds {
+		out.RunSeconds[key] = rounded(secs)
+	}
+	return out
+}
+
+// Core converts the row to a batch.Knowledge.
+func (lrn Learned) Core() batch.Knowledge {
+	out := batch.Knowledge{Interference: pacing.Knowledge{UnloadedTails: lrn.TailsMillis}, RunSeconds: lrn.RunSeconds}
+	for srv, effs := range lrn.Effects {
+		for img, eff := range effs {
+			out.Interference.Effects = append(out.Interference.Effects, pacing.Effect{Pair: pacing.Pair{Serving: srv, BestEffort: img}, Mean: eff[0], Variance: eff[1]})
+		}
+	}
+	return out
+}
+
 // Size is the capacity of a worker.
 type Size struct {
 	MilliCPU     int64 `json:"milliCpu,omitempty"`
@@ -213,6 +264,9 @@
 // DecodeLoad decodes a published load.
 func DecodeLoad(data []byte) (Load, error) { return decode[Load](data, "load row") }
 
+// DecodeLearned decodes what an owner has learned.
+func DecodeLearned(data []byte) (Learned, error) { return decode[Learned](data, "learned row") }
+
 // DecodePresence decodes the presence of the instances.
 func DecodePresence(data []byte) (Presence, error) { return decode[Presence](data, "presence row") }
 
