Log who stops a run and what a new owner believes, and name runs without an end in traces

The record of the incident cannot tell its hypotheses apart: a stop that follows from the end of a job left no line, nor did its execution at the worker, and nothing told what a new owner had restored.

All stops now go through Scheduler.stop, which notes the reason; the agent logs a stop that the worker accepted; a new owner logs its totals (jobsRestored), among them the runs that nobody wants, which are also a gauge. jacinthpost trace names the runs of an ended job without an end in the logs, and shows the owners since. No decision changes.

--- a/cmd/jacinthpost/trace.go
+++ b/cmd/jacinthpost/trace.go
@@ -82,6 +82,11 @@
 		fmt.Fprintf(out, "  nothing at work for %s from +%s: %s, after %s %s\n",
 			short(gap.Length()), short(gap.From.Sub(trc.Begun())), gap.Cause, gap.Line.Kind, gap.Line.Detail)
 	}
+	if _, ended := trc.Took(); ended {
+		for _, lin := range trc.Unended() {
+			fmt.Fprintf(out, "  no end in the logs: %s on %s\n", taskOf(lin), lin.Instance)
+		}
+	}
 	for node, off := range sorted(tml.Offsets()) {
 		if off != 0 {
 			fmt.Fprintf(out, "  the clock of %s was moved by %s\n", node, off)
@@ -174,9 +179,10 @@
 		Runs    int            `json:"runs"`
 		Stops   map[string]int `json:"stops"`
 		Gaps    []gap          `json:"gaps"`
+		Unended []traceLine    `json:"unended"`
 		Lines   []traceLine    `json:"lines"`
 		Context []traceLine    `json:"context"`
-	}{trc.Job(), trc.State(), trc.Begun(), trc.Runs(), trc.Stops(), gaps, traceLines(trc.Lines(), trc.Begun()), traceLines(trc.Context(), trc.Begun())})
+	}{trc.Job(), trc.State(), trc.Begun(), trc.Runs(), trc.Stops(), gaps, traceLines(trc.Unended(), trc.Begun()), traceLines(trc.Lines(), trc.Begun()), traceLines(trc.Context(), trc.Begun())})
 }
 
 func encodeIndented(out io.Writer, val any) error {
--- a/core/batch/durations.go
+++ b/core/batch/durations.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"jacinthpost/core/decision"
 	"jacinthpost/core/workload"
 )
 
@@ -117,6 +116,5 @@
 	if att.step.spec.Speculative() {
 		return
 	}
-	sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), ins.id, "overdue")
-	sch.stop(att)
+	sch.stop(att, stopOverdue, now)
 }
--- a/core/batch/evacuation.go
+++ b/core/batch/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"jacinthpost/core/decision"
 	"jacinthpost/core/upkeep"
 )
 
@@ -55,8 +54,7 @@
 				return
 			}
 			if stp.spec.LongRunning() && stp.mayStop(att.task, now) || !stp.spec.LongRunning() && stp.spec.Checkpointing() {
-				sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), ins.id, "upkeep")
-				sch.stop(att)
+				sch.stop(att, stopUpkeep, now)
 			}
 		})
 	}
--- a/core/batch/move.go
+++ b/core/batch/move.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 )
 
@@ -50,8 +49,7 @@
 			return
 		}
 		att.throttledSince = time.Time{}
-		sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), att.instance, "slowed down")
-		sch.stop(att)
+		sch.stop(att, stopThrottled, now)
 	})
 }
 
@@ -94,8 +92,7 @@
 	})
 	for id, mov := range best {
 		sch.instance(id).movedAt = now
-		sch.note(now, decision.RunStopped, mov.att.job.spec.ID(), mov.att.id(), id, "disturbs serving tasks")
-		sch.stop(mov.att)
+		sch.stop(mov.att, stopDisturbing, now)
 	}
 }
 
--- a/core/batch/preempt.go
+++ b/core/batch/preempt.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/resource"
 )
@@ -115,8 +114,7 @@
 		return
 	}
 	sch.preemptedAt = now
-	sch.note(now, decision.RunStopped, best.att.job.spec.ID(), best.att.id(), best.att.instance, "preempted for "+can.job.spec.ID())
-	sch.stop(best.att)
+	sch.stop(best.att, preemptedFor(can.job.spec.ID()), now)
 }
 
 // preemptionCost returns the cost of stopping an attempt for a step, and whether it may be stopped.
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -84,7 +84,7 @@
 func (sch *Scheduler[O, P]) confirm(ins *instance, run RunState, newSession bool, now time.Time) {
 	_, tsk, att := sch.find(ins, run.ID)
 	if att == nil {
-		sch.stopOrphan(ins, run.ID)
+		sch.stopOrphan(ins, run.ID, now)
 		return
 	}
 	att.confirmed = true
@@ -110,17 +110,6 @@
 	}
 }
 
-func (sch *Scheduler[O, P]) stopOrphan(ins *instance, rid RunID) {
-	if ins.orphans[rid] {
-		return
-	}
-	if ins.orphans == nil {
-		ins.orphans = make(map[RunID]bool)
-	}
-	ins.orphans[rid] = true
-	sch.push(ins, Order{Kind: StopRun, ID: rid})
-}
-
 // find returns the step, the task and the attempt of a run. The attempt is nil if it is not on the
 // present incarnation of the instance's worker.
 func (sch *Scheduler[O, P]) find(ins *instance, rid RunID) (*stepState, *task, *attempt) {
@@ -160,24 +149,10 @@
 	sch.note(now, decision.RunEnded, att.job.spec.ID(), att.id(), ins.id, string(EndLost))
 	ins.withdraw(att.id())
 	sch.drop(att)
-	sch.stopGang(att, EndLost)
+	sch.stopGang(att, EndLost, now)
 	sch.markDirty(att.job)
 }
 
-// stopGang stops the other members of a gang after the end of a member that may not have run,
-// because they would wait for it forever. Members of a running gang end by themselves when one of
-// them ends.
-func (sch *Scheduler[O, P]) stopGang(ended *attempt, cause EndCause) {
-	if !ended.step.spec.Gang() || ended.task.phase == Done || cause == EndDone || cause == EndFailed || cause == EndGangEnded {
-		return
-	}
-	for _, oth := range ended.step.tasks {
-		for _, att := range slices.Clone(oth.attempts) {
-			sch.stop(att)
-		}
-	}
-}
-
 // checkPresence treats an instance as lost when its worker's lease has certainly expired.
 func (sch *Scheduler[O, P]) checkPresence(ins *instance, now time.Time) {
 	limit := ins.reportedAt.Add(sch.option().LostAfter)
@@ -201,7 +176,10 @@
 	}
 	ins.appliedEvents = evt.Seq
 	sch.eventsStored(ins)
-	delete(ins.orphans, evt.ID)
+	if ins.orphans[evt.ID] {
+		delete(ins.orphans, evt.ID)
+		sch.note(now, decision.RunEnded, evt.ID.Task.Job, evt.ID, ins.id, string(evt.Cause)+" "+evt.Reason)
+	}
 	_, _, att := sch.find(ins, evt.ID)
 	job := sch.jobs[evt.ID.Task.Job]
 	if att == nil {
@@ -234,7 +212,7 @@
 	if job.state.Final() || tsk.phase == Done {
 		return
 	}
-	sch.stopGang(att, evt.Cause)
+	sch.stopGang(att, evt.Cause, now)
 	switch {
 	case att.step.spec.LongRunning():
 		sch.applyLongRunningEnd(job, tsk, ins, evt, now)
@@ -269,7 +247,7 @@
 		stp.addDoneTime(took)
 		sch.runTimes.learn(job.spec.Queue(), stp.spec, took)
 	}
-	sch.complete(stp, att.task)
+	sch.complete(stp, att.task, now)
 	if stp.spec.Gang() {
 		completeGang(stp)
 	}
@@ -281,14 +259,14 @@
 }
 
 // complete marks a task as done and stops its other copies.
-func (sch *Scheduler[O, P]) complete(stp *stepState, tsk *task) {
+func (sch *Scheduler[O, P]) complete(stp *stepState, tsk *task, now time.Time) {
 	if tsk.phase == Done {
 		return
 	}
 	tsk.phase = Done
 	stp.done++
 	for _, oth := range slices.Clone(tsk.attempts) {
-		sch.stop(oth)
+		sch.stop(oth, stopTaskDone, now)
 	}
 }
 
@@ -317,7 +295,7 @@
 		return
 	}
 	sch.note(now, decision.JobFinished, job.spec.ID(), evt.ID, ins.id, string(JobFailed))
-	sch.end(job, JobFailed, now)
+	sch.end(job, JobFailed, stopFailed, now)
 }
 
 // failures returns the number of failed runs of a gang. Each of them is counted at one of the
@@ -356,8 +334,7 @@
 		}
 		left := sch.runTimes.predict(att.job.spec.Queue(), att.step) - now.Sub(att.orderedAt)
 		if att.step.spec.LongRunning() || left > ins.drainTime {
-			sch.note(now, decision.RunStopped, att.job.spec.ID(), att.id(), ins.id, "drain")
-			sch.stop(att)
+			sch.stop(att, stopDraining, now)
 		}
 	})
 }
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -176,30 +176,16 @@
 		return
 	}
 	sch.note(now, decision.JobCancelled, id, RunID{}, "", "")
-	sch.end(job, JobCancelled, now)
+	sch.end(job, JobCancelled, stopCancelled, now)
 }
 
 // end makes a job final and stops its runs.
-func (sch *Scheduler[O, P]) end(job *jobState, sta JobState, now time.Time) {
+func (sch *Scheduler[O, P]) end(job *jobState, sta JobState, why stopReason, now time.Time) {
 	sch.finish(job, sta, now)
-	job.eachAttempt(sch.stop)
+	job.eachAttempt(func(att *attempt) { sch.stop(att, why, now) })
 	sch.markDirty(job)
 }
 
-// stop orders an attempt to stop. An attempt whose start order has not been released is dropped at
-// once.
-func (sch *Scheduler[O, P]) stop(att *attempt) {
-	if !att.released {
-		sch.drop(att)
-		return
-	}
-	if att.stopping {
-		return
-	}
-	att.stopping = true
-	sch.push(sch.instance(att.instance), Order{Kind: StopRun, ID: att.id()})
-}
-
 // drop removes an attempt that is certainly not running and frees its resources.
 func (sch *Scheduler[O, P]) drop(att *attempt) {
 	ins, tsk := sch.instance(att.instance), att.task
--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -23,6 +23,7 @@
 	RunAssigned       Kind = "runAssigned"
 	RunEnded          Kind = "runEnded"
 	RunStopped        Kind = "runStopped"
+	JobsRestored      Kind = "jobsRestored" // a new owner knows all jobs; the line has their totals
 	InstanceHeard     Kind = "instanceHeard"
 	InstanceLost      Kind = "instanceLost"
 	InstanceSuspended Kind = "instanceSuspended"
@@ -33,6 +34,7 @@
 // Decisions on runs, written by the agent of the instance.
 const (
 	RunStarted      Kind = "runStarted"
+	StopConfirmed   Kind = "runStopConfirmed" // the worker has accepted the stop of a run
 	CallNotAccepted Kind = "workerCallNotAccepted"
 	FillingPaused   Kind = "fillingPaused"
 	FillingResumed  Kind = "fillingResumed"
--- a/core/history/history_test.go
+++ b/core/history/history_test.go
@@ -111,6 +111,16 @@
 		expectGapCauses(trc, history.CauseNoOwner, history.CauseNoPlace)
 	})
 
+	It("names the runs of an ended job without an end, and the owners since", func() {
+		trc := traceOf(runningJob().
+			add(1000, "owner", decision.JobCancelled, job("j")).
+			add(1100, "owner2", decision.JobsRestored, nil).
+			add(9000, "owner2", decision.JobSubmitted, job("k")))
+		Expect(trc.Unended()).To(HaveLen(1))
+		Expect(trc.Unended()[0].Run).To(Equal(1))
+		Expect(trc.Context()).To(HaveLen(1))
+	})
+
 	It("has elections and losses of instances during the job as context, and no lines of other jobs or nodes", func() {
 		log := runningJob().
 			add(500, "owner2", decision.OwnerElected, nil).
--- a/core/history/trace.go
+++ b/core/history/trace.go
@@ -1,6 +1,9 @@
 package history
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"jacinthpost/core/decision"
@@ -47,6 +50,7 @@
 	begun   time.Time
 	started time.Time
 	ended   time.Time
+	unended []Line
 }
 
 // Trace returns the history of a job, and false if no line is about it.
@@ -61,7 +65,11 @@
 		return Trace{}, false
 	}
 	trc := buildTrace(job, lines)
-	trc.context = tml.contextOf(lines)
+	to := lines[len(lines)-1].At
+	if len(trc.unended) > 0 {
+		to = tml.lines[len(tml.lines)-1].At
+	}
+	trc.context = tml.contextOf(lines, to)
 	return trc, true
 }
 
@@ -84,6 +92,9 @@
 // Runs returns the number of assigned runs.
 func (trc Trace) Runs() int { return trc.runs }
 
+// Unended returns the assignments of the runs without an end in the logs, in the order of time.
+func (trc Trace) Unended() []Line { return trc.unended }
+
 // Stops returns the number of stopped runs by reason.
 func (trc Trace) Stops() map[string]int { return trc.stopped }
 
@@ -114,20 +125,23 @@
 // traceBuilder builds a trace from the lines of a job in the order of time.
 type traceBuilder struct {
 	Trace
-	active   map[runID]bool // assigned runs that have not ended
+	active   map[runID]Line // assignments of the runs that have not ended
 	gapStart time.Time      // zero outside of gaps
 	cause    Cause
 	last     Line
 }
 
 func buildTrace(job string, lines []Line) Trace {
-	bld := traceBuilder{Trace: Trace{job: job, lines: lines, stopped: make(map[string]int)}, active: make(map[runID]bool)}
+	bld := traceBuilder{Trace: Trace{job: job, lines: lines, stopped: make(map[string]int)}, active: make(map[runID]Line)}
 	bld.begun = lines[0].At.Add(-lines[0].Took)
 	bld.gapStart, bld.cause, bld.last = bld.begun, CauseNoOwner, lines[0]
 	for _, lin := range lines {
 		bld.apply(lin)
 		bld.last = lin
 	}
+	bld.unended = slices.SortedFunc(maps.Values(bld.active), func(fst, snd Line) int {
+		return cmp.Or(fst.At.Compare(snd.At), cmp.Compare(fst.Task, snd.Task))
+	})
 	return bld.Trace
 }
 
@@ -163,7 +177,7 @@
 		bld.state = stateRunning
 	}
 	bld.runs++
-	bld.active[lin.runID()] = true
+	bld.active[lin.runID()] = lin
 }
 
 func (bld *traceBuilder) end(lin Line) {
@@ -222,15 +236,15 @@
 
 // contextKinds are the kinds of lines that may explain delays of jobs that they do not name.
 var contextKinds = map[decision.Kind]bool{
-	decision.OwnerElected: true, decision.OwnershipEnded: true, decision.InstanceLost: true, decision.InstanceSuspended: true,
+	decision.OwnerElected: true, decision.JobsRestored: true, decision.OwnershipEnded: true, decision.InstanceLost: true, decision.InstanceSuspended: true,
 	decision.WorkerAnswersChanged: true, decision.FeedLost: true, decision.FeedRegained: true, decision.FillingPaused: true,
 	decision.FillingResumed: true, decision.ProcessStarted: true, decision.ProcessLeaves: true,
 }
 
-// contextOf returns the lines of contextKinds between the first and the last line of a job that
-// concern its nodes and instances, or the owner.
-func (tml Timeline) contextOf(lines []Line) []Line {
-	from, to := lines[0].At.Add(-lines[0].Took), lines[len(lines)-1].At
+// contextOf returns the lines of contextKinds from the first line of a job up to a time that concern
+// its nodes and instances, or the owner.
+func (tml Timeline) contextOf(lines []Line, to time.Time) []Line {
+	from := lines[0].At.Add(-lines[0].Took)
 	known := make(map[string]bool)
 	for _, lin := range lines {
 		known[lin.Node], known[lin.Instance] = true, true
@@ -240,7 +254,7 @@
 		if lin.At.Before(from) || lin.At.After(to) || !contextKinds[lin.Kind] || lin.isAbout(lines[0].Job) {
 			continue
 		}
-		everywhere := lin.Kind == decision.OwnerElected || lin.Kind == decision.OwnershipEnded
+		everywhere := lin.Kind == decision.OwnerElected || lin.Kind == decision.JobsRestored || lin.Kind == decision.OwnershipEnded
 		if everywhere || known[lin.Node] || known[lin.Instance] && lin.Instance != "" {
 			out = append(out, lin)
 		}
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -239,7 +239,7 @@
 	})
 }
 
-// recordCall counts a call and logs it if it was a start or was not accepted.
+// recordCall counts a call and logs it if it was a start, a stop or was not accepted.
 func (agt *Agent) recordCall(cal batchhost.Call, res Result) {
 	name, verdict := callNames[cal.Kind], outcomeNames[res.Outcome]
 	metrics.GetOrCreateCounter(`jacinthpost_worker_calls_total{call="` + name + `",verdict="` + verdict + `"}`).Inc()
@@ -249,6 +249,8 @@
 		agt.log.Info(string(decision.CallNotAccepted), append(run, zap.String("call", name), zap.String("verdict", verdict), zap.String(decision.KeyReason, res.Reason))...)
 	case cal.Kind == batchhost.CallStart:
 		agt.log.Info(string(decision.RunStarted), run...)
+	case cal.Kind == batchhost.CallStop:
+		agt.log.Info(string(decision.StopConfirmed), run...)
 	}
 }
 
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -28,6 +30,9 @@
 	permissionPeriod = 50 * time.Millisecond
 )
 
+// unwantedRuns is the number of runs of final jobs and of tasks that are done. They end within seconds.
+var unwantedRuns = metrics.NewGauge("jacinthpost_owner_unwanted_runs", nil)
+
 // ownership is the state of the owner from a won election until the ownership is lost.
 type ownership struct {
 	cfg          Config
@@ -120,6 +125,7 @@
 
 func (osp *ownership) run(ctx context.Context) error {
 	defer close(osp.done)
+	defer unwantedRuns.Set(0)
 	grp, ctx := errgroup.WithContext(ctx)
 	osp.jobs = follow.New(osp.cfg.Feed, osp.cfg.Partition.JobsPrefixes(), osp.cfg.Clock, osp.cfg.Log, func(rows []store.Row, _ bool) { osp.applyJobs(ctx, rows) })
 	osp.directives = osp.cfg.Directives(ctx, func(dir Directives) {
@@ -160,11 +166,18 @@
 		}
 		osp.readyOnce.Do(func() {
 			osp.queueOrphans()
+			osp.logRestored(sch.Totals())
 			close(osp.ready)
 		})
 	})
 }
 
+// logRestored logs what this owner believes at the takeover.
+func (osp *ownership) logRestored(tot batch.Totals) {
+	osp.cfg.Log.Info(string(decision.JobsRestored), zap.Uint64("epoch", osp.epoch),
+		zap.String(decision.KeyDetail, fmt.Sprintf("jobs=%d active=%d runs=%d unwanted=%d", tot.Jobs, tot.Active, tot.Runs, tot.Unwanted)))
+}
+
 func (osp *ownership) applyJob(sch *Scheduler, row store.Row, now time.Time) {
 	if !row.Exists() {
 		return
@@ -229,7 +242,9 @@
 		osp.postTurn(ctx, tickTurn, func(sch *Scheduler, now time.Time) {
 			sch.Hold(!osp.mayStart(now))
 			sch.Tick(now, osp.cfg.WallClock())
-			osp.turns.report(now, osp.cfg.Log)
+			if osp.turns.report(now, osp.cfg.Log) {
+				unwantedRuns.Set(float64(sch.Totals().Unwanted))
+			}
 		})
 	})
 }
--- a/io/batchowner/turns.go
+++ b/io/batchowner/turns.go
@@ -61,14 +61,15 @@
 	mtr.kind = otherTurn
 }
 
-// report counts the turns of a period that is over. It logs them if the thread was busy.
-func (mtr *turnMeter) report(now time.Time, log *zap.Logger) {
+// report counts the turns of a period that is over, and logs them if the thread was busy. It returns
+// whether a period is over.
+func (mtr *turnMeter) report(now time.Time, log *zap.Logger) bool {
 	if mtr.since.IsZero() {
 		mtr.since = now
 	}
 	period := now.Sub(mtr.since)
 	if period < turnPeriod {
-		return
+		return false
 	}
 	var sum time.Duration
 	most := otherTurn
@@ -85,6 +86,7 @@
 		log.Warn(string(decision.OwnerBusy), zap.Duration(decision.KeyTook, sum), zap.String(decision.KeyReason, turnNames[most]), zap.String(decision.KeyDetail, mtr.describe()))
 	}
 	*mtr = turnMeter{since: now}
+	return true
 }
 
 func (mtr *turnMeter) describe() string {
