Stop listed runs that nobody wants, whoever decided it

Cause: that a run is being stopped was known to the memory of the owner only. A cancellation is stored with the job; if the owner was replaced before the last run had ended, its successor restored the runs of the final job as wanted, described them to their agents, renewed their leases, and ordered no stop. The same held for the runs of a failed job, for other copies of a task that is done, and for the members of a gang that has lost one.

A stop now follows from what is stored: whenever an agent lists a run whose job is final, whose task is done, or whose gang is incomplete, the owner orders the stop. No new state is stored.

--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -101,12 +101,14 @@
 	case att.throttledSince.IsZero():
 		att.throttledSince = now
 	}
-	if !newSession {
-		return
+	if newSession {
+		sch.push(ins, att.job.order(DescribeRun, att.step, tsk, run.ID))
+		if att.stopping {
+			sch.push(ins, Order{Kind: StopRun, ID: run.ID})
+		}
 	}
-	sch.push(ins, att.job.order(DescribeRun, att.step, tsk, run.ID))
-	if att.stopping {
-		sch.push(ins, Order{Kind: StopRun, ID: run.ID})
+	if why := att.unwanted(); why != "" {
+		sch.stop(att, why, now)
 	}
 }
 
--- a/core/batch/stop.go
+++ b/core/batch/stop.go
@@ -26,8 +26,28 @@
 
 func preemptedFor(job string) stopReason { return stopReason("preempted for " + job) }
 
-// unwanted reports whether the attempt serves no purpose: its job is final or its task is done.
-func (att *attempt) unwanted() bool { return att.job.state.Final() || att.task.phase == Done }
+// unwanted returns why the attempt serves no purpose any more, or an empty string if it does. The reason
+// follows from what is stored, so that a new owner also stops the runs that the former one was stopping.
+func (att *attempt) unwanted() stopReason {
+	switch {
+	case att.job.state == JobCancelled:
+		return stopCancelled
+	case att.job.state == JobFailed:
+		return stopFailed
+	case att.job.state.Final() || att.task.phase == Done:
+		return stopTaskDone
+	case att.step.spec.Gang() && !att.step.complete():
+		return stopGangEnded
+	default:
+		return ""
+	}
+}
+
+// complete reports whether every task of the step has an attempt. A gang in which one has none can't
+// work.
+func (stp *stepState) complete() bool {
+	return !slices.ContainsFunc(stp.tasks, func(tsk *task) bool { return len(tsk.attempts) == 0 })
+}
 
 // stop orders an attempt to stop. An attempt whose start order has not been released is dropped at
 // once.
@@ -76,7 +96,7 @@
 	Jobs     int // including final ones that are kept for callers
 	Active   int // jobs that are not final
 	Runs     int // that may be running
-	Unwanted int // runs of final jobs and of tasks that are done
+	Unwanted int // runs that serve no purpose any more
 }
 
 // Totals returns the present totals.
@@ -85,7 +105,7 @@
 	for _, ins := range sch.instanceList {
 		tot.Runs += len(ins.attempts)
 		for _, att := range ins.attempts {
-			if att.unwanted() {
+			if att.unwanted() != "" {
 				tot.Unwanted++
 			}
 		}
