Report which runs are being stopped, so that a new owner knows it

Nobody reported this; it was found while looking for the cause of the cancelled tasks elsewhere. A stop for a drain, upkeep, a move or a preemption is not stored and does not follow from what is stored.

Agents now say in their reports which runs they are stopping. The spec of core/batch failed before: with a budget of one task, the new owner ordered a second one to stop for upkeep.

--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -29,6 +29,7 @@
 type RunState struct {
 	ID         RunID
 	Working    bool // the worker lists the run
+	Stopping   bool // the agent is stopping the run
 	Checkpoint string
 	Percent    int     // of the work that is done; for a long-running task, 100 when it has fully started
 	Share      int     // percentage of full speed at which a best-effort task may run, -1 when unknown
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -88,6 +88,7 @@
 		return
 	}
 	att.confirmed = true
+	att.stopping = att.stopping || run.Stopping // also on the order of a former owner
 	att.percent, att.measurement = run.Percent, run.Figure
 	if run.Working && att.workingSince.IsZero() {
 		att.workingSince = now
--- a/core/batch/stop_test.go
+++ b/core/batch/stop_test.go
@@ -43,10 +43,16 @@
 
 // list reports runs as listed by the worker of an instance.
 func (suc *succession) list(id string, session uint64, rids ...batch.RunID) {
-	rep := report(id, session)
+	var runs []batch.RunState
 	for _, rid := range rids {
-		rep.Runs = append(rep.Runs, batch.RunState{ID: rid, Working: true, Percent: 100})
+		runs = append(runs, batch.RunState{ID: rid, Working: true, Percent: 100})
 	}
+	suc.report(id, session, runs...)
+}
+
+func (suc *succession) report(id string, session uint64, runs ...batch.RunState) {
+	rep := report(id, session)
+	rep.Runs = runs
 	suc.ApplyReport(rep, suc.now)
 }
 
@@ -76,6 +82,28 @@
 	Expect(stopped).To(ConsistOf(rids))
 }
 
+var _ = Describe("Runs that are being stopped", func() {
+	// Guards against more unavailable tasks than the disruption budget allows, when a new owner takes a
+	// task for serving that the former one has ordered to stop.
+	It("count as unavailable after a change of the owner", func() {
+		serving := step(2)
+		serving.LongRunning, serving.MaxUnavailable = true, 1
+		suc := newSuccession(serving)
+		stopped, other := suc.started("a"), suc.started("b")
+		Expect(stopped).To(HaveLen(1))
+		Expect(other).To(HaveLen(1))
+		suc.takeOver()
+		for range 4 {
+			suc.report("a", 2, batch.RunState{ID: stopped[0], Working: true, Stopping: true, Percent: 100})
+			suc.list("b", 2, other...)
+			suc.advance(500 * time.Millisecond)
+		}
+		suc.SetEvacuating(func(inc batch.Incarnation) bool { return inc == "b-life" })
+		suc.advance(100 * time.Millisecond)
+		Expect(suc.orders("b", 2, batch.StopRun)).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Runs that nobody wants", func() {
 	longRunning := step(2)
 	longRunning.LongRunning = true
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -297,7 +297,7 @@
 	}
 	for _, rn := range hst.runs {
 		sta := rn.state
-		sta.Share = rn.share
+		sta.Share, sta.Stopping = rn.share, rn.stopping
 		rep.Runs = append(rep.Runs, sta)
 	}
 	slices.SortFunc(rep.Runs, func(fst, snd batch.RunState) int { return compareRunIDs(fst.ID, snd.ID) })
--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -79,6 +79,21 @@
 	Expect(agt.News("a").Events).To(BeEmpty())
 })
 
+// Guards against a new owner that takes a run for wanted although its stop was ordered.
+var _ = It("reports which runs are being stopped", func() {
+	agt := newAgent()
+	agt.list(batch.RunState{ID: run("j")}, batch.RunState{ID: run("k")})
+	agt.order(batch.StopRun, "j")
+	agt.Follow(2)
+	var stopping []batch.RunID
+	for _, sta := range agt.Report("a", agt.now).Runs {
+		if sta.Stopping {
+			stopping = append(stopping, sta.ID)
+		}
+	}
+	Expect(stopping).To(ConsistOf(run("j")))
+})
+
 func (agt *agent) expectEvents(causes ...batch.EndCause) {
 	GinkgoHelper()
 	var got []batch.EndCause
