Count a job as waiting until an agent has reported a start

An order behind a cut reaches its agent seconds later or never, and a refused run left the job counted as begun. Now a job has begun when an agent lists a run or reports its end, other than a refusal or an expired lease. After a takeover it has begun if its record shows results, or with the first report that lists a run.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -12,7 +12,8 @@
 	spec        workload.Job
 	state       JobState
 	occurrences []*occurrence
-	nextDue     int // number of the next occurrence to create
+	nextDue     int  // number of the next occurrence to create
+	begun       bool // a task has started
 	acceptedAt  time.Time
 	finalAt     time.Time
 	dirty       bool           // contained in Scheduler.dirty
@@ -98,6 +99,18 @@
 	return stp, stp.tasks[tid.Index]
 }
 
+// hasResults reports whether a task of the created occurrences has ended or saved a checkpoint.
+func (job *jobState) hasResults() bool {
+	for _, occ := range job.occurrences {
+		for _, stp := range occ.steps {
+			if slices.ContainsFunc(stp.tasks, func(tsk *task) bool { return tsk.phase == Done || tsk.failures > 0 || tsk.checkpoint != "" }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (job *jobState) hasAttempts() bool {
 	return slices.ContainsFunc(job.occurrences, (*occurrence).hasAttempts)
 }
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -141,6 +141,7 @@
 	for _, old := range rec.Occurrences {
 		job.occurrences = append(job.occurrences, restoreOccurrence(job, old, rec.Places))
 	}
+	job.begun = job.hasResults()
 	return job
 }
 
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -93,6 +93,7 @@
 	if run.Working && att.workingSince.IsZero() {
 		att.workingSince = now
 	}
+	att.job.begun = att.job.begun || run.Working
 	if run.Checkpoint != "" {
 		tsk.checkpoint = run.Checkpoint
 	}
@@ -208,6 +209,7 @@
 // applyEnd applies the end of an attempt to its task and its job.
 func (sch *Scheduler[O, P]) applyEnd(att *attempt, evt Event, now time.Time) {
 	job, tsk, ins := att.job, att.task, sch.instance(att.instance)
+	job.begun = job.begun || evt.Cause != EndRefused && evt.Cause != EndLeaseExpired
 	sch.drop(att)
 	if evt.Checkpoint != "" && evt.Cause != EndDone {
 		tsk.checkpoint = evt.Checkpoint
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -238,11 +238,12 @@
 	sch.planned = false
 }
 
-// Pending returns the number of jobs by queue of which no task has started.
+// Pending returns the number of jobs by queue of which no task has started, as far as agents have reported. An
+// assignment is no start: its order may not reach the agent for seconds, or be refused.
 func (sch *Scheduler[O, P]) Pending() map[string]int {
 	num := make(map[string]int)
 	for _, job := range sch.active {
-		if job.state == JobQueued {
+		if !job.begun {
 			num[job.spec.Queue()]++
 		}
 	}
