Start no runs while the view of the cancellations is old

If the feed of the jobs failed for seconds while that of the directives worked (the store may be unavailable in part), the owner went on starting tasks, also those of jobs whose cancellation had been acknowledged (UNASKED).

The owner now starts runs only while its view of the jobs is younger than 2.5 s, as it does with the directives at 2 s; the users allow starts for 3 s after a cancellation.

--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -46,8 +46,11 @@
 	// maxDirectivesAge is the maximum age of the view of the operators' directives. No run starts
 	// while the view is older.
 	maxDirectivesAge = 2 * time.Second
-	tickPeriod       = 100 * time.Millisecond
-	restoreTimeout   = 3 * time.Second
+	// maxJobsAge is the maximum age of the view of the cancellations. No run starts while the view is older.
+	// The users allow starts for 3 s after a cancellation (cancel_ms).
+	maxJobsAge     = 2500 * time.Millisecond
+	tickPeriod     = 100 * time.Millisecond
+	restoreTimeout = 3 * time.Second
 )
 
 // Directives are the operators' instructions to the owner.
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -276,10 +276,15 @@
 	osp.post(ctx, func(sch *Scheduler, _ time.Time) { sch.SetPermissions(req, authorizations, asked.Add(valid)) })
 }
 
-// mayStart reports whether the view of the operators' directives is recent enough to start runs.
+// mayStart reports whether the views of the operators' directives and of the jobs with their cancellations
+// are recent enough to start runs.
 func (osp *ownership) mayStart(now time.Time) bool {
-	conf := osp.directives.CurrentAsOf()
-	return !conf.IsZero() && now.Sub(conf) < maxDirectivesAge
+	return isRecent(osp.directives, maxDirectivesAge, now) && isRecent(osp.jobs, maxJobsAge, now)
+}
+
+func isRecent(fol *follow.Follower, limit time.Duration, now time.Time) bool {
+	asOf := fol.CurrentAsOf()
+	return !asOf.IsZero() && now.Sub(asOf) < limit
 }
 
 // afterEvent runs on the control thread after each event.
