Keep the state of a job whose row can't be decoded

An owner that could not decode an accepted job, as after a rollback to an earlier version, took its state for one whose job was removed and removed it. Callers saw the job as queued again, and an owner that could decode it would have run it from the beginning.

Such a job is now treated like one whose state can't be decoded. The spec failed before. The log lines say what happens to the runs of both: they are stopped.

--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -30,7 +30,7 @@
 	permissionPeriod = 50 * time.Millisecond
 )
 
-// unwantedRuns is the number of runs of final jobs and of tasks that are done. They end within seconds.
+// unwantedRuns is the number of runs that serve no purpose any more. They end within seconds.
 var unwantedRuns = metrics.NewGauge("jacinthpost_owner_unwanted_runs", nil)
 
 // ownership is the state of the owner from a won election until the ownership is lost.
@@ -42,7 +42,7 @@
 	loop         *control.Loop[Scheduler]
 	scheduler    *Scheduler                 // used only by the control thread once that runs
 	inherited    map[string]batch.JobRecord // stored states of jobs that are not restored yet
-	unreadable   map[string]bool            // jobs whose stored states can't be decoded; starting them could run tasks again
+	unreadable   map[string]bool            // jobs that can't be decoded, or whose stored states can't; starting them could run tasks again
 	jobs         *follow.Follower
 	directives   *follow.Follower
 	ready        chan struct{} // closed when all jobs are restored
@@ -114,7 +114,7 @@
 		id := osp.cfg.Partition.ParseStateKey(row.Key())
 		rec, err := batchstore.DecodeState(row.Value())
 		if err != nil {
-			osp.cfg.Log.Error("cannot decode the state of a job; the job is left as it is", zap.String("job", id), zap.Error(err))
+			osp.cfg.Log.Error("cannot decode the state of a job; the job gets no runs, and those it has are stopped", zap.String("job", id), zap.Error(err))
 			osp.unreadable[id] = true
 			continue
 		}
@@ -192,7 +192,9 @@
 	}
 	spec, err := batchstore.DecodeJob(row.Value())
 	if err != nil {
-		osp.cfg.Log.Error("cannot decode an accepted job", zap.String("job", id), zap.Error(err))
+		osp.cfg.Log.Error("cannot decode an accepted job; its state is kept, and its runs are stopped", zap.String("job", id), zap.Error(err))
+		delete(osp.inherited, id) // or its state would be removed, and an owner that can decode the job would run it again
+		osp.unreadable[id] = true
 		return
 	}
 	rec, found := osp.inherited[id]
--- a/io/batchowner/takeover_test.go
+++ b/io/batchowner/takeover_test.go
@@ -8,9 +8,12 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"jacinthpost/core/batch"
 	"jacinthpost/core/store"
 	"jacinthpost/core/store/storefake"
+	"jacinthpost/io/batchstore"
 	"jacinthpost/io/follow"
+	"jacinthpost/io/lead"
 )
 
 // listFeed is a feed of the present rows of a table, without changes.
@@ -30,7 +33,45 @@
 	}
 }
 
+// ownFor runs an owner for a time.
+func ownFor(ctx context.Context, tab *storefake.Store, dur time.Duration) {
+	GinkgoHelper()
+	ele := lead.New(tab, testPartition, batchstore.Owner{Holder: "me", Nonce: "mine"}, lead.Candidacy{}, time.Now, zap.NewNop())
+	fee := listFeed{tab}
+	own := New(Config{
+		Table: tab, Feed: fee, Partition: testPartition, Elector: ele, Clock: time.Now, WallClock: time.Now, Log: zap.NewNop(),
+		Directives: func(_ context.Context, apply func(Directives)) *follow.Follower {
+			return follow.New(fee, []string{"op//"}, time.Now, zap.NewNop(), func([]store.Row, bool) { apply(Directives{}) })
+		},
+	})
+	ctx, cancel := context.WithTimeout(ctx, dur)
+	defer cancel()
+	Expect(own.Run(ctx)).To(Succeed())
+}
+
+func put(ctx context.Context, tab *storefake.Store, key string, val any) {
+	GinkgoHelper()
+	var txn store.Transaction
+	txn.Put(key, batchstore.Encode(val))
+	_, err := tab.Commit(ctx, &txn)
+	Expect(err).NotTo(HaveOccurred())
+}
+
 var _ = Describe("An owner", func() {
+	// Guards against a job that starts again from the beginning, because an owner that could not decode it
+	// has removed its state.
+	It("keeps the state of a job that it can't decode", func(ctx SpecContext) {
+		tab := &storefake.Store{}
+		put(ctx, tab, testPartition.JobKey("j"), "of a later version")
+		put(ctx, tab, testPartition.StateKey("j"), batch.JobRecord{ID: "j", Queue: "q", State: batch.JobRunning})
+		put(ctx, tab, testPartition.StateKey("removed"), batch.JobRecord{ID: "removed", Queue: "q", State: batch.JobCompleted})
+		ownFor(ctx, tab, time.Second)
+		rows, err := tab.Read(ctx, testPartition.StateKey("j"), testPartition.StateKey("removed"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows[0].Exists()).To(BeTrue())
+		Expect(rows[1].Exists()).To(BeFalse(), "the state of a job that was removed")
+	})
+
 	// Guards against starts of tasks whose job was cancelled while the feed of jobs stood still.
 	DescribeTable("may start runs only while its views of directives and jobs are recent", func(ctx SpecContext, directives, jobs time.Duration, may bool) {
 		wrt := newWriter(ctx, &storefake.Store{})
