Keep the stored progress of waves until a new owner has read it

Operators would see more machines of a maintenance wave go down at once than the wave allows, after a change of the owner.

Cause: SetWaves marks each wave as changed. The writer of a new owner could store this change, which has no phases yet, before the maintenance loop had read the progress of the former owner; it reads it up to 200 ms after the waves arrive, and later while the store fails. The read then found an empty progress. A machine for which the former owner had asked for upkeep, and which may go down up to 12 s later, was forgotten, no longer counted as down, and another one was taken.

A planner now has no changes, drains and requests before Restore, which sets the progress of all waves at once.

Evidence: 'keeps the stored progress when a new owner reads it late' and TestRandomWaves, which now also stores changes before the progress is read, failed before ({} stored in place of m0: asked; 2 machines down with a limit of 1 after 34 cases) and pass now. The specs of platform with real processes ('waves of upkeep') pass; they do not hit the window by themselves.

--- a/core/upkeep/planner.go
+++ b/core/upkeep/planner.go
@@ -50,6 +50,7 @@
 // Planner schedules the upkeep of the machines of all waves.
 type Planner struct {
 	waves    map[int]*wave
+	restored bool
 	listed   map[MachineID]Machine
 	listedAt time.Time // when the latest list was requested
 	changed  map[int]bool
@@ -80,15 +81,21 @@
 	pln.changed[num] = true
 }
 
-// Restore sets the stored progress of a wave after a takeover of the owner role. It changes only
-// machines without a phase.
-func (pln *Planner) Restore(num int, prg Progress, now time.Time) {
-	wav := pln.waves[num]
-	if wav == nil {
-		return
+// Restore sets the stored progress of the waves after a takeover of the owner role, by their numbers. It
+// must be called once, with an empty map if there is none. Before it, the planner drains nothing, makes
+// no requests and has no changes to store, because these would replace the progress of the former owner.
+func (pln *Planner) Restore(stored map[int]Progress, now time.Time) {
+	pln.restored = true
+	for num, prg := range stored {
+		if wav := pln.waves[num]; wav != nil {
+			wav.restore(prg, now)
+		}
 	}
+}
+
+func (wav *wave) restore(prg Progress, now time.Time) {
 	for id, phs := range prg {
-		if mac := wav.machines[id]; mac != nil && mac.phase == "" {
+		if mac := wav.machines[id]; mac != nil {
 			// The start of an upkeep is not stored. The machine counts as down until a list
 			// requested from now on shows it as up.
 			mac.phase, mac.stored, mac.begunAt, mac.pendingUntil = phs, true, now, now.Add(maxRequestDelay)
@@ -163,7 +170,7 @@
 func (pln *Planner) Draining(src LoadSource, now time.Time) map[string]bool {
 	out := make(map[string]bool)
 	for _, wav := range pln.waves {
-		if wav.complete {
+		if wav.complete || !pln.restored {
 			continue
 		}
 		free := wav.limit - wav.down()
@@ -254,11 +261,14 @@
 }
 
 // Changed reports whether TakeChanges would return changes.
-func (pln *Planner) Changed() bool { return len(pln.changed) > 0 }
+func (pln *Planner) Changed() bool { return pln.restored && len(pln.changed) > 0 }
 
 // TakeChanges returns the changes to store. Each of them must be followed by ChangesStored or
 // ChangesUncertain.
 func (pln *Planner) TakeChanges() []Change {
+	if !pln.restored {
+		return nil
+	}
 	var out []Change
 	for _, num := range slices.Sorted(maps.Keys(pln.changed)) {
 		wav := pln.waves[num]
--- a/core/upkeep/upkeep_test.go
+++ b/core/upkeep/upkeep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -48,6 +49,7 @@
 	}
 	fak.wave = upkeep.NewWave(1, fak.ids, limit, time.Minute)
 	fak.planner.SetWaves([]upkeep.Wave{fak.wave}, fak.now)
+	fak.planner.Restore(nil, fak.now)
 	return fak
 }
 
@@ -103,12 +105,7 @@
 		fak.loads[wrk] = upkeep.Load{LongRunning: max(0, lod.LongRunning-1), Short: max(0, lod.Short-1)}
 	}
 	fak.planner.Plan(fak, fak.now)
-	chgs := fak.planner.TakeChanges()
-	for _, chg := range chgs {
-		fak.stored = chg.Progress
-		fak.reportedComplete = fak.reportedComplete || chg.Complete
-	}
-	fak.planner.ChangesStored(chgs)
+	fak.store()
 	for _, req := range fak.planner.Requests(fak.now) {
 		carriedOut, after, out := fak.answer(req)
 		switch {
@@ -121,17 +118,32 @@
 	}
 }
 
+// store stores the changes of the planner.
+func (fak *fakePlatform) store() {
+	chgs := fak.planner.TakeChanges()
+	for _, chg := range chgs {
+		fak.stored = chg.Progress
+		fak.reportedComplete = fak.reportedComplete || chg.Complete
+	}
+	fak.planner.ChangesStored(chgs)
+}
+
 func (fak *fakePlatform) advance(dur time.Duration) {
 	for end := fak.now.Add(dur); fak.now.Before(end); {
 		fak.step()
 	}
 }
 
-// takeover replaces the planner by one that is restored from the stored progress.
-func (fak *fakePlatform) takeover() {
+// takeover replaces the planner by one that is restored from the stored progress. If storedFirst is set,
+// the new owner stores its changes between getting the waves and reading the progress, as it does when
+// the read is slow.
+func (fak *fakePlatform) takeover(storedFirst bool) {
 	fak.planner = &upkeep.Planner{}
 	fak.planner.SetWaves([]upkeep.Wave{fak.wave}, fak.now)
-	fak.planner.Restore(1, fak.stored, fak.now)
+	if storedFirst {
+		fak.store()
+	}
+	fak.planner.Restore(map[int]upkeep.Progress{1: fak.stored}, fak.now)
 }
 
 // expectInvariants checks that the limit was kept, that no machine had two upkeeps, and that the wave
@@ -203,13 +215,28 @@
 			return false, 0, upkeep.Refused
 		}
 		fak.advance(7 * time.Second)
-		fak.takeover()
+		fak.takeover(false)
 		fak.answer = func(upkeep.Request) (bool, time.Duration, upkeep.RequestOutcome) { return true, 0, upkeep.Confirmed }
 		fak.advance(30 * time.Second)
 		Expect(fak.reportedComplete).To(BeTrue())
 		fak.expectInvariants(Default)
 	})
 
+	// Guards against a new owner that replaces the stored progress of a wave before it has read it. It would
+	// take down a further machine while the one that the former owner asked for may still go down.
+	It("keeps the stored progress when a new owner reads it late", func() {
+		fak := newFakePlatform(2, 1)
+		fak.answer = func(upkeep.Request) (bool, time.Duration, upkeep.RequestOutcome) {
+			return true, 8 * time.Second, upkeep.Unknown
+		}
+		fak.step()
+		fak.step()
+		Expect(fak.stored).To(HaveLen(1))
+		asked := maps.Clone(fak.stored)
+		fak.takeover(true)
+		Expect(fak.stored).To(Equal(asked))
+	})
+
 	// Guards against a wave that waits for a machine that no longer exists.
 	It("completes without a machine that is gone, but waits for one that returns", func() {
 		fak := newFakePlatform(2, 1)
@@ -251,7 +278,7 @@
 			fak.advance(time.Duration(rapid.IntRange(1, 40).Draw(rpt, "turns")) * 100 * time.Millisecond)
 			fak.expectInvariants(gom)
 			if rapid.Bool().Draw(rpt, "takeover") {
-				fak.takeover()
+				fak.takeover(rapid.Bool().Draw(rpt, "changes stored before the progress is read"))
 			}
 		}
 	})
--- a/io/batchowner/upkeep.go
+++ b/io/batchowner/upkeep.go
@@ -100,11 +100,7 @@
 		}
 		stored[num] = prg
 	}
-	mnt.post(ctx, func(_ *Scheduler, now time.Time) {
-		for num, prg := range stored {
-			mnt.planner.Restore(num, prg, now)
-		}
-	})
+	mnt.post(ctx, func(_ *Scheduler, now time.Time) { mnt.planner.Restore(stored, now) })
 	mnt.restored = true
 	return true
 }
