Restore that a maintenance wave is complete

Operators would see a wave return from 'completed' to 'running' for a moment after each change of the owner.

Cause: that a wave is complete is not stored; it follows from the phases when the planner first plans. The first change of a new owner is stored, and reported, before that.

Restore now derives it from the stored phases. The change is still stored and reported again, so that a report that the former owner had not made is not lost.

Evidence: 'reports a complete wave as complete after a takeover' failed before (Complete: false) and passes now.

--- a/core/upkeep/planner.go
+++ b/core/upkeep/planner.go
@@ -101,6 +101,8 @@
 			mac.phase, mac.stored, mac.begunAt, mac.pendingUntil = phs, true, now, now.Add(maxRequestDelay)
 		}
 	}
+	// The former owner may have reported the wave as complete, so it must not be reported as running again.
+	wav.complete = len(prg) > 0 && wav.allDown()
 }
 
 // Active reports whether there is an incomplete wave.
--- a/core/upkeep/upkeep_test.go
+++ b/core/upkeep/upkeep_test.go
@@ -35,6 +35,7 @@
 	wave             upkeep.Wave
 	stored           upkeep.Progress
 	reportedComplete bool
+	latestComplete   bool // as in the latest change
 	answer           func(req upkeep.Request) (carriedOut bool, after time.Duration, out upkeep.RequestOutcome)
 }
 
@@ -123,7 +124,7 @@
 	chgs := fak.planner.TakeChanges()
 	for _, chg := range chgs {
 		fak.stored = chg.Progress
-		fak.reportedComplete = fak.reportedComplete || chg.Complete
+		fak.reportedComplete, fak.latestComplete = fak.reportedComplete || chg.Complete, chg.Complete
 	}
 	fak.planner.ChangesStored(chgs)
 }
@@ -237,6 +238,17 @@
 		Expect(fak.stored).To(Equal(asked))
 	})
 
+	// Guards against a wave that is shown to the operators as running after it was complete, and against one
+	// that is never reported because the owner was replaced between the store and the report.
+	It("reports a complete wave as complete after a takeover", func() {
+		fak := newFakePlatform(2, 2)
+		fak.advance(5 * time.Second)
+		Expect(fak.latestComplete).To(BeTrue())
+		fak.takeover(false)
+		chgs := fak.planner.TakeChanges()
+		Expect(chgs).To(HaveExactElements(HaveField("Complete", true)))
+	})
+
 	// Guards against a wave that waits for a machine that no longer exists.
 	It("completes without a machine that is gone, but waits for one that returns", func() {
 		fak := newFakePlatform(2, 1)
