Learn the locations of tasks that were taken over before their instance was known

Operators would see tasks, watches above all, run on for ever in a data centre that a ticket takes out, after a change of owner.

Cause: a drain finds tasks by the location of their assignment, which is not stored. A new owner filled it in at the takeover, in the answer to Adopt, and when an agent lists a task in a renewal. If it did not know the instance at that time, as a process that has just started and has not heard of all members, the location stayed empty: later renewals describe the whole set and list only tasks whose status has changed noticeably. A watch with steady use is then never listed again. An answer to Adopt also cleared the location of a task whose instance was not in the view at that moment.

The location is now filled in whenever the members are observed, and such a task counts for the rate of a drain under way.

--- a/core/job/end.go
+++ b/core/job/end.go
@@ -127,7 +127,7 @@
 		tsk := par.find(ref)
 		if tsk != nil && tsk.current(ref, hol.Instance()) {
 			tsk.act.unconfirmed = false
-			tsk.act.location = par.instances[hol.Instance()].location
+			par.locate(tsk)
 			continue
 		}
 		if tsk == nil || tsk.act == nil || tsk.act.token != ref.token {
@@ -219,7 +219,11 @@
 	}
 	par.placement.Observe(list, env.now)
 	for _, tsk := range par.active {
-		if tsk.act == nil || tsk.state != Offered {
+		if tsk.act == nil {
+			continue
+		}
+		par.locate(tsk)
+		if tsk.state != Offered {
 			continue
 		}
 		if ins, found := par.instances[tsk.act.holder.Instance()]; !found || ins.holder != tsk.act.holder || ins.health != Alive {
@@ -230,6 +234,23 @@
 	return out
 }
 
+// locate sets the location of a task that was taken over before its instance was known. A drain finds the
+// tasks of a data centre by their locations.
+func (par *Partition[P]) locate(tsk *task) {
+	if tsk.act.location != (fleet.Location{}) {
+		return
+	}
+	tsk.act.location = par.instances[tsk.act.holder.Instance()].location
+	if dce := tsk.act.location.DataCentre(); par.drains(dce) {
+		par.draining[dce]++
+	}
+}
+
+func (par *Partition[P]) drains(dce fleet.DataCentre) bool {
+	_, drains := par.draining[dce]
+	return drains
+}
+
 // DrainDataCentres replaces the set of data centres to drain. It is called only when the set changes,
 // because DrainPercent refers to the number of tasks in the data centre at the call.
 func (par *Partition[P]) DrainDataCentres(env Env, centres []fleet.DataCentre) *Output {
@@ -242,7 +263,7 @@
 		if tsk.act == nil {
 			continue
 		}
-		if _, gone := par.draining[tsk.act.location.DataCentre()]; !gone {
+		if !par.drains(tsk.act.location.DataCentre()) {
 			continue
 		}
 		if tsk.state == Offered {
--- a/core/job/offer.go
+++ b/core/job/offer.go
@@ -198,9 +198,7 @@
 func (par *Partition[P]) renewTask(env Env, out *Output, tsk *task, prg Progress) {
 	act := tsk.act
 	act.unconfirmed, act.progress = false, prg.percent
-	if act.location == (fleet.Location{}) {
-		act.location = par.instances[act.holder.Instance()].location
-	}
+	par.locate(tsk)
 	if tsk.state == Assigned {
 		par.setState(tsk, Running)
 	}
