Check that a new owner stops the tasks of a cancelled job

Confirms for the product's own interface what failed in core/batch: the cancellation is stored, and each renewal of a cancelled task is answered with its stop order and without a lease, so the task ends with its lease at the latest, whoever owns the job.

--- a/core/job/takeover_test.go
+++ b/core/job/takeover_test.go
@@ -8,6 +8,7 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
+	"jacinthpost/core/lease"
 )
 
 // takeOver replaces the owner by one that knows only the records, and the given instances.
@@ -66,3 +67,34 @@
 		par.part.DrainDataCentres(par.env(), drained)
 	}),
 )
+
+// Guards against tasks of a cancelled job that run on, because their owner was replaced before they had
+// been ordered to stop or had ended.
+var _ = DescribeTable("a new owner stops the tasks of a cancelled job", func(records func(par *pair) []job.Record) {
+	par := newPair()
+	par.takeOver(records(par), par.instance(0))
+	end := lease.GranterEnd(par.now, job.DefaultLease)
+	par.sleep(time.Second)
+	Expect(par.renewHeld(par.holder, par.refs).Disagreed()).To(BeTrue())
+	rep := effectsOf[job.RenewReply](par.part.Renew(par.env(), 0, par.holder, par.progress()))[0]
+	Expect(stopRefs(rep.Stops())).To(Equal(par.refs[:1]))
+	Expect(rep.Grants()).To(HaveExactElements(HaveField("Ref()", par.refs[1])))
+	par.now = end
+	par.part.Tick(par.env())
+	Expect(par.states()).To(Equal([]job.State{job.Cancelled, job.Running}), "the lease of the cancelled task has ended")
+},
+	Entry("before an order was sent", func(par *pair) []job.Record {
+		before := par.part.Snapshot()
+		return append(before, par.part.Cancel(par.env(), 0, par.refs[0].Job()).Records()...)
+	}),
+	Entry("after a snapshot", func(par *pair) []job.Record {
+		par.part.Cancel(par.env(), 0, par.refs[0].Job())
+		return par.part.Snapshot()
+	}),
+	Entry("after a second change of the owner", func(par *pair) []job.Record {
+		par.part.Cancel(par.env(), 0, par.refs[0].Job())
+		par.takeOver(par.part.Snapshot(), par.instance(0))
+		par.part.Renew(par.env(), 0, par.holder, par.progress())
+		return par.part.Snapshot()
+	}),
+)
