Pass missed changes to a partition that serves again

Operators would see tasks stay in a data centre that a ticket takes out, or be stopped again and again in one that has returned.

Cause: the owner passes a change of the data centres or members to the partitions that serve at that moment, and remembers it for all of them. A partition whose lease has ended while the answer to its renewal is on its way does not serve; with the answer it serves again (a store that answers after 4 to 5 s), in the same tenure, and never got the change.

Each tenure now remembers what its partition got, and gets the difference before its next tick.

Evidence: 'drains a data centre that is taken out while the renewal of the partition is delayed' failed before (no stop order within 10 s) and passes now.

--- a/io/owner/cluster_test.go
+++ b/io/owner/cluster_test.go
@@ -37,6 +37,8 @@
 	running    map[string]int
 	finished   map[string]int
 	violations []string
+	takenOut   atomic.Pointer[[]fleet.DataCentre]
+	stopCalls  atomic.Int64
 }
 
 // process is an owner and the agent in the same process.
@@ -52,11 +54,12 @@
 	done     sync.WaitGroup
 }
 
-// recordingTable records when log rows are written.
+// recordingTable records when log rows are written. It delays the answers to renewals of the ownership.
 type recordingTable struct {
 	*storefake.Store
-	mu     sync.Mutex
-	writes map[string][]time.Time
+	mu           sync.Mutex
+	writes       map[string][]time.Time
+	renewalDelay atomic.Int64 // in nanoseconds
 }
 
 func (tab *recordingTable) Commit(ctx context.Context, txn *store.Transaction) (store.Result, error) {
@@ -67,7 +70,11 @@
 			tab.mu.Unlock()
 		}
 	}
-	return tab.Store.Commit(ctx, txn)
+	res, err := tab.Store.Commit(ctx, txn)
+	if !strings.Contains(txn.Writes()[0].Key(), "/log/") {
+		<-time.After(time.Duration(tab.renewalDelay.Load()))
+	}
+	return res, err
 }
 
 // newCluster starts processes, all of which may own partitions.
@@ -92,7 +99,7 @@
 func (clu *cluster) start(id string, view *owner.View) {
 	prc := &process{clu: clu, id: id}
 	prc.ctx, prc.cancel = context.WithCancel(context.Background())
-	ports := owner.NewPorts(clu.table, &storefake.ObjectStore{Store: clu.table.Store}, clu, settings{}).
+	ports := owner.NewPorts(clu.table, &storefake.ObjectStore{Store: clu.table.Store}, clu, settings{clu}).
 		WithView(func() *owner.View {
 			if gate := prc.gate.Load(); gate != nil {
 				<-*gate
@@ -127,12 +134,22 @@
 	}
 }
 
-type settings struct{}
+// settings has no data centre out of service without a cluster.
+type settings struct{ clu *cluster }
 
 func (settings) StartsAllowed(fleet.DataCentre) bool { return true }
-func (settings) TakenOut() []fleet.DataCentre        { return nil }
 func (settings) Complete(spc job.Spec) job.Spec      { return spc }
 
+func (set settings) TakenOut() []fleet.DataCentre {
+	if set.clu == nil {
+		return nil
+	}
+	if out := set.clu.takenOut.Load(); out != nil {
+		return *out
+	}
+	return nil
+}
+
 // pause blocks the control goroutine of a process until resume is called, as if the
 // operating system had suspended the process.
 func (prc *process) pause() (resume func()) {
@@ -165,6 +182,9 @@
 	if call := calls[method]; call != nil {
 		return call()
 	}
+	if method == "Agent.Stop" {
+		clu.stopCalls.Add(1)
+	}
 	return errUnreachable // Adopt and Stop: the agent renews with the new owner by itself
 }
 
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/store/storefake"
 	"jacinthpost/internal/specs"
@@ -155,6 +156,22 @@
 		})
 	})
 
+	// Guards against tasks that stay in a data centre for ever when it is taken out at a moment at which the
+	// owner's lease has ended and the answer to its renewal, which extends the lease, is on its way.
+	It("drains a data centre that is taken out while the renewal of the partition is delayed", func() {
+		simulate(1, 1, func(clu *cluster) {
+			clu.Expect(clu.submit("k", 400)).To(BeTrue())
+			prc := clu.processes["a"]
+			clu.table.renewalDelay.Store(int64(4900 * time.Millisecond))
+			clu.Eventually(prc.owned).WithTimeout(time.Minute).Should(BeZero())
+			clu.takenOut.Store(&[]fleet.DataCentre{"d"})
+			clu.Eventually(prc.owned).WithTimeout(5 * time.Second).Should(Equal(1))
+			clu.table.renewalDelay.Store(0)
+			clu.Eventually(clu.stopCalls.Load).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0))
+			clu.takenOut.Store(nil)
+		})
+	})
+
 	// Guards against a repeated submission that makes a second job, a key used for
 	// other work, and a cancellation that leaves a job running.
 	It("answers repeated, conflicting and cancelled submissions", func() {
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -65,6 +65,7 @@
 	for _, slt := range sta.slots {
 		sta.decide(slt, now)
 		if slt.serves(now) {
+			sta.updatePartition(slt, now)
 			sta.collect(slt, slt.tenure.part.Tick(sta.env(slt, now)), now)
 			sta.sendRoomRequests(slt, now)
 		}
@@ -92,18 +93,28 @@
 	sta.publishMetrics(now)
 	if out := sta.owner.ports.settings.TakenOut(); !slices.Equal(out, sta.takenOut) {
 		sta.takenOut = slices.Clone(out)
-		for _, slt := range sta.slots {
-			if slt.serves(now) {
-				sta.collect(slt, slt.tenure.part.DrainDataCentres(sta.env(slt, now), sta.takenOut), now)
-			}
-		}
 	}
 	if viw := sta.owner.ports.view(); viw != nil && viw != sta.view {
-		sta.setView(viw, now)
+		sta.setView(viw)
+	}
+}
+
+// updatePartition passes changes of the members and of the data centres taken out of service to a partition.
+// One that did not serve at the time of a change, because a renewal of its ownership was late, gets it as
+// soon as it serves again.
+func (sta *state[P]) updatePartition(slt *slot[P], now time.Time) {
+	ten := slt.tenure
+	if ten.view != sta.view {
+		ten.view = sta.view
+		sta.collect(slt, ten.part.Observe(sta.env(slt, now), sta.hints), now)
+	}
+	if !slices.Equal(ten.takenOut, sta.takenOut) {
+		ten.takenOut = sta.takenOut
+		sta.collect(slt, ten.part.DrainDataCentres(sta.env(slt, now), sta.takenOut), now)
 	}
 }
 
-func (sta *state[P]) setView(viw *View, now time.Time) {
+func (sta *state[P]) setView(viw *View) {
 	sta.view = viw
 	sta.hints = nil
 	clear(sta.addresses)
@@ -124,11 +135,6 @@
 			slt.rank = sta.rank(slt.num)
 		}
 	}
-	for _, slt := range sta.slots {
-		if slt.serves(now) {
-			sta.collect(slt, slt.tenure.part.Observe(sta.env(slt, now), sta.hints), now)
-		}
-	}
 }
 
 // rank returns how many live candidates are preferred over this process. A
--- a/io/owner/tenure.go
+++ b/io/owner/tenure.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"jacinthpost/core/fleet"
 	"jacinthpost/core/job"
 	"jacinthpost/core/quota"
 	"jacinthpost/core/store"
@@ -31,6 +32,8 @@
 	saving         bool
 	saveAfter      time.Time
 	releasing      bool
+	view           *View                 // as last passed to the partition
+	takenOut       []fleet.DataCentre    // as last passed to the partition
 	lateCounted    int                   // late jobs already added to the counter
 	evictedCounted int                   // evictions already added to the counter
 	allocator      quota.Allocator       // used for AllocatorPartition only
@@ -86,6 +89,7 @@
 	ten.log, ten.part = log, job.New(sta.place(slt.num), job.DefaultLimits())
 	ten.part.Replay(recs)
 	ten.durable, ten.unsaved = ten.part.Recorded(), log.Tail()
+	ten.view, ten.takenOut = sta.view, sta.takenOut
 	env := sta.env(slt, now)
 	sta.collect(slt, ten.part.Observe(env, sta.hints), now)
 	sta.collect(slt, ten.part.TakeOver(env, slt.ownership.Epoch()), now)
