Repeat the order for full speed until the worker has confirmed it

Operators would see a task run at a tenth of its speed to its end on an instance whose service is not disturbed.

Cause: throttle orders were repeated while they limit a task, but the order for full speed was sent once, and its failure was only counted. That a task has its full speed again was thus known to the agent alone.

The worker's answer is now noted, and the order repeated each 10 s until there is one. Orders that limit a task are still repeated always.

Confirmed orders are not repeated, so the number of calls does not grow.

--- a/core/runner/commitment.go
+++ b/core/runner/commitment.go
@@ -27,6 +27,7 @@
 	if tsk.speedPercent != percent && (tsk.speedPercent != 0 || percent != fullSpeedPercent) {
 		tsk.speedChangedAt = now
 	}
+	tsk.speedConfirmed = tsk.speedConfirmed && tsk.speedPercent == percent
 	tsk.speedPercent = percent
 }
 
--- a/core/runner/stop.go
+++ b/core/runner/stop.go
@@ -43,6 +43,14 @@
 	return []Effect{Throttle{ref: ref, percent: percent}}
 }
 
+// Throttled handles the worker's confirmation of an order of Throttle. An order without a confirmation may
+// have been lost.
+func (run *Runner) Throttled(ref worker.Ref, percent int) {
+	if tsk := run.find(ref); tsk != nil && tsk.speedPercent == percent {
+		tsk.speedConfirmed = true
+	}
+}
+
 const drainReason = "the instance is draining"
 
 // Drain refuses further offers and evicts all tasks. The drain is complete when
--- a/core/runner/task.go
+++ b/core/runner/task.go
@@ -117,6 +117,7 @@
 	peak               resource.Vector // highest usage, scaled to full speed
 	speedPercent       int             // ordered by Throttle, zero for full speed
 	speedChangedAt     time.Time       // time of the last change of the speed, zero for none
+	speedConfirmed     bool            // the worker has confirmed speedPercent
 	lastReport         worker.TaskReport
 	lastSent           Status // last status sent with a renewal
 	leaseSetGeneration uint64 // generation of the partition in which the owner last granted it individually
@@ -162,19 +163,20 @@
 
 // Status is the state of an assignment as the agent sees it.
 type Status struct {
-	ref           worker.Ref
-	phase         Phase
-	class         fleet.JobClass
-	urgent        bool
-	resources     resource.Vector
-	usage         resource.Vector
-	peak          resource.Vector
-	longRunning   bool // it has run for at least longRunTime
-	progress      int
-	checkpoint    string
-	runningSince  time.Time
-	priorSlowdown float64
-	priorWeight   float64
+	ref            worker.Ref
+	phase          Phase
+	class          fleet.JobClass
+	urgent         bool
+	resources      resource.Vector
+	usage          resource.Vector
+	peak           resource.Vector
+	longRunning    bool // it has run for at least longRunTime
+	progress       int
+	checkpoint     string
+	runningSince   time.Time
+	priorSlowdown  float64
+	priorWeight    float64
+	speedConfirmed bool
 }
 
 // Ref returns the assignment that the status describes.
@@ -202,6 +204,10 @@
 // service on the instance, and the weight of the evidence for it.
 func (sta Status) Prior() (slowdown, weight float64) { return sta.priorSlowdown, sta.priorWeight }
 
+// SpeedConfirmed reports whether the worker has confirmed the latest order of Throttle. Before the first
+// one the speed is unknown, because an earlier agent process may have throttled the task.
+func (sta Status) SpeedConfirmed() bool { return sta.speedConfirmed }
+
 // Progress returns the progress in percent.
 func (sta Status) Progress() int { return sta.progress }
 
@@ -252,7 +258,7 @@
 		ref: tsk.ref, phase: tsk.phase, class: tsk.spec.class, urgent: tsk.spec.urgent,
 		resources: tsk.committed(tsk.spec.resources), usage: tsk.lastReport.Usage(), peak: tsk.peak,
 		priorSlowdown: tsk.spec.priorSlowdown, priorWeight: tsk.spec.priorWeight,
-		progress: tsk.lastReport.Progress(), checkpoint: cpt, runningSince: tsk.runningSince,
+		progress: tsk.lastReport.Progress(), checkpoint: cpt, runningSince: tsk.runningSince, speedConfirmed: tsk.speedConfirmed,
 	}
 }
 
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -214,11 +214,13 @@
 	grd.host.Perform(sta, sta.Runner().Throttle(tsk.ref, 100-tsk.throttlePercent))
 }
 
-// repeatThrottles sends throttle orders again after repeatPeriod. It also sends the first order for
-// a task, which an earlier process or interfere.Guard may have throttled.
+// repeatThrottles sends throttle orders again after repeatPeriod, those for full speed until the worker has
+// confirmed them. It also sends the first order for a task, which an earlier process or interfere.Guard
+// may have throttled.
 func (grd *Guard[G]) repeatThrottles(sta *agentstate.State, now time.Time) {
 	for _, tsk := range grd.state.tasks {
-		if tsk.lastOrder.IsZero() || tsk.throttlePercent > 0 && now.Sub(tsk.lastOrder) >= repeatPeriod {
+		unsure := tsk.throttlePercent > 0 || !tsk.speedConfirmed
+		if tsk.lastOrder.IsZero() || unsure && now.Sub(tsk.lastOrder) >= repeatPeriod {
 			grd.throttle(sta, tsk, now)
 		}
 	}
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -151,6 +151,20 @@
 		Expect(ins.host.stops[0].Checkpoint()).To(BeTrue())
 	})
 
+	// Guards against a task that keeps the speed that an earlier agent process has ordered, because the order
+	// for full speed was lost.
+	It("repeats the order for full speed until the worker has confirmed it", func() {
+		ins := newInstance()
+		ins.report(ins.noisyTask(1000))
+		ins.serve(1, 0)
+		Expect(ins.host.speedPercents).To(HaveExactElements(100))
+		ins.serve(24, 0)
+		Expect(ins.host.speedPercents).To(HaveExactElements(100, 100))
+		ins.state.Runner().Throttled(ins.ref, 100)
+		ins.serve(60, 0)
+		Expect(ins.host.speedPercents).To(HaveLen(2))
+	})
+
 	// Guards against a task that stays throttled after the controller that throttled it was replaced.
 	It("removes throttles when the service changes", func() {
 		ins := newInstance()
--- a/io/guard/tasks.go
+++ b/io/guard/tasks.go
@@ -26,6 +26,7 @@
 	idleReports     int             // messages that reported the service as idle for its class
 	throttlePercent int             // reduction of its speed
 	lastOrder       time.Time       // when a throttle order was last sent
+	speedConfirmed  bool            // the worker has confirmed that order
 }
 
 func (tsk *task) descriptor() interfere.Task { return interfere.NewTask(tsk.id, tsk.class, tsk.size) }
@@ -88,6 +89,7 @@
 
 // update passes on what the worker has newly reported. Usage is zero before the first report.
 func (sti *state[G]) update(tsk *task, cur runner.Status, now time.Time) {
+	tsk.speedConfirmed = cur.SpeedConfirmed()
 	if size := cur.Resources(); size != tsk.size {
 		tsk.size = size
 		sti.guard.Resized(tsk.id, size)
--- a/io/taskhost/perform.go
+++ b/io/taskhost/perform.go
@@ -25,22 +25,35 @@
 	case runner.Report:
 		hst.report(eff)
 	case runner.Forget:
-		hst.callWorker("forget", func(ctx context.Context) error { return hst.worker.Forget(ctx, eff.Ref()) })
+		hst.forget(eff)
 	case runner.Throttle:
-		hst.callWorker("throttle", func(ctx context.Context) error { return hst.worker.Throttle(ctx, eff.Ref(), eff.Percent()) })
+		hst.throttle(eff)
 	}
 }
 
-// callWorker makes a call whose result is not posted to the loop: its outcome appears in a later state
-// of the worker.
-func (hst *Host) callWorker(name string, call func(ctx context.Context) error) {
+// forget posts no result: its outcome appears in a later state of the worker.
+func (hst *Host) forget(fgt runner.Forget) {
 	ctx, cancel := context.WithTimeout(hst.base, workerTimeout)
 	defer cancel()
-	if err := call(ctx); err != nil {
-		failedCalls(name).Inc()
+	if err := hst.worker.Forget(ctx, fgt.Ref()); err != nil {
+		failedCalls("forget").Inc()
 	}
 }
 
+// throttle posts the confirmation only. Orders without one are repeated.
+func (hst *Host) throttle(thr runner.Throttle) {
+	ctx, cancel := context.WithTimeout(hst.base, workerTimeout)
+	defer cancel()
+	if err := hst.worker.Throttle(ctx, thr.Ref(), thr.Percent()); err != nil {
+		failedCalls("throttle").Inc()
+		return
+	}
+	hst.post(func(run *runner.Runner, _ time.Time) []runner.Effect {
+		run.Throttled(thr.Ref(), thr.Percent())
+		return nil
+	})
+}
+
 func (hst *Host) claim(clm runner.Claim) {
 	ctx, cancel := context.WithTimeout(hst.base, claimTimeout)
 	defer cancel()
--- a/io/taskhost/taskhost_test.go
+++ b/io/taskhost/taskhost_test.go
@@ -289,3 +289,27 @@
 		Expect(own.end("build")).To(Equal(message.EndStopped))
 	})
 })
+
+// Guards against a speed that counts as confirmed although the order for it was lost, and against one that
+// is ordered again and again after its confirmation.
+var _ = It("learns whether the worker has confirmed a speed", func() {
+	bubble(func(ctx context.Context) {
+		wkr, _, hst := setup(ctx)
+		hst.offer("build", 1, 2000)
+		sleep(time.Second)
+		expectConfirmed := func(speed int, want bool) {
+			GinkgoHelper()
+			Expect(hst.Throttle(ctx, worker.NewRef("build", 0, token.New(1, 1)), speed)).To(Succeed())
+			sleep(3 * time.Second)
+			confirmed, err := agentstate.Ask(ctx, hst.loop, func(sta *agentstate.State, _ time.Time) bool { return sta.Runner().Tasks()[0].SpeedConfirmed() })
+			Expect(err).NotTo(HaveOccurred())
+			Expect(confirmed).To(Equal(want))
+		}
+		expectConfirmed(50, true)
+		wkr.SetFault(workerfake.LostReplies)
+		expectConfirmed(50, true)
+		expectConfirmed(100, false)
+		wkr.SetFault(workerfake.None)
+		expectConfirmed(100, true)
+	})
+})
