Remove throttles also while there is no endpoint

Operators would see tasks run at a tenth of their speed on an instance without an endpoint.

Cause: the speeds that an agent has ordered are known to its process alone. A new process orders full speed for each task that it finds, but only once an endpoint has announced itself. If the agent and the endpoint end together and no endpoint returns, the tasks keep the speed that protected it.

A guard now follows the tasks and orders full speed without an endpoint too. When one comes, the tasks are passed to the controller as before.

Evidence: 'removes throttles when there is no endpoint' failed before (no order in 30 s) and passes now.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -133,11 +133,13 @@
 func (grd *Guard[G]) Decide(sta *agentstate.State, now time.Time) {
 	grd.ensureGuard(sta, now)
 	sta.Served(len(grd.samples), now)
+	grd.followTasks(sta, now)
 	if !grd.state.created {
+		// A former agent process may have throttled the tasks for an endpoint that has gone.
 		grd.discardSamples()
+		grd.repeatThrottles(sta, now)
 		return
 	}
-	grd.followTasks(sta, now)
 	grd.observeSamples()
 	defer grd.reportToOwners(sta, now)
 	for _, act := range grd.state.guard.Decide(now) {
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -69,10 +69,15 @@
 }
 
 func newInstance() *instance {
+	ins := newInstanceWithoutEndpoint()
+	ins.announce("service")
+	return ins
+}
+
+func newInstanceWithoutEndpoint() *instance {
 	ins := &instance{now: time.Unix(1_000_000, 0), host: &host{}, ref: worker.NewRef("job", 0, token.New(1, 1))}
 	ins.state = agentstate.New(site{}, ledger.NewCapacity(25), intake.DefaultOptions())
 	ins.guard = guard.New(nil, ins.host, interfere.NewController, zap.NewNop())
-	ins.announce("service")
 	ins.report()
 	return ins
 }
@@ -165,6 +170,23 @@
 		Expect(ins.host.speedPercents).To(HaveLen(2))
 	})
 
+	// Guards against tasks that keep the speed that an earlier agent process has ordered, because the endpoint
+	// they were throttled for has gone, and against a guard that ignores them when an endpoint comes.
+	It("removes throttles when there is no endpoint", func() {
+		ins := newInstanceWithoutEndpoint()
+		ins.report(ins.noisyTask(1000))
+		ins.serve(1, 0)
+		Expect(ins.host.speedPercents).To(HaveExactElements(100))
+		ins.state.Runner().Throttled(ins.ref, 100)
+		ins.serve(60, 0)
+		Expect(ins.host.speedPercents).To(HaveLen(1))
+		ins.announce("service")
+		ins.serve(10, 0)
+		ins.report(ins.noisyTask(1000))
+		ins.serve(16, 9)
+		Expect(ins.host.speedPercents).To(ContainElement(10))
+	})
+
 	// Guards against a task that stays throttled after the controller that throttled it was replaced.
 	It("removes throttles when the service changes", func() {
 		ins := newInstance()
--- a/io/guard/tasks.go
+++ b/io/guard/tasks.go
@@ -44,8 +44,8 @@
 	return sti.tasks[pos]
 }
 
-// followTasks passes the changes of the tasks since the last period to the interfere.Guard. A task
-// that is being stopped can no longer be throttled or evicted and counts as ended.
+// followTasks passes the changes of the tasks since the last period to the interfere.Guard, if there is
+// one. A task that is being stopped can no longer be throttled or evicted and counts as ended.
 func (grd *Guard[G]) followTasks(sta *agentstate.State, now time.Time) {
 	sti := &grd.state
 	var next []*task
@@ -65,7 +65,7 @@
 		}
 	}
 	for _, tsk := range sti.tasks {
-		if !slices.Contains(next, tsk) {
+		if sti.created && !slices.Contains(next, tsk) {
 			sti.guard.Ended(tsk.id)
 		}
 	}
@@ -75,8 +75,10 @@
 func (sti *state[G]) addTask(cur runner.Status, now time.Time) *task {
 	tsk := &task{ref: cur.Ref(), id: taskName(cur.Ref()), class: sti.boundClass(cur.Class()), size: cur.Resources(), reportedSize: cur.Resources()}
 	tsk.prior = interfere.NewEstimate(cur.Prior())
-	sti.setPrior(tsk)
-	sti.guard.Started(tsk.descriptor(), now)
+	if sti.created {
+		sti.setPrior(tsk)
+		sti.guard.Started(tsk.descriptor(), now)
+	}
 	return tsk
 }
 
@@ -90,6 +92,10 @@
 // update passes on what the worker has newly reported. Usage is zero before the first report.
 func (sti *state[G]) update(tsk *task, cur runner.Status, now time.Time) {
 	tsk.speedConfirmed = cur.SpeedConfirmed()
+	if !sti.created {
+		tsk.size = cur.Resources()
+		return
+	}
 	if size := cur.Resources(); size != tsk.size {
 		tsk.size = size
 		sti.guard.Resized(tsk.id, size)
