Store how long a maintenance wave has taken

Operators would see a wave miss its time limit after a change of the owner.

Cause: in the second half of its time limit a wave no longer waits for short tasks (up to 6 s a machine). When the wave began was known to the owner only, so each new owner counted from its takeover and waited again.

The row of a wave now holds the time that it has taken beside the phases of its machines; it is also stored when the second half begins. Rows of earlier versions, which hold the phases alone, are still read.

Evidence: 'does not wait for short tasks again after a takeover in the second half of the time limit' fails when Restore ignores the stored time, as before (no upkeep within 1 s), and passes now.

--- a/core/upkeep/planner.go
+++ b/core/upkeep/planner.go
@@ -43,6 +43,7 @@
 type wave struct {
 	Wave
 	startedAt time.Time
+	elapsed   time.Duration // at the latest call of Plan
 	machines  map[MachineID]*machine
 	complete  bool
 }
@@ -81,20 +82,21 @@
 	pln.changed[num] = true
 }
 
-// Restore sets the stored progress of the waves after a takeover of the owner role, by their numbers. It
+// Restore sets the stored state of the waves after a takeover of the owner role, by their numbers. It
 // must be called once, with an empty map if there is none. Before it, the planner drains nothing, makes
 // no requests and has no changes to store, because these would replace the progress of the former owner.
-func (pln *Planner) Restore(stored map[int]Progress, now time.Time) {
+func (pln *Planner) Restore(stored map[int]Stored, now time.Time) {
 	pln.restored = true
-	for num, prg := range stored {
+	for num, sto := range stored {
 		if wav := pln.waves[num]; wav != nil {
-			wav.restore(prg, now)
+			wav.restore(sto, now)
 		}
 	}
 }
 
-func (wav *wave) restore(prg Progress, now time.Time) {
-	for id, phs := range prg {
+func (wav *wave) restore(sto Stored, now time.Time) {
+	wav.startedAt, wav.elapsed = now.Add(-sto.Elapsed), sto.Elapsed
+	for id, phs := range sto.Progress {
 		if mac := wav.machines[id]; mac != nil {
 			// The start of an upkeep is not stored. The machine counts as down until a list
 			// requested from now on shows it as up.
@@ -102,7 +104,7 @@
 		}
 	}
 	// The former owner may have reported the wave as complete, so it must not be reported as running again.
-	wav.complete = len(prg) > 0 && wav.allDown()
+	wav.complete = len(sto.Progress) > 0 && wav.allDown()
 }
 
 // Active reports whether there is an incomplete wave.
@@ -227,7 +229,13 @@
 // stored.
 func (pln *Planner) Plan(src LoadSource, now time.Time) {
 	for _, wav := range pln.waves {
-		hurry := now.Sub(wav.startedAt) > time.Duration(hurryFraction*float64(wav.timeLimit))
+		hurried := wav.hurry()
+		wav.elapsed = now.Sub(wav.startedAt)
+		hurry := wav.hurry()
+		if hurry && !hurried && !wav.complete {
+			// A new owner must not wait for short tasks again.
+			pln.markChanged(wav.number)
+		}
 		for id, mac := range wav.machines {
 			if mac.phase != "" || mac.drainingSince.IsZero() || wav.down() >= wav.limit {
 				continue
@@ -245,6 +253,11 @@
 	}
 }
 
+// hurry reports whether the wave has taken so much of its time limit that it no longer waits for short tasks.
+func (wav *wave) hurry() bool {
+	return wav.elapsed > time.Duration(hurryFraction*float64(wav.timeLimit))
+}
+
 // allDown reports whether the upkeep of every machine has begun, except for machines that are gone.
 func (wav *wave) allDown() bool {
 	for _, mac := range wav.machines {
@@ -255,10 +268,10 @@
 	return true
 }
 
-// Change is the progress of a wave to be stored. Complete is reported to the operators after that.
+// Change is the state of a wave to be stored. Complete is reported to the operators after that.
 type Change struct {
+	Stored
 	Wave     int
-	Progress Progress
 	Complete bool
 }
 
@@ -283,7 +296,7 @@
 				prg[id] = mac.phase
 			}
 		}
-		out = append(out, Change{Wave: num, Progress: prg, Complete: wav.complete})
+		out = append(out, Change{Wave: num, Stored: Stored{Progress: prg, Elapsed: wav.elapsed}, Complete: wav.complete})
 	}
 	pln.changed = nil
 	return out
--- a/core/upkeep/upkeep.go
+++ b/core/upkeep/upkeep.go
@@ -90,6 +90,12 @@
 // Progress holds the phases of the machines of a wave. Waiting machines are missing.
 type Progress map[MachineID]Phase
 
+// Stored is what a new owner must know of a wave.
+type Stored struct {
+	Progress Progress
+	Elapsed  time.Duration // since the start of the wave, at the time of the change
+}
+
 // Request is a request to the platform for the upkeep of a machine.
 type Request struct {
 	Wave    int
--- a/core/upkeep/upkeep_test.go
+++ b/core/upkeep/upkeep_test.go
@@ -33,7 +33,7 @@
 	delayed          map[upkeep.MachineID]time.Time // when a delayed request is executed
 	maxDown          int
 	wave             upkeep.Wave
-	stored           upkeep.Progress
+	stored           upkeep.Stored
 	reportedComplete bool
 	latestComplete   bool // as in the latest change
 	answer           func(req upkeep.Request) (carriedOut bool, after time.Duration, out upkeep.RequestOutcome)
@@ -123,7 +123,7 @@
 func (fak *fakePlatform) store() {
 	chgs := fak.planner.TakeChanges()
 	for _, chg := range chgs {
-		fak.stored = chg.Progress
+		fak.stored = chg.Stored
 		fak.reportedComplete, fak.latestComplete = fak.reportedComplete || chg.Complete, chg.Complete
 	}
 	fak.planner.ChangesStored(chgs)
@@ -144,7 +144,7 @@
 	if storedFirst {
 		fak.store()
 	}
-	fak.planner.Restore(map[int]upkeep.Progress{1: fak.stored}, fak.now)
+	fak.planner.Restore(map[int]upkeep.Stored{1: fak.stored}, fak.now)
 }
 
 // expectInvariants checks that the limit was kept, that no machine had two upkeeps, and that the wave
@@ -232,10 +232,10 @@
 		}
 		fak.step()
 		fak.step()
-		Expect(fak.stored).To(HaveLen(1))
-		asked := maps.Clone(fak.stored)
+		Expect(fak.stored.Progress).To(HaveLen(1))
+		asked := maps.Clone(fak.stored.Progress)
 		fak.takeover(true)
-		Expect(fak.stored).To(Equal(asked))
+		Expect(fak.stored.Progress).To(Equal(asked))
 	})
 
 	// Guards against a wave that is shown to the operators as running after it was complete, and against one
@@ -249,6 +249,20 @@
 		Expect(chgs).To(HaveExactElements(HaveField("Complete", true)))
 	})
 
+	// Guards against a wave that misses its time limit because each new owner waits for short tasks again.
+	It("does not wait for short tasks again after a takeover in the second half of the time limit", func() {
+		fak := newFakePlatform(2, 1)
+		fak.loads[worker("m0")] = upkeep.Load{LongRunning: 1000}
+		fak.loads[worker("m1")] = upkeep.Load{LongRunning: 1000}
+		fak.advance(31 * time.Second)
+		Expect(fak.upkeeps).To(BeEmpty())
+		fak.takeover(false)
+		fak.loads[worker("m0")] = upkeep.Load{Short: 1000}
+		fak.loads[worker("m1")] = upkeep.Load{Short: 1000}
+		fak.advance(time.Second)
+		Expect(fak.upkeeps).To(HaveLen(1))
+	})
+
 	// Guards against a wave that waits for a machine that no longer exists.
 	It("completes without a machine that is gone, but waits for one that returns", func() {
 		fak := newFakePlatform(2, 1)
--- a/io/batchowner/upkeep.go
+++ b/io/batchowner/upkeep.go
@@ -86,19 +86,19 @@
 		mnt.cfg.Log.Warn("cannot read the progress of waves", zap.Error(err))
 		return false
 	}
-	stored := make(map[int]upkeep.Progress)
+	stored := make(map[int]upkeep.Stored)
 	for _, row := range all.Rows() {
-		var prg upkeep.Progress
+		var sto upkeep.Stored
 		num, err := strconv.Atoi(strings.TrimPrefix(row.Key(), mnt.cfg.Partition.WavesPrefix()))
 		if err == nil {
-			err = json.Unmarshal(row.Value(), &prg)
+			sto, err = decodeWave(row.Value())
 		}
 		if err != nil {
 			// The list of machines and the service's answers to repeated requests tell what was done.
 			mnt.cfg.Log.Error("cannot decode the progress of a wave", zap.String("key", row.Key()), zap.Error(err))
 			continue
 		}
-		stored[num] = prg
+		stored[num] = sto
 	}
 	mnt.post(ctx, func(_ *Scheduler, now time.Time) { mnt.planner.Restore(stored, now) })
 	mnt.restored = true
@@ -184,5 +184,24 @@
 	}
 }
 
+// waveRow is the row of a wave.
+type waveRow struct {
+	Machines      upkeep.Progress `json:"machines"`
+	ElapsedMillis int64           `json:"elapsedMillis"`
+}
+
 // encodeProgress returns the value of the row of a wave.
-func encodeProgress(chg upkeep.Change) []byte { return batchstore.Encode(chg.Progress) }
+func encodeProgress(chg upkeep.Change) []byte {
+	return batchstore.Encode(waveRow{Machines: chg.Progress, ElapsedMillis: chg.Elapsed.Milliseconds()})
+}
+
+// decodeWave decodes the row of a wave. Earlier versions stored the phases of the machines alone.
+func decodeWave(data []byte) (upkeep.Stored, error) {
+	var row waveRow
+	if err := json.Unmarshal(data, &row); err == nil && row.Machines != nil {
+		return upkeep.Stored{Progress: row.Machines, Elapsed: time.Duration(row.ElapsedMillis) * time.Millisecond}, nil
+	}
+	var prg upkeep.Progress
+	err := json.Unmarshal(data, &prg)
+	return upkeep.Stored{Progress: prg}, err
+}
