Record the answers to keyed requests before an entry stops

Callers would get 'unknown' (504) for a booking that was answered, when they repeat it after a planned restart of entries and agents.

Cause: the answer is written to the row of the key in the background, after the caller has it. A planned stop waited for the requests in flight, but not for these writes. The row then stays 'started', and the outcome is known to the agent's memory only.

Stop now waits for the writes within the shutdown time.

Evidence: 'is recorded before a planned stop ends' fails with a Drain that does not wait, which is what Stop did, and passes now.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -249,6 +249,24 @@
 		Expect(ent.Serve(context.Background(), request("c").WithKey("k")).Conflict()).To(BeTrue())
 		Expect(agt.runsOf("c")).To(BeZero())
 	})
+	// Guards against a planned stop that leaves an answer unrecorded. The outcome would become unknown when
+	// the agent is replaced as well.
+	It("is recorded before a planned stop ends, after an outage of the store too", func(ctx SpecContext) {
+		sto := new(storefake.Store)
+		agt := newAgents(func() behaviour {
+			sto.SetDown(true)
+			return succeed
+		})
+		ent := newEntry(agt, sto)
+		expectEnd(ent.Serve(ctx, request("b").WithKey("k")), outcome.KindAnswered, "")
+		limited, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		Expect(ent.Drain(limited)).To(MatchError(context.DeadlineExceeded))
+		sto.SetDown(false)
+		Expect(ent.Drain(ctx)).To(Succeed())
+		Expect(newEntry(agt, sto).Serve(ctx, request("b").WithKey("k")).Replayed()).To(BeTrue())
+		Expect(ent.Drain(ctx)).To(Succeed())
+	})
 	It("replays an answer that is too large for a row", func() {
 		agt := newAgents(script())
 		sto := new(storefake.Store)
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -183,7 +183,9 @@
 // resolved from the agent.
 func (rqs *Requests[P]) recordAnswer(ctx context.Context, kyd *keyed, ans Answer) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	rqs.recordings.begin()
 	go func() {
+		defer rqs.recordings.end()
 		defer cancel()
 		for !rqs.tryRecord(ctx, kyd, ans) {
 			if control.Pause(ctx, recordRetryPause) != nil {
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -53,9 +53,10 @@
 
 // Requests serves service requests with a routing policy. Serve may be called from any goroutine.
 type Requests[P route.Policy] struct {
-	ports  Ports
-	router route.Router[P]
-	budget route.Budget
+	ports      Ports
+	router     route.Router[P]
+	budget     route.Budget
+	recordings recordings
 }
 
 // NewRequests returns a Requests that uses the ports.
@@ -79,6 +80,10 @@
 	return ans
 }
 
+// Drain waits until the answers to the keyed requests that were served are recorded. A process that ends
+// before would leave them to be resolved from the agents, which may be replaced next.
+func (rqs *Requests[P]) Drain(ctx context.Context) error { return rqs.recordings.wait(ctx) }
+
 // serveUnkeyed tries agents until one answers. After an attempt with an unknown outcome it never returns
 // "not run", because that attempt may have run even if later attempts are proved not run.
 func (rqs *Requests[P]) serveUnkeyed(ctx context.Context, req Request) Answer {
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -126,6 +126,9 @@
 	if err := cls.stop(ctx); err != nil {
 		ent.node.Logger().Warn("requests not drained", zap.Error(err))
 	}
+	if err := ent.requests.Drain(ctx); err != nil {
+		ent.node.Logger().Warn("answers not recorded", zap.Error(err))
+	}
 }
 
 // admission applies the settings of workspaces before a request is routed.
