Record that a keyed request was not run when the store takes it again

Callers would get 'unknown' (504) for every repetition of a booking that had been refused as not run, after a fault of the store and a replacement of the agent.

Cause: that an attempt is proved not to have run was written to the row of the key once, and not at all if the write of the next attempt had failed. The row then stays 'started', and only the entry, which forgets it with its answer, and the agent know better.

The write is now repeated in the background for 30 s, like that of an answer. It is conditional on the version of the row, so it does not undo what another entry has written since.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -56,6 +57,7 @@
 	unreachable map[string]bool
 	runs        map[string]int // executions by body
 	delayed     []message.ServeArgs
+	replaced    bool // Resolve calls for requests of the former processes fail
 }
 
 func newAgents(choose func() behaviour) *agents {
@@ -116,7 +118,7 @@
 func (agt *agents) resolve(requestID string, reply *message.ResolveReply) error {
 	ans, found := agt.answers[requestID]
 	switch {
-	case agt.unreachable[requestID]:
+	case agt.unreachable[requestID], agt.replaced:
 		return peer.ErrNotSent
 	case found:
 		*reply = message.ResolveReply{State: message.ResolvedAnswered, Answer: ans}
@@ -127,6 +129,13 @@
 	return nil
 }
 
+// replaceAll replaces the processes of all agents. The new ones know no request.
+func (agt *agents) replaceAll() {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	agt.replaced = true
+}
+
 // deliverDelayed delivers the delayed frames.
 func (agt *agents) deliverDelayed() {
 	agt.mu.Lock()
@@ -267,6 +276,28 @@
 		Expect(newEntry(agt, sto).Serve(ctx, request("b").WithKey("k")).Replayed()).To(BeTrue())
 		Expect(ent.Drain(ctx)).To(Succeed())
 	})
+	// Guards against a refusal that only the process and the agent know. After both are replaced, a repeated
+	// request would have an unknown outcome for ever.
+	DescribeTable("runs when it is repeated after a refusal that the store was down for", func(ctx SpecContext, refusals int) {
+		sto := new(storefake.Store)
+		behaviours := script(slices.Repeat([]behaviour{refuse}, refusals)...)
+		calls := 0
+		agt := newAgents(func() behaviour {
+			calls++
+			sto.SetDown(calls == refusals)
+			return behaviours()
+		})
+		ent := newEntry(agt, sto)
+		Expect(ent.Serve(ctx, request("b").WithKey("k")).Outcome().Kind()).To(Equal(outcome.KindNotRun))
+		sto.SetDown(false)
+		Expect(ent.Drain(ctx)).To(Succeed())
+		agt.replaceAll()
+		Expect(newEntry(agt, sto).Serve(ctx, request("b").WithKey("k")).Outcome().Kind()).To(Equal(outcome.KindAnswered))
+		Expect(agt.runsOf("b")).To(Equal(1))
+	},
+		Entry("of the first agent", 1),
+		Entry("of all agents", 3),
+	)
 	It("replays an answer that is too large for a row", func() {
 		agt := newAgents(script())
 		sto := new(storefake.Store)
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -17,7 +17,7 @@
 	// rowAnswerLimit is the largest answer body, in bytes, that is kept in the row. Larger bodies
 	// are written to the object store.
 	rowAnswerLimit = 64 << 10
-	// recordTimeout bounds the attempts to write an answer, which go on after the caller has it.
+	// recordTimeout bounds the attempts to write an outcome, which go on after the caller has it.
 	recordTimeout    = 30 * time.Second
 	recordRetryPause = 200 * time.Millisecond
 )
@@ -131,14 +131,30 @@
 	proved := kyd.record.NotRun()
 	if kyd.attempts < maxAttempts && ctx.Err() == nil && rqs.mayRetry(ans.outcome) {
 		stp, end := rqs.claim(ctx, kyd, proved, kyd.version)
-		if stp != stepDone || end.outcome.Reason() != outcome.ReasonNoEndpoint {
+		if stp != stepDone {
 			return stp, end
 		}
+		if end.outcome.Reason() != outcome.ReasonNoEndpoint {
+			rqs.recordNotRun(ctx, kyd, proved)
+			return stepDone, end
+		}
+	}
+	if !rqs.trySet(ctx, kyd, proved) {
+		rqs.recordNotRun(ctx, kyd, proved)
 	}
-	rqs.ports.Rows.Set(ctx, kyd.rowKey, kyd.version, encodeRecord(proved))
 	return stepDone, ans
 }
 
+// recordNotRun writes a record that the store has not taken without delaying the caller.
+func (rqs *Requests[P]) recordNotRun(ctx context.Context, kyd *keyed, proved attempt.Record) {
+	rqs.inBackground(ctx, func(ctx context.Context) bool { return rqs.trySet(ctx, kyd, proved) })
+}
+
+// trySet writes a record and reports whether the row has it or was changed by another call.
+func (rqs *Requests[P]) trySet(ctx context.Context, kyd *keyed, rec attempt.Record) bool {
+	return rqs.ports.Rows.Set(ctx, kyd.rowKey, kyd.version, encodeRecord(rec)).Err() == nil
+}
+
 // inspectRow decides on a row that another call has written.
 func (rqs *Requests[P]) inspectRow(ctx context.Context, kyd *keyed) (step, Answer) {
 	switch attempt.Decide(kyd.record, kyd.digest) {
@@ -182,12 +198,18 @@
 // recordAnswer writes the answer to the row without delaying the caller. Until then the answer can be
 // resolved from the agent.
 func (rqs *Requests[P]) recordAnswer(ctx context.Context, kyd *keyed, ans Answer) {
+	rqs.inBackground(ctx, func(ctx context.Context) bool { return rqs.tryRecord(ctx, kyd, ans) })
+}
+
+// inBackground repeats a write until it succeeds, for recordTimeout at the most. An outcome that is not
+// recorded is known to the agent only, and lost when that is replaced.
+func (rqs *Requests[P]) inBackground(ctx context.Context, try func(ctx context.Context) bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	rqs.recordings.begin()
 	go func() {
 		defer rqs.recordings.end()
 		defer cancel()
-		for !rqs.tryRecord(ctx, kyd, ans) {
+		for !try(ctx) {
 			if control.Pause(ctx, recordRetryPause) != nil {
 				return
 			}
@@ -205,8 +227,7 @@
 		stored = attempt.NewStoredAnswer(ans.status, object)
 	}
 	rec, _ := attempt.ApplyOutcome(kyd.record, ans.outcome, stored)
-	res := rqs.ports.Rows.Set(ctx, kyd.rowKey, kyd.version, encodeRecord(rec))
-	return res.Err() == nil
+	return rqs.trySet(ctx, kyd, rec)
 }
 
 func notRun(rsn outcome.Reason, detail string) Answer {
