--- a/io/taskhost/taskhost_test.go
+++ b/io/taskhost/taskhost_test.go
@@ -58,6 +58,8 @@
 	renews int
 	ends   map[string]message.TaskEnd
 	listed map[message.TaskRef]bool // tasks renewed by name whose ends were not reported
+	// cancelled makes the owner answer renewals with stop orders and without leases.
+	cancelled bool
 }
 
 // leaseSetMatches reports whether the count and digest of a renewal describe exactly the listed tasks.
@@ -88,6 +90,10 @@
 			rep.Disagreed = !rep.Agreed
 		}
 		for _, sta := range args.(*message.RenewArgs).Tasks {
+			if own.cancelled {
+				rep.Stop = append(rep.Stop, message.StopOrder{Ref: sta.Ref, Reason: "cancelled"})
+				continue
+			}
 			own.listed[sta.Ref] = true
 			rep.Granted = append(rep.Granted, sta.Ref)
 			rep.LeaseMillis = append(rep.LeaseMillis, lease.Milliseconds())
@@ -115,6 +121,12 @@
 	return own.claims, own.renews
 }
 
+func (own *fakeOwner) cancel() {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cancelled = true
+}
+
 func (own *fakeOwner) setDown(down bool) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
@@ -290,6 +302,30 @@
 	})
 })
 
+// Guards against a task of a cancelled job that runs on, because the agent was replaced when it had the stop
+// order and the worker did not.
+var _ = It("stops a task whose stop order was lost with the former agent process", func() {
+	bubble(func(ctx context.Context) {
+		wkr, own, hst := setup(ctx)
+		hst.offer("build", 1, 2000)
+		sleep(time.Second)
+		var rep message.AdoptReply
+		Expect(hst.Adopt(message.AdoptArgs{Epoch: 1, OwnerAddress: "owner"}, &rep)).To(Succeed())
+		own.cancel()
+		wkr.SetFault(workerfake.Unavailable)
+		order := message.StopOrder{Ref: rep.Tasks[0].Ref, Reason: "cancelled"}
+		Expect(hst.Stop(message.StopArgs{Orders: []message.StopOrder{order}}, nil)).To(Succeed())
+		sleep(100 * time.Millisecond)
+		hst.stop()
+		wkr.SetFault(workerfake.None)
+		Expect(countRunning(wkr)).To(Equal(1))
+		newHost(ctx, wkr, own)
+		sleep(3 * time.Second)
+		Expect(countRunning(wkr)).To(BeZero())
+		Expect(own.end("build")).To(Equal(message.EndStopped))
+	})
+})
+
 // Guards against a speed that counts as confirmed although the order for it was lost, and against one that
 // is ordered again and again after its confirmation.
 var _ = It("learns whether the worker has confirmed a speed", func() {
