Write audit entries that are under way when the process stops

Operators would miss refused tickets in the audit trail after a planned restart during a fault of the store.

Cause: the recorder writes its queue when it stops, but dropped the entries that it was writing at that moment.

Evidence: 'writes the entries that are under way and queued when the process stops' failed before (1 of 2 rows) and passes now.

--- a/io/audit/audit_test.go
+++ b/io/audit/audit_test.go
@@ -81,6 +81,28 @@
 	Entry("down for longer than the retries last", 3, true, nil, 0, 0),
 )
 
+// Guards against an entry that is lost because the process stops while it is being written.
+var _ = It("writes the entries that are under way and queued when the process stops", func() {
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		tab := &storefake.Store{}
+		tab.SetDown(true)
+		rec := audit.NewRecorder(tab, "entry-1", 7)
+		rec.Record(entryAt(0))
+		go rec.Run(ctx)
+		synctest.Wait()
+		rec.Record(entryAt(1))
+		tab.SetDown(false)
+		cancel()
+		synctest.Wait()
+		rows, err := audit.NewTrail(tab).List(context.Background(), "", audit.MaxList)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(HaveLen(2))
+	})
+})
+
 // Guards against a listing that skips or repeats rows between pages.
 var _ = It("lists page by page and shows damaged rows", func() {
 	ctx := context.Background()
--- a/io/audit/recorder.go
+++ b/io/audit/recorder.go
@@ -60,20 +60,30 @@
 	for {
 		select {
 		case <-ctx.Done():
-			rec.flush()
+			rec.flush(nil)
 			return
 		case first := <-rec.queue:
-			rec.write(ctx, rec.batch(first))
+			if txn := rec.transaction(rec.batch(first)); !rec.write(ctx, txn) {
+				rec.flush(txn)
+				return
+			}
 		}
 	}
 }
 
-// flush writes the queued entries when the process stops, for at most flushTimeout.
-func (rec *Recorder) flush() {
+// flush writes the transaction that was under way, if any, and the queued entries when the process stops,
+// for at most flushTimeout.
+func (rec *Recorder) flush(txn *store.Transaction) {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	for len(rec.queue) > 0 {
-		rec.write(ctx, rec.batch(<-rec.queue))
+	for txn != nil || len(rec.queue) > 0 {
+		if txn == nil {
+			txn = rec.transaction(rec.batch(<-rec.queue))
+		}
+		if !rec.write(ctx, txn) {
+			rec.dropped.Add(len(txn.Writes()))
+		}
+		txn = nil
 	}
 }
 
@@ -90,30 +100,35 @@
 	return batch
 }
 
-// write retries the same rows until they are stored or the attempts are used up. Their keys don't
-// depend on the attempt, so a retry after a lost answer writes the same rows again.
-func (rec *Recorder) write(ctx context.Context, batch []Entry) {
-	var txn store.Transaction
+func (rec *Recorder) transaction(batch []Entry) *store.Transaction {
+	txn := &store.Transaction{}
 	for _, ent := range batch {
 		identity := fmt.Sprintf("%s/%d", rec.instance, rec.sequence.Add(1))
-		if err := Add(&txn, ent, identity); err != nil {
+		if err := Add(txn, ent, identity); err != nil {
 			rec.dropped.Inc()
 		}
 	}
+	return txn
+}
+
+// write retries the same rows until they are stored or the attempts are used up. Their keys don't
+// depend on the attempt, so a retry after a lost answer writes the same rows again. It returns false if the
+// context ended before.
+func (rec *Recorder) write(ctx context.Context, txn *store.Transaction) bool {
 	num := len(txn.Writes())
 	for range writeAttempts {
-		if rec.commit(ctx, &txn) {
+		if rec.commit(ctx, txn) {
 			rec.written.Add(num)
-			return
+			return true
 		}
 		select {
 		case <-ctx.Done():
-			rec.dropped.Add(num)
-			return
+			return false
 		case <-time.After(retryPeriod):
 		}
 	}
 	rec.dropped.Add(num)
+	return true
 }
 
 func (rec *Recorder) commit(ctx context.Context, txn *store.Transaction) bool {
