--- a/core/upkeep/planner.go
+++ b/core/upkeep/planner.go
@@ -43,6 +43,7 @@
 type wave struct {
 	Wave
 	startedAt time.Time
+	elapsed   time.Duration // at the latest call of Plan
 	machines  map[MachineID]*machine
 	complete  bool
 }
@@ -50,6 +51,7 @@
 // Planner schedules the upkeep of the machines of all waves.
 type Planner struct {
 	waves    map[int]*wave
+	restored bool
 	listed   map[MachineID]Machine
 	listedAt time.Time // when the latest list was requested
 	changed  map[int]bool
@@ -80,20 +82,29 @@
 	pln.changed[num] = true
 }
 
-// Restore sets the stored progress of a wave after a takeover of the owner role. It changes only
-// machines without a phase.
-func (pln *Planner) Restore(num int, prg Progress, now time.Time) {
-	wav := pln.waves[num]
-	if wav == nil {
-		return
+// Restore sets the stored state of the waves after a takeover of the owner role, by their numbers. It
+// must be called once, with an empty map if there is none. Before it, the planner drains nothing, makes
+// no requests and has no changes to store, because these would replace the progress of the former owner.
+func (pln *Planner) Restore(stored map[int]Stored, now time.Time) {
+	pln.restored = true
+	for num, sto := range stored {
+		if wav := pln.waves[num]; wav != nil {
+			wav.restore(sto, now)
+		}
 	}
-	for id, phs := range prg {
-		if mac := wav.machines[id]; mac != nil && mac.phase == "" {
+}
+
+func (wav *wave) restore(sto Stored, now time.Time) {
+	wav.startedAt, wav.elapsed = now.Add(-sto.Elapsed), sto.Elapsed
+	for id, phs := range sto.Progress {
+		if mac := wav.machines[id]; mac != nil {
 			// The start of an upkeep is not stored. The machine counts as down until a list
 			// requested from now on shows it as up.
 			mac.phase, mac.stored, mac.begunAt, mac.pendingUntil = phs, true, now, now.Add(maxRequestDelay)
 		}
 	}
+	// The former owner may have reported the wave as complete, so it must not be reported as running again.
+	wav.complete = len(sto.Progress) > 0 && wav.allDown()
 }
 
 // Active reports whether there is an incomplete wave.
@@ -163,7 +174,7 @@
 func (pln *Planner) Draining(src LoadSource, now time.Time) map[string]bool {
 	out := make(map[string]bool)
 	for _, wav := range pln.waves {
-		if wav.complete {
+		if wav.complete || !pln.restored {
 			continue
 		}
 		free := wav.limit - wav.down()
@@ -218,7 +229,13 @@
 // stored.
 func (pln *Planner) Plan(src LoadSource, now time.Time) {
 	for _, wav := range pln.waves {
-		hurry := now.Sub(wav.startedAt) > time.Duration(hurryFraction*float64(wav.timeLimit))
+		hurried := wav.hurry()
+		wav.elapsed = now.Sub(wav.startedAt)
+		hurry := wav.hurry()
+		if hurry && !hurried && !wav.complete {
+			// A new owner must not wait for short tasks again.
+			pln.markChanged(wav.number)
+		}
 		for id, mac := range wav.machines {
 			if mac.phase != "" || mac.drainingSince.IsZero() || wav.down() >= wav.limit {
 				continue
@@ -236,6 +253,11 @@
 	}
 }
 
+// hurry reports whether the wave has taken so much of its time limit that it no longer waits for short tasks.
+func (wav *wave) hurry() bool {
+	return wav.elapsed > time.Duration(hurryFraction*float64(wav.timeLimit))
+}
+
 // allDown reports whether the upkeep of every machine has begun, except for machines that are gone.
 func (wav *wave) allDown() bool {
 	for _, mac := range wav.machines {
@@ -246,19 +268,22 @@
 	return true
 }
 
-// Change is the progress of a wave to be stored. Complete is reported to the operators after that.
+// Change is the state of a wave to be stored. Complete is reported to the operators after that.
 type Change struct {
+	Stored
 	Wave     int
-	Progress Progress
 	Complete bool
 }
 
 // Changed reports whether TakeChanges would return changes.
-func (pln *Planner) Changed() bool { return len(pln.changed) > 0 }
+func (pln *Planner) Changed() bool { return pln.restored && len(pln.changed) > 0 }
 
 // TakeChanges returns the changes to store. Each of them must be followed by ChangesStored or
 // ChangesUncertain.
 func (pln *Planner) TakeChanges() []Change {
+	if !pln.restored {
+		return nil
+	}
 	var out []Change
 	for _, num := range slices.Sorted(maps.Keys(pln.changed)) {
 		wav := pln.waves[num]
@@ -271,7 +296,7 @@
 				prg[id] = mac.phase
 			}
 		}
-		out = append(out, Change{Wave: num, Progress: prg, Complete: wav.complete})
+		out = append(out, Change{Wave: num, Stored: Stored{Progress: prg, Elapsed: wav.elapsed}, Complete: wav.complete})
 	}
 	pln.changed = nil
 	return out
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -133,11 +133,13 @@
 func (grd *Guard[G]) Decide(sta *agentstate.State, now time.Time) {
 	grd.ensureGuard(sta, now)
 	sta.Served(len(grd.samples), now)
+	grd.followTasks(sta, now)
 	if !grd.state.created {
+		// A former agent process may have throttled the tasks for an endpoint that has gone.
 		grd.discardSamples()
+		grd.repeatThrottles(sta, now)
 		return
 	}
-	grd.followTasks(sta, now)
 	grd.observeSamples()
 	defer grd.reportToOwners(sta, now)
 	for _, act := range grd.state.guard.Decide(now) {
@@ -214,11 +216,13 @@
 	grd.host.Perform(sta, sta.Runner().Throttle(tsk.ref, 100-tsk.throttlePercent))
 }
 
-// repeatThrottles sends throttle orders again after repeatPeriod. It also sends the first order for
-// a task, which an earlier process or interfere.Guard may have throttled.
+// repeatThrottles sends throttle orders again after repeatPeriod, those for full speed until the worker has
+// confirmed them. It also sends the first order for a task, which an earlier process or interfere.Guard
+// may have throttled.
 func (grd *Guard[G]) repeatThrottles(sta *agentstate.State, now time.Time) {
 	for _, tsk := range grd.state.tasks {
-		if tsk.lastOrder.IsZero() || tsk.throttlePercent > 0 && now.Sub(tsk.lastOrder) >= repeatPeriod {
+		unsure := tsk.throttlePercent > 0 || !tsk.speedConfirmed
+		if tsk.lastOrder.IsZero() || unsure && now.Sub(tsk.lastOrder) >= repeatPeriod {
 			grd.throttle(sta, tsk, now)
 		}
 	}
