Find runs in the soak that go on after the end of their jobs

A quarter of the jobs are now long-running, on two more agents with workers of their own, and all of them are cancelled after up to 8 s, again until the cancellation is answered. The monitor knows when a cancellation was acknowledged or an end was shown to a caller, and which faults are in effect. It reports a run that works longer than 3.9 s after that (cancel_ms and stopTimeoutMs of the users), where the time counts from 6 s after the last fault at the earliest: by then the leases that were granted during the fault have expired.

`go test -race ./cmd/soak` passes (20.9 s).

--- a/cmd/soak/clients.go
+++ b/cmd/soak/clients.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,15 +23,31 @@
 	callLimit    = 3 * time.Second
 	tries        = 4
 	retryPause   = 400 * time.Millisecond
-	cancelPart   = 0.1 // of the accepted jobs
+	cancelPart   = 0.1 // of the accepted batch jobs
+	// longRunningPart is the part of the jobs that are long-running. All of them are cancelled, on average
+	// after half of longestRun, so that about half of the processors of their workers are reserved.
+	longRunningPart = 0.25
+	longestRun      = 8 * time.Second
 )
 
 // submission is what a caller knows of a job.
 type submission struct {
-	accepted  bool
-	refused   bool // every try was answered with "not run"
-	cancelled bool // a cancellation was sent
-	final     string
+	path         string
+	longRunning  bool
+	accepted     bool
+	refused      bool      // every try was answered with "not run"
+	cancelAt     time.Time // a cancellation is sent then, or never if it is zero
+	cancelled    bool      // a cancellation was sent
+	acknowledged bool      // a cancellation was answered as carried out
+	final        string
+}
+
+// exists reports whether an answer has shown that the job was accepted.
+func (sub submission) exists() bool { return sub.accepted || sub.acknowledged }
+
+// cancelDue reports whether a cancellation must be sent, also again because it has had no answer.
+func (sub submission) cancelDue(now time.Time) bool {
+	return !sub.acknowledged && !sub.cancelAt.IsZero() && now.After(sub.cancelAt)
 }
 
 // ledger holds what is known of all jobs.
@@ -39,10 +57,13 @@
 	names       []string
 }
 
-func (led *ledger) add(id string) *submission {
+func (led *ledger) add(id string, longRunning bool) *submission {
 	led.mu.Lock()
 	defer led.mu.Unlock()
-	sub := &submission{}
+	sub := &submission{path: deployment.Path(id), longRunning: longRunning}
+	if longRunning {
+		sub.path = "/l/" + id
+	}
 	led.submissions[id] = sub
 	led.names = append(led.names, id)
 	return sub
@@ -55,6 +76,13 @@
 	change(sub)
 }
 
+// changeJob applies a change to the submission of a job.
+func (led *ledger) changeJob(id string, change func(sub *submission)) {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	change(led.submissions[id])
+}
+
 // all returns the jobs with copies of what is known.
 func (led *ledger) all() map[string]submission {
 	led.mu.Lock()
@@ -79,20 +107,24 @@
 func (cal *caller) run(ctx context.Context) {
 	for num := 0; control.Pause(ctx, submitPeriod/2+time.Duration(cal.rnd.Int64N(int64(submitPeriod)))) == nil; num++ {
 		id := fmt.Sprintf("%s%d", cal.name, num)
-		sub := cal.ledger.add(id)
-		cal.submit(ctx, id, sub)
+		cal.submit(ctx, cal.ledger.add(id, cal.rnd.Float64() < longRunningPart))
+		cal.cancelDue(ctx, cal.name, time.Now())
 		if known := cal.ledger.all(); len(known) > 0 {
 			cal.check(ctx, known)
 		}
 	}
 }
 
-// submit hands a job in and cancels some.
-func (cal *caller) submit(ctx context.Context, id string, sub *submission) {
+// submit hands a job in. Some batch jobs are to be cancelled at once, and all long-running ones at a later
+// time, also those that may have been accepted.
+func (cal *caller) submit(ctx context.Context, sub *submission) {
 	body := deployment.Job(1 + cal.rnd.IntN(4))
+	if sub.longRunning {
+		body = fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":300,"memMb":100,"longRunning":true}]}`, 1+cal.rnd.IntN(3))
+	}
 	refused := true
 	for range tries {
-		status, _ := cal.call(ctx, http.MethodPost, id, body)
+		status, _ := cal.call(ctx, http.MethodPost, sub.path, body)
 		if status == http.StatusOK {
 			cal.ledger.change(sub, func(sub *submission) { sub.accepted = true })
 			break
@@ -103,11 +135,25 @@
 			break
 		}
 	}
-	accepted := false
-	cal.ledger.change(sub, func(sub *submission) { sub.refused, accepted = refused && !sub.accepted, sub.accepted })
-	if accepted && cal.rnd.Float64() < cancelPart {
-		cal.ledger.change(sub, func(sub *submission) { sub.cancelled = true })
-		cal.call(ctx, http.MethodDelete, id, "")
+	cancel, after := cal.rnd.Float64() < cancelPart, time.Duration(cal.rnd.Int64N(int64(longestRun)))
+	cal.ledger.change(sub, func(sub *submission) {
+		sub.refused = refused && !sub.accepted
+		switch {
+		case sub.longRunning && !sub.refused:
+			sub.cancelAt = time.Now().Add(after)
+		case sub.accepted && cancel:
+			sub.cancelAt = time.Now()
+		}
+	})
+}
+
+// cancelDue sends the cancellations that are due, of the jobs with a prefix.
+func (cal *caller) cancelDue(ctx context.Context, prefix string, now time.Time) {
+	known := cal.ledger.all()
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		if known[id].cancelDue(now) && strings.HasPrefix(id, prefix) {
+			cal.cancel(ctx, id, known[id])
+		}
 	}
 }
 
@@ -119,9 +165,25 @@
 	cal.look(ctx, id, known[id])
 }
 
+// cancel sends a cancellation. It is not repeated for a job that was not accepted.
+func (cal *caller) cancel(ctx context.Context, id string, sub submission) {
+	cal.ledger.changeJob(id, func(sub *submission) { sub.cancelled = true })
+	status, _ := cal.call(ctx, http.MethodDelete, sub.path, "")
+	switch status {
+	case http.StatusOK:
+		cal.ledger.changeJob(id, func(sub *submission) { sub.acknowledged = true })
+		cal.mon.jobEnded(id)
+	case http.StatusGone:
+		cal.ledger.changeJob(id, func(sub *submission) { sub.cancelAt = time.Time{} })
+		if sub.accepted {
+			cal.mon.report("job %s: accepted and not known any more to a cancellation", id)
+		}
+	}
+}
+
 // look asks for the state of a job and returns it, empty when there was no answer.
 func (cal *caller) look(ctx context.Context, id string, before submission) string {
-	status, body := cal.call(ctx, http.MethodGet, id, "")
+	status, body := cal.call(ctx, http.MethodGet, before.path, "")
 	if status == http.StatusGone && before.accepted {
 		cal.mon.report("job %s: accepted and not known any more", id)
 	}
@@ -139,9 +201,8 @@
 		cal.mon.report("job %s: shown as %s after %s", id, ans.State, before.final)
 	}
 	if final(ans.State) {
-		cal.ledger.mu.Lock()
-		cal.ledger.submissions[id].final = ans.State
-		cal.ledger.mu.Unlock()
+		cal.ledger.changeJob(id, func(sub *submission) { sub.final = ans.State })
+		cal.mon.jobEnded(id)
 	}
 	return ans.State
 }
@@ -151,11 +212,11 @@
 }
 
 // call asks an entry. The status is zero without an answer.
-func (cal *caller) call(ctx context.Context, method, id, body string) (int, string) {
+func (cal *caller) call(ctx context.Context, method, path, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	ent := cal.fleet.entries[cal.rnd.IntN(len(cal.fleet.entries))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+ent.entry+deployment.Path(id), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+ent.entry+path, strings.NewReader(body))
 	if err != nil {
 		cal.mon.report("request: %v", err)
 		return 0, ""
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -16,6 +16,12 @@
 	shortestPause = 200 * time.Millisecond // between two faults
 	longestPause  = 1200 * time.Millisecond
 	longestFault  = 5 * time.Second
+	// longestHold is shorter than a lease, so that the runs beside a frozen agent are still at work when it
+	// goes on.
+	longestHold = leaseLimit - 1500*time.Millisecond
+	// calmTime is before the last fault. A takeover takes 1.2 s without a renewal, and the rest is for
+	// tasks to start again.
+	calmTime = 5 * time.Second
 )
 
 // injector injects faults that overlap.
@@ -40,18 +46,33 @@
 func (inj *injector) run(ctx context.Context) {
 	kinds := []func(ctx context.Context){
 		inj.kill, inj.kill, inj.freeze, inj.freeze, inj.terminate, inj.reload, inj.cut, inj.cut,
-		inj.storeFault, inj.compact, inj.rebirth, inj.killMany, inj.evacuate,
+		inj.storeFault, inj.compact, inj.rebirth, inj.killMany, inj.killBehindFrozen, inj.evacuate,
 	}
 	for control.Pause(ctx, inj.span(shortestPause, longestPause)) == nil {
 		inj.num++
+		inj.mon.faultBegins()
 		kinds[inj.rnd.IntN(len(kinds))](ctx)
+		inj.mon.faultEnds()
 	}
 	inj.wait.Wait()
 }
 
+// close injects the last fault after a time without faults. Runs that the next owner fails to stop are
+// not ended by a later fault.
+func (inj *injector) close(ctx context.Context) {
+	if control.Pause(ctx, calmTime) != nil {
+		return
+	}
+	inj.num++
+	inj.killBehindFrozen(ctx)
+	inj.wait.Wait()
+}
+
 // later runs the end of a fault after a time, or when the context ends.
 func (inj *injector) later(ctx context.Context, dur time.Duration, end func()) {
+	inj.mon.faultBegins()
 	inj.wait.Go(func() {
+		defer inj.mon.faultEnds()
 		_ = control.Pause(ctx, dur) // at the end of the context every fault ends
 		end()
 	})
@@ -81,6 +102,27 @@
 	})
 }
 
+// killBehindFrozen freezes an agent with long-running jobs and kills all other processes before it goes on.
+// The stops that the owner has ordered meanwhile are lost with it.
+func (inj *injector) killBehindFrozen(ctx context.Context) {
+	frozen := inj.fleet.longRunning[inj.rnd.IntN(len(inj.fleet.longRunning))]
+	frozen.signal(syscall.SIGSTOP)
+	inj.later(ctx, inj.span(time.Second, longestHold/2), func() {
+		for _, pro := range inj.fleet.processes {
+			if pro != frozen {
+				pro.signal(syscall.SIGKILL)
+			}
+		}
+		for _, pro := range inj.fleet.processes {
+			if pro != frozen {
+				pro.ended(time.Second)
+				inj.restart(pro)
+			}
+		}
+	})
+	inj.later(ctx, inj.span(longestHold/2, longestHold), func() { frozen.signal(syscall.SIGCONT) })
+}
+
 func (inj *injector) freeze(ctx context.Context) {
 	pro := inj.process()
 	pro.signal(syscall.SIGSTOP)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,7 +24,15 @@
 )
 
 const (
-	queueHost  = "soak.example"
+	queueHost = "soak.example"
+	// configuration has a queue for batch jobs and one for long-running jobs. Their tasks run on different
+	// workers, because a stand-in of a worker either ends all its tasks after a time or none.
+	configuration = `{"version":1,"routes":[
+		{"name":"q","host":"soak.example","pathPrefix":"/q/","service":"s","maxAttempts":3,"stretch":2,"targetLatencyMs":500},
+		{"name":"l","host":"soak.example","pathPrefix":"/l/","service":"l","maxAttempts":3,"stretch":2}],"limits":{}}`
+	// longRunningAgents are the agents with workers for long-running jobs, one in each data centre.
+	longRunningAgents = 2
+
 	taskTime   = 300 * time.Millisecond
 	beatPeriod = 300 * time.Millisecond
 	graceTime  = 3.0 // seconds
@@ -132,10 +141,12 @@
 	workers   []*taskworker.Worker
 	processes []*process
 	entries   []*process
-	ip        string
-	port      int
-	folder    string
-	options   options
+	// longRunning are the agents with long-running jobs.
+	longRunning []*process
+	ip          string
+	port        int
+	folder      string
+	options     options
 }
 
 // newFleet starts the stand-ins and the processes. The stand-ins end with the context.
@@ -147,9 +158,13 @@
 	if err := os.MkdirAll(fle.folder, 0o755); err != nil {
 		return nil, err
 	}
-	deployment.Configure(&fle.rows, queueHost, "s")
-	for num := range opt.agents {
-		if err := fle.addAgent(ctx, num, mon); err != nil {
+	fle.rows.Put("op", "", "config", base64.StdEncoding.EncodeToString([]byte(configuration)))
+	for num := range opt.agents + longRunningAgents {
+		wrk := &taskworker.Worker{Service: "s", Zone: zoneOf(num), CPU: 4000, MemoryMB: 4000, TaskTime: taskTime, Observer: mon}
+		if num >= opt.agents {
+			wrk.Service, wrk.TaskTime = "l", 0
+		}
+		if err := fle.addAgent(ctx, "agent-"+strconv.Itoa(num), wrk); err != nil {
 			return nil, err
 		}
 	}
@@ -170,9 +185,8 @@
 
 func zoneOf(num int) string { return [...]string{"z1", "z2"}[num%2] }
 
-func (fle *fleet) addAgent(ctx context.Context, num int, mon *monitor) error {
-	name := "agent-" + strconv.Itoa(num)
-	wrk := &taskworker.Worker{ID: "w-" + name, Service: "s", Zone: zoneOf(num), CPU: 4000, MemoryMB: 4000, TaskTime: taskTime, Observer: mon}
+func (fle *fleet) addAgent(ctx context.Context, name string, wrk *taskworker.Worker) error {
+	wrk.ID = "w-" + name
 	addr, err := fle.serve(ctx, wrk)
 	if err != nil {
 		return err
@@ -184,6 +198,9 @@
 	go wrk.Run(ctx)
 	go wrk.Announce(ctx, pro.entry, beatPeriod)
 	fle.workers = append(fle.workers, wrk)
+	if wrk.TaskTime == 0 {
+		fle.longRunning = append(fle.longRunning, pro)
+	}
 	return nil
 }
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -4,7 +4,8 @@
 // The store and the workers are stand-ins inside the soak, so it sees all that they
 // see. Faults overlap: processes are killed, frozen, stopped gracefully and told to
 // reload; the store refuses, hangs, loses answers and history, for all or for single
-// processes; workers end and begin new lives; data centres are taken out. A seed
+// processes; workers end and begin new lives; data centres are taken out. The last
+// fault kills the owner while an agent can't receive its stops. A seed
 // decides which faults come when; what they hit in the processes still varies.
 package main
 
@@ -30,7 +31,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after another"},
 			&cli.DurationFlag{Name: "for", Value: 15 * time.Second, Usage: "time with faults for each seed"},
-			&cli.IntFlag{Name: "agents", Value: 4, Usage: "agents with their workers"},
+			&cli.IntFlag{Name: "agents", Value: 4, Usage: "agents with their workers, besides two for long-running jobs"},
 			&cli.IntFlag{Name: "entries", Value: 2, Usage: "entries"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -14,7 +14,8 @@
 const (
 	warmUp = 2 * time.Second // until the processes have found each other
 	// settleLimit is the time after all faults in which every accepted job must end: the
-	// lapse of inherited runs takes 15 s, the rest is work.
+	// lapse of inherited runs takes 15 s, the rest is work. It is longer than leaseLimit and
+	// stopLimit, so that runs that go on are found.
 	settleLimit  = 40 * time.Second
 	settlePeriod = 300 * time.Millisecond
 )
@@ -29,23 +30,29 @@
 		return result{}, err
 	}
 	defer fle.stop()
+	go control.Every(ctx, checkPeriod, mon.checkAllStopped)
 	if err := control.Pause(ctx, warmUp); err != nil {
 		return result{}, err
 	}
 	led := &ledger{submissions: make(map[string]*submission)}
 	inj := &injector{fleet: fle, rnd: rand.New(rand.NewPCG(opt.seed, 0)), mon: mon}
-	broken, end := context.WithTimeout(ctx, opt.length)
-	defer end()
+	broken, endFaults := context.WithTimeout(ctx, opt.length)
+	defer endFaults()
+	busy, endCalls := context.WithTimeout(ctx, opt.length+calmTime+longestHold)
+	defer endCalls()
 	var wait sync.WaitGroup
 	for num := range clients {
 		cal := newCaller(fle, led, mon, opt.seed, num)
-		wait.Go(func() { cal.run(broken) })
+		wait.Go(func() { cal.run(busy) })
 	}
 	inj.run(broken)
+	inj.close(busy)
 	wait.Wait()
+	mon.faultBegins() // processes that did not run start now
 	if err := fle.restore(); err != nil {
 		return result{}, err
 	}
+	mon.faultEnds()
 	settle(ctx, newCaller(fle, led, mon, opt.seed, clients))
 	if err := ctx.Err(); err != nil {
 		return result{}, err // jobs that were not waited for tell nothing
@@ -60,13 +67,15 @@
 	}
 }
 
-// settle waits until every accepted job is shown as ended and nothing of it runs.
+// settle cancels the jobs that are still to be cancelled, and waits until every accepted job is shown as
+// ended and nothing of it runs.
 func settle(ctx context.Context, cal *caller) {
 	limit := time.Now().Add(settleLimit)
 	for {
 		open := 0
+		cal.cancelDue(ctx, "", time.Now().Add(longestRun))
 		for id, sub := range cal.ledger.all() {
-			if sub.accepted && (!final(cal.look(ctx, id, sub)) || cal.mon.atWork(id) > 0) {
+			if sub.exists() && (!final(cal.look(ctx, id, sub)) || cal.mon.atWork(id) > 0) {
 				open++
 			}
 		}
@@ -97,7 +106,7 @@
 		switch {
 		case sub.refused && mon.hasBegun(id):
 			mon.report("job %s: refused by every answer, and has run", id)
-		case sub.accepted && sub.final == "":
+		case sub.exists() && sub.final == "":
 			mon.report("job %s: accepted, and not ended %v after the last fault", id, settleLimit)
 		case sub.final == "cancelled" && !sub.cancelled:
 			mon.report("job %s: shown as cancelled, and nobody cancelled it", id)
@@ -105,6 +114,7 @@
 			mon.report("job %s: shown as failed, and no task failed", id)
 		}
 	}
+	mon.checkAllStopped()
 	res.starts, res.faults = mon.result()
 	if len(res.faults) == 0 {
 		_ = os.RemoveAll(fle.folder) // only logs of failed seeds are wanted
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -42,7 +42,11 @@
 
 var _ = Describe("The monitor", func() {
 	var mon *monitor
-	BeforeEach(func() { mon = newMonitor() })
+	var now time.Time
+	BeforeEach(func() {
+		mon, now = newMonitor(), time.UnixMilli(1_700_000_000_000)
+		mon.clock = func() time.Time { return now }
+	})
 	expectFaults := func(num int) {
 		GinkgoHelper()
 		_, faults := mon.result()
@@ -70,4 +74,65 @@
 		mon.Started("b", "j.0.0.0", 2)
 		expectFaults(0)
 	})
+
+	// expectFaultsAfter expects a number of faults after a check at a later time.
+	expectFaultsAfter := func(dur time.Duration, num int) {
+		GinkgoHelper()
+		now = now.Add(dur)
+		mon.checkAllStopped()
+		expectFaults(num)
+	}
+
+	It("finds a run that goes on after the end of its job, once", func() {
+		mon.Started("a", "j.0.0.0", 1)
+		mon.Started("a", "k.0.0.0", 1)
+		mon.jobEnded("j")
+		expectFaultsAfter(stopLimit, 0)
+		expectFaultsAfter(time.Millisecond, 1)
+		expectFaultsAfter(time.Second, 1)
+	})
+
+	It("counts from the first answer that showed the end of the job", func() {
+		mon.Started("a", "j.0.0.0", 1)
+		mon.jobEnded("j")
+		now = now.Add(stopLimit)
+		mon.jobEnded("j")
+		expectFaultsAfter(time.Millisecond, 1)
+	})
+
+	It("finds a run that went on between two checks", func() {
+		mon.Started("a", "j.0.0.0", 1)
+		mon.jobEnded("j")
+		now = now.Add(stopLimit + time.Millisecond)
+		mon.Ended("a", "j.0.0.0", 1, "done")
+		expectFaults(1)
+	})
+
+	It("finds a run that begins long after the end of its job", func() {
+		mon.jobEnded("j")
+		now = now.Add(stopLimit + time.Millisecond)
+		mon.Started("a", "j.0.0.0", 1)
+		expectFaultsAfter(0, 1)
+	})
+
+	It("accepts a run that ends in time", func() {
+		mon.Started("a", "j.0.0.0", 1)
+		mon.jobEnded("j")
+		now = now.Add(stopLimit)
+		mon.Ended("a", "j.0.0.0", 1, "stopped")
+		expectFaultsAfter(time.Minute, 0)
+	})
+
+	It("accepts a run that goes on during faults and until leases have expired", func() {
+		mon.Started("a", "j.0.0.0", 1)
+		mon.jobEnded("j")
+		mon.faultBegins()
+		mon.faultBegins()
+		expectFaultsAfter(time.Minute, 0)
+		mon.faultEnds()
+		expectFaultsAfter(time.Minute, 0)
+		mon.faultEnds()
+		expectFaultsAfter(leaseLimit+stopLimit, 0)
+		expectFaultsAfter(time.Millisecond, 1)
+	})
 })
