Cancel jobs and replace the owner in the simulation

Patterns now have cancellations, of a share of the jobs of a class some time after their acceptance, and takeovers: a new scheduler is restored from the stored records, presence, knowledge and cancellations, and the agents open new sessions. For a time before a takeover the former owner can go on storing but reach no agent, so that the takeover falls between the commit of a cancellation and the delivery of the stop. The pattern "cancelled" has both, with long-running jobs, and a spec demands zero such runs on both deployments.

--- a/core/simulation/deployment.go
+++ b/core/simulation/deployment.go
@@ -4,7 +4,7 @@
 // replay a pattern and compare policies on the same load.
 //
 // Simplifications: time advances in steps of Step; a transaction of the store takes one step and
-// never fails; reports and orders arrive at once; the interference of images adds up; the tasks of a
+// never fails; reports and orders arrive at once, except in the cut before a takeover; the interference of images adds up; the tasks of a
 // step of a job have the same duration. All randomness comes from the seed, and the load does not
 // depend on the decisions. A Run must be used from one goroutine.
 package simulation
--- a/core/simulation/pattern.go
+++ b/core/simulation/pattern.go
@@ -16,6 +16,8 @@
 	Bursts          []Burst
 	Outages         []Outage
 	Crashes         []Crash
+	Cancellations   []Cancellation
+	Takeovers       []Takeover
 }
 
 // Burst multiplies the arrival rate of a class for a period.
@@ -35,6 +37,18 @@
 	At, Downtime time.Duration
 }
 
+// Cancellation cancels a share of the accepted jobs of a class, at a random time from After to After and
+// Spread after their acceptance.
+type Cancellation struct {
+	Class         string
+	Share         float64
+	After, Spread time.Duration
+}
+
+// Takeover replaces the owner. For the time Cut before it the former owner goes on storing its decisions,
+// but reaches no agent, as when the link between them is cut. The cut must be shorter than stopLimit.
+type Takeover struct{ At, Cut time.Duration }
+
 // Patterns returns the load patterns on which policies are compared. Bursts are of the given class.
 func Patterns(batch string) []Pattern {
 	const day = 34 * time.Second
@@ -46,6 +60,15 @@
 		{Name: "out", Duration: day, Outages: []Outage{{At: 8 * time.Second, Duration: 12 * time.Second}},
 			Bursts: []Burst{{Class: batch, Factor: 1.4, At: 10 * time.Second, Duration: 6 * time.Second}}},
 		{Name: "crowded", Duration: day, LongRunningJobs: 11, Bursts: []Burst{{Class: batch, Factor: 2.2, At: 10 * time.Second, Duration: 10 * time.Second}}},
+		// The cancellations are spread over the cuts and the time around them, so that the stops of many runs
+		// are stored by one owner and can be delivered only by the next one.
+		{Name: "cancelled", Duration: day, LongRunningJobs: 11,
+			Cancellations: []Cancellation{
+				{Class: "watch", Share: 0.8, After: 4 * time.Second, Spread: 20 * time.Second},
+				{Class: "check", Share: 0.2, After: 200 * time.Millisecond, Spread: time.Second},
+				{Class: batch, Share: 0.2, After: 500 * time.Millisecond, Spread: 3 * time.Second},
+			},
+			Takeovers: []Takeover{{At: 9 * time.Second, Cut: 3 * time.Second}, {At: 20 * time.Second, Cut: 3 * time.Second}, {At: 23 * time.Second}}},
 	}
 }
 
--- a/core/simulation/result.go
+++ b/core/simulation/result.go
@@ -38,6 +38,8 @@
 	tooLate         int
 	unfinished      int // accepted, but not complete at the end
 	refused         int // never accepted
+	cancelled       int // before they were complete
+	unstopped       int // runs that went on after the end of their jobs
 	waits           []time.Duration
 	servingFraction float64
 	wastedWork      time.Duration // of jobs that were complete too late
@@ -68,6 +70,12 @@
 // Refused returns the number of jobs that were never accepted.
 func (cls ClassResult) Refused() int { return cls.refused }
 
+// Cancelled returns the number of jobs that their callers cancelled before they were complete.
+func (cls ClassResult) Cancelled() int { return cls.cancelled }
+
+// Unstopped returns the number of runs that still worked stopLimit after their jobs had become final.
+func (cls ClassResult) Unstopped() int { return cls.unstopped }
+
 // ServingFraction returns the fraction of the task time of long-running jobs in which their tasks
 // ran within their latency target.
 func (cls ClassResult) ServingFraction() float64 { return cls.servingFraction }
@@ -114,13 +122,13 @@
 func (rn *Run[O, P, A]) countServingTime() {
 	for _, wrk := range rn.workers {
 		for rid, run := range wrk.runs {
-			if run.order.LongRunning && run.percent >= 100 {
+			if run.order.LongRunning && run.percent >= 100 && !rn.jobs[rid.Task.Job].final {
 				rn.jobs[rid.Task.Job].addServingTime(run)
 			}
 		}
 	}
 	for _, jb := range rn.arrivals {
-		if !jb.accepted || !rn.deployment.Classes[jb.class].LongRunning {
+		if !jb.accepted || jb.final || !rn.deployment.Classes[jb.class].LongRunning {
 			continue
 		}
 		tasks := jb.params.Steps[0].Count
@@ -147,6 +155,10 @@
 	for _, jb := range rn.arrivals {
 		cls := &res.classes[jb.class]
 		cls.jobs++
+		cls.unstopped += jb.unstopped
+		if jb.cancelled {
+			cls.cancelled++
+		}
 		if jb.started {
 			cls.waits = append(cls.waits, jb.startedAt-jb.at)
 		}
@@ -177,6 +189,8 @@
 	case !jb.accepted:
 		cls.refused++
 		return
+	case jb.cancelled:
+		return
 	case jb.endedAt == 0:
 		cls.unfinished++
 		return
@@ -217,6 +231,8 @@
 	cls.tooLate += oth.tooLate
 	cls.unfinished += oth.unfinished
 	cls.refused += oth.refused
+	cls.cancelled += oth.cancelled
+	cls.unstopped += oth.unstopped
 	cls.wastedWork += oth.wastedWork
 	cls.servingFraction += oth.servingFraction / runs
 	cls.waits = append(cls.waits, oth.waits...)
--- a/core/simulation/run.go
+++ b/core/simulation/run.go
@@ -27,7 +27,9 @@
 // job is an arrival with its state.
 type job struct {
 	arrival
+	spec         workload.Job
 	accepted     bool
+	acceptedAt   time.Duration
 	refusals     int
 	startedAt    time.Duration
 	endedAt      time.Duration
@@ -35,6 +37,11 @@
 	expectedTime time.Duration // task time of a long-running job since it was accepted
 	credit       credit
 	started      bool
+	cancelAfter  time.Duration // from its acceptance to its cancellation, or zero
+	cancelled    bool          // the cancellation is stored
+	final        bool          // the cancellation or the end is stored
+	finalAt      time.Duration
+	unstopped    int // runs that worked longer than stopLimit after that
 }
 
 // Run is the simulation of a pattern on a deployment with the policies under test.
@@ -42,7 +49,11 @@
 	deployment Deployment
 	pattern    Pattern
 	seed       uint64
+	order      O
+	placement  P
 	scheduler  *batch.Scheduler[O, P]
+	stored     table
+	excluded   map[fleet.DataCentre]bool
 	policy     A
 	workers    []*worker
 	jobs       map[string]*job
@@ -54,11 +65,11 @@
 
 // New returns a run. The load depends on the seed, not on the policies.
 func New[O batch.Ordering, P batch.Placement, A admission.Policy](dep Deployment, pat Pattern, seed uint64, ord O, pla P, pol A) *Run[O, P, A] {
-	opt := batch.Options{LostAfter: lostAfter, RemoteFactor: 1}
 	rn := &Run[O, P, A]{
-		deployment: dep, pattern: pat, seed: seed, policy: pol,
-		scheduler: batch.New(ord, pla, opt, start), jobs: make(map[string]*job),
+		deployment: dep, pattern: pat, seed: seed, order: ord, placement: pla, policy: pol,
+		stored: table{records: make(map[string]batch.JobRecord)}, jobs: make(map[string]*job),
 	}
+	rn.scheduler = rn.newOwner(start)
 	for num := range dep.Workers {
 		rn.workers = append(rn.workers, &worker{
 			number: num, session: 1, dataCentre: dep.DataCentres[num%len(dep.DataCentres)],
@@ -71,9 +82,14 @@
 		rn.arrivals = append(rn.arrivals, jb)
 		rn.upcoming = append(rn.upcoming, jb)
 	}
+	pat.drawCancellations(dep, rn.arrivals, rand.New(rand.NewPCG(seed, 2)))
 	return rn
 }
 
+func (rn *Run[O, P, A]) newOwner(now time.Time) *batch.Scheduler[O, P] {
+	return batch.New(rn.order, rn.placement, batch.Options{LostAfter: lostAfter, RemoteFactor: 1}, now)
+}
+
 // Run runs the simulation to its end and returns the results of the jobs.
 func (rn *Run[O, P, A]) Run() Result {
 	for rn.now = 0; rn.now < rn.pattern.Duration || rn.now < rn.pattern.Duration+drainTimeout && rn.unfinished(); rn.now += Step {
@@ -85,8 +101,10 @@
 				rn.exchange(wrk)
 			}
 		}
+		rn.cancelDue() // between the exchanges and the commit, so that a takeover can fall between commit and stop
 		rn.stepOwner()
 		rn.countServingTime()
+		rn.countUnstopped()
 	}
 	return rn.result()
 }
@@ -94,7 +112,7 @@
 // unfinished reports whether a job that is not long-running still has to be submitted or completed.
 func (rn *Run[O, P, A]) unfinished() bool {
 	return len(rn.upcoming) > 0 || slices.ContainsFunc(rn.arrivals, func(jb *job) bool {
-		return jb.accepted && jb.endedAt == 0 && !rn.deployment.Classes[jb.class].LongRunning
+		return jb.accepted && jb.endedAt == 0 && !jb.cancelled && !rn.deployment.Classes[jb.class].LongRunning
 	})
 }
 
@@ -111,13 +129,23 @@
 	for _, out := range rn.pattern.Outages {
 		switch {
 		case due(out.At, rn.now):
-			rn.scheduler.SetExcluded(map[fleet.DataCentre]bool{fleet.DataCentre(rn.deployment.DataCentres[0]): true})
+			rn.exclude(map[fleet.DataCentre]bool{fleet.DataCentre(rn.deployment.DataCentres[0]): true})
 		case due(out.At+out.Duration, rn.now):
-			rn.scheduler.SetExcluded(nil)
+			rn.exclude(nil)
+		}
+	}
+	for _, tko := range rn.pattern.Takeovers {
+		if due(tko.At, rn.now) {
+			rn.takeOver()
 		}
 	}
 }
 
+func (rn *Run[O, P, A]) exclude(dcs map[fleet.DataCentre]bool) {
+	rn.excluded = dcs
+	rn.scheduler.SetExcluded(dcs)
+}
+
 // submitDue submits the jobs that are due. Callers retry refused jobs after the time that the
 // refusal names, at most Class.Retries times.
 func (rn *Run[O, P, A]) submitDue() {
@@ -132,7 +160,7 @@
 		if err != nil {
 			panic("simulation: " + err.Error())
 		}
-		jb.accepted = true
+		jb.spec, jb.accepted, jb.acceptedAt = spec, true, rn.now
 		rn.scheduler.Submit(spec, start.Add(rn.now))
 	}
 }
@@ -148,8 +176,11 @@
 }
 
 // exchange sends a report of an agent, if an event is pending or the period is over, and applies the
-// orders of the owner.
+// orders of the owner. It does nothing while the owner is cut off.
 func (rn *Run[O, P, A]) exchange(wrk *worker) {
+	if rn.cutOff() {
+		return
+	}
 	if wrk.reportPending || rn.now-wrk.reportedAt >= reportPeriod || rn.now == 0 {
 		wrk.reportPending, wrk.reportedAt = false, rn.now
 		rn.scheduler.ApplyReport(wrk.report(), start.Add(rn.now))
@@ -168,7 +199,7 @@
 		rn.scheduler.Tick(now, now)
 	}
 	rn.scheduler.Plan(now)
-	rn.scheduler.Committed(rn.scheduler.NextBatch(batchSize), now)
+	rn.store()
 	rn.scheduler.Ordered()
 	rn.scheduler.Stored()
 	for _, nte := range rn.scheduler.Notes() {
--- a/core/simulation/simulation_test.go
+++ b/core/simulation/simulation_test.go
@@ -57,6 +57,14 @@
 	Expect(float64(cls.OnTime())).To(BeNumerically(">=", onTime*float64(cls.Jobs())), "%s on time of %d", cls.Name(), cls.Jobs())
 }
 
+// expectStopped checks that jobs of a class were cancelled, and that no run went on after its job had
+// ended.
+func expectStopped(cls simulation.ClassResult) {
+	GinkgoHelper()
+	Expect(cls.Cancelled()).To(BeNumerically(">", 0), "the pattern cancels no job of %s", cls.Name())
+	Expect(cls.Unstopped()).To(BeZero(), "runs of ended jobs of %s that work on", cls.Name())
+}
+
 var _ = Describe("load patterns", func() {
 	for _, dep := range simulation.Deployments() {
 		Context(dep.Name, func() {
@@ -125,6 +133,17 @@
 				Entry("when workers crash", "crash"),
 				Entry("during the outage of a data centre", "out"),
 			)
+
+			// Guards against runs of cancelled jobs that work on for ever, because the owner was replaced
+			// after it had stored the cancellation and before the agents got its stops.
+			It("stops the runs of ended jobs when the owner is replaced", func() {
+				got := simulateDefault(dep, pattern(dep, "cancelled"))
+				for _, name := range []string{"check", batchClass, "watch"} {
+					expectStopped(got[name])
+				}
+				expectCompleted(got["check"], 0)
+				expectCompleted(got[batchClass], 0)
+			})
 		})
 	}
 
--- a/core/simulation/worker.go
+++ b/core/simulation/worker.go
@@ -63,6 +63,7 @@
 	percent      int
 	tailMillis   float64
 	usedMilliCPU float64
+	unstopped    bool // counted as such
 }
 
 // worker is a simulated worker with its agent.
