--- a/cmd/jacinthpost/simulate.go
+++ b/cmd/jacinthpost/simulate.go
@@ -27,7 +27,7 @@
 		Description: "Example: jacinthpost simulate --deployment sen-vang --pattern flood --admission all --seeds 5",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "deployment", Usage: strings.Join(deploymentNames(), " or "), Value: "sen-vang"},
-			&cli.StringFlag{Name: "pattern", Usage: "calm, burst, crowded, flood, crash or out", Value: "calm"},
+			&cli.StringFlag{Name: "pattern", Usage: "calm, burst, crowded, flood, crash, out or cancelled", Value: "calm"},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds, from 1 on", Value: 3},
 			&cli.StringFlag{Name: "order", Usage: "of waiting jobs: deadline or arrival", Value: "deadline"},
 			&cli.StringFlag{Name: "admission", Usage: "useful refuses what would be complete too late, all refuses nothing", Value: "useful"},
@@ -107,10 +107,10 @@
 
 func printSimulation(out io.Writer, classes []simulation.ClassResult) error {
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tab, "class\tjobs\ton time\tlate\ttoo late\tnot complete\trefused\tserving\tcredit\tlargest\twait 50%\twait 95%\tresponse 50%\tresponse 95%\tuseless work\t")
+	fmt.Fprintln(tab, "class\tjobs\ton time\tlate\ttoo late\tnot complete\trefused\tcancelled\tunstopped\tserving\tcredit\tlargest\twait 50%\twait 95%\tresponse 50%\tresponse 95%\tuseless work\t")
 	for _, cls := range classes {
-		fmt.Fprintf(tab, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%s\t%s\t\n", cls.Name(), cls.Jobs(), cls.OnTime(), cls.Late(), cls.TooLate(),
-			cls.Unfinished(), cls.Refused(), cls.ServingFraction(), cls.Credit(), cls.LargestCredit(), short(cls.Wait(0.5)), short(cls.Wait(0.95)), short(cls.Response(0.5)), short(cls.Response(0.95)), short(cls.WastedWork()))
+		fmt.Fprintf(tab, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%s\t%s\t\n", cls.Name(), cls.Jobs(), cls.OnTime(), cls.Late(), cls.TooLate(),
+			cls.Unfinished(), cls.Refused(), cls.Cancelled(), cls.Unstopped(), cls.ServingFraction(), cls.Credit(), cls.LargestCredit(), short(cls.Wait(0.5)), short(cls.Wait(0.95)), short(cls.Response(0.5)), short(cls.Response(0.95)), short(cls.WastedWork()))
 	}
 	return tab.Flush()
 }
@@ -126,6 +126,8 @@
 			TooLate            int     `json:"tooLate"`
 			NotComplete        int     `json:"notComplete"`
 			Refused            int     `json:"refused"`
+			Cancelled          int     `json:"cancelled"`
+			Unstopped          int     `json:"unstopped"` // runs that went on after the end of their job
 			Serving            float64 `json:"serving"`
 			Credit             float64 `json:"credit"`
 			LargestCredit      float64 `json:"largestCredit"`
@@ -133,7 +135,7 @@
 			ResponseMillis95   int64   `json:"responseMillis95"`
 			UselessTaskSeconds float64 `json:"uselessTaskSeconds"`
 		}{
-			cls.Name(), cls.Jobs(), cls.OnTime(), cls.Late(), cls.TooLate(), cls.Unfinished(), cls.Refused(), cls.ServingFraction(), cls.Credit(), cls.LargestCredit(),
+			cls.Name(), cls.Jobs(), cls.OnTime(), cls.Late(), cls.TooLate(), cls.Unfinished(), cls.Refused(), cls.Cancelled(), cls.Unstopped(), cls.ServingFraction(), cls.Credit(), cls.LargestCredit(),
 			int64(cls.Wait(0.95) / time.Millisecond), int64(cls.Response(0.95) / time.Millisecond), cls.WastedWork().Seconds(),
 		})
 		if err != nil {
