Let decisions of the owner take time in the model, and replay a fleet of 240 workers

The model took decisions for free, so it could not show what the large site did: reports waited behind plans, agents gave the owner up, and leases of live workers expired. A deployment now states the share of a core on which its owner decides; a turn takes time in proportion to what the scheduler did (batch.Work), with costs from profiles of cmd/bench, part jobowner. Reports that arrive meanwhile wait, and one that waits longer than an agent does renews no lease.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -115,6 +115,17 @@
 	return slices.ContainsFunc(job.occurrences, (*occurrence).hasAttempts)
 }
 
+// tasks returns the number of tasks of the created occurrences.
+func (job *jobState) tasks() int {
+	num := 0
+	for _, occ := range job.occurrences {
+		for _, stp := range occ.steps {
+			num += len(stp.tasks)
+		}
+	}
+	return num
+}
+
 // compact drops what is not needed of a final job whose state is stored. Final jobs are kept for minutes.
 func (job *jobState) compact() {
 	if job.state.Final() && !job.unstored && !job.hasAttempts() {
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -34,6 +34,7 @@
 	wrb := &WriteBatch{}
 	for _, job := range sch.dirty[:num] {
 		job.dirty = false
+		sch.work.Recorded += job.tasks()
 		wrb.records = append(wrb.records, job.record())
 		wrb.jobs = append(wrb.jobs, job)
 		wrb.orders = append(wrb.orders, job.orders)
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -39,6 +39,10 @@
 		}
 	})
 	pln := planner{now: now}
+	defer func() {
+		sch.work.Evaluated += pln.evaluated
+		sch.work.Waiting += len(cans)
+	}()
 	num := 0
 	for _, can := range cans {
 		num += sch.placeStep(&pln, can)
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -34,6 +34,7 @@
 	for _, evt := range rep.Events {
 		sch.applyEvent(ins, evt, now)
 	}
+	sch.work.Listed += len(rep.Runs)
 	for _, run := range rep.Runs {
 		sch.confirm(ins, run, newSession, now)
 	}
@@ -178,6 +179,7 @@
 	if evt.Seq <= ins.appliedEvents {
 		return
 	}
+	sch.work.Events++
 	ins.appliedEvents = evt.Seq
 	sch.eventsStored(ins)
 	if ins.orphans[evt.ID] {
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -60,6 +60,7 @@
 	onHold            bool
 	planned           bool // nothing has changed since the last plan that could let a task start
 	notes             []Note
+	work              Work          // since the last call of Work
 	waiting           []waitingStep // memory for the next plan
 	search            search        // memory for the next search
 }
--- a/core/simulation/deployment.go
+++ b/core/simulation/deployment.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"time"
 
+	"jacinthpost/core/batch"
 	"jacinthpost/core/workload"
 )
 
@@ -36,6 +37,29 @@
 	// of the others is negligible.
 	HeavyFraction float64
 	Classes       []Class
+	// OwnerShare is the share of a core on which the owner decides. Zero makes decisions take no time.
+	OwnerShare float64
+}
+
+// Processor time of decisions on a whole core, from profiles of an owner (cmd/bench, part jobowner).
+// Decoding, encoding and calls of agents are included.
+const (
+	costEvaluated = 300 * time.Nanosecond
+	costWaiting   = 2 * time.Microsecond
+	costListed    = 2 * time.Microsecond
+	costEvent     = 40 * time.Microsecond
+	costRecorded  = 500 * time.Nanosecond
+	costReport    = 40 * time.Microsecond
+)
+
+// decisionTime returns how long the owner takes for an amount of work.
+func (dep Deployment) decisionTime(wrk batch.Work, reports int) time.Duration {
+	if dep.OwnerShare <= 0 {
+		return 0
+	}
+	sum := time.Duration(wrk.Evaluated)*costEvaluated + time.Duration(wrk.Waiting)*costWaiting + time.Duration(wrk.Listed)*costListed +
+		time.Duration(wrk.Events)*costEvent + time.Duration(wrk.Recorded)*costRecorded + time.Duration(reports)*costReport
+	return time.Duration(float64(sum) / dep.OwnerShare)
 }
 
 // Class describes the jobs of one queue.
@@ -83,6 +107,21 @@
 	}
 }
 
+// LargeDeployment returns a deployment of hundreds of workers, whose owner has the given share of a core.
+// Its figures come from the site page of the largest fleet.
+func LargeDeployment(ownerShare float64) Deployment {
+	return Deployment{
+		Name: "large", Workers: 240, MilliCPU: 37_000, MemoryMB: 149_000,
+		DataCentres:       []string{"bac-hanoi", "nam-saigon", "bac-haiphong", "nam-cantho", "bac-namdinh", "nam-binhduong"},
+		LongRunningImages: 16, BestEffortImages: 30, Interference: 5, HeavyFraction: 0.65, OwnerShare: ownerShare,
+		Classes: []Class{
+			{Name: "check", PerSecond: 25.9, Stretch: 1.5, Allowance: 400 * time.Millisecond, Steps: 2, Width: 13, Duration: 640 * time.Millisecond, MilliCPU: 1300, MemoryMB: 2600, Retries: 4},
+			{Name: "build", PerSecond: 5.24, Priority: 2, Stretch: 2, Allowance: time.Second, Steps: 2, Width: 40, Duration: 2200 * time.Millisecond, MilliCPU: 3500, MemoryMB: 6400, BestEffort: true, Retries: 4},
+			{Name: "watch", PerSecond: 0.261, Stretch: 2.2, Width: 24, Steps: 1, MilliCPU: 6400, MemoryMB: 13_000, LongRunning: true, TailTarget: 18 * time.Millisecond, Retries: 4, InitialJobs: 28},
+		},
+	}
+}
+
 // BatchClass returns the name of the best-effort class, whose jobs make up bursts and floods.
 func (dep Deployment) BatchClass() string {
 	for _, cls := range dep.Classes {
--- a/core/simulation/result.go
+++ b/core/simulation/result.go
@@ -14,9 +14,17 @@
 
 // Result holds the results of a run by class.
 type Result struct {
-	classes []ClassResult
+	classes     []ClassResult
+	lapsed      int
+	longestWait time.Duration
 }
 
+// Lapsed returns the number of runs whose lease expired because the owner did not answer in time.
+func (res Result) Lapsed() int { return res.lapsed }
+
+// LongestWait returns the longest time for which a report waited for the owner.
+func (res Result) LongestWait() time.Duration { return res.longestWait }
+
 // Classes returns the results by class, in the order of the deployment.
 func (res Result) Classes() []ClassResult { return res.classes }
 
@@ -149,8 +157,11 @@
 	jb.credit.within += Step
 }
 
-func (rn *Run[O, P, A]) result() Result {
-	res := Result{classes: make([]ClassResult, len(rn.deployment.Classes))}
+func (rn *Run[O, P, A]) results() Result {
+	res := Result{classes: make([]ClassResult, len(rn.deployment.Classes)), longestWait: rn.longestWait}
+	for _, wrk := range rn.workers {
+		res.lapsed += wrk.lapsed
+	}
 	owed, served := make([]time.Duration, len(res.classes)), make([]time.Duration, len(res.classes))
 	for _, jb := range rn.arrivals {
 		cls := &res.classes[jb.class]
--- a/core/simulation/run.go
+++ b/core/simulation/run.go
@@ -22,6 +22,10 @@
 	// drainTimeout limits how long a run continues after the end of the pattern. It is twice the
 	// duration of the longest jobs.
 	drainTimeout = time.Minute
+	// reportTimeout is how long an agent waits for the answer to a report, grantDuration how long the
+	// answer lets it renew the lease of its worker.
+	reportTimeout = 700 * time.Millisecond
+	grantDuration = 6500 * time.Millisecond
 )
 
 // job is an arrival with its state.
@@ -46,21 +50,26 @@
 
 // Run is the simulation of a pattern on a deployment with the policies under test.
 type Run[O batch.Ordering, P batch.Placement, A admission.Policy] struct {
-	deployment Deployment
-	pattern    Pattern
-	seed       uint64
-	order      O
-	placement  P
-	scheduler  *batch.Scheduler[O, P]
-	stored     table
-	excluded   map[fleet.DataCentre]bool
-	policy     A
-	workers    []*worker
-	jobs       map[string]*job
-	arrivals   []*job
-	upcoming   []*job                   // jobs to be submitted, ordered by time
-	refusals   map[string]time.Duration // retry delays of the queues that refuse jobs
-	now        time.Duration
+	deployment  Deployment
+	pattern     Pattern
+	seed        uint64
+	order       O
+	placement   P
+	scheduler   *batch.Scheduler[O, P]
+	stored      table
+	excluded    map[fleet.DataCentre]bool
+	policy      A
+	workers     []*worker
+	jobs        map[string]*job
+	arrivals    []*job
+	upcoming    []*job                   // jobs to be submitted, ordered by time
+	refusals    map[string]time.Duration // retry delays of the queues that refuse jobs
+	now         time.Duration
+	tickedAt    time.Duration
+	busyUntil   time.Duration // when the owner has finished its last decisions
+	longestWait time.Duration // of a report for the owner
+	inbox       []*worker     // with a report that waits for the owner
+	reports     int           // applied since the last decisions
 }
 
 // New returns a run. The load depends on the seed, not on the policies.
@@ -98,7 +107,8 @@
 		for _, wrk := range rn.workers {
 			if rn.now >= wrk.downUntil {
 				wrk.advance(rn.deployment, rn.seed, rn.now)
-				rn.exchange(wrk)
+				wrk.expireLease(rn.now)
+				rn.send(wrk)
 			}
 		}
 		rn.cancelDue() // between the exchanges and the commit, so that a takeover can fall between commit and stop
@@ -106,7 +116,7 @@
 		rn.countServingTime()
 		rn.countUnstopped()
 	}
-	return rn.result()
+	return rn.results()
 }
 
 // unfinished reports whether a job that is not long-running still has to be submitted or completed.
@@ -175,16 +185,51 @@
 	rn.upcoming = slices.Insert(rn.upcoming, pos, jb)
 }
 
-// exchange sends a report of an agent, if an event is pending or the period is over, and applies the
-// orders of the owner. It does nothing while the owner is cut off.
-func (rn *Run[O, P, A]) exchange(wrk *worker) {
+// send sends a report of an agent, if an event is pending or the period is over, and applies the orders of
+// the owner. A report waits while the owner is busy. It does nothing while the owner is cut off.
+func (rn *Run[O, P, A]) send(wrk *worker) {
 	if rn.cutOff() {
 		return
 	}
 	if wrk.reportPending || rn.now-wrk.reportedAt >= reportPeriod || rn.now == 0 {
 		wrk.reportPending, wrk.reportedAt = false, rn.now
-		rn.scheduler.ApplyReport(wrk.report(), start.Add(rn.now))
+		switch {
+		case rn.now >= rn.busyUntil:
+			rn.applyReport(wrk, 0)
+		case !wrk.queued:
+			wrk.queued, wrk.queuedAt = true, rn.now
+			rn.inbox = append(rn.inbox, wrk)
+		}
+	}
+	if rn.now >= rn.busyUntil {
+		rn.deliver(wrk)
+	}
+}
+
+// receive applies the reports that have waited.
+func (rn *Run[O, P, A]) receive() {
+	for _, wrk := range rn.inbox {
+		wrk.queued = false
+		if rn.now >= wrk.downUntil {
+			rn.applyReport(wrk, rn.now-wrk.queuedAt)
+		}
 	}
+	rn.inbox = rn.inbox[:0]
+}
+
+// applyReport applies a report that has waited for some time. The agent has given up one that has waited for
+// longer than reportTimeout, so it renews no lease.
+func (rn *Run[O, P, A]) applyReport(wrk *worker, waited time.Duration) {
+	rn.reports++
+	rn.longestWait = max(rn.longestWait, waited)
+	rn.scheduler.ApplyReport(wrk.report(), start.Add(rn.now))
+	if waited < reportTimeout {
+		wrk.grantedUntil = rn.now - waited + grantDuration
+	}
+}
+
+// deliver applies the orders of the owner.
+func (rn *Run[O, P, A]) deliver(wrk *worker) {
 	out, known := rn.scheduler.Outbox(wrk.id(), wrk.session, wrk.seenOrder)
 	if !known {
 		return
@@ -192,12 +237,22 @@
 	wrk.applyOrders(out, rn.now, func(rid batch.RunID) time.Duration { return rn.jobs[rid.Task.Job].durations[rid.Task.Step] })
 }
 
-// stepOwner runs the owner for a step: it plans and commits the next transaction.
+// stepOwner runs the owner for a step, unless it is still busy: it applies reports, plans and commits the
+// next transaction.
 func (rn *Run[O, P, A]) stepOwner() {
+	if rn.now < rn.busyUntil {
+		return
+	}
 	now := start.Add(rn.now)
-	if rn.now%tickPeriod == 0 {
+	rn.receive()
+	if rn.now-rn.tickedAt >= tickPeriod || rn.now == 0 {
+		rn.tickedAt = rn.now
 		rn.scheduler.Tick(now, now)
 	}
+	defer func() {
+		rn.busyUntil = rn.now + rn.deployment.decisionTime(rn.scheduler.Work(), rn.reports)
+		rn.reports = 0
+	}()
 	rn.scheduler.Plan(now)
 	rn.store()
 	rn.scheduler.Ordered()
--- a/core/simulation/worker.go
+++ b/core/simulation/worker.go
@@ -80,6 +80,10 @@
 	pacer         pacing.Controller
 	downUntil     time.Duration // end of the last crash
 	reportPending bool
+	queued        bool          // a report waits for the owner
+	queuedAt      time.Duration // since then
+	grantedUntil  time.Duration // by the owner; the runs end then
+	lapsed        int           // runs that ended because their lease expired
 	reportedAt    time.Duration
 	measuredAt    time.Duration
 }
@@ -117,6 +121,18 @@
 	wrk.seq, wrk.seenOrder, wrk.pacer = 0, 0, pacing.Controller{}
 }
 
+// expireLease ends the runs when the owner has granted no more time.
+func (wrk *worker) expireLease(now time.Duration) {
+	if len(wrk.runs) == 0 || now < wrk.grantedUntil {
+		return
+	}
+	for _, rid := range wrk.runIDs() {
+		delete(wrk.runs, rid)
+		wrk.addEvent(batch.Event{ID: rid, Cause: batch.EndLeaseExpired})
+		wrk.lapsed++
+	}
+}
+
 func (wrk *worker) report() batch.Report {
 	rep := batch.Report{
 		Instance: wrk.id(), Session: wrk.session, Incarnation: wrk.incarnation(), Service: serviceName,
