Keep what the store does not accept apart from the rest of the state

Cause, first of two: the store's client took every 4xx for an outage, and the writer sent the same content again each 30 ms, together with all other jobs and the renewal of the owner row. So the ownership was lost after 1.2 s, to an owner with the same fault.

Change: store.ErrInvalid tells content that can't succeed from an outage. The writer then stores the parts of the change one by one, renews the owner row in between, and sets aside the part that is not accepted: a job for 5 s, after which it is tried alone, with a log line, a counter (jacinthpost_owner_set_aside_total) and the decision jobSetAside. One part can't hold up the others, because it never shares a transaction with them again.

--- a/cmd/bench/jobowner.go
+++ b/cmd/bench/jobowner.go
@@ -80,7 +80,7 @@
 	deployment.Configure(rows, "bench.example", jobOwnerService)
 	srv := httptest.NewServer(&slowStore{rows: rows})
 	defer srv.Close()
-	store := platform.NewStore(srv.Listener.Addr().String())
+	store := platform.NewStore(srv.Listener.Addr().String(), 0)
 	own, err := startJobOwner(ctx, scr, name, srv.Listener.Addr().String())
 	if err != nil {
 		return err
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -18,8 +18,11 @@
 	finalAt     time.Time
 	dirty       bool           // contained in Scheduler.dirty
 	unstored    bool           // part of the state is not stored yet
+	suspect     bool           // the store has not accepted the record, see SetAside
 	orders      []pendingOrder // released when the state that contains them is stored
 	acks        []ack          // events that agents may discard when the state is stored
+	// setAsideUntil is the time of the next try to store a job that was set aside, zero for others.
+	setAsideUntil time.Time
 }
 
 // occurrence is one execution of all steps of a job. A timed job has one for each time at which it is
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -1,8 +1,11 @@
 package batch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
+	"jacinthpost/core/decision"
 	"jacinthpost/core/fleet"
 )
 
@@ -24,13 +27,34 @@
 // Records returns the records to store.
 func (wrb *WriteBatch) Records() []JobRecord { return wrb.records }
 
+// Singles returns a batch for each job of the batch. Each of them must be passed to Committed, Abandoned or SetAside
+// in place of the batch.
+func (wrb *WriteBatch) Singles() []*WriteBatch {
+	out := make([]*WriteBatch, len(wrb.jobs))
+	for num := range wrb.jobs {
+		out[num] = &WriteBatch{records: wrb.records[num : num+1], jobs: wrb.jobs[num : num+1], orders: wrb.orders[num : num+1], acks: wrb.acks[num : num+1]}
+	}
+	return out
+}
+
+// Alone reports whether the batch must be stored in a transaction without anything else, because its job could not be
+// stored before.
+func (wrb *WriteBatch) Alone() bool { return len(wrb.jobs) == 1 && wrb.jobs[0].suspect }
+
 // Empty reports whether there is nothing to store.
 func (wrb *WriteBatch) Empty() bool { return len(wrb.records) == 0 }
 
-// NextBatch returns the next records to store, at most limit. The caller must pass each batch to
-// Committed or Abandoned before it calls NextBatch again.
+// NextBatch returns the next records to store, at most limit. A job that was set aside is in a batch of its own. The
+// caller must pass each batch to Committed, Abandoned or SetAside before it calls NextBatch again.
 func (sch *Scheduler[O, P]) NextBatch(limit int) *WriteBatch {
-	num := min(limit, len(sch.dirty))
+	num := 0
+	for num < min(limit, len(sch.dirty)) {
+		if sch.dirty[num].suspect {
+			num = max(1, num)
+			break
+		}
+		num++
+	}
 	wrb := &WriteBatch{}
 	for _, job := range sch.dirty[:num] {
 		job.dirty = false
@@ -45,9 +69,43 @@
 	return wrb
 }
 
+// setAsideTime is the time after which a job that could not be stored is tried again. It may be storable then,
+// because runs have ended.
+const setAsideTime = 5 * time.Second
+
+// SetAside is called when the store does not accept the record of a job, alone in a batch. The job gets no further
+// runs and the agents keep its events, until a later try, in a batch of its own, succeeds.
+func (sch *Scheduler[O, P]) SetAside(wrb *WriteBatch, now time.Time) {
+	for num, job := range wrb.jobs {
+		job.orders = append(append([]pendingOrder(nil), wrb.orders[num]...), job.orders...)
+		job.acks = append(append([]ack(nil), wrb.acks[num]...), job.acks...)
+		job.unstored, job.suspect = true, true
+		if job.dirty {
+			job.dirty = false
+			sch.dirty = slices.DeleteFunc(sch.dirty, func(oth *jobState) bool { return oth == job })
+		}
+		job.setAsideUntil = now.Add(setAsideTime)
+		sch.setAside = append(sch.setAside, job)
+		sch.note(now, decision.JobSetAside, job.spec.ID(), RunID{}, "", fmt.Sprintf("tasks=%d", job.tasks()))
+	}
+}
+
+// retrySetAside queues the jobs to be stored again whose time has come.
+func (sch *Scheduler[O, P]) retrySetAside(now time.Time) {
+	sch.setAside = slices.DeleteFunc(sch.setAside, func(job *jobState) bool {
+		if now.Before(job.setAsideUntil) {
+			return false
+		}
+		job.setAsideUntil = time.Time{}
+		sch.markDirty(job)
+		return true
+	})
+}
+
 // Committed releases the orders of a stored batch, and lets the agents discard its events.
 func (sch *Scheduler[O, P]) Committed(wrb *WriteBatch, now time.Time) {
 	for num, job := range wrb.jobs {
+		job.suspect = false
 		job.unstored = job.dirty
 		for _, pnd := range wrb.orders[num] {
 			sch.release(job, pnd, now)
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -38,6 +38,7 @@
 	active            map[string]*jobState    // those that are not final
 	dirty             []*jobState             // to be stored
 	openSteps         map[*stepState]struct{} // a superset of the steps with tasks that may start
+	setAside          []*jobState             // that the store has not accepted
 	instances         map[fleet.InstanceID]*instance
 	instanceList      []*instance // the same, in the order in which they appeared
 	version           uint64      // increases with each change of the data on which placements depend
@@ -224,7 +225,7 @@
 // markDirty queues a job to be stored.
 func (sch *Scheduler[O, P]) markDirty(job *jobState) {
 	job.unstored = true
-	if !job.dirty {
+	if !job.dirty && job.setAsideUntil.IsZero() {
 		job.dirty = true
 		sch.dirty = append(sch.dirty, job)
 	}
@@ -268,6 +269,7 @@
 // and overdue runs. It also starts moves of tasks between instances. Now is the monotonic time of
 // the owner, wall the time of day.
 func (sch *Scheduler[O, P]) Tick(now, wall time.Time) {
+	sch.retrySetAside(now)
 	for _, ins := range sch.instanceList {
 		sch.checkPresence(ins, now)
 		if admits := ins.health.admits(now); admits != ins.admitted {
--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -18,6 +18,7 @@
 	JobSubmitted      Kind = "jobSubmitted"
 	JobCancelled      Kind = "jobCancelled"
 	JobFinished       Kind = "jobFinished"
+	JobSetAside       Kind = "jobSetAside" // the store does not accept the state of the job
 	QueueRefuses      Kind = "queueRefuses"
 	QueueAccepts      Kind = "queueAccepts"
 	RunAssigned       Kind = "runAssigned"
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"jacinthpost/core/batch"
 	"jacinthpost/core/store"
@@ -21,6 +22,8 @@
 	maxWrittenJobs  = 70
 	maxRemovedJobs  = 20
 	writeRetryDelay = 30 * time.Millisecond
+	// asideTime is how long the presence or the waves are left out after the store has not accepted them.
+	asideTime = 5 * time.Second
 	// releaseTimeout limits the last transaction of a process that stops.
 	releaseTimeout = 600 * time.Millisecond
 )
@@ -36,6 +39,43 @@
 
 	presence *batch.Presence // nil if unchanged
 	learned  []byte          // nil if unchanged
+	alone    bool            // the change has one part only, which may be one that the store does not accept
+}
+
+// parts splits a change into pieces that can be stored without each other: single jobs, and each of the rest.
+func (chg change) parts() []change {
+	var out []change
+	for _, one := range chg.batch.Singles() {
+		out = append(out, change{batch: one, alone: true})
+	}
+	rest := []change{
+		{presence: chg.presence}, {load: chg.load}, {learned: chg.learned}, {waves: chg.waves}, {removed: chg.removed},
+	}
+	for _, prt := range rest {
+		prt.batch, prt.alone = &batch.WriteBatch{}, true
+		if !prt.empty() {
+			out = append(out, prt)
+		}
+	}
+	return out
+}
+
+// describe names the content of a part for the log.
+func (chg change) describe() string {
+	switch {
+	case !chg.batch.Empty():
+		return "job " + chg.batch.Records()[0].ID
+	case chg.presence != nil:
+		return "presence"
+	case chg.load != nil:
+		return "load"
+	case chg.learned != nil:
+		return "learned"
+	case len(chg.waves) > 0:
+		return "waves"
+	default:
+		return "removals"
+	}
 }
 
 func (chg change) empty() bool {
@@ -47,11 +87,14 @@
 	*ownership
 	load        loadPublisher
 	learned     learnedPublisher
-	presence    []byte // as last stored
-	presenceDue bool   // the presence must be stored
-	writtenAt   time.Time
+	presence    []byte    // as last stored
+	presenceDue bool      // the presence must be stored
+	writtenAt   time.Time // end of the last transaction
+	renewedAt   time.Time // end of the last renewal of the owner row
 	sequence    uint64
 	failed      bool // the last call failed, so the next one waits for writeRetryDelay
+	// presence and waves are left out until these times, because the store has not accepted them.
+	presenceAside, wavesAside time.Time
 }
 
 // write stores changes until the ownership is lost or the context ends.
@@ -61,16 +104,22 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	wrt := &writer{ownership: osp, writtenAt: osp.cfg.Clock(), sequence: osp.owner.Sequence}
+	now := osp.cfg.Clock()
+	wrt := &writer{ownership: osp, writtenAt: now, renewedAt: now, sequence: osp.owner.Sequence}
 	for ctx.Err() == nil {
 		wrt.await(ctx)
 		chg, err := wrt.next(ctx)
 		if err != nil {
 			break
 		}
-		if chg.empty() && osp.cfg.Clock().Sub(wrt.writtenAt) < lead.RenewPeriod {
+		if chg.empty() && osp.cfg.Clock().Sub(wrt.renewedAt) < lead.RenewPeriod {
 			continue
 		}
+		if chg.alone {
+			if err := wrt.renewDue(ctx); err != nil {
+				return err
+			}
+		}
 		if err := wrt.store(ctx, chg); err != nil {
 			return err
 		}
@@ -80,11 +129,14 @@
 
 // await waits until there is something to store or the owner row must be renewed.
 func (wrt *writer) await(ctx context.Context) {
-	if wrt.failed && control.Pause(ctx, writeRetryDelay) != nil {
+	// What was left out counts as something to store, so without a pause the loop would spin.
+	now := wrt.cfg.Clock()
+	wait := wrt.failed || now.Before(wrt.presenceAside) || now.Before(wrt.wavesAside)
+	if wait && control.Pause(ctx, writeRetryDelay) != nil {
 		return
 	}
 	wrt.failed = false
-	tmr := time.NewTimer(max(0, lead.RenewPeriod-wrt.cfg.Clock().Sub(wrt.writtenAt)))
+	tmr := time.NewTimer(max(0, lead.RenewPeriod-wrt.cfg.Clock().Sub(wrt.renewedAt)))
 	defer tmr.Stop()
 	select {
 	case <-ctx.Done():
@@ -97,10 +149,20 @@
 func (wrt *writer) next(ctx context.Context) (change, error) {
 	return control.Query(ctx, wrt.loop, timed(wrt.ownership, planTurn, func(sch *Scheduler, now time.Time) change {
 		sch.Plan(now)
+		chg := change{batch: sch.NextBatch(maxWrittenJobs)}
+		if chg.batch.Alone() {
+			chg.alone = true
+			return chg
+		}
 		num := min(maxRemovedJobs, len(wrt.removable))
-		chg := change{batch: sch.NextBatch(maxWrittenJobs), removed: wrt.removable[:num:num], waves: wrt.maintenance.planner.TakeChanges()}
+		chg.removed = wrt.removable[:num:num]
 		wrt.removable = wrt.removable[num:]
-		chg.presence = wrt.changedPresence(sch, now)
+		if now.After(wrt.wavesAside) {
+			chg.waves = wrt.maintenance.planner.TakeChanges()
+		}
+		if now.After(wrt.presenceAside) {
+			chg.presence = wrt.changedPresence(sch, now)
+		}
 		chg.load = wrt.load.next(sch, now, wrt.cfg.Log)
 		chg.learned = wrt.learned.next(sch, now)
 		return chg
@@ -110,14 +172,92 @@
 // store commits a change. It returns an error only if the ownership is lost or the owner row cannot be
 // decoded.
 func (wrt *writer) store(ctx context.Context, chg change) error {
+	err := wrt.commit(ctx, chg)
+	if !errors.Is(err, store.ErrInvalid) {
+		return err
+	}
+	// One part of the change must not keep the others or the renewal from being stored.
+	switch {
+	case chg.alone:
+		wrt.setAside(ctx, chg, err)
+	case chg.empty():
+		wrt.cfg.Log.Error("the store does not accept the owner row", zap.Error(err))
+		wrt.failed = true
+	default:
+		return wrt.storeParts(ctx, chg)
+	}
+	return nil
+}
+
+// storeParts stores the parts of a change one by one, and renews the owner row in between.
+func (wrt *writer) storeParts(ctx context.Context, chg change) error {
+	for _, prt := range chg.parts() {
+		if err := wrt.renewDue(ctx); err != nil {
+			return err
+		}
+		if wrt.failed {
+			wrt.abandon(ctx, prt) // an outage has begun
+			continue
+		}
+		if err := wrt.store(ctx, prt); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// abandon queues the content of a change to be stored again.
+func (wrt *writer) abandon(ctx context.Context, chg change) {
+	wrt.post(ctx, func(sch *Scheduler, _ time.Time) {
+		sch.Abandoned(chg.batch)
+		wrt.maintenance.planner.ChangesUncertain(chg.waves)
+		wrt.removable = append(wrt.removable, chg.removed...)
+	})
+}
+
+// renewDue renews the owner row if that is due.
+func (wrt *writer) renewDue(ctx context.Context) error {
+	if wrt.cfg.Clock().Sub(wrt.renewedAt) < lead.RenewPeriod {
+		return nil
+	}
+	return wrt.store(ctx, change{batch: &batch.WriteBatch{}})
+}
+
+// setAside leaves out what the store does not accept: a job, the presence and the waves for a time, the load and
+// what was learned until they change.
+func (wrt *writer) setAside(ctx context.Context, prt change, why error) {
+	metrics.GetOrCreateCounter(`jacinthpost_owner_set_aside_total`).Inc()
+	wrt.cfg.Log.Error("the store does not accept a part of the state; it is left out", zap.String("part", prt.describe()), zap.Error(why))
+	now := wrt.cfg.Clock()
+	switch {
+	case !prt.batch.Empty():
+		wrt.post(ctx, func(sch *Scheduler, now time.Time) { sch.SetAside(prt.batch, now) })
+	case prt.presence != nil:
+		wrt.presenceAside, wrt.presenceDue = now.Add(asideTime), true
+	case prt.load != nil:
+		wrt.load.stored(prt.load, now)
+	case prt.learned != nil:
+		wrt.learned.data = prt.learned
+	case len(prt.waves) > 0:
+		wrt.wavesAside = now.Add(asideTime)
+		wrt.post(ctx, func(*Scheduler, time.Time) { wrt.maintenance.planner.ChangesUncertain(prt.waves) })
+	}
+}
+
+// commit commits a change in one transaction. After an error that is ErrInvalid, the caller must store or set aside
+// the content of the change; after other errors it is stored again.
+func (wrt *writer) commit(ctx context.Context, chg change) error {
 	sent := wrt.cfg.Clock()
 	wrt.sequence++
 	// The end of the context must not leave the outcome open, because the release depends on the row.
 	res, err := wrt.cfg.Table.Commit(context.WithoutCancel(ctx), wrt.transaction(chg))
 	wrt.writtenAt = wrt.cfg.Clock()
 	metrics.GetOrCreateHistogram(`jacinthpost_owner_commit_seconds`).Update(wrt.writtenAt.Sub(sent).Seconds())
+	if errors.Is(err, store.ErrInvalid) {
+		return err
+	}
 	if err == nil && res.Committed() {
-		wrt.version = res.Version()
+		wrt.version, wrt.renewedAt = res.Version(), wrt.writtenAt
 		wrt.confirmedAt.Store(sent.UnixNano())
 		if chg.load != nil {
 			wrt.load.stored(chg.load, wrt.writtenAt)
@@ -135,11 +275,7 @@
 		})
 		return nil
 	}
-	wrt.post(ctx, func(sch *Scheduler, _ time.Time) {
-		sch.Abandoned(chg.batch)
-		wrt.maintenance.planner.ChangesUncertain(chg.waves)
-		wrt.removable = append(wrt.removable, chg.removed...)
-	})
+	wrt.abandon(ctx, chg)
 	if err == nil {
 		return wrt.resolve(ctx, res)
 	}
