Cut states of jobs into rows and bound them

Cause, second of two: the state of a job, with all its occurrences and checkpoints, was one row of any size; workload.MaxTasks holds for one occurrence only. The limits of the store's page (rowBytes, 1 MB a call) were checked nowhere.

Change: a state over rowBytes is cut into pieces that are written in one transaction (batchstore.PutState, DecodeStates). A timed job gets no further occurrence while its state is over 384 KiB, about 4,900 tasks; a checkpoint with which the state would be over 512 KiB is left out; a batch holds at most 512 KiB of states. So every state that an accepted job can have fits in a transaction.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -14,13 +14,17 @@
 	occurrences []*occurrence
 	nextDue     int  // number of the next occurrence to create
 	begun       bool // a task has started
-	acceptedAt  time.Time
-	finalAt     time.Time
-	dirty       bool           // contained in Scheduler.dirty
-	unstored    bool           // part of the state is not stored yet
-	suspect     bool           // the store has not accepted the record, see SetAside
-	orders      []pendingOrder // released when the state that contains them is stored
-	acks        []ack          // events that agents may discard when the state is stored
+	// checkpointBytes is the size of the checkpoints in a record.
+	checkpointBytes int
+	// checkpointKept is set when a checkpoint was first left out, see setCheckpoint.
+	checkpointKept bool
+	acceptedAt     time.Time
+	finalAt        time.Time
+	dirty          bool           // contained in Scheduler.dirty
+	unstored       bool           // part of the state is not stored yet
+	suspect        bool           // the store has not accepted the record, see SetAside
+	orders         []pendingOrder // released when the state that contains them is stored
+	acks           []ack          // events that agents may discard when the state is stored
 	// setAsideUntil is the time of the next try to store a job that was set aside, zero for others.
 	setAsideUntil time.Time
 }
@@ -170,10 +174,14 @@
 	}
 }
 
-// createDue creates the occurrences that are due and returns their number.
+// createDue creates the occurrences that are due and returns their number. One that would make the state too large
+// waits until others are done, as after an outage during which many became due.
 func (job *jobState) createDue(wall time.Time) int {
 	num := 0
 	for job.nextDue < job.spec.Occurrences() && !wall.Before(job.spec.Due(job.nextDue)) {
+		if len(job.occurrences) > 0 && job.size()+job.occurrenceSize() > maxDueBytes {
+			break
+		}
 		job.occurrences = append(job.occurrences, newOccurrence(job, job.nextDue))
 		job.nextDue++
 		num++
@@ -197,7 +205,11 @@
 	if !job.spec.Timed() {
 		open = job.occurrences
 	}
-	job.occurrences = open
+	if len(open) < len(job.occurrences) {
+		clear(job.occurrences[len(open):])
+		job.occurrences = open
+		job.countCheckpoints()
+	}
 	return !unfinished && job.nextDue >= job.spec.Occurrences()
 }
 
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -44,16 +44,19 @@
 // Empty reports whether there is nothing to store.
 func (wrb *WriteBatch) Empty() bool { return len(wrb.records) == 0 }
 
-// NextBatch returns the next records to store, at most limit. A job that was set aside is in a batch of its own. The
-// caller must pass each batch to Committed, Abandoned or SetAside before it calls NextBatch again.
+// NextBatch returns the next records to store, at most limit and as many as fit in a transaction. A job that was set
+// aside is in a batch of its own. The caller must pass each batch to Committed, Abandoned or SetAside before it calls NextBatch again.
 func (sch *Scheduler[O, P]) NextBatch(limit int) *WriteBatch {
-	num := 0
+	num, size := 0, 0
 	for num < min(limit, len(sch.dirty)) {
-		if sch.dirty[num].suspect {
-			num = max(1, num)
+		job := sch.dirty[num]
+		if size += job.size(); num > 0 && (job.suspect || size > maxStateBytes) {
 			break
 		}
 		num++
+		if job.suspect {
+			break
+		}
 	}
 	wrb := &WriteBatch{}
 	for _, job := range sch.dirty[:num] {
--- a/core/batch/record.go
+++ b/core/batch/record.go
@@ -142,6 +142,7 @@
 		job.occurrences = append(job.occurrences, restoreOccurrence(job, old, rec.Places))
 	}
 	job.begun = job.hasResults()
+	job.countCheckpoints()
 	return job
 }
 
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -97,7 +98,7 @@
 	}
 	att.job.begun = att.job.begun || run.Working
 	if run.Checkpoint != "" {
-		tsk.checkpoint = run.Checkpoint
+		sch.saveCheckpoint(att, run.Checkpoint, now)
 	}
 	switch {
 	case run.Share < 0 || run.Share >= throttledBelow:
@@ -135,6 +136,15 @@
 	return stp, tsk, att
 }
 
+// saveCheckpoint sets the checkpoint of an attempt's task. It notes once for each job that one was left out.
+func (sch *Scheduler[O, P]) saveCheckpoint(att *attempt, val string, now time.Time) {
+	if att.job.setCheckpoint(att.task, val) || att.job.checkpointKept {
+		return
+	}
+	att.job.checkpointKept = true
+	sch.note(now, decision.CheckpointLeftOut, att.job.spec.ID(), att.id(), att.instance, fmt.Sprintf("%d bytes, job %d", len(val), att.job.size()))
+}
+
 // adopt ties an attempt to the incarnation whose worker lists its run.
 func (sch *Scheduler[O, P]) adopt(att *attempt, ins *instance, now time.Time) {
 	if att.incarnation == ins.incarnation {
@@ -226,7 +236,7 @@
 	job.begun = job.begun || evt.Cause != EndRefused && evt.Cause != EndLeaseExpired
 	sch.drop(att)
 	if evt.Checkpoint != "" && evt.Cause != EndDone {
-		tsk.checkpoint = evt.Checkpoint
+		sch.saveCheckpoint(att, evt.Checkpoint, now)
 	}
 	if job.state.Final() || tsk.phase == Done {
 		return
@@ -277,13 +287,19 @@
 	}
 }
 
+// finish marks a task as done. Its checkpoint is of no use any more.
+func (stp *stepState) finish(tsk *task) {
+	tsk.phase = Done
+	stp.done++
+	stp.occurrence.job.setCheckpoint(tsk, "")
+}
+
 // complete marks a task as done and stops its other copies.
 func (sch *Scheduler[O, P]) complete(stp *stepState, tsk *task, now time.Time) {
 	if tsk.phase == Done {
 		return
 	}
-	tsk.phase = Done
-	stp.done++
+	stp.finish(tsk)
 	for _, oth := range slices.Clone(tsk.attempts) {
 		sch.stop(oth, stopTaskDone, now)
 	}
@@ -294,8 +310,7 @@
 func completeGang(stp *stepState) {
 	for _, oth := range stp.tasks {
 		if oth.phase != Done {
-			oth.phase = Done
-			stp.done++
+			stp.finish(oth)
 		}
 	}
 }
--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -18,7 +18,8 @@
 	JobSubmitted      Kind = "jobSubmitted"
 	JobCancelled      Kind = "jobCancelled"
 	JobFinished       Kind = "jobFinished"
-	JobSetAside       Kind = "jobSetAside" // the store does not accept the state of the job
+	CheckpointLeftOut Kind = "checkpointLeftOut" // the state of the job would be too large with it
+	JobSetAside       Kind = "jobSetAside"       // the store does not accept the state of the job
 	QueueRefuses      Kind = "queueRefuses"
 	QueueAccepts      Kind = "queueAccepts"
 	RunAssigned       Kind = "runAssigned"
--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -82,6 +82,7 @@
 	Machines           Machines      // nil if the deployment has no machine service
 	UpkeepRequestDelay time.Duration // from an election to the first upkeep request, separates requests of two owners
 	Options            batch.Options
+	RowBytes           int              // the most bytes of a row in the store, zero if there is no limit
 	Clock              func() time.Time // monotonic, includes the time in which the system is suspended
 	WallClock          func() time.Time
 	Processor          func() time.Duration // processor time that this process has used, nil if unknown
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -42,6 +42,7 @@
 	loop         *control.Loop[Scheduler]
 	scheduler    *Scheduler                 // used only by the control thread once that runs
 	inherited    map[string]batch.JobRecord // stored states of jobs that are not restored yet
+	pieces       map[string]int             // of the stored states with several rows, see batchstore.PutState; used by the writer
 	unreadable   map[string]bool            // jobs that can't be decoded, or whose stored states can't; starting them could run tasks again
 	jobs         *follow.Follower
 	directives   *follow.Follower
@@ -70,7 +71,7 @@
 	opt.InheritedAfter = OwnershipValidity + LostAfter
 	osp := &ownership{
 		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(),
-		ready: make(chan struct{}), done: make(chan struct{}), writeNeeded: make(chan struct{}, 1),
+		pieces: make(map[string]int), ready: make(chan struct{}), done: make(chan struct{}), writeNeeded: make(chan struct{}, 1),
 	}
 	osp.maintenance = &maintenance{ownership: osp, startedAt: now}
 	osp.confirmedAt.Store(now.UnixNano())
@@ -110,15 +111,16 @@
 	osp.scheduler.RestoreKnowledge(kno, osp.cfg.Clock())
 	osp.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
 	osp.unreadable = make(map[string]bool)
-	for _, row := range all.Rows() {
-		id := osp.cfg.Partition.ParseStateKey(row.Key())
-		rec, err := batchstore.DecodeState(row.Value())
-		if err != nil {
-			osp.cfg.Log.Error("cannot decode the state of a job; the job gets no runs, and those it has are stopped", zap.String("job", id), zap.Error(err))
+	for id, sta := range osp.cfg.Partition.DecodeStates(all.Rows()) {
+		if sta.Err != nil {
+			osp.cfg.Log.Error("cannot decode the state of a job; the job gets no runs, and those it has are stopped", zap.String("job", id), zap.Error(sta.Err))
 			osp.unreadable[id] = true
 			continue
 		}
-		osp.inherited[id] = rec
+		osp.inherited[id] = sta.Record
+		if sta.Pieces > 0 {
+			osp.pieces[id] = sta.Pieces
+		}
 	}
 	return nil
 }
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// maxWrittenJobs leaves room for the owner row, the load and removed states: a transaction may have
-	// 100 entries.
-	maxWrittenJobs  = 70
+	// maxWrittenJobs leaves room for the owner row, the load, removed states and states of several rows: a
+	// transaction may have 100 entries.
+	maxWrittenJobs  = 60
 	maxRemovedJobs  = 20
 	writeRetryDelay = 30 * time.Millisecond
 	// asideTime is how long the presence or the waves are left out after the store has not accepted them.
@@ -250,7 +250,8 @@
 	sent := wrt.cfg.Clock()
 	wrt.sequence++
 	// The end of the context must not leave the outcome open, because the release depends on the row.
-	res, err := wrt.cfg.Table.Commit(context.WithoutCancel(ctx), wrt.transaction(chg))
+	txn, pieces := wrt.transaction(chg)
+	res, err := wrt.cfg.Table.Commit(context.WithoutCancel(ctx), txn)
 	wrt.writtenAt = wrt.cfg.Clock()
 	metrics.GetOrCreateHistogram(`jacinthpost_owner_commit_seconds`).Update(wrt.writtenAt.Sub(sent).Seconds())
 	if errors.Is(err, store.ErrInvalid) {
@@ -259,6 +260,9 @@
 	if err == nil && res.Committed() {
 		wrt.version, wrt.renewedAt = res.Version(), wrt.writtenAt
 		wrt.confirmedAt.Store(sent.UnixNano())
+		for id, num := range pieces {
+			wrt.setPieces(id, num)
+		}
 		if chg.load != nil {
 			wrt.load.stored(chg.load, wrt.writtenAt)
 		}
@@ -318,15 +322,19 @@
 	return nil
 }
 
-func (wrt *writer) transaction(chg change) *store.Transaction {
+// transaction returns the transaction of a change, and the number of pieces by state that it leaves in the store.
+func (wrt *writer) transaction(chg change) (*store.Transaction, map[string]int) {
 	part := wrt.cfg.Partition
 	own := wrt.owner
 	own.Sequence = wrt.sequence
-	txn := &store.Transaction{}
+	txn, pieces := &store.Transaction{}, make(map[string]int)
 	txn.Require(part.OwnerKey(), wrt.version)
 	txn.Put(part.OwnerKey(), batchstore.Encode(own))
 	for _, rec := range chg.batch.Records() {
-		txn.Put(part.StateKey(rec.ID), batchstore.Encode(rec))
+		before := wrt.pieces[rec.ID]
+		pieces[rec.ID] = part.PutState(txn, rec, wrt.cfg.RowBytes, before)
+		// If the outcome stays unknown, the state may have the pieces of either write.
+		wrt.setPieces(rec.ID, max(before, pieces[rec.ID]))
 	}
 	if chg.load != nil {
 		txn.Put(part.LoadKey(), chg.load)
@@ -341,9 +349,18 @@
 		txn.Put(part.WaveKey(wav.Wave), encodeProgress(wav))
 	}
 	for _, id := range chg.removed {
-		txn.Delete(part.StateKey(id))
+		part.DeleteState(txn, id, wrt.pieces[id])
+		pieces[id] = 0
+	}
+	return txn, pieces
+}
+
+func (wrt *writer) setPieces(id string, num int) {
+	if num == 0 {
+		delete(wrt.pieces, id)
+		return
 	}
-	return txn
+	wrt.pieces[id] = num
 }
 
 // release marks the owner row as released when the ownership ends, so that another process takes over at
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -98,11 +98,6 @@
 	return strings.CutSuffix(els[len(els)-1], cancelSuffix)
 }
 
-// ParseStateKey returns the ID of the job of a key in the table states.
-func (par Partition) ParseStateKey(key string) string {
-	return strings.TrimPrefix(key, par.StatesPrefix())
-}
-
 // Owner is the row that names the owner of a partition.
 type Owner struct {
 	Epoch    uint64 `json:"epoch"`
@@ -270,7 +265,8 @@
 // DecodePresence decodes the presence of the instances.
 func DecodePresence(data []byte) (Presence, error) { return decode[Presence](data, "presence row") }
 
-// DecodeState decodes the state of a job.
+// DecodeState decodes the state of a job from its first row. If the state has several rows, only its ID, queue and
+// state are in the first one.
 func DecodeState(data []byte) (batch.JobRecord, error) {
 	var rec batch.JobRecord
 	err := json.Unmarshal(data, &rec)
