Refuse at once a job that no row of the store can hold

The store answered 400, which entries took for an outage, so callers got 503 with a Retry-After of 1 s, for ever.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -41,7 +41,7 @@
 	ReasonStoreUnavailable Reason = "storeUnavailable" // the request can't be recorded durably
 	ReasonRetryBudget      Reason = "retryBudget"      // no retries are left
 	ReasonCapacity         Reason = "capacity"         // the free resources don't suffice at present
-	ReasonTooLarge         Reason = "tooLarge"         // the work exceeds the capacity of every instance
+	ReasonTooLarge         Reason = "tooLarge"         // the work exceeds the capacity of every instance, or its description that of a row in the store
 	ReasonDataCentreOut    Reason = "dataCentreOut"    // operators took the data centre out of service
 	ReasonNotReady         Reason = "notReady"         // the agent doesn't know yet what its worker runs
 	ReasonEndpointRefused  Reason = "endpointRefused"  // the endpoint refused the connection
--- a/io/jobaccess/jobaccess.go
+++ b/io/jobaccess/jobaccess.go
@@ -146,6 +146,9 @@
 		if err == nil {
 			return Answer{outcome: outcome.Answered()}
 		}
+		if errors.Is(err, store.ErrInvalid) && !uncertain {
+			return Answer{outcome: outcome.NotRun(outcome.ReasonTooLarge, err.Error())}
+		}
 		uncertain = uncertain || !errors.Is(err, store.ErrUnavailable)
 		if !uncertain && time.Since(begun)+wait > refusalDelay {
 			return Answer{outcome: outcome.NotRun(outcome.ReasonStoreUnavailable, err.Error()), retryAfter: OutageRetryAfter}
--- a/io/web/queues.go
+++ b/io/web/queues.go
@@ -163,8 +163,11 @@
 // after is positive.
 func writeOutcome(rw http.ResponseWriter, out outcome.Outcome, after time.Duration) {
 	status := statusOf[out.Kind()]
-	if out.Reason() == outcome.ReasonCapacity {
+	switch out.Reason() {
+	case outcome.ReasonCapacity:
 		status = http.StatusTooManyRequests
+	case outcome.ReasonTooLarge:
+		status = http.StatusRequestEntityTooLarge
 	}
 	if out.Kind() == outcome.KindNotRun && after > 0 {
 		rw.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
