Give up no run while a worker lists only some of its ends

Cause: a worker lists 500 ends at once. The agent took a run in neither list for one that never began, and the owner gave up the attempts that the first report of a session lacked, so the tasks whose ends came later in the list ran again.

Meanwhile the agent ends no run because it is missing, and its reports are partial; the owner ends attempts from before a session only with the first report that is not. So a run is given up only by a list that has all ends.

--- a/core/batch/instance.go
+++ b/core/batch/instance.go
@@ -13,6 +13,8 @@
 type instance struct {
 	id                fleet.InstanceID
 	session           uint64
+	sessionSince      time.Time
+	unreconciled      bool // attempts from before the session may be on no list, see reconcile
 	incarnation       Incarnation
 	service           fleet.Service
 	location          fleet.Location
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -7,8 +7,8 @@
 	"jacinthpost/core/resource"
 )
 
-// Report is the state of an instance that its agent sends to the owner of the jobs. It is complete:
-// a run that is neither in Runs nor in Events is not on the instance.
+// Report is the state of an instance that its agent sends to the owner of the jobs. Unless it is partial, a run that
+// is neither in Runs nor in Events is not on the instance and has not ended there.
 type Report struct {
 	Instance    fleet.InstanceID
 	Session     uint64 // increases with each process of the agent and each incarnation of the worker
@@ -20,6 +20,7 @@
 	Draining    bool
 	Remaining   time.Duration // minimum time until a draining worker shuts down
 	Unready     bool          // the worker does not respond
+	Partial     bool          // the worker has more ends than it lists at once, so Events may lack some
 	Runs        []RunState
 	Events      []Event
 	AckedOrders uint64 // sequence number of the last order that the agent has received
--- a/core/batch/property_test.go
+++ b/core/batch/property_test.go
@@ -29,6 +29,7 @@
 	seen        uint64 // sequence number of the last received order
 	runs        map[batch.RunID]batch.Order
 	events      []batch.Event
+	unlisted    []batch.Event // ends that the worker does not list yet, because it lists only some at once
 	seq         uint64
 	grantedAt   time.Time
 }
@@ -41,7 +42,7 @@
 	rep := batch.Report{
 		Instance: agt.id, Session: agt.session, Incarnation: agt.incarnationID(), Service: "svc",
 		Location: fleet.NewLocation("r", "dc", fleet.Rack(agt.id)), Labels: []string{"rack-" + string(agt.id)},
-		Capacity: resource.New(4000, 4000, 0), AckedOrders: agt.seen, Events: slices.Clone(agt.events),
+		Capacity: resource.New(4000, 4000, 0), AckedOrders: agt.seen, Events: slices.Clone(agt.events), Partial: len(agt.unlisted) > 0,
 	}
 	for rid := range agt.runs {
 		rep.Runs = append(rep.Runs, batch.RunState{ID: rid, Working: true, Percent: 100, Share: -1})
@@ -59,6 +60,23 @@
 	}
 }
 
+// restart starts a process of the agent. Its worker lists only the first ends of those that are not stored, at most
+// as many as given.
+func (agt *agentModel) restart(listed int) {
+	all := append(agt.events, agt.unlisted...)
+	num := min(listed, len(all))
+	agt.events, agt.unlisted = all[:num:num], all[num:]
+	agt.open()
+}
+
+// list lets the worker list the ends that it has not listed so far.
+func (agt *agentModel) list() {
+	for _, evt := range agt.unlisted {
+		agt.emit(evt.ID, evt.Cause)
+	}
+	agt.unlisted = nil
+}
+
 func (agt *agentModel) end(rid batch.RunID, cause batch.EndCause) {
 	delete(agt.runs, rid)
 	agt.emit(rid, cause)
@@ -318,6 +336,7 @@
 			continue
 		}
 		fle.discardUnstoredEnds(agt)
+		agt.list()
 		for rid := range agt.runs {
 			agt.end(rid, batch.EndLeaseExpired)
 		}
@@ -347,7 +366,7 @@
 // discardUnstoredEnds discards the ends that were not acknowledged before the worker's lease or
 // incarnation ended. The owner has treated the runs as lost, so their tasks may run again.
 func (fle *fleetModel) discardUnstoredEnds(agt *agentModel) {
-	for num, evt := range agt.events {
+	for num, evt := range append(agt.events, agt.unlisted...) {
 		switch evt.Cause {
 		case batch.EndDone:
 			delete(fle.countedDone, evt.ID.Task)
@@ -356,7 +375,11 @@
 				fle.countedFailures[evt.ID.Task]--
 			}
 		}
-		agt.events[num].Cause = batch.EndLeaseExpired
+		if num < len(agt.events) {
+			agt.events[num].Cause = batch.EndLeaseExpired
+		} else {
+			agt.unlisted[num-len(agt.events)].Cause = batch.EndLeaseExpired
+		}
 	}
 }
 
@@ -365,7 +388,7 @@
 func (fle *fleetModel) replaceWorker(agt *agentModel) {
 	fle.discardUnstoredEnds(agt)
 	agt.incarnation++
-	agt.events = nil
+	agt.events, agt.unlisted = nil, nil
 	for _, rid := range agt.sortedRuns() {
 		if rapid.Bool().Draw(fle.T, "lost") {
 			delete(agt.runs, rid)
@@ -393,6 +416,7 @@
 			}
 		}
 		for _, agt := range fle.agents {
+			agt.list()
 			fle.exchange(agt)
 			for rid := range maps.Clone(agt.runs) {
 				if fle.wanted(rid) && fle.canFinish(rid) {
@@ -558,7 +582,9 @@
 			"silence":    func(*rapid.T) { fle.advance(modelLostAfter) },
 			"takeOver":   func(*rapid.T) { fle.takeOver() },
 			"reborn":     func(*rapid.T) { fle.replaceWorker(fle.agent()) },
-			"restart":    func(*rapid.T) { fle.agent().open() },
+			"restart":    func(t *rapid.T) { fle.agent().restart(rapid.IntRange(0, 2).Draw(t, "listed")) },
+			"exchange":   func(*rapid.T) { fle.exchange(fle.agent()) }, // most histories would get nowhere without it
+			"list":       func(*rapid.T) { fle.agent().list() },
 			"": func(*rapid.T) {
 				fle.T = t
 			},
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -26,7 +26,7 @@
 			sch.reported++
 			sch.presenceChanged = true
 		}
-		ins.startSession(rep)
+		ins.startSession(rep, now)
 		sch.note(now, decision.InstanceHeard, "", RunID{}, ins.id, string(rep.Incarnation))
 	}
 	ins.update(rep, now)
@@ -39,7 +39,8 @@
 	for _, run := range rep.Runs {
 		sch.confirm(ins, run, newSession, now)
 	}
-	if newSession {
+	if ins.unreconciled && !rep.Partial {
+		ins.unreconciled = false
 		sch.reconcile(ins, rep.Runs, now)
 	}
 	sch.learnInterference(ins, rep, now)
@@ -65,8 +66,9 @@
 
 // startSession resets the state of the connection to the agent: in a new session the agent knows no
 // orders, and its event numbers start again.
-func (ins *instance) startSession(rep Report) {
+func (ins *instance) startSession(rep Report, now time.Time) {
 	ins.session, ins.incarnation = rep.Session, rep.Incarnation
+	ins.sessionSince, ins.unreconciled = now, true
 	ins.appliedEvents, ins.unstoredEvents = 0, nil
 	ins.orders, ins.orderSeq = nil, 0
 	ins.orphans = nil
@@ -155,15 +157,15 @@
 	sch.markDirty(att.job)
 }
 
-// reconcile ends the attempts on an instance that its agent does not list at the start of a
-// session.
+// reconcile ends the attempts from before the session on an instance that its agent does not list in the first report
+// of the session that is not partial. Until then they may have ended in any way.
 func (sch *Scheduler[O, P]) reconcile(ins *instance, runs []RunState, now time.Time) {
 	listed := make(map[RunID]bool, len(runs))
 	for _, run := range runs {
 		listed[run.ID] = true
 	}
 	ins.eachAttempt(func(att *attempt) {
-		if att.incarnation == ins.incarnation && (listed[att.id()] || !att.released) {
+		if listed[att.id()] || att.incarnation == ins.incarnation && (!att.released || att.orderedAt.After(ins.sessionSince)) {
 			return
 		}
 		sch.endLost(att, now)
--- a/core/batch/restart_test.go
+++ b/core/batch/restart_test.go
@@ -1,6 +1,8 @@
 package batch_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -44,6 +46,39 @@
 		expectState(own.store(), batch.JobCompleted)
 	})
 
+	// Guards against a task that runs again because its end `done` is not among the first ends that its worker
+	// lists after a restart of the agent (TWICE).
+	It("gives up no run while the report may lack ends", func() {
+		own, rid := started()
+		again := report("a", 2)
+		again.Partial = true
+		own.receive(again)
+		own.receive(again)
+		own.store()
+		Expect(own.orders("a", 2, batch.StartRun)).To(BeEmpty())
+		own.receive(report("a", 2), endEvent(1, rid, batch.EndDone))
+		expectState(own.store(), batch.JobCompleted)
+	})
+
+	// Guards against a run of the present session that is given up because an earlier report was partial.
+	It("gives up runs from before the session only, when a report lacks nothing any more", func() {
+		own, rid := started()
+		again := report("a", 2)
+		again.Partial = true
+		own.receive(again)
+		own.advance(time.Second)
+		own.submit("k", step(1))
+		own.store()
+		Expect(own.orders("a", 2, batch.StartRun)).To(HaveLen(1))
+		own.receive(report("a", 2))
+		own.store()
+		var jobs []string
+		for _, ord := range own.orders("a", 2, batch.StartRun) {
+			jobs = append(jobs, ord.ID.Task.Job)
+		}
+		Expect(jobs).To(ConsistOf("k", rid.Task.Job))
+	})
+
 	// Guards against a task that never runs again because its run is looked for in the next incarnation.
 	It("runs a task again whose run the next incarnation does not list", func() {
 		own, rid := started()
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -100,6 +100,7 @@
 	worker       Worker
 	announced    bool
 	hasListing   bool      // a listing of the current incarnation was received
+	endsCut      bool      // the last one did not have all ends
 	succeeds     bool      // this process has called a former incarnation of the worker
 	departed     bool      // another incarnation answers at the worker's address
 	lifeCertain  bool      // no call has failed since the last listing of the current incarnation
@@ -224,7 +225,7 @@
 func (hst *Host) startSession() {
 	hst.session++
 	hst.runs = nil
-	hst.hasListing, hst.departed, hst.lifeCertain = false, false, false
+	hst.hasListing, hst.endsCut, hst.departed, hst.lifeCertain = false, false, false, false
 	hst.events, hst.eventSeq = nil, 0
 	hst.lastEnd, hst.forgettable, hst.lastOrder = 0, 0, 0
 	hst.clock, hst.maxLeaseEnd = clock{}, 0
@@ -338,7 +339,7 @@
 		Instance: id, Session: hst.session, Incarnation: hst.worker.Incarnation, Service: hst.worker.Service,
 		Location: hst.worker.Location, Labels: hst.worker.Labels, Capacity: hst.worker.Capacity,
 		Draining: hst.worker.Draining, Remaining: max(0, hst.leavesAt.Sub(now)),
-		Unready: hst.silent(now), AckedOrders: hst.lastOrder,
+		Unready: hst.silent(now), Partial: hst.endsCut, AckedOrders: hst.lastOrder,
 	}
 	for _, rn := range hst.runs {
 		sta := rn.state
--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -103,6 +103,35 @@
 	Expect(got).To(Equal(causes))
 }
 
+var _ = Describe("A listing whose ends are cut", func() {
+	cut := func(agt *agent, ends ...batchhost.EndedRun) {
+		agt.ApplyListing(batchhost.Listing{Incarnation: incarnation, Clock: agt.clock(), Ended: ends, EndsCut: true, SentAt: agt.now, ReceivedAt: agt.now})
+	}
+
+	// Guards against a run whose end is not listed yet and that counts as refused, so that its task runs again (TWICE).
+	DescribeTable("ends no run that it lacks", func(before func(agt *agent)) {
+		agt := newAgent()
+		agt.order(batch.StartRun, "j")
+		agt.StartEnded(incarnation, run("j"), batchhost.Accepted, "", agt.now)
+		before(agt)
+		for range 4 {
+			agt.now = agt.now.Add(100 * time.Millisecond)
+			cut(agt)
+		}
+		agt.expectEvents()
+		Expect(agt.Report("a", agt.now).Partial).To(BeTrue())
+		agt.listEnds(batchhost.EndedRun{Seq: 501, ID: run("j"), Cause: batch.EndDone})
+		agt.expectEvents(batch.EndDone)
+		Expect(agt.Report("a", agt.now).Partial).To(BeFalse())
+	},
+		Entry("after a start", func(*agent) {}),
+		Entry("after a stop", func(agt *agent) {
+			agt.order(batch.StopRun, "j")
+			agt.StopEnded(incarnation, run("j"), batchhost.Accepted, agt.now)
+		}),
+	)
+})
+
 var _ = Describe("Host", func() {
 	DescribeTable("refuses a start that the worker may have no capacity or no lease for",
 		func(change func(agt *agent)) {
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -7,14 +7,15 @@
 	"jacinthpost/core/pacing"
 )
 
-// Listing is a worker's complete list of its runs.
+// Listing is a worker's list of its runs. The list of those that are running is complete, that of the ends may be cut.
 type Listing struct {
 	Incarnation batch.Incarnation
 	Clock       time.Duration
 	Runs        []batch.RunState
-	Ended       []EndedRun
-	SentAt      time.Time // time at which the listing was requested
-	ReceivedAt  time.Time // time at which the answer arrived
+	Ended       []EndedRun // in the order of their numbers
+	EndsCut     bool       // there may be further ends, which the worker lists when it may forget these
+	SentAt      time.Time  // time at which the listing was requested
+	ReceivedAt  time.Time  // time at which the answer arrived
 }
 
 // EndedRun is a run that the worker lists as ended.
@@ -32,7 +33,7 @@
 		return 0
 	}
 	hst.answeredAt = lst.ReceivedAt
-	hst.hasListing, hst.lifeCertain = true, true
+	hst.hasListing, hst.lifeCertain, hst.endsCut = true, true, lst.EndsCut
 	hst.setClock(lst.Clock, lst.ReceivedAt)
 	num := hst.addEnds(lst.Ended, lst.ReceivedAt)
 	listed := make(map[batch.RunID]bool, len(lst.Runs))
@@ -40,7 +41,9 @@
 		listed[sta.ID] = true
 		hst.updateRun(sta, lst)
 	}
-	num += hst.endMissingRuns(listed, lst)
+	if !lst.EndsCut {
+		num += hst.endMissingRuns(listed, lst)
+	}
 	hst.updatePaces(lst.ReceivedAt)
 	return num
 }
@@ -108,8 +111,8 @@
 	return false
 }
 
-// endMissingRuns ends the runs that are missing in a listing and cannot be running any more. It
-// returns their number.
+// endMissingRuns ends the runs that are missing in a listing with all ends and cannot be running any more. It
+// returns their number. A run that is missing in one whose ends are cut may have ended in any way.
 func (hst *Host) endMissingRuns(listed map[batch.RunID]bool, lst Listing) int {
 	num := 0
 	for rid, rn := range hst.runs {
--- a/io/batchrpc/batchrpc.go
+++ b/io/batchrpc/batchrpc.go
@@ -42,7 +42,7 @@
 	Session, OrdersSeen                         uint64
 	Labels                                      []string
 	Capacity                                    Vector
-	Draining, Unready                           bool
+	Draining, Unready, Partial                  bool
 	Remaining                                   time.Duration
 	Runs                                        []batch.RunState
 	Events                                      []batch.Event
@@ -102,7 +102,7 @@
 		Epoch: epoch, Instance: string(rep.Instance), Life: string(rep.Incarnation), Service: string(rep.Service),
 		Region: string(rep.Location.Region()), DataCentre: string(rep.Location.DataCentre()),
 		Session: rep.Session, OrdersSeen: rep.AckedOrders, Labels: rep.Labels, Capacity: fromVector(rep.Capacity),
-		Draining: rep.Draining, Unready: rep.Unready, Remaining: rep.Remaining, Runs: rep.Runs, Events: rep.Events,
+		Draining: rep.Draining, Unready: rep.Unready, Partial: rep.Partial, Remaining: rep.Remaining, Runs: rep.Runs, Events: rep.Events,
 	}
 }
 
@@ -121,7 +121,7 @@
 	return batch.Report{
 		Instance: fleet.InstanceID(arg.Instance), Session: arg.Session, Incarnation: batch.Incarnation(arg.Life), Service: fleet.Service(arg.Service),
 		Location: fleet.NewLocation(fleet.Region(arg.Region), fleet.DataCentre(arg.DataCentre), ""),
-		Labels:   arg.Labels, Capacity: arg.Capacity.core(), Draining: arg.Draining, Unready: arg.Unready,
+		Labels:   arg.Labels, Capacity: arg.Capacity.core(), Draining: arg.Draining, Unready: arg.Unready, Partial: arg.Partial,
 		Remaining: arg.Remaining, Runs: arg.Runs, Events: arg.Events, AckedOrders: arg.OrdersSeen,
 	}
 }
