Renew no lease of a worker whose incarnation is uncertain

The new spec got a renewal before.

An agent no longer treats the former incarnation as departed because of a heartbeat alone: one heartbeat with an odd time of birth would have shut the real worker out.

--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -286,9 +286,6 @@
 	return end, true
 }
 
-// ClockKnown reports whether a reading of the worker's clock has been received.
-func (hst *Host) ClockKnown() bool { return !hst.clock.at.IsZero() }
-
 // LastOrder returns the sequence number of the last order applied.
 func (hst *Host) LastOrder() uint64 { return hst.lastOrder }
 
@@ -314,6 +311,10 @@
 	return hst.forgettable
 }
 
+// LifeCertain reports whether the worker has listed its runs since the last failed call. Otherwise a new incarnation
+// may have begun, and the lease must not be renewed: its end is a time on the clock of the known one.
+func (hst *Host) LifeCertain() bool { return hst.lifeCertain }
+
 // CallFailed records that a call to the given incarnation got no answer from it.
 func (hst *Host) CallFailed(inc batch.Incarnation) {
 	if inc == hst.worker.Incarnation {
--- a/core/batchhost/protocol_test.go
+++ b/core/batchhost/protocol_test.go
@@ -254,8 +254,7 @@
 		return
 	}
 	wrk.token = sim.fence.Token()
-	until, ok := sim.host.LeaseEnd(sim.now)
-	if ok {
+	if until, ok := sim.host.LeaseEnd(sim.now); ok && sim.host.LifeCertain() {
 		wrk.lease = later(wrk.lease, sim.leaseUntil(until))
 	}
 	forgettable := sim.host.Forgettable()
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -168,9 +168,6 @@
 		}
 		newIncarnation := ann.Worker.Incarnation != sta.host.Incarnation() || !sta.host.Announced()
 		draining := ann.Worker.Draining
-		if newIncarnation && sta.host.Incarnation() != "" {
-			sta.markDeparted(sta.host.Incarnation())
-		}
 		sta.bornAt, sta.sequence = ann.BornAt, ann.Sequence
 		sta.host.Announce(ann.Worker, now)
 		if newIncarnation {
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -63,13 +63,15 @@
 			return answer{}
 		}
 		req := HoldRequest{Incarnation: hst.Incarnation(), Token: sta.fence.Token(), Forgettable: hst.Forgettable(), Wait: holdWait}
-		req.LeaseEnd, _ = hst.LeaseEnd(now)
+		if hst.LifeCertain() {
+			req.LeaseEnd, _ = hst.LeaseEnd(now)
+		}
 		if hst.Sharing() {
 			req.Wait = sharedWait
 		}
 		switch {
-		case !hst.ClockKnown():
-			req.Wait = 0 // the first answer contains the worker's clock
+		case !hst.LifeCertain():
+			req.Wait = 0 // the answer tells which incarnation the worker has, and its clock
 		case req.LeaseEnd == 0:
 			req.Wait = min(req.Wait, sharedWait) // the grant has expired and may be renewed
 		}
--- a/io/batchagent/hold_test.go
+++ b/io/batchagent/hold_test.go
@@ -75,6 +75,21 @@
 		Expect(expectHoldRequest(ctx, agt).Wait).To(BeZero())
 	})
 
+	// Guards against a lease that a new incarnation of the worker gets until a time on the clock of the former one.
+	It("renew nothing and ask for an answer at once after a failed call", func() {
+		agt, ctx := newAgent()
+		lst := batchhost.Listing{Incarnation: "w@1", Clock: time.Second, SentAt: time.Now(), ReceivedAt: time.Now()}
+		agt.applyListing(ctx, lst)
+		agt.change(ctx, func(sta *state, now time.Time) { sta.host.Grant(0, now, time.Minute) })
+		Expect(expectHoldRequest(ctx, agt).LeaseEnd).NotTo(BeZero())
+		agt.change(ctx, func(sta *state, _ time.Time) { sta.host.CallFailed("w@1") })
+		req := expectHoldRequest(ctx, agt)
+		Expect(req.LeaseEnd).To(BeZero())
+		Expect(req.Wait).To(BeZero())
+		agt.applyListing(ctx, lst)
+		Expect(expectHoldRequest(ctx, agt).LeaseEnd).NotTo(BeZero())
+	})
+
 	// Guards against requests without a pause while the owner is unreachable, for example in a
 	// network partition of a zone that lasts longer than the grant.
 	It("wait for an end when the owner's grant has expired", func() {
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -112,7 +112,7 @@
 		if err != nil {
 			break
 		}
-		if chg.empty() && osp.cfg.Clock().Sub(wrt.renewedAt) < lead.RenewPeriod {
+		if chg.empty() && osp.cfg.Clock().Sub(wrt.writtenAt) < lead.RenewPeriod {
 			continue
 		}
 		if chg.alone {
@@ -136,7 +136,7 @@
 		return
 	}
 	wrt.failed = false
-	tmr := time.NewTimer(max(0, lead.RenewPeriod-wrt.cfg.Clock().Sub(wrt.renewedAt)))
+	tmr := time.NewTimer(max(0, lead.RenewPeriod-wrt.cfg.Clock().Sub(wrt.writtenAt)))
 	defer tmr.Stop()
 	select {
 	case <-ctx.Done():
