Ignore the end of a worker that is not draining

One of a former life that arrives when the next one runs under the same id made the agent take its worker for gone; the owner then counted all its runs as lost and started them again beside the first ones.

Workers announce that they drain before they leave, so an end without it is not that of the present life. If the announcement itself was missed, the lease decides, as after a crash. The new spec failed before.

--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -202,6 +202,9 @@
 // Incarnation returns the current incarnation of the worker, empty after it has left.
 func (hst *Host) Incarnation() batch.Incarnation { return hst.worker.Incarnation }
 
+// Draining reports whether the worker has announced that it is draining.
+func (hst *Host) Draining() bool { return hst.worker.Draining }
+
 // Announce applies an announcement of the worker. A new incarnation starts a new session.
 func (hst *Host) Announce(wrk Worker, now time.Time) {
 	if !hst.announced || wrk.Incarnation != hst.worker.Incarnation {
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -195,11 +195,12 @@
 	return sta.host.Incarnation() == "" || sta.departed[sta.host.Incarnation()] || ann.BornAt >= sta.bornAt
 }
 
-// WorkerLeft records that the worker has ended and does not return, if meant returns true for it.
+// WorkerLeft records that the worker has ended and does not return, if meant returns true for it. It does nothing for
+// a worker that has not announced that it is draining: the message is then of a former incarnation with the same id.
 func (agt *Agent) WorkerLeft(ctx context.Context, meant func(batchhost.Worker) bool) error {
 	return agt.loop.Post(ctx, control.Func[state](func(sta *state, _ time.Time) {
 		inc := sta.host.Incarnation()
-		if inc == "" || !meant(batchhost.Worker{Incarnation: inc}) {
+		if inc == "" || !sta.host.Draining() || !meant(batchhost.Worker{Incarnation: inc}) {
 			return
 		}
 		agt.log.Info(string(decision.WorkerLeft), zap.String("life", string(inc)))
--- a/io/batchagent/hold_test.go
+++ b/io/batchagent/hold_test.go
@@ -100,3 +100,19 @@
 		Expect(req.Wait).To(Equal(sharedWait))
 	})
 })
+
+var _ = Describe("A message that the worker has ended", func() {
+	// Guards against one of a former incarnation with the same id, delayed until the next one runs: the owner would
+	// take all runs of that one for lost and start them again.
+	It("is taken only of a worker that is draining", func() {
+		agt, ctx := newAgent()
+		leave := func() batch.Incarnation {
+			GinkgoHelper()
+			Expect(agt.WorkerLeft(ctx, func(batchhost.Worker) bool { return true })).To(Succeed())
+			return changeFor(ctx, agt, func(sta *state, _ time.Time) batch.Incarnation { return sta.host.Incarnation() })
+		}
+		Expect(leave()).To(Equal(batch.Incarnation("w@1")))
+		Expect(agt.Announce(ctx, Announcement{Worker: batchhost.Worker{Incarnation: "w@1", Draining: true}, BornAt: 1, Sequence: 2})).To(Succeed())
+		Expect(leave()).To(BeEmpty())
+	})
+})
