--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -14,19 +14,18 @@
 	occurrences []*occurrence
 	nextDue     int  // number of the next occurrence to create
 	begun       bool // a task has started
-	// checkpointBytes is the size of the checkpoints in a record.
-	checkpointBytes int
-	// checkpointKept is set when a checkpoint was first left out, see setCheckpoint.
-	checkpointKept bool
-	acceptedAt     time.Time
-	finalAt        time.Time
-	dirty          bool           // contained in Scheduler.dirty
-	unstored       bool           // part of the state is not stored yet
-	suspect        bool           // the store has not accepted the record, see SetAside
-	orders         []pendingOrder // released when the state that contains them is stored
-	acks           []ack          // events that agents may discard when the state is stored
-	// setAsideUntil is the time of the next try to store a job that was set aside, zero for others.
-	setAsideUntil time.Time
+	acceptedAt  time.Time
+	finalAt     time.Time
+	dirty       bool           // contained in Scheduler.dirty
+	unstored    bool           // part of the state is not stored yet
+	orders      []pendingOrder // released when the state that contains them is stored
+	acks        []ack          // events that agents may discard when the state is stored
+
+	suspect       bool      // the store has not accepted the record, see SetAside
+	setAsideUntil time.Time // time of the next try to store a job that was set aside, zero for others
+
+	checkpointBytes   int  // size of the checkpoints in a record
+	checkpointLeftOut bool // a checkpoint was left out, see setCheckpoint
 }
 
 // occurrence is one execution of all steps of a job. A timed job has one for each time at which it is
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -140,10 +140,10 @@
 
 // saveCheckpoint sets the checkpoint of an attempt's task. It notes once for each job that one was left out.
 func (sch *Scheduler[O, P]) saveCheckpoint(att *attempt, val string, now time.Time) {
-	if att.job.setCheckpoint(att.task, val) || att.job.checkpointKept {
+	if att.job.setCheckpoint(att.task, val) || att.job.checkpointLeftOut {
 		return
 	}
-	att.job.checkpointKept = true
+	att.job.checkpointLeftOut = true
 	sch.note(now, decision.CheckpointLeftOut, att.job.spec.ID(), att.id(), att.instance, fmt.Sprintf("%d bytes, job %d", len(val), att.job.size()))
 }
 
