Let no request that makes a worker forget ends wait for others

Cause: the worker had restarted under its id between two hold requests, so no call failed. The next request was still meant for the former life: it carried the former lastSeen and waited for 0.8 s. The new life numbers its ends from one, so it forgot the ends of seven tasks as they came, before anybody had seen them. Their starts had been accepted by the new life as well. The owner found neither runs nor ends and ran the tasks again.

Change: a request that lets the worker forget ends is answered at once, and is made once for each number. The requests that wait carry no lastSeen. So a restart that nobody notices can only cost ends of runs that began and ended between two requests.

The specs 'do not wait if they make the worker forget ends' and 'lets the worker forget an end once' fail in a trial with the change switched off.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -39,6 +39,8 @@
 		Entry("seed 1", uint64(1)),
 		// A restarted worker executed starts that were meant for its former life, and their tasks ran again.
 		Entry("seed 243", uint64(243)),
+		// A worker restarted unnoticed, and a request that waited for ends made it forget them.
+		Entry("seed 32030", uint64(32030)),
 	)
 })
 
--- a/core/batchhost/fence_test.go
+++ b/core/batchhost/fence_test.go
@@ -99,6 +99,17 @@
 		Expect(agt.Forgettable()).To(Equal(uint64(1)))
 	})
 
+	// Guards against a request that waits for ends and makes an incarnation that has begun unnoticed forget each of
+	// them (soak, seed 32030).
+	It("lets the worker forget an end once", func() {
+		agt := newAgent()
+		agt.listEnds(batchhost.EndedRun{Seq: 1, ID: run("j"), Cause: batch.EndDone})
+		agt.Report("a", agt.now)
+		agt.Confirmed(agt.Epoch(), agt.Session(), 1)
+		agt.ApplyListing(batchhost.Listing{Incarnation: incarnation, Clock: agt.clock(), Forgot: agt.Forgettable(), SentAt: agt.now, ReceivedAt: agt.now})
+		Expect(agt.Forgettable()).To(BeZero())
+	})
+
 	// Guards against a start that was decided before a pause of the process and reaches a new incarnation after it.
 	It("does not send a start that was decided long ago", func() {
 		agt := newAgent()
--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -110,6 +110,7 @@
 	eventSeq     uint64
 	lastEnd      uint64 // sequence number of the last listed end that was turned into an event
 	forgettable  uint64 // the worker may forget ends up to this sequence number
+	forgotten    uint64 // the worker has forgotten ends up to this sequence number
 	lastOrder    uint64 // sequence number of the last order applied
 	epoch        uint64 // of the current owner
 	grantedUntil time.Time
@@ -230,7 +231,7 @@
 	hst.runs = nil
 	hst.hasListing, hst.endsCut, hst.departed, hst.lifeCertain = false, false, false, false
 	hst.events, hst.eventSeq = nil, 0
-	hst.lastEnd, hst.forgettable, hst.lastOrder = 0, 0, 0
+	hst.lastEnd, hst.forgettable, hst.forgotten, hst.lastOrder = 0, 0, 0, 0
 	hst.clock, hst.maxLeaseEnd = clock{}, 0
 	hst.answeredAt = time.Time{}
 	hst.pace, hst.violations = pacing.New(hst.options.MaxViolation), nil
@@ -304,11 +305,12 @@
 // ended. The owner would take runs that are missing in an earlier report for lost.
 func (hst *Host) ReadyToReport() bool { return hst.hasListing || hst.worker.Incarnation == "" }
 
-// Forgettable returns the sequence number up to which the worker may forget ends of runs. It is zero from a failed
-// call to the next listing: meanwhile a new incarnation may have begun, which numbers its ends from one again and
-// would forget ends that were never listed.
+// Forgettable returns the sequence number up to which the worker may forget further ends of runs, zero if there are
+// none. It is also zero from a failed call to the next listing: meanwhile a new incarnation may have begun, which
+// numbers its ends from one again and would forget ends that were never listed. For the same reason a request that
+// makes the worker forget ends must not wait for others, and is not repeated.
 func (hst *Host) Forgettable() uint64 {
-	if !hst.lifeCertain {
+	if !hst.lifeCertain || hst.forgettable <= hst.forgotten {
 		return 0
 	}
 	return hst.forgettable
--- a/core/batchhost/lists.go
+++ b/core/batchhost/lists.go
@@ -14,6 +14,7 @@
 	Runs        []batch.RunState
 	Ended       []EndedRun // in the order of their numbers
 	EndsCut     bool       // there may be further ends, which the worker lists when it may forget these
+	Forgot      uint64     // the request made the worker forget ends up to this sequence number
 	SentAt      time.Time  // time at which the listing was requested
 	ReceivedAt  time.Time  // time at which the answer arrived
 }
@@ -34,6 +35,7 @@
 	}
 	hst.answeredAt = lst.ReceivedAt
 	hst.hasListing, hst.lifeCertain, hst.endsCut = true, true, lst.EndsCut
+	hst.forgotten = max(hst.forgotten, lst.Forgot)
 	hst.setClock(lst.Clock, lst.ReceivedAt)
 	num := hst.addEnds(lst.Ended, lst.ReceivedAt)
 	listed := make(map[batch.RunID]bool, len(lst.Runs))
--- a/core/batchhost/protocol_test.go
+++ b/core/batchhost/protocol_test.go
@@ -266,7 +266,7 @@
 		sim.host.Departed(inc, sim.now)
 		return
 	}
-	lst := batchhost.Listing{Incarnation: wrk.name(), Clock: sim.clock(), Ended: slices.Clone(wrk.ended), SentAt: sim.now, ReceivedAt: sim.now}
+	lst := batchhost.Listing{Incarnation: wrk.name(), Forgot: forgettable, Clock: sim.clock(), Ended: slices.Clone(wrk.ended), SentAt: sim.now, ReceivedAt: sim.now}
 	for rid := range wrk.runs {
 		lst.Runs = append(lst.Runs, batch.RunState{ID: rid})
 	}
--- a/io/batchagent/hold.go
+++ b/io/batchagent/hold.go
@@ -40,7 +40,7 @@
 			agt.sleep(ctx, holdRetryDelay)
 			continue
 		}
-		lst.SentAt, lst.ReceivedAt = sent, agt.clock()
+		lst.SentAt, lst.ReceivedAt, lst.Forgot = sent, agt.clock(), req.Forgettable
 		switch {
 		case agt.applyListing(ctx, lst) > 0:
 			signal(agt.reportNeeded)
@@ -72,6 +72,8 @@
 		switch {
 		case !hst.LifeCertain():
 			req.Wait = 0 // the answer tells which incarnation the worker has, and its clock
+		case req.Forgettable > 0:
+			req.Wait = 0 // see Forgettable
 		case req.LeaseEnd == 0:
 			req.Wait = min(req.Wait, sharedWait) // the grant has expired and may be renewed
 		}
--- a/io/batchagent/hold_test.go
+++ b/io/batchagent/hold_test.go
@@ -90,6 +90,23 @@
 		Expect(expectHoldRequest(ctx, agt).LeaseEnd).NotTo(BeZero())
 	})
 
+	// Guards against a request that makes a new incarnation forget the ends for which it waits, because it numbers them
+	// from one again (soak, seed 32030).
+	It("do not wait if they make the worker forget ends", func() {
+		agt, ctx := newAgent()
+		rid := batch.RunID{Task: batch.TaskID{Job: "j"}, Run: 1}
+		now := time.Now()
+		agt.applyListing(ctx, batchhost.Listing{
+			Incarnation: "w@1", Clock: time.Second, Ended: []batchhost.EndedRun{{Seq: 7, ID: rid, Cause: batch.EndDone}}, SentAt: now, ReceivedAt: now,
+		})
+		agt.change(ctx, func(sta *state, _ time.Time) { sta.host.Confirmed(0, sta.host.Session(), 1) })
+		req := expectHoldRequest(ctx, agt)
+		Expect(req.Forgettable).To(Equal(uint64(7)))
+		Expect(req.Wait).To(BeZero())
+		agt.applyListing(ctx, batchhost.Listing{Incarnation: "w@1", Clock: time.Second, Forgot: req.Forgettable, SentAt: now, ReceivedAt: now})
+		Expect(expectHoldRequest(ctx, agt).Forgettable).To(BeZero())
+	})
+
 	// Guards against requests without a pause while the owner is unreachable, for example in a
 	// network partition of a zone that lasts longer than the grant.
 	It("wait for an end when the owner's grant has expired", func() {
--- a/io/jobaccess/pending.go
+++ b/io/jobaccess/pending.go
@@ -43,7 +43,7 @@
 // countPending counts the accepted jobs that are not cancelled and have no run, by queue.
 func (clt *Client) countPending(ctx context.Context) (map[string]int, error) {
 	started := make(map[string]bool)
-	err := clt.eachRow(ctx, clt.part.StatesPrefix(), func(key string, val []byte) {
+	err := clt.eachRow(ctx, clt.part.StatesPrefix(), func(_ string, val []byte) {
 		rec, err := batchstore.DecodeState(val)
 		if err != nil {
 			return // a piece of a state of several rows, or a state that no owner can use
