core/batchhost: start no run that the same answer of the owner stops

What callers saw: a task of a cancelled job could start for a moment on an agent that heard of the order and of its stop in one answer, for example after the agent or its owner had been silent for some seconds.

Cause: an answer holds all orders that the agent has not confirmed. ApplyOrders made the call for the start before it read the stop behind it.

Fix: a start whose stop is in the same answer is refused with reason "withdrawn". The owner drops the run as it does for every refused start, and no call is on its way that could begin it later.

--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -248,6 +248,18 @@
 		Expect(agt.Follow(1)).To(BeFalse())
 	})
 
+	// Guards against a start of a cancelled job by an agent that hears of the order and of its stop at once (UNASKED).
+	It("does not start a run that the same answer stops", func() {
+		agt := newAgent()
+		agt.ApplyOrders(1, agt.Session(), []batch.Order{
+			{Seq: 1, Kind: batch.StartRun, ID: run("j")},
+			{Seq: 2, Kind: batch.StopRun, ID: run("j")},
+		}, agt.now, agt.now)
+		agt.expectCalls()
+		agt.expectEvents(batch.EndRefused)
+		Expect(agt.LastOrder()).To(Equal(uint64(2)))
+	})
+
 	It("repeats a start without an answer and counts it as started when the worker lists it", func() {
 		agt := newAgent()
 		agt.order(batch.StartRun, "j")
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -12,6 +12,7 @@
 // Reasons of refused and lost runs, as reported to the owner.
 const (
 	reasonStaleOrder  = "stale order"
+	reasonWithdrawn   = "withdrawn"
 	reasonDraining    = "draining"
 	reasonNoLease     = "no lease"
 	reasonNoRoom      = "no room"
@@ -31,6 +32,7 @@
 	if epoch != hst.epoch || session != hst.session {
 		return
 	}
+	stopped := stops(ords)
 	for _, ord := range ords {
 		if ord.Seq <= hst.lastOrder {
 			continue
@@ -38,7 +40,7 @@
 		hst.lastOrder = ord.Seq
 		switch ord.Kind {
 		case batch.StartRun:
-			hst.start(ord, sentAt, now)
+			hst.start(ord, stopped[ord.ID], sentAt, now)
 		case batch.StopRun:
 			hst.stop(ord.ID)
 		case batch.DescribeRun:
@@ -47,6 +49,17 @@
 	}
 }
 
+// stops returns the runs that orders stop.
+func stops(ords []batch.Order) map[batch.RunID]bool {
+	out := make(map[batch.RunID]bool)
+	for _, ord := range ords {
+		if ord.Kind == batch.StopRun {
+			out[ord.ID] = true
+		}
+	}
+	return out
+}
+
 // describe sets the needs of a run that was first seen in a listing. It does not change a run that
 // was ordered in this session, whose start may have to be retried with the payload of that order.
 func (hst *Host) describe(ord batch.Order) {
@@ -55,11 +68,16 @@
 	}
 }
 
-func (hst *Host) start(ord batch.Order, sentAt, now time.Time) {
+// start starts a run, unless the owner has withdrawn the order meanwhile.
+func (hst *Host) start(ord batch.Order, withdrawn bool, sentAt, now time.Time) {
 	if hst.runs[ord.ID] != nil {
 		return
 	}
-	if reason := hst.refusal(ord, sentAt, now); reason != "" {
+	reason := hst.refusal(ord, sentAt, now)
+	if withdrawn {
+		reason = reasonWithdrawn
+	}
+	if reason != "" {
 		hst.emit(batch.Event{ID: ord.ID, Cause: batch.EndRefused, Reason: reason}, 0)
 		return
 	}
