io/follow: call a view current only after its changes are applied

Cause: the follower stored the time as of which its view is current before it passed the changes of that poll on. An owner that reads the time in between takes its view for current although a cancellation or a data centre that was taken out has not been applied.

Fix: the time is stored after apply has returned.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -48,7 +48,8 @@
 	return &Follower{feed: fee, prefixes: prefixes, apply: apply, clock: clk, log: log}
 }
 
-// CurrentAsOf returns a time up to which the view has all changes, zero before the first read.
+// CurrentAsOf returns a time up to which the view has all changes, zero before the first read. They have been passed
+// to apply.
 func (fol *Follower) CurrentAsOf() time.Time {
 	if val := fol.currentAsOf.Load(); val != 0 {
 		return time.Unix(0, val)
@@ -109,11 +110,11 @@
 			continue
 		}
 		failures = 0
-		fol.currentAsOf.Store(asked.UnixNano())
 		after = max(after, chg.Version())
 		if rows := fol.matching(chg.Rows()); len(rows) > 0 {
 			fol.apply(rows, false)
 		}
+		fol.currentAsOf.Store(asked.UnixNano())
 	}
 }
 
