Bound starts and their repeats by the age of the view that allows them

Agents that nothing had disturbed started tasks of these jobs up to 3.3 s after the acknowledgement (cancel_ms is 3 s), and the tasks ran to their end.

Cause: a decision to start had no end. The owner plans nothing by a view of the cancellations older than 2.5 s, but an order could be 3 s old when it was taken, wait 0.5 s for its call, 0.7 s for a connection, and be repeated for 4 s. Nobody is there to send a stop while the jobs have no owner.

In the log of an agent the start of one task is tried at 0.70, 1.41, 2.27 and 3.17 s after the acknowledgement without an answer, and accepted at 3.31 s; no other owner had ordered it. The enumeration of the protocol with cancellations that the owner does not hear of shows it in three moves; with the new check switched off it fails, and so do the new specs.

Fix: an answer to a request for orders tells until when runs may be started: cancel_ms less 0.2 s after the view of the jobs, evacuateMs less 0.2 s after that of the operators' rows, counted from the sending of the request. It bounds the first call, repeats, and calls that wait for a connection. Every later answer of the session sets it anew, which is right because it also holds the stops that the newer view asks for. A start that is given up becomes a stop that is repeated until the worker has confirmed it, so no second run begins beside a late one; the enumeration checks both.

--- a/core/batchhost/host.go
+++ b/core/batchhost/host.go
@@ -32,7 +32,6 @@
 	Lease         time.Duration // maximum duration of one renewal
 	MaxLease      time.Duration // longest lease that the worker grants for any call
 	MinStartLease time.Duration // starts are refused if the owner's grant ends sooner
-	MaxOrderAge   time.Duration // a start that arrives later after its request is refused
 	StartTimeout  time.Duration // a start that is not confirmed within this time is replaced by a stop
 	MaxViolation  time.Duration // tolerated time of a tail latency over its target; pacing has the default
 }
@@ -42,7 +41,6 @@
 	defaultLease         = 4 * time.Second
 	defaultMaxLease      = 10 * time.Second
 	defaultMinStartLease = 500 * time.Millisecond
-	defaultMaxOrderAge   = 3 * time.Second
 	defaultStartTimeout  = 4 * time.Second
 	// maxClockLagPercent is the maximum rate at which the clock of a worker falls behind.
 	maxClockLagPercent = 2
@@ -114,6 +112,7 @@
 	lastOrder    uint64 // sequence number of the last order applied
 	epoch        uint64 // of the current owner
 	grantedUntil time.Time
+	startsUntil  time.Time // no start call may be made later; zero until the owner has answered in this session
 	clock        clock
 	maxLeaseEnd  time.Duration // latest end ever requested, in the worker's clock
 	answeredAt   time.Time     // last answer of the worker
@@ -147,9 +146,6 @@
 	if opt.MinStartLease == 0 {
 		opt.MinStartLease = defaultMinStartLease
 	}
-	if opt.MaxOrderAge == 0 {
-		opt.MaxOrderAge = defaultMaxOrderAge
-	}
 	if opt.StartTimeout == 0 {
 		opt.StartTimeout = defaultStartTimeout
 	}
@@ -173,6 +169,7 @@
 	Order       batch.Order
 	Incarnation batch.Incarnation
 	LeaseEnd    time.Duration // requested end of the lease, in the worker's clock
+	NotAfter    time.Time     // set for starts: the latest time at which the call may be on its way
 	Percent     int
 	decidedAt   time.Time // set for starts
 }
@@ -183,7 +180,7 @@
 
 // Stale reports whether the call must not be sent any more.
 func (cal Call) Stale(now time.Time) bool {
-	return cal.Kind == CallStart && now.Sub(cal.decidedAt) > maxStartDelay
+	return cal.Kind == CallStart && (now.Sub(cal.decidedAt) > maxStartDelay || !now.Before(cal.NotAfter))
 }
 
 // Calls removes and returns the pending calls.
@@ -232,6 +229,7 @@
 	hst.hasListing, hst.endsCut, hst.departed, hst.lifeCertain = false, false, false, false
 	hst.events, hst.eventSeq = nil, 0
 	hst.lastEnd, hst.forgettable, hst.forgotten, hst.lastOrder = 0, 0, 0, 0
+	hst.startsUntil = time.Time{}
 	hst.clock, hst.maxLeaseEnd = clock{}, 0
 	hst.answeredAt = time.Time{}
 	hst.pace, hst.violations = pacing.New(hst.options.MaxViolation), nil
@@ -248,6 +246,7 @@
 		hst.epoch = epoch
 		hst.session++
 		hst.lastOrder = 0
+		hst.startsUntil = time.Time{}
 		hst.renumberEvents()
 	}
 	return true
--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -15,17 +15,22 @@
 
 func TestBatchhost(t *testing.T) { specs.Run(t, "batchhost") }
 
-const incarnation = batch.Incarnation("w@1")
+const (
+	incarnation = batch.Incarnation("w@1")
+	// startsFor is how long the owner's answers usually allow starts in these specs.
+	startsFor = 2800 * time.Millisecond
+)
 
 // agent drives a host as the agent process does, with a simulated clock.
 type agent struct {
 	*batchhost.Host
 	now       time.Time
 	lastOrder uint64
+	startsFor time.Duration // allowed by the owner's answers
 }
 
 func newAgent() *agent {
-	agt := &agent{Host: batchhost.New(batchhost.Options{}, 100), now: time.Unix(1000, 0)}
+	agt := &agent{Host: batchhost.New(batchhost.Options{}, 100), now: time.Unix(1000, 0), startsFor: startsFor}
 	agt.Announce(batchhost.Worker{Incarnation: incarnation, Capacity: resource.New(4000, 4000, 0)}, agt.now)
 	agt.Follow(1)
 	agt.list()
@@ -52,16 +57,16 @@
 
 func (agt *agent) order(knd batch.OrderKind, job string) {
 	agt.lastOrder++
-	agt.ApplyOrders(agt.Epoch(), agt.Session(), []batch.Order{{Seq: agt.lastOrder, Kind: knd, ID: run(job), Need: resource.New(3000, 100, 0)}}, agt.now, agt.now)
+	agt.ApplyOrders(agt.Epoch(), agt.Session(), []batch.Order{{Seq: agt.lastOrder, Kind: knd, ID: run(job), Need: resource.New(3000, 100, 0)}}, agt.now.Add(agt.startsFor), agt.now)
 }
 
 func (agt *agent) expectCalls(knds ...batchhost.CallKind) {
 	GinkgoHelper()
-	var got []batchhost.CallKind
+	got := []batchhost.CallKind{}
 	for _, cal := range agt.Calls() {
 		got = append(got, cal.Kind)
 	}
-	Expect(got).To(Equal(knds))
+	Expect(got).To(Equal(append([]batchhost.CallKind{}, knds...)))
 }
 
 // Guards against run times that the owner can't learn, because the run ended before a report listed it.
@@ -149,6 +154,9 @@
 			agt.order(batch.StopRun, "k")
 		}),
 		Entry("a run with unknown needs after a restart of the agent", func(agt *agent) { agt.list(batch.RunState{ID: run("k")}) }),
+		Entry("the owner's answer allows no starts", func(agt *agent) {
+			agt.startsFor = 0
+		}),
 		Entry("the worker drains", func(agt *agent) { agt.Announce(batchhost.Worker{Incarnation: incarnation, Draining: true}, agt.now) }),
 		Entry("the owner's grant has nearly ended", func(agt *agent) { agt.advance(5800 * time.Millisecond) }),
 	)
@@ -161,7 +169,7 @@
 		agt.ApplyOrders(1, agt.Session(), []batch.Order{
 			{Seq: 1, Kind: batch.StartRun, ID: serving, Image: "web", Target: 10 * time.Millisecond},
 			{Seq: 2, Kind: batch.StartRun, ID: bestEffort, Image: "noisy", BestEffort: true},
-		}, agt.now, agt.now)
+		}, agt.now.Add(startsFor), agt.now)
 		agt.list(batch.RunState{ID: serving, Figure: 50}, batch.RunState{ID: bestEffort})
 		agt.Calls()
 		agt.advance(2100 * time.Millisecond)
@@ -176,7 +184,7 @@
 	It("pauses a best-effort run that starts during a pause at once", func() {
 		agt := newAgent()
 		serving, bestEffort := run("web"), run("noisy")
-		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: serving, Image: "web", Target: 10 * time.Millisecond}}, agt.now, agt.now)
+		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: serving, Image: "web", Target: 10 * time.Millisecond}}, agt.now.Add(startsFor), agt.now)
 		agt.StartEnded(incarnation, serving, batchhost.Accepted, "", agt.now)
 		for range 12 {
 			agt.advance(300 * time.Millisecond)
@@ -184,7 +192,7 @@
 		}
 		agt.Calls()
 		agt.Grant(1, agt.now, 6*time.Second)
-		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 2, Kind: batch.StartRun, ID: bestEffort, Image: "noisy", BestEffort: true}}, agt.now, agt.now)
+		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 2, Kind: batch.StartRun, ID: bestEffort, Image: "noisy", BestEffort: true}}, agt.now.Add(startsFor), agt.now)
 		agt.expectCalls(batchhost.CallStart)
 		agt.StartEnded(incarnation, bestEffort, batchhost.Accepted, "", agt.now)
 		agt.expectCalls(batchhost.CallPace)
@@ -196,10 +204,10 @@
 	It("repeats a start as it was ordered after a new owner described the run", func() {
 		agt := newAgent()
 		rid := run("j")
-		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: rid, Payload: "build", Checkpoint: "half"}}, agt.now, agt.now)
+		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: rid, Payload: "build", Checkpoint: "half"}}, agt.now.Add(startsFor), agt.now)
 		agt.Calls()
 		agt.Follow(2)
-		agt.ApplyOrders(2, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.DescribeRun, ID: rid, Need: resource.New(1, 1, 0)}}, agt.now, agt.now)
+		agt.ApplyOrders(2, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.DescribeRun, ID: rid, Need: resource.New(1, 1, 0)}}, agt.now.Add(startsFor), agt.now)
 		agt.StartEnded(incarnation, rid, batchhost.Unknown, "", agt.now)
 		Expect(agt.Calls()).To(ConsistOf(And(
 			HaveField("Kind", batchhost.CallStart), HaveField("Order.Payload", "build"), HaveField("Order.Checkpoint", "half"))))
@@ -240,10 +248,55 @@
 		agt.expectEvents(batch.EndLeaseExpired)
 	})
 
+	// Guards against starts more than the allowed time after the cancellation of their job, repeated by an agent whose
+	// owner is frozen or was replaced by a process that does not answer either (UNASKED).
+	DescribeTable("repeats no start that the owner's last answer does not allow any more", func(after func(agt *agent), calls ...batchhost.CallKind) {
+		agt := newAgent()
+		agt.order(batch.StartRun, "j")
+		agt.expectCalls(batchhost.CallStart)
+		agt.StartEnded(incarnation, run("j"), batchhost.Unknown, "", agt.now)
+		agt.expectCalls(batchhost.CallStart)
+		agt.now = agt.now.Add(startsFor - 700*time.Millisecond)
+		agt.list()
+		agt.StartEnded(incarnation, run("j"), batchhost.Unknown, "", agt.now)
+		agt.now = agt.now.Add(800 * time.Millisecond)
+		agt.list()
+		after(agt)
+		agt.advance(0)
+		agt.expectCalls(calls...)
+	},
+		Entry("no later answer", func(*agent) {}),
+		Entry("a new owner that has not answered", func(agt *agent) { agt.Follow(2) }),
+		Entry("a later answer that allows it", func(agt *agent) {
+			agt.ApplyOrders(1, agt.Session(), nil, agt.now.Add(startsFor), agt.now)
+		}, batchhost.CallStart),
+		Entry("a later answer of the former owner", func(agt *agent) {
+			session := agt.Session()
+			agt.Follow(2)
+			agt.ApplyOrders(1, session, nil, agt.now.Add(startsFor), agt.now)
+		}),
+		Entry("an answer of the new owner", func(agt *agent) {
+			agt.Follow(2)
+			agt.ApplyOrders(2, agt.Session(), nil, agt.now.Add(startsFor), agt.now)
+		}, batchhost.CallStart),
+		Entry("so long that the run is given up", func(agt *agent) { agt.now = agt.now.Add(2 * time.Second); agt.list() }, batchhost.CallStop),
+	)
+
+	// Guards against a call that waits behind others and reaches the worker when it is not allowed any more.
+	It("limits a start call by the time until which the owner allows it", func() {
+		agt := newAgent()
+		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: run("j")}}, agt.now.Add(100*time.Millisecond), agt.now)
+		cals := agt.Calls()
+		Expect(cals).To(HaveLen(1))
+		Expect(cals[0].NotAfter).To(Equal(agt.now.Add(100 * time.Millisecond)))
+		Expect(cals[0].Stale(agt.now.Add(99 * time.Millisecond))).To(BeFalse())
+		Expect(cals[0].Stale(agt.now.Add(100 * time.Millisecond))).To(BeTrue())
+	})
+
 	It("ignores orders of an owner that was replaced", func() {
 		agt := newAgent()
 		Expect(agt.Follow(2)).To(BeTrue())
-		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: run("j")}}, agt.now, agt.now)
+		agt.ApplyOrders(1, agt.Session(), []batch.Order{{Seq: 1, Kind: batch.StartRun, ID: run("j")}}, agt.now.Add(startsFor), agt.now)
 		agt.expectCalls()
 		Expect(agt.Follow(1)).To(BeFalse())
 	})
@@ -254,7 +307,7 @@
 		agt.ApplyOrders(1, agt.Session(), []batch.Order{
 			{Seq: 1, Kind: batch.StartRun, ID: run("j")},
 			{Seq: 2, Kind: batch.StopRun, ID: run("j")},
-		}, agt.now, agt.now)
+		}, agt.now.Add(startsFor), agt.now)
 		agt.expectCalls()
 		agt.expectEvents(batch.EndRefused)
 		Expect(agt.LastOrder()).To(Equal(uint64(2)))
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -26,12 +26,13 @@
 		cmp.Compare(fst.Task.Step, snd.Task.Step), cmp.Compare(fst.Task.Index, snd.Task.Index), cmp.Compare(fst.Run, snd.Run))
 }
 
-// ApplyOrders applies the orders that were requested from the owner at sentAt. Orders of other
-// epochs and sessions and orders that were applied before are ignored.
-func (hst *Host) ApplyOrders(epoch, session uint64, ords []batch.Order, sentAt, now time.Time) {
+// ApplyOrders applies the owner's answer to a request for orders. The owner allows starts until startsUntil, those of
+// earlier answers included. Answers of other epochs and sessions and orders that were applied before are ignored.
+func (hst *Host) ApplyOrders(epoch, session uint64, ords []batch.Order, startsUntil, now time.Time) {
 	if epoch != hst.epoch || session != hst.session {
 		return
 	}
+	hst.startsUntil = startsUntil
 	stopped := stops(ords)
 	for _, ord := range ords {
 		if ord.Seq <= hst.lastOrder {
@@ -40,7 +41,7 @@
 		hst.lastOrder = ord.Seq
 		switch ord.Kind {
 		case batch.StartRun:
-			hst.start(ord, stopped[ord.ID], sentAt, now)
+			hst.start(ord, stopped[ord.ID], now)
 		case batch.StopRun:
 			hst.stop(ord.ID)
 		case batch.DescribeRun:
@@ -69,11 +70,11 @@
 }
 
 // start starts a run, unless the owner has withdrawn the order meanwhile.
-func (hst *Host) start(ord batch.Order, withdrawn bool, sentAt, now time.Time) {
+func (hst *Host) start(ord batch.Order, withdrawn bool, now time.Time) {
 	if hst.runs[ord.ID] != nil {
 		return
 	}
-	reason := hst.refusal(ord, sentAt, now)
+	reason := hst.refusal(ord, now)
 	if withdrawn {
 		reason = reasonWithdrawn
 	}
@@ -91,8 +92,8 @@
 	hst.callStart(ord.ID, ord, now)
 }
 
-func (hst *Host) refusal(ord batch.Order, sentAt, now time.Time) string {
-	if now.Sub(sentAt) > hst.options.MaxOrderAge {
+func (hst *Host) refusal(ord batch.Order, now time.Time) string {
+	if !hst.startsAllowed(now) {
 		return reasonStaleOrder
 	}
 	if hst.worker.Draining {
@@ -114,13 +115,17 @@
 	return ""
 }
 
+// startsAllowed reports whether the owner's last answer allows starts now. A job may have been cancelled, or a data
+// centre taken out, since the owner's view that the answer rests on.
+func (hst *Host) startsAllowed(now time.Time) bool { return now.Before(hst.startsUntil) }
+
 func (hst *Host) callStart(rid batch.RunID, ord batch.Order, now time.Time) {
 	until, ok := hst.LeaseEnd(now)
 	if !ok {
 		hst.stop(rid)
 		return
 	}
-	hst.calls = append(hst.calls, Call{Kind: CallStart, ID: rid, Order: ord, Incarnation: hst.worker.Incarnation, LeaseEnd: until, decidedAt: now})
+	hst.calls = append(hst.calls, Call{Kind: CallStart, ID: rid, Order: ord, Incarnation: hst.worker.Incarnation, LeaseEnd: until, NotAfter: hst.startsUntil, decidedAt: now})
 }
 
 func (hst *Host) stop(rid batch.RunID) {
@@ -192,6 +197,9 @@
 	if !hst.lifeCertain {
 		return // it may be a new incarnation that would execute the start
 	}
+	if !hst.startsAllowed(now) {
+		return // the owner's next answer allows it again or contains a stop
+	}
 	rn.retryAt, rn.retried = time.Time{}, true
 	hst.callStart(rid, rn.order, now)
 }
--- a/core/batchhost/protocol_test.go
+++ b/core/batchhost/protocol_test.go
@@ -29,6 +29,10 @@
 	// protocolStopped is how long after the last fault a run that nobody wants may remain.
 	protocolStopped = 3 * time.Second
 	settlePeriod    = 250 * time.Millisecond
+	// protocolCancelled is the time after the acknowledgement of a cancellation from which no run may start (cancel_ms).
+	protocolCancelled = 3 * time.Second
+	protocolHeld      = 2500 * time.Millisecond // the owner plans nothing while its view of the cancellations is older
+	protocolOrdered   = 2800 * time.Millisecond // the age of that view up to which agents start what was ordered
 )
 
 type protocolOwner = batch.Scheduler[batch.DeadlineOrder, batch.SpreadPlacement]
@@ -39,6 +43,8 @@
 	now       time.Time
 	spec      workload.Job
 	cancelled bool // the cancellation of the job is stored
+	cancelAt  time.Time
+	deafSince time.Time // the owner hears of no cancellation since then, zero if it hears of all
 	stored    map[string]batch.JobRecord
 	owner     *protocolOwner
 	epoch     uint64
@@ -104,6 +110,7 @@
 
 func (sim *simulation) takeOver() {
 	sim.newOwner()
+	sim.deafSince = time.Time{}
 	if rec, found := sim.stored["j"]; found {
 		sim.owner.Restore(sim.spec, rec, sim.now)
 	} else {
@@ -115,11 +122,34 @@
 	sim.owner.Tick(sim.now, sim.now)
 }
 
+func (sim *simulation) storeCancellation() {
+	if !sim.cancelled {
+		sim.cancelled, sim.cancelAt = true, sim.now
+	}
+}
+
 func (sim *simulation) cancel() {
-	sim.cancelled = true
+	sim.storeCancellation()
+	sim.deafSince = time.Time{}
 	sim.owner.Cancel("j", sim.now)
 }
 
+// cancelUnheard stores a cancellation while the owner is cut off from the store.
+func (sim *simulation) cancelUnheard() {
+	sim.storeCancellation()
+	if sim.deafSince.IsZero() {
+		sim.deafSince = sim.now
+	}
+}
+
+// viewAge returns the age of the owner's view of the cancellations.
+func (sim *simulation) viewAge() time.Duration {
+	if sim.deafSince.IsZero() {
+		return 0
+	}
+	return sim.now.Sub(sim.deafSince)
+}
+
 func (sim *simulation) restartAgent() {
 	sim.session += 100
 	sim.late = append(sim.late, sim.calls...)
@@ -165,12 +195,13 @@
 		return
 	}
 	if out, known := sim.owner.Outbox("a", sim.host.Session(), sim.host.LastOrder()); known {
-		sim.host.ApplyOrders(sim.epoch, sim.host.Session(), out.Orders, sim.now, sim.now)
+		sim.host.ApplyOrders(sim.epoch, sim.host.Session(), out.Orders, sim.now.Add(protocolOrdered-sim.viewAge()), sim.now)
 		sim.host.Confirmed(sim.epoch, sim.host.Session(), out.Acked)
 	}
 }
 
 func (sim *simulation) store() {
+	sim.owner.Hold(sim.viewAge() >= protocolHeld)
 	sim.owner.Plan(sim.now)
 	bat := sim.owner.NextBatch(10)
 	for _, rec := range bat.Records() {
@@ -253,6 +284,13 @@
 	}
 }
 
+// checkCancelled records a violation if a run that starts at once may not start any more.
+func (sim *simulation) checkCancelled() {
+	if sim.cancelled && sim.now.Sub(sim.cancelAt) >= protocolCancelled {
+		sim.violation = fmt.Sprintf("a start %s after the cancellation", sim.now.Sub(sim.cancelAt))
+	}
+}
+
 // list sends a hold request. The answer of another incarnation than the one that the agent knows tells it only
 // that there is another one.
 func (sim *simulation) list() {
@@ -318,7 +356,11 @@
 		return
 	}
 	if perform {
+		before := len(sim.worker.runs)
 		out = sim.perform(cal)
+		if len(sim.worker.runs) > before {
+			sim.checkCancelled()
+		}
 	} else {
 		sim.late = append(sim.late, cal)
 	}
@@ -392,6 +434,7 @@
 	{"eightSeconds", func(sim *simulation) { sim.advance(8 * time.Second) }},
 	{"takeover", (*simulation).takeOver},
 	{"cancel", (*simulation).cancel},
+	{"cancelUnheard", (*simulation).cancelUnheard},
 	{"store", (*simulation).store},
 	{"agentRestarts", (*simulation).restartAgent},
 	{"workerRestarts", (*simulation).restartWorker},
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -217,7 +217,7 @@
 	case cal.Stale(agt.clock()):
 		res = Result{Outcome: batchhost.NotDone, Reason: reasonStaleCall}
 	case cal.Kind == batchhost.CallStart:
-		res = agt.worker.Start(ctx, cal, token)
+		res = agt.start(ctx, cal, token)
 	case cal.Kind == batchhost.CallStop:
 		res = agt.worker.Stop(ctx, cal, token)
 	case cal.Kind == batchhost.CallPace:
@@ -244,6 +244,13 @@
 	})
 }
 
+// start makes a start call, which ends when the start may not be made any more.
+func (agt *Agent) start(ctx context.Context, cal batchhost.Call, token uint64) Result {
+	ctx, cancel := context.WithTimeout(ctx, cal.NotAfter.Sub(agt.clock()))
+	defer cancel()
+	return agt.worker.Start(ctx, cal, token)
+}
+
 // recordCall counts a call and logs it if it was a start, a stop or was not accepted.
 func (agt *Agent) recordCall(cal batchhost.Call, res Result) {
 	name, verdict := callNames[cal.Kind], outcomeNames[res.Outcome]
--- a/io/batchagent/owner.go
+++ b/io/batchagent/owner.go
@@ -282,7 +282,7 @@
 	}
 	agt.change(ctx, func(sta *state, now time.Time) {
 		before := sta.host.Unconfirmed()
-		sta.host.ApplyOrders(own.Epoch, arg.Session, rep.CoreOrders(), sent, now)
+		sta.host.ApplyOrders(own.Epoch, arg.Session, rep.CoreOrders(), rep.StartsUntil(sent), now)
 		if sta.host.Unconfirmed() > before {
 			signal(agt.reportNeeded)
 		}
--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -50,11 +50,8 @@
 	// maxDirectivesAge is the maximum age of the view of the operators' directives. No run starts
 	// while the view is older.
 	maxDirectivesAge = 2 * time.Second
-	// maxJobsAge is the maximum age of the view of the cancellations. No run starts while the view is older.
-	// The users allow starts for 3 s after a cancellation (cancel_ms).
-	maxJobsAge     = 2500 * time.Millisecond
-	tickPeriod     = 100 * time.Millisecond
-	restoreTimeout = 3 * time.Second
+	tickPeriod       = 100 * time.Millisecond
+	restoreTimeout   = 3 * time.Second
 )
 
 // Directives are the operators' instructions to the owner.
@@ -85,6 +82,7 @@
 	Directives         FollowDirectives
 	Machines           Machines      // nil if the deployment has no machine service
 	UpkeepRequestDelay time.Duration // from an election to the first upkeep request, separates requests of two owners
+	Limits             StartLimits
 	Options            batch.Options
 	RowBytes           int              // the most bytes of a row in the store, zero if there is no limit
 	Clock              func() time.Time // monotonic, includes the time in which the system is suspended
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -282,14 +282,15 @@
 }
 
 // mayStart reports whether the views of the operators' directives and of the jobs with their cancellations
-// are recent enough to start runs.
+// are recent enough to plan runs.
 func (osp *ownership) mayStart(now time.Time) bool {
-	return isRecent(osp.directives, maxDirectivesAge, now) && isRecent(osp.jobs, maxJobsAge, now)
+	return now.Before(osp.cfg.Limits.plannedUntil(osp.jobs.CurrentAsOf(), osp.directives.CurrentAsOf()))
 }
 
-func isRecent(fol *follow.Follower, limit time.Duration, now time.Time) bool {
-	asOf := fol.CurrentAsOf()
-	return !asOf.IsZero() && now.Sub(asOf) < limit
+// startsUntil returns the time until which agents may start runs, if their answers are made by the control thread
+// after this call: it has then applied all that the views contain now.
+func (osp *ownership) startsUntil() time.Time {
+	return osp.cfg.Limits.orderedUntil(osp.jobs.CurrentAsOf(), osp.directives.CurrentAsOf())
 }
 
 // afterEvent runs on the control thread after each event.
@@ -448,13 +449,16 @@
 }
 
 func (osp *ownership) orders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) error {
+	arrived := osp.cfg.Clock()
 	if !osp.awaitReady() {
 		rep.NotOwner = true
 		return nil
 	}
 	var tmr *time.Timer
 	for last := false; ; {
+		until := osp.startsUntil()
 		known, err := osp.answerOrders(arg, rep)
+		rep.SetStartsFor(until.Sub(arrived))
 		if err != nil {
 			rep.NotOwner = true
 			return nil
--- a/io/batchrpc/batchrpc.go
+++ b/io/batchrpc/batchrpc.go
@@ -94,6 +94,28 @@
 	Unknown  bool // the owner does not know the session; the agent must report first
 	Orders   []Order
 	Acked    uint64 // events up to this one are stored
+	// StartsFor is how long runs may be started, those of earlier orders included, counted from the sending of the
+	// request. It is negative if none may, and zero from an owner of a version that does not tell.
+	StartsFor time.Duration
+}
+
+// undatedStartsFor applies to the orders of an owner that does not tell for how long runs may be started.
+const undatedStartsFor = 3 * time.Second
+
+// SetStartsFor allows starts for a time from the sending of the request. There are none if it is zero or negative.
+func (rep *OrdersReply) SetStartsFor(dur time.Duration) {
+	rep.StartsFor = dur
+	if dur <= 0 {
+		rep.StartsFor = -1
+	}
+}
+
+// StartsUntil returns the time until which runs may be started if the request was sent at sentAt.
+func (rep OrdersReply) StartsUntil(sentAt time.Time) time.Time {
+	if rep.StartsFor == 0 {
+		return sentAt.Add(undatedStartsFor)
+	}
+	return sentAt.Add(rep.StartsFor)
 }
 
 // FromReport converts a report for the owner of an epoch.
