core/batch: count a run of a gang once, however many members fail in it

Cause: applyFailure added one failure to each member that ended as failed, and compared the sum over the members with maxAttempts. Only the members of a gang at work end as broken when one fails; before the gang is complete each fails by itself.

Fix: each member stores the number of the last run in which it failed, and a failed run counts when no member has its number yet. So the count is the same for ends in any order, in several reports, repeated, or split over a takeover.

--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -319,27 +319,30 @@
 
 func (sch *Scheduler[O, P]) applyFailure(att *attempt, evt Event, now time.Time) {
 	job, stp, tsk, ins := att.job, att.step, att.task, sch.instance(att.instance)
-	tsk.failures++
 	tsk.failedOn = appendRecent(tsk.failedOn, ins.id)
 	tsk.notBefore = now.Add(sch.option().RetryDelay)
 	sch.countFailure(ins, job, now)
-	failures := tsk.failures
-	if stp.spec.Gang() {
-		failures = stp.failures()
-	}
-	if failures < job.spec.MaxAttempts() {
+	if stp.addFailure(tsk, att.run) < job.spec.MaxAttempts() {
 		return
 	}
 	sch.note(now, decision.JobFinished, job.spec.ID(), evt.ID, ins.id, string(JobFailed))
 	sch.end(job, JobFailed, stopFailed, now)
 }
 
-// failures returns the number of failed runs of a gang. Each of them is counted at one of the
-// members.
-func (stp *stepState) failures() int {
+// addFailure records that a run of a task failed, and returns the number of failed runs of the task, or of its gang.
+// A run of a gang in which several members fail is counted once, at the member whose end is applied first.
+func (stp *stepState) addFailure(tsk *task, run int) int {
+	if !stp.spec.Gang() {
+		tsk.failures++
+		return tsk.failures
+	}
+	if !slices.ContainsFunc(stp.tasks, func(oth *task) bool { return oth.failedRun == run }) {
+		tsk.failures++
+	}
+	tsk.failedRun = run
 	num := 0
-	for _, tsk := range stp.tasks {
-		num += tsk.failures
+	for _, oth := range stp.tasks {
+		num += oth.failures
 	}
 	return num
 }
--- a/core/batch/task.go
+++ b/core/batch/task.go
@@ -81,7 +81,8 @@
 type task struct {
 	phase      TaskPhase
 	run        int // highest assigned run number
-	failures   int
+	failures   int // failed runs; of a gang, those that are counted at this member
+	failedRun  int // number of the last run of a gang in which this member failed
 	checkpoint string
 	attempts   []*attempt
 	notBefore  time.Time
