core/batch: let all members of a gang avoid an instance on which one of them failed

Cause: each task avoids the instances on which it has failed itself. In a gang a failure of one member ends the run of all. Fix: a failed end adds the instance to what every member avoids.

--- a/core/batch/gang_test.go
+++ b/core/batch/gang_test.go
@@ -132,6 +132,20 @@
 		}),
 	)
 
+	// Guards against a gang that uses up its attempts on one faulty worker, because each member avoids only the instances
+	// on which it has failed itself.
+	It("avoids the instances on which any of its members has failed", func() {
+		gng := newGangJob(3)
+		mems := gng.next()
+		failed := mems[0]
+		gng.end(batch.EndFailed, failed)
+		gng.end(batch.EndStopped, mems[1:]...)
+		gng.receive(report("c", 1))
+		for _, mem := range gng.next() {
+			Expect(mem.instance).NotTo(Equal(failed.instance))
+		}
+	})
+
 	// Guards against a job that fails too early after an update of the owner: earlier versions stored a failure at each
 	// member that had failed.
 	DescribeTable("has failed as often as one of its members by what an earlier version has stored", func(want batch.JobState, nums ...int) {
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -319,7 +319,7 @@
 
 func (sch *Scheduler[O, P]) applyFailure(att *attempt, evt Event, now time.Time) {
 	job, stp, tsk, ins := att.job, att.step, att.task, sch.instance(att.instance)
-	tsk.failedOn = appendRecent(tsk.failedOn, ins.id)
+	stp.avoid(tsk, ins.id)
 	tsk.notBefore = now.Add(sch.option().RetryDelay)
 	sch.countFailure(ins, job, now)
 	if stp.addFailure(tsk, att.run) < job.spec.MaxAttempts() {
@@ -355,9 +355,24 @@
 	}
 }
 
+// avoid records that a task failed on an instance. The members of a gang avoid it together, because a failure of one
+// ends the run of all.
+func (stp *stepState) avoid(tsk *task, id fleet.InstanceID) {
+	if !stp.spec.Gang() {
+		tsk.failedOn = appendRecent(tsk.failedOn, id)
+		return
+	}
+	for _, oth := range stp.tasks {
+		oth.failedOn = appendRecent(oth.failedOn, id)
+	}
+}
+
 const maxFailedInstances = 4 // kept per task, so that its next run is placed on another instance
 
 func appendRecent(ids []fleet.InstanceID, id fleet.InstanceID) []fleet.InstanceID {
+	if slices.Contains(ids, id) {
+		return ids
+	}
 	if len(ids) == maxFailedInstances {
 		ids = ids[1:]
 	}
