core/batchhost: ask before each start call whether the run may still be started

These tasks were lost with the worker, or carried out to their end a second time elsewhere.

Cause: only the first try of a start looked at the state of the worker. A start without an answer was repeated for 4 s, whatever the worker had announced since.

In the agents' logs the tries go on after the heartbeat, and no new run is assigned there. The spec failed before, and so did the enumeration with a worker that drains: "a start 3.151s after the worker began to drain: orders moment call".

Fix: what forbids a start (draining, the owner's permission, the grant, the lease, the incarnation) is asked before each call. A pending start of a draining worker becomes a stop that is repeated until it is confirmed; the task runs elsewhere only after that. For what may change again the repeat waits.

--- a/core/batchhost/host_test.go
+++ b/core/batchhost/host_test.go
@@ -282,6 +282,22 @@
 		Entry("so long that the run is given up", func(agt *agent) { agt.now = agt.now.Add(2 * time.Second); agt.list() }, batchhost.CallStop),
 	)
 
+	// Guards against starts on a worker that is about to leave, and whose work is lost then (DRAIN).
+	It("stops a run whose start got no answer when the worker drains", func() {
+		agt := newAgent()
+		agt.order(batch.StartRun, "j")
+		agt.expectCalls(batchhost.CallStart)
+		agt.Announce(batchhost.Worker{Incarnation: incarnation, Capacity: resource.New(4000, 4000, 0), Draining: true}, agt.now)
+		agt.advance(100 * time.Millisecond)
+		agt.expectCalls()
+		agt.StartEnded(incarnation, run("j"), batchhost.Unknown, "", agt.now)
+		agt.expectCalls(batchhost.CallStop)
+		agt.StopEnded(incarnation, run("j"), batchhost.Accepted, agt.now)
+		agt.now = agt.now.Add(time.Millisecond)
+		agt.list()
+		agt.expectEvents(batch.EndRefused)
+	})
+
 	// Guards against a call that waits behind others and reaches the worker when it is not allowed any more.
 	It("limits a start call by the time until which the owner allows it", func() {
 		agt := newAgent()
--- a/core/batchhost/orders.go
+++ b/core/batchhost/orders.go
@@ -92,15 +92,10 @@
 	hst.callStart(ord.ID, ord, now)
 }
 
+// refusal returns why a run may not be started, or an empty string if it may.
 func (hst *Host) refusal(ord batch.Order, now time.Time) string {
-	if !hst.startsAllowed(now) {
-		return reasonStaleOrder
-	}
-	if hst.worker.Draining {
-		return reasonDraining
-	}
-	if hst.grantedUntil.Sub(now) < hst.options.MinStartLease || hst.clock.at.IsZero() || hst.silent(now) || !hst.lifeCertain {
-		return reasonNoLease
+	if reason := hst.startBlocked(now); reason != "" {
+		return reason
 	}
 	var used resource.Vector
 	for _, rn := range hst.runs {
@@ -115,9 +110,21 @@
 	return ""
 }
 
-// startsAllowed reports whether the owner's last answer allows starts now. A job may have been cancelled, or a data
-// centre taken out, since the owner's view that the answer rests on.
-func (hst *Host) startsAllowed(now time.Time) bool { return now.Before(hst.startsUntil) }
+// startBlocked returns why no start call may be made now, be it the first one for its run or a later one, or an empty
+// string if one may.
+func (hst *Host) startBlocked(now time.Time) string {
+	switch {
+	case hst.worker.Draining:
+		return reasonDraining
+	case !now.Before(hst.startsUntil):
+		// A job may have been cancelled, or a data centre taken out, since the view that the owner's last answer rests on.
+		return reasonStaleOrder
+	case hst.grantedUntil.Sub(now) < hst.options.MinStartLease || hst.clock.at.IsZero() || hst.silent(now) || !hst.lifeCertain:
+		return reasonNoLease
+	default:
+		return ""
+	}
+}
 
 func (hst *Host) callStart(rid batch.RunID, ord batch.Order, now time.Time) {
 	until, ok := hst.LeaseEnd(now)
@@ -184,21 +191,19 @@
 	}
 }
 
-// retryStart retries a pending start if its retry is due, or stops the run if StartTimeout has
-// passed.
+// retryStart retries a pending start if its retry is due. It stops the run if StartTimeout has passed or the worker
+// drains: the run would end with it.
 func (hst *Host) retryStart(rid batch.RunID, rn *run, now time.Time) {
 	if !rn.startPending || rn.stopping || rn.retryAt.IsZero() || now.Before(rn.retryAt) {
 		return
 	}
-	if now.Sub(rn.orderedAt) > hst.options.StartTimeout {
+	blocked := hst.startBlocked(now)
+	if blocked == reasonDraining || now.Sub(rn.orderedAt) > hst.options.StartTimeout {
 		hst.stop(rid)
 		return
 	}
-	if !hst.lifeCertain {
-		return // it may be a new incarnation that would execute the start
-	}
-	if !hst.startsAllowed(now) {
-		return // the owner's next answer allows it again or contains a stop
+	if blocked != "" {
+		return // the owner's next answer or the worker's next listing allows the start, or a stop follows
 	}
 	rn.retryAt, rn.retried = time.Time{}, true
 	hst.callStart(rid, rn.order, now)
--- a/core/batchhost/protocol_test.go
+++ b/core/batchhost/protocol_test.go
@@ -31,6 +31,8 @@
 	settlePeriod    = 250 * time.Millisecond
 	// protocolCancelled is the time after the acknowledgement of a cancellation from which no run may start (cancel_ms).
 	protocolCancelled = 3 * time.Second
+	protocolDrained   = 2500 * time.Millisecond // the same after an acknowledged announcement that the worker drains (drainMs)
+	protocolRemaining = 5 * time.Second         // until a draining worker leaves; its runs may end before
 	protocolHeld      = 2500 * time.Millisecond // the owner plans nothing while its view of the cancellations is older
 	protocolOrdered   = 2800 * time.Millisecond // the age of that view up to which agents start what was ordered
 )
@@ -76,6 +78,7 @@
 	incarnation   int
 	bornAt        time.Time
 	lease         time.Time
+	drainsAt      time.Time // zero unless it has announced that it drains
 	runs          map[batch.RunID]bool
 	known         map[batch.RunID]bool // started or stopped before
 	ended         []batchhost.EndedRun
@@ -164,7 +167,15 @@
 	if sim.host.Incarnation() != sim.worker.name() {
 		sim.fence.Begin(sim.worker.bornAt.UnixMilli(), sim.clock())
 	}
-	sim.host.Announce(batchhost.Worker{Incarnation: sim.worker.name(), Service: "svc", Capacity: resource.New(4000, 4000, 0)}, sim.now)
+	sim.host.Announce(batchhost.Worker{Incarnation: sim.worker.name(), Service: "svc", Capacity: resource.New(4000, 4000, 0), Draining: !sim.worker.drainsAt.IsZero(), Remaining: protocolRemaining}, sim.now)
+}
+
+// drain lets the worker announce that it drains.
+func (sim *simulation) drain() {
+	if sim.worker.drainsAt.IsZero() {
+		sim.worker.drainsAt = sim.now
+	}
+	sim.announce()
 }
 
 // restartWorker starts the worker again under its id. Its agent learns of it from the next heartbeat, or from the
@@ -284,11 +295,14 @@
 	}
 }
 
-// checkCancelled records a violation if a run that starts at once may not start any more.
-func (sim *simulation) checkCancelled() {
+// checkAllowed records a violation if a run that starts at once may not start any more.
+func (sim *simulation) checkAllowed() {
 	if sim.cancelled && sim.now.Sub(sim.cancelAt) >= protocolCancelled {
 		sim.violation = fmt.Sprintf("a start %s after the cancellation", sim.now.Sub(sim.cancelAt))
 	}
+	if at := sim.worker.drainsAt; !at.IsZero() && sim.now.Sub(at) >= protocolDrained {
+		sim.violation = fmt.Sprintf("a start %s after the worker began to drain", sim.now.Sub(at))
+	}
 }
 
 // list sends a hold request. The answer of another incarnation than the one that the agent knows tells it only
@@ -359,7 +373,7 @@
 		before := len(sim.worker.runs)
 		out = sim.perform(cal)
 		if len(sim.worker.runs) > before {
-			sim.checkCancelled()
+			sim.checkAllowed()
 		}
 	} else {
 		sim.late = append(sim.late, cal)
@@ -430,6 +444,7 @@
 	{"lateArrives", (*simulation).deliverLate},
 	{"list", (*simulation).list},
 	{"runEnds", (*simulation).finishRuns},
+	{"moment", func(sim *simulation) { sim.advance(150 * time.Millisecond) }},
 	{"threeSeconds", func(sim *simulation) { sim.advance(3 * time.Second) }},
 	{"eightSeconds", func(sim *simulation) { sim.advance(8 * time.Second) }},
 	{"takeover", (*simulation).takeOver},
@@ -439,6 +454,7 @@
 	{"agentRestarts", (*simulation).restartAgent},
 	{"workerRestarts", (*simulation).restartWorker},
 	{"heartbeat", (*simulation).announce},
+	{"drains", (*simulation).drain},
 }
 
 func (sim *simulation) step(act action) {
@@ -528,10 +544,10 @@
 
 var _ = Describe("The protocol of owner, agent and worker", func() {
 	// Guards against two simultaneous runs of a task, a run after its completion, and a run that goes on
-	// after its job was cancelled or its task was given another run, for any order of lost and late calls,
-	// restarts, expired leases, cancellations and takeovers.
+	// after its job was cancelled or its task was given another run, and a start that a cancellation or a draining worker
+	// forbids, for any order of lost and late calls, restarts, expired leases, cancellations and takeovers.
 	// Shorter sequences also hold when starts reach the next incarnation of a worker.
-	DescribeTable("has at most one run at a time, and none that nobody wants", func(prefix ...string) {
+	DescribeTable("has at most one run at a time, and none that nobody wants or that starts too late", func(prefix ...string) {
 		for _, unbound := range []bool{false, true} {
 			enu := &enumeration{prefix: actionsNamed(prefix...), unbound: unbound, states: make(map[string]bool)}
 			moves := depth()
@@ -547,6 +563,7 @@
 		Entry("with a start ordered", "list", "report", "orders"),
 		Entry("with a start whose outcome is unknown", "list", "report", "orders", "callLate"),
 		Entry("with a start whose answer was lost", "list", "report", "orders", "callAnswerLost"),
+		Entry("with starts whose outcomes are unknown and a draining worker", "list", "report", "orders", "callLate", "callLate", "drains", "threeSeconds", "list"),
 		Entry("with a run in progress", "list", "report", "orders", "call", "list", "report"),
 		Entry("with a run in progress and a silent agent", "list", "report", "orders", "call", "list", "threeSeconds", "threeSeconds"),
 		Entry("with a completed run that the owner has not stored", "list", "report", "orders", "call", "list", "runEnds", "list"),
