Allow no repeats of starts on instances that get no new work

Cause: that a data centre is out, or a machine about to be maintained, was asked when a run was planned and when its order was released. The agent's repeats went on for 4 s. Since they end with the owner's permission, but the owner gave it anew to an instance that it would start nothing on itself.

Fix: the owner's answer allows no starts on an instance that is not usable: excluded, evacuated, draining, silent.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -87,6 +87,13 @@
 	own.ApplyReport(rep, own.now)
 }
 
+func expectNoStarts(own *owner, none bool) {
+	GinkgoHelper()
+	out, known := own.Outbox("a", 1, 0)
+	Expect(known).To(BeTrue())
+	Expect(out.NoStarts).To(Equal(none))
+}
+
 func expectState(recs []batch.JobRecord, sta batch.JobState) {
 	GinkgoHelper()
 	Expect(recs).To(HaveLen(1))
@@ -107,6 +114,27 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
 	})
 
+	// Guards against an agent that goes on repeating a start without an answer in a data centre that was taken out
+	// (EVAC), or on a machine before its maintenance.
+	DescribeTable("allows no starts on an instance that gets no new work", func(change func(own *owner)) {
+		own := newOwner()
+		own.receive(report("a", 1))
+		own.submit("j", step(1))
+		own.store()
+		expectNoStarts(own, false)
+		change(own)
+		expectNoStarts(own, true)
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1), "the order stays until the agent has received it")
+	},
+		Entry("in a data centre that was taken out", func(own *owner) { own.SetExcluded(map[fleet.DataCentre]bool{"dc": true}) }),
+		Entry("whose machine is to be maintained", func(own *owner) { own.SetEvacuating(func(batch.Incarnation) bool { return true }) }),
+		Entry("that drains", func(own *owner) {
+			rep := report("a", 1)
+			rep.Draining, rep.Remaining = true, time.Minute
+			own.receive(rep)
+		}),
+	)
+
 	It("starts a later step after the earlier one and completes the job", func() {
 		own := newOwner()
 		own.receive(report("a", 1))
--- a/core/batch/persist.go
+++ b/core/batch/persist.go
@@ -170,8 +170,9 @@
 
 // Outbox is the content of the next message to an agent.
 type Outbox struct {
-	Orders []Order
-	Acked  uint64
+	Orders   []Order
+	Acked    uint64
+	NoStarts bool // the instance gets no new work now, so that starts of earlier orders must not be repeated either
 }
 
 // Outbox returns the orders that an agent has not received yet, and the sequence number up to which
@@ -183,7 +184,7 @@
 		return Outbox{}, false
 	}
 	ins.ackOrders(seen)
-	return Outbox{Orders: append([]Order(nil), ins.orders...), Acked: ins.storedEvents()}, true
+	return Outbox{Orders: append([]Order(nil), ins.orders...), Acked: ins.storedEvents(), NoStarts: !ins.usable(sch.excluded)}, true
 }
 
 // StoredEvents returns the sequence number up to which an agent may discard events. It returns zero if
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -456,9 +456,7 @@
 	}
 	var tmr *time.Timer
 	for last := false; ; {
-		until := osp.startsUntil()
-		known, err := osp.answerOrders(arg, rep)
-		rep.SetStartsFor(until.Sub(arrived))
+		known, err := osp.answerOrders(arg, arrived, rep)
 		if err != nil {
 			rep.NotOwner = true
 			return nil
@@ -480,7 +478,9 @@
 	}
 }
 
-func (osp *ownership) answerOrders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) (bool, error) {
+// answerOrders answers a request for orders that arrived at the given time.
+func (osp *ownership) answerOrders(arg batchrpc.OrdersArgs, arrived time.Time, rep *batchrpc.OrdersReply) (bool, error) {
+	until := osp.startsUntil()
 	type answer struct {
 		out   batch.Outbox
 		known bool
@@ -490,6 +490,10 @@
 		return answer{out: out, known: known}
 	}))
 	rep.Unknown, rep.Acked, rep.Orders = !ans.known, ans.out.Acked, batchrpc.FromOrders(ans.out.Orders)
+	rep.SetStartsFor(until.Sub(arrived))
+	if ans.out.NoStarts {
+		rep.SetStartsFor(0)
+	}
 	return ans.known, err
 }
 
