io/batchowner: ask before each upkeep request whether the ownership was confirmed recently

Cause: the age of the last transaction was checked once for a batch of requests. The spec with a pause of 6 s fails without the check. Fix: the check stands before each request; what is left out is due again later.

--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -440,6 +440,12 @@
 	rep.Acked = rcp.acked
 }
 
+// confirmedRecently reports whether the last successful transaction is so recent that no other process can have taken
+// over and given orders.
+func (osp *ownership) confirmedRecently(now time.Time) bool {
+	return now.UnixNano()-osp.confirmedAt.Load() < int64(healthyWithin)
+}
+
 // validityFor returns how long after its last transaction the owner grants an instance time.
 func (osp *ownership) validityFor(id fleet.InstanceID) time.Duration {
 	if id == osp.cfg.Options.Own {
--- a/io/batchowner/upkeep.go
+++ b/io/batchowner/upkeep.go
@@ -122,6 +122,9 @@
 		return
 	}
 	for _, req := range reqs {
+		if !mnt.confirmedRecently(mnt.cfg.Clock()) {
+			break // another owner may have made requests meanwhile; the others are due again later
+		}
 		mnt.request(ctx, req)
 	}
 	mnt.reportWaves(ctx)
@@ -136,7 +139,7 @@
 	// Requests of the previous owner and of this one must be UpkeepRequestDelay apart, and an owner
 	// that may have lost the ownership must make none.
 	apart := now.Sub(mnt.startedAt) >= mnt.cfg.UpkeepRequestDelay
-	if healthy := now.UnixNano()-mnt.confirmedAt.Load() < int64(healthyWithin); !apart || !healthy {
+	if !apart || !mnt.confirmedRecently(now) {
 		return nil
 	}
 	return mnt.planner.Requests(now)
