--- a/io/batchowner/upkeep_test.go
+++ b/io/batchowner/upkeep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,7 +18,7 @@
 type pausingMachines struct {
 	Machines
 	pause    time.Duration
-	paused   time.Duration // how long the caller was paused in all
+	paused   atomic.Int64 // how long the caller was paused in all, in ns
 	requests []upkeep.MachineID
 }
 
@@ -27,7 +28,7 @@
 
 func (mcs *pausingMachines) RequestUpkeep(_ context.Context, req upkeep.Request, _ string, _ uint64) (upkeep.RequestOutcome, error) {
 	mcs.requests = append(mcs.requests, req.Machine)
-	mcs.paused += mcs.pause
+	mcs.paused.Add(int64(mcs.pause))
 	return upkeep.Confirmed, nil
 }
 
@@ -37,7 +38,7 @@
 var _ = DescribeTable("an owner that is paused as it requests the upkeep of a machine", func(ctx SpecContext, pause time.Duration, requests int) {
 	wrt := newWriter(ctx, &storefake.Store{})
 	mcs := &pausingMachines{pause: pause}
-	wrt.cfg.Machines, wrt.cfg.Clock = mcs, func() time.Time { return time.Now().Add(mcs.paused) }
+	wrt.cfg.Machines, wrt.cfg.Clock = mcs, func() time.Time { return time.Now().Add(time.Duration(mcs.paused.Load())) }
 	loop, stop := context.WithCancel(ctx)
 	DeferCleanup(stop)
 	go wrt.loop.Run(loop)
