Grant time without the store only while nobody can have taken over

Cause: an owner granted time for 8 s after its last transaction, because it could not tell an outage of the store from a cut of its own. A successor had to assume that for each instance that did not report to it: 8 s and 7 s for the grant, from its takeover.

Fix: an owner grants time on its own for 0.8 s. For up to 8 s it needs a promise, to take nothing over, of each process that it has stored as reporting. Agents promise it only while they can't read the owner row. So a new owner that was named knows that all grants ended 0.8 s after the row last changed or after its own last promise, and gives instances up 7.8 s from there; any other one waits as before. A new owner tells the former one, whose agents may be turned away by the store as it is.

--- a/core/batch/presence.go
+++ b/core/batch/presence.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -14,15 +13,32 @@
 // silent instance as lost until the grants of all former owners have certainly expired. Without a
 // Presence this wait would restart at each takeover, so that owners that are replaced in quick
 // succession would never treat an instance as lost. For a correct result, each owner must store a
-// Presence with an instance in Reported before it grants lease time to that instance.
+// Presence with an instance in Reported before it grants lease time to that instance, and grant none to it from the
+// moment at which it tries to store one without it.
 type Presence struct {
-	Own        fleet.InstanceID                   // on the owner's machine, empty if there is none
-	Reported   []fleet.InstanceID                 // have reported to this owner and may have a grant from it
-	Unreported map[fleet.InstanceID]time.Duration // have runs, and have had no new grant for this time
+	Reported []fleet.InstanceID // report to this owner and may have a grant from it
+	// Silent holds the other instances with runs and those that were lost, and for how long they have had no new grant. The
+	// time is negative if a former owner may still grant time.
+	Silent map[fleet.InstanceID]time.Duration
+	// Validity is how long after its last transaction the owner may grant time on its own. It is zero in a Presence of an
+	// earlier version.
+	Validity time.Duration
 }
 
-// presencePeriod is the time after which a presence with unreported instances may have changed.
-const presencePeriod = 200 * time.Millisecond
+// Succession is what a new owner knows of the grants of the former one.
+type Succession struct {
+	QuietSince time.Time // the former owner has stored nothing since then
+	// Bound is set if the former owner may have granted time until Presence.Validity after QuietSince, because it needed the
+	// abstention of this process for more. Otherwise it may have done so for MaxValidity.
+	Bound bool
+}
+
+const (
+	// presencePeriod is the time after which a presence with silent instances may have changed.
+	presencePeriod = 200 * time.Millisecond
+	// silentStep is the step in which the silence of an instance is stored, so that a presence changes rarely.
+	silentStep = 500 * time.Millisecond
+)
 
 // PresenceChanged reports whether Presence may return something else than at its last call.
 func (sch *Scheduler[O, P]) PresenceChanged(now time.Time) bool {
@@ -30,45 +46,83 @@
 		return true
 	}
 	return now.Sub(sch.presenceAt) >= presencePeriod && slices.ContainsFunc(sch.instanceList, func(ins *instance) bool {
-		return ins.session == 0 && len(ins.attempts) > 0
+		return !ins.present && (ins.session != 0 || len(ins.attempts) > 0)
 	})
 }
 
-// Presence returns the present state of the instances. Times are rounded down to seconds, so that
-// the result changes rarely.
+// Presence returns the present state of the instances.
 func (sch *Scheduler[O, P]) Presence(now time.Time) Presence {
 	sch.presenceChanged, sch.presenceAt = false, now
-	prs := Presence{Own: sch.option().Own}
+	prs := Presence{Validity: sch.option().Validity}
 	for _, ins := range sch.instanceList {
-		id := ins.id
 		switch {
-		case ins.session != 0:
-			prs.Reported = append(prs.Reported, id)
-		case len(ins.attempts) > 0:
-			if prs.Unreported == nil {
-				prs.Unreported = make(map[fleet.InstanceID]time.Duration)
+		case ins.present:
+			prs.Reported = append(prs.Reported, ins.id)
+		case ins.session != 0 || len(ins.attempts) > 0:
+			if prs.Silent == nil {
+				prs.Silent = make(map[fleet.InstanceID]time.Duration)
 			}
-			prs.Unreported[id] = (sch.unreportedFor[id] + now.Sub(sch.takeoverAt)).Truncate(time.Second)
+			prs.Silent[ins.id] = sch.silence(ins, now)
 		}
 	}
 	slices.Sort(prs.Reported)
 	return prs
 }
 
+// silence returns for how long an instance has had no new grant, rounded down. Times over LostAfter are all the same.
+func (sch *Scheduler[O, P]) silence(ins *instance, now time.Time) time.Duration {
+	dur := min(now.Sub(sch.lastGrant(ins)), sch.option().LostAfter)
+	if rest := dur % silentStep; rest < 0 {
+		return dur - rest - silentStep
+	}
+	return dur.Truncate(silentStep)
+}
+
+// lastGrant returns the time after which an instance has certainly had no new grant.
+func (sch *Scheduler[O, P]) lastGrant(ins *instance) time.Time {
+	if ins.session != 0 {
+		return ins.reportedAt
+	}
+	if at, found := sch.formerGrants[ins.id]; found {
+		return at
+	}
+	return sch.formerGrantsEnd
+}
+
 // RestorePresence sets the state that the former owner stored. It must be called at most once,
 // before the first Tick.
-func (sch *Scheduler[O, P]) RestorePresence(prs Presence) {
-	sch.unreportedFor = maps.Clone(prs.Unreported)
-	if slices.Contains(prs.Reported, prs.Own) {
-		// Its last grant has ended earlier than any other, as if it had been silent for a time before the takeover.
-		if sch.unreportedFor == nil {
-			sch.unreportedFor = make(map[fleet.InstanceID]time.Duration)
+func (sch *Scheduler[O, P]) RestorePresence(prs Presence, suc Succession) {
+	sch.formerGrantsEnd = suc.QuietSince.Add(sch.option().MaxValidity)
+	sch.formerGrants = make(map[fleet.InstanceID]time.Time)
+	if prs.Validity == 0 {
+		for id, dur := range prs.Silent {
+			// Earlier versions stored the time since their takeover, at which the grants of the owner before were valid.
+			sch.formerGrants[id] = sch.formerGrantsEnd.Add(-dur)
+		}
+		return
+	}
+	if suc.Bound {
+		for _, id := range prs.Reported {
+			sch.formerGrants[id] = suc.QuietSince.Add(prs.Validity)
 		}
-		sch.unreportedFor[prs.Own] = sch.option().InheritedAfter - sch.option().InheritedOwnAfter
+	}
+	for id, dur := range prs.Silent {
+		sch.formerGrants[id] = suc.QuietSince.Add(-dur)
 	}
 }
 
-// ReportedInstances returns the number of instances that have reported to this owner.
-func (sch *Scheduler[O, P]) ReportedInstances() int {
-	return sch.reported
+// Present returns the number of instances that report to this owner.
+func (sch *Scheduler[O, P]) Present() int { return sch.present }
+
+// setPresent records that an instance has begun or ceased to report.
+func (sch *Scheduler[O, P]) setPresent(ins *instance, present bool) {
+	if ins.present == present {
+		return
+	}
+	ins.present, sch.presenceChanged = present, true
+	if present {
+		sch.present++
+	} else {
+		sch.present--
+	}
 }
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -22,14 +22,11 @@
 	}
 	newSession := rep.Session != ins.session
 	if newSession {
-		if ins.session == 0 {
-			sch.reported++
-			sch.presenceChanged = true
-		}
 		ins.startSession(rep, now)
 		sch.note(now, decision.InstanceHeard, "", RunID{}, ins.id, string(rep.Incarnation))
 	}
 	ins.update(rep, now)
+	sch.setPresent(ins, true)
 	sch.touch(ins)
 	sch.recordSize(rep)
 	for _, evt := range rep.Events {
@@ -79,7 +76,7 @@
 	ins.service, ins.location, ins.labels = rep.Service, rep.Location, rep.Labels
 	ins.usesKnown = ins.usesKnown && rep.Capacity == ins.capacity
 	ins.capacity, ins.draining, ins.drainTime = rep.Capacity, rep.Draining, rep.Remaining
-	ins.unready, ins.present, ins.reportedAt = rep.Unready, true, now
+	ins.unready, ins.reportedAt = rep.Unready, now
 	ins.bestEffortPaused = slices.ContainsFunc(rep.Runs, func(run RunState) bool { return run.Share == pacing.PausedShare })
 	ins.ackOrders(rep.AckedOrders)
 }
@@ -184,15 +181,11 @@
 
 // checkPresence treats an instance as lost when its worker's lease has certainly expired.
 func (sch *Scheduler[O, P]) checkPresence(ins *instance, now time.Time) {
-	limit := ins.reportedAt.Add(sch.option().LostAfter)
-	if ins.session == 0 {
-		limit = sch.takeoverAt.Add(sch.option().InheritedAfter - sch.unreportedFor[ins.id])
-	}
-	if now.Before(limit) || (!ins.present && len(ins.attempts) == 0) {
+	if now.Before(sch.lastGrant(ins).Add(sch.option().LostAfter)) || (!ins.present && len(ins.attempts) == 0) {
 		return
 	}
 	sch.note(now, decision.InstanceLost, "", RunID{}, ins.id, "")
-	ins.present = false
+	sch.setPresent(ins, false)
 	sch.touch(ins)
 	ins.eachAttempt(func(att *attempt) { sch.endLost(att, now) })
 }
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -44,8 +44,8 @@
 	version           uint64      // increases with each change of the data on which placements depend
 	ordered           []*instance // that have got orders since the last call of Ordered
 	stored            []*instance // of which events were stored since the last call of Stored
-	reported          int         // instances that have reported to this owner
-	presenceChanged   bool        // an instance has reported for the first time since the last call of Presence
+	present           int         // instances that report to this owner
+	presenceChanged   bool        // an instance has begun or ceased to report since the last call of Presence
 	presenceAt        time.Time   // of the last call of Presence
 	excluded          map[fleet.DataCentre]bool
 	sizes             map[fleet.Service][]resource.Vector // of the largest workers that have reported
@@ -57,7 +57,8 @@
 	preemptedAt       time.Time
 	moveSearchedAt    time.Time
 	takeoverAt        time.Time
-	unreportedFor     map[fleet.InstanceID]time.Duration // from the former owner, see Presence
+	formerGrants      map[fleet.InstanceID]time.Time // when former owners certainly had made their last grants, see Presence
+	formerGrantsEnd   time.Time                      // the same for instances that are not in formerGrants
 	onHold            bool
 	planned           bool // nothing has changed since the last plan that could let a task start
 	notes             []Note
@@ -70,15 +71,13 @@
 type Options struct {
 	// LostAfter is the time after its last report by which a worker's lease has certainly expired.
 	LostAfter time.Duration
-	// InheritedAfter is the time after a takeover by which the lease of a worker that has not reported
-	// to the new owner has certainly expired.
-	InheritedAfter time.Duration
-	// InheritedOwnAfter is the same for the instance on the machine of the former owner.
-	InheritedOwnAfter time.Duration
-	Own               fleet.InstanceID // the instance on the owner's machine, empty if there is none
-	Retention         time.Duration    // of final jobs in the store
-	RemoteFactor      float64          // factor on run times outside the rack of the data
-	RetryDelay        time.Duration    // before a failed task is started again
+	// Validity is how long after its last transaction an owner grants time on its own.
+	Validity time.Duration
+	// MaxValidity is how long after its last transaction an owner grants time while no other process can take over.
+	MaxValidity  time.Duration
+	Retention    time.Duration // of final jobs in the store
+	RemoteFactor float64       // factor on run times outside the rack of the data
+	RetryDelay   time.Duration // before a failed task is started again
 }
 
 // Defaults of the options, for deployments that set none.
@@ -91,7 +90,7 @@
 
 // New returns a scheduler for an owner that takes over at the given time.
 func New[O Ordering, P Placement](ord O, pla P, opt Options, now time.Time) *Scheduler[O, P] {
-	return &Scheduler[O, P]{order: ord, placement: pla, options: opt, takeoverAt: now}
+	return &Scheduler[O, P]{order: ord, placement: pla, options: opt, takeoverAt: now, formerGrantsEnd: now.Add(opt.withDefaults().MaxValidity)}
 }
 
 // option returns the options with defaults, so that the zero value of Scheduler can be used.
@@ -101,11 +100,11 @@
 	if opt.LostAfter == 0 {
 		opt.LostAfter = defaultLostAfter
 	}
-	if opt.InheritedAfter == 0 {
-		opt.InheritedAfter = 2 * opt.LostAfter
+	if opt.MaxValidity == 0 {
+		opt.MaxValidity = opt.LostAfter
 	}
-	if opt.InheritedOwnAfter == 0 {
-		opt.InheritedOwnAfter = opt.InheritedAfter
+	if opt.Validity == 0 {
+		opt.Validity = opt.MaxValidity
 	}
 	if opt.Retention == 0 {
 		opt.Retention = defaultRetention
--- a/core/simulation/takeover.go
+++ b/core/simulation/takeover.go
@@ -38,7 +38,7 @@
 func (rn *Run[O, P, A]) takeOver() {
 	now, former := start.Add(rn.now), rn.scheduler
 	rn.scheduler = rn.newOwner(now)
-	rn.scheduler.RestorePresence(rn.stored.presence)
+	rn.scheduler.RestorePresence(rn.stored.presence, batch.Succession{QuietSince: now, Bound: true})
 	rn.scheduler.RestoreKnowledge(former.Knowledge(math.MaxInt), now)
 	rn.scheduler.SetExcluded(rn.excluded)
 	for _, jb := range rn.arrivals {
--- a/io/batchagent/agent.go
+++ b/io/batchagent/agent.go
@@ -25,15 +25,18 @@
 
 // Periods and time limits of the agent.
 const (
-	tickPeriod     = 100 * time.Millisecond
-	reportPeriod   = 500 * time.Millisecond // between reports without changes; each renews the owner's grant
-	reportSlack    = 20 * time.Millisecond  // by which a report may be early
-	reportTimeout  = 700 * time.Millisecond // for the owner's answer to a report
-	holdWait       = 800 * time.Millisecond // of a hold request, unless serving and filling runs share the worker
-	sharedWait     = 350 * time.Millisecond // of a hold request if they do: the pace depends on recent latencies
-	storeTimeout   = 120 * time.Millisecond // for the owner to store new ends before the next hold request
-	holdRetryDelay = 100 * time.Millisecond
-	eventQueueSize = 256
+	tickPeriod    = 100 * time.Millisecond
+	reportPeriod  = 500 * time.Millisecond // between reports without changes; each renews the owner's grant
+	reportSlack   = 20 * time.Millisecond  // by which a report may be early
+	reportTimeout = 700 * time.Millisecond // for the owner's answer to a report
+	// abstentionPeriod is the time between messages with promises to take nothing over. Each is valid for lead.Abstention from
+	// the answer before it.
+	abstentionPeriod = 300 * time.Millisecond
+	holdWait         = 800 * time.Millisecond // of a hold request, unless serving and filling runs share the worker
+	sharedWait       = 350 * time.Millisecond // of a hold request if they do: the pace depends on recent latencies
+	storeTimeout     = 120 * time.Millisecond // for the owner to store new ends before the next hold request
+	holdRetryDelay   = 100 * time.Millisecond
+	eventQueueSize   = 256
 	// reasonStaleCall is the reason of a start that this process sent too late, after a pause.
 	reasonStaleCall = "stale call"
 )
@@ -84,6 +87,7 @@
 	pausing  bool                       // filling runs are paused to protect a serving run
 	departed map[batch.Incarnation]bool // lives that are no longer at the worker's address
 	reports  reportSchedule
+	stamp    ownerStamp
 }
 
 // Agent is the agent of one instance.
--- a/io/batchagent/owner.go
+++ b/io/batchagent/owner.go
@@ -151,6 +151,9 @@
 		return 0 // an owner of an earlier version knows no news
 	}
 	if err != nil || rep.NotOwner {
+		if rep.Newer.Epoch > own.Epoch {
+			agt.elector.Learn(batchstore.Owner{Epoch: rep.Newer.Epoch, Holder: rep.Newer.Holder, Address: rep.Newer.Address})
+		}
 		agt.suspectOwner(own, err)
 		return ownerRetryDelay
 	}
@@ -158,19 +161,40 @@
 	return changeFor(ctx, agt, func(sta *state, now time.Time) time.Duration {
 		sta.host.Grant(own.Epoch, sent, rep.Grant)
 		agt.confirm(sta, own.Epoch, msg.session, rep.Acked)
+		sta.stamp = ownerStamp{epoch: own.Epoch, value: rep.Stamp}
 		if msg.whole {
 			sta.reports.session, sta.reports.sentAt = msg.session, sent
 		}
-		return max(0, sta.reports.sentAt.Add(reportPeriod).Sub(now))
+		wait := max(0, sta.reports.sentAt.Add(reportPeriod).Sub(now))
+		if msg.abstention.Given {
+			wait = min(wait, abstentionPeriod)
+		}
+		return wait
 	})
 }
 
+// ownerStamp is the stamp of the last answer of an owner.
+type ownerStamp struct {
+	epoch uint64
+	value int64
+}
+
+// abstention returns a promise to take nothing over for the next message to the owner of an epoch, if this process can
+// give one.
+func (agt *Agent) abstention(stp ownerStamp, epoch uint64) batchrpc.Abstention {
+	if stp.epoch != epoch || stp.value == 0 || !agt.elector.Abstain(agt.clock()) {
+		return batchrpc.Abstention{}
+	}
+	return batchrpc.Abstention{Given: true, Stamp: stp.value}
+}
+
 // message is a report or news.
 type message struct {
-	whole   bool // a report
-	session uint64
-	report  batch.Report
-	news    batch.News
+	whole      bool // a report
+	session    uint64
+	report     batch.Report
+	news       batch.News
+	abstention batchrpc.Abstention
 }
 
 // nextMessage returns the message to send now. It returns false if there is nothing to tell yet.
@@ -184,7 +208,7 @@
 		if !hst.Announced() || !hst.Follow(own.Epoch) || !hst.ReadyToReport() {
 			return answer{}
 		}
-		msg := message{session: hst.Session(), whole: sta.reports.isDue(hst.Session(), now)}
+		msg := message{session: hst.Session(), whole: sta.reports.isDue(hst.Session(), now), abstention: agt.abstention(sta.stamp, own.Epoch)}
 		if msg.whole {
 			msg.report, sta.reports.due = hst.Report(agt.id, now), false
 		} else {
@@ -198,9 +222,11 @@
 func (msg message) send(ctx context.Context, agt *Agent, own batchstore.Owner, rep *batchrpc.ReportReply) error {
 	if msg.whole {
 		arg := batchrpc.FromReport(own.Epoch, msg.report)
+		arg.Abstention = msg.abstention
 		return agt.callOwner(ctx, own.Address, batchrpc.ReportMethod, reportTimeout, &arg, rep)
 	}
 	arg := batchrpc.FromNews(own.Epoch, msg.news)
+	arg.Abstention = msg.abstention
 	return agt.callOwner(ctx, own.Address, batchrpc.NewsMethod, reportTimeout, &arg, rep)
 }
 
--- a/io/batchowner/owner.go
+++ b/io/batchowner/owner.go
@@ -32,16 +32,17 @@
 type Scheduler = batch.Scheduler[batch.DeadlineOrder, batch.SpreadPlacement]
 
 // Times of leases. A worker's lease ends no later than the grant to its agent, and an owner grants
-// time only within OwnershipValidity of its last transaction.
+// time only within OwnershipValidity of its last transaction, or within OutageValidity while no other process can have
+// taken over.
 const (
 	// GrantDuration lets work continue while agents cannot reach the owner for a few seconds.
 	GrantDuration = 6500 * time.Millisecond
-	// OwnershipValidity lets an owner continue to grant time during store outages of a few seconds.
-	OwnershipValidity = 8 * time.Second
-	// OwnOwnershipValidity is the same for the instance on the owner's machine. The next owner waits that much
-	// less for it, because this instance does not report if the machine was lost. Its runs outlast a store outage
-	// of 9 s, the longest in the users' site files.
-	OwnOwnershipValidity = 3 * time.Second
+	// OwnershipValidity is longer than the renewal period and a slow transaction. The next owner waits that much longer for
+	// instances that don't report to it, such as those that were lost together with the last one.
+	OwnershipValidity = lead.Abstention
+	// OutageValidity lets an owner continue to grant time during store outages of a few seconds, while all instances that
+	// could replace it promise not to.
+	OutageValidity = 8 * time.Second
 	// LostAfter is how long an agent may be silent before the runs of its worker count as lost. It
 	// covers GrantDuration on a worker's clock that is slow by 2%, and a margin for timers.
 	LostAfter = GrantDuration*103/100 + 300*time.Millisecond
@@ -83,6 +84,7 @@
 	Machines           Machines      // nil if the deployment has no machine service
 	UpkeepRequestDelay time.Duration // from an election to the first upkeep request, separates requests of two owners
 	Limits             StartLimits
+	Own                fleet.InstanceID // the instance on this machine, empty if there is none
 	Options            batch.Options
 	RowBytes           int              // the most bytes of a row in the store, zero if there is no limit
 	Clock              func() time.Time // monotonic, includes the time in which the system is suspended
@@ -123,6 +125,7 @@
 
 // serveOrYield serves a term, or leaves it to a process on a larger machine if the load needs one.
 func (own *Owner) serveOrYield(ctx context.Context, trm lead.Term) error {
+	go own.tellFormer(ctx, trm)
 	if now := own.cfg.Clock(); trm.Owner().Need > own.cfg.Elector.Candidacy().Share && own.yields.mayYield(now) {
 		own.yields.record(now)
 		if err := own.releaseAtOnce(ctx, trm); err != nil {
@@ -138,7 +141,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	osp := newOwnership(own.cfg, trm)
-	osp.yields, osp.yield = &own.yields, func() { cancel(errYielded) }
+	osp.yields, osp.yield, osp.giveUp = &own.yields, func() { cancel(errYielded) }, func() { cancel(errReplaced) }
 	loaded, stop := context.WithTimeout(ctx, restoreTimeout)
 	err := osp.restoreStates(loaded)
 	stop()
@@ -165,7 +168,7 @@
 func (svc *Service) Report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
 	osp := svc.owner.current.Load()
 	if osp == nil || osp.epoch != arg.Epoch {
-		rep.NotOwner = true
+		svc.owner.refuse(rep)
 		return nil
 	}
 	return osp.report(arg, rep)
@@ -175,7 +178,7 @@
 func (svc *Service) News(arg batchrpc.NewsArgs, rep *batchrpc.ReportReply) error {
 	osp := svc.owner.current.Load()
 	if osp == nil || osp.epoch != arg.Epoch {
-		rep.NotOwner = true
+		svc.owner.refuse(rep)
 		return nil
 	}
 	return osp.news(arg, rep)
--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -39,6 +39,7 @@
 	epoch        uint64
 	owner        batchstore.Owner
 	version      store.Version
+	term         lead.Term
 	loop         *control.Loop[Scheduler]
 	scheduler    *Scheduler                 // used only by the control thread once that runs
 	inherited    map[string]batch.JobRecord // stored states of jobs that are not restored yet
@@ -58,7 +59,9 @@
 	grantable    grantableSet
 	turns        turnMeter // used on the control thread
 	yields       *yielder
-	yield        func()      // ends the ownership for a larger machine
+	yield        func() // ends the ownership for a larger machine
+	giveUp       func() // ends the ownership because another process has taken over
+	abstentions  abstentions
 	need         atomicShare // see batchstore.Owner
 
 	maintenance *maintenance
@@ -67,11 +70,9 @@
 func newOwnership(cfg Config, trm lead.Term) *ownership {
 	now := cfg.Clock()
 	opt := cfg.Options
-	opt.LostAfter = LostAfter
-	opt.InheritedAfter = OwnershipValidity + LostAfter
-	opt.InheritedOwnAfter = OwnOwnershipValidity + LostAfter
+	opt.LostAfter, opt.Validity, opt.MaxValidity = LostAfter, OwnershipValidity, OutageValidity
 	osp := &ownership{
-		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(),
+		cfg: cfg, epoch: trm.Owner().Epoch, owner: trm.Owner(), version: trm.Version(), term: trm,
 		pieces: make(map[string]int), ready: make(chan struct{}), done: make(chan struct{}), writeNeeded: make(chan struct{}, 1),
 	}
 	osp.maintenance = &maintenance{ownership: osp, startedAt: now}
@@ -89,7 +90,7 @@
 // themselves come through their follower.
 func (osp *ownership) restoreStates(ctx context.Context) error {
 	var all store.Changes
-	var prs batch.Presence
+	var prs batchstore.Presence
 	var kno batch.Knowledge
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() (err error) {
@@ -108,7 +109,7 @@
 		return err
 	}
 	// The control thread does not run yet.
-	osp.scheduler.RestorePresence(prs)
+	osp.scheduler.RestorePresence(prs.Core(), succession(osp.term, osp.cfg.Own, prs))
 	osp.scheduler.RestoreKnowledge(kno, osp.cfg.Clock())
 	osp.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
 	osp.unreadable = make(map[string]bool)
@@ -304,7 +305,7 @@
 	for _, id := range sch.Stored() {
 		signal(osp.storeSignals.of(id))
 	}
-	if sch.UnstoredJobs() > 0 || !sch.Planned() || osp.maintenance.planner.Changed() || sch.ReportedInstances() > osp.grantable.len() {
+	if sch.UnstoredJobs() > 0 || !sch.Planned() || osp.maintenance.planner.Changed() || sch.Present() != osp.grantable.len() {
 		signal(osp.writeNeeded)
 	}
 	osp.turns.end(osp.cfg.Clock().Sub(began))
@@ -370,6 +371,7 @@
 
 func (osp *ownership) report(arg batchrpc.ReportArgs, rep *batchrpc.ReportReply) error {
 	id := fleet.InstanceID(arg.Instance)
+	osp.abstentions.record(id, arg.Abstention)
 	osp.receive(id, rep, reportTurn, func(sch *Scheduler, now time.Time) receipt {
 		sch.ApplyReport(arg.Core(), now)
 		return receipt{known: true, acked: sch.StoredEvents(id, arg.Session)}
@@ -380,6 +382,7 @@
 
 func (osp *ownership) news(arg batchrpc.NewsArgs, rep *batchrpc.ReportReply) error {
 	id := fleet.InstanceID(arg.Instance)
+	osp.abstentions.record(id, arg.Abstention)
 	osp.receive(id, rep, newsTurn, func(sch *Scheduler, now time.Time) receipt {
 		known := sch.ApplyNews(arg.Core(), now)
 		return receipt{known: known, acked: sch.StoredEvents(id, arg.Session)}
@@ -432,9 +435,9 @@
 		return
 	}
 	granted := osp.grantable.await(osp.life, id)
-	since := time.Duration(osp.cfg.Clock().UnixNano() - osp.confirmedAt.Load())
-	rep.Healthy = since < healthyWithin
-	if since < osp.validityFor(id) && granted {
+	now := osp.cfg.Clock()
+	rep.Stamp, rep.Healthy = now.UnixNano(), osp.confirmedRecently(now)
+	if granted && osp.mayGrant(now) {
 		rep.Grant = GrantDuration
 	}
 	rep.Acked = rcp.acked
@@ -446,14 +449,6 @@
 	return now.UnixNano()-osp.confirmedAt.Load() < int64(healthyWithin)
 }
 
-// validityFor returns how long after its last transaction the owner grants an instance time.
-func (osp *ownership) validityFor(id fleet.InstanceID) time.Duration {
-	if id == osp.cfg.Options.Own {
-		return OwnOwnershipValidity
-	}
-	return OwnershipValidity
-}
-
 func (osp *ownership) orders(arg batchrpc.OrdersArgs, rep *batchrpc.OrdersReply) error {
 	arrived := osp.cfg.Clock()
 	if !osp.awaitReady() {
--- a/io/batchowner/presence.go
+++ b/io/batchowner/presence.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,18 +16,23 @@
 )
 
 // readPresence reads the presence of instances that the previous owner stored.
-func (osp *ownership) readPresence(ctx context.Context) (batch.Presence, error) {
+func (osp *ownership) readPresence(ctx context.Context) (batchstore.Presence, error) {
 	rows, err := osp.cfg.Table.Read(ctx, osp.cfg.Partition.PresenceKey())
 	if err != nil || !rows[0].Exists() {
-		return batch.Presence{}, err
+		return batchstore.Presence{}, err
 	}
 	prs, err := batchstore.DecodePresence(rows[0].Value())
 	if err != nil {
 		// Without a presence no instance counts as silent, so the longest wait applies to all.
 		osp.cfg.Log.Error("cannot decode the presence of the instances", zap.Error(err))
-		return batch.Presence{}, nil
+		return batchstore.Presence{}, nil
 	}
-	return prs.Core(), nil
+	return prs, nil
+}
+
+// encodePresence returns the value of the presence row.
+func (osp *ownership) encodePresence(prs batch.Presence) []byte {
+	return batchstore.Encode(batchstore.FromPresence(osp.epoch, prs))
 }
 
 // changedPresence returns the presence to store, nil if it equals the stored one.
@@ -34,7 +41,7 @@
 		return nil
 	}
 	prs := sch.Presence(now)
-	wrt.presenceDue = !bytes.Equal(batchstore.Encode(batchstore.FromPresence(prs)), wrt.presence)
+	wrt.presenceDue = !bytes.Equal(wrt.encodePresence(prs), wrt.presence)
 	if !wrt.presenceDue {
 		return nil
 	}
@@ -50,9 +57,25 @@
 type grantableSet struct {
 	mu      sync.Mutex
 	ids     map[fleet.InstanceID]bool
+	offered map[fleet.InstanceID]bool // all that may be in the stored presence, see offer
 	changed chan struct{}
 }
 
+// offer records that a presence with these instances is about to be stored. Until set is called, the stored one may be
+// this or an earlier one. An instance that is missing in one of them may not be granted time.
+func (gst *grantableSet) offer(ids []fleet.InstanceID) {
+	gst.mu.Lock()
+	defer gst.mu.Unlock()
+	if gst.offered == nil {
+		gst.offered = make(map[fleet.InstanceID]bool)
+	}
+	for _, id := range ids {
+		gst.offered[id] = true
+	}
+	maps.DeleteFunc(gst.ids, func(id fleet.InstanceID, _ bool) bool { return !slices.Contains(ids, id) })
+}
+
+// set records that the presence with these instances is stored.
 func (gst *grantableSet) set(ids []fleet.InstanceID) {
 	gst.mu.Lock()
 	defer gst.mu.Unlock()
@@ -60,12 +83,21 @@
 	for _, id := range ids {
 		gst.ids[id] = true
 	}
+	gst.offered = maps.Clone(gst.ids)
 	if gst.changed != nil {
 		close(gst.changed)
 		gst.changed = nil
 	}
 }
 
+// successors returns the instances whose processes a stored presence may name, so that they wait for a short time only if
+// they take over.
+func (gst *grantableSet) successors() []fleet.InstanceID {
+	gst.mu.Lock()
+	defer gst.mu.Unlock()
+	return slices.Collect(maps.Keys(gst.offered))
+}
+
 func (gst *grantableSet) len() int {
 	gst.mu.Lock()
 	defer gst.mu.Unlock()
--- /dev/null
+++ b/io/batchowner/succession.go
@@ -0,0 +1,130 @@
+package batchowner
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"jacinthpost/core/batch"
+	"jacinthpost/core/fleet"
+	"jacinthpost/io/batchrpc"
+	"jacinthpost/io/batchstore"
+	"jacinthpost/io/lead"
+)
+
+var errReplaced = errors.New("another process has told that it took over")
+
+// tellTimeout limits the message to a former owner, which may be gone.
+const tellTimeout = time.Second
+
+// succession returns what a new owner knows of the grants of the owner that stored the presence. That one needed the
+// abstention of each process whose instance it had stored as reporting to grant time for longer than OwnershipValidity.
+// So it did not if this process takes over from it, if it had released the ownership, or if such a process had
+// taken over in between, which has not granted any time itself.
+func succession(trm lead.Term, own fleet.InstanceID, prs batchstore.Presence) batch.Succession {
+	old, suc := trm.Former(), batch.Succession{QuietSince: trm.QuietSince()}
+	reported := func(id fleet.InstanceID) bool { return id != "" && slices.Contains(prs.Reported, string(id)) }
+	switch {
+	case prs.Epoch == old.Epoch:
+		suc.Bound = old.Released || reported(own)
+	case reported(fleet.InstanceID(old.Holder)):
+		suc.Bound = true
+		suc.QuietSince = suc.QuietSince.Add(-time.Duration(old.QuietMillis) * time.Millisecond)
+	default:
+		suc.Bound = reported(own)
+	}
+	return suc
+}
+
+// mayGrant reports whether the owner may grant time: no other process can have taken over and given up waiting for its
+// grants.
+func (osp *ownership) mayGrant(now time.Time) bool {
+	since := time.Duration(now.UnixNano() - osp.confirmedAt.Load())
+	if since < OwnershipValidity {
+		return true
+	}
+	return since < OutageValidity && osp.abstentions.cover(osp.grantable.successors(), osp.cfg.Own, now)
+}
+
+// abstentions holds until when the processes of instances have promised to take nothing over. The zero value holds
+// none. It is safe for concurrent use.
+type abstentions struct {
+	mu    sync.Mutex
+	until map[fleet.InstanceID]time.Time
+}
+
+// record records the promise in a message. It counts from an answer that the agent had got before it gave the promise, on
+// this process's own clock.
+func (abs *abstentions) record(id fleet.InstanceID, abn batchrpc.Abstention) {
+	if !abn.Given {
+		return
+	}
+	abs.mu.Lock()
+	defer abs.mu.Unlock()
+	if abs.until == nil {
+		abs.until = make(map[fleet.InstanceID]time.Time)
+	}
+	abs.until[id] = time.Unix(0, abn.Stamp).Add(lead.Abstention)
+}
+
+// cover reports whether all instances but the own one have promised to take nothing over now.
+func (abs *abstentions) cover(ids []fleet.InstanceID, own fleet.InstanceID, now time.Time) bool {
+	abs.mu.Lock()
+	defer abs.mu.Unlock()
+	return !slices.ContainsFunc(ids, func(id fleet.InstanceID) bool { return id != own && !now.Before(abs.until[id]) })
+}
+
+// refuse answers an agent that follows another owner or a former epoch.
+func (own *Owner) refuse(rep *batchrpc.ReportReply) {
+	rep.NotOwner = true
+	if now, found := own.cfg.Elector.Current(); found {
+		rep.Newer = batchrpc.Owner{Epoch: now.Epoch, Holder: now.Holder, Address: now.Address}
+	}
+}
+
+// tellFormer tells the former owner of the takeover. If it can't reach the store, it would go on serving agents that can't
+// reach it either and don't learn of the new owner.
+func (own *Owner) tellFormer(ctx context.Context, trm lead.Term) {
+	old, now := trm.Former(), trm.Owner()
+	if old.Address == "" || old.Released || old.Holder == now.Holder {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if err := tellReplaced(ctx, old.Address, batchrpc.Owner{Epoch: now.Epoch, Holder: now.Holder, Address: now.Address}); err != nil {
+		own.cfg.Log.Info("the former owner can't be told of the takeover", zap.String("former", old.Holder), zap.Error(err))
+	}
+}
+
+func tellReplaced(ctx context.Context, addr string, now batchrpc.Owner) error {
+	var dia net.Dialer
+	con, err := dia.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "former owner")
+	}
+	cli := rpc.NewClient(con)
+	defer func() { _ = cli.Close() }() // the call has ended or is given up
+	cal := cli.Go(batchrpc.ReplacedMethod, now, &batchrpc.ReplacedReply{}, make(chan *rpc.Call, 1))
+	select {
+	case <-cal.Done:
+		return cal.Error
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Replaced handles the message of a process that has taken over.
+func (svc *Service) Replaced(arg batchrpc.Owner, rep *batchrpc.ReplacedReply) error {
+	svc.owner.cfg.Elector.Learn(batchstore.Owner{Epoch: arg.Epoch, Holder: arg.Holder, Address: arg.Address})
+	if osp := svc.owner.current.Load(); osp != nil && osp.epoch < arg.Epoch {
+		osp.giveUp()
+		rep.Known = true
+	}
+	return nil
+}
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -251,6 +251,10 @@
 	wrt.sequence++
 	// The end of the context must not leave the outcome open, because the release depends on the row.
 	txn, pieces := wrt.transaction(chg)
+	if chg.presence != nil {
+		wrt.grantable.offer(chg.presence.Reported)
+		wrt.presence = nil // unknown until the transaction is confirmed
+	}
 	res, err := wrt.cfg.Table.Commit(context.WithoutCancel(ctx), txn)
 	wrt.writtenAt = wrt.cfg.Clock()
 	metrics.GetOrCreateHistogram(`jacinthpost_owner_commit_seconds`).Update(wrt.writtenAt.Sub(sent).Seconds())
@@ -270,7 +274,7 @@
 			wrt.learned.data = chg.learned
 		}
 		if chg.presence != nil {
-			wrt.presence, wrt.presenceDue = batchstore.Encode(batchstore.FromPresence(*chg.presence)), false
+			wrt.presence, wrt.presenceDue = wrt.encodePresence(*chg.presence), false
 			wrt.grantable.set(chg.presence.Reported)
 		}
 		wrt.postTurn(ctx, storedTurn, func(sch *Scheduler, now time.Time) {
@@ -340,7 +344,7 @@
 		txn.Put(part.LoadKey(), chg.load)
 	}
 	if chg.presence != nil {
-		txn.Put(part.PresenceKey(), batchstore.Encode(batchstore.FromPresence(*chg.presence)))
+		txn.Put(part.PresenceKey(), wrt.encodePresence(*chg.presence))
 	}
 	if chg.learned != nil {
 		txn.Put(part.LearnedKey(), chg.learned)
--- a/io/batchowner/yield.go
+++ b/io/batchowner/yield.go
@@ -158,6 +158,7 @@
 func (own *Owner) releaseAtOnce(ctx context.Context, trm lead.Term) error {
 	row := trm.Owner()
 	row.Sequence++
+	row.QuietMillis = own.cfg.Clock().Sub(trm.QuietSince()).Milliseconds()
 	var txn store.Transaction
 	txn.Require(own.cfg.Partition.OwnerKey(), trm.Version())
 	putRelease(&txn, own.cfg.Partition, row)
--- a/io/batchrpc/batchrpc.go
+++ b/io/batchrpc/batchrpc.go
@@ -19,6 +19,8 @@
 	ReportMethod = ServiceName + ".Report"
 	NewsMethod   = ServiceName + ".News"
 	OrdersMethod = ServiceName + ".Orders"
+	// ReplacedMethod tells a process that another one has taken the partition over from it.
+	ReplacedMethod = ServiceName + ".Replaced"
 )
 
 // OrdersWait is how long the owner waits for orders before it answers a request for orders without any.
@@ -35,8 +37,25 @@
 	return resource.New(vec.CPU, vec.Memory, vec.Accelerators)
 }
 
+// Abstention is a promise of an agent's process to take nothing over, see lead.Elector.Abstain. It belongs to the message
+// that contains it.
+type Abstention struct {
+	Given bool
+	Stamp int64 // ReportReply.Stamp of an answer that the agent got before it gave the promise
+}
+
+// Owner names the owner of an epoch.
+type Owner struct {
+	Epoch           uint64
+	Holder, Address string
+}
+
+// ReplacedReply is the answer to an Owner that has replaced the receiver.
+type ReplacedReply struct{ Known bool }
+
 // ReportArgs is a report of an agent.
 type ReportArgs struct {
+	Abstention                                  Abstention
 	Epoch                                       uint64
 	Instance, Life, Service, Region, DataCentre string
 	Session, OrdersSeen                         uint64
@@ -50,6 +69,7 @@
 
 // NewsArgs is a batch.News.
 type NewsArgs struct {
+	Abstention          Abstention
 	Epoch               uint64
 	Instance            string
 	Session, OrdersSeen uint64
@@ -63,6 +83,8 @@
 	Healthy  bool          // the owner reached the store recently
 	Grant    time.Duration // for which the worker's lease may be renewed, counted from the sending of the report
 	Acked    uint64        // events up to this one are stored
+	Stamp    int64         // time of the answer on the owner's clock, in ns
+	Newer    Owner         // set with NotOwner if the process knows a newer owner
 }
 
 // OrdersArgs requests the orders for an instance.
--- a/io/batchstore/batchstore.go
+++ b/io/batchstore/batchstore.go
@@ -109,6 +109,9 @@
 	// Need is the least share of a core that a machine must have to carry the load, zero if any machine
 	// does. A process on a smaller machine leaves the ownership to one on a larger machine.
 	Need float64 `json:"need,omitempty"`
+	// QuietMillis is set in the row of a process that releases the ownership at once: for how long the owner before it had
+	// stored nothing.
+	QuietMillis int64 `json:"quietMillis,omitempty"`
 }
 
 // Candidate is the row of a process that takes over when an owner needs a larger machine.
@@ -129,33 +132,38 @@
 	Sizes            map[string][]Size `json:"sizes,omitempty"`   // by service, the capacities of its largest workers
 }
 
-// Presence is a batch.Presence.
+// Presence is a batch.Presence. Earlier versions stored SilentSeconds in place of the last two fields.
 type Presence struct {
-	Own               string           `json:"own,omitempty"`
-	Reported          []string         `json:"heard,omitempty"`
-	UnreportedSeconds map[string]int64 `json:"silentSeconds,omitempty"`
+	Epoch          uint64           `json:"epoch,omitempty"` // of the owner that stored it
+	Reported       []string         `json:"heard,omitempty"`
+	SilentSeconds  map[string]int64 `json:"silentSeconds,omitempty"`
+	SilentMillis   map[string]int64 `json:"silentMillis,omitempty"`
+	ValidityMillis int64            `json:"validityMillis,omitempty"`
 }
 
-// FromPresence converts a batch.Presence.
-func FromPresence(prs batch.Presence) Presence {
-	out := Presence{Own: string(prs.Own), UnreportedSeconds: make(map[string]int64, len(prs.Unreported))}
+// FromPresence converts a batch.Presence of the owner of an epoch.
+func FromPresence(epoch uint64, prs batch.Presence) Presence {
+	out := Presence{Epoch: epoch, SilentMillis: make(map[string]int64, len(prs.Silent)), ValidityMillis: prs.Validity.Milliseconds()}
 	for _, id := range prs.Reported {
 		out.Reported = append(out.Reported, string(id))
 	}
-	for id, dur := range prs.Unreported {
-		out.UnreportedSeconds[string(id)] = int64(dur / time.Second)
+	for id, dur := range prs.Silent {
+		out.SilentMillis[string(id)] = dur.Milliseconds()
 	}
 	return out
 }
 
 // Core converts the row to a batch.Presence.
 func (prs Presence) Core() batch.Presence {
-	out := batch.Presence{Own: fleet.InstanceID(prs.Own), Unreported: make(map[fleet.InstanceID]time.Duration, len(prs.UnreportedSeconds))}
+	out := batch.Presence{Silent: make(map[fleet.InstanceID]time.Duration), Validity: time.Duration(prs.ValidityMillis) * time.Millisecond}
 	for _, id := range prs.Reported {
 		out.Reported = append(out.Reported, fleet.InstanceID(id))
 	}
-	for id, secs := range prs.UnreportedSeconds {
-		out.Unreported[fleet.InstanceID(id)] = time.Duration(secs) * time.Second
+	for id, secs := range prs.SilentSeconds {
+		out.Silent[fleet.InstanceID(id)] = time.Duration(secs) * time.Second
+	}
+	for id, millis := range prs.SilentMillis {
+		out.Silent[fleet.InstanceID(id)] = time.Duration(millis) * time.Millisecond
 	}
 	return out
 }
--- a/io/lead/lead.go
+++ b/io/lead/lead.go
@@ -35,6 +35,11 @@
 	// candidates near the store are first.
 	roundTripFactor = 12
 	maxJitter       = 120 * time.Millisecond
+	// Abstention is how long a promise to take nothing over is valid. It is shorter than TakeoverAfter, so that a process that
+	// starts again keeps the promise of the one before.
+	Abstention = 800 * time.Millisecond
+	// lateCommitAfter is the time after which a transaction without an answer has certainly had its effect or has none.
+	lateCommitAfter = 15 * time.Second
 	// yieldWait is how long a released row that needs a larger machine is left to one.
 	yieldWait = time.Second
 )
@@ -47,10 +52,19 @@
 
 // Term is one ownership of the partition, from a won election on.
 type Term struct {
-	owner   batchstore.Owner
-	version store.Version
+	owner      batchstore.Owner
+	version    store.Version
+	former     batchstore.Owner
+	quietSince time.Time
 }
 
+// Former returns the owner row that the term replaced, zero if there was none.
+func (trm Term) Former() batchstore.Owner { return trm.former }
+
+// QuietSince returns a time since when the former owner has stored nothing and this process has not abstained from a
+// takeover, see Elector.Abstain. It is the time of the election if that is unknown.
+func (trm Term) QuietSince() time.Time { return trm.quietSince }
+
 // Owner returns the owner row as written at the start of the term.
 func (trm Term) Owner() batchstore.Owner { return trm.owner }
 
@@ -70,9 +84,11 @@
 	rowKnown       bool // the row was read since the start or the last suspicion
 	yielded        bool // the row was released for a machine like this one when it was last read
 	version        store.Version
+	firstReadAt    time.Time // when the row was first read with this version
 	unchangedSince time.Time // since when the row has not changed, zero if its holder is alive
 	roundTrip      time.Duration
 	clock          func() time.Time
+	abstention     abstention
 }
 
 // New returns an elector for a candidate. Self contains the holder, address and nonce of this process.
@@ -106,6 +122,25 @@
 // SetCurrent sets the owner that Current returns, for callers that have read the row themselves.
 func (ele *Elector) SetCurrent(own batchstore.Owner) { ele.current.Store(&own) }
 
+// Learn sets the owner that Current returns if it is newer than the known one, for callers that were told of it by
+// another process.
+func (ele *Elector) Learn(own batchstore.Owner) {
+	for {
+		old := ele.current.Load()
+		if old != nil && old.Epoch >= own.Epoch {
+			return
+		}
+		if ele.current.CompareAndSwap(old, &own) {
+			return
+		}
+	}
+}
+
+// Abstain promises that this process takes the partition over no sooner than Abstention after now, which must be before the
+// promise is told to the owner. It returns false if the process can't promise that: it reaches the table, or a
+// takeover that it has tried may still have an effect.
+func (ele *Elector) Abstain(now time.Time) bool { return ele.abstention.promise(now) }
+
 // Run follows the owner until this process wins an election, and returns the term. It returns an error
 // only if the context ends.
 func (ele *Elector) Run(ctx context.Context) (Term, error) {
@@ -157,6 +192,7 @@
 func (ele *Elector) checkRow(ctx context.Context) (Term, bool, error) {
 	begun := ele.clock()
 	rows, err := ele.table.Read(ctx, ele.part.OwnerKey())
+	ele.abstention.recordRead(err == nil)
 	if err != nil {
 		return Term{}, false, err
 	}
@@ -183,6 +219,7 @@
 	if ele.rowKnown && row.Version() == ele.version {
 		return
 	}
+	ele.firstReadAt = now
 	if row.Exists() {
 		ele.current.Store(&own)
 	}
@@ -222,10 +259,17 @@
 	var txn store.Transaction
 	txn.Require(ele.part.OwnerKey(), row.Version())
 	txn.Put(ele.part.OwnerKey(), batchstore.Encode(own))
+	if !ele.abstention.beginAttempt(ele.clock()) {
+		return Term{}, false, nil
+	}
 	res, err := ele.table.Commit(ctx, &txn)
+	trm := Term{owner: own, version: res.Version(), former: old, quietSince: ele.abstention.quietSince(ele.firstReadAt)}
+	if !errors.Is(err, store.ErrUncertain) {
+		ele.abstention.endAttempt()
+	}
 	switch {
 	case errors.Is(err, store.ErrUncertain):
-		return ele.confirmTakeover(ctx, own)
+		return ele.confirmTakeover(ctx, trm)
 	case err != nil:
 		return Term{}, false, err
 	case !res.Committed():
@@ -233,11 +277,12 @@
 	}
 	ele.log.Info(string(decision.OwnerElected), zap.Uint64("epoch", own.Epoch), zap.String("former", old.Holder))
 	ele.current.Store(&own)
-	return Term{owner: own, version: res.Version()}, true, nil
+	return trm, true, nil
 }
 
 // confirmTakeover reads the row and reports whether it was written by a takeover of this process.
-func (ele *Elector) confirmTakeover(ctx context.Context, own batchstore.Owner) (Term, bool, error) {
+func (ele *Elector) confirmTakeover(ctx context.Context, trm Term) (Term, bool, error) {
+	own := trm.owner
 	rows, err := ele.table.Read(ctx, ele.part.OwnerKey())
 	if err != nil {
 		return Term{}, false, err
@@ -246,6 +291,8 @@
 	if err != nil || now.Nonce != own.Nonce || now.Epoch != own.Epoch {
 		return Term{}, false, err
 	}
+	ele.abstention.endAttempt()
 	ele.current.Store(&own)
-	return Term{owner: own, version: rows[0].Version()}, true, nil
+	trm.version = rows[0].Version()
+	return trm, true, nil
 }
