--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -47,6 +47,7 @@
 	kinds := []func(ctx context.Context){
 		inj.kill, inj.kill, inj.freeze, inj.freeze, inj.terminate, inj.reload, inj.cut, inj.cut,
 		inj.storeFault, inj.compact, inj.rebirth, inj.killMany, inj.killBehindFrozen, inj.evacuate,
+		inj.silence, inj.carryOutLate, inj.killTogether,
 	}
 	for control.Pause(ctx, inj.span(shortestPause, longestPause)) == nil {
 		inj.num++
@@ -158,6 +159,38 @@
 	inj.fleet.workers[inj.rnd.IntN(len(inj.fleet.workers))].Reborn()
 }
 
+// silence makes all open connections to the store and to the workers silent. New ones work.
+func (inj *injector) silence(context.Context) {
+	for _, pro := range inj.fleet.processes {
+		pro.storeLink.silence()
+	}
+	for _, wrk := range inj.fleet.workers {
+		wrk.Silence()
+	}
+}
+
+// mostLateStarts exceeds the tries of one start.
+const mostLateStarts = 12
+
+// carryOutLate lets a worker leave starts without an answer and carry them out late.
+func (inj *injector) carryOutLate(ctx context.Context) {
+	wrk := inj.fleet.workers[inj.rnd.IntN(len(inj.fleet.workers))]
+	late := inj.span(time.Second, 2*longestFault)
+	wrk.CarryOutLate(1+inj.rnd.IntN(mostLateStarts), late)
+	inj.later(ctx, late, func() { wrk.CarryOutLate(0, 0) })
+}
+
+// killTogether kills two processes for longer than their workers' leases last, one of which may own the jobs.
+func (inj *injector) killTogether(ctx context.Context) {
+	fst, snd := inj.process(), inj.process()
+	fst.signal(syscall.SIGKILL)
+	snd.signal(syscall.SIGKILL)
+	inj.later(ctx, inj.span(longestFault, 2*longestFault), func() {
+		inj.restart(fst)
+		inj.restart(snd)
+	})
+}
+
 func (inj *injector) evacuate(ctx context.Context) {
 	zone := zoneOf(inj.rnd.IntN(2))
 	deployment.SetOut(&inj.fleet.rows, zone, true)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -42,10 +42,25 @@
 
 // storeLink is the way of one process to the store.
 type storeLink struct {
-	store http.Handler
-	mode  atomic.Int32
+	store    http.Handler
+	mode     atomic.Int32
+	accepted atomic.Int64 // number of the last connection
+	silent   atomic.Int64 // connections with a number up to this one are silent
 }
 
+type linkConnKey struct{}
+
+// server returns a server that knows its connections by their numbers.
+func (lnk *storeLink) server() *http.Server {
+	number := func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, linkConnKey{}, lnk.accepted.Add(1))
+	}
+	return &http.Server{Handler: lnk, ConnContext: number, ReadHeaderTimeout: time.Minute}
+}
+
+// silence makes all open connections silent.
+func (lnk *storeLink) silence() { lnk.silent.Store(lnk.accepted.Load()) }
+
 // Modes of a link.
 const (
 	linkOpen int32 = iota
@@ -55,6 +70,10 @@
 
 // ServeHTTP implements http.Handler.
 func (lnk *storeLink) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	if num, _ := req.Context().Value(linkConnKey{}).(int64); num <= lnk.silent.Load() {
+		<-req.Context().Done()
+		return
+	}
 	switch lnk.mode.Load() {
 	case linkHangs:
 		<-req.Context().Done()
@@ -187,7 +206,7 @@
 
 func (fle *fleet) addAgent(ctx context.Context, name string, wrk *taskworker.Worker) error {
 	wrk.ID = "w-" + name
-	addr, err := fle.serveWith(ctx, wrk.Server())
+	addr, err := fle.serve(ctx, wrk.Server())
 	if err != nil {
 		return err
 	}
@@ -204,12 +223,8 @@
 	return nil
 }
 
-// serve serves a handler on a port of the fleet.
-func (fle *fleet) serve(ctx context.Context, hnd http.Handler) (string, error) {
-	return fle.serveWith(ctx, &http.Server{Handler: hnd, ReadHeaderTimeout: time.Minute})
-}
-
-func (fle *fleet) serveWith(ctx context.Context, srv *http.Server) (string, error) {
+// serve runs a server on a port of the fleet until the context ends, and returns its address.
+func (fle *fleet) serve(ctx context.Context, srv *http.Server) (string, error) {
 	addr := fle.address()
 	lsn, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -228,7 +243,7 @@
 // addProcess writes the settings of a process. The entry of an agent is its control address.
 func (fle *fleet) addProcess(ctx context.Context, name string, role platform.Role, zone, app string) (*process, error) {
 	lnk := &storeLink{store: &fle.rows}
-	store, err := fle.serve(ctx, lnk)
+	store, err := fle.serve(ctx, lnk.server())
 	if err != nil {
 		return nil, err
 	}
