--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -15,7 +15,9 @@
 const (
 	shortestPause = 200 * time.Millisecond // between two faults
 	longestPause  = 1200 * time.Millisecond
-	longestFault  = 5 * time.Second
+	// sparsePause is the mean time between two faults of connections, calls and several processes.
+	sparsePause  = 3 * time.Second
+	longestFault = 5 * time.Second
 	// longestHold is shorter than a lease, so that the runs beside a frozen agent are still at work when it
 	// goes on.
 	longestHold = leaseLimit - 1500*time.Millisecond
@@ -44,12 +46,20 @@
 
 // run injects faults until the context ends, and waits until they are over.
 func (inj *injector) run(ctx context.Context) {
-	kinds := []func(ctx context.Context){
+	inj.repeat(ctx, longestPause, []func(ctx context.Context){
 		inj.kill, inj.kill, inj.freeze, inj.freeze, inj.terminate, inj.reload, inj.cut, inj.cut,
 		inj.storeFault, inj.compact, inj.rebirth, inj.killMany, inj.killBehindFrozen, inj.evacuate,
-		inj.silence, inj.carryOutLate, inj.killTogether,
-	}
-	for control.Pause(ctx, inj.span(shortestPause, longestPause)) == nil {
+	})
+}
+
+// runSparse is like run, with other faults that come less often. Another injector draws them, so that the seeds that once
+// failed inject what they did then.
+func (inj *injector) runSparse(ctx context.Context) {
+	inj.repeat(ctx, 2*sparsePause, []func(ctx context.Context){inj.silence, inj.silence, inj.carryOutLate, inj.carryOutLate, inj.killTogether})
+}
+
+func (inj *injector) repeat(ctx context.Context, longest time.Duration, kinds []func(ctx context.Context)) {
+	for control.Pause(ctx, inj.span(shortestPause, longest)) == nil {
 		inj.num++
 		inj.mon.faultBegins()
 		kinds[inj.rnd.IntN(len(kinds))](ctx)
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -18,6 +18,8 @@
 	// stopLimit, so that runs that go on are found.
 	settleLimit  = 40 * time.Second
 	settlePeriod = 300 * time.Millisecond
+	// sparseStream is the random stream of injector.runSparse, after those of the first injector and the callers.
+	sparseStream = 1 << 20
 )
 
 // soak plays one seed.
@@ -36,6 +38,7 @@
 	}
 	led := &ledger{submissions: make(map[string]*submission)}
 	inj := &injector{fleet: fle, rnd: rand.New(rand.NewPCG(opt.seed, 0)), mon: mon}
+	sparse := &injector{fleet: fle, rnd: rand.New(rand.NewPCG(opt.seed, sparseStream)), mon: mon}
 	broken, endFaults := context.WithTimeout(ctx, opt.length)
 	defer endFaults()
 	busy, endCalls := context.WithTimeout(ctx, opt.length+calmTime+longestHold)
@@ -45,6 +48,7 @@
 		cal := newCaller(fle, led, mon, opt.seed, num)
 		wait.Go(func() { cal.run(busy) })
 	}
+	wait.Go(func() { sparse.runSparse(broken) })
 	inj.run(broken)
 	inj.close(busy)
 	wait.Wait()
@@ -57,7 +61,7 @@
 	if err := ctx.Err(); err != nil {
 		return result{}, err // jobs that were not waited for tell nothing
 	}
-	return conclude(fle, led, mon, inj.num), nil
+	return conclude(fle, led, mon, inj.num+sparse.num), nil
 }
 
 func newCaller(fle *fleet, led *ledger, mon *monitor, seed uint64, num int) *caller {
