--- a/io/batchowner/presence.go
+++ b/io/batchowner/presence.go
@@ -69,21 +69,24 @@
 	if gst.offered == nil {
 		gst.offered = make(map[fleet.InstanceID]bool)
 	}
+	now := setOf(ids)
+	maps.Copy(gst.offered, now)
+	maps.DeleteFunc(gst.ids, func(id fleet.InstanceID, _ bool) bool { return !now[id] })
+}
+
+func setOf(ids []fleet.InstanceID) map[fleet.InstanceID]bool {
+	out := make(map[fleet.InstanceID]bool, len(ids))
 	for _, id := range ids {
-		gst.offered[id] = true
+		out[id] = true
 	}
-	maps.DeleteFunc(gst.ids, func(id fleet.InstanceID, _ bool) bool { return !slices.Contains(ids, id) })
+	return out
 }
 
 // set records that the presence with these instances is stored.
 func (gst *grantableSet) set(ids []fleet.InstanceID) {
 	gst.mu.Lock()
 	defer gst.mu.Unlock()
-	gst.ids = make(map[fleet.InstanceID]bool, len(ids))
-	for _, id := range ids {
-		gst.ids[id] = true
-	}
-	gst.offered = maps.Clone(gst.ids)
+	gst.ids, gst.offered = setOf(ids), setOf(ids)
 	if gst.changed != nil {
 		close(gst.changed)
 		gst.changed = nil
