--- a/io/batchowner/ownership.go
+++ b/io/batchowner/ownership.go
@@ -40,6 +40,7 @@
 	owner        batchstore.Owner
 	version      store.Version
 	term         lead.Term
+	bound        bool // see batch.Succession
 	loop         *control.Loop[Scheduler]
 	scheduler    *Scheduler                 // used only by the control thread once that runs
 	inherited    map[string]batch.JobRecord // stored states of jobs that are not restored yet
@@ -109,7 +110,9 @@
 		return err
 	}
 	// The control thread does not run yet.
-	osp.scheduler.RestorePresence(prs.Core(), succession(osp.term, osp.cfg.Own, prs))
+	suc := succession(osp.term, osp.cfg.Own, prs)
+	osp.bound = suc.Bound
+	osp.scheduler.RestorePresence(prs.Core(), suc)
 	osp.scheduler.RestoreKnowledge(kno, osp.cfg.Clock())
 	osp.inherited = make(map[string]batch.JobRecord, len(all.Rows()))
 	osp.unreadable = make(map[string]bool)
@@ -179,7 +182,7 @@
 // logRestored logs what this owner believes at the takeover.
 func (osp *ownership) logRestored(tot batch.Totals) {
 	osp.cfg.Log.Info(string(decision.JobsRestored), zap.Uint64("epoch", osp.epoch),
-		zap.String(decision.KeyDetail, fmt.Sprintf("jobs=%d active=%d runs=%d unwanted=%d", tot.Jobs, tot.Active, tot.Runs, tot.Unwanted)))
+		zap.String(decision.KeyDetail, fmt.Sprintf("jobs=%d active=%d runs=%d unwanted=%d bound=%t", tot.Jobs, tot.Active, tot.Runs, tot.Unwanted, osp.bound)))
 }
 
 func (osp *ownership) applyJob(sch *Scheduler, row store.Row, now time.Time) {
--- a/io/batchowner/succession.go
+++ b/io/batchowner/succession.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
@@ -42,14 +43,28 @@
 	return suc
 }
 
+// Counters of grants by why they were made, or were not.
+var (
+	confirmedGrants = metrics.NewCounter(`jacinthpost_owner_grants_total{basis="transaction"}`)
+	outageGrants    = metrics.NewCounter(`jacinthpost_owner_grants_total{basis="abstentions"}`)
+	refusedGrants   = metrics.NewCounter(`jacinthpost_owner_grants_total{basis="none"}`)
+)
+
 // mayGrant reports whether the owner may grant time: no other process can have taken over and given up waiting for its
 // grants.
 func (osp *ownership) mayGrant(now time.Time) bool {
 	since := time.Duration(now.UnixNano() - osp.confirmedAt.Load())
-	if since < OwnershipValidity {
+	switch {
+	case since < OwnershipValidity:
+		confirmedGrants.Inc()
 		return true
+	case since < OutageValidity && osp.abstentions.cover(osp.grantable.successors(), osp.cfg.Own, now):
+		outageGrants.Inc()
+		return true
+	default:
+		refusedGrants.Inc()
+		return false
 	}
-	return since < OutageValidity && osp.abstentions.cover(osp.grantable.successors(), osp.cfg.Own, now)
 }
 
 // abstentions holds until when the processes of instances have promised to take nothing over. The zero value holds
