--- a/io/batchowner/succession.go
+++ b/io/batchowner/succession.go
@@ -24,10 +24,10 @@
 // tellTimeout limits the message to a former owner, which may be gone.
 const tellTimeout = time.Second
 
-// succession returns what a new owner knows of the grants of the owner that stored the presence. That one needed the
-// abstention of each process whose instance it had stored as reporting to grant time for longer than OwnershipValidity.
-// So it did not if this process takes over from it, if it had released the ownership, or if such a process had
-// taken over in between, which has not granted any time itself.
+// succession returns what a new owner knows of the grants of the owner that stored the presence. To grant time for longer
+// than OwnershipValidity, that one needed the abstention of each process whose instance it had stored as reporting, and a
+// process that takes over does not abstain. So the new owner is bound if it is such a process, or if one took over
+// in between and granted nothing, which is why the presence is not its own. It is bound too if the ownership was released.
 func succession(trm lead.Term, own fleet.InstanceID, prs batchstore.Presence) batch.Succession {
 	old, suc := trm.Former(), batch.Succession{QuietSince: trm.QuietSince()}
 	reported := func(id fleet.InstanceID) bool { return id != "" && slices.Contains(prs.Reported, string(id)) }
