--- a/core/batch/gang_test.go
+++ b/core/batch/gang_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"jacinthpost/core/batch"
+	"jacinthpost/core/resource"
+	"jacinthpost/core/workload"
 )
 
 // member is the run of one member of a gang.
@@ -28,6 +30,11 @@
 	GinkgoHelper()
 	gang := step(3)
 	gang.Gang, gang.PerInstance = true, 2
+	return newGangJobOf(gang, maxAttempts)
+}
+
+func newGangJobOf(gang workload.StepParams, maxAttempts int) *gangJob {
+	GinkgoHelper()
 	gng := &gangJob{succession: &succession{owner: newOwner()}, session: 1, lastEnd: make(map[string]uint64)}
 	gng.maxAttempts = maxAttempts
 	gng.receive(report("a", 1))
@@ -134,17 +141,26 @@
 
 	// Guards against a gang that uses up its attempts on one faulty worker, because each member avoids only the instances
 	// on which it has failed itself.
-	It("avoids the instances on which any of its members has failed", func() {
-		gng := newGangJob(3)
+	DescribeTable("avoids the instances on which any of its members has failed", func(longRunning bool) {
+		gang := step(3)
+		gang.Gang, gang.PerInstance, gang.LongRunning = true, 2, longRunning
+		gng := newGangJobOf(gang, 3)
 		mems := gng.next()
+		for _, id := range []string{"c", "d"} {
+			rep := report(id, 1)
+			rep.Capacity = resource.New(40_000, 40_000, 0) // also for the headroom that tasks that last leave
+			gng.receive(rep)
+		}
 		failed := mems[0]
 		gng.end(batch.EndFailed, failed)
 		gng.end(batch.EndStopped, mems[1:]...)
-		gng.receive(report("c", 1))
 		for _, mem := range gng.next() {
 			Expect(mem.instance).NotTo(Equal(failed.instance))
 		}
-	})
+	},
+		Entry("of a limited run time", false),
+		Entry("that runs until its job is cancelled", true),
+	)
 
 	// Guards against a job that fails too early after an update of the owner: earlier versions stored a failure at each
 	// member that had failed.
--- a/core/batch/report.go
+++ b/core/batch/report.go
@@ -227,7 +227,7 @@
 
 // applyEnd applies the end of an attempt to its task and its job.
 func (sch *Scheduler[O, P]) applyEnd(att *attempt, evt Event, now time.Time) {
-	job, tsk, ins := att.job, att.task, sch.instance(att.instance)
+	job, tsk := att.job, att.task
 	job.begun = job.begun || evt.Cause != EndRefused && evt.Cause != EndLeaseExpired
 	sch.drop(att)
 	if evt.Checkpoint != "" && evt.Cause != EndDone {
@@ -239,7 +239,7 @@
 	sch.stopGang(att, evt.Cause, now)
 	switch {
 	case att.step.spec.LongRunning():
-		sch.applyLongRunningEnd(job, tsk, ins, evt, now)
+		sch.applyLongRunningEnd(att, evt, now)
 	case evt.Cause == EndDone:
 		sch.applySuccess(att, evt.Took, now)
 	case evt.Cause == EndFailed:
@@ -252,10 +252,11 @@
 	}
 }
 
-func (sch *Scheduler[O, P]) applyLongRunningEnd(job *jobState, tsk *task, ins *instance, evt Event, now time.Time) {
+func (sch *Scheduler[O, P]) applyLongRunningEnd(att *attempt, evt Event, now time.Time) {
 	if evt.Cause == EndFailed {
-		tsk.failedOn = appendRecent(tsk.failedOn, ins.id)
-		sch.countFailure(ins, job, now)
+		ins := sch.instance(att.instance)
+		att.step.avoid(att.task, ins.id)
+		sch.countFailure(ins, att.job, now)
 	}
 }
 
