Bind successors whose agents have not reported to a short-lived owner yet

Cause: the first successor was lost 0.6 s after its takeover. Its presence named only the instances that had reported by then, so the second one, which had not, was not bound by a promise and waited for the longest grants.

Fix: a presence also names the instances that reported to a former owner and are not lost yet, and an owner needs the promises of their processes too before it grants time for longer. So whoever takes over is bound if any owner in the chain had heard of it. The specs failed before.

--- a/core/batch/presence.go
+++ b/core/batch/presence.go
@@ -17,14 +17,32 @@
 // moment at which it tries to store one without it.
 type Presence struct {
 	Reported []fleet.InstanceID // report to this owner and may have a grant from it
-	// Silent holds the other instances with runs and those that were lost, and for how long they have had no new grant. The
-	// time is negative if a former owner may still grant time.
+	// Silent holds the other instances with runs, those that reported to a former owner and may report to this one, and those
+	// that were lost, and for how long they have had no new grant. The time is negative if a former owner may still grant time.
 	Silent map[fleet.InstanceID]time.Duration
 	// Validity is how long after its last transaction the owner may grant time on its own. It is zero in a Presence of an
 	// earlier version.
 	Validity time.Duration
 }
 
+// Names reports whether an instance reports to the owner, or has been silent for less than the time after which it is lost.
+// The owner knows then that the process of the instance may take over from it.
+func (prs Presence) Names(id fleet.InstanceID, lostAfter time.Duration) bool {
+	dur, silent := prs.Silent[id]
+	return slices.Contains(prs.Reported, id) || silent && dur < lostAfter
+}
+
+// Named returns the instances that the presence names, see Names.
+func (prs Presence) Named(lostAfter time.Duration) []fleet.InstanceID {
+	out := slices.Clone(prs.Reported)
+	for id, dur := range prs.Silent {
+		if dur < lostAfter {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Succession is what a new owner knows of the grants of the former one.
 type Succession struct {
 	QuietSince time.Time // the former owner has stored nothing since then
@@ -46,7 +64,7 @@
 		return true
 	}
 	return now.Sub(sch.presenceAt) >= presencePeriod && slices.ContainsFunc(sch.instanceList, func(ins *instance) bool {
-		return !ins.present && (ins.session != 0 || len(ins.attempts) > 0)
+		return !ins.present && sch.counts(ins, now)
 	})
 }
 
@@ -58,7 +76,7 @@
 		switch {
 		case ins.present:
 			prs.Reported = append(prs.Reported, ins.id)
-		case ins.session != 0 || len(ins.attempts) > 0:
+		case sch.counts(ins, now):
 			if prs.Silent == nil {
 				prs.Silent = make(map[fleet.InstanceID]time.Duration)
 			}
@@ -69,6 +87,11 @@
 	return prs
 }
 
+// counts reports whether a presence contains an instance that does not report.
+func (sch *Scheduler[O, P]) counts(ins *instance, now time.Time) bool {
+	return ins.session != 0 || len(ins.attempts) > 0 || now.Sub(sch.lastGrant(ins)) < sch.option().LostAfter
+}
+
 // silence returns for how long an instance has had no new grant, rounded down. Times over LostAfter are all the same.
 func (sch *Scheduler[O, P]) silence(ins *instance, now time.Time) time.Duration {
 	dur := min(now.Sub(sch.lastGrant(ins)), sch.option().LostAfter)
@@ -109,6 +132,9 @@
 	for id, dur := range prs.Silent {
 		sch.formerGrants[id] = suc.QuietSince.Add(-dur)
 	}
+	for _, id := range slices.Sorted(slices.Values(prs.Named(sch.option().LostAfter))) {
+		sch.instance(id) // may report, or take over from this owner before it does
+	}
 }
 
 // Present returns the number of instances that report to this owner.
--- a/core/batch/presence_test.go
+++ b/core/batch/presence_test.go
@@ -111,6 +111,21 @@
 		Entry("of an earlier version that may have granted it time", batch.Presence{Reported: []fleet.InstanceID{"a"}}, true, -2*time.Second),
 	)
 
+	// Guards against a wait as for an owner that was not bound, when one that took over was lost before all agents had reported to
+	// it (LOST, the day of review/6 with seed 9).
+	It("names the instances that reported to the owner before and may report to this one", func() {
+		own := succeed(start, batch.Presence{Validity: time.Second, Reported: []fleet.InstanceID{"a", "b"}, Silent: map[fleet.InstanceID]time.Duration{"c": 4 * time.Second, "d": 5 * time.Second}},
+			batch.Succession{QuietSince: start, Bound: true})
+		own.receive(report("a", 1))
+		left := own.Presence(own.now.Add(500 * time.Millisecond))
+		Expect(left.Reported).To(ConsistOf(fleet.InstanceID("a")))
+		Expect(left.Silent).To(Equal(map[fleet.InstanceID]time.Duration{"b": -500 * time.Millisecond, "c": 4500 * time.Millisecond}))
+		Expect(left.Named(successionOptions.LostAfter)).To(ConsistOf(fleet.InstanceID("a"), fleet.InstanceID("b"), fleet.InstanceID("c")))
+		Expect(left.Names("d", successionOptions.LostAfter)).To(BeFalse())
+		Expect(own.PresenceChanged(own.now.Add(time.Second))).To(BeTrue())
+		Expect(own.Presence(own.now.Add(7 * time.Second)).Silent).To(BeEmpty())
+	})
+
 	// Guards against an instance that was lost and whose silent process counts as one that has a grant, or that could take over
 	// without being bound.
 	It("names a lost instance as silent until it reports again", func() {
--- a/io/batchowner/presence.go
+++ b/io/batchowner/presence.go
@@ -57,20 +57,20 @@
 type grantableSet struct {
 	mu      sync.Mutex
 	ids     map[fleet.InstanceID]bool
-	offered map[fleet.InstanceID]bool // all that may be in the stored presence, see offer
+	named   map[fleet.InstanceID]bool // by a presence that may be the stored one, see offer
 	changed chan struct{}
 }
 
-// offer records that a presence with these instances is about to be stored. Until set is called, the stored one may be
-// this or an earlier one. An instance that is missing in one of them may not be granted time.
-func (gst *grantableSet) offer(ids []fleet.InstanceID) {
+// offer records that a presence is about to be stored. Until set is called, the stored one may be this or an earlier
+// one. An instance that does not report by one of them may not be granted time.
+func (gst *grantableSet) offer(prs batch.Presence) {
 	gst.mu.Lock()
 	defer gst.mu.Unlock()
-	if gst.offered == nil {
-		gst.offered = make(map[fleet.InstanceID]bool)
+	if gst.named == nil {
+		gst.named = make(map[fleet.InstanceID]bool)
 	}
-	now := setOf(ids)
-	maps.Copy(gst.offered, now)
+	maps.Copy(gst.named, setOf(prs.Named(LostAfter)))
+	now := setOf(prs.Reported)
 	maps.DeleteFunc(gst.ids, func(id fleet.InstanceID, _ bool) bool { return !now[id] })
 }
 
@@ -82,11 +82,11 @@
 	return out
 }
 
-// set records that the presence with these instances is stored.
-func (gst *grantableSet) set(ids []fleet.InstanceID) {
+// set records that a presence is stored.
+func (gst *grantableSet) set(prs batch.Presence) {
 	gst.mu.Lock()
 	defer gst.mu.Unlock()
-	gst.ids, gst.offered = setOf(ids), setOf(ids)
+	gst.ids, gst.named = setOf(prs.Reported), setOf(prs.Named(LostAfter))
 	if gst.changed != nil {
 		close(gst.changed)
 		gst.changed = nil
@@ -98,7 +98,7 @@
 func (gst *grantableSet) successors() []fleet.InstanceID {
 	gst.mu.Lock()
 	defer gst.mu.Unlock()
-	return slices.Collect(maps.Keys(gst.offered))
+	return slices.Collect(maps.Keys(gst.named))
 }
 
 func (gst *grantableSet) len() int {
--- a/io/batchowner/presence_test.go
+++ b/io/batchowner/presence_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/core/batch"
 	"jacinthpost/core/fleet"
 	"jacinthpost/internal/specs"
 )
@@ -19,12 +20,12 @@
 	// takes over would treat the instance as lost while its tasks run.
 	It("lets a report wait until the stored presence contains the instance", func(ctx SpecContext) {
 		var gst grantableSet
-		gst.set([]fleet.InstanceID{"a"})
+		gst.set(batch.Presence{Reported: []fleet.InstanceID{"a"}})
 		Expect(gst.await(ctx, "a")).To(BeTrue())
 		got := make(chan bool)
 		go func() { got <- gst.await(ctx, "b") }()
 		Consistently(got).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
-		gst.set([]fleet.InstanceID{"a", "b"})
+		gst.set(batch.Presence{Reported: []fleet.InstanceID{"a", "b"}})
 		Eventually(got).Should(Receive(BeTrue()))
 	})
 
--- a/io/batchowner/succession.go
+++ b/io/batchowner/succession.go
@@ -25,20 +25,21 @@
 const tellTimeout = time.Second
 
 // succession returns what a new owner knows of the grants of the owner that stored the presence. To grant time for longer
-// than OwnershipValidity, that one needed the abstention of each process whose instance it had stored as reporting, and a
+// than OwnershipValidity, that one needed the abstention of each process whose instance its presence names, and a
 // process that takes over does not abstain. So the new owner is bound if it is such a process, or if one took over
 // in between and granted nothing, which is why the presence is not its own. It is bound too if the ownership was released.
 func succession(trm lead.Term, own fleet.InstanceID, prs batchstore.Presence) batch.Succession {
 	old, suc := trm.Former(), batch.Succession{QuietSince: trm.QuietSince()}
-	reported := func(id fleet.InstanceID) bool { return id != "" && slices.Contains(prs.Reported, string(id)) }
+	stored := prs.Core()
+	named := func(id fleet.InstanceID) bool { return id != "" && stored.Names(id, LostAfter) }
 	switch {
 	case prs.Epoch == old.Epoch:
-		suc.Bound = old.Released || reported(own)
-	case reported(fleet.InstanceID(old.Holder)):
+		suc.Bound = old.Released || named(own)
+	case named(fleet.InstanceID(old.Holder)):
 		suc.Bound = true
 		suc.QuietSince = suc.QuietSince.Add(-time.Duration(old.QuietMillis) * time.Millisecond)
 	default:
-		suc.Bound = reported(own)
+		suc.Bound = named(own)
 	}
 	return suc
 }
--- a/io/batchowner/succession_test.go
+++ b/io/batchowner/succession_test.go
@@ -35,6 +35,8 @@
 	},
 		Entry("that has stored that its instance reports", batchstore.Owner{Epoch: 4, Holder: "me"}, batchstore.Presence{Epoch: 4, Reported: []string{"me"}}, true),
 		Entry("not if that has not stored so", batchstore.Owner{Epoch: 4, Holder: "me"}, batchstore.Presence{Epoch: 4, Reported: []string{"a"}}, false),
+		Entry("that has stored that its instance may report", batchstore.Owner{Epoch: 4, Holder: "me"}, batchstore.Presence{Epoch: 4, SilentMillis: map[string]int64{"me": 500}}, true),
+		Entry("not if that has stored that its instance was lost", batchstore.Owner{Epoch: 4, Holder: "me"}, batchstore.Presence{Epoch: 4, SilentMillis: map[string]int64{"me": LostAfter.Milliseconds()}}, false),
 		Entry("that has released the ownership", batchstore.Owner{Epoch: 4, Holder: "a", Released: true}, batchstore.Presence{Epoch: 4, Reported: []string{"a"}}, true),
 		Entry("before one that granted no time and was bound itself", batchstore.Owner{Epoch: 5, Holder: "a", Released: true}, batchstore.Presence{Epoch: 4, Reported: []string{"a"}}, true),
 		Entry("not before one that granted no time and was not bound", batchstore.Owner{Epoch: 5, Holder: "b", Released: true}, batchstore.Presence{Epoch: 4, Reported: []string{"a"}}, false),
@@ -57,7 +59,7 @@
 		wrt.cfg.Own, wrt.life = "own", ctx
 		close(wrt.ready)
 		go wrt.loop.Run(ctx)
-		wrt.grantable.set([]fleet.InstanceID{"own", "a", "b"})
+		wrt.grantable.set(batch.Presence{Reported: []fleet.InstanceID{"own", "a", "b"}})
 		now := time.Now()
 		wrt.confirmedAt.Store(now.Add(-since).UnixNano())
 		before(wrt, now)
@@ -86,20 +88,20 @@
 		Entry("but with promises of all others", 3*time.Second, abstain(100*time.Millisecond, "a", "b"), GrantDuration),
 		Entry("which it needs of those too that a presence without answer names", 3*time.Second, func(wrt *writer, now time.Time) {
 			abstain(0, "a", "b")(wrt, now)
-			wrt.grantable.offer([]fleet.InstanceID{"own", "a", "b", "c"})
+			wrt.grantable.offer(batch.Presence{Reported: []fleet.InstanceID{"own", "a", "b", "c"}})
 		}, time.Duration(0)),
 		Entry("and those that a new presence does not name any more", 3*time.Second, func(wrt *writer, now time.Time) {
 			abstain(0, "a")(wrt, now)
-			wrt.grantable.offer([]fleet.InstanceID{"own", "a"})
+			wrt.grantable.offer(batch.Presence{Reported: []fleet.InstanceID{"own", "a"}})
 		}, time.Duration(0)),
 		Entry("until that is stored", 3*time.Second, func(wrt *writer, now time.Time) {
 			abstain(0, "a")(wrt, now)
-			wrt.grantable.offer([]fleet.InstanceID{"own", "a"})
-			wrt.grantable.set([]fleet.InstanceID{"own", "a"})
+			wrt.grantable.offer(batch.Presence{Reported: []fleet.InstanceID{"own", "a"}})
+			wrt.grantable.set(batch.Presence{Reported: []fleet.InstanceID{"own", "a"}})
 		}, GrantDuration),
 		Entry("not for ever", OutageValidity, abstain(0, "a", "b"), time.Duration(0)),
 		Entry("nor an instance that a presence without answer does not name", time.Duration(0), func(wrt *writer, _ time.Time) {
-			wrt.grantable.offer([]fleet.InstanceID{"own", "b"})
+			wrt.grantable.offer(batch.Presence{Reported: []fleet.InstanceID{"own", "b"}})
 		}, time.Duration(0)),
 	)
 
--- a/io/batchowner/write.go
+++ b/io/batchowner/write.go
@@ -252,7 +252,7 @@
 	// The end of the context must not leave the outcome open, because the release depends on the row.
 	txn, pieces := wrt.transaction(chg)
 	if chg.presence != nil {
-		wrt.grantable.offer(chg.presence.Reported)
+		wrt.grantable.offer(*chg.presence)
 		wrt.presence = nil // unknown until the transaction is confirmed
 	}
 	res, err := wrt.cfg.Table.Commit(context.WithoutCancel(ctx), txn)
@@ -275,7 +275,7 @@
 		}
 		if chg.presence != nil {
 			wrt.presence, wrt.presenceDue = wrt.encodePresence(*chg.presence), false
-			wrt.grantable.set(chg.presence.Reported)
+			wrt.grantable.set(*chg.presence)
 		}
 		wrt.postTurn(ctx, storedTurn, func(sch *Scheduler, now time.Time) {
 			sch.Committed(chg.batch, now)
