io/batchowner: check the grants of the owner's own instance again

The table that moved out of presence_test.go had entries for the owner's own instance, which were lost with the constant of its own. Each entry of the new table is checked for it too, so that a grant to it that outlasts what the next owner waits for shows.

--- a/io/batchowner/succession_test.go
+++ b/io/batchowner/succession_test.go
@@ -53,7 +53,7 @@
 
 var _ = Describe("An owner that does not reach the store", func() {
 	// grantAfter returns the grant of an owner for an instance, some time after its last transaction.
-	grantAfter := func(ctx context.Context, since time.Duration, before func(wrt *writer, now time.Time)) time.Duration {
+	grantAfter := func(ctx context.Context, id fleet.InstanceID, since time.Duration, before func(wrt *writer, now time.Time)) time.Duration {
 		GinkgoHelper()
 		wrt := newWriter(ctx, &storefake.Store{})
 		wrt.cfg.Own, wrt.life = "own", ctx
@@ -64,7 +64,7 @@
 		wrt.confirmedAt.Store(now.Add(-since).UnixNano())
 		before(wrt, now)
 		var rep batchrpc.ReportReply
-		wrt.receive("a", &rep, reportTurn, func(*Scheduler, time.Time) receipt { return receipt{known: true} })
+		wrt.receive(id, &rep, reportTurn, func(*Scheduler, time.Time) receipt { return receipt{known: true} })
 		return rep.Grant
 	}
 	abstain := func(age time.Duration, ids ...fleet.InstanceID) func(wrt *writer, now time.Time) {
@@ -78,7 +78,9 @@
 	// Guards against a grant that outlasts what the next owner waits for it (TWICE), and against runs that end in an
 	// outage in which nobody can have replaced the owner.
 	DescribeTable("grants time only while nobody can have replaced it", func(ctx SpecContext, since time.Duration, before func(wrt *writer, now time.Time), grant time.Duration) {
-		Expect(grantAfter(ctx, since, before)).To(Equal(grant))
+		for _, id := range []fleet.InstanceID{"a", "own"} {
+			Expect(grantAfter(ctx, id, since, before)).To(Equal(grant), "to %s", id)
+		}
 	},
 		Entry("at once", time.Duration(0), abstain(0), GrantDuration),
 		Entry("before a takeover", OwnershipValidity-100*time.Millisecond, abstain(0), GrantDuration),
@@ -101,7 +103,7 @@
 		}, GrantDuration),
 		Entry("not for ever", OutageValidity, abstain(0, "a", "b"), time.Duration(0)),
 		Entry("nor an instance that a presence without answer does not name", time.Duration(0), func(wrt *writer, _ time.Time) {
-			wrt.grantable.offer(batch.Presence{Reported: []fleet.InstanceID{"own", "b"}})
+			wrt.grantable.offer(batch.Presence{Reported: []fleet.InstanceID{"b"}})
 		}, time.Duration(0)),
 	)
 
