internal/failure: settle the keys of an outage with quick requests

No answer was wrong.

Cause: the spec's work grows with the speed of the machine. An entry refuses a booking within a few ms while the store is down, and the 16 callers send the next key at once, so 5 s of outage leave about 8,600 refused keys. Each is then sent again and runs for the 50 ms that the spec needs during the fault. An entry sends to the nearest instance, of 8 slots: 160 keys per second, 51 s, with the processors idle.

Evidence (x86-64, alone, scratch clones with the phases printed): sent 8,875 keys and settled them in 50.9 s, 8,803 in 51.6 s; 16, 48 or 96 settling callers made no difference (51.6, 51.3, 51.5 s).

Change: the stand-in takes a new service time (PUT /service-time), and the spec sets 1 ms once no fault acts any longer. Load, keys and checks are as before, and no time bound has changed.

--- a/cmd/standin-endpoint/internal/endpoint/endpoint_test.go
+++ b/cmd/standin-endpoint/internal/endpoint/endpoint_test.go
@@ -218,6 +218,26 @@
 		Expect(get[endpoint.Executions](ins.addr, "/executions")).To(Equal(endpoint.Executions{Executions: 3, Repeated: 1}))
 	})
 
+	// Guards against a spec that believes its requests are quick when they are not.
+	DescribeTable("take the time set last",
+		func(ctx SpecContext, body string, status int, want int64) {
+			ins := startInstance(1)
+			req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+ins.addr+endpoint.ServiceTimePath, strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			rsp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rsp.Body.Close()).To(Succeed())
+			Expect(rsp.StatusCode).To(Equal(status))
+			ans, _ := client.New(ins.addr).Serve(ctx, client.NewRequest("a", nil))
+			var echo endpoint.Echo
+			Expect(json.Unmarshal(ans.Body(), &echo)).To(Succeed())
+			Expect(echo.ServiceMicros).To(Equal(want))
+		},
+		Entry("from a whole message", `{"micros":700}`, http.StatusOK, int64(700)),
+		Entry("not from an empty one", `{}`, http.StatusBadRequest, int64(5000)),
+		Entry("not from a negative time", `{"micros":-1}`, http.StatusBadRequest, int64(5000)),
+	)
+
 	// Guards against a noisy task that leaves the service time as it is.
 	It("slow down beside a noisy task and beyond the slots", func(ctx SpecContext) {
 		ins := startInstance(1)
--- a/cmd/standin-endpoint/internal/endpoint/requests.go
+++ b/cmd/standin-endpoint/internal/endpoint/requests.go
@@ -21,6 +21,9 @@
 	HeaderFail = "Jacinthpost-Fail"
 )
 
+// ServiceTimePath takes the new time of a request without interference; requests that run keep theirs.
+const ServiceTimePath = "/service-time"
+
 // Echo is the answer to a service request. Body holds the text of the request.
 type Echo struct {
 	RequestID string `json:"requestID"`
@@ -175,6 +178,21 @@
 	_, _ = rsp.Write(echo)
 }
 
+func (srv *Server) setServiceTime(rsp http.ResponseWriter, req *http.Request) {
+	var msg struct {
+		Micros *int64 `json:"micros"`
+	}
+	if !decode(rsp, req, &msg) {
+		return
+	}
+	if msg.Micros == nil || *msg.Micros < 0 {
+		http.Error(rsp, "micros is missing or negative", http.StatusBadRequest)
+		return
+	}
+	srv.quiet.Store(int64(time.Duration(*msg.Micros) * time.Microsecond))
+	reply(rsp, msg, nil)
+}
+
 // serviceTime grows with the interference of running tasks and with requests
 // beyond the slots, which share the processors of the slots.
 func (srv *Server) serviceTime() time.Duration {
@@ -184,7 +202,7 @@
 		factor *= float64(over) / float64(srv.config.slots)
 	}
 	factor /= float64(100-min(max(now.faults.SlowPercent, 0), 99)) / 100
-	return time.Duration(float64(srv.config.serviceTime) * factor)
+	return time.Duration(float64(srv.quiet.Load()) * factor)
 }
 
 func failRequest(rsp http.ResponseWriter, req *http.Request, mode string, echo []byte) {
--- a/cmd/standin-endpoint/internal/endpoint/server.go
+++ b/cmd/standin-endpoint/internal/endpoint/server.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"jacinthpost/cmd/standin-endpoint/internal/tasks"
@@ -30,6 +31,7 @@
 	started time.Time
 	wake    *time.Timer
 	calls   callLog
+	quiet   atomic.Int64 // time of a request without interference, a time.Duration
 }
 
 // view is what traffic goroutines need to know of the tasks and faults.
@@ -44,6 +46,7 @@
 func New(cfg Config) *Server {
 	srv := &Server{config: cfg, mux: http.NewServeMux(), started: time.Now()}
 	srv.view.Publish(&view{})
+	srv.quiet.Store(int64(cfg.serviceTime))
 	srv.loop = control.NewLoop(tasks.New(cfg.worker), queueLength, srv.publish)
 	srv.wake = time.AfterFunc(time.Hour, func() {
 		srv.loop.TryPost(control.Func[tasks.Machine](func(mac *tasks.Machine, now time.Time) { mac.Report(srv.instant(now)) }))
@@ -52,6 +55,7 @@
 	srv.mux.HandleFunc("GET /executions", srv.getExecutions)
 	srv.mux.HandleFunc("GET /peak", srv.getPeak)
 	srv.mux.HandleFunc("POST /faults", srv.setFaults)
+	srv.mux.HandleFunc("PUT "+ServiceTimePath, srv.setServiceTime)
 	srv.mux.HandleFunc("GET "+workerapi.StatePath, srv.getState)
 	srv.mux.HandleFunc("GET "+HistoryPath, srv.getHistory)
 	srv.mux.HandleFunc("POST "+workerapi.StartPath, change(srv, startTask))
--- a/internal/failure/requests_test.go
+++ b/internal/failure/requests_test.go
@@ -18,6 +18,9 @@
 // silent (1 s) and a member as suspect (2 s).
 const pauseBeyondSilence = 3 * time.Second
 
+// settleTime is the service time of requests that are sent when no fault acts any longer.
+const settleTime = time.Millisecond
+
 // requestFaults are injected while requests run. Each restores the fleet before it returns.
 var requestFaults = map[string]func(ctx context.Context, fle *harness.Fleet){
 	"agent killed": func(_ context.Context, fle *harness.Fleet) {
@@ -51,6 +54,8 @@
 			bks := scene.NewBookings(fle)
 			count := scene.UnderLoad(ctx, 16, bks.Book, scene.Around(ctx, func() { requestFaults[name](ctx, fle) }))
 			scene.AwaitComplete(ctx, fle)
+			// Refusals are quick: an outage of the store leaves thousands of keys to settle.
+			Expect(fle.SetServiceTime(ctx, settleTime)).To(Succeed())
 			scene.InParallel(count, func(num int) { bks.Settle(ctx, num, mayStayUnknown) })
 			Expect(bks.Answered()).To(BeNumerically(">", count/2), "most keys are answered in the end")
 		},
--- a/internal/harness/observe.go
+++ b/internal/harness/observe.go
@@ -119,6 +119,19 @@
 	return nil
 }
 
+// SetServiceTime replaces the service time, without interference, of the requests that begin
+// from now on at any instance.
+func (fle *Fleet) SetServiceTime(ctx context.Context, dur time.Duration) error {
+	body := map[string]int64{"micros": dur.Microseconds()}
+	for _, ins := range fle.instances {
+		status, err := Call(ctx, "PUT", ins.address+"/service-time", nil, body, nil)
+		if err != nil || status != http.StatusOK {
+			return errors.Errorf("service time of %s: status %d, %v", ins.id, status, err)
+		}
+	}
+	return nil
+}
+
 // KillEndpoint kills the endpoint and worker of an instance. Its runs remain in the history;
 // those in progress are recorded as stopped by the kill. Runs that start between the reading
 // of the worker's history and the kill are missing.
