--- a/io/httpcall/httpcall.go
+++ b/io/httpcall/httpcall.go
@@ -4,9 +4,9 @@
 // The error of a failed call tells how far the call came: a request that never got
 // a connection had no effect; after any later failure the effect is unknown. The client
 // follows no redirect, uses no proxy and repeats nothing that may have been
-// sent. Connections can stop delivering permanently while new ones work, so a call that
-// times out closes every idle connection. A Client is safe for use from any
-// goroutine.
+// sent. Connections can stop delivering permanently while new ones work, so a call without
+// an answer closes the idle ones that may have done so, see package connpool. A Client is safe
+// for use from any goroutine.
 package httpcall
 
 import (
@@ -15,13 +15,13 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+
+	"jacinthpost/io/connpool"
 )
 
 const (
@@ -44,6 +44,7 @@
 	limit     int64
 	source    net.Addr // of the connections, the system's choice when nil
 	transport *http.Transport
+	pool      connpool.Pool
 	http      http.Client
 }
 
@@ -75,13 +76,13 @@
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: cli.source}
 	cli.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		DialContext: cli.pool.Dial(func(ctx context.Context, network, addr string) (net.Conn, error) {
 			con, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
 			return cli.counted(con), nil
-		},
+		}),
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -136,23 +137,17 @@
 func (cli *Client) Call(ctx context.Context, req Request) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, cli.timeout)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, cal := cli.pool.Begin(ctx)
 	ans, stg, err := cli.exchange(ctx, req)
 	if err == nil {
 		cli.count(strconv.Itoa(ans.status))
 		return ans, nil
 	}
-	if stg == NoAnswer && !connected.Load() {
+	if stg == NoAnswer && !cal.Connected() {
 		stg = NotSent
 	}
+	cal.Failed(err)
 	timedOut := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
-	if timedOut {
-		// Connections tend to stop delivering together, so the idle ones are closed too.
-		cli.transport.CloseIdleConnections()
-	}
 	cli.count(stg.String())
 	return Answer{}, &Failure{stage: stg, timedOut: timedOut, err: err}
 }
