core/batch: start interrupted lasting tasks before short ones

Cause: the order of a plan judged lasting jobs by a deadline like short ones. Some seconds after its acceptance a lasting job counted as worthless, and a task that had to move came after every short task of its priority. Short runs go where most is free, so they used up each place before it was large enough.

Evidence: a play with the owner's counts printed each 0.5 s (a trial, not broken): the tasks need 7.65 cores, no worker has them free, while on 2 to 33 workers the free part and the short runs of the last second would have been enough. No reservation was older than 3 s without confirmation, and no usable worker with room was excluded.

Change: a long-running step is always as urgent as a job that is on time; with the earliest deadline it then comes first of the started jobs of its priority. The headroom for short tasks stays.

Test: 'starts an interrupted lasting task again before short tasks of its priority' failed before (four short tasks took the room).

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -452,6 +452,25 @@
 		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(4))
 	})
 
+	// Guards against a lasting task that stands still because short tasks, whose jobs are on time, take all
+	// room as it becomes free.
+	It("starts an interrupted lasting task again before short tasks of its priority", func() {
+		own := newOwner()
+		own.receive(report("a", 1))
+		longRunning := step(1)
+		longRunning.LongRunning, longRunning.MilliCPU = true, 3000
+		own.submit("w", longRunning)
+		own.store()
+		Expect(own.orders("a", 1, batch.StartRun)).To(HaveLen(1))
+		own.advance(time.Minute)
+		own.receive(report("b", 1))
+		own.submit("j", step(4))
+		own.store()
+		ords := own.orders("b", 1, batch.StartRun)
+		Expect(ords).To(HaveLen(2))
+		Expect(ords).To(ContainElement(HaveField("ID.Task.Job", "w")))
+	})
+
 	It("puts tightly coupled tasks into one rack when it has room", func() {
 		own := newOwner()
 		own.scheduler = batch.New(batch.DeadlineOrder{}, batch.SpreadPlacement{}, batch.Options{RemoteFactor: 3}, start)
--- a/core/batch/plan.go
+++ b/core/batch/plan.go
@@ -68,7 +68,9 @@
 			stp.blockedSince = time.Time{}
 			continue
 		}
-		cans = append(cans, waitingStep{Candidate: sch.candidate(stp.occurrence, now), job: job, step: stp})
+		can := sch.candidate(stp.occurrence, now)
+		can.LongRunning = stp.spec.LongRunning()
+		cans = append(cans, waitingStep{Candidate: can, job: job, step: stp})
 	}
 	sch.waiting = cans
 	return cans
--- a/core/batch/policy.go
+++ b/core/batch/policy.go
@@ -17,6 +17,7 @@
 	Priority       int
 	Accepted       time.Time
 	Started        bool          // a task of the job has started
+	LongRunning    bool          // the tasks of the step don't end by themselves
 	Deadline       time.Time     // a job that completes by then is on time
 	WorthlessAfter time.Time     // the result of a job that completes later has no value
 	Remaining      time.Duration // predicted time until the job is complete if its tasks start now
@@ -37,7 +38,12 @@
 // String returns the name of the urgency in the decision log.
 func (urg Urgency) String() string { return [...]string{"onTime", "late", "worthless"}[urg] }
 
+// urgency ignores the deadline of a long-running step. Its tasks are worth something only while they
+// run, however late they start.
 func (can Candidate) urgency() Urgency {
+	if can.LongRunning {
+		return OnTime
+	}
 	end := can.Now.Add(can.Remaining)
 	switch {
 	case !end.After(can.Deadline):
