--- a/cmd/standin-endpoint/internal/endpoint/requests.go
+++ b/cmd/standin-endpoint/internal/endpoint/requests.go
@@ -189,7 +189,7 @@
 		http.Error(rsp, "micros is missing or negative", http.StatusBadRequest)
 		return
 	}
-	srv.quiet.Store(int64(time.Duration(*msg.Micros) * time.Microsecond))
+	srv.baseTime.Store(int64(time.Duration(*msg.Micros) * time.Microsecond))
 	reply(rsp, msg, nil)
 }
 
@@ -202,7 +202,7 @@
 		factor *= float64(over) / float64(srv.config.slots)
 	}
 	factor /= float64(100-min(max(now.faults.SlowPercent, 0), 99)) / 100
-	return time.Duration(float64(srv.quiet.Load()) * factor)
+	return time.Duration(float64(srv.baseTime.Load()) * factor)
 }
 
 func failRequest(rsp http.ResponseWriter, req *http.Request, mode string, echo []byte) {
--- a/cmd/standin-endpoint/internal/endpoint/server.go
+++ b/cmd/standin-endpoint/internal/endpoint/server.go
@@ -24,14 +24,14 @@
 
 // Server is the stand-in for one instance.
 type Server struct {
-	config  Config
-	mux     *http.ServeMux
-	loop    *control.Loop[tasks.Machine]
-	view    control.Snapshot[view]
-	started time.Time
-	wake    *time.Timer
-	calls   callLog
-	quiet   atomic.Int64 // time of a request without interference, a time.Duration
+	config   Config
+	mux      *http.ServeMux
+	loop     *control.Loop[tasks.Machine]
+	view     control.Snapshot[view]
+	started  time.Time
+	wake     *time.Timer
+	calls    callLog
+	baseTime atomic.Int64 // time of a request without interference, a time.Duration
 }
 
 // view is what traffic goroutines need to know of the tasks and faults.
@@ -46,7 +46,7 @@
 func New(cfg Config) *Server {
 	srv := &Server{config: cfg, mux: http.NewServeMux(), started: time.Now()}
 	srv.view.Publish(&view{})
-	srv.quiet.Store(int64(cfg.serviceTime))
+	srv.baseTime.Store(int64(cfg.serviceTime))
 	srv.loop = control.NewLoop(tasks.New(cfg.worker), queueLength, srv.publish)
 	srv.wake = time.AfterFunc(time.Hour, func() {
 		srv.loop.TryPost(control.Func[tasks.Machine](func(mac *tasks.Machine, now time.Time) { mac.Report(srv.instant(now)) }))
