Bound the bytes of bodies that clients hold together

What callers saw: an entry ran out of memory and ended. 500 clients that sent bodies of legal size, stopped at the last byte and stayed open were enough; others lost their requests with it.

Cause: http.MaxBytesReader bounds one body, nothing bounded their sum, and io.ReadAll grows by copying, so that a body cost more than its bytes. A stalled body was kept for good at the platform's interface, which had no time limit for bodies.

Evidence: the new specs start the built entry with memoryMb 100 and a crowd of 125 to 150 MB, 7 of 8 clients stopping just short of their end.

Change: package clients counts the memory of bodies as it is taken, for all connections of both interfaces of an entry, against a quarter of the machine's memory (core/shed decides who gives way). The body that gives way is refused with 503 and Retry-After; it has not run, because it was not whole. A body has 30 s to arrive. The time limit is removed once the body is whole: the former ReadTimeout of the own interface also ended the context of requests that took longer than 30 s. A caller without X-Deadline-Ms has its 3 s from the end of the body on.

Bodies of exactly the limit are served whole, in pieces and in chunks, and refused with a byte more; 100 ordinary callers at once are all served.

Why it works: memory is counted before it is allocated, so the sum can't pass the limit, and what stalled clients hold is taken back when others need it.

--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -11,6 +11,7 @@
 	JobHandedIn    Kind = "jobHandedIn"
 	JobRefused     Kind = "jobRefused"
 	CancelHandedIn Kind = "cancelHandedIn"
+	ClientsLimited Kind = "clientsLimited" // a limit on what clients hold acted; written once a second
 )
 
 // Decisions on jobs, runs and instances, written by the owner of the jobs.
--- a/core/workload/workload.go
+++ b/core/workload/workload.go
@@ -208,6 +208,19 @@
 // Outline returns the job with its ID and queue only, for a job that has ended.
 func (job Job) Outline() Job { return Job{par: JobParams{ID: job.par.ID, Queue: job.par.Queue}} }
 
+// stepBytes is the memory of a step without its texts and dependencies, and of its part of an encoded job.
+const stepBytes = 512
+
+// Bytes returns about how much memory the job takes.
+func (job Job) Bytes() int {
+	const wordBytes = 8
+	num := len(job.par.ID) + len(job.par.Queue) + len(job.par.Service) + len(job.par.Payload)
+	for _, stp := range job.steps {
+		num += stepBytes + len(stp.par.Label) + len(stp.par.Rack) + len(stp.par.Image) + wordBytes*len(stp.par.Dependencies)
+	}
+	return num
+}
+
 // Queue returns the name of the queue that accepted the job.
 func (job Job) Queue() string { return job.par.Queue }
 
--- /dev/null
+++ b/internal/failure/crowds/platform_test.go
@@ -0,0 +1,113 @@
+package crowds_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Legal sizes of the interfaces, in bytes.
+const (
+	frontBody = 256 << 10 // limits.maxBodyBytes of the configuration
+	ownBody   = 1 << 20
+)
+
+// Sizes of crowds. Each crowd of bodies sends more than the memory of the machine.
+const (
+	frontCrowd = 500 // 125 MB
+	ownCrowd   = 150 // 150 MB
+)
+
+// ownJob is an ordinary job in the format of the product's own interface.
+const ownJob = `{"payload":"x","steps":[{"count":1,"milliCpu":100}]}`
+
+const frontPath, ownPath = "/q/crowd", "/v1/queues/q/jobs/crowd"
+
+// Guards against an entry that runs out of memory by the bodies, the headers or the decoded jobs of clients that
+// stop just short of their end and stay open (a trial of this system, issue 43), and against ordinary callers
+// that such clients lock out.
+var _ = DescribeTable("an entry serves an ordinary caller beside a crowd at the platform's interface",
+	func(size int, scr func() script) {
+		nod := startEntry()
+		crowd(nod.front, size, scr())
+		nod.expectWithinLimits()
+		Expect(nod.submit("afterwards")).To(Succeed())
+		nod.expectWithinLimits()
+	},
+	Entry("that sends large bodies", frontCrowd, func() script {
+		return sized("POST", frontPath, padded(ordinaryJob, frontBody))
+	}),
+	Entry("that sends large bodies piece by piece", frontCrowd, func() script {
+		return sized("POST", frontPath, padded(ordinaryJob, frontBody)).inPieces()
+	}),
+	Entry("that sends large chunks", frontCrowd, func() script {
+		return chunked("POST", frontPath, padded(ordinaryJob, frontBody), largeChunk)
+	}),
+	Entry("that sends very small chunks", frontCrowd, func() script {
+		return chunked("POST", frontPath, padded(ordinaryJob, frontBody), tinyChunk).inPieces()
+	}),
+)
+
+// Guards against the same at the product's own interface for jobs of steps.
+var _ = DescribeTable("an entry serves an ordinary caller beside a crowd at the product's own interface",
+	func(size int, scr func() script) {
+		nod := startEntry()
+		crowd(nod.own, size, scr())
+		nod.expectWithinLimits()
+		Expect(nod.submitOwn("afterwards")).To(Succeed())
+		Expect(nod.submit("beside")).To(Succeed())
+		nod.expectWithinLimits()
+	},
+	Entry("that sends large bodies", ownCrowd, func() script {
+		return sized("PUT", ownPath, padded(ownJob, ownBody))
+	}),
+	Entry("that sends large bodies piece by piece", ownCrowd, func() script {
+		return sized("PUT", ownPath, padded(ownJob, ownBody)).inPieces()
+	}),
+	Entry("that sends very small chunks", ownCrowd, func() script {
+		return chunked("PUT", ownPath, padded(ownJob, ownBody), tinyChunk).inPieces()
+	}),
+)
+
+// Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
+var _ = DescribeTable("a single request at the limit",
+	func(address func(nod *node) string, scr script, status int) {
+		nod := startEntry()
+		con := connect(address(nod), 1)[0]
+		play(con, scr, true)
+		Expect(con.SetReadDeadline(time.Now().Add(answerLimit))).To(Succeed())
+		rsp, err := http.ReadResponse(bufio.NewReader(con), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rsp.Body.Close()).To(Succeed())
+		Expect(rsp.StatusCode).To(Equal(status))
+	},
+	Entry("is served whole", front, sized("POST", "/q/one", padded(ordinaryJob, frontBody)), http.StatusOK),
+	Entry("is served in pieces", front, sized("POST", "/q/one", padded(ordinaryJob, frontBody)).inPieces(), http.StatusOK),
+	Entry("is served in large chunks", front, chunked("POST", "/q/one", padded(ordinaryJob, frontBody), largeChunk), http.StatusOK),
+	Entry("is served in very small chunks", front, chunked("POST", "/q/one", padded(ordinaryJob, frontBody), tinyChunk), http.StatusOK),
+	Entry("is served at the own interface", own, sized("PUT", "/v1/queues/q/jobs/one", padded(ownJob, ownBody)), http.StatusOK),
+	Entry("is served at the own interface in very small chunks", own, chunked("PUT", "/v1/queues/q/jobs/one", padded(ownJob, ownBody), tinyChunk), http.StatusOK),
+	Entry("is refused with a byte more", front, sized("POST", "/q/one", padded(ordinaryJob, frontBody+1)), http.StatusRequestEntityTooLarge),
+	Entry("is refused with a byte more in chunks", front, chunked("POST", "/q/one", padded(ordinaryJob, frontBody+1), largeChunk), http.StatusRequestEntityTooLarge),
+	Entry("is refused with a byte more at the own interface", own, chunked("PUT", "/v1/queues/q/jobs/one", padded(ownJob, ownBody+1), largeChunk), http.StatusRequestEntityTooLarge),
+)
+
+// Guards against limits that callers in ordinary numbers meet.
+var _ = It("an entry serves all of a hundred ordinary callers at once", func() {
+	nod := startEntry()
+	var done sync.WaitGroup
+	for num := range 100 {
+		done.Go(func() {
+			defer GinkgoRecover()
+			Expect(nod.submit(fmt.Sprintf("front-%d", num))).To(Succeed())
+			Expect(nod.submitOwn(fmt.Sprintf("own-%d", num))).To(Succeed())
+		})
+	}
+	done.Wait()
+	nod.expectWithinLimits()
+})
--- a/internal/failure/scene/scene.go
+++ b/internal/failure/scene/scene.go
@@ -62,6 +62,9 @@
 	}, NodeTimeout(2*time.Minute))
 }
 
+// Binary returns the path of a compiled program.
+func Binary(name string) string { return filepath.Join(suite.binaries, name) }
+
 // StartFleet starts a deployment that ends with the spec. The logs of its
 // processes are printed when the spec fails.
 func StartFleet(ctx context.Context, deployment string, endpointArgs ...string) *harness.Fleet {
--- /dev/null
+++ b/io/clients/conn.go
@@ -0,0 +1,127 @@
+package clients
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"jacinthpost/core/shed"
+)
+
+// conn is an accepted connection.
+type conn struct {
+	net.Conn
+	clients *Clients
+
+	mu      sync.Mutex
+	leaving bool // has to give way
+	body    bool // ReadBody is at work, and refuses the request when the connection has to give way
+	closing sync.Once
+	closed  error
+	held    int64 // by the present request
+}
+
+// noteTimeout counts an error that ends a request or an answer that has begun because the client took too long.
+func (con *conn) noteTimeout(err error) {
+	if con == nil {
+		return
+	}
+	con.mu.Lock()
+	begun := !con.leaving
+	con.mu.Unlock()
+	if begun && errors.Is(err, os.ErrDeadlineExceeded) {
+		con.clients.acted(limitTime, effectRefused, 1)
+	}
+}
+
+// SetReadDeadline implements net.Conn. A connection that has to give way keeps the deadline that has passed.
+func (con *conn) SetReadDeadline(at time.Time) error {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if con.leaving {
+		return con.Conn.SetReadDeadline(time.Now())
+	}
+	return con.Conn.SetReadDeadline(at)
+}
+
+// CloseWrite ends the sending direction, so that the client can read the last answer before the connection is closed.
+func (con *conn) CloseWrite() error {
+	if tcp, ok := con.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (con *conn) Close() error {
+	con.closing.Do(func() {
+		con.closed = con.Conn.Close()
+		con.clients.update(func(tab *table, _ time.Time) { tab.Close(con) })
+	})
+	return con.closed
+}
+
+// giveWay ends what the connection does. A request whose body is being read is refused by ReadBody.
+func (con *conn) giveWay() {
+	con.mu.Lock()
+	con.leaving = true
+	body := con.body
+	con.mu.Unlock()
+	if !body {
+		_ = con.Close() // what the client sent was incomplete, or it does not read its answer
+		return
+	}
+	_ = con.SetReadDeadline(time.Now()) // wakes ReadBody; fails only if the connection is closed
+}
+
+// hold adds to the memory of the present request, and reports whether there is enough.
+func (con *conn) hold(num int64) bool {
+	if con == nil {
+		return true
+	}
+	if !con.clients.grow(con, num) {
+		return false
+	}
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	con.held += num
+	return true
+}
+
+// progress records that a number of bytes was received or sent.
+func (con *conn) progress(num int64) {
+	if con != nil && num > 0 {
+		con.clients.update(func(tab *table, now time.Time) { tab.Progress(con, num, now) })
+	}
+}
+
+func (con *conn) heldBytes() int64 {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	return con.held
+}
+
+// release takes from the memory of the present request.
+func (con *conn) release(num int64) {
+	con.mu.Lock()
+	num = min(num, con.held)
+	con.held -= num
+	con.mu.Unlock()
+	con.clients.update(func(tab *table, _ time.Time) { tab.Shrink(con, num) })
+}
+
+// releaseTo reduces the memory of the present request to a number of bytes.
+func (con *conn) releaseTo(num int64) {
+	if more := con.heldBytes() - num; more > 0 {
+		con.release(more)
+	}
+}
+
+// idle records that the answer has been sent.
+func (con *conn) idle() {
+	con.releaseTo(0)
+	con.clients.update(func(tab *table, now time.Time) { tab.SetPhase(con, shed.Idle, now) })
+}
--- a/io/node/entrynode/callers.go
+++ b/io/node/entrynode/callers.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"jacinthpost/io/backlog"
+	"jacinthpost/io/clients"
 	"jacinthpost/io/control"
 	"jacinthpost/io/node"
 	"jacinthpost/io/web"
@@ -31,13 +32,14 @@
 type callers struct {
 	server   *http.Server
 	leaving  atomic.Bool
+	clients  *clients.Clients
 	listener *backlog.Listener
 	ended    chan struct{} // closed when no connection is accepted any more
 	busy     connections
 }
 
 // newCallers listens for callers at an address.
-func newCallers(addr string, handler http.Handler) (*callers, error) {
+func newCallers(addr string, clt *clients.Clients, handler http.Handler) (*callers, error) {
 	tcp, err := net.ResolveTCPAddr("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "address for callers")
@@ -46,9 +48,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	cls := &callers{listener: backlog.New(lsn), ended: make(chan struct{})}
-	cls.server = web.NewServer(cls.closeWhenLeaving(handler))
-	cls.server.ConnState = cls.busy.observe
+	cls := &callers{clients: clt, listener: backlog.New(lsn), ended: make(chan struct{})}
+	cls.server = web.NewServer(clt, cls.closeWhenLeaving(handler))
+	cls.server.ConnState = func(con net.Conn, sta http.ConnState) {
+		clt.ConnState(con, sta)
+		cls.busy.observe(con, sta)
+	}
 	return cls, nil
 }
 
@@ -71,7 +76,7 @@
 // listener. Accepted connections are served until stop returns.
 func (cls *callers) serve(ctx context.Context) error {
 	defer close(cls.ended)
-	err := node.ServeHTTP(ctx, cls.listener, cls.server)
+	err := node.ServeHTTP(ctx, cls.clients.Listener(cls.listener), cls.server)
 	if cls.leaving.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/io/node/entrynode/callers_test.go
+++ b/io/node/entrynode/callers_test.go
@@ -12,8 +12,12 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"jacinthpost/core/shed"
 	"jacinthpost/internal/specs"
+	"jacinthpost/io/clients"
+	"jacinthpost/io/web"
 )
 
 func TestEntryNode(t *testing.T) {
@@ -23,7 +27,8 @@
 // served starts a server that answers every request with "answer" once release is closed.
 func served(ctx context.Context, release <-chan struct{}) *callers {
 	ginkgo.GinkgoHelper()
-	cls, err := newCallers("127.0.0.1:0", http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+	clt := clients.New("test", shed.Limits{}, web.Wire(), zap.NewNop())
+	cls, err := newCallers("127.0.0.1:0", clt, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
 		<-release
 		_, _ = io.WriteString(rw, "answer")
 	}))
--- a/io/node/entrynode/entrynode.go
+++ b/io/node/entrynode/entrynode.go
@@ -17,8 +17,10 @@
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/reqlog"
 	"jacinthpost/core/route"
+	"jacinthpost/core/shed"
 	"jacinthpost/core/ticket"
 	"jacinthpost/io/audit"
+	"jacinthpost/io/clients"
 	"jacinthpost/io/control"
 	"jacinthpost/io/entry"
 	"jacinthpost/io/groupcommit"
@@ -91,7 +93,7 @@
 
 // Run implements node.Role.
 func (ent *Entry) Run(ctx context.Context) error {
-	cls, err := newCallers(ent.node.Settings().CallerAddress(), ent.handler)
+	cls, err := newCallers(ent.node.Settings().CallerAddress(), clients.New("callers", shed.Limits{}, web.Wire(), ent.node.Logger()), ent.handler)
 	if err != nil {
 		return err
 	}
--- a/io/web/input.go
+++ b/io/web/input.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"jacinthpost/io/clients"
 )
 
 // Headers of service requests.
@@ -25,6 +27,10 @@
 	headerKey             = "Idempotency-Key"
 )
 
+// keptCopies is how often the content of a body is in memory while its request is served: decoded, and in the message to
+// another process.
+const keptCopies = 2
+
 var singleHeaders = []string{headerTimeoutMillis, headerIdempotent, headerWorkspace, headerFormerWorkspace, headerPriority, headerPath, headerKey, "Content-Length", "Content-Type"}
 
 // countCalls counts calls by method and status class.
@@ -56,18 +62,23 @@
 	next(rw, req)
 }
 
-// readBody reads a whole body of up to limit bytes. If it fails, it answers with a 4xx status and
-// returns false.
+// readBody reads a whole body of up to limit bytes. The request is then at work. If it fails, it answers that nothing was run and returns false.
 func readBody(rw http.ResponseWriter, req *http.Request, limit int64) ([]byte, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(rw, req.Body, limit))
-	var tooLarge *http.MaxBytesError
+	data, err := clients.ReadBody(req, limit)
+	if err == nil {
+		err = clients.Work(req, keptCopies*int64(len(data)))
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return data, true
+	case errors.Is(err, clients.ErrTooLarge):
 		refuse(rw, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
-	case err != nil:
-		refuse(rw, http.StatusBadRequest, "the body is incomplete: "+err.Error())
+	case errors.Is(err, clients.ErrBusy):
+		refuseCall(rw, http.StatusServiceUnavailable, err.Error())
+	case errors.Is(err, clients.ErrTimeout):
+		refuse(rw, http.StatusRequestTimeout, err.Error())
 	default:
-		return data, true
+		refuse(rw, http.StatusBadRequest, "the body is incomplete: "+err.Error())
 	}
 	return nil, false
 }
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -15,6 +15,7 @@
 
 	"jacinthpost/core/fleet"
 	"jacinthpost/core/outcome"
+	"jacinthpost/io/clients"
 )
 
 // Limits of input.
@@ -25,10 +26,9 @@
 	NameLimit        = 128
 	DefaultTimeout   = 5 * time.Second
 	MaxTimeout       = 10 * time.Minute
-	// Time limits for slow senders and readers.
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 30 * time.Second
-	idleTimeout   = 2 * time.Minute
+	// HeaderTimeout is the time in which a header must arrive, IdleTimeout how long a connection stays open without a request.
+	HeaderTimeout = 5 * time.Second
+	IdleTimeout   = 2 * time.Minute
 )
 
 // Ports are the parts of the process that the handlers call.
@@ -80,15 +80,23 @@
 	return ngr
 }
 
-// NewServer returns a server with time limits for reading requests and for idle connections.
-func NewServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    HeaderLimit,
+// Wire returns the limits of single requests of this interface.
+func Wire() clients.Wire { return clients.NewWire(HeaderTimeout, IdleTimeout) }
+
+// NewServer returns a server for connections of clients.
+func NewServer(cls *clients.Clients, handler http.Handler) *http.Server {
+	srv := cls.Server(handler)
+	srv.MaxHeaderBytes = HeaderLimit
+	return srv
+}
+
+// refuseCall answers a call that was refused before its handler got it.
+func refuseCall(rw http.ResponseWriter, status int, detail string) {
+	if status == http.StatusServiceUnavailable {
+		writeOutcome(rw, outcome.NotRun(outcome.ReasonQueueFull, detail), clients.RetryAfter)
+		return
 	}
+	refuse(rw, status, detail)
 }
 
 // writeJSON sends a value. An encoding error is a programming error of this package.
