Stop before a body is decoded to many times its size

What callers saw: an entry ran out of memory by 24 whole bodies of legal size, and answered nobody meanwhile.

Cause: a list of empty objects decodes to about 100 times its size, and only then the steps were counted. Nothing bounded how many bodies were decoded at a time.

Change: package jsonlimit reads the tokens of a body up to the first list with more than 64 elements (workload.MaxSteps, which neither steps nor their dependencies may exceed) and refuses the body with 400, as before but without decoding it. While a body is decoded, its request holds five times the bytes of the body, so that the memory for clients bounds how many are decoded at a time.

Why it works: of what remains, no text decodes to more than the factor that is counted: 64 steps with 64 dependencies, and texts that are as long as in the body.

--- a/internal/failure/crowds/crowd_test.go
+++ b/internal/failure/crowds/crowd_test.go
@@ -103,3 +103,10 @@
 func padded(job string, size int) []byte {
 	return append(bytes.Repeat([]byte{' '}, size-len(job)), job...)
 }
+
+// repeated returns a JSON object with a list of as many equal elements as fit in a body of a size.
+func repeated(key, element string, size int) []byte {
+	begin, end := `{"`+key+`":[`+element, `]}`
+	num := (size - len(begin) - len(end)) / (len(element) + 1)
+	return []byte(begin + strings.Repeat(","+element, num) + end)
+}
--- a/internal/failure/crowds/platform_test.go
+++ b/internal/failure/crowds/platform_test.go
@@ -19,8 +19,9 @@
 
 // Sizes of crowds. Each crowd of bodies sends more than the memory of the machine.
 const (
-	frontCrowd = 500 // 125 MB
-	ownCrowd   = 150 // 150 MB
+	frontCrowd  = 500 // 125 MB
+	ownCrowd    = 150 // 150 MB
+	decodeCrowd = 24
 )
 
 // ownJob is an ordinary job in the format of the product's own interface.
@@ -51,6 +52,12 @@
 	Entry("that sends very small chunks", frontCrowd, func() script {
 		return chunked("POST", frontPath, padded(ordinaryJob, frontBody), tinyChunk).inPieces()
 	}),
+	Entry("that sends jobs of many steps", decodeCrowd*wholeShare, func() script {
+		return sized("POST", frontPath, repeated("steps", "{}", frontBody))
+	}),
+	Entry("that sends jobs of many dependencies", decodeCrowd*wholeShare, func() script {
+		return sized("POST", frontPath, []byte(`{"steps":[`+string(repeated("after", "0", frontBody-20))+`]}`))
+	}),
 )
 
 // Guards against the same at the product's own interface for jobs of steps.
@@ -72,6 +79,9 @@
 	Entry("that sends very small chunks", ownCrowd, func() script {
 		return chunked("PUT", ownPath, padded(ownJob, ownBody), tinyChunk).inPieces()
 	}),
+	Entry("that sends jobs of many steps", decodeCrowd*wholeShare, func() script {
+		return sized("PUT", ownPath, repeated("steps", "{}", ownBody))
+	}),
 )
 
 // Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
--- a/io/clients/body.go
+++ b/io/clients/body.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"jacinthpost/core/shed"
+	"jacinthpost/io/jsonlimit"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// firstSegment and maxSegment are the sizes of the pieces of memory in which a body is collected, in bytes.
 	firstSegment = 4 << 10
 	maxSegment   = 32 << 10
+	// DecodeCost is the memory that a byte of a body can take while it is decoded, the body included.
+	DecodeCost = 5
 )
 
 // Errors of ReadBody and Work. Of all of them the request has not run.
@@ -54,6 +57,15 @@
 	return nil, err
 }
 
+// CheckJSON returns an error if a body of a request has a list with more elements than most, before it is decoded.
+func CheckJSON(req *http.Request, data []byte, most int) error {
+	err := jsonlimit.Check(data, most)
+	if err != nil {
+		connOf(req).acted(limitDecoding)
+	}
+	return err
+}
+
 // collect reads everything up to a limit in segments, so that a body costs no more than the bytes that have arrived and
 // one segment.
 func collect(rdr io.Reader, limit int64, con *conn) ([]byte, error) {
--- a/io/clients/clients.go
+++ b/io/clients/clients.go
@@ -81,6 +81,7 @@
 	limitMemory      = "memory"
 	limitTime        = "time"
 	limitBody        = "body"
+	limitDecoding    = "decoding"
 )
 
 // Effects of limits, as values of the label "effect" and in log lines.
--- a/io/web/input.go
+++ b/io/web/input.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"jacinthpost/core/workload"
 	"jacinthpost/io/clients"
 )
 
@@ -62,11 +63,12 @@
 	next(rw, req)
 }
 
-// readBody reads a whole body of up to limit bytes. The request is then at work. If it fails, it answers that nothing was run and returns false.
-func readBody(rw http.ResponseWriter, req *http.Request, limit int64) ([]byte, bool) {
+// readBody reads a whole body of up to limit bytes. The request is then at work and holds cost bytes of memory for each byte
+// of the body. If it fails, it answers that nothing was run and returns false.
+func readBody(rw http.ResponseWriter, req *http.Request, limit, cost int64) ([]byte, bool) {
 	data, err := clients.ReadBody(req, limit)
 	if err == nil {
-		err = clients.Work(req, keptCopies*int64(len(data)))
+		err = clients.Work(req, cost*int64(len(data)))
 	}
 	switch {
 	case err == nil:
@@ -83,17 +85,25 @@
 	return nil, false
 }
 
+// listLimit is the most elements of a list in the body of a job.
+const listLimit = workload.MaxSteps
+
 // decodeJSON decodes a JSON body with decodeStrict. If it fails, it answers with a 4xx status and
 // returns false.
 func decodeJSON(rw http.ResponseWriter, req *http.Request, value any) bool {
-	data, ok := readBody(rw, req, JSONBodyLimit)
+	data, ok := readBody(rw, req, JSONBodyLimit, clients.DecodeCost)
 	if !ok {
 		return false
 	}
-	if err := decodeStrict(data, value); err != nil {
+	err := clients.CheckJSON(req, data, listLimit)
+	if err == nil {
+		err = decodeStrict(data, value)
+	}
+	if err != nil {
 		refuse(rw, http.StatusBadRequest, "the body is not valid: "+err.Error())
 		return false
 	}
+	clients.Keep(req, keptCopies*int64(len(data)))
 	return true
 }
 
--- a/io/web/requests.go
+++ b/io/web/requests.go
@@ -20,7 +20,7 @@
 
 func registerRequests(mux *http.ServeMux, rqs Requests, fallback func(svc fleet.Service) time.Duration) {
 	mux.HandleFunc("POST /v1/services/{service}/requests", func(rw http.ResponseWriter, req *http.Request) {
-		body, ok := readBody(rw, req, RequestBodyLimit)
+		body, ok := readBody(rw, req, RequestBodyLimit, keptCopies)
 		if !ok {
 			return
 		}
--- a/io/web/tickets.go
+++ b/io/web/tickets.go
@@ -10,6 +10,7 @@
 
 	"jacinthpost/core/outcome"
 	"jacinthpost/core/ticket"
+	"jacinthpost/io/clients"
 	"jacinthpost/io/config"
 )
 
@@ -60,7 +61,7 @@
 	if !ok {
 		return
 	}
-	raw, ok := readBody(rw, req, config.MaxTicketBytes)
+	raw, ok := readBody(rw, req, config.MaxTicketBytes, clients.DecodeCost)
 	if !ok {
 		return
 	}
