Apply the operators' limits of headers, and count headers as memory of clients

What callers saw: an entry ran out of memory by clients that only sent headers; connections without a request stayed open for good.

Cause: the configuration carries maxHeaderBytes, headerTimeoutMs and idleTimeoutMs, which were decoded and had no effect. A header could have 1 MiB, the default of net/http, and a short line of it takes about 30 times its bytes once it is parsed. Headers of all connections had no bound.

Change: until a header is complete, its connection counts 32 bytes of memory for each byte that arrives. Limits for the bytes of a header, the time in which it must arrive and the time without a request follow the configuration while the process runs; a header over the limit is refused with 431.

Why it works: the memory is counted as bytes arrive, before the header is parsed, and the same policy takes it back from clients that stop.

--- a/internal/failure/crowds/crowd_test.go
+++ b/internal/failure/crowds/crowd_test.go
@@ -110,3 +110,25 @@
 	num := (size - len(begin) - len(end)) / (len(element) + 1)
 	return []byte(begin + strings.Repeat(","+element, num) + end)
 }
+
+// tinyHeaders returns an unfinished request with short header lines of a size in all.
+func tinyHeaders(path string, size int) script {
+	buf := bytes.NewBufferString("POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	for num := 0; buf.Len() < size-8; num++ {
+		fmt.Fprintf(buf, "%s:\r\n", headerName(num))
+	}
+	return script{buf.Bytes(), []byte("\r\n")}
+}
+
+// headerName returns the shortest header names that no other number has.
+func headerName(num int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	name := ""
+	for {
+		name += string(letters[num%len(letters)])
+		if num /= len(letters); num == 0 {
+			return name
+		}
+		num--
+	}
+}
--- a/internal/failure/crowds/platform_test.go
+++ b/internal/failure/crowds/platform_test.go
@@ -13,8 +13,9 @@
 
 // Legal sizes of the interfaces, in bytes.
 const (
-	frontBody = 256 << 10 // limits.maxBodyBytes of the configuration
-	ownBody   = 1 << 20
+	frontBody   = 256 << 10 // limits.maxBodyBytes of the configuration
+	frontHeader = 16 << 10  // limits.maxHeaderBytes
+	ownBody     = 1 << 20
 )
 
 // Sizes of crowds. Each crowd of bodies sends more than the memory of the machine.
@@ -22,6 +23,7 @@
 	frontCrowd  = 500 // 125 MB
 	ownCrowd    = 150 // 150 MB
 	decodeCrowd = 24
+	headerCrowd = 500
 )
 
 // ownJob is an ordinary job in the format of the product's own interface.
@@ -58,6 +60,8 @@
 	Entry("that sends jobs of many dependencies", decodeCrowd*wholeShare, func() script {
 		return sized("POST", frontPath, []byte(`{"steps":[`+string(repeated("after", "0", frontBody-20))+`]}`))
 	}),
+	Entry("that sends short header lines", headerCrowd, func() script { return tinyHeaders(frontPath, frontHeader) }),
+	Entry("that sends headers far over the limit", headerCrowd, func() script { return tinyHeaders(frontPath, 60*frontHeader) }),
 )
 
 // Guards against the same at the product's own interface for jobs of steps.
@@ -82,6 +86,7 @@
 	Entry("that sends jobs of many steps", decodeCrowd*wholeShare, func() script {
 		return sized("PUT", ownPath, repeated("steps", "{}", ownBody))
 	}),
+	Entry("that sends short header lines", headerCrowd, func() script { return tinyHeaders(ownPath, frontHeader) }),
 )
 
 // Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
--- a/io/clients/body.go
+++ b/io/clients/body.go
@@ -123,8 +123,8 @@
 	if con == nil {
 		return nil
 	}
-	con.releaseTo(num)
-	if more := num - con.heldBytes(); more > 0 && !con.hold(more) || !con.clients.work(con) {
+	con.releaseTo(con.headerCost + num)
+	if more := con.headerCost + num - con.heldBytes(); more > 0 && !con.hold(more) || !con.clients.work(con) {
 		con.drop()
 		return ErrBusy
 	}
@@ -135,7 +135,7 @@
 // Keep reduces what a request at work holds to a number of bytes.
 func Keep(req *http.Request, num int64) {
 	if con := connOf(req); con != nil {
-		con.releaseTo(num)
+		con.releaseTo(con.headerCost + num)
 	}
 }
 
--- a/io/clients/clients.go
+++ b/io/clients/clients.go
@@ -1,5 +1,5 @@
 // Package clients bounds what the clients of HTTP servers hold together: connections, requests at work, and memory
-// for bodies, decoded requests and answers. Package core/shed decides who gives way.
+// for headers, bodies, decoded requests and answers. Package core/shed decides who gives way.
 //
 // All servers of a process that are open to the same clients share one Clients. Its Listener accepts their
 // connections, its Server reads their requests, and their handlers read bodies with ReadBody. A request that gives
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,12 +32,16 @@
 	logPeriod = time.Second
 )
 
-// Wire are the limits of single requests and connections.
-type Wire struct{ headerTimeout, idleTimeout time.Duration }
+// Wire are the limits of single requests and connections. They may change while the process runs.
+type Wire struct {
+	headerBytes                int
+	headerTimeout, idleTimeout time.Duration
+}
 
-// NewWire returns limits for the time in which a header must arrive, and the time that a connection stays open without a request.
-func NewWire(headerTimeout, idleTimeout time.Duration) Wire {
-	return Wire{headerTimeout: headerTimeout, idleTimeout: idleTimeout}
+// NewWire returns limits for the bytes of a header, the time in which it must arrive, and the time that a connection
+// stays open without a request.
+func NewWire(headerBytes int, headerTimeout, idleTimeout time.Duration) Wire {
+	return Wire{headerBytes: headerBytes, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
 }
 
 // table counts what the connections hold.
@@ -46,7 +51,7 @@
 type Clients struct {
 	name string
 	log  *zap.Logger
-	wire Wire
+	wire atomic.Pointer[Wire]
 
 	mu      sync.Mutex
 	table   *table
@@ -58,7 +63,8 @@
 
 // New returns Clients without connections. The name distinguishes them in metrics and logs.
 func New(name string, lim shed.Limits, wir Wire, log *zap.Logger) *Clients {
-	cls := &Clients{name: name, log: log, wire: wir, table: shed.New[*conn, shed.LeastProgress](lim), freed: make(chan struct{})}
+	cls := &Clients{name: name, log: log, table: shed.New[*conn, shed.LeastProgress](lim), freed: make(chan struct{})}
+	cls.wire.Store(&wir)
 	metrics.GetOrCreateGauge(`jacinthpost_clients_connections{clients="`+name+`"}`, cls.value(func() int64 { return int64(cls.table.Len()) }))
 	metrics.GetOrCreateGauge(`jacinthpost_clients_requests{clients="`+name+`"}`, cls.value(func() int64 { return int64(cls.table.Working()) }))
 	metrics.GetOrCreateGauge(`jacinthpost_clients_held_bytes{clients="`+name+`"}`, cls.value(func() int64 { return cls.table.Held() }))
@@ -74,12 +80,16 @@
 	}
 }
 
+// SetWire changes the limits of single requests and connections.
+func (cls *Clients) SetWire(wir Wire) { cls.wire.Store(&wir) }
+
 // Limits that act, as values of the label "limit" and in log lines.
 const (
 	limitConnections = "connections"
 	limitRequests    = "requests"
 	limitMemory      = "memory"
 	limitTime        = "time"
+	limitHeader      = "header"
 	limitBody        = "body"
 	limitDecoding    = "decoding"
 )
@@ -131,10 +141,10 @@
 }
 
 func (cls *Clients) open(raw net.Conn) (*conn, bool) {
-	con := &conn{Conn: raw, clients: cls}
+	con := &conn{Conn: raw, clients: cls, since: time.Now()}
 	cls.mu.Lock()
 	full := cls.table.Limits().Connections() > 0 && cls.table.Len() >= cls.table.Limits().Connections()
-	ver := cls.table.Open(con, time.Now())
+	ver := cls.table.Open(con, con.since)
 	cls.mu.Unlock()
 	limit := limitMemory
 	if full {
--- a/io/clients/clients_test.go
+++ b/io/clients/clients_test.go
@@ -23,6 +23,7 @@
 
 const (
 	bodyLimit     = 64 << 10
+	headerBytes   = 16 << 10
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	bodyTimeout   = 30 * time.Second
@@ -65,8 +66,8 @@
 	tst.Helper()
 	synctest.Test(tst, func(tst *testing.T) {
 		srv := &server{T: tst, pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}}
-		cls := clients.New("test", lim, clients.NewWire(headerTimeout, idleTimeout), zap.NewNop())
-		htp := cls.Server(http.HandlerFunc(serve))
+		cls := clients.New("test", lim, clients.NewWire(headerBytes, headerTimeout, idleTimeout), zap.NewNop())
+		htp := cls.Server(http.HandlerFunc(serve), clients.RefusePlain)
 		ended := make(chan error, 1)
 		go func() { ended <- htp.Serve(cls.Listener(srv.pipes)) }()
 		defer func() {
@@ -102,23 +103,18 @@
 	}
 	switch {
 	case errors.Is(err, clients.ErrTooLarge):
-		refuse(wrt, http.StatusRequestEntityTooLarge, err.Error())
+		clients.RefusePlain(wrt, http.StatusRequestEntityTooLarge, err.Error())
 	case errors.Is(err, clients.ErrTimeout):
-		refuse(wrt, http.StatusRequestTimeout, err.Error())
+		clients.RefusePlain(wrt, http.StatusRequestTimeout, err.Error())
 	case errors.Is(err, clients.ErrBusy):
-		refuse(wrt, http.StatusServiceUnavailable, err.Error())
+		clients.RefusePlain(wrt, http.StatusServiceUnavailable, err.Error())
 	case err != nil:
-		refuse(wrt, http.StatusBadRequest, err.Error())
+		clients.RefusePlain(wrt, http.StatusBadRequest, err.Error())
 	default:
 		_, _ = fmt.Fprint(wrt, len(data)) // the client may be gone
 	}
 }
 
-func refuse(wrt http.ResponseWriter, status int, detail string) {
-	wrt.Header().Set("Retry-After", "1")
-	http.Error(wrt, detail, status)
-}
-
 // client is a connection to the server. What it sends and receives does not wait for each other.
 type client struct {
 	srv     *server
@@ -179,6 +175,31 @@
 
 // Guards against connections that clients keep for good although they send nothing, or almost nothing.
 func TestTimes(t *testing.T) {
+	t.Run("a connection without a request", func(t *testing.T) {
+		within(t, shed.Limits{}, func(srv *server) { srv.connect().expectClosed(headerTimeout) })
+	})
+	t.Run("an unfinished header", func(t *testing.T) {
+		within(t, shed.Limits{}, func(srv *server) {
+			clt := srv.connect()
+			clt.send("GET / HTTP/1.1\r\n")
+			clt.expectClosed(headerTimeout)
+		})
+	})
+	t.Run("a header by a byte a second", func(t *testing.T) {
+		within(t, shed.Limits{}, func(srv *server) {
+			clt := srv.connect()
+			clt.drip("GET / HTTP/1.1\r\nHost: h\r\n")
+			clt.expectClosed(headerTimeout)
+		})
+	})
+	t.Run("an idle connection", func(t *testing.T) {
+		within(t, shed.Limits{}, func(srv *server) {
+			clt := srv.connect()
+			clt.send(get)
+			clt.expectStatus(http.StatusOK)
+			clt.expectClosed(idleTimeout)
+		})
+	})
 	t.Run("a body by a byte a second", func(t *testing.T) {
 		within(t, shed.Limits{}, func(srv *server) {
 			clt, begun := srv.connect(), time.Now()
@@ -223,6 +244,8 @@
 		{"no body", get, http.StatusOK},
 		{"an empty body", post("/", 0), http.StatusOK},
 		{"a broken body", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", http.StatusBadRequest},
+		{"a header of the limit", header(headerBytes), http.StatusOK},
+		{"a header over the limit", header(headerBytes + 1), http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		t.Run(cse.name, func(t *testing.T) {
 			within(t, shed.Limits{}, func(srv *server) {
@@ -238,6 +261,12 @@
 	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size))
 }
 
+// header returns a request whose header has a size.
+func header(size int) string {
+	begin := "GET / HTTP/1.1\r\nHost: h\r\nX-Fill: "
+	return begin + strings.Repeat("x", size-len(begin)-len("\r\n\r\n")) + "\r\n\r\n"
+}
+
 // Guards against refusals that never arrive, and against refusals that end the connection of a caller that has sent its whole body.
 func TestRefusals(t *testing.T) {
 	t.Run("after the body", func(t *testing.T) {
--- a/io/clients/conn.go
+++ b/io/clients/conn.go
@@ -11,17 +11,64 @@
 	"jacinthpost/core/shed"
 )
 
+const (
+	// headerByteCost is the memory that a byte of a header can take once it is parsed: a line of 4 bytes becomes an entry
+	// of a map with a key and a list of one value, 128 bytes.
+	headerByteCost = 32
+)
+
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
 	clients *Clients
 
-	mu      sync.Mutex
-	leaving bool // has to give way
-	body    bool // ReadBody is at work, and refuses the request when the connection has to give way
-	closing sync.Once
-	closed  error
-	held    int64 // by the present request
+	mu       sync.Mutex
+	since    time.Time // when the present request began, or when the connection became idle
+	started  bool      // a byte of the present request has arrived
+	handling bool      // the header is complete, and the connection is not idle again
+	served   bool      // a request was answered before
+	leaving  bool      // has to give way
+	body     bool      // ReadBody is at work, and refuses the request when the connection has to give way
+	closing  sync.Once
+	closed   error
+	held     int64 // by the present request
+
+	headerCost int64 // of the present request; only its handler uses it
+}
+
+// Read implements net.Conn. Until the header is complete, it bounds the time and counts what arrives.
+func (con *conn) Read(buf []byte) (int, error) {
+	con.mu.Lock()
+	handling, deadline := con.handling, con.deadline()
+	con.mu.Unlock()
+	if handling {
+		return con.Conn.Read(buf)
+	}
+	if err := con.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	num, err := con.Conn.Read(buf)
+	if num == 0 {
+		con.noteTimeout(err)
+		return num, err
+	}
+	con.start()
+	con.progress(int64(num) * headerByteCost)
+	if !con.hold(int64(num) * headerByteCost) {
+		_ = con.Close() // the header is incomplete, so that nothing can be answered
+		return 0, net.ErrClosed
+	}
+	return num, err
+}
+
+// start records that a byte of a request has arrived.
+func (con *conn) start() {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if !con.started {
+		con.started, con.since = true, time.Now()
+		con.clients.update(func(tab *table, now time.Time) { tab.SetPhase(con, shed.Receiving, now) })
+	}
 }
 
 // noteTimeout counts an error that ends a request or an answer that has begun because the client took too long.
@@ -30,13 +77,26 @@
 		return
 	}
 	con.mu.Lock()
-	begun := !con.leaving
+	begun := con.started && !con.leaving
 	con.mu.Unlock()
 	if begun && errors.Is(err, os.ErrDeadlineExceeded) {
 		con.clients.acted(limitTime, effectRefused, 1)
 	}
 }
 
+// deadline returns the time until which the next bytes of a header must arrive, zero if there is no limit.
+func (con *conn) deadline() time.Time {
+	wir := con.clients.wire.Load()
+	limit := wir.headerTimeout
+	if !con.started && con.served {
+		limit = wir.idleTimeout
+	}
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return con.since.Add(limit)
+}
+
 // SetReadDeadline implements net.Conn. A connection that has to give way keeps the deadline that has passed.
 func (con *conn) SetReadDeadline(at time.Time) error {
 	con.mu.Lock()
@@ -120,8 +180,20 @@
 	}
 }
 
+// begin records that the header of a request is complete. The header has a number of bytes.
+func (con *conn) begin(header int) {
+	con.mu.Lock()
+	con.handling, con.started = true, true
+	con.mu.Unlock()
+	con.headerCost = int64(header) * headerByteCost
+	con.releaseTo(con.headerCost)
+}
+
 // idle records that the answer has been sent.
 func (con *conn) idle() {
 	con.releaseTo(0)
+	con.mu.Lock()
+	con.handling, con.started, con.served, con.since = false, false, true, time.Now()
+	con.mu.Unlock()
 	con.clients.update(func(tab *table, now time.Time) { tab.SetPhase(con, shed.Idle, now) })
 }
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -81,13 +81,11 @@
 }
 
 // Wire returns the limits of single requests of this interface.
-func Wire() clients.Wire { return clients.NewWire(HeaderTimeout, IdleTimeout) }
+func Wire() clients.Wire { return clients.NewWire(HeaderLimit, HeaderTimeout, IdleTimeout) }
 
 // NewServer returns a server for connections of clients.
 func NewServer(cls *clients.Clients, handler http.Handler) *http.Server {
-	srv := cls.Server(handler)
-	srv.MaxHeaderBytes = HeaderLimit
-	return srv
+	return cls.Server(handler, refuseCall)
 }
 
 // refuseCall answers a call that was refused before its handler got it.
