Bound the connections and the requests at work that clients have together

What callers saw: no answer, because clients that sent nothing, or stopped anywhere, held all descriptors of an entry; its calls to the store had none left. Each request that waited for the store had a connection to it besides.

Cause: the settings carry maxFds, and nothing used it.

When the places are used up, the connection that has been silent for longest gives its place to the new one.

--- a/internal/failure/crowds/platform_test.go
+++ b/internal/failure/crowds/platform_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"jacinthpost/platform/standin/rowstore"
 )
 
 // Legal sizes of the interfaces, in bytes.
@@ -20,10 +22,11 @@
 
 // Sizes of crowds. Each crowd of bodies sends more than the memory of the machine.
 const (
-	frontCrowd  = 500 // 125 MB
-	ownCrowd    = 150 // 150 MB
-	decodeCrowd = 24
-	headerCrowd = 500
+	frontCrowd   = 500 // 125 MB
+	ownCrowd     = 150 // 150 MB
+	decodeCrowd  = 24
+	headerCrowd  = 500
+	socketsCrowd = 900
 )
 
 // ownJob is an ordinary job in the format of the product's own interface.
@@ -89,6 +92,37 @@
 	Entry("that sends short header lines", headerCrowd, func() script { return tinyHeaders(ownPath, frontHeader) }),
 )
 
+// Guards against calls that hold their bodies while they wait for a store that does not answer.
+var _ = It("an entry serves an ordinary caller after a crowd whose calls waited for the store", func() {
+	nod := startEntry()
+	nod.rows.SetFault(rowstore.Hang)
+	scr := sized("POST", frontPath, padded(ordinaryJob, frontBody), "X-Deadline-Ms: 600000")
+	crowd(nod.front, frontCrowd, script{append(scr[0], scr[1]...), nil})
+	nod.expectWithinLimits()
+	nod.rows.SetFault(rowstore.None)
+	Expect(nod.submit("afterwards")).To(Succeed())
+	nod.expectWithinLimits()
+})
+
+// Guards against an entry without descriptors for the store, and against one that ends because it can't accept a
+// connection of an agent.
+var _ = DescribeTable("an entry keeps descriptors for its own calls beside a crowd",
+	func(scr script) {
+		nod := startEntry()
+		crowd(nod.front, socketsCrowd, scr)
+		connect(nod.standby, 1)
+		nod.expectWithinLimits()
+		Expect(nod.submit("afterwards")).To(Succeed())
+		Expect(nod.submitOwn("beside")).To(Succeed())
+		nod.expectWithinLimits()
+	},
+	Entry("that sends nothing", script{nil}),
+	Entry("that stops within the headers", script{[]byte("POST /q/crowd HTTP/1.1\r\nHost: " + host + "\r\nContent-Le"), nil}),
+	Entry("that stops at the body", script{head("POST", frontPath, "Content-Length: 100"), nil}),
+	Entry("that stops at the body of a refused request", script{head("POST", "/other/crowd", "Content-Length: 100"), nil}),
+	Entry("that leaves its connections open after a request", script{head("GET", "/q/", "X-Crowd: yes"), nil}),
+)
+
 // Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
 var _ = DescribeTable("a single request at the limit",
 	func(address func(nod *node) string, scr script, status int) {
--- a/io/clients/clients_test.go
+++ b/io/clients/clients_test.go
@@ -293,6 +293,33 @@
 			first.expectClosed(0)
 		})
 	})
+	t.Run("of a request beyond those at work", func(t *testing.T) {
+		within(t, shed.NewLimits(0, 1, 0), func(srv *server) {
+			first := srv.connect()
+			first.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+			second := srv.connect()
+			second.send(get)
+			second.expectStatus(http.StatusServiceUnavailable)
+			first.expectStatus(http.StatusOK)
+			third := srv.connect()
+			third.send(get)
+			third.expectStatus(http.StatusOK)
+		})
+	})
+}
+
+// Guards against a new caller that finds no place beside connections that do nothing.
+func TestPlaces(t *testing.T) {
+	within(t, shed.NewLimits(2, 0, 0), func(srv *server) {
+		first := srv.connect()
+		time.Sleep(time.Millisecond)
+		second, third := srv.connect(), srv.connect()
+		first.expectClosed(0)
+		for _, clt := range []*client{second, third} {
+			clt.send(get)
+			clt.expectStatus(http.StatusOK)
+		}
+	})
 }
 
 // Guards against handlers that fail when their server has no bounds, as in tests.
--- a/io/clients/server.go
+++ b/io/clients/server.go
@@ -42,7 +42,7 @@
 	return con
 }
 
-// bound returns a handler that refuses requests over the limits of single requests.
+// bound returns a handler that refuses requests for which there is no place.
 func (cls *Clients) bound(next http.Handler, ref Refuse) http.Handler {
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
 		con := connOf(req)
@@ -57,10 +57,17 @@
 			ref(wrt, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limit")
 			return
 		}
+		if (req.ContentLength == 0 || !takesBody(req.Method)) && !cls.work(con) {
+			ref(wrt, http.StatusServiceUnavailable, ErrBusy.Error())
+			return
+		}
 		next.ServeHTTP(wrt, req)
 	})
 }
 
+// takesBody reports whether the handlers of a method read a body, after which their requests are at work.
+func takesBody(method string) bool { return method == http.MethodPost || method == http.MethodPut }
+
 // headerSize returns the bytes of a header on the wire.
 func headerSize(req *http.Request) int {
 	const (
