Close connections whose clients don't read their answers

What callers saw: refusals, once clients that send requests and read no answers held all requests at work; such a connection stayed at work for good, because nothing bounded the time to write an answer.

Evidence: 900 clients that each send 3,000 requests and read nothing: 791 open sockets on, bound 600.

Change: a client has 10 s to take each 16 KiB of an answer. From the first byte of an answer on, the request is no longer at work, so that its connection can give way; a large answer counts as memory until it is sent. An answer that is ready is sent even if no memory is left for it.

Why it works: no connection stays in a phase in which it can't give way for longer than its request is at work.

--- a/internal/failure/crowds/platform_test.go
+++ b/internal/failure/crowds/platform_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,6 +122,7 @@
 	Entry("that stops at the body", script{head("POST", frontPath, "Content-Length: 100"), nil}),
 	Entry("that stops at the body of a refused request", script{head("POST", "/other/crowd", "Content-Length: 100"), nil}),
 	Entry("that leaves its connections open after a request", script{head("GET", "/q/", "X-Crowd: yes"), nil}),
+	Entry("that reads no answers", script{[]byte(strings.Repeat(string(head("GET", "/q/", "X-Crowd: yes")), 3000)), nil}),
 )
 
 // Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
--- a/io/clients/clients_test.go
+++ b/io/clients/clients_test.go
@@ -27,6 +27,7 @@
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	bodyTimeout   = 30 * time.Second
+	writeTimeout  = 10 * time.Second
 )
 
 // pipes is a listener of connections within the process, whose time limits use the clock of the test.
@@ -86,6 +87,9 @@
 // serve answers with the size of the body, with a large answer, or with a refusal before it has read the body.
 func serve(wrt http.ResponseWriter, req *http.Request) {
 	switch req.URL.Path {
+	case "/large":
+		_, _ = wrt.Write(make([]byte, 1<<20)) // the client may be gone
+		return
 	case "/refused":
 		http.Error(wrt, "refused", http.StatusNotFound)
 		return
@@ -209,6 +213,16 @@
 			srv.expectPassed(begun, bodyTimeout)
 		})
 	})
+	t.Run("an answer that is not read", func(t *testing.T) {
+		within(t, shed.Limits{}, func(srv *server) {
+			clt := srv.connect()
+			clt.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+			time.Sleep(2 * writeTimeout)
+			if num, _ := io.Copy(io.Discard, clt.answers); num >= 1<<20 {
+				srv.Fatalf("the whole answer was still sent")
+			}
+		})
+	})
 	t.Run("a request that takes longer than its body may", func(t *testing.T) {
 		within(t, shed.Limits{}, func(srv *server) {
 			clt := srv.connect()
--- a/io/clients/conn.go
+++ b/io/clients/conn.go
@@ -15,6 +15,9 @@
 	// headerByteCost is the memory that a byte of a header can take once it is parsed: a line of 4 bytes becomes an entry
 	// of a map with a key and a list of one value, 128 bytes.
 	headerByteCost = 32
+	// writeSlice is written at a time, and writeTimeout is how long a client may take to receive it.
+	writeSlice   = 16 << 10
+	writeTimeout = 10 * time.Second
 )
 
 // conn is an accepted connection.
@@ -97,6 +100,29 @@
 	return con.since.Add(limit)
 }
 
+// Write implements net.Conn. The client must take each slice in time. While a large answer is being written, it counts as
+// memory of the connection, which may then give way.
+func (con *conn) Write(buf []byte) (int, error) {
+	con.clients.update(func(tab *table, now time.Time) { tab.SetPhase(con, shed.Answering, now) })
+	if size := int64(len(buf)); size > writeSlice && con.hold(size) {
+		defer con.release(size)
+	}
+	written := 0
+	for written < len(buf) {
+		if err := con.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		num, err := con.Conn.Write(buf[written:min(len(buf), written+writeSlice)])
+		written += num
+		if err != nil {
+			con.noteTimeout(err)
+			return written, err
+		}
+		con.progress(int64(num))
+	}
+	return written, nil
+}
+
 // SetReadDeadline implements net.Conn. A connection that has to give way keeps the deadline that has passed.
 func (con *conn) SetReadDeadline(at time.Time) error {
 	con.mu.Lock()
