Send refusals although the body is still arriving

What callers saw: no refusal, as long as their body was open. At the platform's interface it never came, at the own interface after 30 s.

Cause: before net/http sends an answer, it reads what is left of a body of up to 256 KiB, without a time limit of its own.

Change: when an answer begins before its body is whole, the rest of the body is awaited for 100 ms at most, then the answer is sent and the connection is closed.

After: the refusal arrives in each case, with the status that it had.

Why it works: the wait is a read with a deadline on the connection of that request, and net/http sends the answer when it fails.

--- a/internal/failure/crowds/platform_test.go
+++ b/internal/failure/crowds/platform_test.go
@@ -125,6 +125,27 @@
 	Entry("that reads no answers", script{[]byte(strings.Repeat(string(head("GET", "/q/", "X-Crowd: yes")), 3000)), nil}),
 )
 
+// Guards against a refusal that waits for the end of a body that never comes.
+var _ = DescribeTable("a refusal reaches a caller whose body is still open",
+	func(address func(nod *node) string, method, path string, status int, headers ...string) {
+		nod := startEntry()
+		con := connect(address(nod), 1)[0]
+		play(con, script{head(method, path, headers...), []byte("{"), nil}, true)
+		Expect(con.SetReadDeadline(time.Now().Add(answerLimit))).To(Succeed())
+		rsp, err := http.ReadResponse(bufio.NewReader(con), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rsp.Body.Close()).To(Succeed())
+		Expect(rsp.StatusCode).To(Equal(status))
+		nod.expectWithinLimits()
+	},
+	Entry("no such queue", front, "POST", "/other/crowd", http.StatusNotFound, "Content-Length: 1000"),
+	Entry("no such queue, in chunks", front, "POST", "/other/crowd", http.StatusNotFound, "Transfer-Encoding: chunked"),
+	Entry("a method that there is not", front, "PATCH", frontPath, http.StatusMethodNotAllowed, "Content-Length: 1000"),
+	Entry("a body over the limit", front, "POST", frontPath, http.StatusRequestEntityTooLarge, "Content-Length: 262145"),
+	Entry("no such queue at the own interface", own, "PUT", "/v1/queues/other/jobs/crowd", http.StatusNotFound, "Content-Length: 1000"),
+	Entry("a body over the limit at the own interface", own, "PUT", ownPath, http.StatusRequestEntityTooLarge, fmt.Sprintf("Content-Length: %d", ownBody+1)),
+)
+
 // Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
 var _ = DescribeTable("a single request at the limit",
 	func(address func(nod *node) string, scr script, status int) {
--- a/io/clients/clients_test.go
+++ b/io/clients/clients_test.go
@@ -283,6 +283,14 @@
 
 // Guards against refusals that never arrive, and against refusals that end the connection of a caller that has sent its whole body.
 func TestRefusals(t *testing.T) {
+	t.Run("before the end of the body", func(t *testing.T) {
+		within(t, shed.Limits{}, func(srv *server) {
+			clt := srv.connect()
+			clt.send(post("/refused", 1000) + "x")
+			clt.expectStatus(http.StatusNotFound)
+			clt.expectClosed(0)
+		})
+	})
 	t.Run("after the body", func(t *testing.T) {
 		within(t, shed.Limits{}, func(srv *server) {
 			clt := srv.connect()
--- a/io/clients/server.go
+++ b/io/clients/server.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
 	// maxHeaderBytes bounds a header whatever Wire allows, four times the limit of the deployments.
 	maxHeaderBytes = 64 << 10
+	// drainTimeout is how long the rest of the body of a refused request is awaited, so that the connection can be used
+	// again. After that the refusal is sent, and the connection is closed.
+	drainTimeout = 100 * time.Millisecond
 	// RetryAfter is the time after which a request that had to give way may be sent again.
 	RetryAfter = time.Second
 )
@@ -42,7 +48,8 @@
 	return con
 }
 
-// bound returns a handler that refuses requests for which there is no place.
+// bound returns a handler that refuses requests for which there is no place, and that sends refusals although the body
+// is still arriving.
 func (cls *Clients) bound(next http.Handler, ref Refuse) http.Handler {
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
 		con := connOf(req)
@@ -52,16 +59,20 @@
 		}
 		size := headerSize(req)
 		con.begin(size)
+		ans := &answer{ResponseWriter: wrt, conn: con, whole: req.ContentLength == 0}
 		if limit := cls.wire.Load().headerBytes; limit > 0 && size > limit {
 			cls.acted(limitHeader, effectRefused, 1)
-			ref(wrt, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limit")
+			ref(ans, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limit")
 			return
 		}
-		if (req.ContentLength == 0 || !takesBody(req.Method)) && !cls.work(con) {
-			ref(wrt, http.StatusServiceUnavailable, ErrBusy.Error())
+		if (ans.whole || !takesBody(req.Method)) && !cls.work(con) {
+			ref(ans, http.StatusServiceUnavailable, ErrBusy.Error())
 			return
 		}
-		next.ServeHTTP(wrt, req)
+		bdy := &body{ReadCloser: req.Body, answer: ans}
+		req = req.WithContext(req.Context()) // the server keeps the body of its own request
+		req.Body = bdy
+		next.ServeHTTP(ans, req)
 	})
 }
 
@@ -83,3 +94,47 @@
 	}
 	return size
 }
+
+// body notices the end of the body of a request.
+type body struct {
+	io.ReadCloser
+	answer *answer
+}
+
+// Read implements io.Reader.
+func (bdy *body) Read(buf []byte) (int, error) {
+	num, err := bdy.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
+		bdy.answer.whole = true
+	}
+	return num, err
+}
+
+// answer is the answer to a request.
+type answer struct {
+	http.ResponseWriter
+	conn  *conn
+	whole bool // the body has arrived
+	begun bool
+}
+
+// Unwrap is used by http.ResponseController.
+func (ans *answer) Unwrap() http.ResponseWriter { return ans.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter. Before it sends an answer, the server reads what is left of the body; the deadline
+// bounds that.
+func (ans *answer) WriteHeader(status int) {
+	if !ans.begun && !ans.whole {
+		_ = ans.conn.SetReadDeadline(time.Now().Add(drainTimeout)) // fails only if the connection is closed
+	}
+	ans.begun = true
+	ans.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (ans *answer) Write(buf []byte) (int, error) {
+	if !ans.begun {
+		ans.WriteHeader(http.StatusOK)
+	}
+	return ans.ResponseWriter.Write(buf)
+}
