--- a/internal/failure/crowds/platform_test.go
+++ b/internal/failure/crowds/platform_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"jacinthpost/platform"
 	"jacinthpost/platform/standin/rowstore"
 )
 
@@ -19,12 +20,14 @@
 	frontBody   = 256 << 10 // limits.maxBodyBytes of the configuration
 	frontHeader = 16 << 10  // limits.maxHeaderBytes
 	ownBody     = 1 << 20
+	heartbeat   = 4 << 20
 )
 
 // Sizes of crowds. Each crowd of bodies sends more than the memory of the machine.
 const (
 	frontCrowd   = 500 // 125 MB
 	ownCrowd     = 150 // 150 MB
+	agentCrowd   = 40  // 160 MB
 	decodeCrowd  = 24
 	headerCrowd  = 500
 	socketsCrowd = 900
@@ -146,6 +149,25 @@
 	Entry("a body over the limit at the own interface", own, "PUT", ownPath, http.StatusRequestEntityTooLarge, fmt.Sprintf("Content-Length: %d", ownBody+1)),
 )
 
+// Guards against an agent that runs out of memory by the heartbeats of programs other than its worker.
+var _ = DescribeTable("an agent takes the heartbeat of its worker beside a crowd",
+	func(size int, scr func() script) {
+		nod := startNode(platform.AgentRole)
+		Eventually(nod.announce).WithTimeout(startLimit).Should(Succeed())
+		crowd(nod.control, size, scr())
+		nod.expectWithinLimits()
+		Expect(nod.announce()).To(Succeed())
+		nod.expectWithinLimits()
+	},
+	Entry("that sends large bodies", agentCrowd, func() script {
+		return sized("PUT", "/-/instances/crowd", padded("{}", heartbeat))
+	}),
+	Entry("that sends many labels", decodeCrowd*wholeShare, func() script {
+		return sized("PUT", "/-/instances/crowd", repeated("labels", `""`, 256<<10))
+	}),
+	Entry("that sends nothing", socketsCrowd, func() script { return script{nil} }),
+)
+
 // Guards against limits that a single request inside the limits of the pages meets in calm, and against a byte too many.
 var _ = DescribeTable("a single request at the limit",
 	func(address func(nod *node) string, scr script, status int) {
--- a/internal/failure/crowds/process_test.go
+++ b/internal/failure/crowds/process_test.go
@@ -162,6 +162,12 @@
 	return ask(http.MethodPut, nod.own, "/v1/queues/q/jobs/"+id, ownJob)
 }
 
+// announce sends an ordinary heartbeat of the worker beside an agent.
+func (nod *node) announce() error {
+	return ask(http.MethodPut, nod.control, "/-/instances/w",
+		`{"service":"s","address":"127.0.0.1:1","zone":"z1","state":"ready","capacity":{"cpu":1000,"memMb":100},"clockMs":1,"sequence":1}`)
+}
+
 // ask makes a call on a connection of its own, and returns an error unless the status is 200.
 func ask(method, addr, path, body string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
