Bound connections at the addresses for probes, metrics and the local endpoint

The same cause as at the interfaces for callers, found by reading: these servers had no bound on connections, and headers could have 1 MiB. They now take 64 connections, 16 requests at work and 2 MiB each, from a process's descriptors that are not for callers. There is no spec of a crowd here: only programs of the platform and of the instance call these addresses.

--- a/io/clients/limits.go
+++ b/io/clients/limits.go
@@ -21,6 +21,16 @@
 	leastBytes = 16 << 20
 )
 
+// Limits of probes, of which a few programs of the platform send one a second.
+const (
+	probeConnections = 64
+	probeRequests    = 16
+	probeBytes       = 2 << 20
+)
+
+// ProbeLimits returns the limits for an address that only probes and readers of metrics call.
+func ProbeLimits() shed.Limits { return shed.NewLimits(probeConnections, probeRequests, probeBytes) }
+
 // Descriptors returns how many descriptors the system lets the process open.
 func Descriptors() int {
 	var lim unix.Rlimit
--- a/io/node/agentnode/agentnode.go
+++ b/io/node/agentnode/agentnode.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	"jacinthpost/core/ledger"
 	"jacinthpost/core/member"
 	"jacinthpost/io/agentstate"
+	"jacinthpost/io/clients"
 	"jacinthpost/io/control"
 	"jacinthpost/io/guard"
 	"jacinthpost/io/node"
@@ -30,7 +30,6 @@
 
 const (
 	profilePeriod = 500 * time.Millisecond
-	headerTimeout = 5 * time.Second
 )
 
 // Agent is the role of an agent process.
@@ -88,8 +87,9 @@
 		return errors.Wrap(err, "listen for the endpoint")
 	}
 	grp, ctx := errgroup.WithContext(ctx)
-	srv := &http.Server{Handler: agt.serve.Announcements(), ReadHeaderTimeout: headerTimeout}
-	grp.Go(func() error { return node.ServeHTTP(ctx, lsn, srv) })
+	cls := clients.New("endpoint", clients.ProbeLimits(), node.ProbeWire(), agt.node.Logger())
+	srv := cls.Server(agt.serve.Announcements(), serve.Refuse)
+	grp.Go(func() error { return node.ServeHTTP(ctx, cls.Listener(lsn), srv) })
 	grp.Go(func() error { agt.serve.Run(ctx); return nil })
 	grp.Go(func() error { agt.tasks.Run(ctx); return nil })
 	grp.Go(func() error { agt.owner.run(ctx); return nil })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,6 +21,7 @@
 	"jacinthpost/core/store"
 	"jacinthpost/core/ticket"
 	"jacinthpost/io/audit"
+	"jacinthpost/io/clients"
 	"jacinthpost/io/config"
 	"jacinthpost/io/control"
 	"jacinthpost/io/gossip"
@@ -38,9 +39,16 @@
 	headPeriod            = 500 * time.Millisecond
 	readyPeriod           = 20 * time.Millisecond
 	partitionCheckTimeout = time.Second // one read of the number of partitions
-	headerTimeout         = 5 * time.Second
+	probeHeaderBytes      = 16 << 10
+	probeHeaderTimeout    = 5 * time.Second
+	probeIdleTimeout      = 2 * time.Minute
 )
 
+// ProbeWire returns the limits of single requests of an address that programs of the instance and of the platform call.
+func ProbeWire() clients.Wire {
+	return clients.NewWire(probeHeaderBytes, probeHeaderTimeout, probeIdleTimeout)
+}
+
 // Incarnation returns a number for this process. It is the start time in microseconds, so that
 // a later process under the same instance ID has a higher one if the clocks of
 // successive hosts differ by less than the time between the processes.
@@ -327,7 +335,8 @@
 	}
 	grp.Go(func() error { return nod.server.Serve(ctx, lsn) })
 	grp.Go(func() error {
-		return ServeHTTP(ctx, mtr, &http.Server{Handler: telemetry.Handler(&nod.health), ReadHeaderTimeout: headerTimeout})
+		cls := clients.New("metrics", clients.ProbeLimits(), ProbeWire(), nod.logger)
+		return ServeHTTP(ctx, cls.Listener(mtr), cls.Server(telemetry.Handler(&nod.health), clients.RefusePlain))
 	})
 	grp.Go(func() error { return nod.gossip.Run(ctx) })
 	grp.Go(func() error { nod.config.Run(ctx); return nil })
--- a/io/serve/announce.go
+++ b/io/serve/announce.go
@@ -100,6 +100,9 @@
 	return ann, nil
 }
 
+// Refuse is the clients.Refuse of the handler of announcements.
+func Refuse(wrt http.ResponseWriter, status int, detail string) { respondError(wrt, status, detail) }
+
 func respondError(wrt http.ResponseWriter, status int, detail string) {
 	respond(wrt, status, struct {
 		Error string `json:"error"`
